Fix the interfaces between decisions and drivers

Cause: agreement, requests and fleet are built side by side, so the types between them have to stand first. Change: inputs, effects, parts, replicated sections, views, peer envelope, endpoint table, settings and folder models; ruff, mypy strict, pinned lock.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup demo test lint format bench measure slopes soak fuzz cover
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --require-hashes -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python examples/demo.py
+
+test: $(STAMP)
+	$(BIN)/python -W error::ResourceWarning -m unittest discover -s tests -t . -b
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
--- /dev/null
+++ b/src/gypsumwalk/errors.py
@@ -0,0 +1,83 @@
+"""Errors that gypsumwalk raises, one small class for each kind of failure."""
+
+__all__ = [
+    "BadBoundary",
+    "BadFolder",
+    "BadSetting",
+    "ConflictingGeneration",
+    "CorruptRecord",
+    "DiskFailure",
+    "GypsumwalkError",
+    "MalformedMessage",
+    "NotLeader",
+    "SettingsInvalid",
+    "UnknownMessage",
+    "UnreachableDaemon",
+]
+
+
+class GypsumwalkError(Exception):
+    """Base of every error that gypsumwalk raises."""
+
+
+class BadBoundary(GypsumwalkError):
+    """Input from outside the process has a wrong shape."""
+
+
+class BadSetting(GypsumwalkError):
+    """One setting has a wrong value.
+
+    Parameters
+    ----------
+    file : str
+        File that holds the setting.
+    key : str
+        Dotted path of the setting.
+    expected : str
+        What the setting should be.
+    found : str
+        What was found in its place.
+    """
+
+    def __init__(self, file: str, key: str, expected: str, found: str) -> None:
+        super().__init__(f"{file}: {key}: expected {expected}, found {found}")
+        self.file = file
+        self.key = key
+        self.expected = expected
+        self.found = found
+
+
+class SettingsInvalid(ExceptionGroup[BadSetting]):
+    """A settings file or folder has one or more wrong settings."""
+
+
+class BadFolder(ExceptionGroup[BadSetting]):
+    """A configuration folder is not acceptable as a whole."""
+
+
+class ConflictingGeneration(GypsumwalkError):
+    """Another configuration was accepted under the same generation number."""
+
+
+class CorruptRecord(GypsumwalkError):
+    """A stored record does not match its checksum."""
+
+
+class DiskFailure(GypsumwalkError):
+    """The data folder refused a write or a sync."""
+
+
+class MalformedMessage(GypsumwalkError):
+    """A peer's message can't be decoded or authenticated."""
+
+
+class UnknownMessage(GypsumwalkError):
+    """No part of the daemon accepts this message."""
+
+
+class NotLeader(GypsumwalkError):
+    """The daemon is not the leader of the replicated log."""
+
+
+class UnreachableDaemon(GypsumwalkError):
+    """No daemon answered within the timeout."""
--- /dev/null
+++ b/src/gypsumwalk/events.py
@@ -0,0 +1,69 @@
+"""Catalogue of numbered events."""
+
+from enum import Enum
+from typing import NamedTuple
+
+__all__ = ["Event", "EventEntry", "Level"]
+
+
+class Level(Enum):
+    """Severity of an event."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+class EventEntry(NamedTuple):
+    """One entry of the catalogue.
+
+    Attributes
+    ----------
+    number : int
+        Number that stays with the event for ever.
+    level : Level
+        Severity.
+    template : str
+        Message with the names of its attributes in braces.
+    """
+
+    number: int
+    level: Level
+    template: str
+
+
+class Event(Enum):
+    """Every event that a daemon records.
+
+    Numbers 1000 to 1999 belong to the daemon, 2000 to 2999 to agreement, membership,
+    configuration, keys and portions, 3000 to 3999 to requests and targets, 4000 to 4999
+    to jobs, pools and waves.
+    """
+
+    DAEMON_STARTED = EventEntry(1001, Level.INFO, "daemon started, version {version}")
+    DAEMON_STOPPING = EventEntry(
+        1002, Level.INFO, "daemon is stopping; {in_progress} requests in progress"
+    )
+    DAEMON_STOPPED = EventEntry(1003, Level.INFO, "daemon stopped, {cut} requests cut")
+    MESSAGE_REJECTED = EventEntry(
+        1004, Level.WARNING, "rejected a message from {source}: {reason}"
+    )
+    PEER_UNREACHABLE = EventEntry(
+        1005, Level.WARNING, "peer {peer} did not take a message: {reason}"
+    )
+
+    @property
+    def number(self) -> int:
+        """Number of the event."""
+        return self.value.number
+
+    @property
+    def level(self) -> Level:
+        """Severity of the event."""
+        return self.value.level
+
+    @property
+    def template(self) -> str:
+        """Message of the event."""
+        return self.value.template
--- /dev/null
+++ b/src/gypsumwalk/recovery.py
@@ -0,0 +1,22 @@
+"""What a daemon finds in its data folder when it starts."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+__all__ = ["Recovered"]
+
+
+@dataclass(frozen=True, slots=True)
+class Recovered:
+    """Content of a data folder, checked and whole.
+
+    Attributes
+    ----------
+    records : Mapping[str, tuple of bytes]
+        Records of each file written by ``AppendRecords``, in order.
+    files : Mapping[str, bytes]
+        Content of each file written by ``WriteFile``.
+    """
+
+    records: Mapping[str, tuple[bytes, ...]] = field(default_factory=dict)
+    files: Mapping[str, bytes] = field(default_factory=dict)
