Add the central side of upper limits and event number ranges

Cause: jobs are placed through the log, requests by daemons; both count against one upper limit. Change: CentralPortions interface; catalogue ranges marked. Conclusion: sections share limits without knowing each other.

--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -52,6 +52,11 @@
     PEER_UNREACHABLE = EventEntry(
         1005, Level.WARNING, "peer {peer} did not take a message: {reason}"
     )
+    # Agreement, membership, configuration, keys and portions: 2000 to 2999.
+
+    # Requests and targets: 3000 to 3999.
+
+    # Jobs, pools and waves: 4000 to 4999.
 
     @property
     def number(self) -> int:
--- a/src/gypsumwalk/views.py
+++ b/src/gypsumwalk/views.py
@@ -7,6 +7,7 @@
 from gypsumwalk.folder import Folder
 
 __all__ = [
+    "CentralPortions",
     "FolderView",
     "KeyVerdict",
     "KeyView",
@@ -152,3 +153,19 @@
     def folder(self) -> Folder:
         """The merged folder in force; read pools, instances and waves from it."""
         ...
+
+
+class CentralPortions(Protocol):
+    """What the replicated state keeps of the teams' upper limits for jobs.
+
+    The sum of the portions granted to daemons and of the units taken here never
+    exceeds a team's upper limit. Sections call this while they apply a command.
+    """
+
+    def take(self, team: str) -> bool:
+        """Take one unit for a job that starts; false if none is left."""
+        ...
+
+    def give_back(self, team: str) -> None:
+        """Return the unit of a job that can't be running any more."""
+        ...
