--- /dev/null
+++ b/tests/_fake_disk.py
@@ -0,0 +1,81 @@
+"""Disk of one daemon: what is synced survives a crash, a write in flight may not."""
+
+from collections import deque
+from random import Random
+
+from gypsumwalk.effects import AppendRecords, TruncateRecords, WriteFile
+from gypsumwalk.recovery import Recovered
+
+
+class FakeDisk:
+    """Data folder kept in memory, with the meaning of ``DiskOperation``."""
+
+    def __init__(self, random: Random, *, write_seconds: float = 0.0005) -> None:
+        self.write_seconds = write_seconds
+        self.full = False
+        self.synced_writes = 0
+        self._random = random
+        self._records: dict[str, list[bytes]] = {}
+        self._files: dict[str, bytes] = {}
+        self._pending: deque[tuple] = deque()
+        self._busy_until = 0.0
+
+    def begin(self, operations, now):
+        """Begin a write and return the time at which it ends."""
+        self._pending.append(tuple(operations))
+        self._busy_until = max(self._busy_until, now) + self.write_seconds
+        return self._busy_until
+
+    def finish(self):
+        """End the oldest write and tell whether it is synced."""
+        operations = self._pending.popleft()
+        if self.full:
+            return False
+        for operation in operations:
+            self._carry_out(operation)
+        self.synced_writes += 1
+        return True
+
+    def crash(self):
+        """Lose what is not synced; the write in flight is torn at any point."""
+        if self._pending and not self.full:
+            operations = self._pending[0]
+            whole = self._random.randint(0, len(operations))
+            for operation in operations[:whole]:
+                self._carry_out(operation)
+            if whole < len(operations):
+                self._tear(operations[whole])
+        self._pending.clear()
+        self._busy_until = 0.0
+
+    def lose(self):
+        """Lose everything: the disk is replaced by an empty one."""
+        self._pending.clear()
+        self._records.clear()
+        self._files.clear()
+        self.full = False
+
+    def recover(self):
+        """Return what a starting daemon finds."""
+        records = {name: tuple(kept) for name, kept in self._records.items()}
+        return Recovered(records, dict(self._files))
+
+    def size(self):
+        """Return the bytes kept."""
+        records = sum(len(item) for kept in self._records.values() for item in kept)
+        return records + sum(len(content) for content in self._files.values())
+
+    def _tear(self, operation):
+        if isinstance(operation, AppendRecords):
+            count = self._random.randint(0, len(operation.records))
+            part = AppendRecords(operation.file, operation.records[:count])
+            self._carry_out(part)
+
+    def _carry_out(self, operation):
+        match operation:
+            case AppendRecords(file, records):
+                self._records.setdefault(file, []).extend(records)
+            case TruncateRecords(file, keep):
+                del self._records.setdefault(file, [])[keep:]
+            case WriteFile(file, content):
+                self._files[file] = content
