--- /dev/null
+++ b/src/gypsumwalk/drivers/metriccatalogue.py
@@ -0,0 +1,87 @@
+"""Catalogue of the metrics that a daemon offers."""
+
+from enum import Enum
+from typing import NamedTuple
+
+__all__ = ["METRICS", "MetricEntry", "MetricKind"]
+
+
+class MetricKind(Enum):
+    """What a metric counts."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    LATENCY = "summary"
+
+
+class MetricEntry(NamedTuple):
+    """One entry of the catalogue.
+
+    Attributes
+    ----------
+    name : str
+        Name by which the code uses it; the text format adds ``gypsumwalk_`` and the
+        unit, ``_total`` or ``_seconds``.
+    kind : MetricKind
+        What it counts.
+    help : str
+        Meaning, in one sentence.
+    labels : tuple of str
+        Names of its labels.
+    """
+
+    name: str
+    kind: MetricKind
+    help: str
+    labels: tuple[str, ...] = ()
+
+
+_COUNTER = MetricKind.COUNTER
+_GAUGE = MetricKind.GAUGE
+_LATENCY = MetricKind.LATENCY
+
+_ENTRIES = [
+    MetricEntry("inputs", _COUNTER, "Inputs that decisions took in.", ("kind",)),
+    MetricEntry("effects", _COUNTER, "Effects that decisions asked for.", ("kind",)),
+    MetricEntry("events", _COUNTER, "Events recorded.", ("level",)),
+    MetricEntry("event_lines_lost", _GAUGE, "Event lines that could not be written."),
+    MetricEntry("http_calls", _COUNTER, "HTTP calls answered.", ("audience", "status")),
+    MetricEntry("refusals", _COUNTER, "Calls refused.", ("type", "outcome")),
+    MetricEntry(
+        "peer_messages",
+        _COUNTER,
+        "Messages to and from other daemons.",
+        ("direction", "transport"),
+    ),
+    MetricEntry(
+        "peer_bytes",
+        _COUNTER,
+        "Bytes of messages to and from other daemons.",
+        ("direction", "transport"),
+    ),
+    MetricEntry(
+        "peer_messages_rejected", _COUNTER, "Messages not whole or not authentic."
+    ),
+    MetricEntry(
+        "peer_messages_dropped", _COUNTER, "Messages dropped as a queue was full."
+    ),
+    MetricEntry("dispatches", _COUNTER, "Requests sent to targets.", ("status",)),
+    MetricEntry("platform_calls", _COUNTER, "Calls of the platform.", ("outcome",)),
+    MetricEntry("disk_writes", _COUNTER, "Synced writes.", ("outcome",)),
+    MetricEntry("callers_waiting", _GAUGE, "Callers that wait for an answer."),
+    MetricEntry("requests_in_progress", _GAUGE, "Requests sent and not answered."),
+    MetricEntry("ready", _GAUGE, "Whether the daemon is ready, 1 or 0."),
+    MetricEntry("leader", _GAUGE, "Whether the daemon leads the log, 1 or 0."),
+    MetricEntry("generation", _GAUGE, "Generation of the configuration in force."),
+    MetricEntry("log_applied", _GAUGE, "Index of the last log entry applied."),
+    MetricEntry("daemons_alive", _GAUGE, "Daemons that membership sees alive."),
+    MetricEntry("started_at", _GAUGE, "Time of the start, seconds since the epoch."),
+    MetricEntry("http", _LATENCY, "Time to answer an HTTP call.", ("audience",)),
+    MetricEntry("dispatch", _LATENCY, "Time until a target's answer."),
+    MetricEntry("platform", _LATENCY, "Time until the platform's answer."),
+    MetricEntry("disk_write", _LATENCY, "Time of a synced write."),
+    MetricEntry("decision", _LATENCY, "Time to decide on one input."),
+]
+
+METRICS = {entry.name: entry for entry in _ENTRIES}
+"""Every metric, by the name that the code uses."""
--- a/src/gypsumwalk/errors.py
+++ b/src/gypsumwalk/errors.py
@@ -12,6 +12,7 @@
     "NotLeader",
     "SettingsInvalid",
     "UnknownMessage",
+    "UnknownMetric",
     "UnreachableDaemon",
 ]
 
@@ -75,6 +76,23 @@
     """No part of the daemon accepts this message."""
 
 
+class UnknownMetric(GypsumwalkError):
+    """The catalogue of metrics has no such entry.
+
+    Parameters
+    ----------
+    name : str
+        Name that was used.
+    labels : list of str
+        Names of the labels that were used.
+    """
+
+    def __init__(self, name: str, labels: list[str]) -> None:
+        super().__init__(f"no metric {name} with the labels {labels}")
+        self.name = name
+        self.labels = labels
+
+
 class NotLeader(GypsumwalkError):
     """The daemon is not the leader of the replicated log."""
 
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,126 @@
+"""Tests of the log and of the lines of event files."""
+
+import io
+import tempfile
+import unittest
+from pathlib import Path
+
+from gypsumwalk.drivers.journal import EventJournal, LogStyle
+from gypsumwalk.effects import Record
+from gypsumwalk.errors import MalformedMessage
+from gypsumwalk.eventlines import LineWriter, decode_line
+from gypsumwalk.events import Event, Level
+from gypsumwalk.settings import Settings
+from gypsumwalk.timestamps import HybridClock, Timestamp
+
+SECRET = "cluster-secret-of-16"
+
+
+def make_settings(folder=""):
+    return Settings(
+        name="d1",
+        data_centre="north",
+        caller_port=1,
+        peer_port=2,
+        cluster_secret=SECRET,
+        operator_key="operator-key",
+        record_folder=folder,
+    )
+
+
+def started(version="1"):
+    return Record(Event.DAEMON_STARTED, "d1", {"version": version})
+
+
+class TestJournal(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.stream = io.StringIO()
+
+    def open(self, **options):
+        journal = EventJournal(
+            make_settings(str(self.folder)),
+            HybridClock(),
+            stream=self.stream,
+            **options,
+        )
+        self.addCleanup(journal.close)
+        return journal
+
+    def read(self, name="d1.jsonl"):
+        return [decode_line(text) for text in (self.folder / name).open("rb")]
+
+    def test_writes_file_and_log_in_order(self):
+        journal = self.open()
+        journal.write(started(), 10.0)
+        journal.write(started("2"), 10.0)
+        first, second = self.read()
+        assert first.timestamp == Timestamp(10_000, 0)
+        assert second.timestamp == Timestamp(10_000, 1)
+        assert first.number == 1001 and first.data_centre == "north"
+        assert second.message == "daemon started, version 2"
+        assert [decode_line(t) for t in self.stream.getvalue().splitlines()] == [
+            first,
+            second,
+        ]
+
+    def test_rotates_and_keeps_a_bounded_number_of_files(self):
+        journal = self.open(max_bytes=1000, kept_files=2)
+        for number in range(60):
+            journal.write(started(str(number)), float(number))
+        names = sorted(path.name for path in self.folder.iterdir())
+        assert names == ["d1.jsonl", "d1.jsonl.1", "d1.jsonl.2"]
+        assert all(path.stat().st_size < 1000 for path in self.folder.iterdir())
+        assert self.read()[-1].attributes["version"] == "59"
+
+    def test_text_style_keeps_one_line_for_each_event(self):
+        journal = self.open(style=LogStyle.TEXT)
+        journal.write(started("1\n9 error 1 d2: forged"), 1.5)
+        (line,) = self.stream.getvalue().splitlines()
+        assert line.startswith("1500.0 info    1001 d1: daemon started, version 1\\n9")
+
+    def test_threshold_holds_for_the_log_only(self):
+        journal = self.open(threshold=Level.ERROR)
+        journal.write(started(), 1.0)
+        assert self.stream.getvalue() == ""
+        assert len(self.read()) == 1
+
+    def test_closed_log_stream_does_not_stop_the_file(self):
+        journal = self.open()
+        self.stream.close()
+        journal.write(started(), 1.0)
+        assert journal.lost == 1
+        assert len(self.read()) == 1
+
+    def test_no_key_reaches_file_or_log(self):
+        journal = self.open()
+        values = {
+            "source": "d2",
+            "reason": f"{SECRET} and operator-key",
+            "credential": "team-key",
+            "Key": "another-key",
+        }
+        journal.write(Record(Event.MESSAGE_REJECTED, SECRET, values), 1.0)
+        written = self.stream.getvalue() + (self.folder / "d1.jsonl").read_text()
+        for key in (SECRET, "operator-key", "team-key", "another-key"):
+            assert key not in written
+
+
+class TestLines(unittest.TestCase):
+    def describe(self, **attributes):
+        record = Record(Event.MESSAGE_REJECTED, "s", attributes)
+        return LineWriter("d1", "north").describe(record, Timestamp(1, 0))
+
+    def test_missing_attribute_leaves_the_line_whole(self):
+        assert self.describe(source="d2").message == "rejected a message from d2: ?"
+
+    def test_values_are_bounded_and_finite(self):
+        line = self.describe(source="x" * 10_000, reason=float("nan"))
+        assert len(line.attributes["source"]) == 400
+        assert line.attributes["reason"] == "nan"
+
+    def test_line_cut_short_is_refused_by_type(self):
+        with self.assertRaises(MalformedMessage):
+            decode_line(b'{"timestamp":[1,0],"inst')
