--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 format: $(STAMP)
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
+
+fuzz: $(STAMP)
+	GYPSUMWALK_FUZZ=open $(BIN)/python -m unittest discover -s tests -t . -p "test_fuzz_*.py"
