Add the command line, the client, and the time line

Cause: operators need one program, and one view of the events of all daemons. Change: a client that tries daemons in turn and repeats only what is safe; the program by fire with serve, timeline and version, which shows commands only and checks every argument before anything is done; a time line by hybrid logical time as text, JSON and a self-contained page.

--- /dev/null
+++ b/src/gypsumwalk/command.py
@@ -0,0 +1,169 @@
+"""The ``gypsumwalk`` program."""
+
+import contextlib
+import io
+import os
+import re
+import sys
+from collections.abc import Callable, Sequence
+from inspect import signature
+from typing import NoReturn
+
+import fire
+import msgspec
+from fire.decorators import SetParseFn
+
+from gypsumwalk.drivers import commands_service
+from gypsumwalk.drivers._actions import Action, ExitCode, Report, describe_value
+from gypsumwalk.drivers._failures import describe_failure
+
+__all__ = ["main", "run_command"]
+
+PROGRAM = "gypsumwalk"
+HELP_FLAG = "--help"
+HELP_NOTE = re.compile(r"INFO: Showing help with the command .*\n")
+
+
+class Command:
+    """One command, as fire calls it; it shows no members.
+
+    fire would offer the members of a plain function as further commands. It takes
+    this object for a routine because its class has ``__get__``.
+
+    Parameters
+    ----------
+    function : Callable
+        Takes texts, checks them and returns what is to be done.
+    """
+
+    def __init__(self, function: Callable[..., Action]) -> None:
+        self.__doc__ = function.__doc__
+        self.__name__ = function.__name__
+        self.__signature__ = signature(function)
+        self._function = function
+        SetParseFn(str)(self)
+
+    def __call__(self, *arguments: str, **flags: str) -> Action:
+        return self._function(*arguments, **flags)
+
+    def __get__(self, owner: object, kind: type | None = None) -> "Command":
+        return self
+
+    def __dir__(self) -> list[str]:
+        return []
+
+
+class Group:
+    """Commands under one name; it shows nothing but them.
+
+    Parameters
+    ----------
+    summary : str
+        What the commands are about.
+    **commands : Callable or Group
+        Functions behind commands, or further groups.
+    """
+
+    def __init__(
+        self, summary: str, **commands: "Callable[..., Action] | Group"
+    ) -> None:
+        self.__doc__ = summary
+        self._names = list(commands)
+        for name, item in commands.items():
+            setattr(self, name, item if isinstance(item, Group) else Command(item))
+
+    def __dir__(self) -> list[str]:
+        return self._names
+
+
+def make_commands() -> Group:
+    """Return every command of the program."""
+    return Group(
+        "Fleet capacity and maintenance manager run by declarations.",
+        serve=commands_service.serve,
+        timeline=commands_service.timeline,
+        version=commands_service.version,
+    )
+
+
+def run_command(arguments: Sequence[str]) -> int:
+    """Run one command.
+
+    Parameters
+    ----------
+    arguments : Sequence[str]
+        Arguments of the program.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
+    as_json = "--json" in arguments
+    try:
+        action = _parse(list(arguments))
+        if isinstance(action, int):
+            return action
+        report = action.perform()
+        _print_report(report, action.as_json)
+        return report.exit_code
+    except BrokenPipeError:
+        # The reader of the output left; the interpreter must not flush into it.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return ExitCode.DONE
+    except Exception as error:
+        failure = describe_failure(error)
+        text = failure.to_json() if as_json else failure.to_text()
+        print(text, file=sys.stderr)
+        return failure.exit_code
+
+
+def main() -> NoReturn:
+    """Run the program with the arguments of the process."""
+    try:
+        sys.exit(run_command(sys.argv[1:]))
+    except KeyboardInterrupt:
+        sys.exit(130)
+
+
+def _parse(arguments: list[str]) -> Action | int:
+    """Let fire find the command; whatever it prints is shown as help or error."""
+    # Behind "--" stand fire's own flags, one of which opens a Python prompt.
+    if "--" in arguments:
+        print(f"{PROGRAM}: unknown argument '--'", file=sys.stderr)
+        return ExitCode.BAD_INPUT
+    found, text, code = _call_fire(arguments)
+    if isinstance(found, Action):
+        return found
+    if code is None:
+        _, text, _ = _call_fire([*arguments, HELP_FLAG])
+        code = ExitCode.BAD_INPUT
+    shown = HELP_NOTE.sub("", text).strip()
+    print(shown, file=sys.stderr if code else sys.stdout)
+    return code
+
+
+def _call_fire(arguments: list[str]) -> tuple[object, str, int | None]:
+    output = io.StringIO()
+    hide: Callable[[object], None] = lambda found: None  # noqa: E731
+    with contextlib.redirect_stdout(output), contextlib.redirect_stderr(output):
+        try:
+            found = fire.Fire(
+                make_commands(), command=arguments, name=PROGRAM, serialize=hide
+            )
+        except fire.core.FireExit as leave:
+            return None, output.getvalue(), leave.code
+    return found, output.getvalue(), None
+
+
+def _print_report(report: Report, as_json: bool) -> None:
+    if report.payload is not None:
+        sys.stdout.flush()
+        sys.stdout.buffer.write(report.payload)
+        sys.stdout.buffer.flush()
+        return
+    if as_json:
+        print(msgspec.json.encode(report.value).decode())
+    elif report.value is not None:
+        print("\n".join(report.lines or describe_value(report.value)))
+    sys.stdout.flush()
--- /dev/null
+++ b/src/gypsumwalk/drivers/_failures.py
@@ -0,0 +1,116 @@
+"""Failures of commands: exit code and text for each type of error."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+from gypsumwalk.drivers._actions import ExitCode
+from gypsumwalk.drivers.client import Refused
+from gypsumwalk.errors import (
+    BadBoundary,
+    GypsumwalkError,
+    OutcomeUnknown,
+    UnreachableDaemon,
+)
+from gypsumwalk.problems import Outcome, ProblemType
+
+__all__ = ["Failure", "describe_failure"]
+
+OUTCOME_CODES = {
+    Outcome.NOT_RUN: ExitCode.REFUSED,
+    Outcome.RAN: ExitCode.REFUSED,
+    Outcome.IN_PROGRESS: ExitCode.IN_PROGRESS,
+    Outcome.UNKNOWN: ExitCode.OUTCOME_UNKNOWN,
+}
+INPUT_PROBLEMS = frozenset({ProblemType.MALFORMED, ProblemType.INVALID_FOLDER})
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """Why a command failed.
+
+    Attributes
+    ----------
+    exit_code : ExitCode
+        Exit code of the program.
+    kind : str
+        Type of the failure.
+    detail : str
+        Sentence for a person.
+    outcome : Outcome
+        What became of the request or change.
+    errors : list of str
+        Each single error, where there are several.
+    """
+
+    exit_code: ExitCode
+    kind: str
+    detail: str
+    outcome: Outcome
+    errors: list[str] = field(default_factory=list)
+
+    def to_json(self) -> str:
+        """Return the failure as JSON."""
+        return msgspec.json.encode(self).decode()
+
+    def to_text(self) -> str:
+        """Return the failure as lines of text."""
+        head = f"gypsumwalk: {self.detail} ({self.kind}, {self.outcome.value})"
+        return "\n".join([head, *(f"  {error}" for error in self.errors)])
+
+
+def describe_failure(error: Exception) -> Failure:
+    """Find exit code and text of an error.
+
+    Parameters
+    ----------
+    error : Exception
+        The error.
+
+    Returns
+    -------
+    Failure
+        Its description.
+    """
+    kind = type(error).__name__
+    match error:
+        case ExceptionGroup():
+            errors = [str(single) for single in _flatten(error)]
+            code = ExitCode.BAD_INPUT if _is_input(error) else ExitCode.FAULT
+            detail = f"{len(errors)} errors" if len(errors) != 1 else "1 error"
+            return Failure(code, kind, detail, Outcome.NOT_RUN, errors)
+        case Refused():
+            return _describe_refusal(error)
+        case BadBoundary():
+            return Failure(ExitCode.BAD_INPUT, kind, str(error), Outcome.NOT_RUN)
+        case UnreachableDaemon():
+            detail = f"no daemon took the call: {error}"
+            return Failure(ExitCode.UNREACHABLE, kind, detail, Outcome.NOT_RUN)
+        case OutcomeUnknown():
+            detail = f"the call was sent and not answered: {error}"
+            return Failure(ExitCode.OUTCOME_UNKNOWN, kind, detail, Outcome.UNKNOWN)
+        case OSError():
+            return Failure(ExitCode.BAD_INPUT, kind, str(error), Outcome.NOT_RUN)
+        case _:
+            return Failure(ExitCode.FAULT, kind, str(error), Outcome.UNKNOWN)
+
+
+def _describe_refusal(error: Refused) -> Failure:
+    problem = error.problem
+    kind = problem.type.rpartition("/")[2]
+    code = OUTCOME_CODES[problem.outcome]
+    if problem.outcome is Outcome.NOT_RUN and kind in INPUT_PROBLEMS:
+        code = ExitCode.BAD_INPUT
+    detail = problem.detail or problem.title
+    return Failure(code, kind, detail, problem.outcome, problem.errors)
+
+
+def _flatten(group: ExceptionGroup[Exception]) -> list[Exception]:
+    flat: list[Exception] = []
+    for error in group.exceptions:
+        flat += _flatten(error) if isinstance(error, ExceptionGroup) else [error]
+    return flat
+
+
+def _is_input(group: ExceptionGroup[Exception]) -> bool:
+    return all(isinstance(error, GypsumwalkError) for error in _flatten(group))
--- /dev/null
+++ b/src/gypsumwalk/drivers/commands_service.py
@@ -0,0 +1,146 @@
+"""Commands about the program itself: serve, version, timeline."""
+
+from importlib import import_module
+from pathlib import Path
+
+from gypsumwalk import __version__
+from gypsumwalk.drivers._actions import (
+    Action,
+    BadArgument,
+    Report,
+    parse_flag,
+    parse_number,
+)
+from gypsumwalk.drivers.eventfiles import read_event_files
+from gypsumwalk.errors import BadBoundary, BadSetting, SettingsInvalid
+from gypsumwalk.events import Level
+from gypsumwalk.settings import Settings, decode_settings
+from gypsumwalk.timeline import Selection, render_text
+from gypsumwalk.timelinepage import render_page
+
+__all__ = ["read_settings", "serve", "timeline", "version"]
+
+MAX_EVENTS = 1_000_000
+DEFAULT_EVENTS = "2000"
+
+
+def serve(settings: str) -> Action:
+    """Run the daemon until it gets SIGTERM or SIGINT.
+
+    Example: gypsumwalk serve /etc/gypsumwalk/entry1.toml
+
+    Parameters
+    ----------
+    settings : str
+        Settings file in TOML.
+    """
+    checked = read_settings(settings)
+    return Action(lambda: _run_daemon(checked))
+
+
+def version(json: str | bool = False) -> Action:
+    """Show the version of the program.
+
+    Example: gypsumwalk version --json
+
+    Parameters
+    ----------
+    json : bool
+        Print JSON.
+    """
+    report = Report({"version": __version__}, [f"gypsumwalk {__version__}"])
+    return Action(lambda: report, parse_flag("json", json))
+
+
+def timeline(
+    folder: str,
+    subject: str = "",
+    instance: str = "",
+    level: str = "debug",
+    last: str = DEFAULT_EVENTS,
+    page: str = "",
+    json: str | bool = False,
+) -> Action:
+    """Merge the event files of all daemons into one view.
+
+    Example: gypsumwalk timeline records --subject wave/spring --page wave.html
+
+    Parameters
+    ----------
+    folder : str
+        Folder that holds the event files of all daemons.
+    subject : str
+        Only events of this request, job, wave, instance or daemon.
+    instance : str
+        Only events of this daemon.
+    level : str
+        Least severe level: debug, info, warning or error.
+    last : str
+        Most events, the latest ones.
+    page : str
+        File to write an HTML page to, in place of the text.
+    json : bool
+        Print JSON.
+    """
+    levels = [item.value for item in Level]
+    if level not in levels:
+        raise BadArgument("level", f"one of {', '.join(levels)}", level)
+    selection = Selection(
+        subject=subject,
+        instance=instance,
+        levels=frozenset(levels[levels.index(level) :]),
+        last=int(parse_number("last", last, 1, MAX_EVENTS)),
+    )
+    if not Path(folder).is_dir():
+        raise BadArgument("folder", "a folder", folder)
+    if page and not Path(page).absolute().parent.is_dir():
+        raise BadArgument("page", "a file in an existing folder", page)
+    as_json = parse_flag("json", json)
+    return Action(lambda: _show_timeline(Path(folder), selection, page), as_json)
+
+
+def read_settings(path: str) -> Settings:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : str
+        The file.
+
+    Returns
+    -------
+    Settings
+        The settings.
+
+    Raises
+    ------
+    SettingsInvalid
+        Every wrong setting, each a ``BadSetting``.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        wrong = BadSetting(path, "(file)", "a file", error.strerror or "an error")
+        raise SettingsInvalid(path, [wrong]) from error
+    except UnicodeDecodeError as error:
+        wrong = BadSetting(path, "(file)", "UTF-8", str(error))
+        raise SettingsInvalid(path, [wrong]) from error
+    return decode_settings(text, file=path)
+
+
+def _run_daemon(settings: Settings) -> Report:
+    # Imported late: no other command needs the runtime.
+    daemon = import_module("gypsumwalk.drivers.daemon")
+    return Report(None, exit_code=daemon.run_daemon(settings))
+
+
+def _show_timeline(folder: Path, selection: Selection, page: str) -> Report:
+    whole = read_event_files(folder)
+    if not whole.files:
+        raise BadBoundary(f"{folder} holds no event files")
+    selected = whole.select(selection)
+    if not page:
+        return Report(selected.to_builtins(), render_text(selected))
+    Path(page).write_text(render_page(selected), encoding="utf-8")
+    written = {"written": page, "events": len(selected.events)}
+    return Report(written, [f"wrote {len(selected.events)} events to {page}"])
--- a/src/gypsumwalk/drivers/metriccatalogue.py
+++ b/src/gypsumwalk/drivers/metriccatalogue.py
@@ -43,15 +43,12 @@
 _ENTRIES = [
     MetricEntry("inputs", _COUNTER, "Inputs that decisions took in.", ("kind",)),
     MetricEntry("effects", _COUNTER, "Effects that decisions asked for.", ("kind",)),
-    MetricEntry("events", _COUNTER, "Events recorded.", ("level",)),
+    MetricEntry("events", _COUNTER, "Events recorded.", ("number",)),
     MetricEntry("event_lines_lost", _GAUGE, "Event lines that could not be written."),
     MetricEntry("http_calls", _COUNTER, "HTTP calls answered.", ("audience", "status")),
     MetricEntry("refusals", _COUNTER, "Calls refused.", ("type", "outcome")),
     MetricEntry(
-        "peer_messages",
-        _COUNTER,
-        "Messages to and from other daemons.",
-        ("direction", "transport"),
+        "peer_messages", _COUNTER, "Messages sent to other daemons.", ("reliable",)
     ),
     MetricEntry(
         "peer_bytes",
@@ -68,7 +65,7 @@
     MetricEntry("dispatches", _COUNTER, "Requests sent to targets.", ("status",)),
     MetricEntry("platform_calls", _COUNTER, "Calls of the platform.", ("outcome",)),
     MetricEntry("disk_writes", _COUNTER, "Synced writes.", ("outcome",)),
-    MetricEntry("callers_waiting", _GAUGE, "Callers that wait for an answer."),
+    MetricEntry("waiting_calls", _GAUGE, "HTTP calls that wait for an answer."),
     MetricEntry("requests_in_progress", _GAUGE, "Requests sent and not answered."),
     MetricEntry("ready", _GAUGE, "Whether the daemon is ready, 1 or 0."),
     MetricEntry("leader", _GAUGE, "Whether the daemon leads the log, 1 or 0."),
--- a/src/gypsumwalk/drivers/metrics.py
+++ b/src/gypsumwalk/drivers/metrics.py
@@ -21,7 +21,7 @@
 __all__ = ["Metrics"]
 
 NAMESPACE = "gypsumwalk"
-MAX_LABEL_SETS = 64
+MAX_LABEL_SETS = 256
 OVERFLOW = "other"
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
 MICROSECONDS_PER_SECOND = 1_000_000
--- a/src/gypsumwalk/errors.py
+++ b/src/gypsumwalk/errors.py
@@ -10,6 +10,7 @@
     "GypsumwalkError",
     "MalformedMessage",
     "NotLeader",
+    "OutcomeUnknown",
     "SettingsInvalid",
     "UnknownMessage",
     "UnknownMetric",
@@ -98,4 +99,8 @@
 
 
 class UnreachableDaemon(GypsumwalkError):
-    """No daemon answered within the timeout."""
+    """No daemon took the call: it was not sent, or it is safe to repeat."""
+
+
+class OutcomeUnknown(GypsumwalkError):
+    """A call that is not idempotent was sent, and no whole answer came back."""
--- /dev/null
+++ b/src/gypsumwalk/timelinechart.py
@@ -0,0 +1,233 @@
+"""Chart of a time line: one lane for each daemon, as SVG."""
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from html import escape
+
+from gypsumwalk.eventlines import EventLine
+from gypsumwalk.timeline import Timeline, format_time
+
+__all__ = ["GROUPS", "EventGroup", "find_group", "render_chart"]
+
+WIDTH_PIXELS = 1280
+LEFT_PIXELS = 120
+RIGHT_PIXELS = 20
+TOP_PIXELS = 26
+ROW_PIXELS = 15
+LANE_GAP_PIXELS = 10
+TERM_PIXELS = 5
+CLUSTER_PIXELS = 7
+MARK_PIXELS = 4.0
+MOST_TICKS = 9
+TICK_STEPS_MILLISECONDS = (
+    *(digit * 10**power for power in range(5) for digit in (1, 2, 5)),
+    *(minutes * 60_000 for minutes in (1, 2, 5, 10, 20, 30, 60, 120, 360, 720, 1440)),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class EventGroup:
+    """Events that share a row and a colour.
+
+    Attributes
+    ----------
+    name : str
+        What the events are about.
+    first : int
+        First number of the group in the catalogue; it ends where the next begins.
+    row : int
+        Row within a lane.
+    colour : str
+        Colour of its marks.
+    words : tuple of str
+        Parts of event names that put an event into the group whatever its number.
+    """
+
+    name: str
+    first: int
+    row: int
+    colour: str
+    words: tuple[str, ...] = ()
+
+
+GROUPS = (
+    EventGroup("refusals", 0, 2, "#d1495b", ("REFUSED", "REJECTED", "SHED", "CUT")),
+    EventGroup("waves", 0, 3, "#2a9d8f", ("WAVE", "DRAIN", "REBOOT")),
+    EventGroup("moves", 0, 3, "#b5651d", ("MOVE", "MOVED")),
+    EventGroup("daemon", 1000, 0, "#6c757d"),
+    EventGroup("log", 2000, 0, "#e09f3e"),
+    EventGroup("membership", 2100, 0, "#7b5ea7"),
+    EventGroup("configuration", 2200, 1, "#2f6fde"),
+    EventGroup("keys", 2300, 1, "#0e9aa7"),
+    EventGroup("portions", 2400, 1, "#8a9a5b"),
+    EventGroup("requests", 3000, 2, "#4c9f70"),
+    EventGroup("fleet", 4000, 3, "#5d737e"),
+)
+"""Groups; those with words come first, the others in the order of their numbers."""
+
+ROWS = 1 + max(group.row for group in GROUPS)
+LANE_PIXELS = TERM_PIXELS + ROWS * ROW_PIXELS
+
+
+def find_group(event: EventLine) -> EventGroup:
+    """Return the group of an event.
+
+    Parameters
+    ----------
+    event : EventLine
+        The event.
+
+    Returns
+    -------
+    EventGroup
+        Its group.
+    """
+    parts = set(event.name.split("_"))
+    for group in GROUPS:
+        if parts.intersection(group.words):
+            return group
+    numbered = [group for group in GROUPS if 0 < group.first <= event.number]
+    return numbered[-1] if numbered else GROUPS[0]
+
+
+def render_chart(timeline: Timeline) -> str:
+    """Return the chart as an SVG element.
+
+    Parameters
+    ----------
+    timeline : Timeline
+        The time line.
+
+    Returns
+    -------
+    str
+        The element, with every text escaped.
+    """
+    if not timeline.events:
+        return ""
+    scale = _Scale.fit(timeline.events)
+    lanes = sorted({(e.data_centre, e.instance) for e in timeline.events})
+    height = TOP_PIXELS + len(lanes) * (LANE_PIXELS + LANE_GAP_PIXELS)
+    parts = [
+        f'<svg viewBox="0 0 {WIDTH_PIXELS} {height}" role="img"'
+        ' aria-label="Events by daemon and time">'
+    ]
+    for number, (data_centre, instance) in enumerate(lanes):
+        top = TOP_PIXELS + number * (LANE_PIXELS + LANE_GAP_PIXELS)
+        events = [e for e in timeline.events if e.instance == instance]
+        parts += _draw_lane(top, data_centre, instance)
+        parts += _draw_terms(events, timeline.events, scale, top)
+        parts += _draw_marks(events, scale, top)
+    parts += _draw_ticks(scale, height)
+    return "\n".join([*parts, "</svg>"])
+
+
+@dataclass(frozen=True, slots=True)
+class _Scale:
+    start: int
+    end: int
+
+    @classmethod
+    def fit(cls, events: Sequence[EventLine]) -> "_Scale":
+        start = events[0].timestamp.milliseconds
+        return cls(start, max(start + 1, events[-1].timestamp.milliseconds))
+
+    def place(self, milliseconds: int) -> float:
+        width = WIDTH_PIXELS - LEFT_PIXELS - RIGHT_PIXELS
+        share = (milliseconds - self.start) / (self.end - self.start)
+        return LEFT_PIXELS + width * share
+
+
+def _draw_lane(top: int, data_centre: str, instance: str) -> Iterator[str]:
+    width = WIDTH_PIXELS - LEFT_PIXELS
+    yield (
+        f'<rect class="lane" x="{LEFT_PIXELS}" y="{top}"'
+        f' width="{width}" height="{LANE_PIXELS}"/>'
+    )
+    yield f'<text x="4" y="{top + 20}">{escape(instance)}</text>'
+    yield f'<text class="dim" x="4" y="{top + 36}">{escape(data_centre)}</text>'
+
+
+def _draw_terms(
+    events: Sequence[EventLine], everyone: Sequence[EventLine], scale: _Scale, top: int
+) -> Iterator[str]:
+    for event in events:
+        if event.name != "LEADER_ELECTED":
+            continue
+        start = event.timestamp.milliseconds
+        end = _find_term_end(event, everyone, scale)
+        left, right = scale.place(start), scale.place(end)
+        term = escape(str(event.attributes.get("term", "?")))
+        yield (
+            f'<rect class="term" data-group="log" x="{left:.1f}" y="{top}"'
+            f' width="{max(1.0, right - left):.1f}" height="{TERM_PIXELS}">'
+            f"<title>leader in term {term}</title></rect>"
+        )
+        yield (
+            f'<text class="dim" data-group="log" x="{left + 2:.1f}"'
+            f' y="{top - 1}">term {term}</text>'
+        )
+
+
+def _find_term_end(
+    elected: EventLine, everyone: Sequence[EventLine], scale: _Scale
+) -> int:
+    for event in everyone:
+        if event.timestamp <= elected.timestamp:
+            continue
+        own_end = event.instance == elected.instance and event.name in (
+            "LEADER_STEPPED_DOWN",
+            "DAEMON_STARTED",
+            "DAEMON_STOPPED",
+        )
+        if own_end or event.name == "LEADER_ELECTED":
+            return event.timestamp.milliseconds
+    return scale.end
+
+
+@dataclass(slots=True)
+class _Cluster:
+    first: EventLine
+    group: EventGroup
+    place: float
+    count: int = 0
+
+
+def _draw_marks(events: Sequence[EventLine], scale: _Scale, top: int) -> Iterator[str]:
+    clusters: dict[tuple[int, str, str], _Cluster] = {}
+    for event in events:
+        place = scale.place(event.timestamp.milliseconds)
+        key = (int(place // CLUSTER_PIXELS), event.name, event.level)
+        cluster = clusters.setdefault(key, _Cluster(event, find_group(event), place))
+        cluster.count += 1
+    for cluster in clusters.values():
+        yield _draw_cluster(cluster, top)
+
+
+def _draw_cluster(cluster: _Cluster, top: int) -> str:
+    event, group = cluster.first, cluster.group
+    y = top + TERM_PIXELS + (group.row + 0.5) * ROW_PIXELS
+    radius = MARK_PIXELS + min(2.0, cluster.count / 20)
+    more = f" and {cluster.count - 1} more" if cluster.count > 1 else ""
+    time = format_time(event.timestamp.milliseconds)
+    title = escape(f"{time} {event.message} [{event.subject}]{more}")
+    return (
+        f'<circle class="mark {escape(event.level)}" data-group="{group.name}"'
+        f' cx="{cluster.place:.1f}" cy="{y:.1f}" r="{radius:.1f}"'
+        f' fill="{group.colour}"><title>{title}</title></circle>'
+    )
+
+
+def _draw_ticks(scale: _Scale, height: int) -> Iterator[str]:
+    span = scale.end - scale.start
+    fitting = [step for step in TICK_STEPS_MILLISECONDS if span / step <= MOST_TICKS]
+    step = fitting[0] if fitting else span
+    tick = scale.start - scale.start % step + step
+    while tick <= scale.end:
+        x = scale.place(tick)
+        yield f'<line class="grid" x1="{x:.1f}" x2="{x:.1f}" y1="16" y2="{height}"/>'
+        yield (
+            f'<text class="dim" text-anchor="middle" x="{x:.1f}" y="11">'
+            f"{format_time(tick)}</text>"
+        )
+        tick += step
--- /dev/null
+++ b/tests/_stub_daemon.py
@@ -0,0 +1,62 @@
+"""HTTP server on loopback that answers as a test scripts it."""
+
+from contextlib import contextmanager
+from threading import Thread
+
+import msgspec
+from cheroot.wsgi import Server
+
+
+class StubDaemon:
+    """Answers calls from a table and notes them."""
+
+    def __init__(self):
+        self.reset()
+        self._server = Server(("127.0.0.1", 0), self._serve, numthreads=2)
+        self._server.prepare()
+        self.address = f"127.0.0.1:{self._server.bind_addr[1]}"
+        self._thread = Thread(target=self._server.serve)
+        self._thread.start()
+
+    def reset(self):
+        self.answers = {}
+        self.calls = []
+
+    def answer(self, method, path, status, body):
+        self.answers[method, path] = (status, body)
+
+    def close(self):
+        self._server.stop()
+        self._thread.join()
+
+    def _serve(self, environ, start_response):
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        content = environ["wsgi.input"].read(length)
+        key = environ.get("HTTP_AUTHORIZATION", "")
+        self.calls.append((method, path, content, key))
+        status, body = self.answers.get((method, path), (404, {}))
+        content = body if isinstance(body, bytes) else msgspec.json.encode(body)
+        start_response(f"{status} x", [("Content-Length", str(len(content)))])
+        return [content]
+
+
+@contextmanager
+def run_stub():
+    """Run one stub daemon."""
+    stub = StubDaemon()
+    try:
+        yield stub
+    finally:
+        stub.close()
+
+
+def make_problem(kind, status, outcome="not run", **fields):
+    """Return the body of a refusal."""
+    return {
+        "type": f"/problems/{kind}",
+        "title": kind,
+        "status": status,
+        "outcome": outcome,
+        **fields,
+    }
--- /dev/null
+++ b/tests/test_command.py
@@ -0,0 +1,132 @@
+"""Tests of the command line: help, exit codes, and nothing half done."""
+
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from gypsumwalk import __version__
+from gypsumwalk.command import Command, Group, make_commands, run_command
+from gypsumwalk.eventlines import EventLine, encode_line
+from gypsumwalk.timestamps import Timestamp
+
+SETTINGS = """
+name = "d1"
+data_centre = "north"
+caller_port = 7700
+peer_port = 7700
+cluster_secret = "short"
+"""
+
+
+def run(*arguments):
+    out, err = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        code = run_command(arguments)
+    return code, out.getvalue(), err.getvalue()
+
+
+def list_commands(group, path=()):
+    for name in dir(group):
+        item = getattr(group, name)
+        if isinstance(item, Group):
+            yield from list_commands(item, (*path, name))
+        else:
+            yield (*path, name), item
+
+
+class TestCommandLine(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def test_every_command_has_help_with_an_example_and_json(self):
+        commands = dict(list_commands(make_commands()))
+        assert commands
+        for path, command in commands.items():
+            code, out, err = run(*path, "--help")
+            assert code == 0 and err == "", path
+            assert f"Example: gypsumwalk {' '.join(path)}" in " ".join(out.split()), (
+                path
+            )
+            if path != ("serve",):
+                assert "--json" in out, path
+            assert isinstance(command, Command)
+
+    def test_shows_commands_and_never_the_objects_behind_them(self):
+        for arguments in (
+            ("__class__",),
+            ("_names",),
+            ("serve", "FIRE_METADATA"),
+            ("serve", "__globals__"),
+            ("version", "-", "__class__"),
+            ("version", "-", "perform"),
+            ("version", "--", "--interactive"),
+            ("version", "--trace"),
+        ):
+            code, out, err = run(*arguments)
+            assert (code, out) == (2, ""), arguments
+            assert "object at" not in err and "<function" not in err
+
+    def test_wrong_arguments_are_refused_before_anything_is_done(self):
+        page = self.folder / "page.html"
+        for arguments in (
+            (),
+            ("nothing",),
+            ("version", "--bogus", "1"),
+            ("version", "--json=perhaps"),
+            ("timeline",),
+            (
+                "timeline",
+                str(self.folder),
+                "--page",
+                str(page),
+                "surplus",
+                "x",
+                "y",
+                "z",
+            ),
+            ("timeline", str(self.folder), "--level", "loud"),
+            ("timeline", str(self.folder), "--last", "none"),
+            ("timeline", str(self.folder / "missing")),
+        ):
+            code, out, err = run(*arguments)
+            assert code == 2 and out == "" and err, arguments
+        assert not page.exists()
+
+    def test_version(self):
+        assert run("version") == (0, f"gypsumwalk {__version__}\n", "")
+        assert json.loads(run("version", "--json")[1]) == {"version": __version__}
+
+    def test_serve_names_every_wrong_setting(self):
+        path = self.folder / "d1.toml"
+        path.write_text(SETTINGS)
+        code, out, err = run("serve", str(path))
+        assert code == 2 and out == ""
+        assert "cluster_secret: expected at least 16 characters" in err
+        assert "peer_port: expected a port other than caller_port" in err
+
+    def test_timeline_as_text_json_and_page(self):
+        line = EventLine(
+            timestamp=Timestamp(1, 0),
+            instance="d1",
+            data_centre="north",
+            number=1001,
+            name="DAEMON_STARTED",
+            level="info",
+            message="daemon started",
+        )
+        (self.folder / "d1.jsonl").write_text(encode_line(line) + "\n")
+        code, out, _ = run("timeline", str(self.folder))
+        assert (code, out) == (
+            0,
+            "00:00:00.001+0   d1 info    1001 daemon started\n",
+        )
+        code, out, _ = run("timeline", str(self.folder), "--json")
+        assert json.loads(out)["events"][0]["timestamp"] == [1, 0]
+        page = self.folder / "page.html"
+        code, out, _ = run("timeline", str(self.folder), "--page", str(page))
+        assert code == 0 and "<svg" in page.read_text()
