--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -57,6 +57,24 @@
     # Requests and targets: 3000 to 3999.
 
     # Jobs, pools and waves: 4000 to 4999.
+    JOB_SUBMITTED = EventEntry(4001, Level.INFO, "job handed in for team {team}")
+    JOB_PLACED = EventEntry(
+        4002, Level.INFO, "attempt {attempt} placed on {instance}: {reason}"
+    )
+    JOB_STARTED = EventEntry(4003, Level.INFO, "attempt {attempt} is running")
+    JOB_ATTEMPT_ENDED = EventEntry(4004, Level.INFO, "attempt {attempt} ended: {phase}")
+    JOB_CANCELLED = EventEntry(4005, Level.INFO, "the caller cancelled the job")
+    JOB_REFUSED = EventEntry(4006, Level.WARNING, "job can never run: {reason}")
+    INSTANCE_LOST = EventEntry(4101, Level.WARNING, "instance is lost: {reason}")
+    INSTANCE_MOVED = EventEntry(4102, Level.INFO, "instance joined pool {pool}")
+    INSTANCE_DRAINING = EventEntry(4103, Level.INFO, "drains for wave {wave}")
+    INSTANCE_REBOOTING = EventEntry(4104, Level.INFO, "reboots in wave {wave}")
+    INSTANCE_QUARANTINED = EventEntry(4105, Level.WARNING, "quarantined: {reason}")
+    INSTANCE_MOVING = EventEntry(
+        4106, Level.INFO, "drains to move from {source} to {destination}"
+    )
+    WAVE_STARTED = EventEntry(4201, Level.INFO, "run {run} of the wave started")
+    WAVE_PAUSED = EventEntry(4202, Level.WARNING, "the wave is paused: {reason}")
 
     @property
     def number(self) -> int:
--- /dev/null
+++ b/src/gypsumwalk/pools.py
@@ -0,0 +1,582 @@
+"""Pools of instances: membership, moves and availability budgets."""
+
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from gypsumwalk.folder import InstanceTable
+from gypsumwalk.instances import (
+    InstanceEvent,
+    InstanceRecord,
+    InstanceState,
+    follow,
+)
+from gypsumwalk.reasons import add_reason
+from gypsumwalk.state import Accepted, Rejected
+from gypsumwalk.views import FolderView
+
+__all__ = [
+    "COMMANDS",
+    "CancelDrain",
+    "LoseInstance",
+    "MoveInstance",
+    "PoolSection",
+    "QuarantineInstance",
+    "ReassignInstance",
+    "ReconcileInstances",
+    "RecoverInstance",
+    "ReleaseInstance",
+    "SettleInstance",
+]
+
+MOVE_PURPOSE = "move/"
+RETIRE_PURPOSE = "retire"
+MAX_INSTANCE_REASONS = 6
+MAX_LOSSES = 200
+"""Unplanned losses remembered, the oldest left out first."""
+
+
+class ReconcileInstances(msgspec.Struct, frozen=True, tag=True):
+    """Take up the instances that the folder in force declares.
+
+    Attributes
+    ----------
+    generation : int
+        Generation of the folder that the proposer saw.
+    """
+
+    generation: int
+
+
+class LoseInstance(msgspec.Struct, frozen=True, tag=True):
+    """Count an instance as unavailable, as it can't be reached."""
+
+    instance: str
+    reason: str = "no heartbeat"
+
+
+class RecoverInstance(msgspec.Struct, frozen=True, tag=True):
+    """Let a lost instance that is heard again begin to dwell."""
+
+    instance: str
+
+
+class SettleInstance(msgspec.Struct, frozen=True, tag=True):
+    """Count an instance as available after it stayed healthy.
+
+    Attributes
+    ----------
+    instance : str
+        The instance.
+    dwell_seconds : float
+        Seconds that it has to have dwelt.
+    """
+
+    instance: str
+    dwell_seconds: float
+
+
+class QuarantineInstance(msgspec.Struct, frozen=True, tag=True):
+    """Give an instance no work, as it fails what it starts."""
+
+    instance: str
+    reason: str
+    silent: list[str] = []
+
+
+class ReleaseInstance(msgspec.Struct, frozen=True, tag=True):
+    """Let an instance leave quarantine, as a probe went well."""
+
+    instance: str
+
+
+class MoveInstance(msgspec.Struct, frozen=True, tag=True):
+    """Drain an instance so that it may move to another pool.
+
+    Attributes
+    ----------
+    instance : str
+        The instance.
+    source : str
+        Pool that the proposer saw it in.
+    destination : str
+        Pool that it goes to; empty to retire an instance no longer declared.
+    silent : list of str
+        Instances that the proposer has not heard of lately.
+    """
+
+    instance: str
+    source: str
+    destination: str
+    silent: list[str] = []
+
+
+class ReassignInstance(msgspec.Struct, frozen=True, tag=True):
+    """Give a drained instance to the pool that it was drained for."""
+
+    instance: str
+
+
+class CancelDrain(msgspec.Struct, frozen=True, tag=True):
+    """Let an instance go back to work that was draining or drained."""
+
+    instance: str
+    reason: str
+
+
+COMMANDS = (
+    ReconcileInstances,
+    LoseInstance,
+    RecoverInstance,
+    SettleInstance,
+    QuarantineInstance,
+    ReleaseInstance,
+    MoveInstance,
+    ReassignInstance,
+    CancelDrain,
+)
+
+
+class Loss(msgspec.Struct, frozen=True):
+    """One unplanned loss.
+
+    Attributes
+    ----------
+    instance : str
+        The instance.
+    pool : str
+        Pool that it belonged to.
+    at : float
+        Time in seconds.
+    """
+
+    instance: str
+    pool: str
+    at: float
+
+
+class _Dump(msgspec.Struct):
+    generation: int
+    instances: list[InstanceRecord]
+    losses: list[Loss]
+
+
+class PoolSection:
+    """Section of the replicated state that keeps instances and their pools.
+
+    Parameters
+    ----------
+    folder : FolderView
+        The configuration, as the replicated state has it.
+    """
+
+    name = "pools"
+    commands = COMMANDS
+
+    def __init__(self, folder: FolderView) -> None:
+        self._folder = folder
+        self._instances: dict[str, InstanceRecord] = {}
+        self._members: dict[str, set[str]] = {}
+        self._unavailable: dict[str, int] = {}
+        self._losses: list[Loss] = []
+        self.generation = 0
+
+    # Reading.
+
+    def find(self, instance: str) -> InstanceRecord | None:
+        """Return the record of an instance, or None; do not change it."""
+        return self._instances.get(instance)
+
+    def instances(self) -> Iterable[InstanceRecord]:
+        """Return every record; do not change them."""
+        return self._instances.values()
+
+    def members(self, pool: str) -> list[str]:
+        """Return the names of a pool's instances in order."""
+        return sorted(self._members.get(pool, ()))
+
+    def budget(self, pool: str) -> int:
+        """Return how many instances of a pool may be unavailable at once."""
+        table = self._folder.folder.pools.get(pool)
+        return table.max_unavailable if table else 0
+
+    def count_unavailable(self, pool: str, silent: Sequence[str] = ()) -> int:
+        """Count a pool's planned and unplanned loss together.
+
+        Parameters
+        ----------
+        pool : str
+            The pool.
+        silent : Sequence[str]
+            Instances not heard of lately, which count as unavailable.
+
+        Returns
+        -------
+        int
+            Instances of the pool that carry no work.
+        """
+        extra = 0
+        for name in set(silent):
+            record = self._instances.get(name)
+            if record and record.pool == pool and record.available:
+                extra += 1
+        return self._unavailable.get(pool, 0) + extra
+
+    # Changes that other sections ask for while they apply a command.
+
+    def drain(
+        self, instance: str, purpose: str, silent: Sequence[str], at: float
+    ) -> str:
+        """Begin to drain an instance if its pool's budget allows.
+
+        Parameters
+        ----------
+        instance : str
+            The instance.
+        purpose : str
+            What it is drained for.
+        silent : Sequence[str]
+            Instances not heard of lately, which count as unavailable.
+        at : float
+            Time in seconds.
+
+        Returns
+        -------
+        str
+            Why not, or empty.
+        """
+        record = self._instances.get(instance)
+        if record is None:
+            return f"instance {instance} is not known"
+        if instance in silent:
+            return f"instance {instance} was not heard of lately"
+        lost = self.count_unavailable(record.pool, silent)
+        budget = self.budget(record.pool)
+        if lost + 1 > budget:
+            return (
+                f"pool {record.pool} has {lost} instances unavailable, "
+                f"and its budget is {budget}"
+            )
+        refusal = self.trigger(instance, InstanceEvent.DRAIN, at, f"drain: {purpose}")
+        if not refusal:
+            record.purpose = purpose
+        return refusal
+
+    def reboot(
+        self,
+        instance: str,
+        boots: int,
+        silent: Sequence[str],
+        index: int,
+        at: float,
+    ) -> str:
+        """Let a drained instance reboot if its pool is still within its budget.
+
+        Parameters
+        ----------
+        instance : str
+            The instance.
+        boots : int
+            How often it has booted so far.
+        silent : Sequence[str]
+            Instances not heard of lately, which count as unavailable.
+        index : int
+            Position in the log of the grant.
+        at : float
+            Time in seconds.
+
+        Returns
+        -------
+        str
+            Why not, or empty.
+        """
+        record = self._instances.get(instance)
+        if record is None:
+            return f"instance {instance} is not known"
+        lost = self.count_unavailable(record.pool, silent)
+        budget = self.budget(record.pool)
+        if lost > budget:
+            return (
+                f"pool {record.pool} has {lost} instances unavailable, "
+                f"and its budget is {budget}"
+            )
+        refusal = self.trigger(instance, InstanceEvent.REBOOT, at, "reboot")
+        if not refusal:
+            record.boots = boots
+            record.reboot_index = index
+        return refusal
+
+    def trigger(
+        self, instance: str, event: InstanceEvent, at: float, reason: str
+    ) -> str:
+        """Follow the state chart for one instance.
+
+        Parameters
+        ----------
+        instance : str
+            The instance.
+        event : InstanceEvent
+            The event.
+        at : float
+            Time in seconds.
+        reason : str
+            Why, for ``instances why``.
+
+        Returns
+        -------
+        str
+            Why the event is refused, or empty.
+        """
+        record = self._instances.get(instance)
+        if record is None:
+            return f"instance {instance} is not known"
+        after = follow(record.state, event)
+        if after is None:
+            return f"instance {instance} is {record.state.value}"
+        self._count(record, -1)
+        record.state = after
+        record.since = at
+        add_reason(record.reasons, at, f"{after.value}: {reason}", MAX_INSTANCE_REASONS)
+        if event is InstanceEvent.LOSE:
+            self._losses.append(Loss(instance, record.pool, at))
+            del self._losses[:-MAX_LOSSES]
+        self._count(record, 1)
+        return ""
+
+    def acknowledge_reboot(self, instance: str) -> None:
+        """Note that the platform will carry out no further reboot of an instance."""
+        self._instances[instance].reboot_index = 0
+
+    def list_losses(self, pools: set[str], since: float) -> list[str]:
+        """Return the instances of some pools that were lost after a time.
+
+        Parameters
+        ----------
+        pools : set of str
+            The pools.
+        since : float
+            Time in seconds.
+
+        Returns
+        -------
+        list of str
+            Names of the instances in order.
+        """
+        return sorted(
+            {
+                loss.instance
+                for loss in self._losses
+                if loss.at >= since and loss.pool in pools
+            }
+        )
+
+    # Commands.
+
+    def apply(self, command: msgspec.Struct, index: int, at: float) -> msgspec.Struct:
+        """Apply one committed command.
+
+        Parameters
+        ----------
+        command : msgspec.Struct
+            The command.
+        index : int
+            Its position in the log.
+        at : float
+            Time in seconds.
+
+        Returns
+        -------
+        msgspec.Struct
+            ``Accepted`` or ``Rejected``.
+        """
+        refusal = self._apply(command, at)
+        if refusal:
+            return Rejected(f"{type(command).__name__}Refused", refusal)
+        return Accepted(index)
+
+    def _apply(self, command: msgspec.Struct, at: float) -> str:
+        match command:
+            case ReconcileInstances():
+                return self._reconcile(at)
+            case LoseInstance(instance, reason):
+                return self._release_purpose(instance, InstanceEvent.LOSE, at, reason)
+            case RecoverInstance(instance):
+                return self._recover(instance, at)
+            case SettleInstance(instance, dwell_seconds):
+                return self._settle(instance, dwell_seconds, at)
+            case QuarantineInstance():
+                return self._quarantine(command, at)
+            case ReleaseInstance(instance):
+                event = InstanceEvent.RELEASE
+                return self.trigger(instance, event, at, "probe went well")
+            case MoveInstance():
+                return self._move(command, at)
+            case ReassignInstance(instance):
+                return self._reassign(instance, at)
+            case CancelDrain(instance, reason):
+                event = InstanceEvent.CANCEL_DRAIN
+                return self._release_purpose(instance, event, at, reason)
+        return "unknown command"
+
+    def _release_purpose(
+        self, instance: str, event: InstanceEvent, at: float, reason: str
+    ) -> str:
+        refusal = self.trigger(instance, event, at, reason)
+        if not refusal:
+            self._instances[instance].purpose = ""
+        return refusal
+
+    def _recover(self, instance: str, at: float) -> str:
+        record = self._instances.get(instance)
+        if record and record.reboot_index:
+            return f"a reboot of {instance} may still be carried out"
+        reason = "heard again after a loss"
+        return self.trigger(instance, InstanceEvent.RECOVER, at, reason)
+
+    def _settle(self, instance: str, dwell_seconds: float, at: float) -> str:
+        record = self._instances.get(instance)
+        if record and at - record.since < dwell_seconds:
+            return f"instance {instance} has not dwelt for {dwell_seconds} s"
+        event = InstanceEvent.SETTLE
+        return self._release_purpose(instance, event, at, "stayed healthy")
+
+    def _quarantine(self, command: QuarantineInstance, at: float) -> str:
+        record = self._instances.get(command.instance)
+        if record is None:
+            return f"instance {command.instance} is not known"
+        if record.available:
+            lost = self.count_unavailable(record.pool, command.silent)
+            if lost + 1 > self.budget(record.pool):
+                return f"pool {record.pool} has no budget left for a quarantine"
+        event = InstanceEvent.QUARANTINE
+        return self._release_purpose(command.instance, event, at, command.reason)
+
+    def _move(self, command: MoveInstance, at: float) -> str:
+        record = self._instances.get(command.instance)
+        if record is None:
+            return f"instance {command.instance} is not known"
+        if record.pool != command.source or record.pool == command.destination:
+            return f"instance {command.instance} belongs to pool {record.pool}"
+        if not command.destination:
+            if command.instance in self._folder.folder.instances:
+                return f"instance {command.instance} is declared"
+            return self.drain(command.instance, RETIRE_PURPOSE, command.silent, at)
+        pools = self._folder.folder.pools
+        if command.destination not in pools:
+            return f"pool {command.destination} is not declared"
+        source = pools.get(record.pool)
+        left = self._count_lasting(record.pool) - 1
+        if source and left < source.min_instances:
+            return f"pool {record.pool} would keep {left} instances"
+        purpose = MOVE_PURPOSE + command.destination
+        return self.drain(command.instance, purpose, command.silent, at)
+
+    def _count_lasting(self, pool: str) -> int:
+        return sum(
+            not self._instances[name].purpose.startswith((MOVE_PURPOSE, RETIRE_PURPOSE))
+            for name in self._members.get(pool, ())
+        )
+
+    def _reassign(self, instance: str, at: float) -> str:
+        record = self._instances.get(instance)
+        if record is None:
+            return f"instance {instance} is not known"
+        if record.purpose == RETIRE_PURPOSE:
+            return self._retire(record, at)
+        if not record.purpose.startswith(MOVE_PURPOSE):
+            return f"instance {instance} is not moving"
+        destination = record.purpose.removeprefix(MOVE_PURPOSE)
+        if destination not in self._folder.folder.pools:
+            return f"pool {destination} is not declared"
+        reason = f"moved from pool {record.pool}"
+        refusal = self.trigger(instance, InstanceEvent.REASSIGN, at, reason)
+        if not refusal:
+            self._assign(record, destination)
+            record.purpose = ""
+        return refusal
+
+    # Taking up the folder.
+
+    def _reconcile(self, at: float) -> str:
+        folder = self._folder.folder
+        for name in sorted(folder.instances):
+            self._admit(name, folder.instances[name], at)
+        for name in sorted(self._instances):
+            if name not in folder.instances:
+                self._retire(self._instances[name], at)
+        self.generation = self._folder.generation
+        return ""
+
+    def _admit(self, name: str, table: InstanceTable, at: float) -> None:
+        record = self._instances.get(name)
+        if record is None:
+            record = InstanceRecord(
+                name=name,
+                pool="",
+                data_centre=table.data_centre,
+                rack=table.rack,
+                processors=table.processors,
+                memory_gb=table.memory_gb,
+                accelerators=table.accelerators,
+                since=at,
+            )
+            reason = "joining: declared in the folder"
+            add_reason(record.reasons, at, reason, MAX_INSTANCE_REASONS)
+            self._instances[name] = record
+            self._assign(record, table.pool)
+            return
+        record.data_centre = table.data_centre
+        record.rack = table.rack
+        record.processors = table.processors
+        record.memory_gb = table.memory_gb
+        record.accelerators = table.accelerators
+        if record.state is InstanceState.RETIRED:
+            self.trigger(name, InstanceEvent.READMIT, at, "declared again")
+            self._assign(record, table.pool)
+
+    def _retire(self, record: InstanceRecord, at: float) -> str:
+        reason = "no longer declared"
+        refusal = self.trigger(record.name, InstanceEvent.RETIRE, at, reason)
+        if not refusal:
+            self._assign(record, "")
+            record.purpose = ""
+        return refusal
+
+    def _assign(self, record: InstanceRecord, pool: str) -> None:
+        self._count(record, -1)
+        self._members.get(record.pool, set()).discard(record.name)
+        record.pool = pool
+        if pool:
+            self._members.setdefault(pool, set()).add(record.name)
+        self._count(record, 1)
+
+    def _count(self, record: InstanceRecord, step: int) -> None:
+        if record.counted and not record.available:
+            lost = self._unavailable.get(record.pool, 0)
+            self._unavailable[record.pool] = lost + step
+
+    # Snapshots.
+
+    def dump(self) -> bytes:
+        """Return the section as bytes."""
+        instances = [self._instances[name] for name in sorted(self._instances)]
+        return msgspec.msgpack.encode(_Dump(self.generation, instances, self._losses))
+
+    def load(self, content: bytes) -> None:
+        """Replace the section by one that was dumped.
+
+        Parameters
+        ----------
+        content : bytes
+            What ``dump`` returned.
+        """
+        dump = msgspec.msgpack.decode(content, type=_Dump)
+        self.generation = dump.generation
+        self._losses = dump.losses
+        self._instances = {record.name: record for record in dump.instances}
+        self._members = {}
+        self._unavailable = {}
+        for record in dump.instances:
+            if record.pool:
+                self._members.setdefault(record.pool, set()).add(record.name)
+            self._count(record, 1)
--- /dev/null
+++ b/src/gypsumwalk/statecharts.py
@@ -0,0 +1,117 @@
+"""State charts kept in TOML files, interpreted by ``transitions``."""
+
+from functools import cache
+from importlib import resources
+from typing import Any
+
+import msgspec
+from transitions import Machine, MachineError
+
+__all__ = ["Chart", "ChartFile", "ChartTransition", "load_chart"]
+
+
+class ChartTransition(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One transition of a chart.
+
+    Attributes
+    ----------
+    event : str
+        Event that causes it.
+    sources : list of str
+        States that it may start from.
+    target : str
+        State that it leads to.
+    """
+
+    event: str
+    sources: list[str]
+    target: str
+
+
+class ChartFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Content of one chart file.
+
+    Attributes
+    ----------
+    name : str
+        What the chart is the life cycle of.
+    initial : str
+        First state.
+    states : list of str
+        Every state.
+    transitions : list of ChartTransition
+        Every transition.
+    """
+
+    name: str
+    initial: str
+    states: list[str]
+    transitions: list[ChartTransition]
+
+
+class Chart:
+    """Interpreter of one chart, shared by everything with that life cycle.
+
+    Parameters
+    ----------
+    file : ChartFile
+        The chart.
+    """
+
+    def __init__(self, file: ChartFile) -> None:
+        self.file = file
+        self._model: Any = type("_ChartModel", (), {})()
+        self._machine = Machine(
+            model=self._model,
+            states=file.states,
+            initial=file.initial,
+            auto_transitions=False,
+        )
+        for item in file.transitions:
+            self._machine.add_transition(item.event, [*item.sources], item.target)
+
+    @property
+    def initial(self) -> str:
+        """First state."""
+        return self.file.initial
+
+    def follow(self, state: str, event: str) -> str | None:
+        """Return the state that an event leads to.
+
+        Parameters
+        ----------
+        state : str
+            State before.
+        event : str
+            The event.
+
+        Returns
+        -------
+        str or None
+            State after, or None if the event is refused in that state.
+        """
+        self._machine.set_state(state, self._model)
+        try:
+            self._model.trigger(event)
+        except MachineError:
+            return None
+        after: str = self._model.state
+        return after
+
+
+@cache
+def load_chart(name: str) -> Chart:
+    """Read a chart of the package.
+
+    Parameters
+    ----------
+    name : str
+        Name of its file without the suffix.
+
+    Returns
+    -------
+    Chart
+        The chart.
+    """
+    path = resources.files("gypsumwalk").joinpath("charts", f"{name}.toml")
+    return Chart(msgspec.toml.decode(path.read_bytes(), type=ChartFile))
--- /dev/null
+++ b/src/gypsumwalk/upkeep.py
@@ -0,0 +1,269 @@
+"""Upkeep of instances by the leader: losses, dwell times, moves and the folder."""
+
+from collections.abc import Sequence
+
+from gypsumwalk._proposals import PendingProposals
+from gypsumwalk.effects import Answer, Effect, Record, Respond
+from gypsumwalk.events import Event
+from gypsumwalk.heartbeats import HeartbeatTable
+from gypsumwalk.inputs import CallInput, Committed, Input, ProposalOutcome
+from gypsumwalk.instances import InstanceRecord, InstanceState
+from gypsumwalk.operator_calls import (
+    INSTANCE_ENDPOINTS,
+    ExplainInstance,
+    Explanation,
+    InstanceList,
+    InstanceStatus,
+    ListInstances,
+    ListPools,
+    PoolList,
+    PoolStatus,
+)
+from gypsumwalk.pools import (
+    CancelDrain,
+    LoseInstance,
+    MoveInstance,
+    PoolSection,
+    ReassignInstance,
+    ReconcileInstances,
+    RecoverInstance,
+    SettleInstance,
+)
+from gypsumwalk.problems import Outcome, ProblemType, refuse
+from gypsumwalk.state import Accepted
+from gypsumwalk.views import FolderView, KeyView, LeadershipView
+
+__all__ = ["ENDPOINTS", "PoolPart"]
+
+ENDPOINTS = INSTANCE_ENDPOINTS
+PERIOD_SECONDS = 1.0
+JOIN_SECONDS = 2.0
+"""Seconds that an instance is healthy before it joins a pool."""
+DWELL_SECONDS = 60.0
+"""Dwell time in seconds of an instance that no wave covers."""
+
+SETTLING = (InstanceState.JOINING, InstanceState.DWELLING)
+REACHABLE = (
+    InstanceState.JOINING,
+    InstanceState.ACTIVE,
+    InstanceState.DRAINING,
+    InstanceState.DRAINED,
+    InstanceState.DWELLING,
+    InstanceState.QUARANTINED,
+)
+RECALLABLE = (InstanceState.DRAINING, InstanceState.DRAINED)
+
+
+class PoolPart:
+    """Keeps the instances' records true while this daemon leads.
+
+    Parameters
+    ----------
+    pools : PoolSection
+        Instances and their pools.
+    heartbeats : HeartbeatTable
+        When each instance was last heard.
+    keys : KeyView
+        Operators' keys.
+    folder : FolderView
+        The configuration.
+    leadership : LeadershipView
+        Who leads.
+    """
+
+    name = "pools"
+    accepts = (
+        ListPools,
+        ListInstances,
+        ExplainInstance,
+        LoseInstance,
+        ReassignInstance,
+    )
+
+    def __init__(
+        self,
+        *,
+        pools: PoolSection,
+        heartbeats: HeartbeatTable,
+        keys: KeyView,
+        folder: FolderView,
+        leadership: LeadershipView,
+    ) -> None:
+        self.wakeup = 0.0
+        self._pools = pools
+        self._heartbeats = heartbeats
+        self._keys = keys
+        self._folder = folder
+        self._leadership = leadership
+        self._proposals = PendingProposals(self.name)
+        self._leading = False
+        self._healthy_since: dict[str, float] = {}
+
+    def handle(self, item: Input, now: float) -> Sequence[Effect]:
+        """Take in one input.
+
+        Parameters
+        ----------
+        item : Input
+            The input.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        Sequence[Effect]
+            Answers and events.
+        """
+        match item:
+            case CallInput():
+                return [Respond(item.call_id, self._answer(item, now))]
+            case Committed(command=LoseInstance() as command, result=Accepted()):
+                reason = {"reason": command.reason}
+                return [Record(Event.INSTANCE_LOST, command.instance, reason)]
+            case Committed(command=ReassignInstance() as command, result=Accepted()):
+                return self._record_move(command.instance)
+            case ProposalOutcome():
+                self._proposals.settle(item)
+        return []
+
+    def _record_move(self, instance: str) -> list[Effect]:
+        record = self._pools.find(instance)
+        pool = {"pool": record.pool if record else ""}
+        return [Record(Event.INSTANCE_MOVED, instance, pool)]
+
+    def advance(self, now: float) -> Sequence[Effect]:
+        """Propose what has become due.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        Sequence[Effect]
+            Proposals.
+        """
+        self.wakeup = now + PERIOD_SECONDS
+        if not self._leadership.holds_lease(now):
+            self._leading = False
+            return []
+        if not self._leading:
+            self._leading = True
+            self._heartbeats.reset(now)
+            self._healthy_since.clear()
+        effects: list[Effect] = []
+        if self._folder.generation != self._pools.generation:
+            command = ReconcileInstances(self._folder.generation)
+            effects += self._proposals.propose("reconcile", command)
+        for record in list(self._pools.instances()):
+            effects += self._keep(record, now)
+        return effects
+
+    def _keep(self, record: InstanceRecord, now: float) -> list[Effect]:
+        name = record.name
+        if record.state is InstanceState.LOST:
+            if self._heartbeats.is_silent(name, now) or record.reboot_index:
+                return []
+            return self._proposals.propose(name, RecoverInstance(name))
+        lost = self._heartbeats.is_lost(name, now)
+        if lost and record.state in REACHABLE and record.counted:
+            return self._proposals.propose(name, LoseInstance(name))
+        if record.state in SETTLING:
+            return self._settle(record, now)
+        self._healthy_since.pop(name, None)
+        if record.state in RECALLABLE:
+            return self._keep_draining(record)
+        if record.state is InstanceState.ACTIVE:
+            return self._keep_active(record, now)
+        return []
+
+    def _settle(self, record: InstanceRecord, now: float) -> list[Effect]:
+        name = record.name
+        if self._heartbeats.is_silent(name, now):
+            self._healthy_since.pop(name, None)
+            return []
+        since = self._healthy_since.setdefault(name, now)
+        dwell = self._find_dwell(record)
+        if now - since < dwell:
+            return []
+        return self._proposals.propose(name, SettleInstance(name, dwell))
+
+    def _find_dwell(self, record: InstanceRecord) -> float:
+        if record.state is InstanceState.JOINING:
+            return JOIN_SECONDS
+        dwells = [
+            wave.dwell_seconds
+            for wave in self._folder.folder.waves.values()
+            if record.pool in wave.pools
+        ]
+        return max(dwells, default=DWELL_SECONDS)
+
+    def _keep_draining(self, record: InstanceRecord) -> list[Effect]:
+        name = record.name
+        lost = self._pools.count_unavailable(record.pool)
+        if lost > self._pools.budget(record.pool):
+            reason = f"pool {record.pool} has {lost} instances unavailable"
+            return self._proposals.propose(name, CancelDrain(name, reason))
+        moving = record.purpose.startswith("move/") or record.purpose == "retire"
+        if moving and record.state is InstanceState.DRAINED:
+            return self._proposals.propose(name, ReassignInstance(name))
+        return []
+
+    def _keep_active(self, record: InstanceRecord, now: float) -> list[Effect]:
+        if record.name in self._folder.folder.instances:
+            return []
+        silent = self._heartbeats.list_silent(self._pools.members(record.pool), now)
+        command = MoveInstance(record.name, record.pool, "", silent)
+        return self._proposals.propose(record.name, command)
+
+    # Answers to operators.
+
+    def _answer(self, call: CallInput, now: float) -> Answer:
+        if not self._keys.check_operator(call.credential, now):
+            return refuse(ProblemType.UNAUTHENTICATED, Outcome.NOT_RUN)
+        match call.body:
+            case ListPools():
+                return Answer(200, self._list_pools())
+            case ListInstances():
+                return Answer(200, self._list_instances())
+            case ExplainInstance(name=name):
+                return self._explain(name)
+        return refuse(ProblemType.NOT_FOUND, Outcome.NOT_RUN)
+
+    def _list_pools(self) -> PoolList:
+        return PoolList(
+            [
+                PoolStatus(
+                    name=name,
+                    instances=self._pools.members(name),
+                    unavailable=self._pools.count_unavailable(name),
+                    max_unavailable=table.max_unavailable,
+                    spare=table.spare,
+                )
+                for name, table in sorted(self._folder.folder.pools.items())
+            ]
+        )
+
+    def _list_instances(self) -> InstanceList:
+        records = sorted(self._pools.instances(), key=lambda record: record.name)
+        return InstanceList(
+            [
+                InstanceStatus(
+                    name=record.name,
+                    pool=record.pool,
+                    data_centre=record.data_centre,
+                    rack=record.rack,
+                    state=record.state.value,
+                    purpose=record.purpose,
+                )
+                for record in records
+            ]
+        )
+
+    def _explain(self, name: str) -> Answer:
+        record = self._pools.find(name)
+        if record is None:
+            detail = f"instance {name} is not known"
+            return refuse(ProblemType.NOT_FOUND, Outcome.NOT_RUN, detail)
+        return Answer(200, Explanation(name, record.state.value, list(record.reasons)))
--- /dev/null
+++ b/src/gypsumwalk/waves.py
@@ -0,0 +1,361 @@
+"""Maintenance waves: instances drained and rebooted once, under their budgets."""
+
+import msgspec
+
+from gypsumwalk.instances import InstanceEvent, InstanceRecord, InstanceState
+from gypsumwalk.pools import PoolSection
+from gypsumwalk.reasons import add_reason
+from gypsumwalk.state import Accepted, Rejected
+from gypsumwalk.statecharts import load_chart
+from gypsumwalk.views import FolderView
+from gypsumwalk.wave_records import (
+    AbortWave,
+    AcknowledgeReboot,
+    ConfirmBoot,
+    GrantReboot,
+    GrantWaveDrain,
+    ItemState,
+    PauseWave,
+    ReturnWaveInstance,
+    StartWave,
+    WaveItem,
+    WaveRecord,
+    WaveState,
+)
+
+__all__ = [
+    "COMMANDS",
+    "CORRELATED_LOSSES",
+    "WAVE_PURPOSE",
+    "WaveSection",
+    "is_given_up",
+]
+
+COMMANDS = (
+    StartWave,
+    PauseWave,
+    AbortWave,
+    GrantWaveDrain,
+    GrantReboot,
+    AcknowledgeReboot,
+    ConfirmBoot,
+    ReturnWaveInstance,
+)
+
+WAVE_PURPOSE = "wave/"
+CORRELATED_LOSSES = 2
+"""Unplanned losses in a wave's pools that stop the wave."""
+CORRELATION_SECONDS = 120.0
+"""Seconds within which losses are taken as correlated."""
+
+
+MAX_ITEM_ATTEMPTS = 2
+"""Times that a wave takes an instance away which is then lost."""
+GIVE_UP_SECONDS = 900.0
+"""Seconds after which a wave goes on without an instance that stays lost."""
+
+
+def is_given_up(record: InstanceRecord, at: float) -> bool:
+    """Tell whether an instance is lost for so long that waves go on without it."""
+    lost = record.state is InstanceState.LOST
+    return lost and at - record.since >= GIVE_UP_SECONDS
+
+
+class _Dump(msgspec.Struct):
+    waves: list[WaveRecord]
+
+
+class WaveSection:
+    """Section of the replicated state that keeps waves.
+
+    Parameters
+    ----------
+    pools : PoolSection
+        Instances and their pools.
+    folder : FolderView
+        The configuration, as the replicated state has it.
+    """
+
+    name = "waves"
+    commands = COMMANDS
+
+    def __init__(self, pools: PoolSection, folder: FolderView) -> None:
+        self._pools = pools
+        self._folder = folder
+        self._waves: dict[str, WaveRecord] = {}
+
+    def find(self, wave: str) -> WaveRecord | None:
+        """Return the latest run of a wave, or None; do not change it."""
+        return self._waves.get(wave)
+
+    def waves(self) -> list[WaveRecord]:
+        """Return the latest run of each wave; do not change them."""
+        return list(self._waves.values())
+
+    def apply(self, command: msgspec.Struct, index: int, at: float) -> msgspec.Struct:
+        """Apply one committed command.
+
+        Parameters
+        ----------
+        command : msgspec.Struct
+            The command.
+        index : int
+            Its position in the log.
+        at : float
+            Time in seconds.
+
+        Returns
+        -------
+        msgspec.Struct
+            ``Accepted`` or ``Rejected``.
+        """
+        refusal = self._apply(command, index, at)
+        if refusal:
+            return Rejected(f"{type(command).__name__}Refused", refusal)
+        return Accepted(index)
+
+    def _apply(self, command: msgspec.Struct, index: int, at: float) -> str:
+        if isinstance(command, StartWave):
+            return self._start(command, at)
+        if isinstance(command, AcknowledgeReboot):
+            return self._acknowledge(command, at)
+        name = command.wave  # type: ignore[attr-defined]
+        wave = self._waves.get(name)
+        if wave is None:
+            return f"wave {name} was not started"
+        match command:
+            case PauseWave(run=run, reason=reason):
+                return self._change(wave, run, "pause", at, reason)
+            case AbortWave(run=run):
+                return self._change(wave, run, "abort", at, "an operator aborted it")
+            case GrantWaveDrain():
+                return self._grant_drain(wave, command, at)
+            case GrantReboot():
+                return self._grant_reboot(wave, command, index, at)
+            case ConfirmBoot(instance=instance, boots=boots):
+                return self._confirm_boot(wave, instance, boots, at)
+            case ReturnWaveInstance(instance=instance):
+                return self._return(wave, instance, at)
+        return "unknown command"
+
+    # The wave as a whole.
+
+    def _start(self, command: StartWave, at: float) -> str:
+        table = self._folder.folder.waves.get(command.wave)
+        if table is None:
+            return f"wave {command.wave} is not declared"
+        wave = self._waves.get(command.wave)
+        if wave and wave.run == command.run:
+            if wave.state is not WaveState.PAUSED:
+                return ""
+            wave.resumed_at = at
+            return self._change(wave, wave.run, "resume", at, "an operator resumed it")
+        if wave and wave.active:
+            return f"run {wave.run} of wave {wave.name} has not ended"
+        expected = wave.run + 1 if wave else 1
+        if command.run != expected:
+            return f"the next run of wave {command.wave} is {expected}"
+        self._waves[command.wave] = self._plan(command, table.pools, at)
+        return ""
+
+    def _plan(self, command: StartWave, pools: list[str], at: float) -> WaveRecord:
+        records = [
+            record
+            for pool in sorted(set(pools))
+            for name in self._pools.members(pool)
+            if (record := self._pools.find(name)) is not None
+        ]
+        records.sort(key=lambda record: (record.data_centre, record.rack, record.name))
+        wave = WaveRecord(command.wave, command.run, WaveState.RUNNING, at, at)
+        wave.items = {record.name: WaveItem() for record in records}
+        add_reason(wave.reasons, at, f"run {command.run}: {len(records)} instances")
+        if not records:
+            self._change(wave, command.run, "finish", at, "it has no instances")
+        return wave
+
+    def _change(
+        self, wave: WaveRecord, run: int, event: str, at: float, reason: str
+    ) -> str:
+        if run != wave.run:
+            return f"run {wave.run} of wave {wave.name} is the latest"
+        after = load_chart("wave").follow(wave.state.value, event)
+        if after is None:
+            already = {"pause": WaveState.PAUSED, "abort": WaveState.ABORTED}
+            if already.get(event) is wave.state:
+                return ""
+            return f"wave {wave.name} is {wave.state.value}"
+        wave.state = WaveState(after)
+        if not wave.active:
+            wave.ended_at = at
+        add_reason(wave.reasons, at, reason)
+        return ""
+
+    def find_correlation(self, wave: WaveRecord, at: float) -> str:
+        """Return why losses in a wave's pools look correlated, or empty.
+
+        Parameters
+        ----------
+        wave : WaveRecord
+            The wave.
+        at : float
+            Time in seconds.
+
+        Returns
+        -------
+        str
+            Which instances were lost lately.
+        """
+        since = max(at - CORRELATION_SECONDS, wave.resumed_at)
+        pools = set(self._list_pools(wave.name))
+        lost = self._pools.list_losses(pools, since)
+        if len(lost) < CORRELATED_LOSSES:
+            return ""
+        return f"losses within {CORRELATION_SECONDS:.0f} s: {', '.join(lost)}"
+
+    def _list_pools(self, wave: str) -> list[str]:
+        table = self._folder.folder.waves.get(wave)
+        return table.pools if table else []
+
+    # One instance of a wave.
+
+    def _grant_drain(self, wave: WaveRecord, command: GrantWaveDrain, at: float) -> str:
+        table = self._folder.folder.waves.get(wave.name)
+        if table is None:
+            return f"wave {wave.name} is not declared"
+        if command.run != wave.run or wave.state is not WaveState.RUNNING:
+            return f"run {command.run} of wave {wave.name} is not running"
+        item = wave.items.get(command.instance)
+        if item is None or item.state is not ItemState.PENDING:
+            return f"instance {command.instance} is not pending in wave {wave.name}"
+        away = len(wave.list_items(ItemState.AWAY))
+        if away >= table.concurrency:
+            return f"wave {wave.name} has {away} instances away"
+        correlation = self.find_correlation(wave, at)
+        if correlation:
+            return correlation
+        purpose = WAVE_PURPOSE + wave.name
+        refusal = self._pools.drain(command.instance, purpose, command.silent, at)
+        if refusal:
+            return refusal
+        item.state = ItemState.AWAY
+        item.away_at = at
+        item.rebooted = False
+        item.attempts += 1
+        add_reason(wave.reasons, at, f"drains {command.instance}")
+        return ""
+
+    def _grant_reboot(
+        self, wave: WaveRecord, command: GrantReboot, index: int, at: float
+    ) -> str:
+        if command.run != wave.run or wave.state is not WaveState.RUNNING:
+            return f"run {command.run} of wave {wave.name} is not running"
+        item = wave.items.get(command.instance)
+        if item is None or item.state is not ItemState.AWAY:
+            return f"instance {command.instance} is not away in wave {wave.name}"
+        record = self._pools.find(command.instance)
+        if record is None or record.purpose != WAVE_PURPOSE + wave.name:
+            return f"instance {command.instance} is not drained for wave {wave.name}"
+        correlation = self.find_correlation(wave, at)
+        if correlation:
+            return correlation
+        return self._pools.reboot(
+            command.instance, command.boots, command.silent, index, at
+        )
+
+    def _acknowledge(self, command: AcknowledgeReboot, at: float) -> str:
+        instance = command.instance
+        record = self._pools.find(instance)
+        if record is None or record.reboot_index != command.index:
+            return f"instance {instance} awaits no answer"
+        self._pools.acknowledge_reboot(instance)
+        if command.refused and record.state is InstanceState.REBOOTING:
+            reason = f"the platform refused the reboot: {command.refused}"
+            return self._pools.trigger(instance, InstanceEvent.LOSE, at, reason)
+        return ""
+
+    def _confirm_boot(
+        self, wave: WaveRecord, instance: str, boots: int, at: float
+    ) -> str:
+        record = self._pools.find(instance)
+        item = wave.items.get(instance)
+        if record is None or item is None or item.state is not ItemState.AWAY:
+            return f"instance {instance} is not away in wave {wave.name}"
+        if record.reboot_index:
+            return f"the platform has not answered for {instance}"
+        if boots <= record.boots:
+            return f"instance {instance} has not rebooted"
+        event = InstanceEvent.BOOT
+        refusal = self._pools.trigger(instance, event, at, "rebooted and healthy")
+        if not refusal:
+            item.rebooted = True
+        return refusal
+
+    def _return(self, wave: WaveRecord, instance: str, at: float) -> str:
+        item = wave.items.get(instance)
+        if item is None or item.state in (ItemState.DONE, ItemState.SKIPPED):
+            return f"instance {instance} is not awaited by wave {wave.name}"
+        record = self._pools.find(instance)
+        if record is None or record.state is InstanceState.RETIRED:
+            item.state = ItemState.SKIPPED
+        elif item.state is ItemState.PENDING:
+            if not is_given_up(record, at):
+                return f"instance {instance} is pending"
+            item.state = ItemState.SKIPPED
+            add_reason(wave.reasons, at, f"skipped {instance}: lost for long")
+        elif record.available:
+            self._settle_item(wave, instance, item, at)
+        elif record.state is InstanceState.LOST:
+            self._settle_lost(wave, instance, item, at)
+        else:
+            return f"instance {instance} is still away"
+        self._finish_if_done(wave, at)
+        return ""
+
+    def _settle_item(
+        self, wave: WaveRecord, instance: str, item: WaveItem, at: float
+    ) -> None:
+        if not item.rebooted:
+            self._postpone(wave, instance, item)
+            return
+        item.state = ItemState.DONE
+        wave.done += 1
+        wave.away_seconds += at - item.away_at
+        add_reason(wave.reasons, at, f"finished {instance}")
+
+    def _settle_lost(
+        self, wave: WaveRecord, instance: str, item: WaveItem, at: float
+    ) -> None:
+        if item.rebooted:
+            self._settle_item(wave, instance, item, at)
+        elif item.attempts >= MAX_ITEM_ATTEMPTS:
+            item.state = ItemState.SKIPPED
+            add_reason(wave.reasons, at, f"skipped {instance}: lost each time")
+        else:
+            self._postpone(wave, instance, item)
+
+    def _postpone(self, wave: WaveRecord, instance: str, item: WaveItem) -> None:
+        item.state = ItemState.PENDING
+        wave.items[instance] = wave.items.pop(instance)
+
+    def _finish_if_done(self, wave: WaveRecord, at: float) -> None:
+        ended = (ItemState.DONE, ItemState.SKIPPED)
+        if all(item.state in ended for item in wave.items.values()) and wave.active:
+            self._change(wave, wave.run, "finish", at, f"finished {wave.done}")
+
+    # Snapshots.
+
+    def dump(self) -> bytes:
+        """Return the section as bytes."""
+        waves = [self._waves[name] for name in sorted(self._waves)]
+        return msgspec.msgpack.encode(_Dump(waves))
+
+    def load(self, content: bytes) -> None:
+        """Replace the section by one that was dumped.
+
+        Parameters
+        ----------
+        content : bytes
+            What ``dump`` returned.
+        """
+        dump = msgspec.msgpack.decode(content, type=_Dump)
+        self._waves = {wave.name: wave for wave in dump.waves}
