Add targets and requests: ownership, slots, resends and truthful refusals

Cause: Callers need any daemon to run a request once and answer it truthfully, and targets announce themselves to any daemon through a balancer. Requests are kept by the daemon that minted their identifier; slots of other daemons are lent for one run each by token. Conclusion: Thin and correct enough to be wired; sharing and shedding follow.

--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -55,6 +55,27 @@
     # Agreement, membership, configuration, keys and portions: 2000 to 2999.
 
     # Requests and targets: 3000 to 3999.
+    TARGET_TAKEN = EventEntry(
+        3001, Level.INFO, "daemon owns target {target} from epoch {epoch}"
+    )
+    TARGET_LEAVING = EventEntry(
+        3002, Level.INFO, "target {target} is leaving and gets no new work"
+    )
+    TARGET_EJECTED = EventEntry(
+        3003, Level.WARNING, "target {target} failed repeatedly and was ejected"
+    )
+    REQUEST_ACCEPTED = EventEntry(
+        3004, Level.DEBUG, "accepted a request of team {team} on queue {queue}"
+    )
+    REQUEST_SENT = EventEntry(
+        3005, Level.DEBUG, "sent the request to target {target}, attempt {attempt}"
+    )
+    REQUEST_ENDED = EventEntry(3006, Level.DEBUG, "request ended: {outcome} {reason}")
+    REQUESTS_CUT = EventEntry(
+        3007,
+        Level.WARNING,
+        "shutdown deadline cut {waiting} waiting, {running} running",
+    )
 
     # Jobs, pools and waves: 4000 to 4999.
     JOB_SUBMITTED = EventEntry(4001, Level.INFO, "job handed in for team {team}")
--- /dev/null
+++ b/src/gypsumwalk/queues.py
@@ -0,0 +1,200 @@
+"""Requests that wait for a slot of one service, and the order they start in."""
+
+from collections import OrderedDict
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from gypsumwalk.shares import FairShares
+
+__all__ = ["Line", "Pick", "ServiceQueue"]
+
+URGENT_STREAK = 4
+"""Urgent starts in a row after which a request that is not urgent starts."""
+DEMAND_SECONDS = 1.5
+"""Age at which the demand of another daemon is forgotten."""
+
+
+class Line(NamedTuple):
+    """One line of waiting requests: those of a team, urgent or not."""
+
+    team: str
+    urgent: bool
+
+
+class Pick(NamedTuple):
+    """What may start next.
+
+    Attributes
+    ----------
+    line : Line
+        Line to take it from.
+    asker : str
+        Daemon that asked for the slot; empty for a request of this daemon.
+    """
+
+    line: Line
+    asker: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Demand:
+    counts: dict[Line, int]
+    sequence: int
+    expires_at: float
+
+
+class ServiceQueue:
+    """Waiting requests of one service, here and on the daemons that ask for slots.
+
+    Parameters
+    ----------
+    shares : FairShares
+        Fair shares of the teams.
+    """
+
+    def __init__(self, shares: FairShares) -> None:
+        self._shares = shares
+        self._lines: dict[Line, OrderedDict[str, int]] = {}
+        self._demands: dict[str, _Demand] = {}
+        self._streak = 0
+        self._served: dict[Line, str] = {}
+        self.length = 0
+
+    @property
+    def has_work(self) -> bool:
+        """Whether anything waits, here or on a daemon that asked for slots."""
+        return bool(self._lines or self._demands)
+
+    def push(self, line: Line, request_id: str, *, first: bool = False) -> None:
+        """Put a request into its line, last or first."""
+        if not self._has_team(line.team):
+            self._shares.activate(line.team)
+        waiting = self._lines.setdefault(line, OrderedDict())
+        if request_id in waiting:
+            return
+        waiting[request_id] = 0
+        if first:
+            waiting.move_to_end(request_id, last=False)
+        self.length += 1
+
+    def remove(self, line: Line, request_id: str) -> bool:
+        """Take a request out of its line; false if it was not in it."""
+        waiting = self._lines.get(line)
+        if waiting is None or request_id not in waiting:
+            return False
+        del waiting[request_id]
+        self.length -= 1
+        if not waiting:
+            del self._lines[line]
+        return True
+
+    def peek(self, line: Line) -> str | None:
+        """Return the first request of a line, or None."""
+        waiting = self._lines.get(line)
+        return next(iter(waiting)) if waiting else None
+
+    def peek_last(self, line: Line) -> str | None:
+        """Return the last request of a line, or None."""
+        waiting = self._lines.get(line)
+        return next(reversed(waiting)) if waiting else None
+
+    def count(self, line: Line) -> int:
+        """Return how many requests wait in a line."""
+        return len(self._lines.get(line, ()))
+
+    def count_lines(self) -> Mapping[Line, int]:
+        """Return how many requests wait in each line."""
+        return {line: len(waiting) for line, waiting in self._lines.items()}
+
+    def set_demand(
+        self, asker: str, counts: dict[Line, int], sequence: int, now: float
+    ) -> None:
+        """Put the demand of another daemon in place of its former one."""
+        known = self._demands.get(asker)
+        current = known is not None and known.expires_at > now
+        if known is not None and current and sequence <= known.sequence:
+            return
+        for line in counts:
+            if not self._has_team(line.team):
+                self._shares.activate(line.team)
+        self._demands[asker] = _Demand(counts, sequence, now + DEMAND_SECONDS)
+
+    def drop_demand(self, asker: str) -> None:
+        """Forget the demand of a daemon that is gone."""
+        self._demands.pop(asker, None)
+
+    def pick(self, blocked: Collection[str], now: float) -> Pick | None:
+        """Return what may start next.
+
+        Parameters
+        ----------
+        blocked : Collection[str]
+            Teams that have reached their portion of the upper limit on this daemon.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        Pick or None
+            The line and the asker, or None if nothing may start.
+        """
+        sources = self._collect_sources(blocked, now)
+        if not sources:
+            return None
+        urgent = self._choose_urgency(sources)
+        teams = [line.team for line in sources if line.urgent == urgent]
+        team = self._shares.choose(teams)
+        assert team is not None
+        line = Line(team, urgent)
+        return Pick(line, self._rotate(line, sources[line]))
+
+    def take_demand(self, pick: Pick) -> None:
+        """Note that a slot is granted to the asker of a pick."""
+        counts = self._demands[pick.asker].counts
+        counts[pick.line] -= 1
+        if counts[pick.line] <= 0:
+            del counts[pick.line]
+
+    def _collect_sources(
+        self, blocked: Collection[str], now: float
+    ) -> dict[Line, list[str]]:
+        sources: dict[Line, list[str]] = {}
+        for line in self._lines:
+            if line.team not in blocked:
+                sources[line] = [""]
+        for asker, demand in list(self._demands.items()):
+            if demand.expires_at <= now:
+                del self._demands[asker]
+                continue
+            for line in demand.counts:
+                sources.setdefault(line, []).append(asker)
+        return sources
+
+    def _choose_urgency(self, sources: Mapping[Line, list[str]]) -> bool:
+        urgent = any(line.urgent for line in sources)
+        ordinary = not all(line.urgent for line in sources)
+        if not urgent:
+            self._streak = 0
+            return False
+        if ordinary and self._streak >= URGENT_STREAK:
+            self._streak = 0
+            return False
+        self._streak += 1
+        return True
+
+    def _rotate(self, line: Line, askers: list[str]) -> str:
+        last = self._served.get(line, "")
+        following = [asker for asker in sorted(askers) if asker > last]
+        chosen = following[0] if following else min(askers)
+        self._served[line] = chosen
+        return chosen
+
+    def _has_team(self, team: str) -> bool:
+        if any(line.team == team for line in self._lines):
+            return True
+        return any(
+            line.team == team
+            for demand in self._demands.values()
+            for line in demand.counts
+        )
--- /dev/null
+++ b/src/gypsumwalk/relays.py
@@ -0,0 +1,136 @@
+"""Calls of callers that another daemon answers, as it keeps the request's record."""
+
+from dataclasses import dataclass
+
+from gypsumwalk.effects import Answer, Effect, Respond, SendPeer
+from gypsumwalk.exchange import Content, RelayAnswer, RelayCall
+from gypsumwalk.problems import Outcome, ProblemType, refuse
+from gypsumwalk.submissions import CancelRequest, ReadRequest, SubmitRequest
+
+__all__ = ["RelayTable"]
+
+RESEND_SECONDS = 0.25
+MAX_PENDING = 1024
+
+
+@dataclass(slots=True)
+class _Pending:
+    call_id: int
+    home: str
+    message: RelayCall
+    resend_at: float
+    expires_at: float
+
+
+class RelayTable:
+    """Relayed calls that wait for their answer.
+
+    Parameters
+    ----------
+    incarnation : int
+        Incarnation of this daemon.
+    """
+
+    def __init__(self, incarnation: int) -> None:
+        self._incarnation = incarnation
+        self._number = 0
+        self._pending: dict[int, _Pending] = {}
+
+    def __len__(self) -> int:
+        """Return how many calls wait for their answer."""
+        return len(self._pending)
+
+    def relay(
+        self,
+        call_id: int,
+        home: str,
+        call: SubmitRequest | ReadRequest | CancelRequest,
+        credential: str,
+        content: Content,
+        seconds: float,
+        now: float,
+    ) -> list[Effect]:
+        """Send a call to the daemon that keeps the request's record.
+
+        Parameters
+        ----------
+        call_id : int
+            The HTTP call that waits.
+        home : str
+            Daemon that keeps the record.
+        call : SubmitRequest or ReadRequest or CancelRequest
+            The call.
+        credential : str
+            Key shown by the caller.
+        content : Content
+            Body of the call.
+        seconds : float
+            Time to wait for the answer.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        list of Effect
+            The message, or a refusal.
+        """
+        if len(self._pending) >= MAX_PENDING:
+            answer = refuse(ProblemType.OVERLOADED, Outcome.UNKNOWN, retry_after=1.0)
+            return [Respond(call_id, answer)]
+        self._number += 1
+        message = RelayCall(
+            number=self._number,
+            incarnation=self._incarnation,
+            call=call,
+            credential=credential,
+            content=content,
+        )
+        self._pending[self._number] = _Pending(
+            call_id, home, message, now + RESEND_SECONDS, now + seconds
+        )
+        return [SendPeer(home, message, reliable=True)]
+
+    def take_answer(self, source: str, body: RelayAnswer) -> list[Effect]:
+        """Answer the call that an answer belongs to, if it is whole."""
+        pending = self._pending.get(body.number)
+        if pending is None or body.incarnation != self._incarnation:
+            return []
+        if pending.home != source:
+            return []
+        if body.request_id != pending.message.call.request_id:
+            return []
+        if not body.content.is_whole():
+            return []
+        del self._pending[body.number]
+        answer = Answer(
+            body.status,
+            payload=body.content.payload,
+            content_type=body.content.content_type,
+            headers=body.headers,
+        )
+        return [Respond(pending.call_id, answer)]
+
+    def advance(self, now: float) -> list[Effect]:
+        """Repeat calls that are not answered, and give up those past their time."""
+        effects: list[Effect] = []
+        for number, pending in list(self._pending.items()):
+            if pending.expires_at <= now:
+                effects += self._give_up(number)
+            elif pending.resend_at <= now:
+                pending.resend_at = now + RESEND_SECONDS
+                effects.append(SendPeer(pending.home, pending.message, reliable=True))
+        return effects
+
+    def lose(self, daemon: str) -> list[Effect]:
+        """Give up the calls that a daemon which is gone should have answered."""
+        lost = [key for key, item in self._pending.items() if item.home == daemon]
+        return [effect for number in lost for effect in self._give_up(number)]
+
+    def give_all_up(self) -> list[Effect]:
+        """Give up every call."""
+        return [effect for key in list(self._pending) for effect in self._give_up(key)]
+
+    def _give_up(self, number: int) -> list[Effect]:
+        pending = self._pending.pop(number)
+        answer = refuse(ProblemType.OUTCOME_UNKNOWN, Outcome.UNKNOWN)
+        return [Respond(pending.call_id, answer)]
--- a/tests/_fake_targets.py
+++ b/tests/_fake_targets.py
@@ -128,7 +128,8 @@
         if not target.alive or target.behaviour is Behaviour.REFUSE:
             self._end(key, DispatchOutcome(effect.dispatch_id, DispatchStatus.NOT_SENT))
             return
-        request_id = effect.headers.get(REQUEST_ID_HEADER, effect.dispatch_id)
+        headers = {name.lower(): value for name, value in effect.headers.items()}
+        request_id = headers.get(REQUEST_ID_HEADER, effect.dispatch_id)
         execution = Execution(
             request_id, effect.payload, target.name, key[0], self._world.now
         )
