--- /dev/null
+++ b/src/gypsumwalk/admission.py
@@ -0,0 +1,147 @@
+"""Admission of first voters' disks, so that a lost disk never votes again."""
+
+from collections.abc import Sequence
+
+from gypsumwalk.effects import Effect, Record, SendPeer
+from gypsumwalk.events import Event
+from gypsumwalk.part import NEVER
+from gypsumwalk.replica import Replica
+from gypsumwalk.replication import Introduce, Introduced
+
+__all__ = ["Admission"]
+
+INTRODUCE_SECONDS = 0.3
+
+
+class Admission:
+    """Asks every other first voter whether it knows another disk of this voter.
+
+    At the first start all first voters meet once. One that comes with an empty
+    disk later is refused by those that remember its old one, and votes again only
+    after it was removed and added through the log.
+
+    Parameters
+    ----------
+    name : str
+        Name of the daemon.
+    replica : Replica
+        Its replica.
+    voters : Sequence of str
+        Voters at the first start of the system.
+    """
+
+    def __init__(self, name: str, replica: Replica, voters: Sequence[str]) -> None:
+        self._name = name
+        self._replica = replica
+        self._others = [voter for voter in voters if voter != name]
+        self._accepted: set[str] = set()
+        self._refused = False
+        self._wanted = bool(replica.identity) and name in voters
+        self._due = 0.0
+
+    @property
+    def wakeup(self) -> float:
+        """Time in seconds at which to ask again."""
+        return self._due if self._is_open() else NEVER
+
+    def may_vote(self) -> bool:
+        """Tell whether the disk of this daemon may vote."""
+        identity = self._replica.identity
+        if not identity:
+            return False
+        listed = self._replica.voters.get(self._name)
+        if listed == "":
+            return self._replica.vote.admitted
+        return listed == identity
+
+    def advance(self, now: float) -> list[Effect]:
+        """Ask the other first voters, where that is due.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        list of Effect
+            The messages.
+        """
+        if not self._is_open() or now < self._due:
+            return []
+        self._due = now + INTRODUCE_SECONDS
+        if not self._others:
+            return self._admit()
+        self._replica.save_vote()
+        body = Introduce(self._replica.identity)
+        asked = [voter for voter in self._others if voter not in self._accepted]
+        return self._replica.storage.hold([SendPeer(voter, body) for voter in asked])
+
+    def take_introduce(self, source: str, body: Introduce) -> list[Effect]:
+        """Register another first voter's disk, or refuse it.
+
+        Parameters
+        ----------
+        source : str
+            Name of the other voter.
+        body : Introduce
+            Identity of its disk.
+
+        Returns
+        -------
+        list of Effect
+            The answer, once the registration is synced.
+        """
+        replica = self._replica
+        if not replica.identity:
+            return []
+        known = replica.identify(source)
+        if not known:
+            replica.vote.registered[source] = body.identity
+            replica.save_vote()
+        accepted = known in ("", body.identity)
+        answer = Introduced(body.identity, accepted, replica.identity)
+        return replica.storage.hold([SendPeer(source, answer)])
+
+    def take_introduced(self, source: str, body: Introduced) -> list[Effect]:
+        """Take in another first voter's answer.
+
+        Parameters
+        ----------
+        source : str
+            Name of the other voter.
+        body : Introduced
+            Its answer.
+
+        Returns
+        -------
+        list of Effect
+            News of it.
+        """
+        if not self._is_open() or body.introduced != self._replica.identity:
+            return []
+        if not body.accepted:
+            return self._note_refusal(source)
+        known = self._replica.vote.registered.setdefault(source, body.identity)
+        if known == body.identity:
+            self._accepted.add(source)
+        if self._accepted.issuperset(self._others):
+            return self._admit()
+        return []
+
+    def _admit(self) -> list[Effect]:
+        self._replica.vote.admitted = True
+        self._replica.save_vote()
+        detail = {"identity": self._replica.identity}
+        return [Record(Event.VOTER_ADMITTED, self._name, detail)]
+
+    def _note_refusal(self, source: str) -> list[Effect]:
+        if self._refused:
+            return []
+        self._refused = True
+        return [Record(Event.VOTER_REFUSED, self._name, {"peer": source})]
+
+    def _is_open(self) -> bool:
+        replica = self._replica
+        listed = replica.voters.get(self._name)
+        return self._wanted and not replica.vote.admitted and listed == ""
--- /dev/null
+++ b/src/gypsumwalk/consensus.py
@@ -0,0 +1,524 @@
+"""Replicated log: elections, replication and the commands of this daemon."""
+
+from collections.abc import Sequence
+from enum import Enum
+from random import Random
+
+from gypsumwalk.admission import Admission
+from gypsumwalk.effects import Effect, Propose, Raise, Record, Scalar, SendPeer
+from gypsumwalk.events import Event
+from gypsumwalk.follower import Follower
+from gypsumwalk.inputs import (
+    DiskOutcome,
+    Input,
+    PeerInput,
+    ProposalOutcome,
+    ProposalStatus,
+)
+from gypsumwalk.leadership import Leadership
+from gypsumwalk.part import NEVER
+from gypsumwalk.progress import ELECTION_SECONDS
+from gypsumwalk.proposals import Proposals
+from gypsumwalk.recovery import Recovered
+from gypsumwalk.replica import Replica
+from gypsumwalk.replication import (
+    COMMANDS,
+    PEER_MESSAGES,
+    AppendAnswer,
+    AppendEntries,
+    Follow,
+    Forward,
+    Introduce,
+    Introduced,
+    LeaderHint,
+    SnapshotAnswer,
+    SnapshotChunk,
+    VoteAnswer,
+    VoteRequest,
+)
+from gypsumwalk.settings import Settings
+from gypsumwalk.state import ReplicatedState
+
+__all__ = ["COMMANDS", "PEER_MESSAGES", "Consensus"]
+
+ELECTION_JITTER_SECONDS = 1.0
+CONTACT_SECONDS = 2.0
+"""Time in seconds after which a leader that hears no majority steps down."""
+
+FOLLOW_SECONDS = 0.5
+MAX_DATAGRAM_BYTES = 900
+IDENTITY_BITS = 64
+
+
+class _Role(Enum):
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class Consensus:
+    """The part that replicates commands, on voters and on other daemons alike.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the daemon; a daemon without a data folder never votes.
+    state : ReplicatedState
+        State that committed commands are applied to.
+    recovered : Recovered
+        Content of the data folder.
+    random : Random
+        Source of election timeouts and disk identities.
+    incarnation : int
+        Incarnation of the daemon, higher after every start.
+    """
+
+    name = "consensus"
+    accepts: tuple[type, ...] = (*PEER_MESSAGES, DiskOutcome)
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        state: ReplicatedState,
+        recovered: Recovered,
+        random: Random,
+        incarnation: int,
+    ) -> None:
+        self._daemon = settings.name
+        self._random = random
+        self._seeds = [voter for voter in settings.voters if voter != settings.name]
+        self._proposals = Proposals(settings.name, incarnation)
+        identity = ""
+        if settings.data_folder:
+            identity = f"{random.getrandbits(IDENTITY_BITS):016x}"
+        self._replica = Replica(
+            state, recovered, identity, settings.voters, self._proposals
+        )
+        self._admission = Admission(settings.name, self._replica, settings.voters)
+        self._follower = Follower(self._replica)
+        self._leadership: Leadership | None = None
+        self._role = _Role.FOLLOWER
+        self._leader = ""
+        self._votes: set[str] = set()
+        self._started = False
+        self._heard = 0.0
+        self._election_due = 0.0
+        self._follow_due = 0.0
+
+    @property
+    def leader(self) -> str:
+        """Name of the leader as last known, or empty."""
+        return self._leader
+
+    @property
+    def term(self) -> int:
+        """Latest term seen."""
+        return self._replica.vote.term
+
+    @property
+    def commit(self) -> int:
+        """Last entry known to be committed."""
+        return self._replica.commit
+
+    @property
+    def replica(self) -> Replica:
+        """The replica, to be read only."""
+        return self._replica
+
+    @property
+    def wakeup(self) -> float:
+        """Time in seconds at which ``advance`` is due next."""
+        if not self._started:
+            return 0.0
+        times = [self._proposals.wakeup, self._admission.wakeup]
+        if self._leadership:
+            times.append(self._leadership.wakeup)
+        elif self._admission.may_vote():
+            times.append(self._election_due)
+        else:
+            times.append(self._follow_due)
+        return min(times)
+
+    def holds_lease(self, now: float) -> bool:
+        """Tell whether this daemon leads and no other can lead at this time."""
+        leadership = self._leadership
+        if leadership is None or not self._replica.storage.enabled:
+            return False
+        return leadership.holds_lease(now)
+
+    def find_freshness(self, now: float) -> float:
+        """Return the time as of which the applied state is known to be whole.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        float
+            Time in seconds of this daemon's clock: everything committed before it
+            is applied. ``-inf`` before that is known for the first time.
+        """
+        if self.holds_lease(now):
+            return now
+        return self._follower.fresh_as_of
+
+    def propose(self, proposal: Propose, now: float) -> Sequence[Effect]:
+        """Begin to replicate a command; a ``ProposalOutcome`` is raised later.
+
+        Parameters
+        ----------
+        proposal : Propose
+            The command.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        Sequence[Effect]
+            What to do, in this order.
+        """
+        if not self._proposals.add(proposal, now):
+            status = ProposalStatus.NOT_COMMITTED
+            return [Raise(ProposalOutcome(proposal.token, status))]
+        return self._send_proposals(now) + self._settle(now)
+
+    def handle(self, item: Input, now: float) -> Sequence[Effect]:
+        """Take in one input.
+
+        Parameters
+        ----------
+        item : Input
+            A message of another daemon or the end of a write.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        Sequence[Effect]
+            What to do, in this order.
+        """
+        self._start(now)
+        effects: list[Effect] = []
+        if isinstance(item, DiskOutcome):
+            effects = self._take_disk_outcome(item)
+        elif isinstance(item, PeerInput):
+            effects = self._take_message(item, now)
+        return effects + self._settle(now)
+
+    def advance(self, now: float) -> Sequence[Effect]:
+        """Do what is due at a time.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds, never earlier than before.
+
+        Returns
+        -------
+        Sequence[Effect]
+            What to do, in this order.
+        """
+        self._start(now)
+        effects = self._admission.advance(now)
+        effects += self._proposals.expire(now)
+        effects += self._send_proposals(now)
+        if self._leadership:
+            effects += self._check_contact(now)
+        elif self._admission.may_vote():
+            if now >= self._election_due:
+                effects += self._begin_pre_vote(now)
+        elif now >= self._follow_due:
+            effects += self._ask_to_follow(now)
+        return effects + self._settle(now)
+
+    def _start(self, now: float) -> None:
+        if self._started:
+            return
+        self._started = True
+        self._note_leader_heard(now)
+
+    def _settle(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        if leadership := self._leadership:
+            leadership.advance_commit()
+            if leadership.known_commit:
+                self._replica.open_gate(leadership.known_commit)
+            effects += leadership.replicate(now)
+            effects += self._leave_if_removed()
+        effects += self._replica.apply_committed()
+        self._follower.note_applied()
+        return effects + self._replica.storage.flush()
+
+    def _take_disk_outcome(self, item: DiskOutcome) -> list[Effect]:
+        effects = self._replica.storage.complete(item.token, item.succeeded)
+        if item.succeeded:
+            return effects + self._follower.report_synced(self._leader)
+        effects.append(Record(Event.DISK_FAILED, self._daemon))
+        return effects + self._step_down("its disk failed")
+
+    def _take_message(self, item: PeerInput, now: float) -> list[Effect]:
+        source = item.source
+        match item.body:
+            case AppendEntries() as body:
+                return self._take_append(source, body, now)
+            case AppendAnswer() as body:
+                return self._take_append_answer(source, body, now)
+            case VoteRequest() as body:
+                return self._take_vote_request(source, body, now)
+            case VoteAnswer() as body:
+                return self._take_vote_answer(source, body, now)
+            case SnapshotChunk() | SnapshotAnswer() as body:
+                return self._take_snapshot(source, body, now)
+            case Introduce() as body:
+                return self._admission.take_introduce(source, body)
+            case Introduced() as body:
+                return self._admission.take_introduced(source, body)
+            case Forward() as body:
+                return self._take_forward(source, body, now)
+            case Follow() | LeaderHint() as body:
+                return self._take_follow(source, body, now)
+        return []
+
+    # Following
+
+    def _take_append(
+        self, source: str, body: AppendEntries, now: float
+    ) -> list[Effect]:
+        effects = self._recognise_leader(source, body.term, now)
+        return effects + self._follower.take_append(source, body, now)
+
+    def _take_snapshot(
+        self, source: str, body: SnapshotChunk | SnapshotAnswer, now: float
+    ) -> list[Effect]:
+        if isinstance(body, SnapshotAnswer):
+            if self._leadership and body.term == self.term:
+                self._leadership.take_snapshot_answer(source, body, now)
+            return []
+        if body.term < self.term:
+            return []
+        effects = self._recognise_leader(source, body.term, now)
+        return effects + self._follower.take_chunk(source, body, now)
+
+    def _recognise_leader(self, source: str, term: int, now: float) -> list[Effect]:
+        if term < self.term:
+            return []
+        effects: list[Effect] = []
+        if term > self.term:
+            effects += self._step_down("a later term has begun")
+            self._replica.enter_term(term)
+        self._role = _Role.FOLLOWER
+        self._note_leader_heard(now)
+        if source != self._leader:
+            self._leader = source
+            self._follower.forget_leader()
+            self._proposals.hurry(now)
+            detail: dict[str, Scalar] = {"leader": source, "term": term}
+            effects.append(Record(Event.LEADER_CHANGED, self._daemon, detail))
+        return effects + self._send_proposals(now)
+
+    def _note_leader_heard(self, now: float) -> None:
+        self._heard = now
+        jitter = self._random.uniform(0, ELECTION_JITTER_SECONDS)
+        self._election_due = now + ELECTION_SECONDS + jitter
+        self._follow_due = self._election_due
+
+    def _ask_to_follow(self, now: float) -> list[Effect]:
+        self._follow_due = now + FOLLOW_SECONDS
+        self._leader = ""
+        known = set(self._seeds) | set(self._replica.voters)
+        candidates = sorted(known - {self._daemon})
+        if not candidates:
+            self._follow_due = NEVER
+            return []
+        asked = self._random.choice(candidates)
+        return [SendPeer(asked, Follow(self._replica.log.last_index))]
+
+    def _take_follow(
+        self, source: str, body: Follow | LeaderHint, now: float
+    ) -> list[Effect]:
+        if isinstance(body, LeaderHint):
+            if self._leader or body.leader == self._daemon or body.term < self.term:
+                return []
+            last_index = self._replica.log.last_index
+            return [SendPeer(body.leader, Follow(last_index))]
+        if self._leadership:
+            self._leadership.add_learner(source, now)
+            return []
+        if not self._leader or now - self._heard > ELECTION_SECONDS:
+            return []
+        return [SendPeer(source, LeaderHint(self._leader, self.term))]
+
+    # Proposals
+
+    def _send_proposals(self, now: float) -> list[Effect]:
+        if self._proposals.wakeup > now:
+            return []
+        if not self._leader:
+            self._proposals.postpone(now)
+            return []
+        effects: list[Effect] = []
+        for forward in self._proposals.take_due(now):
+            if self._leadership:
+                self._leadership.take_forward(self._daemon, forward, now)
+                continue
+            large = len(forward.command) > MAX_DATAGRAM_BYTES
+            effects.append(SendPeer(self._leader, forward, reliable=large))
+        return effects
+
+    def _take_forward(self, source: str, body: Forward, now: float) -> list[Effect]:
+        if self._leadership:
+            self._leadership.take_forward(source, body, now)
+            return []
+        if not self._leader or self._leader == source:
+            return []
+        return [SendPeer(source, LeaderHint(self._leader, self.term))]
+
+    # Elections
+
+    def _begin_pre_vote(self, now: float) -> list[Effect]:
+        self._leader = ""
+        self._role = _Role.PRE_CANDIDATE
+        self._votes = {self._daemon}
+        self._plan_election(now)
+        if self._has_majority():
+            return self._begin_election(now)
+        return self._request_votes(self.term + 1, pre_vote=True)
+
+    def _begin_election(self, now: float) -> list[Effect]:
+        self._role = _Role.CANDIDATE
+        self._votes = set()
+        self._plan_election(now)
+        self._replica.enter_term(self.term + 1, self._daemon)
+        vote = VoteAnswer(self.term, True, False, self._replica.identity)
+        own_vote = Raise(PeerInput(self._daemon, vote))
+        requests = self._request_votes(self.term, pre_vote=False)
+        return self._replica.storage.hold([own_vote, *requests])
+
+    def _plan_election(self, now: float) -> None:
+        jitter = self._random.uniform(0, ELECTION_JITTER_SECONDS)
+        self._election_due = now + ELECTION_SECONDS + jitter
+
+    def _request_votes(self, term: int, *, pre_vote: bool) -> list[Effect]:
+        log = self._replica.log
+        body = VoteRequest(term, log.last_index, log.last_term, pre_vote)
+        voters = [voter for voter in self._replica.voters if voter != self._daemon]
+        return [SendPeer(voter, body) for voter in voters]
+
+    def _take_vote_request(
+        self, source: str, body: VoteRequest, now: float
+    ) -> list[Effect]:
+        if not self._admission.may_vote() or self._hears_leader(now):
+            return []
+        if body.pre_vote:
+            granted = body.term > self.term and self._is_current(body)
+            term = body.term if granted else self.term
+            return [SendPeer(source, self._make_vote(term, granted, True))]
+        effects: list[Effect] = []
+        if body.term > self.term:
+            effects += self._step_down("a later term has begun")
+            self._replica.enter_term(body.term)
+        granted = self._grant_vote(source, body)
+        if granted:
+            self._plan_election(now)
+        answer = SendPeer(source, self._make_vote(self.term, granted, False))
+        return effects + self._replica.storage.hold([answer])
+
+    def _make_vote(self, term: int, granted: bool, pre_vote: bool) -> VoteAnswer:
+        return VoteAnswer(term, granted, pre_vote, self._replica.identity)
+
+    def _hears_leader(self, now: float) -> bool:
+        return self._leadership is not None or now - self._heard < ELECTION_SECONDS
+
+    def _is_current(self, body: VoteRequest) -> bool:
+        log = self._replica.log
+        own = (log.last_term, log.last_index)
+        return (body.last_term, body.last_index) >= own
+
+    def _grant_vote(self, source: str, body: VoteRequest) -> bool:
+        vote = self._replica.vote
+        if body.term < vote.term or vote.voted_for not in ("", source):
+            return False
+        if not self._is_current(body):
+            return False
+        if not vote.voted_for:
+            self._replica.enter_term(vote.term, source)
+        return True
+
+    def _take_vote_answer(
+        self, source: str, body: VoteAnswer, now: float
+    ) -> list[Effect]:
+        if body.term > self.term and not (body.pre_vote and body.granted):
+            effects = self._step_down("a later term has begun")
+            self._replica.enter_term(body.term)
+            return effects
+        role = _Role.PRE_CANDIDATE if body.pre_vote else _Role.CANDIDATE
+        term = self.term + 1 if body.pre_vote else self.term
+        if self._role is not role or body.term != term or not body.granted:
+            return []
+        if source != self._daemon and body.identity != self._replica.identify(source):
+            return []
+        self._votes.add(source)
+        if not self._has_majority():
+            return []
+        if body.pre_vote:
+            return self._begin_election(now)
+        return self._become_leader(now)
+
+    def _has_majority(self) -> bool:
+        voters = self._replica.voters
+        votes = sum(voter in self._votes for voter in voters)
+        return votes > len(voters) // 2
+
+    # Leading
+
+    def _become_leader(self, now: float) -> list[Effect]:
+        self._role = _Role.LEADER
+        self._leader = self._daemon
+        self._heard = now
+        self._leadership = Leadership(self._daemon, self._replica, now)
+        self._proposals.hurry(now)
+        detail = {"term": self.term}
+        event = Record(Event.LEADER_ELECTED, self._daemon, detail)
+        return [event, *self._send_proposals(now)]
+
+    def _take_append_answer(
+        self, source: str, body: AppendAnswer, now: float
+    ) -> list[Effect]:
+        if body.term > self.term:
+            effects = self._step_down("a later term has begun")
+            self._replica.enter_term(body.term)
+            return effects
+        if self._leadership and body.term == self.term:
+            self._leadership.take_answer(source, body, now)
+        return []
+
+    def _check_contact(self, now: float) -> list[Effect]:
+        leadership = self._leadership
+        if leadership is None:
+            return []
+        if leadership.find_contact(now) >= now - CONTACT_SECONDS:
+            return []
+        if now - self._heard < CONTACT_SECONDS:
+            return []
+        return self._step_down("no majority of voters answers")
+
+    def _leave_if_removed(self) -> list[Effect]:
+        replica = self._replica
+        if self._daemon in replica.voters or replica.voters_index > replica.commit:
+            return []
+        return self._step_down("it is no voter any more")
+
+    def _step_down(self, reason: str) -> list[Effect]:
+        was_leader = self._leadership is not None
+        self._leadership = None
+        self._role = _Role.FOLLOWER
+        self._leader = ""
+        self._follower.forget_leader()
+        if not was_leader:
+            return []
+        detail: dict[str, Scalar] = {"term": self.term, "reason": reason}
+        return [Record(Event.LEADER_STEPPED_DOWN, self._daemon, detail)]
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -53,6 +53,42 @@
         1005, Level.WARNING, "peer {peer} did not take a message: {reason}"
     )
     # Agreement, membership, configuration, keys and portions: 2000 to 2999.
+    LEADER_ELECTED = EventEntry(
+        2001, Level.INFO, "became leader of the replicated log in term {term}"
+    )
+    LEADER_STEPPED_DOWN = EventEntry(
+        2002, Level.WARNING, "stopped leading in term {term}: {reason}"
+    )
+    LEADER_CHANGED = EventEntry(
+        2003, Level.INFO, "follows leader {leader} in term {term}"
+    )
+    DISK_FAILED = EventEntry(
+        2004, Level.ERROR, "disk refused a write; the daemon no longer votes"
+    )
+    VOTER_REFUSED = EventEntry(
+        2005,
+        Level.ERROR,
+        "{peer} knows another disk of this voter; it does not vote until admitted",
+    )
+    VOTER_ADMITTED = EventEntry(2006, Level.INFO, "disk {identity} may vote")
+    VOTERS_CHANGED = EventEntry(2007, Level.INFO, "voters are now {voters}")
+    SNAPSHOT_TAKEN = EventEntry(
+        2008, Level.INFO, "took a snapshot at index {index}, {bytes} bytes"
+    )
+    SNAPSHOT_INSTALLED = EventEntry(
+        2009, Level.INFO, "installed a snapshot at index {index}, {bytes} bytes"
+    )
+    MEMBER_CHANGED = EventEntry(
+        2101, Level.INFO, "member is {change}, incarnation {incarnation}"
+    )
+    FOLDER_ACCEPTED = EventEntry(
+        2201, Level.INFO, "configuration generation {generation} is in force"
+    )
+    KEY_GIVEN = EventEntry(2301, Level.INFO, "key given to team {team}")
+    KEY_WITHDRAWN = EventEntry(2302, Level.INFO, "key withdrawn")
+    PORTION_RECLAIMED = EventEntry(
+        2401, Level.WARNING, "portions of an ended daemon were taken back"
+    )
 
     # Requests and targets: 3000 to 3999.
     TARGET_TAKEN = EventEntry(
--- /dev/null
+++ b/src/gypsumwalk/follower.py
@@ -0,0 +1,199 @@
+"""What a daemon does with entries and snapshots that the leader sends."""
+
+from collections import deque
+from typing import NamedTuple
+
+from gypsumwalk.effects import Effect, SendPeer
+from gypsumwalk.replica import Replica
+from gypsumwalk.replication import (
+    AppendAnswer,
+    AppendEntries,
+    Entry,
+    SnapshotAnswer,
+    SnapshotChunk,
+)
+
+__all__ = ["Follower"]
+
+MAX_STAMPS = 16
+MAX_SNAPSHOT_BYTES = 256 * 1024 * 1024
+
+
+class _Stamp(NamedTuple):
+    time: float
+    commit: int
+
+
+class Follower:
+    """Entries taken from the leader of the current term.
+
+    Parameters
+    ----------
+    replica : Replica
+        Replica of the daemon.
+    """
+
+    def __init__(self, replica: Replica) -> None:
+        self.fresh_as_of = float("-inf")
+        self._replica = replica
+        self._verified = 0
+        self._stamps: deque[_Stamp] = deque(maxlen=MAX_STAMPS)
+        self._first_stamp: float | None = None
+        self._unreported: AppendAnswer | None = None
+        self._chunks = bytearray()
+        self._chunk_index = 0
+
+    def forget_leader(self) -> None:
+        """Note that the leader or the term changed."""
+        self._verified = 0
+        self._unreported = None
+        self._chunk_index = 0
+        self._chunks.clear()
+
+    def take_append(self, source: str, body: AppendEntries, now: float) -> list[Effect]:
+        """Take in entries or a heartbeat of the leader.
+
+        Parameters
+        ----------
+        source : str
+            Name of the leader.
+        body : AppendEntries
+            The message.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        list of Effect
+            The answer.
+        """
+        if self._first_stamp is None:
+            self._first_stamp = now
+        replica = self._replica
+        if body.term < replica.vote.term:
+            return [self._refuse(source, body, 0, now)]
+        if (hint := self._find_mismatch(body)) is not None:
+            return [self._refuse(source, body, hint, now)]
+        self._store(body.entries)
+        end = body.previous_index + len(body.entries)
+        self._verified = max(self._verified, end)
+        replica.commit = max(replica.commit, min(body.commit, self._verified))
+        self._note_stamp(body)
+        answer = self._answer(body.sent, now)
+        if body.entries and answer.match < end:
+            self._unreported = answer
+            return []
+        return replica.storage.hold([SendPeer(source, answer)])
+
+    def report_synced(self, leader: str) -> list[Effect]:
+        """Tell the leader of entries that are synced by now."""
+        pending, self._unreported = self._unreported, None
+        if pending is None or not leader:
+            return []
+        answer = self._answer(pending.sent, pending.stamp)
+        if answer.match < answer.received:
+            self._unreported = pending
+        return [SendPeer(leader, answer)]
+
+    def take_chunk(self, source: str, body: SnapshotChunk, now: float) -> list[Effect]:
+        """Take in a part of a snapshot.
+
+        Parameters
+        ----------
+        source : str
+            Name of the leader.
+        body : SnapshotChunk
+            The part.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        list of Effect
+            The answer, and news of an installed snapshot.
+        """
+        if self._first_stamp is None:
+            self._first_stamp = now
+        if body.total > MAX_SNAPSHOT_BYTES:
+            return []
+        if body.index != self._chunk_index:
+            self._chunk_index = body.index
+            self._chunks.clear()
+        if body.offset == len(self._chunks):
+            self._chunks += body.content
+        if len(self._chunks) < body.total:
+            arrived = len(self._chunks)
+            progress = SnapshotAnswer(body.term, body.index, arrived, body.sent, now)
+            return [SendPeer(source, progress)]
+        effects = self._replica.install(bytes(self._chunks))
+        self._chunk_index = 0
+        self._chunks.clear()
+        self._verified = max(self._verified, body.index)
+        answer = self._answer(body.sent, now)
+        return effects + self._replica.storage.hold([SendPeer(source, answer)])
+
+    def note_applied(self) -> None:
+        """Note that entries were applied, which may make the state fresher."""
+        while self._stamps and self._stamps[0].commit <= self._replica.state.applied:
+            self.fresh_as_of = max(self.fresh_as_of, self._stamps.popleft().time)
+
+    def _find_mismatch(self, body: AppendEntries) -> int | None:
+        replica = self._replica
+        if body.previous_index < replica.log.base_index:
+            return None
+        term = replica.log.term_at(body.previous_index)
+        if term == body.previous_term:
+            return None
+        if term is None:
+            return min(replica.log.last_index, body.previous_index - 1)
+        return replica.commit
+
+    def _store(self, entries: list[Entry]) -> None:
+        replica = self._replica
+        base = replica.log.base_index
+        for position, entry in enumerate(entries):
+            if entry.index <= base:
+                continue
+            term = replica.log.term_at(entry.index)
+            if term == entry.term:
+                continue
+            if term is not None:
+                replica.truncate(entry.index - 1)
+            replica.append(entries[position:])
+            return
+
+    def _note_stamp(self, body: AppendEntries) -> None:
+        if self._first_stamp is None or body.stamp < self._first_stamp:
+            return
+        if not body.commit:
+            return
+        self._replica.open_gate(body.commit)
+        if len(self._stamps) < MAX_STAMPS:
+            self._stamps.append(_Stamp(body.stamp, body.commit))
+
+    def _answer(self, sent: float, now: float) -> AppendAnswer:
+        replica = self._replica
+        return AppendAnswer(
+            term=replica.vote.term,
+            accepted=True,
+            match=min(replica.storage.durable, self._verified),
+            received=self._verified,
+            sent=sent,
+            stamp=now,
+            identity=replica.identity,
+        )
+
+    def _refuse(
+        self, source: str, body: AppendEntries, hint: int, now: float
+    ) -> SendPeer:
+        replica = self._replica
+        answer = AppendAnswer(
+            term=replica.vote.term,
+            accepted=False,
+            match=0,
+            received=hint,
+            sent=body.sent,
+            stamp=now,
+            identity=replica.identity,
+        )
+        return SendPeer(source, answer)
--- /dev/null
+++ b/src/gypsumwalk/leadership.py
@@ -0,0 +1,316 @@
+"""What a leader does: appends, replicates, commits and keeps its lease."""
+
+import msgspec
+
+from gypsumwalk.effects import Effect, SendPeer
+from gypsumwalk.errors import UnknownMessage
+from gypsumwalk.part import NEVER
+from gypsumwalk.progress import LEASE_SECONDS, Progress, find_quorum_value
+from gypsumwalk.replica import Replica
+from gypsumwalk.replication import (
+    AppendAnswer,
+    AppendEntries,
+    ChangeVoters,
+    Entry,
+    Forward,
+    SnapshotAnswer,
+    SnapshotChunk,
+)
+
+__all__ = ["Leadership"]
+
+HEARTBEAT_SECONDS = 0.2
+LEARNER_HEARTBEAT_SECONDS = 0.6
+LEARNER_EXPIRY_SECONDS = 30.0
+SNAPSHOT_RESEND_SECONDS = 1.0
+MAX_BATCH_BYTES = 256 * 1024
+MAX_BATCH_ENTRIES = 512
+MAX_DATAGRAM_BYTES = 900
+MAX_UNCOMMITTED = 4096
+CHUNK_BYTES = 128 * 1024
+ENTRY_DATAGRAM_BYTES = 48
+
+
+class Leadership:
+    """One term of one leader.
+
+    Parameters
+    ----------
+    name : str
+        Name of the daemon.
+    replica : Replica
+        Its replica.
+    now : float
+        Time in seconds.
+    """
+
+    def __init__(self, name: str, replica: Replica, now: float) -> None:
+        self._name = name
+        self._replica = replica
+        self._progress: dict[str, Progress] = {}
+        self._queued: set[tuple[str, int, int]] = set()
+        for entry in replica.log.tail(replica.commit):
+            self._queued.add((entry.origin, entry.incarnation, entry.sequence))
+        self._add_voters(now)
+        self._append(self._make_first_entry(), now)
+        self._first_index = replica.log.last_index
+
+    @property
+    def wakeup(self) -> float:
+        """Time in seconds of the next heartbeat."""
+        return min((item.due for item in self._progress.values()), default=NEVER)
+
+    @property
+    def known_commit(self) -> int:
+        """Committed index, 0 until an entry of this term is committed."""
+        commit = self._replica.commit
+        return commit if commit >= self._first_index else 0
+
+    def holds_lease(self, now: float) -> bool:
+        """Tell whether no other daemon can lead at this time."""
+        if not self.known_commit:
+            return False
+        return now < self.find_contact(now) + LEASE_SECONDS
+
+    def find_contact(self, now: float) -> float:
+        """Return the latest sending time that a majority has answered, in seconds."""
+        times = []
+        for voter in self._replica.voters:
+            if voter == self._name:
+                times.append(now)
+            else:
+                times.append(self._find_acknowledged(voter))
+        return find_quorum_value(times)
+
+    def add_learner(self, name: str, now: float) -> None:
+        """Begin to send the log to a daemon that asked for it."""
+        if name not in self._progress:
+            item = Progress(name, self._replica.log.last_index + 1, due=now, heard=now)
+            self._progress[name] = item
+
+    def take_forward(self, origin: str, forward: Forward, now: float) -> None:
+        """Append a daemon's command, unless it is in the log already."""
+        source = (origin, forward.incarnation, forward.sequence)
+        if source in self._queued or self._replica.is_known(*source):
+            return
+        uncommitted = self._replica.log.last_index - self._replica.commit
+        if uncommitted >= MAX_UNCOMMITTED:
+            return
+        command = self._check_command(forward.command)
+        if command:
+            self._queued.add(source)
+            self._append(Entry(0, 0, 0.0, *source, command), now)
+
+    def take_answer(self, source: str, answer: AppendAnswer, now: float) -> None:
+        """Take in a daemon's answer to entries or to a heartbeat."""
+        item = self._progress.get(source)
+        if item is None:
+            return
+        self._note_contact(item, answer.sent, answer.stamp, now)
+        item.identity = answer.identity
+        if answer.accepted:
+            item.accept(answer.match, answer.received, answer.sent)
+        else:
+            item.refuse(answer.received)
+
+    def take_snapshot_answer(
+        self, source: str, answer: SnapshotAnswer, now: float
+    ) -> None:
+        """Take in a daemon's answer to a part of a snapshot."""
+        item = self._progress.get(source)
+        if item is None:
+            return
+        self._note_contact(item, answer.sent, answer.stamp, now)
+        if answer.index == item.snapshot_index:
+            item.snapshot_offset = answer.offset
+            item.due = now
+
+    def advance_commit(self) -> bool:
+        """Commit what a majority has synced; true if something new is."""
+        replica = self._replica
+        matches = [self._find_match(voter) for voter in replica.voters]
+        index = int(find_quorum_value(matches))
+        if index <= replica.commit or index < self._first_index:
+            return False
+        for entry in replica.log.tail(replica.commit)[: index - replica.commit]:
+            self._queued.discard((entry.origin, entry.incarnation, entry.sequence))
+        replica.commit = index
+        return True
+
+    def replicate(self, now: float) -> list[Effect]:
+        """Send entries, commits and heartbeats that are due.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        list of Effect
+            The messages.
+        """
+        self._add_voters(now)
+        effects: list[Effect] = []
+        for item in list(self._progress.values()):
+            if self._is_gone(item, now):
+                del self._progress[item.name]
+            else:
+                effects += self._replicate_to(item, now)
+        return effects
+
+    def _replicate_to(self, item: Progress, now: float) -> list[Effect]:
+        if self._needs_snapshot(item):
+            return self._send_chunk(item, now)
+        effects: list[Effect] = []
+        last_index = self._replica.log.last_index
+        while item.next_index <= last_index and item.may_send:
+            effects.append(self._send_entries(item, now))
+        if effects:
+            return effects
+        behind = item.commit_sent < self.known_commit and not item.in_flight
+        if behind or item.due <= now:
+            return [self._send_heartbeat(item, now)]
+        return []
+
+    def _send_entries(self, item: Progress, now: float) -> Effect:
+        log = self._replica.log
+        entries = log.read(item.next_index - 1, MAX_BATCH_BYTES, MAX_BATCH_ENTRIES)
+        message = self._make_message(item, item.next_index - 1, entries, now)
+        item.in_flight += 1
+        item.entries_sent = now
+        if not item.probing:
+            item.next_index += len(entries)
+        size = sum(len(entry.command) + ENTRY_DATAGRAM_BYTES for entry in entries)
+        return SendPeer(item.name, message, reliable=size > MAX_DATAGRAM_BYTES)
+
+    def _send_heartbeat(self, item: Progress, now: float) -> Effect:
+        previous = item.next_index - 1 if item.probing else item.received
+        if item.probing:
+            item.in_flight = 0
+        return SendPeer(item.name, self._make_message(item, previous, [], now))
+
+    def _make_message(
+        self, item: Progress, previous: int, entries: list[Entry], now: float
+    ) -> AppendEntries:
+        item.due = now + self._find_interval(item.name)
+        item.commit_sent = self.known_commit
+        return AppendEntries(
+            term=self._replica.vote.term,
+            previous_index=previous,
+            previous_term=self._replica.log.term_at(previous) or 0,
+            commit=self.known_commit,
+            sent=now,
+            stamp=item.stamp,
+            entries=entries,
+        )
+
+    def _needs_snapshot(self, item: Progress) -> bool:
+        if item.snapshot_index:
+            return True
+        previous = item.next_index - 1 if item.probing else item.received
+        return min(previous, item.next_index - 1) < self._replica.log.base_index
+
+    def _send_chunk(self, item: Progress, now: float) -> list[Effect]:
+        if item.due > now:
+            return []
+        snapshot, index = self._replica.snapshot, self._replica.snapshot_index
+        if item.snapshot_index != index:
+            item.snapshot_index, item.snapshot_offset = index, 0
+        offset = item.snapshot_offset
+        item.due = now + SNAPSHOT_RESEND_SECONDS
+        chunk = SnapshotChunk(
+            term=self._replica.vote.term,
+            index=index,
+            offset=offset,
+            total=len(snapshot),
+            content=snapshot[offset : offset + CHUNK_BYTES],
+            sent=now,
+        )
+        return [SendPeer(item.name, chunk, reliable=True)]
+
+    def _note_contact(
+        self, item: Progress, sent: float, stamp: float, now: float
+    ) -> None:
+        item.heard = now
+        item.acknowledged = max(item.acknowledged, sent)
+        if not self.holds_lease(now):
+            return
+        if item.stamp < 0:
+            item.due = now
+        item.stamp = max(item.stamp, stamp)
+
+    def _find_acknowledged(self, voter: str) -> float:
+        item = self._progress.get(voter)
+        return item.acknowledged if item and self._counts(item) else 0.0
+
+    def _find_match(self, voter: str) -> int:
+        if voter == self._name:
+            return self._replica.storage.durable
+        item = self._progress.get(voter)
+        return item.match if item and self._counts(item) else 0
+
+    def _counts(self, item: Progress) -> bool:
+        known = self._replica.identify(item.name)
+        return bool(item.identity) and item.identity == known
+
+    def _find_interval(self, name: str) -> float:
+        if name in self._replica.voters:
+            return HEARTBEAT_SECONDS
+        return LEARNER_HEARTBEAT_SECONDS
+
+    def _is_gone(self, item: Progress, now: float) -> bool:
+        silent = now - item.heard > LEARNER_EXPIRY_SECONDS
+        return silent and item.name not in self._replica.voters
+
+    def _add_voters(self, now: float) -> None:
+        for voter in self._replica.voters:
+            if voter != self._name:
+                self.add_learner(voter, now)
+
+    def _make_first_entry(self) -> Entry:
+        voters = self._replica.voters
+        if all(voters.values()):
+            return Entry(0, 0, 0.0)
+        identified = {voter: self._replica.identify(voter) for voter in voters}
+        identified[self._name] = self._replica.identity
+        if not all(identified.values()):
+            return Entry(0, 0, 0.0)
+        command = msgspec.msgpack.encode(ChangeVoters(identified))
+        return Entry(0, 0, 0.0, command=command)
+
+    def _check_command(self, encoded: bytes) -> bytes:
+        try:
+            command = self._replica.decode(encoded)
+        except UnknownMessage:
+            return b""
+        if not isinstance(command, ChangeVoters):
+            return encoded
+        voters = self._fill_identities(command.voters)
+        if not voters or not self._may_change(voters):
+            return b""
+        return msgspec.msgpack.encode(ChangeVoters(voters))
+
+    def _fill_identities(self, voters: dict[str, str]) -> dict[str, str]:
+        filled = {}
+        for voter, identity in voters.items():
+            item = self._progress.get(voter)
+            known = self._replica.voters.get(voter) or identity
+            filled[voter] = known or (item.identity if item else "")
+        return filled if all(filled.values()) else {}
+
+    def _may_change(self, voters: dict[str, str]) -> bool:
+        if self._replica.voters_index > self.known_commit:
+            return False
+        old = set(self._replica.voters.items())
+        return len(old ^ set(voters.items())) == 1
+
+    def _append(self, entry: Entry, now: float) -> None:
+        log = self._replica.log
+        placed = msgspec.structs.replace(
+            entry,
+            index=log.last_index + 1,
+            term=self._replica.vote.term,
+            at=max(now, log.last_time),
+        )
+        self._replica.append([placed])
--- /dev/null
+++ b/src/gypsumwalk/replica.py
@@ -0,0 +1,362 @@
+"""Durable state of one replica: term, vote, log, snapshot and applied state."""
+
+from collections.abc import Sequence
+from functools import reduce
+from operator import or_
+from typing import Any
+
+import msgspec
+
+from gypsumwalk.effects import (
+    AppendRecords,
+    DiskOperation,
+    Effect,
+    Raise,
+    Record,
+    TruncateRecords,
+    WriteFile,
+)
+from gypsumwalk.errors import CorruptRecord, UnknownMessage
+from gypsumwalk.events import Event
+from gypsumwalk.inputs import Committed
+from gypsumwalk.proposals import Proposals
+from gypsumwalk.recovery import Recovered
+from gypsumwalk.replica_log import ReplicaLog
+from gypsumwalk.replication import ChangeVoters, Entry
+from gypsumwalk.sessions import Sessions
+from gypsumwalk.state import Accepted, ReplicatedState
+from gypsumwalk.storage import Storage
+
+__all__ = ["Replica", "SnapshotContent", "Vote"]
+
+VOTE_FILE = "vote"
+SNAPSHOT_FILE = "snapshot"
+LOG_FILES = ("log-0", "log-1")
+SNAPSHOT_ENTRIES = 8192
+SNAPSHOT_BYTES = 4 * 1024 * 1024
+KEPT_ENTRIES = 1024
+KEPT_BYTES = 1024 * 1024
+
+
+class Vote(msgspec.Struct):
+    """What a voter must not forget.
+
+    Attributes
+    ----------
+    identity : str
+        Identity of the disk.
+    term : int
+        Latest term seen.
+    voted_for : str
+        Candidate that got the vote of this term.
+    admitted : bool
+        Whether the disk may vote.
+    registered : dict of str to str
+        Identities of the other voters' disks.
+    """
+
+    identity: str
+    term: int = 0
+    voted_for: str = ""
+    admitted: bool = False
+    registered: dict[str, str] = {}
+
+
+class SnapshotContent(msgspec.Struct, frozen=True):
+    """A snapshot, as it is sent to other daemons."""
+
+    index: int
+    term: int
+    voters: dict[str, str]
+    sessions: bytes
+    state: bytes
+
+
+class _SnapshotFile(msgspec.Struct, frozen=True):
+    log_file: int
+    base_index: int
+    base_term: int
+    content: bytes
+
+
+class Replica:
+    """The replica of one daemon, without its role.
+
+    Parameters
+    ----------
+    state : ReplicatedState
+        State that committed entries are applied to.
+    recovered : Recovered
+        Content of the data folder.
+    identity : str
+        Identity for a disk that has none yet; empty without a disk.
+    voters : Sequence of str
+        Voters at the first start of the system.
+    proposals : Proposals
+        Proposals of this daemon, told of each command applied.
+    """
+
+    def __init__(
+        self,
+        state: ReplicatedState,
+        recovered: Recovered,
+        identity: str,
+        voters: Sequence[str],
+        proposals: Proposals,
+    ) -> None:
+        self.state = state
+        self.commit = 0
+        self.gate: int | None = None
+        self.log = ReplicaLog()
+        self.snapshot = b""
+        self.snapshot_index = 0
+        self._sessions = Sessions()
+        self._proposals = proposals
+        self._decoder = _make_decoder(state)
+        self._loaded = False
+        self._log_file = 0
+        self._file_base = 0
+        self._bytes = 0
+        self._voter_changes = [(0, dict.fromkeys(voters, ""))]
+        self.vote = _recover_vote(recovered, identity)
+        self._recover(recovered)
+        durable = self.log.last_index
+        self.storage = Storage(enabled=bool(identity), durable=durable)
+
+    @property
+    def identity(self) -> str:
+        """Identity of the disk, empty without one in order."""
+        return self.vote.identity if self.storage.enabled else ""
+
+    @property
+    def voters(self) -> dict[str, str]:
+        """Voters, each with the identity of its disk where that is known."""
+        return self._voter_changes[-1][1]
+
+    @property
+    def voters_index(self) -> int:
+        """Index of the entry that made these the voters."""
+        return self._voter_changes[-1][0]
+
+    def identify(self, voter: str) -> str:
+        """Return the identity of a voter's disk, empty if unknown."""
+        return self.voters.get(voter) or self.vote.registered.get(voter, "")
+
+    def save_vote(self) -> None:
+        """Stage term, vote and identities for the disk."""
+        self.storage.stage(WriteFile(VOTE_FILE, msgspec.msgpack.encode(self.vote)))
+
+    def enter_term(self, term: int, voted_for: str = "") -> None:
+        """Move to a later term, or vote in this one."""
+        self.vote.term = term
+        self.vote.voted_for = voted_for
+        self.save_vote()
+
+    def decode(self, command: bytes) -> msgspec.Struct:
+        """Decode a command.
+
+        Raises
+        ------
+        UnknownMessage
+            If no section applies it.
+        """
+        try:
+            decoded: msgspec.Struct = self._decoder.decode(command)
+        except (msgspec.MsgspecError, RecursionError) as error:
+            raise UnknownMessage(str(error)) from error
+        return decoded
+
+    def is_known(self, origin: str, incarnation: int, sequence: int) -> bool:
+        """Tell whether a command was applied, or is too old to be applied."""
+        return not self._sessions.check(origin, incarnation, sequence).fresh
+
+    def append(self, entries: Sequence[Entry]) -> None:
+        """Add entries after the last one and stage them for the disk."""
+        if not entries:
+            return
+        self.log.append(entries)
+        records = tuple(msgspec.msgpack.encode(entry) for entry in entries)
+        self._bytes += sum(len(record) for record in records)
+        operation = AppendRecords(LOG_FILES[self._log_file], records)
+        self.storage.stage(operation, top=self.log.last_index)
+        self._note_voters(entries)
+
+    def truncate(self, last_index: int) -> None:
+        """Drop every entry after an index, in memory and on the disk."""
+        self.log.truncate(last_index)
+        self.storage.lower(last_index)
+        keep = max(0, last_index - self._file_base)
+        self.storage.stage(TruncateRecords(LOG_FILES[self._log_file], keep))
+        while self._voter_changes[-1][0] > last_index:
+            self._voter_changes.pop()
+
+    def open_gate(self, commit: int) -> None:
+        """Note an index that covers all that was committed before the start."""
+        if self.gate is None:
+            self.gate = commit
+
+    def apply_committed(self) -> list[Effect]:
+        """Apply what is committed, and return the news of it.
+
+        Nothing is applied before the log reaches the gate, so that a daemon that
+        started again shows no state older than the one it showed before.
+        """
+        if self.gate is None or min(self.commit, self.log.last_index) < self.gate:
+            return []
+        effects: list[Effect] = []
+        if not self._loaded:
+            effects += self._load_snapshot()
+        while self.state.applied < min(self.commit, self.log.last_index):
+            effects += self._apply(self.log.get(self.state.applied + 1))
+        if self._is_snapshot_due():
+            effects += self._take_snapshot()
+        return effects
+
+    def install(self, content: bytes) -> list[Effect]:
+        """Replace log and state by a leader's snapshot.
+
+        Parameters
+        ----------
+        content : bytes
+            An encoded ``SnapshotContent``.
+
+        Returns
+        -------
+        list of Effect
+            News of it.
+        """
+        snapshot = msgspec.msgpack.decode(content, type=SnapshotContent)
+        if snapshot.index <= max(self.snapshot_index, self.commit):
+            return []
+        if self.log.term_at(snapshot.index) == snapshot.term:
+            tail = self.log.tail(snapshot.index)
+        else:
+            tail = []
+        self.snapshot, self.snapshot_index = content, snapshot.index
+        self.log.reset(snapshot.index, snapshot.term)
+        self.log.append(tail)
+        self.storage.lower(self.log.last_index)
+        self._voter_changes = [(snapshot.index, snapshot.voters)]
+        self._note_voters(tail)
+        self.commit = snapshot.index
+        self._loaded = False
+        self._stage_snapshot()
+        detail = {"index": snapshot.index, "bytes": len(content)}
+        return [Record(Event.SNAPSHOT_INSTALLED, "", detail)]
+
+    def _load_snapshot(self) -> list[Effect]:
+        self._loaded = True
+        if not self.snapshot:
+            return []
+        snapshot = msgspec.msgpack.decode(self.snapshot, type=SnapshotContent)
+        self.state.load(snapshot.state)
+        self._sessions.load(snapshot.sessions)
+        return self._proposals.settle_from(self._sessions)
+
+    def _apply(self, entry: Entry) -> list[Effect]:
+        if not entry.command:
+            self.state.skip(entry.index)
+            return []
+        source = (entry.origin, entry.incarnation, entry.sequence)
+        verdict = self._sessions.check(*source)
+        if entry.origin and not verdict.fresh:
+            self.state.skip(entry.index)
+            return self._proposals.settle_repeated(*source, verdict)
+        command = self.decode(entry.command)
+        result: msgspec.Struct
+        if isinstance(command, ChangeVoters):
+            self.state.skip(entry.index)
+            result = Accepted(entry.index)
+        else:
+            result = self.state.apply(command, entry.index, entry.at)
+        if entry.origin:
+            encoded = msgspec.msgpack.encode(result)
+            self._sessions.note(*source, entry.index, encoded)
+        effects: list[Effect] = [Raise(Committed(entry.index, command, result))]
+        return effects + self._proposals.settle(*source, entry.index, result)
+
+    def _note_voters(self, entries: Sequence[Entry]) -> None:
+        for entry in entries:
+            if not entry.command or entry.index <= self.snapshot_index:
+                continue
+            command = self.decode(entry.command)
+            if isinstance(command, ChangeVoters):
+                self._voter_changes.append((entry.index, command.voters))
+
+    def _is_snapshot_due(self) -> bool:
+        covered = self.state.applied - self.snapshot_index
+        return covered > SNAPSHOT_ENTRIES or (
+            self._bytes > SNAPSHOT_BYTES and covered > 0
+        )
+
+    def _take_snapshot(self) -> list[Effect]:
+        index = self.state.applied
+        term = self.log.term_at(index) or 0
+        changes = [item for item in self._voter_changes if item[0] <= index]
+        content = SnapshotContent(
+            index, term, changes[-1][1], self._sessions.dump(), self.state.dump()
+        )
+        self.snapshot = msgspec.msgpack.encode(content)
+        self.snapshot_index = index
+        self.log.compact(self._find_kept(index))
+        self._voter_changes = self._voter_changes[len(changes) - 1 :]
+        self._stage_snapshot()
+        detail = {"index": index, "bytes": len(self.snapshot)}
+        return [Record(Event.SNAPSHOT_TAKEN, "", detail)]
+
+    def _find_kept(self, index: int) -> int:
+        size = 0
+        position = index
+        while position > self.log.base_index and index - position < KEPT_ENTRIES:
+            size += len(self.log.get(position).command)
+            if size > KEPT_BYTES:
+                break
+            position -= 1
+        return position
+
+    def _stage_snapshot(self) -> None:
+        old, new = self._log_file, 1 - self._log_file
+        tail = self.log.tail(self.log.base_index)
+        records = tuple(msgspec.msgpack.encode(entry) for entry in tail)
+        base = (self.log.base_index, self.log.base_term)
+        file = msgspec.msgpack.encode(_SnapshotFile(new, *base, self.snapshot))
+        operations: list[DiskOperation] = [
+            TruncateRecords(LOG_FILES[new], 0),
+            AppendRecords(LOG_FILES[new], records),
+            WriteFile(SNAPSHOT_FILE, file),
+            TruncateRecords(LOG_FILES[old], 0),
+        ]
+        self.storage.stage(*operations, top=self.log.last_index)
+        self._log_file = new
+        self._file_base = self.log.base_index
+        self._bytes = 0
+
+    def _recover(self, recovered: Recovered) -> None:
+        if file := recovered.files.get(SNAPSHOT_FILE):
+            stored = msgspec.msgpack.decode(file, type=_SnapshotFile)
+            content = msgspec.msgpack.decode(stored.content, type=SnapshotContent)
+            self.snapshot, self.snapshot_index = stored.content, content.index
+            self._log_file = stored.log_file
+            self.log.reset(stored.base_index, stored.base_term)
+            self.commit = content.index
+            self._voter_changes = [(content.index, content.voters)]
+        records = recovered.records.get(LOG_FILES[self._log_file], ())
+        entries = [msgspec.msgpack.decode(record, type=Entry) for record in records]
+        self._file_base = self.log.base_index
+        for position, entry in enumerate(entries, self.log.base_index + 1):
+            if entry.index != position:
+                raise CorruptRecord(f"entry {entry.index} where {position} belongs")
+        self.log.append(entries)
+        self._bytes = sum(len(record) for record in records)
+        self._note_voters(entries)
+
+
+def _recover_vote(recovered: Recovered, identity: str) -> Vote:
+    if content := recovered.files.get(VOTE_FILE):
+        return msgspec.msgpack.decode(content, type=Vote)
+    return Vote(identity)
+
+
+def _make_decoder(state: ReplicatedState) -> "msgspec.msgpack.Decoder[Any]":
+    union: Any = reduce(or_, (ChangeVoters, *state.commands))
+    return msgspec.msgpack.Decoder(union)
--- a/src/gypsumwalk/state.py
+++ b/src/gypsumwalk/state.py
@@ -91,10 +91,15 @@
     def __init__(self, sections: Sequence[Section]) -> None:
         self.applied = 0
         self._sections = {section.name: section for section in sections}
-        self._by_command = {
+        self._by_command: dict[type[msgspec.Struct], Section] = {
             command: section for section in sections for command in section.commands
         }
 
+    @property
+    def commands(self) -> tuple[type[msgspec.Struct], ...]:
+        """Types of the commands that the sections apply."""
+        return tuple(self._by_command)
+
     def apply(self, command: msgspec.Struct, index: int, at: float) -> msgspec.Struct:
         """Apply one committed command.
 
