Keep configuration, keys and portions in the replicated state

Cause: what must be single over all daemons needs the agreed order. Change: fenced generations of the folder, salted keys with a freshness bound, portions of upper limits that move through the log; operators' calls with a report of the daemons where a change is in force.

--- /dev/null
+++ b/src/gypsumwalk/configuration.py
@@ -0,0 +1,450 @@
+"""Configuration folder: its replicated generations, and the operators' calls."""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+
+import msgspec
+
+from gypsumwalk.effects import Answer, Effect, Propose, Record, Respond, SendPeer
+from gypsumwalk.endpoints import Audience, BodyKind, Endpoint
+from gypsumwalk.errors import BadFolder, BadSetting
+from gypsumwalk.events import Event
+from gypsumwalk.folder import Folder
+from gypsumwalk.in_force import PEER_MESSAGES as IN_FORCE_MESSAGES
+from gypsumwalk.in_force import AppliedAnswer, AppliedQuery, InForce, Report
+from gypsumwalk.inputs import (
+    CallInput,
+    Committed,
+    Input,
+    PeerInput,
+    ProposalOutcome,
+    ProposalStatus,
+)
+from gypsumwalk.merging import Tables, merge_files, parse_file
+from gypsumwalk.problems import Outcome, ProblemType, refuse
+from gypsumwalk.settings import Settings
+from gypsumwalk.state import Rejected, ReplicatedState
+from gypsumwalk.views import KeyView, MembershipView, QueueRule, TeamRule
+
+__all__ = [
+    "COMMANDS",
+    "ENDPOINTS",
+    "PEER_MESSAGES",
+    "ApplyCall",
+    "ApplyFolder",
+    "ConfigurationPart",
+    "ConfigurationSection",
+    "DiffCall",
+    "ReadCall",
+]
+
+KEPT_GENERATIONS = 4096
+DIGEST_BYTES = 16
+APPLY_SECONDS = 10.0
+REPORT_SECONDS = 4.0
+MAX_FOLDER_BYTES = 16 * 1024 * 1024
+
+
+class ApplyFolder(msgspec.Struct, frozen=True, tag=True):
+    """Command: change files of the folder.
+
+    Attributes
+    ----------
+    base : int
+        Generation that the change was made from.
+    files : dict of str to str
+        New or changed files.
+    removed : list of str
+        Files that are dropped.
+    whole : bool
+        Whether files that are not named are dropped too.
+    """
+
+    base: int
+    files: dict[str, str]
+    removed: list[str] = []
+    whole: bool = False
+
+
+class FolderAccepted(msgspec.Struct, frozen=True, tag=True):
+    """Result: the change is accepted as a generation."""
+
+    generation: int
+    repeated: bool = False
+
+
+COMMANDS = (ApplyFolder,)
+PEER_MESSAGES = IN_FORCE_MESSAGES
+
+
+class _Dump(msgspec.Struct, frozen=True):
+    generation: int
+    files: dict[str, str]
+    digests: dict[int, bytes]
+
+
+class ConfigurationSection:
+    """Files of the generation in force, and the merged folder."""
+
+    name = "configuration"
+    commands: tuple[type, ...] = COMMANDS
+
+    def __init__(self) -> None:
+        self.generation = 0
+        self.files: dict[str, str] = {}
+        self._folder = Folder()
+        self._parsed: dict[str, Tables] = {}
+        self._digests: OrderedDict[int, bytes] = OrderedDict()
+
+    @property
+    def folder(self) -> Folder:
+        """The merged folder in force."""
+        return self._folder
+
+    def team(self, name: str) -> TeamRule | None:
+        """Return the rule of a team."""
+        table = self._folder.teams.get(name)
+        return TeamRule(name, table.share, table.limit) if table else None
+
+    def teams(self) -> Sequence[TeamRule]:
+        """Return the rules of all teams, ordered by name."""
+        teams = sorted(self._folder.teams.items())
+        return [TeamRule(name, table.share, table.limit) for name, table in teams]
+
+    def queue(self, name: str) -> QueueRule | None:
+        """Return the rule of a queue."""
+        table = self._folder.queues.get(name)
+        if table is None:
+            return None
+        return QueueRule(
+            name,
+            table.service,
+            table.open,
+            tuple(table.teams),
+            table.max_waiting,
+            table.deadline_seconds,
+        )
+
+    def preview(self, command: ApplyFolder) -> Folder:
+        """Return the folder that a change would make.
+
+        Parameters
+        ----------
+        command : ApplyFolder
+            The change.
+
+        Returns
+        -------
+        Folder
+            The merged folder.
+
+        Raises
+        ------
+        BadFolder
+            Every wrong setting.
+        """
+        return merge_files(self._parse(self._change_files(command)))
+
+    def apply(self, command: msgspec.Struct, index: int, at: float) -> msgspec.Struct:
+        """Apply one committed change, the first of each base generation."""
+        assert isinstance(command, ApplyFolder)
+        digest = _digest(command)
+        if command.base != self.generation:
+            return self._answer_late(command.base + 1, digest)
+        files = self._change_files(command)
+        try:
+            parsed = self._parse(files)
+            folder = merge_files(parsed)
+        except BadFolder as error:
+            return Rejected("BadFolder", _describe(error)[0])
+        self.generation += 1
+        self.files, self._parsed, self._folder = files, parsed, folder
+        self._digests[self.generation] = digest
+        if len(self._digests) > KEPT_GENERATIONS:
+            self._digests.popitem(last=False)
+        return FolderAccepted(self.generation)
+
+    def dump(self) -> bytes:
+        """Return the section as bytes."""
+        dump = _Dump(self.generation, self.files, dict(self._digests))
+        return msgspec.msgpack.encode(dump)
+
+    def load(self, content: bytes) -> None:
+        """Replace the section by one that was dumped."""
+        dump = msgspec.msgpack.decode(content, type=_Dump)
+        self.generation, self.files = dump.generation, dump.files
+        self._digests = OrderedDict(dump.digests)
+        self._parsed = self._parse(dump.files)
+        self._folder = merge_files(self._parsed)
+
+    def _answer_late(self, generation: int, digest: bytes) -> msgspec.Struct:
+        if self._digests.get(generation) == digest:
+            return FolderAccepted(generation, repeated=True)
+        detail = f"generation {self.generation} is in force already"
+        if generation > self.generation:
+            detail = f"generation {self.generation} is the newest there is"
+        return Rejected("ConflictingGeneration", detail)
+
+    def _change_files(self, command: ApplyFolder) -> dict[str, str]:
+        files = {} if command.whole else dict(self.files)
+        for name in command.removed:
+            files.pop(name, None)
+        return dict(sorted((files | command.files).items()))
+
+    def _parse(self, files: dict[str, str]) -> dict[str, Tables]:
+        parsed = {}
+        wrongs = []
+        if sum(map(len, files.values())) > MAX_FOLDER_BYTES:
+            expected = f"at most {MAX_FOLDER_BYTES} characters"
+            wrongs.append(BadSetting("(folder)", "(files)", expected, "more"))
+        for name, text in files.items():
+            if name in self._parsed and self.files.get(name) == text:
+                parsed[name] = self._parsed[name]
+                continue
+            try:
+                parsed[name] = parse_file(name, text)
+            except BadSetting as error:
+                wrongs.append(error)
+        if wrongs:
+            raise BadFolder("configuration folder", wrongs)
+        return parsed
+
+
+class ApplyCall(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Operator's call: change the folder, once it is valid as a whole."""
+
+    base: int
+    files: dict[str, str]
+    removed: list[str] = []
+    whole: bool = False
+
+
+class DiffCall(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Operator's call: say what a change would do, and change nothing."""
+
+    files: dict[str, str]
+    removed: list[str] = []
+    whole: bool = False
+
+
+class ReadCall(msgspec.Struct, frozen=True):
+    """Operator's call: read the generation in force on this daemon."""
+
+
+class ApplyResult(msgspec.Struct, frozen=True):
+    """Answer to ``ApplyCall``, once committed and reported on."""
+
+    generation: int
+    repeated: bool
+    report: Report
+
+
+class DiffResult(msgspec.Struct, frozen=True):
+    """Answer to ``DiffCall``.
+
+    Attributes
+    ----------
+    base : int
+        Generation that the change was compared with; ``apply`` it with this base.
+    added, changed, removed : list of str
+        Tables, as kind.name.
+    """
+
+    base: int
+    added: list[str]
+    changed: list[str]
+    removed: list[str]
+
+
+class ReadResult(msgspec.Struct, frozen=True):
+    """Answer to ``ReadCall``."""
+
+    generation: int
+    files: dict[str, str]
+
+
+ENDPOINTS = (
+    Endpoint("POST", "/v1/configuration/apply", ApplyCall, Audience.OPERATOR),
+    Endpoint("POST", "/v1/configuration/diff", DiffCall, Audience.OPERATOR),
+    Endpoint(
+        "GET", "/v1/configuration", ReadCall, Audience.OPERATOR, kind=BodyKind.NONE
+    ),
+)
+
+
+@dataclass(slots=True)
+class _Accepted:
+    result: FolderAccepted
+
+
+class ConfigurationPart:
+    """Operators' calls on the configuration folder.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the daemon.
+    section : ConfigurationSection
+        The folder in force.
+    state : ReplicatedState
+        Replicated state, for the last entry applied.
+    keys : KeyView
+        View of the keys.
+    members : MembershipView
+        View of the daemons.
+    """
+
+    name = "configuration"
+    accepts: tuple[type, ...] = (
+        ApplyCall,
+        DiffCall,
+        ReadCall,
+        ApplyFolder,
+        *PEER_MESSAGES,
+    )
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        section: ConfigurationSection,
+        state: ReplicatedState,
+        keys: KeyView,
+        members: MembershipView,
+    ) -> None:
+        self._daemon = settings.name
+        self._section = section
+        self._state = state
+        self._keys = keys
+        self._in_force = InForce(self.name, settings.name, members)
+        self._results: dict[int, _Accepted] = {}
+
+    @property
+    def wakeup(self) -> float:
+        """Time in seconds at which ``advance`` is due next."""
+        return self._in_force.wakeup
+
+    def handle(self, item: Input, now: float) -> Sequence[Effect]:
+        """Take in a call, a message or the news of a generation."""
+        match item:
+            case CallInput():
+                return self._take_call(item, now)
+            case ProposalOutcome():
+                return self._take_outcome(item, now)
+            case Committed(result=FolderAccepted(generation=generation)):
+                detail = {"generation": generation}
+                return [Record(Event.FOLDER_ACCEPTED, self._daemon, detail)]
+            case PeerInput(source=source, body=AppliedQuery() as query):
+                answer = AppliedAnswer(query.watch, self._state.applied)
+                return [SendPeer(source, answer)]
+            case PeerInput(source=source, body=AppliedAnswer() as answer):
+                self._in_force.take_answer(source, answer)
+                return self._report(now)
+        return []
+
+    def advance(self, now: float) -> Sequence[Effect]:
+        """Ask daemons again, and answer calls whose time is over."""
+        return [*self._in_force.ask(now), *self._report(now)]
+
+    def _take_call(self, item: CallInput, now: float) -> list[Effect]:
+        if not self._keys.check_operator(item.credential, now):
+            answer = refuse(ProblemType.UNAUTHENTICATED, Outcome.NOT_RUN)
+            return [Respond(item.call_id, answer)]
+        match item.body:
+            case ReadCall():
+                body = ReadResult(self._section.generation, self._section.files)
+                return [Respond(item.call_id, Answer(200, body))]
+            case DiffCall() as call:
+                return [Respond(item.call_id, self._compare(call))]
+            case ApplyCall() as call:
+                return self._propose(item.call_id, call)
+        return []
+
+    def _propose(self, call_id: int, call: ApplyCall) -> list[Effect]:
+        command = ApplyFolder(call.base, call.files, call.removed, call.whole)
+        if call.base == self._section.generation:
+            try:
+                self._section.preview(command)
+            except BadFolder as error:
+                return [Respond(call_id, _refuse_folder(error))]
+        return [Propose(f"{self.name}/{call_id}", command, APPLY_SECONDS)]
+
+    def _compare(self, call: DiffCall) -> Answer:
+        base = self._section.generation
+        command = ApplyFolder(base, call.files, call.removed, call.whole)
+        try:
+            new = self._section.preview(command)
+        except BadFolder as error:
+            return _refuse_folder(error)
+        return Answer(200, _compare_folders(base, self._section.folder, new))
+
+    def _take_outcome(self, item: ProposalOutcome, now: float) -> list[Effect]:
+        call_id = int(item.token.partition("/")[2])
+        match item.status, item.result:
+            case ProposalStatus.COMMITTED, FolderAccepted() as result:
+                self._results[call_id] = _Accepted(result)
+                deadline = now + REPORT_SECONDS
+                self._in_force.begin(call_id, item.index, deadline, now)
+                return list(self.advance(now))
+            case ProposalStatus.REJECTED, Rejected() as rejected:
+                return [Respond(call_id, _refuse_rejected(rejected))]
+            case ProposalStatus.NOT_COMMITTED, _:
+                return [
+                    Respond(call_id, refuse(ProblemType.NO_QUORUM, Outcome.NOT_RUN))
+                ]
+        detail = "send the same call again; it is applied once"
+        answer = refuse(ProblemType.NO_QUORUM, Outcome.UNKNOWN, detail)
+        return [Respond(call_id, answer)]
+
+    def _report(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for call_id, _, report in self._in_force.take_finished(now):
+            result = self._results.pop(call_id).result
+            body = ApplyResult(result.generation, result.repeated, report)
+            effects.append(Respond(call_id, Answer(200, body)))
+        return effects
+
+
+def _digest(command: ApplyFolder) -> bytes:
+    ordered = msgspec.structs.replace(
+        command,
+        files=dict(sorted(command.files.items())),
+        removed=sorted(command.removed),
+    )
+    content = msgspec.msgpack.encode(ordered)
+    return blake2b(content, digest_size=DIGEST_BYTES).digest()
+
+
+def _describe(error: BadFolder) -> list[str]:
+    return [str(wrong) for wrong in error.exceptions]
+
+
+def _refuse_folder(error: BadFolder) -> Answer:
+    errors = _describe(error)
+    return refuse(ProblemType.INVALID_FOLDER, Outcome.NOT_RUN, errors=errors)
+
+
+def _refuse_rejected(rejected: Rejected) -> Answer:
+    kind = ProblemType.INVALID_FOLDER
+    if rejected.reason == "ConflictingGeneration":
+        kind = ProblemType.CONFLICT
+    return refuse(kind, Outcome.NOT_RUN, rejected.detail)
+
+
+def _compare_folders(base: int, old: Folder, new: Folder) -> DiffResult:
+    before, after = _list_tables(old), _list_tables(new)
+    added = sorted(after.keys() - before.keys())
+    removed = sorted(before.keys() - after.keys())
+    common = sorted(before.keys() & after.keys())
+    changed = [key for key in common if before[key] != after[key]]
+    return DiffResult(base, added, changed, removed)
+
+
+def _list_tables(folder: Folder) -> dict[str, object]:
+    return {
+        f"{kind}.{name}": table
+        for kind in Folder.__struct_fields__
+        for name, table in getattr(folder, kind).items()
+    }
--- /dev/null
+++ b/src/gypsumwalk/portions.py
@@ -0,0 +1,500 @@
+"""Upper limits of teams, split into portions that daemons hold."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import msgspec
+
+from gypsumwalk.effects import Effect, Propose, Record
+from gypsumwalk.events import Event
+from gypsumwalk.inputs import Committed, Input, ProposalOutcome, ProposalStatus
+from gypsumwalk.part import NEVER
+from gypsumwalk.settings import Settings
+from gypsumwalk.state import Accepted, Rejected
+from gypsumwalk.views import FolderView, LeadershipView
+
+__all__ = [
+    "COMMANDS",
+    "AskPortion",
+    "PortionPart",
+    "PortionSection",
+    "ReclaimPortions",
+    "RenewPortions",
+    "ReturnPortion",
+]
+
+LEASE_SECONDS = 60.0
+RENEW_SECONDS = 20.0
+REQUEST_SECONDS = 600.0
+"""Longest time in seconds that a request may go on after its daemon ended."""
+
+CLOCK_DRIFT = 0.1
+RECLAIM_SECONDS = (LEASE_SECONDS + REQUEST_SECONDS) * (1 + CLOCK_DRIFT)
+RECLAIM_CHECK_SECONDS = 10.0
+ASK_SECONDS = 0.2
+IDLE_SECONDS = 2.0
+WANTED_IDLE_SECONDS = 0.5
+"""Time in seconds that a unit stays idle although another daemon wants it."""
+
+PROPOSAL_SECONDS = 3.0
+MAX_ASKED = 64
+
+
+class Holder(msgspec.Struct, frozen=True, order=True):
+    """One incarnation of one daemon."""
+
+    daemon: str
+    incarnation: int
+
+
+class AskPortion(msgspec.Struct, frozen=True, tag=True):
+    """Command: grant a daemon up to so many units more."""
+
+    holder: Holder
+    team: str
+    units: int
+
+
+class ReturnPortion(msgspec.Struct, frozen=True, tag=True):
+    """Command: take units back from a daemon, which no longer uses them.
+
+    Attributes
+    ----------
+    holder : Holder
+        The daemon.
+    team : str
+        The team.
+    units : int
+        Units returned.
+    transfer : int
+        Number of the transfer; one carried out already has no further effect.
+    """
+
+    holder: Holder
+    team: str
+    units: int
+    transfer: int
+
+
+class RenewPortions(msgspec.Struct, frozen=True, tag=True):
+    """Command: a daemon goes on holding its portions."""
+
+    holder: Holder
+
+
+class ReclaimPortions(msgspec.Struct, frozen=True, tag=True):
+    """Command: take back the portions of a daemon that must have ended."""
+
+    holder: Holder
+
+
+class PortionGranted(msgspec.Struct, frozen=True, tag=True):
+    """Result: units granted, perhaps fewer than were asked for."""
+
+    units: int
+
+
+COMMANDS = (AskPortion, ReturnPortion, RenewPortions, ReclaimPortions)
+
+
+class _Account(msgspec.Struct):
+    renewed: float
+    transfer: int = 0
+    units: dict[str, int] = {}
+
+
+class _Dump(msgspec.Struct, frozen=True):
+    accounts: list[tuple[Holder, _Account]]
+    taken: dict[str, int]
+    wanted: list[str]
+
+
+class PortionSection:
+    """Units granted to daemons and taken for jobs; the sum never exceeds the limit.
+
+    Parameters
+    ----------
+    folder : FolderView
+        Configuration of the same replicated state.
+    """
+
+    name = "portions"
+    commands: tuple[type, ...] = COMMANDS
+
+    def __init__(self, folder: FolderView) -> None:
+        self._folder = folder
+        self._accounts: dict[Holder, _Account] = {}
+        self._taken: dict[str, int] = {}
+        self._granted: dict[str, int] = {}
+        self._wanted: set[str] = set()
+
+    def limit(self, team: str) -> int:
+        """Return the upper limit of a team, 0 for one that is not known."""
+        rule = self._folder.team(team)
+        return rule.limit if rule else 0
+
+    def total(self, team: str) -> int:
+        """Return the units granted and taken."""
+        return self._granted.get(team, 0) + self._taken.get(team, 0)
+
+    def held(self, holder: Holder, team: str) -> int:
+        """Return the units granted to a daemon."""
+        account = self._accounts.get(holder)
+        return account.units.get(team, 0) if account else 0
+
+    def holders(self) -> list[Holder]:
+        """Return every daemon that has an account."""
+        return sorted(self._accounts)
+
+    def is_wanted(self, team: str) -> bool:
+        """Tell whether idle units of a team are to be returned at once."""
+        return team in self._wanted or self.total(team) > self.limit(team)
+
+    def is_reclaimable(self, holder: Holder, at: float) -> bool:
+        """Tell whether all that a daemon had running must have ended."""
+        account = self._accounts.get(holder)
+        return account is not None and at >= account.renewed + RECLAIM_SECONDS
+
+    def take(self, team: str) -> bool:
+        """Take one unit for a job that starts; false if none is left."""
+        if self.total(team) >= self.limit(team):
+            self._wanted.add(team)
+            return False
+        self._taken[team] = self._taken.get(team, 0) + 1
+        return True
+
+    def give_back(self, team: str) -> None:
+        """Return the unit of a job that can't be running any more."""
+        left = self._taken.get(team, 0) - 1
+        if left > 0:
+            self._taken[team] = left
+        else:
+            self._taken.pop(team, None)
+
+    def apply(self, command: msgspec.Struct, index: int, at: float) -> msgspec.Struct:
+        """Apply one committed command."""
+        match command:
+            case AskPortion():
+                return self._grant(command, at)
+            case ReturnPortion():
+                return self._take_back(command, index, at)
+            case RenewPortions(holder=holder):
+                return self._renew(holder, index, at)
+            case ReclaimPortions(holder=holder):
+                return self._reclaim(holder, index, at)
+        raise TypeError(type(command).__name__)
+
+    def dump(self) -> bytes:
+        """Return the section as bytes."""
+        accounts = [(holder, self._accounts[holder]) for holder in self.holders()]
+        taken = dict(sorted(self._taken.items()))
+        return msgspec.msgpack.encode(_Dump(accounts, taken, sorted(self._wanted)))
+
+    def load(self, content: bytes) -> None:
+        """Replace the section by one that was dumped."""
+        dump = msgspec.msgpack.decode(content, type=_Dump)
+        self._accounts = dict(dump.accounts)
+        self._taken, self._wanted = dict(dump.taken), set(dump.wanted)
+        self._granted = {}
+        for account in self._accounts.values():
+            for team, units in account.units.items():
+                self._granted[team] = self._granted.get(team, 0) + units
+
+    def _grant(self, command: AskPortion, at: float) -> msgspec.Struct:
+        team = command.team
+        free = max(0, self.limit(team) - self.total(team))
+        units = min(free, max(0, command.units))
+        if units < command.units:
+            self._wanted.add(team)
+        else:
+            self._wanted.discard(team)
+        if units:
+            self._accounts.setdefault(command.holder, _Account(at, units={}))
+        account = self._accounts.get(command.holder)
+        if account is None:
+            return PortionGranted(0)
+        account.renewed = at
+        if not units:
+            return PortionGranted(0)
+        account.units[team] = account.units.get(team, 0) + units
+        self._granted[team] = self._granted.get(team, 0) + units
+        return PortionGranted(units)
+
+    def _take_back(
+        self, command: ReturnPortion, index: int, at: float
+    ) -> msgspec.Struct:
+        account = self._accounts.get(command.holder)
+        if account is None:
+            return Rejected("UnknownHolder", "the daemon holds no portions")
+        if command.transfer <= account.transfer:
+            return Accepted(index)
+        account.transfer = command.transfer
+        account.renewed = at
+        self._lower(account, command.team, command.units)
+        if not self._granted.get(command.team):
+            self._wanted.discard(command.team)
+        return Accepted(index)
+
+    def _renew(self, holder: Holder, index: int, at: float) -> msgspec.Struct:
+        account = self._accounts.get(holder)
+        if account is None:
+            return Rejected("UnknownHolder", "the daemon holds no portions")
+        account.renewed = at
+        return Accepted(index)
+
+    def _reclaim(self, holder: Holder, index: int, at: float) -> msgspec.Struct:
+        if not self.is_reclaimable(holder, at):
+            return Rejected("StillHeld", "the daemon may have work running")
+        account = self._accounts.pop(holder)
+        for team, units in list(account.units.items()):
+            self._lower(account, team, units)
+        return Accepted(index)
+
+    def _lower(self, account: _Account, team: str, units: int) -> None:
+        units = min(units, account.units.get(team, 0))
+        account.units[team] = account.units.get(team, 0) - units
+        self._granted[team] = self._granted.get(team, 0) - units
+        if not account.units[team]:
+            del account.units[team]
+        if not self._granted[team]:
+            del self._granted[team]
+
+
+@dataclass(slots=True)
+class _Local:
+    demand: int = 0
+    asking: bool = False
+    ask_due: float = 0.0
+    returning: int = 0
+    idle_since: float = NEVER
+    holders: set[str] = field(default_factory=set)
+
+
+class PortionPart:
+    """Portions that one daemon holds, and their movement through the log.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the daemon.
+    section : PortionSection
+        Replicated accounts.
+    leadership : LeadershipView
+        Leadership of the log; its holder takes back portions of ended daemons.
+    incarnation : int
+        Incarnation of the daemon.
+    """
+
+    name = "portions"
+    accepts: tuple[type, ...] = (AskPortion, ReturnPortion)
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        section: PortionSection,
+        leadership: LeadershipView,
+        incarnation: int,
+    ) -> None:
+        self._holder = Holder(settings.name, incarnation)
+        self._section = section
+        self._leadership = leadership
+        self._teams: dict[str, _Local] = {}
+        self._returns: dict[int, ReturnPortion] = {}
+        self._asks: dict[int, tuple[str, float]] = {}
+        self._renewals: dict[int, float] = {}
+        self._number = 0
+        self._transfer = 0
+        self._lease_start = float("-inf")
+        self._renew_due = 0.0
+        self._reclaim_due = 0.0
+        self._wakeup = 0.0
+
+    @property
+    def wakeup(self) -> float:
+        """Time in seconds at which ``advance`` is due next."""
+        return self._wakeup
+
+    def acquire(self, team: str, holder: str, now: float) -> bool:
+        """Take one unit of the team's portion for a request.
+
+        Parameters
+        ----------
+        team : str
+            The team.
+        holder : str
+            Identifier of the request.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether a unit was free; if not, the demand is noted.
+        """
+        local = self._teams.setdefault(team, _Local())
+        if holder in local.holders:
+            return True
+        if self._count_free(team, local, now) < 1:
+            local.demand += 1
+            self._wakeup = min(self._wakeup, max(now, local.ask_due))
+            return False
+        local.holders.add(holder)
+        local.idle_since = NEVER
+        return True
+
+    def release(self, team: str, holder: str, now: float) -> None:
+        """Give a unit back; only once it is known that nothing runs under it.
+
+        Parameters
+        ----------
+        team : str
+            The team.
+        holder : str
+            Identifier of the request.
+        now : float
+            Time in seconds.
+        """
+        local = self._teams.get(team)
+        if local is None or holder not in local.holders:
+            return
+        local.holders.discard(holder)
+        local.idle_since = now
+        self._wakeup = min(self._wakeup, now + self._find_idle_time(team))
+
+    def handle(self, item: Input, now: float) -> Sequence[Effect]:
+        """Take in the end of a proposal, or the news of a movement."""
+        if isinstance(item, ProposalOutcome):
+            return self._take_outcome(item, now)
+        if isinstance(item, Committed):
+            self._wakeup = min(self._wakeup, now)
+        return []
+
+    def advance(self, now: float) -> Sequence[Effect]:
+        """Ask for units, return idle ones, renew and take back what is due."""
+        effects: list[Effect] = []
+        for team, local in self._teams.items():
+            effects += self._ask(team, local, now)
+            effects += self._return_idle(team, local, now)
+        effects += self._renew(now)
+        effects += self._reclaim(now)
+        self._plan(now)
+        return effects
+
+    def _count_free(self, team: str, local: _Local, now: float) -> int:
+        if now >= self._lease_start + LEASE_SECONDS:
+            return 0
+        if self._section.total(team) > self._section.limit(team):
+            return 0
+        return self._count_idle(team, local)
+
+    def _count_idle(self, team: str, local: _Local) -> int:
+        held = self._section.held(self._holder, team)
+        return held - local.returning - len(local.holders)
+
+    def _ask(self, team: str, local: _Local, now: float) -> list[Effect]:
+        if not local.demand or local.asking or now < local.ask_due:
+            return []
+        units = min(MAX_ASKED, local.demand)
+        local.demand = 0
+        local.asking = True
+        local.ask_due = now + ASK_SECONDS
+        command = AskPortion(self._holder, team, units)
+        number = self._count()
+        self._asks[number] = (team, now)
+        return [self._propose(number, command)]
+
+    def _return_idle(self, team: str, local: _Local, now: float) -> list[Effect]:
+        idle = self._count_idle(team, local)
+        if idle <= 0 or local.returning or local.asking:
+            return []
+        if not self._is_return_due(team, local, now):
+            return []
+        self._transfer += 1
+        command = ReturnPortion(self._holder, team, idle, self._transfer)
+        local.returning = idle
+        number = self._count()
+        self._returns[number] = command
+        return [self._propose(number, command)]
+
+    def _is_return_due(self, team: str, local: _Local, now: float) -> bool:
+        if local.idle_since == NEVER:
+            local.idle_since = now
+        return now >= local.idle_since + self._find_idle_time(team)
+
+    def _find_idle_time(self, team: str) -> float:
+        if self._section.total(team) > self._section.limit(team):
+            return 0.0
+        return WANTED_IDLE_SECONDS if self._section.is_wanted(team) else IDLE_SECONDS
+
+    def _renew(self, now: float) -> list[Effect]:
+        if now < self._renew_due:
+            return []
+        self._renew_due = now + RENEW_SECONDS
+        if self._holder not in self._section.holders():
+            return []
+        number = self._count()
+        self._renewals[number] = now
+        return [self._propose(number, RenewPortions(self._holder))]
+
+    def _reclaim(self, now: float) -> list[Effect]:
+        if now < self._reclaim_due:
+            return []
+        self._reclaim_due = now + RECLAIM_CHECK_SECONDS
+        if not self._leadership.holds_lease(now):
+            return []
+        ended = [
+            holder
+            for holder in self._section.holders()
+            if self._section.is_reclaimable(holder, now)
+        ]
+        effects: list[Effect] = []
+        for holder in ended:
+            effects.append(self._propose(self._count(), ReclaimPortions(holder)))
+            effects.append(Record(Event.PORTION_RECLAIMED, holder.daemon))
+        return effects
+
+    def _take_outcome(self, item: ProposalOutcome, now: float) -> list[Effect]:
+        number = int(item.token.partition("/")[2])
+        committed = item.status is ProposalStatus.COMMITTED
+        self._wakeup = min(self._wakeup, now)
+        if number in self._renewals:
+            self._note_lease(self._renewals.pop(number), committed)
+        elif number in self._asks:
+            team, asked = self._asks.pop(number)
+            self._teams[team].asking = False
+            self._note_lease(asked, committed)
+        elif command := self._returns.pop(number, None):
+            return self._end_return(command, item)
+        return []
+
+    def _end_return(
+        self, command: ReturnPortion, item: ProposalOutcome
+    ) -> list[Effect]:
+        if item.status is not ProposalStatus.UNKNOWN:
+            self._teams[command.team].returning = 0
+            return []
+        number = self._count()
+        self._returns[number] = command
+        return [self._propose(number, command)]
+
+    def _note_lease(self, start: float, committed: bool) -> None:
+        if committed:
+            self._lease_start = max(self._lease_start, start)
+
+    def _count(self) -> int:
+        self._number += 1
+        return self._number
+
+    def _propose(self, number: int, command: msgspec.Struct) -> Propose:
+        return Propose(f"{self.name}/{number}", command, PROPOSAL_SECONDS)
+
+    def _plan(self, now: float) -> None:
+        times = [self._renew_due, self._reclaim_due]
+        for team, local in self._teams.items():
+            if local.demand and not local.asking:
+                times.append(max(now, local.ask_due))
+            if self._count_idle(team, local) > 0 and local.idle_since != NEVER:
+                idle_end = local.idle_since + self._find_idle_time(team)
+                times.append(max(idle_end, now + ASK_SECONDS))
+        self._wakeup = min(times)
--- /dev/null
+++ b/tests/_agreement.py
@@ -0,0 +1,199 @@
+"""Daemons with the parts that they agree by, in a world of fakes."""
+
+from random import Random
+
+import msgspec
+
+from gypsumwalk.configuration import ConfigurationPart, ConfigurationSection
+from gypsumwalk.consensus import Consensus
+from gypsumwalk.effects import Propose, Record
+from gypsumwalk.inputs import Committed, ProposalOutcome
+from gypsumwalk.keys import KeyPart, KeySection
+from gypsumwalk.membership import MembershipPart
+from gypsumwalk.node import Node
+from gypsumwalk.part import NEVER
+from gypsumwalk.portions import PortionPart, PortionSection
+from gypsumwalk.recovery import Recovered
+from gypsumwalk.settings import PeerSettings, Settings
+from gypsumwalk.state import Accepted, ReplicatedState
+from tests._world import World
+
+OPERATOR = "first operator's key"
+
+
+class Put(msgspec.Struct, frozen=True, tag=True):
+    text: str
+
+
+class ListSection:
+    name = "list"
+    commands = (Put,)
+
+    def __init__(self):
+        self.items = []
+
+    def apply(self, command, index, at):
+        self.items.append(command.text)
+        return Accepted(index)
+
+    def dump(self):
+        return msgspec.msgpack.encode(self.items)
+
+    def load(self, content):
+        self.items = msgspec.msgpack.decode(content)
+
+
+class ClientPart:
+    name = "client"
+    accepts = (Put,)
+
+    def __init__(self):
+        self.outcomes = {}
+        self.committed = []
+        self.waiting = []
+
+    @property
+    def wakeup(self):
+        return 0.0 if self.waiting else NEVER
+
+    def handle(self, item, now):
+        if isinstance(item, ProposalOutcome):
+            self.outcomes[item.token.removeprefix("client/")] = item
+        elif isinstance(item, Committed):
+            self.committed.append((item.index, item.command.text))
+        return []
+
+    def advance(self, now):
+        effects, self.waiting = self.waiting, []
+        return effects
+
+
+class AgreementNode(Node):
+    """All of agreement, and a client that puts texts into a list."""
+
+    def __init__(self, settings, recovered, incarnation, seed):
+        random = Random(f"{seed}/{settings.name}/{incarnation}")
+        self.list = ListSection()
+        self.folder = ConfigurationSection()
+        self.key_section = KeySection()
+        self.portion_section = PortionSection(self.folder)
+        sections = [self.list, self.folder, self.key_section, self.portion_section]
+        self.state = ReplicatedState(sections)
+        self.consensus = Consensus(
+            settings=settings,
+            state=self.state,
+            recovered=recovered or Recovered(),
+            random=random,
+            incarnation=incarnation,
+        )
+        self.membership = MembershipPart(
+            settings=settings, random=random, incarnation=incarnation
+        )
+        self.keys = KeyPart(
+            settings=settings,
+            section=self.key_section,
+            folder=self.folder,
+            freshness=self.consensus,
+            members=self.membership,
+            random=random,
+        )
+        self.configuration = ConfigurationPart(
+            settings=settings,
+            section=self.folder,
+            state=self.state,
+            keys=self.keys,
+            members=self.membership,
+        )
+        self.portions = PortionPart(
+            settings=settings,
+            section=self.portion_section,
+            leadership=self.consensus,
+            incarnation=incarnation,
+        )
+        self.client = ClientPart()
+        parts = [
+            self.consensus,
+            self.membership,
+            self.configuration,
+            self.keys,
+            self.portions,
+            self.client,
+        ]
+        super().__init__(parts, self.consensus)
+
+
+class Cluster(World):
+    """Voters ``v0``, ``v1``... with disks, and followers ``f0``... without."""
+
+    def __init__(self, seed, voters=5, followers=0, data_centres=1):
+        self.seed = seed
+        self.voters = [f"v{number}" for number in range(voters)]
+        self.followers = [f"f{number}" for number in range(followers)]
+        super().__init__(self.build, seed=seed)
+        for number, name in enumerate(self.voters):
+            self.add(name, data_centre=f"dc{number % data_centres}")
+        for number, name in enumerate(self.followers):
+            self.add(name, data_centre=f"dc{number % data_centres}", disk=False)
+
+    def build(self, name, recovered, incarnation):
+        peers = [
+            PeerSettings(
+                name=voter,
+                data_centre="dc",
+                address="127.0.0.1",
+                peer_port=1,
+                voter=True,
+            )
+            for voter in self.voters
+        ]
+        settings = Settings(
+            name=name,
+            data_centre="dc",
+            caller_port=1,
+            peer_port=2,
+            peers=peers,
+            cluster_secret="0123456789abcdef",
+            operator_key=OPERATOR,
+            data_folder="" if recovered is None else "data",
+        )
+        return AgreementNode(settings, recovered, incarnation, self.seed)
+
+    def own_time(self, name):
+        return self.daemons[name].read_clock(self.now)
+
+    def nodes(self):
+        return {name: item.node for name, item in self.daemons.items() if item.alive}
+
+    def find_leader(self):
+        for name, node in self.nodes().items():
+            if node.consensus.holds_lease(self.own_time(name)):
+                return name
+        return ""
+
+    def elect(self, within=10.0):
+        assert self.run_until(self.find_leader, within=within)
+        return self.find_leader()
+
+    def propose(self, name, text, timeout=5.0):
+        daemon = self.daemons[name]
+        proposal = Propose(f"client/{text}", Put(text), timeout)
+        daemon.node.client.waiting.append(proposal)
+        self._arm(daemon)
+
+    def outcome(self, name, text):
+        return self.daemons[name].node.client.outcomes.get(text)
+
+    def lists(self):
+        return {name: node.list.items for name, node in self.nodes().items()}
+
+    def ask(self, body, to="", credential=OPERATOR, within=10.0):
+        call = self.call(body, to=to, credential=credential)
+        self.run_until(lambda: call.ended, within=within)
+        return call.answer
+
+    def events(self, event):
+        return [
+            entry
+            for entry in self.trace
+            if isinstance(entry.effect, Record) and entry.effect.event is event
+        ]
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -73,9 +73,9 @@
 
     def test_failed_sync_fails_that_write_and_every_later_one(self):
         self.disk.write([AppendRecords("log", (b"a",))])
-        with mock.patch.object(os, "fdatasync", side_effect=OSError(28, "full")):
-            with self.assertRaises(DiskFailure):
-                self.disk.write([AppendRecords("log", (b"b",))])
+        full = mock.patch.object(os, "fdatasync", side_effect=OSError(28, "full"))
+        with full, self.assertRaises(DiskFailure):
+            self.disk.write([AppendRecords("log", (b"b",))])
         with self.assertRaises(DiskFailure):
             self.disk.write([AppendRecords("log", (b"c",))])
 
