Add the commands of operators and callers

Cause: apply, keys, pools, waves, jobs and submit were missing from the program. Change: check, apply, diff, status, keys, pools, instances, waves, jobs and submit; submit takes an identifier first, so that a resend can't run twice; error statuses of targets are told apart from refusals. Not run against a daemon yet.

--- a/src/gypsumwalk/command.py
+++ b/src/gypsumwalk/command.py
@@ -6,14 +6,21 @@
 import re
 import sys
 from collections.abc import Callable, Sequence
-from inspect import signature
+from inspect import cleandoc, signature
+from textwrap import indent
 from typing import NoReturn
 
 import fire
 import msgspec
 from fire.decorators import SetParseFn
 
-from gypsumwalk.drivers import commands_service
+from gypsumwalk.drivers import (
+    commands_fleet,
+    commands_folder,
+    commands_keys,
+    commands_service,
+    commands_work,
+)
 from gypsumwalk.drivers._actions import Action, ExitCode, Report, describe_value
 from gypsumwalk.drivers._failures import describe_failure
 
@@ -21,6 +28,7 @@
 
 PROGRAM = "gypsumwalk"
 HELP_FLAG = "--help"
+SECTION_RULE = "----------\n"
 HELP_NOTE = re.compile(r"INFO: Showing help with the command .*\n")
 
 
@@ -37,7 +45,7 @@
     """
 
     def __init__(self, function: Callable[..., Action]) -> None:
-        self.__doc__ = function.__doc__
+        self.__doc__ = _shift_parameters(function.__doc__ or "")
         self.__name__ = function.__name__
         self.__signature__ = signature(function)
         self._function = function
@@ -53,6 +61,12 @@
         return []
 
 
+def _shift_parameters(doc: str) -> str:
+    # At the left margin, fire takes "key : str" for the start of a section.
+    head, rule, parameters = cleandoc(doc).partition(SECTION_RULE)
+    return head + rule + indent(parameters, "    ")
+
+
 class Group:
     """Commands under one name; it shows nothing but them.
 
@@ -81,6 +95,27 @@
     return Group(
         "Fleet capacity and maintenance manager run by declarations.",
         serve=commands_service.serve,
+        check=commands_folder.check,
+        apply=commands_folder.apply,
+        diff=commands_folder.diff,
+        status=commands_fleet.status,
+        keys=Group(
+            "Give, withdraw and list keys.",
+            give=commands_keys.give_key,
+            withdraw=commands_keys.withdraw_key,
+            list=commands_keys.list_keys,
+        ),
+        pools=commands_fleet.pools,
+        instances=commands_fleet.instances,
+        waves=Group(
+            "Start, pause, abort and show maintenance waves.",
+            start=commands_fleet.start_wave,
+            pause=commands_fleet.pause_wave,
+            abort=commands_fleet.abort_wave,
+            status=commands_fleet.show_wave,
+        ),
+        jobs=commands_work.jobs,
+        submit=commands_work.submit,
         timeline=commands_service.timeline,
         version=commands_service.version,
     )
@@ -157,7 +192,7 @@
 
 
 def _print_report(report: Report, as_json: bool) -> None:
-    if report.payload is not None:
+    if report.payload is not None and not as_json:
         sys.stdout.flush()
         sys.stdout.buffer.write(report.payload)
         sys.stdout.buffer.flush()
--- a/src/gypsumwalk/drivers/_actions.py
+++ b/src/gypsumwalk/drivers/_actions.py
@@ -42,6 +42,7 @@
     OUTCOME_UNKNOWN = 5
     IN_PROGRESS = 6
     DIFFERENT = 7
+    TARGET_ERROR = 8
 
 
 class BadArgument(BadBoundary):
@@ -298,7 +299,7 @@
         return [_describe_scalar(value)]
     lines: list[str] = []
     for name, item in value.items():
-        if isinstance(item, list | Mapping) and item:
+        if _is_nested(item):
             lines.append(f"{name}:")
             lines += [f"  {line}" for line in describe_value(item)]
         else:
@@ -306,6 +307,12 @@
     return lines
 
 
+def _is_nested(value: Any) -> bool:
+    if isinstance(value, list):
+        return any(isinstance(item, Mapping) for item in value)
+    return isinstance(value, Mapping) and bool(value)
+
+
 def _describe_list(items: list[Any]) -> list[str]:
     if not items:
         return ["none"]
--- /dev/null
+++ b/src/gypsumwalk/drivers/_calls.py
@@ -0,0 +1,91 @@
+"""One call of a command to the daemons, and its report."""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from gypsumwalk.drivers._actions import Action, Connection, Report, parse_flag
+
+__all__ = ["DEADLINE", "make_call", "query"]
+
+DEADLINE = "15"
+"""Seconds that a call may take when no other deadline is given."""
+
+Render = Callable[[Any], Report]
+
+
+def make_call(
+    connection: Connection,
+    method: str,
+    path: str,
+    body: Mapping[str, Any] | None = None,
+    *,
+    idempotent: bool = True,
+) -> Any:
+    """Make one call and return its answer read as JSON.
+
+    Parameters
+    ----------
+    connection : Connection
+        How to reach the daemons.
+    method : str
+        HTTP method.
+    path : str
+        Path of the URL.
+    body : Mapping, optional
+        Body to encode.
+    idempotent : bool
+        Whether the call may be repeated when its outcome is unknown.
+
+    Returns
+    -------
+    Any
+        The answer.
+    """
+    client = connection.open()
+    try:
+        reply = client.call(method, path, body, idempotent=idempotent)
+        return reply.decode()
+    finally:
+        client.close()
+
+
+def query(
+    connection: Connection,
+    method: str,
+    path: str,
+    body: Mapping[str, Any] | None = None,
+    *,
+    json: str | bool,
+    idempotent: bool = True,
+    render: Render = Report,
+) -> Action:
+    """Return the action of a command that consists of one call.
+
+    Parameters
+    ----------
+    connection : Connection
+        How to reach the daemons.
+    method : str
+        HTTP method.
+    path : str
+        Path of the URL.
+    body : Mapping, optional
+        Body to encode.
+    json : str or bool
+        Flag of the command.
+    idempotent : bool
+        Whether the call may be repeated when its outcome is unknown.
+    render : Callable
+        Makes the report of the answer.
+
+    Returns
+    -------
+    Action
+        The action.
+    """
+
+    def perform() -> Report:
+        answer = make_call(connection, method, path, body, idempotent=idempotent)
+        return render(answer)
+
+    return Action(perform, parse_flag("json", json))
--- a/src/gypsumwalk/drivers/_failures.py
+++ b/src/gypsumwalk/drivers/_failures.py
@@ -84,10 +84,11 @@
         case BadBoundary():
             return Failure(ExitCode.BAD_INPUT, kind, str(error), Outcome.NOT_RUN)
         case UnreachableDaemon():
-            detail = f"no daemon took the call: {error}"
+            detail = _add_notes(f"no daemon took the call: {error}", error)
             return Failure(ExitCode.UNREACHABLE, kind, detail, Outcome.NOT_RUN)
         case OutcomeUnknown():
-            detail = f"the call was sent and not answered: {error}"
+            text = f"the call was sent and not answered: {error}"
+            detail = _add_notes(text, error)
             return Failure(ExitCode.OUTCOME_UNKNOWN, kind, detail, Outcome.UNKNOWN)
         case OSError():
             return Failure(ExitCode.BAD_INPUT, kind, str(error), Outcome.NOT_RUN)
@@ -101,10 +102,14 @@
     code = OUTCOME_CODES[problem.outcome]
     if problem.outcome is Outcome.NOT_RUN and kind in INPUT_PROBLEMS:
         code = ExitCode.BAD_INPUT
-    detail = problem.detail or problem.title
+    detail = _add_notes(problem.detail or problem.title, error)
     return Failure(code, kind, detail, problem.outcome, problem.errors)
 
 
+def _add_notes(text: str, error: Exception) -> str:
+    return "; ".join([text, *getattr(error, "__notes__", [])])
+
+
 def _flatten(group: ExceptionGroup[Exception]) -> list[Exception]:
     flat: list[Exception] = []
     for error in group.exceptions:
--- a/src/gypsumwalk/drivers/client.py
+++ b/src/gypsumwalk/drivers/client.py
@@ -21,7 +21,7 @@
     OutcomeUnknown,
     UnreachableDaemon,
 )
-from gypsumwalk.problems import Outcome, Problem
+from gypsumwalk.problems import PROBLEM_MEDIA_TYPE, Outcome, Problem
 
 __all__ = ["OperatorClient", "Refused", "Reply"]
 
@@ -30,6 +30,7 @@
 DEFAULT_DEADLINE_SECONDS = 15.0
 MAX_BODY_BYTES = 64 * 1024 * 1024
 CHUNK_BYTES = 64 * 1024
+MAX_DETAIL_BYTES = 200
 JSON_MEDIA_TYPE = "application/json"
 
 
@@ -164,7 +165,9 @@
         """
         payload = b"" if body is None else msgspec.json.encode(body)
         headers = {"Content-Type": JSON_MEDIA_TYPE} if payload else {}
-        return self.send(method, path, payload, headers=headers, idempotent=idempotent)
+        return _require_success(
+            self.send(method, path, payload, headers=headers, idempotent=idempotent)
+        )
 
     def send(
         self,
@@ -193,7 +196,7 @@
         Returns
         -------
         Reply
-            Answer of a daemon.
+            Answer of a daemon, or of a target whatever its status.
         """
         fields = dict(headers or {})
         if self._key:
@@ -291,19 +294,29 @@
 
 
 def _accept(reply: Reply) -> Reply:
+    problem = _read_problem(reply)
+    if problem is not None:
+        raise Refused(problem, reply.address)
+    return reply
+
+
+def _require_success(reply: Reply) -> Reply:
     if reply.status < HTTPStatus.BAD_REQUEST:
         return reply
-    problem = _read_problem(reply) or Problem(
+    problem = Problem(
         type="about:blank",
         title=f"status {reply.status}",
         status=reply.status,
         outcome=Outcome.UNKNOWN,
-        detail=reply.body[:200].decode(errors="replace"),
+        detail=reply.body[:MAX_DETAIL_BYTES].decode(errors="replace"),
     )
     raise Refused(problem, reply.address)
 
 
 def _read_problem(reply: Reply) -> Problem | None:
+    media_type = reply.content_type.partition(";")[0].strip()
+    if reply.status < HTTPStatus.BAD_REQUEST or media_type != PROBLEM_MEDIA_TYPE:
+        return None
     try:
         return msgspec.json.decode(reply.body, type=Problem)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
--- /dev/null
+++ b/src/gypsumwalk/drivers/commands_fleet.py
@@ -0,0 +1,252 @@
+"""Commands about daemons, pools, instances and waves."""
+
+from gypsumwalk.drivers._actions import (
+    Action,
+    Connection,
+    Report,
+    describe_value,
+    parse_flag,
+    parse_number,
+    require,
+)
+from gypsumwalk.drivers._calls import DEADLINE, query
+
+__all__ = [
+    "abort_wave",
+    "instances",
+    "pause_wave",
+    "pools",
+    "show_wave",
+    "start_wave",
+    "status",
+]
+
+MAX_RUN = 1_000_000_000
+
+
+def status(
+    addresses: str = "",
+    key: str = "",
+    deadline: str = DEADLINE,
+    json: str | bool = False,
+) -> Action:
+    """Show a daemon's view of the system: leader, generation and daemons.
+
+    Example: gypsumwalk status --addresses 127.0.0.1:8201
+
+    Parameters
+    ----------
+    addresses : str
+        Daemons to try in turn, divided by commas; by default GYPSUMWALK_ADDRESSES.
+    key : str
+        Key to show; by default GYPSUMWALK_KEY.
+    deadline : str
+        Seconds that the call may take.
+    json : bool
+        Print JSON.
+    """
+    connection = Connection.parse(addresses, key, deadline)
+    return query(connection, "GET", "/v1/status", json=json)
+
+
+def pools(
+    addresses: str = "",
+    key: str = "",
+    deadline: str = DEADLINE,
+    json: str | bool = False,
+) -> Action:
+    """List the pools with their instances and availability budgets.
+
+    Example: gypsumwalk pools --json
+
+    Parameters
+    ----------
+    addresses : str
+        Daemons to try in turn, divided by commas; by default GYPSUMWALK_ADDRESSES.
+    key : str
+        Key to show; by default GYPSUMWALK_KEY.
+    deadline : str
+        Seconds that the call may take.
+    json : bool
+        Print JSON.
+    """
+    connection = Connection.parse(addresses, key, deadline)
+    return query(connection, "GET", "/v1/pools", json=json, render=_show_pools)
+
+
+def instances(
+    name: str = "",
+    pool: str = "",
+    addresses: str = "",
+    key: str = "",
+    deadline: str = DEADLINE,
+    json: str | bool = False,
+) -> Action:
+    """List the instances, or tell why one of them stands as it does.
+
+    Example: gypsumwalk instances --pool seats
+
+    Parameters
+    ----------
+    name : str
+        Instance to explain; all are listed without it.
+    pool : str
+        List only those of this pool.
+    addresses : str
+        Daemons to try in turn, divided by commas; by default GYPSUMWALK_ADDRESSES.
+    key : str
+        Key to show; by default GYPSUMWALK_KEY.
+    deadline : str
+        Seconds that the call may take.
+    json : bool
+        Print JSON.
+    """
+    connection = Connection.parse(addresses, key, deadline)
+    if name:
+        path = f"/v1/instances/{require('name', name)}/why"
+        return query(connection, "GET", path, json=json)
+
+    def render(answer: dict[str, list[dict[str, str]]]) -> Report:
+        listed = answer["instances"]
+        chosen = [item for item in listed if pool in ("", item["pool"])]
+        return Report({"instances": chosen}, describe_value(chosen))
+
+    return query(connection, "GET", "/v1/instances", json=json, render=render)
+
+
+def start_wave(
+    name: str,
+    run: str = "1",
+    addresses: str = "",
+    key: str = "",
+    deadline: str = DEADLINE,
+    json: str | bool = False,
+) -> Action:
+    """Start a run of a maintenance wave, or resume it.
+
+    Example: gypsumwalk waves start spring --run 2
+
+    Parameters
+    ----------
+    name : str
+        The wave.
+    run : str
+        Number of the run; the same number again changes nothing.
+    addresses : str
+        Daemons to try in turn, divided by commas; by default GYPSUMWALK_ADDRESSES.
+    key : str
+        Key to show; by default GYPSUMWALK_KEY.
+    deadline : str
+        Seconds that the call may take.
+    json : bool
+        Print JSON.
+    """
+    connection = Connection.parse(addresses, key, deadline)
+    body = _name_run(name, run)
+    return query(connection, "POST", "/v1/waves/start", body, json=json)
+
+
+def pause_wave(
+    name: str,
+    run: str = "1",
+    addresses: str = "",
+    key: str = "",
+    deadline: str = DEADLINE,
+    json: str | bool = False,
+) -> Action:
+    """Pause a run of a maintenance wave; instances that are away come back.
+
+    Example: gypsumwalk waves pause spring --run 2
+
+    Parameters
+    ----------
+    name : str
+        The wave.
+    run : str
+        Number of the run.
+    addresses : str
+        Daemons to try in turn, divided by commas; by default GYPSUMWALK_ADDRESSES.
+    key : str
+        Key to show; by default GYPSUMWALK_KEY.
+    deadline : str
+        Seconds that the call may take.
+    json : bool
+        Print JSON.
+    """
+    connection = Connection.parse(addresses, key, deadline)
+    body = _name_run(name, run)
+    return query(connection, "POST", "/v1/waves/pause", body, json=json)
+
+
+def abort_wave(
+    name: str,
+    run: str = "1",
+    addresses: str = "",
+    key: str = "",
+    deadline: str = DEADLINE,
+    json: str | bool = False,
+) -> Action:
+    """End a run of a maintenance wave before its last instance.
+
+    Example: gypsumwalk waves abort spring --run 2
+
+    Parameters
+    ----------
+    name : str
+        The wave.
+    run : str
+        Number of the run.
+    addresses : str
+        Daemons to try in turn, divided by commas; by default GYPSUMWALK_ADDRESSES.
+    key : str
+        Key to show; by default GYPSUMWALK_KEY.
+    deadline : str
+        Seconds that the call may take.
+    json : bool
+        Print JSON.
+    """
+    connection = Connection.parse(addresses, key, deadline)
+    body = _name_run(name, run)
+    return query(connection, "POST", "/v1/waves/abort", body, json=json)
+
+
+def show_wave(
+    name: str,
+    why: str | bool = False,
+    addresses: str = "",
+    key: str = "",
+    deadline: str = DEADLINE,
+    json: str | bool = False,
+) -> Action:
+    """Show how a maintenance wave stands, or why.
+
+    Example: gypsumwalk waves status spring --why
+
+    Parameters
+    ----------
+    name : str
+        The wave.
+    why : bool
+        Show the reasons of its last decisions.
+    addresses : str
+        Daemons to try in turn, divided by commas; by default GYPSUMWALK_ADDRESSES.
+    key : str
+        Key to show; by default GYPSUMWALK_KEY.
+    deadline : str
+        Seconds that the call may take.
+    json : bool
+        Print JSON.
+    """
+    connection = Connection.parse(addresses, key, deadline)
+    path = f"/v1/waves/{require('name', name)}"
+    suffix = "/why" if parse_flag("why", why) else ""
+    return query(connection, "GET", path + suffix, json=json)
+
+
+def _name_run(name: str, run: str) -> dict[str, str | int]:
+    number = int(parse_number("run", run, 1, MAX_RUN))
+    return {"name": require("name", name), "run": number}
+
+
+def _show_pools(answer: dict[str, list[dict[str, object]]]) -> Report:
+    return Report(answer, describe_value(answer["pools"]))
--- a/tests/_stub_daemon.py
+++ b/tests/_stub_daemon.py
@@ -21,6 +21,7 @@
     def reset(self):
         self.answers = {}
         self.calls = []
+        self.headers = []
 
     def answer(self, method, path, status, body):
         self.answers[method, path] = (status, body)
@@ -35,9 +36,19 @@
         content = environ["wsgi.input"].read(length)
         key = environ.get("HTTP_AUTHORIZATION", "")
         self.calls.append((method, path, content, key))
+        self.headers.append(
+            {
+                name[5:].replace("_", "-").lower(): value
+                for name, value in environ.items()
+                if name.startswith("HTTP_")
+            }
+        )
         status, body = self.answers.get((method, path), (404, {}))
         content = body if isinstance(body, bytes) else msgspec.json.encode(body)
-        start_response(f"{status} x", [("Content-Length", str(len(content)))])
+        is_problem = isinstance(body, dict) and "outcome" in body and status >= 400
+        kind = "application/problem+json" if is_problem else "application/json"
+        headers = [("Content-Length", str(len(content))), ("Content-Type", kind)]
+        start_response(f"{status} x", headers)
         return [content]
 
 
