Generate the pages of events, metrics, commands and state charts

Cause: the pages must follow the code; a resend after a lost answer was reported as "not run" when every later daemon refused it; a chart could name a missing state. Change: pages by make pages, compared by a test; the client says "outcome unknown" once a byte may have left; charts refuse unknown states and events by type. Conclusion: whoever adds an event, metric or command runs make pages.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test lint format bench measure slopes soak fuzz cover
+.PHONY: setup demo test lint format pages bench measure slopes soak fuzz cover
 
 setup: $(STAMP)
 
@@ -30,3 +30,6 @@
 
 fuzz: $(STAMP)
 	GYPSUMWALK_FUZZ=open $(BIN)/python -m unittest discover -s tests -t . -p "test_fuzz_*.py"
+
+pages: $(STAMP)
+	$(BIN)/python -m tests._reference
--- a/src/gypsumwalk/drivers/client.py
+++ b/src/gypsumwalk/drivers/client.py
@@ -161,7 +161,7 @@
         UnreachableDaemon
             If no daemon took it.
         OutcomeUnknown
-            If it was sent, is not idempotent, and no whole answer came back.
+            If it was sent, and no whole answer came back.
         """
         payload = b"" if body is None else msgspec.json.encode(body)
         headers = {"Content-Type": JSON_MEDIA_TYPE} if payload else {}
@@ -203,29 +203,29 @@
             fields["Authorization"] = f"Bearer {self._key}"
         attempt = _Attempt(method, path, payload, fields)
         ends_at = self._clock() + self._deadline
-        failures: list[str] = []
+        tries = _Tries()
         for left, address in _count_down(self._addresses):
             now = self._clock()
             if now >= ends_at:
-                failures.append("the deadline passed")
+                tries.note(address, "the deadline passed")
                 break
             # A daemon that hangs leaves time for the others.
             share = (ends_at - now) / (left if idempotent else 1)
             try:
                 reply = self._try(attempt, address, now + share)
             except (NewConnectionError, ConnectTimeoutError) as error:
-                failures.append(f"{address}: {_describe(error)}")
+                tries.note(address, _describe(error))
                 continue
             except (HTTPError, OSError) as error:
-                failures.append(f"{address}: {_describe(error)}")
+                tries.note(address, _describe(error), sent=True)
                 if not idempotent:
-                    raise OutcomeUnknown("; ".join(failures)) from error
+                    break
                 continue
             if idempotent and left > 1 and _is_temporary(reply):
-                failures.append(f"{address}: answered {reply.status}")
+                tries.note(address, f"answered {reply.status}")
                 continue
-            return _accept(reply)
-        raise UnreachableDaemon("; ".join(failures))
+            return _accept(reply, tries)
+        raise tries.fail()
 
     def close(self) -> None:
         """Close every connection."""
@@ -282,22 +282,44 @@
     headers: Mapping[str, str]
 
 
+class _Tries:
+    """What became of the attempts of one call so far."""
+
+    def __init__(self) -> None:
+        self.sent = False
+        self._failures: list[str] = []
+
+    def note(self, address: str, failure: str, *, sent: bool = False) -> None:
+        self._failures.append(f"{address}: {failure}")
+        self.sent = self.sent or sent
+
+    def fail(self) -> GypsumwalkError:
+        text = "; ".join(self._failures)
+        return OutcomeUnknown(text) if self.sent else UnreachableDaemon(text)
+
+
 def _count_down(addresses: Sequence[str]) -> Iterator[tuple[int, str]]:
     return zip(range(len(addresses), 0, -1), addresses, strict=True)
 
 
 def _is_temporary(reply: Reply) -> bool:
-    if reply.status != HTTPStatus.SERVICE_UNAVAILABLE:
-        return False
     problem = _read_problem(reply)
-    return problem is None or problem.outcome is Outcome.NOT_RUN
+    return (
+        problem is not None
+        and reply.status == HTTPStatus.SERVICE_UNAVAILABLE
+        and problem.outcome is Outcome.NOT_RUN
+    )
 
 
-def _accept(reply: Reply) -> Reply:
+def _accept(reply: Reply, tries: _Tries) -> Reply:
     problem = _read_problem(reply)
-    if problem is not None:
-        raise Refused(problem, reply.address)
-    return reply
+    if problem is None:
+        return reply
+    if tries.sent and problem.outcome is Outcome.NOT_RUN:
+        # It says so of its own attempt; an earlier one may have run.
+        tries.note(reply.address, problem.detail or problem.title)
+        raise tries.fail()
+    raise Refused(problem, reply.address)
 
 
 def _require_success(reply: Reply) -> Reply:
--- a/src/gypsumwalk/errors.py
+++ b/src/gypsumwalk/errors.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "BadBoundary",
+    "BadChart",
     "BadFolder",
     "BadSetting",
     "ConflictingGeneration",
@@ -26,6 +27,23 @@
     """Input from outside the process has a wrong shape."""
 
 
+class BadChart(GypsumwalkError):
+    """A state chart, or a use of it, names a state or event that it does not hold.
+
+    Parameters
+    ----------
+    chart : str
+        Name of the chart.
+    found : str
+        The state or event.
+    """
+
+    def __init__(self, chart: str, found: str) -> None:
+        super().__init__(f"chart {chart} holds no {found!r}")
+        self.chart = chart
+        self.found = found
+
+
 class BadSetting(GypsumwalkError):
     """One setting has a wrong value.
 
@@ -99,8 +117,8 @@
 
 
 class UnreachableDaemon(GypsumwalkError):
-    """No daemon took the call: it was not sent, or it is safe to repeat."""
+    """No daemon took the call: no byte of it left, or each refused it for now."""
 
 
 class OutcomeUnknown(GypsumwalkError):
-    """A call that is not idempotent was sent, and no whole answer came back."""
+    """A call was sent, and no whole answer came back."""
--- a/src/gypsumwalk/statecharts.py
+++ b/src/gypsumwalk/statecharts.py
@@ -7,6 +7,8 @@
 import msgspec
 from transitions import Machine, MachineError
 
+from gypsumwalk.errors import BadChart
+
 __all__ = ["Chart", "ChartFile", "ChartTransition", "load_chart"]
 
 
@@ -56,10 +58,20 @@
     ----------
     file : ChartFile
         The chart.
+
+    Raises
+    ------
+    BadChart
+        If it names a state that it does not list.
     """
 
     def __init__(self, file: ChartFile) -> None:
         self.file = file
+        self._events = frozenset(item.event for item in file.transitions)
+        named = {file.initial, *(item.target for item in file.transitions)}
+        named.update(source for item in file.transitions for source in item.sources)
+        if unlisted := named.difference(file.states):
+            raise BadChart(file.name, min(unlisted))
         self._model: Any = type("_ChartModel", (), {})()
         self._machine = Machine(
             model=self._model,
@@ -89,7 +101,16 @@
         -------
         str or None
             State after, or None if the event is refused in that state.
+
+        Raises
+        ------
+        BadChart
+            If the chart has no such state or event.
         """
+        if state not in self.file.states:
+            raise BadChart(self.file.name, state)
+        if event not in self._events:
+            raise BadChart(self.file.name, event)
         self._machine.set_state(state, self._model)
         try:
             self._model.trigger(event)
--- a/src/gypsumwalk/timelinechart.py
+++ b/src/gypsumwalk/timelinechart.py
@@ -51,17 +51,24 @@
 
 
 GROUPS = (
-    EventGroup("refusals", 0, 2, "#d1495b", ("REFUSED", "REJECTED", "SHED", "CUT")),
-    EventGroup("waves", 0, 3, "#2a9d8f", ("WAVE", "DRAIN", "REBOOT")),
-    EventGroup("moves", 0, 3, "#b5651d", ("MOVE", "MOVED")),
-    EventGroup("daemon", 1000, 0, "#6c757d"),
-    EventGroup("log", 2000, 0, "#e09f3e"),
-    EventGroup("membership", 2100, 0, "#7b5ea7"),
-    EventGroup("configuration", 2200, 1, "#2f6fde"),
-    EventGroup("keys", 2300, 1, "#0e9aa7"),
-    EventGroup("portions", 2400, 1, "#8a9a5b"),
-    EventGroup("requests", 3000, 2, "#4c9f70"),
-    EventGroup("fleet", 4000, 3, "#5d737e"),
+    EventGroup(
+        "faults",
+        0,
+        0,
+        "#c0182b",
+        ("LOST", "FAILED", "UNREACHABLE", "QUARANTINED", "EJECTED", "RECLAIMED"),
+    ),
+    EventGroup("refusals", 0, 3, "#e76f51", ("REFUSED", "REJECTED", "SHED", "CUT")),
+    EventGroup("waves", 0, 4, "#2a9d8f", ("WAVE", "DRAINING", "REBOOTING")),
+    EventGroup("moves", 0, 4, "#b5651d", ("MOVED", "MOVING")),
+    EventGroup("daemon", 1000, 1, "#6c757d"),
+    EventGroup("log", 2000, 1, "#e09f3e"),
+    EventGroup("membership", 2100, 1, "#7b5ea7"),
+    EventGroup("configuration", 2200, 2, "#2f6fde"),
+    EventGroup("keys", 2300, 2, "#0e9aa7"),
+    EventGroup("portions", 2400, 2, "#8a9a5b"),
+    EventGroup("requests", 3000, 3, "#4c9f70"),
+    EventGroup("fleet", 4000, 4, "#5d737e"),
 )
 """Groups; those with words come first, the others in the order of their numbers."""
 
@@ -210,11 +217,22 @@
     radius = MARK_PIXELS + min(2.0, cluster.count / 20)
     more = f" and {cluster.count - 1} more" if cluster.count > 1 else ""
     time = format_time(event.timestamp.milliseconds)
+    label = _label_generation(event, cluster.place, y)
     title = escape(f"{time} {event.message} [{event.subject}]{more}")
     return (
         f'<circle class="mark {escape(event.level)}" data-group="{group.name}"'
         f' cx="{cluster.place:.1f}" cy="{y:.1f}" r="{radius:.1f}"'
-        f' fill="{group.colour}"><title>{title}</title></circle>'
+        f' fill="{group.colour}"><title>{title}</title></circle>{label}'
+    )
+
+
+def _label_generation(event: EventLine, x: float, y: float) -> str:
+    if event.name != "FOLDER_ACCEPTED":
+        return ""
+    generation = escape(str(event.attributes.get("generation", "?")))
+    return (
+        f'<text class="dim" data-group="configuration" x="{x + MARK_PIXELS + 2:.1f}"'
+        f' y="{y + MARK_PIXELS:.1f}">{generation}</text>'
     )
 
 
--- a/tests/_reference.py
+++ b/tests/_reference.py
@@ -18,6 +18,7 @@
     WaveTable,
 )
 from gypsumwalk.settings import PeerSettings, Settings
+from tests._catalogues import render_catalogues
 
 DOCS = pathlib.Path(__file__).parent.parent / "docs"
 
@@ -90,6 +91,7 @@
             settings=render_model(Settings), peers=render_model(PeerSettings)
         ),
         "FOLDER.md": FOLDER_PAGE.format(tables="\n".join(parts)),
+        **render_catalogues(),
     }
 
 
--- /dev/null
+++ b/tests/test_charts.py
@@ -0,0 +1,75 @@
+"""Tests of the state charts: reachable states, and events handled or refused."""
+
+import unittest
+
+from gypsumwalk.errors import BadChart
+from gypsumwalk.instances import InstanceEvent, InstanceState
+from gypsumwalk.job_records import JobEvent, JobState
+from gypsumwalk.statecharts import Chart, ChartFile, ChartTransition, load_chart
+from gypsumwalk.wave_records import WaveState
+from tests._catalogues import list_charts
+
+ENUMS = {
+    "instance": (InstanceState, InstanceEvent),
+    "job": (JobState, JobEvent),
+    "wave": (WaveState, None),
+}
+
+
+def find_unreachable(file):
+    reached, pending = set(), [file.initial]
+    while pending:
+        state = pending.pop()
+        reached.add(state)
+        targets = {i.target for i in file.transitions if state in i.sources}
+        pending += sorted(targets - reached)
+    return set(file.states) - reached
+
+
+class TestCharts(unittest.TestCase):
+    def test_every_state_is_reachable(self):
+        assert list_charts()
+        for name in list_charts():
+            assert not find_unreachable(load_chart(name).file), name
+
+    def test_the_check_of_reachable_states_finds_one_that_is_not(self):
+        step = ChartTransition("go", ["a"], "b")
+        file = ChartFile("x", "a", ["a", "b", "c"], [step])
+        assert find_unreachable(file) == {"c"}
+
+    def test_every_event_is_handled_or_refused_in_every_state(self):
+        for name in list_charts():
+            chart = load_chart(name)
+            table = {
+                (source, item.event): item.target
+                for item in chart.file.transitions
+                for source in item.sources
+            }
+            events = {item.event for item in chart.file.transitions}
+            for state in chart.file.states:
+                for event in events:
+                    expected = table.get((state, event))
+                    assert chart.follow(state, event) == expected, (name, state, event)
+
+    def test_no_state_has_two_ways_for_one_event(self):
+        for name in list_charts():
+            file = load_chart(name).file
+            pairs = [(s, i.event) for i in file.transitions for s in i.sources]
+            assert len(pairs) == len(set(pairs)), name
+
+    def test_charts_and_code_name_the_same_states_and_events(self):
+        assert set(ENUMS) == set(list_charts())
+        for name, (states, events) in ENUMS.items():
+            file = load_chart(name).file
+            assert {state.value for state in states} == set(file.states), name
+            if events is not None:
+                used = {item.event for item in file.transitions}
+                assert {event.value for event in events} == used, name
+
+    def test_unknown_states_and_events_are_refused_by_type(self):
+        step = ChartTransition("go", ["a"], "missing")
+        with self.assertRaises(BadChart):
+            Chart(ChartFile("x", "a", ["a"], [step]))
+        for state, event in (("nothing", "pause"), ("running", "nothing")):
+            with self.assertRaises(BadChart):
+                load_chart("wave").follow(state, event)
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -83,6 +83,17 @@
             client.call("POST", "/v1/x", {}, idempotent=False)
         assert len(self.first.calls) == 1 and cut.calls == 2
 
+    def test_not_run_of_a_later_daemon_says_nothing_of_an_attempt_that_was_sent(self):
+        refusal = make_problem("leaving", 503)
+        self.first.answer("POST", "/v1/x", 503, refusal)
+        cut = self.open_cut()
+        for addresses in (
+            (cut.address, self.first.address),
+            (cut.address, self.closed),
+        ):
+            with self.assertRaises(OutcomeUnknown):
+                self.open(*addresses).call("POST", "/v1/x", {}, idempotent=True)
+
     def test_temporary_refusal_goes_on_only_when_idempotent(self):
         refusal = make_problem("no-quorum", 503)
         self.first.answer("GET", "/v1/x", 503, refusal)
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -8,9 +8,10 @@
 from pathlib import Path
 
 from gypsumwalk import __version__
-from gypsumwalk.command import Command, Group, make_commands, run_command
+from gypsumwalk.command import Command, make_commands, run_command
 from gypsumwalk.eventlines import EventLine, encode_line
 from gypsumwalk.timestamps import Timestamp
+from tests._catalogues import list_commands
 
 SETTINGS = """
 name = "d1"
@@ -28,15 +29,6 @@
     return code, out.getvalue(), err.getvalue()
 
 
-def list_commands(group, path=()):
-    for name in dir(group):
-        item = getattr(group, name)
-        if isinstance(item, Group):
-            yield from list_commands(item, (*path, name))
-        else:
-            yield (*path, name), item
-
-
 class TestCommandLine(unittest.TestCase):
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
