--- a/tests/_fake_targets.py
+++ b/tests/_fake_targets.py
@@ -54,6 +54,7 @@
     entry: str = ""
     """Name of the only daemon that it announces itself to; empty for any."""
     announce_credential: str = ""
+    incarnation: int = 1
     running: dict = field(default_factory=dict)
 
     @property
@@ -99,6 +100,7 @@
     def revive(self, name):
         """Start a target again."""
         self.by_name[name].alive = True
+        self.by_name[name].incarnation += 1
 
     def dispatch(self, daemon, effect):
         """Carry out a ``Dispatch`` of a daemon."""
--- /dev/null
+++ b/tests/_scenario_faults.py
@@ -0,0 +1,176 @@
+"""Verbs of the scenario language that cause faults."""
+
+from tests._fake_targets import Behaviour
+from tests._scenario_runner import verb
+
+BEHAVIOURS = {
+    "answers": Behaviour.ANSWER,
+    "fails": Behaviour.FAIL,
+    "silent": Behaviour.NEVER,
+    "refuses": Behaviour.REFUSE,
+}
+SHUTDOWN_SECONDS = 30.0
+
+
+def split_groups(run, command):
+    """Return both groups of ``A B | C`` or ``A B -> C``, and whether one way."""
+    marks = [word for word in command.words if word in ("|", "->")]
+    if len(marks) != 1:
+        raise command.fail("part takes two groups with | or -> between them")
+    place = command.words.index(marks[0])
+    first, second = command.words[:place], command.words[place + 1 :]
+    if not first or not second:
+        raise command.fail("a group is empty")
+    known = run.setup.list_places() | {"rest"}
+    for name in (*first, *second):
+        if name not in known:
+            raise command.fail(f"nothing is called {name!r}")
+    return first, second, marks[0] == "->"
+
+
+@verb("part")
+def part_network(run, command):
+    """``part A B | C`` or ``part A -> B``: cut groups off, both ways or one."""
+    first, second, one_way = split_groups(run, command)
+    run.world.part(first, second, one_way=one_way)
+
+
+@verb("heal")
+def heal_network(run, command):
+    """``heal``: end every partition."""
+    command.check(words=0)
+    run.world.heal()
+
+
+@verb("network")
+def change_network(run, command):
+    """``network [delay=2ms] [drop=0.1] [duplicate=0.1] [jitter=0.5]``."""
+    command.check(words=0, options=("delay", "drop", "duplicate", "jitter"))
+    for name, text in command.options.items():
+        read = command.read_duration if name == "delay" else command.read_number
+        setattr(run.world.network, name, read(text))
+
+
+@verb("kill")
+def kill_daemons(run, command):
+    """``kill DAEMON...``: end processes at once."""
+    command.check(words=(1, None))
+    for name in command.words:
+        run.find_daemon(command, name)
+        run.world.kill(name)
+
+
+@verb("restart")
+def restart_daemons(run, command):
+    """``restart DAEMON...``: start processes again."""
+    command.check(words=(1, None))
+    for name in command.words:
+        run.find_daemon(command, name)
+        run.world.restart(name)
+
+
+@verb("pause")
+def pause_daemons(run, command):
+    """``pause DAEMON...``: stop processes, as SIGSTOP does."""
+    command.check(words=(1, None))
+    for name in command.words:
+        run.find_daemon(command, name)
+        run.world.pause(name)
+
+
+@verb("resume")
+def resume_daemons(run, command):
+    """``resume DAEMON...``: let stopped processes go on."""
+    command.check(words=(1, None))
+    for name in command.words:
+        run.find_daemon(command, name)
+        run.world.resume(name)
+
+
+@verb("shutdown")
+def shut_daemons_down(run, command):
+    """``shutdown DAEMON... [deadline=30s]``: ask daemons to leave."""
+    command.check(words=(1, None), options=("deadline",))
+    text = command.options.get("deadline", f"{SHUTDOWN_SECONDS:g}s")
+    for name in command.words:
+        run.find_daemon(command, name)
+        run.facts.shutdowns[name] = run.world.now
+        run.world.shut_down(name, command.read_duration(text))
+
+
+@verb("lose")
+def lose_disk(run, command):
+    """``lose disk DAEMON``: end a process and replace its disk by an empty one."""
+    _find_disk(run, command)
+    run.world.lose_disk(command.words[1])
+
+
+@verb("fill")
+def fill_disk(run, command):
+    """``fill disk DAEMON``: let every write fail."""
+    _find_disk(run, command)
+    run.world.fill_disk(command.words[1])
+
+
+@verb("empty")
+def empty_disk(run, command):
+    """``empty disk DAEMON``: let writes succeed again."""
+    _find_disk(run, command)
+    run.world.fill_disk(command.words[1], full=False)
+
+
+def _find_disk(run, command):
+    command.check(words=2)
+    if command.words[0] != "disk":
+        raise command.fail(f"{command.verb} disk DAEMON")
+    if run.find_daemon(command, command.words[1]).disk is None:
+        raise command.fail(f"{command.words[1]} has no disk")
+
+
+@verb("clock")
+def change_clock(run, command):
+    """``clock DAEMON [offset=40s] [rate=1.01]``: at its next start."""
+    command.check(words=1, options=("offset", "rate"))
+    daemon = run.find_daemon(command, command.words[0])
+    if daemon.alive:
+        raise command.fail("the clock of a running process does not step")
+    if "offset" in command.options:
+        daemon.clock_offset = command.read_duration(command.options["offset"])
+    if "rate" in command.options:
+        daemon.clock_rate = command.read_number(command.options["rate"])
+
+
+@verb("target")
+def change_target(run, command):
+    """``target NAME... answers|fails|silent|refuses|leaves|returns|dies|revives``.
+
+    ``takes=2s`` changes how long it runs a request.
+    """
+    command.check(words=(2, None), options=("takes",))
+    *names, action = command.words
+    for name in names:
+        if name not in run.world.targets.by_name:
+            raise command.fail(f"no target is called {name!r}")
+        _change_one_target(run, command, name, action)
+
+
+def _change_one_target(run, command, name, action):
+    target = run.world.targets.by_name[name]
+    if "takes" in command.options:
+        target.service_seconds = command.read_duration(command.options["takes"])
+    match action:
+        case "leaves":
+            target.leaving = True
+            run.facts.leaving_since[name] = run.world.now
+        case "returns":
+            target.leaving = False
+            target.incarnation += 1
+            run.facts.leaving_since.pop(name, None)
+        case "dies":
+            run.world.targets.kill(name)
+        case "revives":
+            run.world.targets.revive(name)
+        case _ if action in BEHAVIOURS:
+            target.behaviour = BEHAVIOURS[action]
+        case _:
+            raise command.fail(f"a target does not know {action!r}")
--- a/tests/_world.py
+++ b/tests/_world.py
@@ -32,7 +32,13 @@
     Stop,
     WriteDisk,
 )
-from gypsumwalk.inputs import CallInput, DiskOutcome, PeerInput, PlatformOutcome
+from gypsumwalk.inputs import (
+    CallInput,
+    DiskOutcome,
+    PeerInput,
+    PlatformOutcome,
+    ShutdownRequested,
+)
 from gypsumwalk.part import NEVER
 from tests._fake_disk import FakeDisk
 from tests._fake_network import REST, FakeNetwork
@@ -216,6 +222,12 @@
             self.deliver(daemon, item)
         self._arm(daemon)
 
+    def shut_down(self, name, seconds=30.0):
+        """Ask a process to leave; after so many seconds it may cut requests."""
+        daemon = self.daemons[name]
+        deadline = daemon.read_clock(self.now) + seconds
+        self.deliver(daemon, ShutdownRequested(deadline))
+
     def lose_disk(self, name):
         """End a process and replace its disk by an empty one."""
         self.kill(name)
