Keep a unit of an upper limit that was just granted

Ruled out: ownership of targets, the partition (the units were free in the section). Change: the idle time begins when units are granted. Conclusion: grants are usable for at least the idle time.

--- a/src/gypsumwalk/portions.py
+++ b/src/gypsumwalk/portions.py
@@ -463,6 +463,7 @@
         elif number in self._asks:
             team, asked = self._asks.pop(number)
             self._teams[team].asking = False
+            self._teams[team].idle_since = now
             self._note_lease(asked, committed)
         elif command := self._returns.pop(number, None):
             return self._end_return(command, item)
--- /dev/null
+++ b/tests/test_portion_part.py
@@ -0,0 +1,74 @@
+"""Tests that a daemon keeps the units that it was just granted."""
+
+import unittest
+
+from gypsumwalk.effects import Propose
+from gypsumwalk.inputs import ProposalOutcome, ProposalStatus
+from gypsumwalk.portions import IDLE_SECONDS, PortionPart, PortionSection, ReturnPortion
+from gypsumwalk.settings import Settings
+from gypsumwalk.views import TeamRule
+
+
+class FakeFolder:
+    def team(self, name):
+        return TeamRule(name, 1.0, 4)
+
+
+class FakeLeadership:
+    leader = "b"
+
+    def holds_lease(self, now):
+        return False
+
+
+class TestPortionPart(unittest.TestCase):
+    def setUp(self):
+        settings = Settings(
+            name="a",
+            data_centre="x",
+            caller_port=1,
+            peer_port=2,
+            cluster_secret="x" * 16,
+        )
+        self.section = PortionSection(FakeFolder())
+        self.part = PortionPart(
+            settings=settings,
+            section=self.section,
+            leadership=FakeLeadership(),
+            incarnation=1,
+        )
+        self.index = 0
+
+    def advance(self, now):
+        """Advance, commit what is proposed, and return the commands."""
+        commands = []
+        for effect in self.part.advance(now):
+            if isinstance(effect, Propose):
+                commands.append(effect.command)
+                self.index += 1
+                result = self.section.apply(effect.command, self.index, now)
+                outcome = ProposalOutcome(
+                    effect.token, ProposalStatus.COMMITTED, self.index, result
+                )
+                self.part.handle(outcome, now)
+        return commands
+
+    def use_unit(self, now):
+        assert not self.part.acquire("elul", f"r{now}", now)
+        self.advance(now)
+        assert self.part.acquire("elul", f"r{now}", now + 0.1)
+        self.part.release("elul", f"r{now}", now + 0.2)
+
+    def test_units_of_a_second_grant_are_kept_until_they_are_idle(self):
+        self.use_unit(10.0)
+        returned = self.advance(10.2 + IDLE_SECONDS)
+        assert [type(item) for item in returned] == [ReturnPortion]
+
+        assert not self.part.acquire("elul", "r2", 20.0)
+        self.advance(20.0)
+        assert self.advance(20.02) == []
+        assert self.part.acquire("elul", "r2", 20.05)
+
+
+if __name__ == "__main__":
+    unittest.main()
