--- a/tests/_fake_targets.py
+++ b/tests/_fake_targets.py
@@ -7,6 +7,7 @@
 from gypsumwalk.inputs import DispatchOutcome, DispatchStatus
 
 REQUEST_ID_HEADER = "gypsumwalk-request-id"
+DEADLINE_HEADER = "gypsumwalk-deadline-seconds"
 CONNECT_TIMEOUT = 1.0
 
 
@@ -55,6 +56,8 @@
     """Name of the only daemon that it announces itself to; empty for any."""
     announce_credential: str = ""
     incarnation: int = 1
+    overruns: bool = False
+    """Whether it goes on past the deadline that a request carries."""
     running: dict = field(default_factory=dict)
 
     @property
@@ -140,8 +143,17 @@
         seconds = target.service_seconds
         if target.behaviour is Behaviour.FAIL:
             seconds = 0.0
+        allowed = float(headers.get(DEADLINE_HEADER, "inf"))
+        if seconds > allowed and not target.overruns:
+            self._world.schedule(allowed, lambda: self._give_up(key, target))
+            return
         self._world.schedule(seconds, lambda: self._finish(key, target, effect))
 
+    def _give_up(self, key, target):
+        execution = target.running.pop(key, None)
+        if execution is not None:
+            execution.ended = self._world.now
+
     def _finish(self, key, target, effect):
         execution = target.running.pop(key, None)
         if execution is None:
--- /dev/null
+++ b/tests/_golden.py
@@ -0,0 +1,62 @@
+"""Golden files: time lines without times, ports and identifiers."""
+
+import difflib
+import re
+
+from gypsumwalk.effects import Record
+from gypsumwalk.events import Level
+
+IDENTIFIER = re.compile(r"\b[\w-]+\.\d{10,}\.[\w.]+\b|\b\d{10,}\b|\b[0-9a-f]{16,}\b")
+QUIET = {Level.DEBUG}
+
+
+class Normaliser:
+    """Replaces identifiers by numbers in the order that they appear."""
+
+    def __init__(self):
+        self._known = {}
+
+    def replace(self, text):
+        """Return the text with every identifier as ``<1>``, ``<2>``..."""
+        return IDENTIFIER.sub(self._name, text)
+
+    def _name(self, found):
+        number = self._known.setdefault(found[0], len(self._known) + 1)
+        return f"<{number}>"
+
+
+def render_timeline(trace):
+    """Return the events of a run in order, one a line."""
+    normaliser = Normaliser()
+    lines = []
+    for entry in trace:
+        effect = entry.effect
+        if not isinstance(effect, Record) or effect.event.level in QUIET:
+            continue
+        text = effect.event.template.format_map(_Attributes(effect.attributes))
+        line = f"{entry.node} {effect.event.number} {effect.subject} {text}"
+        lines.append(normaliser.replace(line))
+    return "\n".join(lines) + "\n"
+
+
+class _Attributes(dict):
+    def __missing__(self, key):
+        return "{" + key + "}"
+
+
+def check_golden(path, text, *, update):
+    """Return the difference from a golden file, or write it when asked to."""
+    if update:
+        path.parent.mkdir(exist_ok=True)
+        path.write_text(text, encoding="utf-8")
+        return ""
+    if not path.exists():
+        return f"{path.name} is missing; run python -m tests.test_scenarios --update"
+    expected = path.read_text(encoding="utf-8")
+    if expected == text:
+        return ""
+    return "\n".join(
+        difflib.unified_diff(
+            expected.splitlines(), text.splitlines(), "golden", "found", lineterm=""
+        )
+    )
--- /dev/null
+++ b/tests/_scenario_callers.py
@@ -0,0 +1,179 @@
+"""Verbs of the scenario language for callers: requests and jobs."""
+
+from tests._facts import RequestFacts
+from tests._scenario_runner import verb
+
+SEND_OPTIONS = ("key", "to", "repeatable", "urgent", "deadline", "text", "from")
+SUBMIT_OPTIONS = ("key", "to", "repeatable", "urgent", "command", "cores", "memory")
+TICKET_SECONDS = 2.0
+
+
+def find_credential(run, command):
+    """Return the credential and the team of the option ``key``."""
+    name = command.options.get("key", "")
+    if not name:
+        return "", ""
+    if name in run.setup.keys:
+        _, text, team = run.setup.keys[name]
+        return text, team
+    return name, ""
+
+
+def find_entry(run, command):
+    """Return the daemon of the option ``to``, or empty for any."""
+    name = command.options.get("to", "")
+    if name:
+        run.find_daemon(command, name)
+    return name
+
+
+def find_origin(command):
+    """Return the place of the caller, the option ``from``."""
+    return frozenset({"caller", command.options.get("from", "caller")})
+
+
+@verb("ticket")
+def mint_ticket(run, command):
+    """``ticket NAME [to=DAEMON]``: get an identifier, so that a resend is safe."""
+    command.check(words=1, options=("to",))
+    (name,) = command.words
+    call = run.setup.ask("POST", "/v1/tickets", to=find_entry(run, command))
+    answered = run.world.run_until(lambda: call.answer is not None, within=2.0)
+    if not answered or call.answer.status != 200:
+        raise command.fail(f"no ticket: {call.answer}")
+    run.tickets[name] = call.answer.body.request_id
+
+
+@verb("send")
+def send_request(run, command):
+    """``send NAME QUEUE [key=K] [to=D] [from=DC] [repeatable=yes] [urgent=yes]``.
+
+    Also ``deadline=2s`` and ``text=...``. A ticket of the same name is used.
+    """
+    command.check(words=2, options=SEND_OPTIONS)
+    name, queue = command.words
+    if name in run.facts.requests:
+        raise command.fail(f"{name} was sent; resend it")
+    _register(run, command, name, queue)
+    _send(run, command, name)
+
+
+@verb("resend")
+def resend_request(run, command):
+    """``resend NAME [to=D]``: send a request again that has a ticket."""
+    command.check(words=1, options=("to", "key", "from"))
+    (name,) = command.words
+    if name not in run.facts.requests:
+        raise command.fail(f"no request is called {name!r}")
+    if name not in run.tickets:
+        raise command.fail(f"{name} has no ticket, so a resend is another request")
+    _send(run, command, name)
+
+
+@verb("burst")
+def send_burst(run, command):
+    """``burst NAME COUNT QUEUE [over=2s]`` with the options of ``send``."""
+    command.check(words=3, options=(*SEND_OPTIONS, "over"))
+    prefix, count, queue = command.words
+    number = command.read_number(count, int)
+    over = command.read_duration(command.options.get("over", "0s"))
+    for index in range(number):
+        name = f"{prefix}-{index + 1}"
+        _register(run, command, name, queue)
+        run.world.schedule(
+            over * index / number, lambda name=name: _send(run, command, name)
+        )
+
+
+def _register(run, command, name, queue):
+    credential, team = find_credential(run, command)
+    text = command.options.get("text", name)
+    run.facts.requests[name] = RequestFacts(
+        name,
+        f"{text} ({name})".encode(),
+        team,
+        credential,
+        queue,
+        command.read_flag("repeatable", default=False),
+    )
+    run.request_options[name] = command
+
+
+def _send(run, command, name):
+    request = run.facts.requests[name]
+    first = run.request_options[name]
+    credential = request.key
+    if "key" in command.options:
+        credential, _ = find_credential(run, command)
+    headers = {
+        "gypsumwalk-repeatable": str(request.repeatable).lower(),
+        "gypsumwalk-urgent": str(first.read_flag("urgent", default=False)).lower(),
+    }
+    if name in run.tickets:
+        headers["gypsumwalk-request-id"] = run.tickets[name]
+    if "deadline" in first.options:
+        seconds = first.read_duration(first.options["deadline"])
+        headers["gypsumwalk-deadline-seconds"] = str(seconds)
+    call = run.setup.ask(
+        "POST",
+        f"/v1/queues/{request.queue}/requests",
+        to=find_entry(run, command),
+        key=credential,
+        headers=headers,
+        payload=request.payload,
+        origin=find_origin(command),
+    )
+    request.calls.append(call)
+    run.calls.setdefault(name, []).append(call)
+
+
+@verb("cancel")
+def cancel_work(run, command):
+    """``cancel NAME [to=D] [key=K]``: cancel a request with a ticket, or a job.
+
+    The answer is called ``cancel-NAME``.
+    """
+    command.check(words=1, options=("to", "key"))
+    (name,) = command.words
+    if name in run.jobs:
+        path = f"/v1/jobs/{name}/cancel"
+        key = run.jobs[name]
+    elif name in run.tickets:
+        path = f"/v1/requests/{run.tickets[name]}/cancel"
+        key = run.facts.requests[name].key
+    else:
+        raise command.fail(f"nothing that can be cancelled is called {name!r}")
+    if "key" in command.options:
+        key, _ = find_credential(run, command)
+    call = run.setup.ask("POST", path, to=find_entry(run, command), key=key)
+    run.calls.setdefault(f"cancel-{name}", []).append(call)
+
+
+@verb("submit")
+def submit_job(run, command):
+    """``submit JOB QUEUE [key=K] [to=D] [repeatable=yes] [urgent=yes]``.
+
+    Also ``command="run 5"``, ``cores=1`` and ``memory=1`` in gigabytes.
+    """
+    command.check(words=2, options=SUBMIT_OPTIONS)
+    name, queue = command.words
+    credential, team = find_credential(run, command)
+    body = {
+        "job_id": name,
+        "queue": queue,
+        "repeatable": command.read_flag("repeatable", default=False),
+        "urgent": command.read_flag("urgent", default=False),
+        "command": command.options.get("command", ""),
+        "processors": command.read_number(command.options.get("cores", "1")),
+        "memory_gb": command.read_number(command.options.get("memory", "1")),
+    }
+    run.jobs[name] = credential
+    run.setup.teams_of_jobs[name] = (run.setup.find_pool_of_queue(queue), team)
+    call = run.setup.ask(
+        "POST",
+        "/v1/jobs/submit",
+        to=find_entry(run, command),
+        key=credential,
+        body=body,
+    )
+    run.calls.setdefault(name, []).append(call)
--- /dev/null
+++ b/tests/_scenario_expectations.py
@@ -0,0 +1,297 @@
+"""Verb ``expect`` of the scenario language, and golden time lines."""
+
+from collections import Counter
+
+from gypsumwalk.effects import Record
+from gypsumwalk.events import Event
+from tests._golden import check_golden, render_timeline
+from tests._scenario_runner import FOLDER, verb
+from tests._scenario_worlds import OPERATOR_KEY
+
+EXPECTATIONS = {}
+ASK_SECONDS = 0.5
+
+
+def expectation(name):
+    """Register the function of ``expect name ...``."""
+
+    def register(function):
+        EXPECTATIONS[name] = function
+        return function
+
+    return register
+
+
+@verb("expect")
+def expect(run, command):
+    """``expect WHAT ... [within DURATION]``: fail unless it happens in time."""
+    command.check(words=(2, None))
+    words, within = command.split_within()
+    function = EXPECTATIONS.get(words[0], expect_call)
+    function(run, command, words, within)
+
+
+def expect_call(run, command, words, within):
+    """``expect NAME answered|refused [TYPE [OUTCOME]]|lost|waiting|ended``."""
+    name, state, *details = words
+    call = run.find_call(command, name)
+    known = ("answered", "refused", "lost", "waiting", "ended")
+    if state not in known or (details and state != "refused") or len(details) > 2:
+        raise command.fail(f"expect {name} {'|'.join(known)}")
+    if state == "waiting":
+        if call.ended:
+            raise command.fail(f"{name} is {describe_call(call)}")
+        return
+
+    def holds():
+        return _fits(call, state, details)
+
+    run.expect(command, holds, within, lambda: f"{name} is {describe_call(call)}")
+
+
+def _fits(call, state, details):
+    if state == "lost":
+        return call.lost
+    if state == "ended":
+        return call.ended
+    if call.answer is None:
+        return False
+    problem = getattr(call.answer.body, "outcome", None)
+    is_problem = call.answer.status >= 400
+    if state == "answered":
+        return not is_problem
+    found = (
+        [call.answer.body.type.rpartition("/")[2], str(problem)] if is_problem else []
+    )
+    return is_problem and found[: len(details)] == list(details)
+
+
+def describe_call(call):
+    """Return in a few words how a call ended."""
+    if call.lost:
+        return "lost"
+    if call.answer is None:
+        return "waiting"
+    body = call.answer.body
+    if call.answer.status >= 400:
+        kind = body.type.rpartition("/")[2]
+        return f"refused {kind} {str(body.outcome)!r} {body.detail}".strip()
+    return f"answered {call.answer.status}"
+
+
+@expectation("runs")
+def expect_runs(run, command, words, within):
+    """``expect runs NAME COUNT``: so many runs of a request on targets."""
+    _, name, count = _take(command, words, 3)
+    request = run.facts.requests.get(name)
+    if request is None:
+        raise command.fail(f"no request is called {name!r}")
+    wanted = command.read_number(count, int)
+
+    def count_runs():
+        return run.world.targets.count_payload_runs()[request.payload]
+
+    run.expect(
+        command,
+        lambda: count_runs() == wanted,
+        within,
+        lambda: f"{count_runs()} runs",
+    )
+
+
+@expectation("burst")
+def expect_burst(run, command, words, within):
+    """``expect burst NAME answered|refused|lost|ended COUNT``: at least so many."""
+    _, prefix, state, count = _take(command, words, 4)
+    wanted = command.read_number(count, int)
+    names = [name for name in run.facts.requests if name.startswith(f"{prefix}-")]
+    if not names:
+        raise command.fail(f"no burst is called {prefix!r}")
+
+    def count_states():
+        found = Counter()
+        for name in names:
+            for call in run.calls.get(name, ())[-1:]:
+                found[describe_call(call).partition(" ")[0]] += 1
+                found["ended"] += call.ended
+        return found
+
+    run.expect(
+        command,
+        lambda: count_states()[state] >= wanted,
+        within,
+        lambda: str(dict(count_states())),
+    )
+
+
+@expectation("leader")
+def expect_leader(run, command, words, within):
+    """``expect leader DAEMON...``: one of them leads, as it says itself."""
+    names = words[1:]
+
+    def find_leaders():
+        return [
+            name
+            for name, status in sorted(run.setup.status.items())
+            if status.leader == name and run.world.daemons[name].alive
+        ]
+
+    run.expect(
+        command,
+        lambda: any(name in names for name in find_leaders()),
+        within,
+        lambda: f"leaders {find_leaders()}",
+    )
+
+
+@expectation("ready")
+def expect_ready(run, command, words, within):
+    """``expect ready DAEMON...``: the balancer may give them calls."""
+    names = words[1:]
+    for name in names:
+        run.find_daemon(command, name)
+
+    def find_unready():
+        return [name for name in names if not run.setup.is_ready(name)]
+
+    run.expect(
+        command, lambda: not find_unready(), within, lambda: f"not {find_unready()}"
+    )
+
+
+@expectation("generation")
+def expect_generation(run, command, words, within):
+    """``expect generation N DAEMON...``: in force on each of them, or newer."""
+    wanted = command.read_number(words[1], int)
+    names = words[2:]
+    for name in names:
+        run.find_daemon(command, name)
+
+    def find_generations():
+        return {
+            name: run.setup.status[name].generation if name in run.setup.status else 0
+            for name in names
+        }
+
+    run.expect(
+        command,
+        lambda: min(find_generations().values()) >= wanted,
+        within,
+        lambda: str(find_generations()),
+    )
+
+
+@expectation("event")
+def expect_event(run, command, words, within):
+    """``expect event NAME [DAEMON]``: recorded since the beginning."""
+    names = [entry.name for entry in Event]
+    if words[1] not in names:
+        raise command.fail(f"no event is called {words[1]!r}")
+    event = Event[words[1]]
+    daemons = words[2:]
+
+    def recorded():
+        return any(
+            isinstance(entry.effect, Record)
+            and entry.effect.event is event
+            and (not daemons or entry.node in daemons)
+            for entry in run.world.trace
+        )
+
+    run.expect(command, recorded, within, lambda: "it was not recorded")
+
+
+@expectation("stopped")
+def expect_stopped(run, command, words, within):
+    """``expect stopped DAEMON``: it ended by itself after a shutdown."""
+    daemon = run.find_daemon(command, words[1])
+    run.expect(command, lambda: daemon.stopped, within, lambda: "it runs")
+
+
+@expectation("job")
+def expect_job(run, command, words, within):
+    """``expect job NAME STATE``: as any daemon answers it."""
+    _, name, state = _take(command, words, 3)
+    if name not in run.jobs:
+        raise command.fail(f"no job is called {name!r}")
+    _expect_answer(
+        run, command, f"/v1/jobs/{name}", run.jobs[name], state, "state", within
+    )
+
+
+@expectation("wave")
+def expect_wave(run, command, words, within):
+    """``expect wave NAME STATE``: as any daemon answers it."""
+    _, name, state = _take(command, words, 3)
+    _expect_answer(
+        run, command, f"/v1/waves/{name}", OPERATOR_KEY, state, "state", within
+    )
+
+
+@expectation("instance")
+def expect_instance(run, command, words, within):
+    """``expect instance NAME STATE``: as any daemon answers it."""
+    _, name, state = _take(command, words, 3)
+    found = "unknown"
+
+    def read(answer):
+        nonlocal found
+        for item in answer.body.instances:
+            if item.name == name:
+                found = item.state
+        return found == state
+
+    if not _ask_until(run, "/v1/instances", OPERATOR_KEY, read, within):
+        raise command.fail(f"expected {' '.join(command.words)}: {found}")
+
+
+@expectation("reboots")
+def expect_reboots(run, command, words, within):
+    """``expect reboots COUNT``: so many since the beginning."""
+    wanted = command.read_number(words[1], int)
+    reboots = run.setup.platform.reboots
+    run.expect(
+        command, lambda: len(reboots) == wanted, within, lambda: f"{len(reboots)}"
+    )
+
+
+def _expect_answer(run, command, path, key, wanted, attribute, within):
+    found = "no answer"
+
+    def read(answer):
+        nonlocal found
+        found = str(getattr(answer.body, attribute, answer.status))
+        return found == wanted
+
+    if not _ask_until(run, path, key, read, within):
+        raise command.fail(f"expected {' '.join(command.words)}: {found}")
+
+
+def _ask_until(run, path, key, read, within):
+    ends = run.world.now + within
+    while True:
+        call = run.setup.ask("GET", path, key=key)
+        run.world.run_until(lambda call=call: call.ended, within=2.0)
+        if call.answer is not None and read(call.answer):
+            return True
+        if run.world.now >= ends:
+            return False
+        run.world.run(ASK_SECONDS)
+
+
+def _take(command, words, count):
+    if len(words) != count:
+        raise command.fail(f"expect {words[0]} takes {count - 1} words")
+    return words
+
+
+@verb("golden")
+def compare_golden(run, command):
+    """``golden NAME``: compare the time line so far with ``golden/NAME.txt``."""
+    command.check(words=1)
+    path = FOLDER / "golden" / f"{command.words[0]}.txt"
+    difference = check_golden(
+        path, render_timeline(run.world.trace), update=run.update_goldens
+    )
+    if difference:
+        raise command.fail(f"golden {command.words[0]} differs\n{difference}")
--- a/tests/_scenario_runner.py
+++ b/tests/_scenario_runner.py
@@ -3,9 +3,9 @@
 import pathlib
 from dataclasses import dataclass, field
 
-from tests._checkers import check_all
 from tests._facts import Facts
-from tests._scenario_language import ScenarioError, read_scenario
+from tests._promise_checkers import check_all
+from tests._scenario_language import Command, ScenarioError, read_scenario
 from tests._scenario_worlds import WORLDS
 from tests._world import START
 
@@ -34,7 +34,12 @@
     facts: Facts = field(default_factory=Facts)
     calls: dict[str, list] = field(default_factory=dict)
     """Calls of each name that the scenario gave, oldest first."""
-    goldens: list[str] = field(default_factory=list)
+    tickets: dict[str, str] = field(default_factory=dict)
+    """Identifier of each request that has one."""
+    request_options: dict[str, Command] = field(default_factory=dict)
+    jobs: dict[str, str] = field(default_factory=dict)
+    """Credential that each job was handed in with."""
+    pending_files: dict[str, str] = field(default_factory=dict)
     update_goldens: bool = False
 
     @property
--- a/tests/_world.py
+++ b/tests/_world.py
@@ -76,6 +76,8 @@
     answered_at: float | None = None
     lost: bool = False
     """The connection was refused or reset: no answer comes."""
+    then: object = None
+    """Called with the call once it is answered."""
 
     @property
     def ended(self):
@@ -131,9 +133,12 @@
     platform : object, optional
         Has ``call(effect, now) -> (delay, PlatformOutcome)`` and, if it likes,
         ``report(now) -> list of bodies`` sent each second to any daemon.
+    accept : callable, optional
+        ``accept(recipient, source, incarnation, sequence)`` tells whether a daemon
+        takes a peer's message in, as the drivers' replay window does.
     """
 
-    def __init__(self, build, *, seed=0, platform=None):
+    def __init__(self, build, *, seed=0, platform=None, accept=None):
         self.now = START
         self.random = Random(seed)
         self.network = FakeNetwork(Random(f"network {seed}"))
@@ -143,6 +148,9 @@
         self.trace: list[TraceEntry] = []
         self.calls: dict[int, Call] = {}
         self._build = build
+        self._accept = accept
+        self.is_ready = lambda name: True
+        """Whether the balancer gives a daemon calls."""
         self._heap: list[tuple] = []
         self._count = 0
         if hasattr(platform, "report"):
@@ -266,7 +274,11 @@
         return call
 
     def _choose(self, origin):
-        able = [item for item in self.daemons.values() if self._reaches(origin, item)]
+        able = [
+            item
+            for item in self.daemons.values()
+            if self._reaches(origin, item) and self.is_ready(item.name)
+        ]
         return self.random.choice(able) if able else None
 
     def _reaches(self, origin, daemon):
@@ -348,11 +360,15 @@
         if recipient is None or body is None:
             return
         item = PeerInput(daemon.name, body)
+        self._count += 1
+        mark = (daemon.name, daemon.incarnation, self._count)
         for delay in self.network.draw_copies():
-            self.schedule(delay, lambda: self._arrive(daemon, recipient, item))
+            self.schedule(delay, lambda: self._arrive(daemon, recipient, item, mark))
 
-    def _arrive(self, daemon, recipient, item):
-        if not self.network.blocks(daemon.place, recipient.place):
+    def _arrive(self, daemon, recipient, item, mark):
+        if self.network.blocks(daemon.place, recipient.place) or not recipient.alive:
+            return
+        if self._accept is None or self._accept(recipient.name, *mark):
             self.deliver(recipient, item)
 
     def _write(self, daemon, effect):
@@ -379,6 +395,8 @@
             return
         call.answer = effect.answer
         call.answered_at = self.now
+        if call.then is not None:
+            call.then(call)
 
     def _call_platform(self, daemon, effect):
         epoch = daemon.epoch
--- a/tests/test_checkers.py
+++ b/tests/test_promise_checkers.py
@@ -4,7 +4,6 @@
 
 from gypsumwalk.effects import Answer
 from gypsumwalk.problems import Outcome, ProblemType, refuse
-from tests._checkers import CHECKERS, check_all
 from tests._facts import (
     AcceptedFacts,
     BudgetFacts,
@@ -17,6 +16,7 @@
     TaskRun,
 )
 from tests._fake_targets import Execution
+from tests._promise_checkers import CHECKERS, check_all
 from tests._world import Call
 
 
