--- /dev/null
+++ b/tests/test_pages.py
@@ -0,0 +1,54 @@
+"""Tests that hand-written pages name what exists, and all of it."""
+
+import re
+import unittest
+from importlib.util import find_spec
+
+from gypsumwalk import (
+    configuration,
+    job_calls,
+    keys,
+    operator_calls,
+    platform,
+    submissions,
+    targets,
+)
+from gypsumwalk.problems import STATUSES
+from tests._curl import read_examples
+from tests._reference import DOCS
+
+PAGE = (DOCS / "API.md").read_text(encoding="utf-8")
+ENDPOINTS = (
+    *configuration.ENDPOINTS,
+    *keys.ENDPOINTS,
+    *operator_calls.WAVE_ENDPOINTS,
+    *operator_calls.INSTANCE_ENDPOINTS,
+    *job_calls.ENDPOINTS,
+    *submissions.ENDPOINTS,
+    *targets.ENDPOINTS,
+    *platform.ENDPOINTS,
+)
+
+
+class TestPages(unittest.TestCase):
+    def test_every_call_is_documented(self):
+        known = set(re.findall(r"`(?:(GET|POST) )?(/v1/[^` ]*)`", PAGE))
+        known |= {
+            ("POST" if "-d" in e.command or "-X POST" in e.command else "GET", path)
+            for e in read_examples(PAGE)
+            for path in re.findall(r"\$(?:DAEMON|CALLER)(/v1/\S+)", e.command)
+        }
+        for endpoint in ENDPOINTS:
+            assert (endpoint.method, endpoint.path) in known, endpoint.path
+
+    def test_every_refusal_is_documented_with_its_status(self):
+        for kind, status in STATUSES.items():
+            assert f"| `/problems/{kind.value}` | {status} |" in PAGE, kind
+
+    def test_glossary_leads_to_modules_that_exist(self):
+        rows = (DOCS / "GLOSSARY.md").read_text(encoding="utf-8").splitlines()
+        cells = [row.split("|")[3] for row in rows if row.startswith("|")][2:]
+        names = [name for cell in cells for name in re.findall(r"`(\w+)`", cell)]
+        assert len(names) > 20
+        for name in names:
+            assert find_spec(f"gypsumwalk.{name}"), name
