Refuse flags without a value, and check events against their records

Cause: fire turns a flag without a value into the text "True", which was taken for a key or a file; an event's message could lack values unnoticed. Change: such a flag is bad input; a test reads the code and compares the values of each literal record with the fields of its message. Conclusion: none of the recorded events lacks a value.

--- a/src/gypsumwalk/command.py
+++ b/src/gypsumwalk/command.py
@@ -21,7 +21,13 @@
     commands_service,
     commands_work,
 )
-from gypsumwalk.drivers._actions import Action, ExitCode, Report, describe_value
+from gypsumwalk.drivers._actions import (
+    Action,
+    BadArgument,
+    ExitCode,
+    Report,
+    describe_value,
+)
 from gypsumwalk.drivers._failures import describe_failure
 
 __all__ = ["main", "run_command"]
@@ -52,6 +58,12 @@
         SetParseFn(str)(self)
 
     def __call__(self, *arguments: str, **flags: str) -> Action:
+        bound = self.__signature__.bind(*arguments, **flags)
+        for name, value in bound.arguments.items():
+            takes_text = self.__signature__.parameters[name].annotation is str
+            # fire gives a flag without a value the text of a truth value.
+            if takes_text and value in ("True", "False"):
+                raise BadArgument(name, "a value", value)
         return self._function(*arguments, **flags)
 
     def __get__(self, owner: object, kind: type | None = None) -> "Command":
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -23,10 +23,15 @@
 
 
 def run(*arguments):
-    out, err = io.StringIO(), io.StringIO()
-    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+    content, err = io.BytesIO(), io.StringIO()
+    with (
+        io.TextIOWrapper(content, "utf-8") as out,
+        contextlib.redirect_stdout(out),
+        contextlib.redirect_stderr(err),
+    ):
         code = run_command(arguments)
-    return code, out.getvalue(), err.getvalue()
+        out.flush()
+        return code, content.getvalue().decode(), err.getvalue()
 
 
 class TestCommandLine(unittest.TestCase):
@@ -84,6 +89,8 @@
             ("timeline", str(self.folder), "--level", "loud"),
             ("timeline", str(self.folder), "--last", "none"),
             ("timeline", str(self.folder / "missing")),
+            ("timeline", str(self.folder), "--subject"),
+            ("submit", "q", "--payload", "--urgent"),
         ):
             code, out, err = run(*arguments)
             assert code == 2 and out == "" and err, arguments
--- /dev/null
+++ b/tests/test_events.py
@@ -0,0 +1,56 @@
+"""Tests of the catalogue of events, and of the code that records them."""
+
+import ast
+import unittest
+from pathlib import Path
+from string import Formatter
+
+import gypsumwalk
+from gypsumwalk.events import Event
+from gypsumwalk.eventlines import SECRET_NAMES
+
+SOURCES = Path(gypsumwalk.__file__).parent
+RANGES = range(1000, 5000)
+
+
+def list_fields(event):
+    return {name for _, name, _, _ in Formatter().parse(event.template) if name}
+
+
+def find_gaps(text):
+    """Return events recorded with a literal of values that lacks some of theirs."""
+    gaps = []
+    for node in ast.walk(ast.parse(text)):
+        if not isinstance(node, ast.Call) or ast.unparse(node.func) != "Record":
+            continue
+        event = ast.unparse(node.args[0])
+        if not event.startswith("Event."):
+            continue
+        values = node.args[2] if len(node.args) > 2 else ast.Dict([], [])
+        if not isinstance(values, ast.Dict):
+            continue
+        given = {key.value for key in values.keys if isinstance(key, ast.Constant)}
+        missing = list_fields(Event[event.removeprefix("Event.")]) - given
+        if missing and None not in values.keys:
+            gaps.append((event, sorted(missing)))
+    return gaps
+
+
+class TestEvents(unittest.TestCase):
+    def test_numbers_are_unique_and_in_range(self):
+        numbers = [event.number for event in Event]
+        assert len(numbers) == len(set(numbers))
+        assert all(number in RANGES for number in numbers)
+
+    def test_no_event_shows_a_key(self):
+        for event in Event:
+            assert not list_fields(event) & SECRET_NAMES, event
+
+    def test_every_event_is_recorded_with_the_values_of_its_message(self):
+        for path in sorted(SOURCES.rglob("*.py")):
+            assert not find_gaps(path.read_text()), (path, find_gaps(path.read_text()))
+
+    def test_the_check_of_values_finds_a_gap(self):
+        gaps = find_gaps("Record(Event.DAEMON_STARTED, '', {'versio': 1})")
+        assert gaps == [("Event.DAEMON_STARTED", ["version"])]
+        assert not find_gaps("Record(Event.DAEMON_STARTED, '', {'version': 1})")
