--- a/src/gypsumwalk/drivers/_calls.py
+++ b/src/gypsumwalk/drivers/_calls.py
@@ -84,8 +84,8 @@
         The action.
     """
 
-    def perform() -> Report:
+    def _perform() -> Report:
         answer = make_call(connection, method, path, body, idempotent=idempotent)
         return render(answer)
 
-    return Action(perform, parse_flag("json", json))
+    return Action(_perform, parse_flag("json", json))
--- a/src/gypsumwalk/drivers/commands_fleet.py
+++ b/src/gypsumwalk/drivers/commands_fleet.py
@@ -106,12 +106,12 @@
         path = f"/v1/instances/{require('name', name)}/why"
         return query(connection, "GET", path, json=json)
 
-    def render(answer: dict[str, list[dict[str, str]]]) -> Report:
+    def _render(answer: dict[str, list[dict[str, str]]]) -> Report:
         listed = answer["instances"]
         chosen = [item for item in listed if pool in ("", item["pool"])]
         return Report({"instances": chosen}, describe_value(chosen))
 
-    return query(connection, "GET", "/v1/instances", json=json, render=render)
+    return query(connection, "GET", "/v1/instances", json=json, render=_render)
 
 
 def start_wave(
