Hold uses of metrics to the catalogue's labels

Cause: in a trial of eight daemons every daemon stopped at its first message to a peer, as the labels of peer_messages differed from the catalogue's; the program called that bad input. Change: a test reads the code and compares names and labels of every use; a fault of a running daemon is told as a fault, outcome unknown. Conclusion: a wrong label no longer reaches a running daemon.

--- a/src/gypsumwalk/drivers/_failures.py
+++ b/src/gypsumwalk/drivers/_failures.py
@@ -8,8 +8,9 @@
 from gypsumwalk.drivers.client import Refused
 from gypsumwalk.errors import (
     BadBoundary,
-    GypsumwalkError,
+    BadFolder,
     OutcomeUnknown,
+    SettingsInvalid,
     UnreachableDaemon,
 )
 from gypsumwalk.problems import Outcome, ProblemType
@@ -74,11 +75,10 @@
     """
     kind = type(error).__name__
     match error:
+        case SettingsInvalid() | BadFolder():
+            return _describe_group(error, ExitCode.BAD_INPUT, Outcome.NOT_RUN)
         case ExceptionGroup():
-            errors = [str(single) for single in _flatten(error)]
-            code = ExitCode.BAD_INPUT if _is_input(error) else ExitCode.FAULT
-            detail = f"{len(errors)} errors" if len(errors) != 1 else "1 error"
-            return Failure(code, kind, detail, Outcome.NOT_RUN, errors)
+            return _describe_group(error, ExitCode.FAULT, Outcome.UNKNOWN)
         case Refused():
             return _describe_refusal(error)
         case BadBoundary():
@@ -106,6 +106,14 @@
     return Failure(code, kind, detail, problem.outcome, problem.errors)
 
 
+def _describe_group(
+    group: ExceptionGroup[Exception], code: ExitCode, outcome: Outcome
+) -> Failure:
+    errors = [str(single) for single in _flatten(group)]
+    detail = f"{len(errors)} errors" if len(errors) != 1 else "1 error"
+    return Failure(code, type(group).__name__, detail, outcome, errors)
+
+
 def _add_notes(text: str, error: Exception) -> str:
     return "; ".join([text, *getattr(error, "__notes__", [])])
 
@@ -115,7 +123,3 @@
     for error in group.exceptions:
         flat += _flatten(error) if isinstance(error, ExceptionGroup) else [error]
     return flat
-
-
-def _is_input(group: ExceptionGroup[Exception]) -> bool:
-    return all(isinstance(error, GypsumwalkError) for error in _flatten(group))
--- a/src/gypsumwalk/drivers/metriccatalogue.py
+++ b/src/gypsumwalk/drivers/metriccatalogue.py
@@ -48,7 +48,10 @@
     MetricEntry("http_calls", _COUNTER, "HTTP calls answered.", ("audience", "status")),
     MetricEntry("refusals", _COUNTER, "Calls refused.", ("type", "outcome")),
     MetricEntry(
-        "peer_messages", _COUNTER, "Messages sent to other daemons.", ("reliable",)
+        "peer_messages",
+        _COUNTER,
+        "Messages to and from other daemons.",
+        ("direction", "transport"),
     ),
     MetricEntry(
         "peer_bytes",
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -9,7 +9,10 @@
 
 from gypsumwalk import __version__
 from gypsumwalk.command import Command, make_commands, run_command
+from gypsumwalk.drivers._failures import describe_failure
+from gypsumwalk.errors import UnknownMetric
 from gypsumwalk.eventlines import EventLine, encode_line
+from gypsumwalk.problems import Outcome
 from gypsumwalk.timestamps import Timestamp
 from tests._catalogues import list_commands
 
@@ -129,3 +132,7 @@
         page = self.folder / "page.html"
         code, out, _ = run("timeline", str(self.folder), "--page", str(page))
         assert code == 0 and "<svg" in page.read_text()
+
+    def test_fault_of_a_running_daemon_is_not_called_bad_input(self):
+        failure = describe_failure(ExceptionGroup("", [UnknownMetric("x", [])]))
+        assert (failure.exit_code, failure.outcome) == (1, Outcome.UNKNOWN)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -24,18 +24,23 @@
     }
 
 
-def find_unknown_names(text):
-    return [
-        node.args[0].value
-        for node in ast.walk(ast.parse(text))
-        if isinstance(node, ast.Call)
-        and isinstance(node.func, ast.Attribute)
-        and node.func.attr in METHODS
-        and "metrics" in ast.unparse(node.func.value)
-        and node.args
-        and isinstance(node.args[0], ast.Constant)
-        and node.args[0].value not in METRICS
-    ]
+def find_unknown_uses(text):
+    """Return uses of metrics that the catalogue does not hold with these labels."""
+    wrong = []
+    for node in ast.walk(ast.parse(text)):
+        if not isinstance(node, ast.Call) or not isinstance(node.func, ast.Attribute):
+            continue
+        if node.func.attr not in METHODS or "metrics" not in ast.unparse(
+            node.func.value
+        ):
+            continue
+        name = ast.literal_eval(node.args[0])
+        labels = {keyword.arg for keyword in node.keywords} - {"amount", None}
+        is_open = any(keyword.arg is None for keyword in node.keywords)
+        entry = METRICS.get(name)
+        if entry is None or not (is_open or labels == set(entry.labels)):
+            wrong.append((name, sorted(labels)))
+    return wrong
 
 
 class TestMetrics(unittest.TestCase):
@@ -88,9 +93,16 @@
             with self.assertRaises(UnknownMetric):
                 call()
 
-    def test_code_uses_only_names_of_the_catalogue(self):
+    def test_code_uses_metrics_as_the_catalogue_holds_them(self):
         for path in SOURCES.rglob("*.py"):
-            assert not find_unknown_names(path.read_text()), path
-
-    def test_the_check_of_names_finds_an_unknown_one(self):
-        assert find_unknown_names("self._metrics.count('nothing')") == ["nothing"]
+            wrong = find_unknown_uses(path.read_text())
+            assert not wrong, (path, wrong)
+
+    def test_the_check_of_uses_finds_wrong_names_and_labels(self):
+        for text, wrong in (
+            ("self._metrics.count('nothing')", [("nothing", [])]),
+            ("metrics.count('inputs', sort='x')", [("inputs", ["sort"])]),
+            ("metrics.count('inputs')", [("inputs", [])]),
+            ("metrics.count('inputs', kind='x')", []),
+        ):
+            assert find_unknown_uses(text) == wrong
