Check every pair of faults against the promises on the paused clock

Cause: The promises about requests must hold through any two faults at once. Change: Runs of 250 requests on five daemons with each pair among target loss, daemon loss, partition, late answer, resend, leaving target or daemon, cancel, key withdrawn and limit lowered; checks that read only calls, answers and executions. A leaving daemon stays a second for balancers; a slot whose answer never came stays occupied after its target was handed over.

--- a/src/gypsumwalk/requests.py
+++ b/src/gypsumwalk/requests.py
@@ -71,6 +71,8 @@
 RELAY_MARGIN_SECONDS = 2.0
 MAX_WAITERS = 4
 RETRY_AFTER_SECONDS = 1.0
+LINGER_SECONDS = 1.0
+"""Least time between losing readiness and stopping, for balancers to notice."""
 
 REFUSALS = {
     KeyVerdict.UNKNOWN_KEY: ProblemType.UNAUTHENTICATED,
@@ -148,6 +150,7 @@
         )
         self._waiting: dict[str, int] = {}
         self._stop_at: float | None = None
+        self._linger_until = 0.0
         self._stopped = False
         self._wakeup = NEVER
 
@@ -449,6 +452,7 @@
             self._stop_at = min(self._stop_at, deadline)
             return self._leave(now)
         self._stop_at = deadline
+        self._linger_until = now + LINGER_SECONDS
         attributes = {"in_progress": len(self._records.live) + self._runs.running}
         return [Record(Event.DAEMON_STOPPING, self._name, attributes)]
 
@@ -459,7 +463,7 @@
             return self._cut(now)
         if self._records.live or len(self._runs) or len(self._relays):
             return []
-        if self._targets.is_giving_up:
+        if self._targets.is_giving_up or now < self._linger_until:
             return []
         self._stopped = True
         return [Record(Event.DAEMON_STOPPED, self._name, {"cut": 0}), Stop()]
--- a/src/gypsumwalk/runs.py
+++ b/src/gypsumwalk/runs.py
@@ -298,9 +298,8 @@
         return run, [dispatch, sent]
 
     def _free_slot(self, run: Run, status: DispatchStatus) -> None:
-        target = self._targets.table.targets.get(run.target)
-        if status is DispatchStatus.UNKNOWN and target is not None:
-            target.lose(run.token, run.until)
+        if status is DispatchStatus.UNKNOWN:
+            self._targets.lose(run.target, run.token, run.until)
         else:
             self._targets.release(run.target, run.token)
 
--- a/src/gypsumwalk/targets.py
+++ b/src/gypsumwalk/targets.py
@@ -188,6 +188,12 @@
             owned.busy.pop(holder, None)
         self._occupied.get(target, {}).pop(holder, None)
 
+    def lose(self, target: str, holder: str, until: float) -> None:
+        """Keep a slot occupied whose dispatch ended without an answer."""
+        owned = self.table.targets.get(target)
+        if owned is not None:
+            owned.lose(holder, until)
+
     @property
     def is_giving_up(self) -> bool:
         """Whether a target was given to a daemon that has not yet claimed it."""
@@ -204,13 +210,15 @@
 
     def list_owners(self, service: str) -> list[Member]:
         """Return the live daemons that claim targets of a service, nearest first."""
-        found = {}
-        for claim in self.ownership.foreign.list_claims(service):
-            member = self._membership.find(claim.owner)
-            if member is not None and member.alive and not claim.claim.leaving:
-                found[member.name] = member
+        names = {
+            item.owner
+            for item in self.ownership.foreign.list_claims(service)
+            if not item.claim.leaving
+        }
+        found = {name: self._membership.find(name) for name in names}
+        able = [member for member in found.values() if member and member.alive]
         return sorted(
-            found.values(),
+            able,
             key=lambda member: (member.data_centre != self._data_centre, member.name),
         )
 
@@ -448,6 +456,9 @@
         self._announced = {
             name: item for name, item in self._announced.items() if name in held
         }
+        for busy in self._occupied.values():
+            for holder in [key for key, until in busy.items() if until <= now]:
+                del busy[holder]
         for target in [name for name, busy in self._occupied.items() if not busy]:
             if target not in self._given and not self._leaving:
                 del self._occupied[target]
--- a/tests/_request_fakes.py
+++ b/tests/_request_fakes.py
@@ -9,6 +9,7 @@
     MembershipChanged,
     ProposalOutcome,
     ProposalStatus,
+    ShutdownRequested,
 )
 from gypsumwalk.node import Node
 from gypsumwalk.part import NEVER
@@ -21,6 +22,7 @@
 from tests._world import World
 
 COMMIT_SECONDS = 0.02
+FRESHNESS_SECONDS = 3.0
 
 
 class FakeFolder:
@@ -50,9 +52,17 @@
         self.cluster = cluster
         self.withdrawn = set()
         self.stale = False
+        self.cut_off_at = None
 
-    def check(self, credential, queue, now):
+    def is_stale(self):
         if self.stale:
+            return True
+        cut_off_at = self.cut_off_at
+        now = self.cluster.world.now
+        return cut_off_at is not None and now - cut_off_at > FRESHNESS_SECONDS
+
+    def check(self, credential, queue, now):
+        if self.is_stale():
             return Permit(KeyVerdict.STALE)
         rule = self.cluster.folder.queue_rules.get(queue)
         if rule is not None and rule.open_to_all:
@@ -144,20 +154,15 @@
     def commit(self, proposal):
         world = self.cluster.world
         here = world.daemons[self.daemon]
-        if here.paused or not here.alive or self.cluster.without_quorum:
+        if here.paused or not here.alive or not self.cluster.has_quorum(here):
             return
         for name, section in self.cluster.fences.items():
             if not world.network.blocks(here.place, world.daemons[name].place):
-                section.apply(proposal.command, 1, now_of(world))
+                section.apply(proposal.command, 1, world.now)
         outcome = ProposalOutcome(proposal.token, ProposalStatus.COMMITTED, 1)
         world.deliver(here, outcome)
 
 
-def now_of(world):
-    """Return the world's time."""
-    return world.now
-
-
 class Cluster:
     """A world whose daemons have the parts of targets and requests.
 
@@ -259,17 +264,65 @@
             CancelRequest(request_id), to=to, credential=f"{team}-key"
         )
 
+    def has_quorum(self, daemon):
+        """Tell whether a daemon reaches most of the daemons, itself included."""
+        if self.without_quorum:
+            return False
+        others = self.world.daemons.values()
+        reached = [
+            item
+            for item in others
+            if not self.world.network.blocks(daemon.place, item.place)
+        ]
+        return len(reached) * 2 > len(others)
+
+    def part(self, sources):
+        """Cut a group off, and tell each side that the other is dead."""
+        self.world.part(sources)
+        for daemon in self.world.daemons.values():
+            if not self.has_quorum(daemon):
+                self.keys[daemon.name].cut_off_at = self.world.now
+            for other in self.world.daemons.values():
+                if self.world.network.blocks(daemon.place, other.place):
+                    self.tell(daemon, other, MemberChange.DEAD)
+
+    def heal(self):
+        """End every partition, and let every daemon catch up."""
+        self.world.heal()
+        newest = max(self.fences.values(), key=lambda section: section.dump())
+        withdrawn = set().union(*(keys.withdrawn for keys in self.keys.values()))
+        for name, keys in self.keys.items():
+            keys.cut_off_at = None
+            keys.withdrawn |= withdrawn
+            self.fences[name].load(newest.dump())
+
+    def withdraw_key(self, team):
+        """Withdraw a team's key on every daemon that reaches the quorum."""
+        for keys in self.keys.values():
+            if keys.cut_off_at is None:
+                keys.withdrawn.add(f"{team}-key")
+
+    def shut_down(self, name, seconds=20.0):
+        """Ask a daemon to leave."""
+        self.leaving.add(name)
+        daemon = self.world.daemons[name]
+        self.world.deliver(daemon, ShutdownRequested(self.world.now + seconds))
+
     def kill(self, name):
         """End a daemon, and tell the others."""
         self.world.kill(name)
         self.announce_change(name, MemberChange.DEAD)
 
     def announce_change(self, name, change):
+        """Tell every other daemon of a change in membership."""
         for daemon in self.world.daemons.values():
             if daemon.name != name:
-                incarnation = self.world.daemons[name].incarnation
-                item = MembershipChanged(name, change, incarnation)
-                self.world.deliver(daemon, item)
+                self.tell(daemon, self.world.daemons[name], change)
+
+    def tell(self, daemon, other, change):
+        """Tell one daemon of a change in its view of another."""
+        item = MembershipChanged(other.name, change, other.incarnation)
+        self.world.deliver(daemon, item)
 
     def list_owners(self, target):
         """Return the daemons that own a target now."""
--- /dev/null
+++ b/tests/test_request_faults.py
@@ -0,0 +1,128 @@
+"""Pairs of faults under load, checked against the promises; each check can fail."""
+
+import itertools
+import unittest
+from unittest.mock import patch
+
+from gypsumwalk.effects import Raise
+from gypsumwalk.problems import Outcome
+from gypsumwalk.requests import RequestPart
+from gypsumwalk.scheduling import Scheduler
+from gypsumwalk.slots import OwnedTarget
+from tests._request_checks import (
+    check_all,
+    check_answered,
+    check_at_most_once,
+    check_leaving,
+    check_limits,
+    check_not_run,
+    check_shutdown,
+    check_slots,
+    check_whole_answers,
+    check_withdrawn,
+)
+from tests._request_faults import FAULTS, run_faults
+
+SEED = 11
+LOSSY = {"drop": 0.02, "duplicate": 0.05}
+
+
+class TestPairsOfFaults(unittest.TestCase):
+    def test_promises_hold_through_each_pair_of_faults(self):
+        for names in itertools.combinations_with_replacement(FAULTS, 2):
+            with self.subTest(faults=names):
+                assert check_all(run_faults(names, SEED)) == []
+
+    def test_promises_hold_on_a_network_that_loses_and_repeats(self):
+        for name in FAULTS:
+            with self.subTest(fault=name):
+                assert check_all(run_faults([name], SEED, **LOSSY)) == []
+
+
+class TestChecksCanFail(unittest.TestCase):
+    """Each check finds the fault that it is meant for."""
+
+    def test_check_of_at_most_once(self):
+        def repeat(part, request, now):
+            return now < request.deadline
+
+        with (
+            patch.object(Scheduler, "_may_repeat", repeat),
+            patch.object(Scheduler, "_refuse_start", lambda *_: None),
+        ):
+            assert list(check_at_most_once(run_faults(["target loss"], SEED)))
+
+    def test_check_of_whole_answers(self):
+        last = [b""]
+        take = Scheduler.take_outcome
+
+        def mix(scheduler, outcome, now):
+            crossed = type(outcome)(
+                outcome.dispatch_id, outcome.status, outcome.code, last[0]
+            )
+            last[0] = outcome.payload
+            return take(scheduler, crossed, now)
+
+        with patch.object(Scheduler, "take_outcome", mix):
+            assert list(check_whole_answers(run_faults(["resend"], SEED)))
+
+    def test_check_of_not_run(self):
+        def claim(request):
+            return Outcome.NOT_RUN
+
+        with patch("gypsumwalk.records.Request.unstarted_outcome", property(claim)):
+            assert list(check_not_run(run_faults(["target loss"], SEED)))
+
+    def test_check_of_leaving_targets(self):
+        with patch.object(OwnedTarget, "is_serving", lambda *_: True):
+            assert list(check_leaving(run_faults(["leaving target"], SEED)))
+
+    def test_check_of_withdrawn_keys(self):
+        with (
+            patch.object(Scheduler, "_refuse_start", lambda *_: None),
+            patch("gypsumwalk.requests.REFUSALS", {}),
+        ):
+            run = run_faults(["key withdrawn"], SEED, calls=600)
+            assert list(check_withdrawn(run))
+
+    def test_check_of_upper_limits(self):
+        with (
+            patch.object(Scheduler, "_acquire", take_without_a_unit),
+            patch.object(Scheduler, "_release", lambda *_: None),
+        ):
+            assert list(check_limits(run_faults(["limit lowered"], SEED)))
+
+    def test_check_of_slots(self):
+        with patch.object(OwnedTarget, "limit", lambda *_: 3):
+            assert list(check_slots(run_faults(["resend"], SEED)))
+
+    def test_check_of_calls_that_are_never_answered(self):
+        with patch("gypsumwalk.records.answer_waiter", lambda *_: Raise(None)):
+            assert list(check_answered(run_faults(["late answer"], SEED)))
+
+    def test_check_of_shutdowns_that_cut(self):
+        def stop(part, now):
+            return part._cut(now) if part._stop_at is not None else []
+
+        cut = RequestPart._cut
+
+        def cut_silently(part, now):
+            return cut(part, now)[-1:]
+
+        with (
+            patch.object(RequestPart, "_leave", stop),
+            patch.object(RequestPart, "_cut", cut_silently),
+        ):
+            run = run_faults(["leaving daemon"], SEED)
+            for name in run.shut_down:
+                run.world.daemons[name].exit_code = 0
+            assert list(check_shutdown(run))
+
+
+def take_without_a_unit(scheduler, request, now):
+    request.attempts += 1
+    return True
+
+
+if __name__ == "__main__":
+    unittest.main()
