Let a third daemon witness the partitions of the ownership tests

Cause: The fake log now commits only with a quorum, which one of two daemons lacks. Change: The two tests of a cut-off owner run with three daemons. Conclusion: The tests are as strict as before, with a log that is truer.

--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -7,6 +7,7 @@
 from tests._request_fakes import Cluster
 
 PAIR = {"hanbit-1": "seoul", "hanbit-2": "seoul"}
+THREE = {**PAIR, "hanbit-3": "busan"}
 FOUR = {**PAIR, "hanbit-3": "busan", "hanbit-4": "busan"}
 
 
@@ -53,12 +54,12 @@
         assert cluster.list_owners("runner-1") == []
 
     def test_cut_off_owner_with_a_stale_view_stops_before_the_takeover(self):
-        cluster = Cluster(PAIR)
+        cluster = Cluster(THREE)
         cluster.add_target("runner-1", "seoul")
         assert cluster.wait_owned("runner-1")
         (owner,) = cluster.list_owners("runner-1")
         (other,) = set(PAIR) - {owner}
-        cluster.world.part([owner], [other])
+        cluster.world.part([owner])
         cluster.world.run(3.0)
         cluster.keys[owner].stale = True
         assert cluster.parts[owner][0].choose("rebuild", cluster.world.now) is None
@@ -69,12 +70,12 @@
         assert cluster.parts[other][0].choose("rebuild", cluster.world.now)
 
     def test_fenced_owner_gives_its_targets_up_when_it_is_back(self):
-        cluster = Cluster(PAIR)
+        cluster = Cluster(THREE)
         cluster.add_target("runner-1", "seoul")
         assert cluster.wait_owned("runner-1")
         (owner,) = cluster.list_owners("runner-1")
         (other,) = set(PAIR) - {owner}
-        cluster.world.part([owner], [other])
+        cluster.world.part([owner])
         cluster.keys[owner].stale = True
         cluster.world.run(9.0)
         cluster.world.heal()
