Hold budgets, pools and leases through faults, with checks that can fail

Random faults over both users' sizes found: a crash and return within the loss timeout skipped the dwell time; a job on such an instance was followed for ever; a new run of an aborted wave forgot what the old one had taken away; a wave went on with an instance that had moved to another pool; a job that fails everywhere was excused for ever on a suspect worker. Change: an unexpected boot counts as a loss; an attempt that the platform lost sight of is stopped; a new run takes over what is away; moved instances are skipped; suspicion weighs a team's outcomes elsewhere and forgives a job five times; quarantine with probes and trials; moves by operators.

--- /dev/null
+++ b/src/gypsumwalk/_outcomes.py
@@ -0,0 +1,33 @@
+"""Answers to operators' calls that propose a command."""
+
+from gypsumwalk.effects import Answer
+from gypsumwalk.inputs import ProposalOutcome, ProposalStatus
+from gypsumwalk.problems import Outcome, ProblemType, refuse
+from gypsumwalk.state import Rejected
+
+__all__ = ["answer_outcome"]
+
+
+def answer_outcome(outcome: ProposalOutcome) -> Answer:
+    """Return the answer to a call whose command has an outcome.
+
+    Parameters
+    ----------
+    outcome : ProposalOutcome
+        The outcome.
+
+    Returns
+    -------
+    Answer
+        The answer.
+    """
+    match outcome.status:
+        case ProposalStatus.COMMITTED:
+            return Answer(200, outcome.result)
+        case ProposalStatus.REJECTED:
+            rejected = outcome.result
+            detail = rejected.detail if isinstance(rejected, Rejected) else ""
+            return refuse(ProblemType.CONFLICT, Outcome.NOT_RUN, detail)
+        case ProposalStatus.NOT_COMMITTED:
+            return refuse(ProblemType.NO_QUORUM, Outcome.NOT_RUN)
+    return refuse(ProblemType.OUTCOME_UNKNOWN, Outcome.UNKNOWN)
--- a/src/gypsumwalk/instances.py
+++ b/src/gypsumwalk/instances.py
@@ -68,7 +68,7 @@
     purpose : str
         What it is drained for: ``wave/NAME`` or ``move/POOL``.
     boots : int
-        How often it had booted when it was last drained for a reboot.
+        How often it had booted when it last joined, rebooted or was heard again.
     reboot_index : int
         Position in the log of a reboot that the platform may still carry out, 0 for
         none.
--- a/src/gypsumwalk/job_records.py
+++ b/src/gypsumwalk/job_records.py
@@ -212,6 +212,8 @@
         Number of the latest attempt, 0 before the first.
     failures : int
         Attempts that counted against it.
+    excused : int
+        Attempts that failed and were not blamed on it.
     losses : int
         Attempts that ended with the loss of their worker or of their lease.
     instance : str
@@ -239,6 +241,7 @@
     submitted_at: float
     attempt: int = 0
     failures: int = 0
+    excused: int = 0
     losses: int = 0
     instance: str = ""
     placed_at: float = 0.0
--- a/src/gypsumwalk/jobs.py
+++ b/src/gypsumwalk/jobs.py
@@ -45,14 +45,18 @@
 MAX_BACKOFF_SECONDS = 300.0
 MAX_LOST_ATTEMPTS = 8
 """Losses of the worker after which a repeatable job is tried no more."""
+MAX_EXCUSED_ATTEMPTS = 5
+"""Failures that are blamed on a worker before they count against the job."""
 MAX_RESULT_CHARACTERS = 64 * 1024
 
 
 def _count_end(record: JobRecord, command: EndJob) -> None:
     if command.phase is TaskPhase.LEASE_EXPIRED:
         record.losses += 1
-    elif command.phase in (TaskPhase.FAILED, TaskPhase.STOPPED):
-        record.failures += command.blame
+    elif command.phase is TaskPhase.FAILED:
+        excused = not command.blame and record.excused < MAX_EXCUSED_ATTEMPTS
+        record.excused += excused
+        record.failures += not excused
 
 
 def _is_exhausted(record: JobRecord) -> bool:
@@ -285,7 +289,7 @@
         if command.phase is TaskPhase.NEVER_STARTED:
             record.not_before = at + FIRST_BACKOFF_SECONDS
             return
-        setbacks = record.failures + record.losses
+        setbacks = record.failures + record.losses + record.excused
         if command.phase is TaskPhase.STOPPED or not setbacks:
             record.not_before = at
             return
--- a/src/gypsumwalk/operator_calls.py
+++ b/src/gypsumwalk/operator_calls.py
@@ -17,6 +17,7 @@
     "InstanceStatus",
     "ListInstances",
     "ListPools",
+    "MoveInstanceCall",
     "PauseWaveCall",
     "PoolList",
     "PoolStatus",
@@ -80,6 +81,21 @@
     name: str
 
 
+class MoveInstanceCall(msgspec.Struct, frozen=True):
+    """Move an instance to another pool.
+
+    Attributes
+    ----------
+    name : str
+        The instance.
+    destination : str
+        The pool.
+    """
+
+    name: str
+    destination: str
+
+
 class Explanation(msgspec.Struct, frozen=True):
     """Reasons of a decision.
 
@@ -214,4 +230,5 @@
     Endpoint(
         "GET", "/v1/instances/{name}/why", ExplainInstance, OPERATOR, BodyKind.NONE
     ),
+    Endpoint("POST", "/v1/instances/{name}/move", MoveInstanceCall, OPERATOR),
 )
--- a/src/gypsumwalk/placement.py
+++ b/src/gypsumwalk/placement.py
@@ -7,6 +7,7 @@
 from gypsumwalk.folder import Folder
 from gypsumwalk.instances import InstanceRecord
 from gypsumwalk.job_records import JobRecord, SubmitJob
+from gypsumwalk.suspicion import SuspicionTable
 
 __all__ = ["Choice", "Size", "Usage", "choose_instance", "explain_never", "size_of"]
 
@@ -45,9 +46,6 @@
         )
 
 
-NO_SIZE = Size(0.0, 0.0, 0.0)
-
-
 def size_of(item: SubmitJob | InstanceRecord) -> Size:
     """Return the declared size of a job, or the capacity of an instance."""
     return Size(item.processors, item.memory_gb, float(item.accelerators))
@@ -82,6 +80,8 @@
     candidates: Iterable[InstanceRecord],
     usage: dict[str, Usage],
     rack_jobs: dict[str, int],
+    suspicion: SuspicionTable,
+    now: float,
 ) -> Choice:
     """Choose the instance for a job.
 
@@ -100,20 +100,30 @@
         What is in use, by instance.
     rack_jobs : dict of str to int
         Jobs of the same team, by rack.
+    suspicion : SuspicionTable
+        Evidence against workers; one that failed the job before, or others, comes
+        last.
+    now : float
+        Time in seconds.
 
     Returns
     -------
     Choice
         The instance, or an empty name with the reason.
     """
-    best: tuple[int, float, str] | None = None
+    best: tuple[bool, int, float, str] | None = None
     seen = 0
     for record in candidates:
         seen += 1
         room = usage[record.name]
         if not size.fits(room.free):
             continue
+        repeatable = job.spec.repeatable
+        doubts = suspicion.doubts(
+            job.spec.job_id, record.name, now, repeatable=repeatable
+        )
         key = (
+            doubts,
             rack_jobs.get(record.rack, 0),
             -room.free.processors,
             record.name,
@@ -124,8 +134,8 @@
         if not seen:
             return Choice("", "no instance of its pool is available")
         return Choice("", f"none of {seen} available instances has room for it")
-    racks = f"its rack runs {best[0]} jobs of the team"
-    return Choice(best[2], f"{racks}, {-best[1]:g} processors free")
+    racks = f"its rack runs {best[1]} jobs of the team"
+    return Choice(best[3], f"{racks}, {-best[2]:g} processors free")
 
 
 def explain_never(spec: SubmitJob, pool: str, folder: Folder) -> str:
--- a/src/gypsumwalk/pools.py
+++ b/src/gypsumwalk/pools.py
@@ -11,23 +11,23 @@
     InstanceState,
     follow,
 )
+from gypsumwalk.pool_commands import (
+    COMMANDS,
+    CancelDrain,
+    LoseInstance,
+    MoveInstance,
+    QuarantineInstance,
+    ReassignInstance,
+    ReconcileInstances,
+    RecoverInstance,
+    ReleaseInstance,
+    SettleInstance,
+)
 from gypsumwalk.reasons import add_reason
 from gypsumwalk.state import Accepted, Rejected
 from gypsumwalk.views import FolderView
 
-__all__ = [
-    "COMMANDS",
-    "CancelDrain",
-    "LoseInstance",
-    "MoveInstance",
-    "PoolSection",
-    "QuarantineInstance",
-    "ReassignInstance",
-    "ReconcileInstances",
-    "RecoverInstance",
-    "ReleaseInstance",
-    "SettleInstance",
-]
+__all__ = ["COMMANDS", "MOVE_PURPOSE", "RETIRE_PURPOSE", "PoolSection"]
 
 MOVE_PURPOSE = "move/"
 RETIRE_PURPOSE = "retire"
@@ -36,107 +36,6 @@
 """Unplanned losses remembered, the oldest left out first."""
 
 
-class ReconcileInstances(msgspec.Struct, frozen=True, tag=True):
-    """Take up the instances that the folder in force declares.
-
-    Attributes
-    ----------
-    generation : int
-        Generation of the folder that the proposer saw.
-    """
-
-    generation: int
-
-
-class LoseInstance(msgspec.Struct, frozen=True, tag=True):
-    """Count an instance as unavailable, as it can't be reached."""
-
-    instance: str
-    reason: str = "no heartbeat"
-
-
-class RecoverInstance(msgspec.Struct, frozen=True, tag=True):
-    """Let a lost instance that is heard again begin to dwell."""
-
-    instance: str
-
-
-class SettleInstance(msgspec.Struct, frozen=True, tag=True):
-    """Count an instance as available after it stayed healthy.
-
-    Attributes
-    ----------
-    instance : str
-        The instance.
-    dwell_seconds : float
-        Seconds that it has to have dwelt.
-    """
-
-    instance: str
-    dwell_seconds: float
-
-
-class QuarantineInstance(msgspec.Struct, frozen=True, tag=True):
-    """Give an instance no work, as it fails what it starts."""
-
-    instance: str
-    reason: str
-    silent: list[str] = []
-
-
-class ReleaseInstance(msgspec.Struct, frozen=True, tag=True):
-    """Let an instance leave quarantine, as a probe went well."""
-
-    instance: str
-
-
-class MoveInstance(msgspec.Struct, frozen=True, tag=True):
-    """Drain an instance so that it may move to another pool.
-
-    Attributes
-    ----------
-    instance : str
-        The instance.
-    source : str
-        Pool that the proposer saw it in.
-    destination : str
-        Pool that it goes to; empty to retire an instance no longer declared.
-    silent : list of str
-        Instances that the proposer has not heard of lately.
-    """
-
-    instance: str
-    source: str
-    destination: str
-    silent: list[str] = []
-
-
-class ReassignInstance(msgspec.Struct, frozen=True, tag=True):
-    """Give a drained instance to the pool that it was drained for."""
-
-    instance: str
-
-
-class CancelDrain(msgspec.Struct, frozen=True, tag=True):
-    """Let an instance go back to work that was draining or drained."""
-
-    instance: str
-    reason: str
-
-
-COMMANDS = (
-    ReconcileInstances,
-    LoseInstance,
-    RecoverInstance,
-    SettleInstance,
-    QuarantineInstance,
-    ReleaseInstance,
-    MoveInstance,
-    ReassignInstance,
-    CancelDrain,
-)
-
-
 class Loss(msgspec.Struct, frozen=True):
     """One unplanned loss.
 
@@ -347,6 +246,10 @@
         """Note that the platform will carry out no further reboot of an instance."""
         self._instances[instance].reboot_index = 0
 
+    def note_boots(self, instance: str, boots: int) -> None:
+        """Note how often an instance has booted, so that a further boot is seen."""
+        self._instances[instance].boots = boots
+
     def list_losses(self, pools: set[str], since: float) -> list[str]:
         """Return the instances of some pools that were lost after a time.
 
@@ -400,10 +303,10 @@
                 return self._reconcile(at)
             case LoseInstance(instance, reason):
                 return self._release_purpose(instance, InstanceEvent.LOSE, at, reason)
-            case RecoverInstance(instance):
-                return self._recover(instance, at)
-            case SettleInstance(instance, dwell_seconds):
-                return self._settle(instance, dwell_seconds, at)
+            case RecoverInstance(instance, boots):
+                return self._recover(instance, boots, at)
+            case SettleInstance():
+                return self._settle(command, at)
             case QuarantineInstance():
                 return self._quarantine(command, at)
             case ReleaseInstance(instance):
@@ -426,19 +329,26 @@
             self._instances[instance].purpose = ""
         return refusal
 
-    def _recover(self, instance: str, at: float) -> str:
+    def _recover(self, instance: str, boots: int, at: float) -> str:
         record = self._instances.get(instance)
         if record and record.reboot_index:
             return f"a reboot of {instance} may still be carried out"
         reason = "heard again after a loss"
-        return self.trigger(instance, InstanceEvent.RECOVER, at, reason)
+        refusal = self.trigger(instance, InstanceEvent.RECOVER, at, reason)
+        if not refusal:
+            self.note_boots(instance, boots)
+        return refusal
 
-    def _settle(self, instance: str, dwell_seconds: float, at: float) -> str:
-        record = self._instances.get(instance)
-        if record and at - record.since < dwell_seconds:
-            return f"instance {instance} has not dwelt for {dwell_seconds} s"
+    def _settle(self, command: SettleInstance, at: float) -> str:
+        name, dwell = command.instance, command.dwell_seconds
+        record = self._instances.get(name)
+        if record and at - record.since < dwell:
+            return f"instance {name} has not dwelt for {dwell} s"
         event = InstanceEvent.SETTLE
-        return self._release_purpose(instance, event, at, "stayed healthy")
+        refusal = self._release_purpose(name, event, at, "stayed healthy")
+        if not refusal:
+            self.note_boots(name, command.boots)
+        return refusal
 
     def _quarantine(self, command: QuarantineInstance, at: float) -> str:
         record = self._instances.get(command.instance)
--- a/src/gypsumwalk/queueing.py
+++ b/src/gypsumwalk/queueing.py
@@ -15,6 +15,7 @@
 from gypsumwalk.platform import WorkerReport
 from gypsumwalk.pools import PoolSection
 from gypsumwalk.state import Rejected
+from gypsumwalk.suspicion import SuspicionTable
 from gypsumwalk.views import FolderView
 
 __all__ = ["Planner"]
@@ -33,14 +34,21 @@
         Instances and their pools.
     folder : FolderView
         The configuration.
+    suspicion : SuspicionTable
+        Evidence against workers.
     """
 
     def __init__(
-        self, jobs: JobSection, pools: PoolSection, folder: FolderView
+        self,
+        jobs: JobSection,
+        pools: PoolSection,
+        folder: FolderView,
+        suspicion: SuspicionTable,
     ) -> None:
         self._jobs = jobs
         self._pools = pools
         self._folder = folder
+        self._suspicion = suspicion
         self._waits: dict[str, str] = {}
 
     def reset(self) -> None:
@@ -84,7 +92,7 @@
         usage: dict[str, dict[str, Usage]] = {}
         commands: list[PlaceJob | RefuseJob] = []
         for job in waiting:
-            command = self._place(job, usage)
+            command = self._place(job, usage, now)
             if command is not None:
                 commands.append(command)
             if len(commands) >= MAX_PLACEMENTS_PER_PASS:
@@ -92,7 +100,7 @@
         return commands
 
     def _place(
-        self, job: JobRecord, usage: dict[str, dict[str, Usage]]
+        self, job: JobRecord, usage: dict[str, dict[str, Usage]], now: float
     ) -> PlaceJob | RefuseJob | None:
         spec = job.spec
         pool = self._jobs.find_pool(spec.queue)
@@ -104,7 +112,9 @@
             usage[pool] = {item.name: self._measure(item) for item in candidates}
         racks = self._count_racks(spec.team, candidates)
         size = size_of(spec)
-        choice = choose_instance(job, size, candidates, usage[pool], racks)
+        choice = choose_instance(
+            job, size, candidates, usage[pool], racks, self._suspicion, now
+        )
         if not choice.instance:
             self._waits[spec.job_id] = choice.reason
             return None
--- a/src/gypsumwalk/scheduler.py
+++ b/src/gypsumwalk/scheduler.py
@@ -9,7 +9,7 @@
 from gypsumwalk._proposals import PendingProposals
 from gypsumwalk.effects import Answer, Effect, Propose, Record, Respond, Scalar
 from gypsumwalk.events import Event
-from gypsumwalk.heartbeats import WorkersReported, read_reports
+from gypsumwalk.heartbeats import HeartbeatTable, WorkersReported, read_reports
 from gypsumwalk.inputs import (
     CallInput,
     Committed,
@@ -41,18 +41,22 @@
 from gypsumwalk.operator_calls import Explanation
 from gypsumwalk.placement import explain_never
 from gypsumwalk.platform import ReportWorkers
+from gypsumwalk.pool_commands import QuarantineInstance
 from gypsumwalk.pools import PoolSection
 from gypsumwalk.problems import Outcome, ProblemType, refuse
+from gypsumwalk.quarantine import QuarantineKeeper
 from gypsumwalk.queueing import Planner
 from gypsumwalk.reasons import Reason
 from gypsumwalk.settings import Settings
 from gypsumwalk.state import Accepted, Rejected
+from gypsumwalk.suspicion import SuspicionTable
 from gypsumwalk.tasks import TaskKeeper
 from gypsumwalk.views import FolderView, KeyVerdict, KeyView, LeadershipView
 
 __all__ = ["ENDPOINTS", "JobPart"]
 
 PERIOD_SECONDS = 0.5
+PROBE_PREFIX = "jobs/probe/"
 JOB_CALLS = (SubmitJobCall, DescribeJob, CancelJobCall, ExplainJob)
 KEY_REFUSALS = {
     KeyVerdict.UNKNOWN_KEY: ProblemType.UNAUTHENTICATED,
@@ -72,6 +76,8 @@
         The jobs.
     pools : PoolSection
         Instances and their pools.
+    heartbeats : HeartbeatTable
+        When each instance was last heard.
     keys : KeyView
         Teams' keys.
     folder : FolderView
@@ -93,6 +99,7 @@
         EndJob,
         CancelJob,
         RefuseJob,
+        QuarantineInstance,
     )
 
     def __init__(
@@ -101,6 +108,7 @@
         settings: Settings,
         jobs: JobSection,
         pools: PoolSection,
+        heartbeats: HeartbeatTable,
         keys: KeyView,
         folder: FolderView,
         leadership: LeadershipView,
@@ -115,8 +123,15 @@
         self._leadership = leadership
         self._random = random
         self._proposals = PendingProposals(self.name)
-        self._tasks = TaskKeeper(jobs, pools, folder, self._proposals, PendingCalls())
-        self._planner = Planner(jobs, pools, folder)
+        self._suspicion = SuspicionTable()
+        self._calls = PendingCalls()
+        self._tasks = TaskKeeper(
+            jobs, pools, folder, self._proposals, self._calls, self._suspicion
+        )
+        self._quarantine = QuarantineKeeper(
+            pools, heartbeats, self._suspicion, self._proposals, self._calls
+        )
+        self._planner = Planner(jobs, pools, folder, self._suspicion)
         self._answers: dict[str, tuple[int, str]] = {}
         self._count = 0
         self._leading = False
@@ -146,8 +161,7 @@
             case ProposalOutcome():
                 return self._take_proposal(item)
             case PlatformOutcome():
-                if self._leadership.holds_lease(now):
-                    return self._tasks.take_outcome(item, now)
+                return self._take_outcome(item, now)
             case Committed(result=Accepted()):
                 return self._take_commit(item.command, now)
         return []
@@ -172,8 +186,12 @@
         if not self._leading:
             self._leading = True
             self._tasks.reset(now)
+            self._calls.reset()
             self._planner.reset()
+            self._suspicion.reset()
+            self._quarantine.reset()
         effects = self._tasks.advance(now)
+        effects += self._quarantine.advance(now)
         for command in self._planner.plan(now):
             effects += self._proposals.propose(command.job_id, command)
         return effects
@@ -190,6 +208,15 @@
                 effects += self._tasks.take_state(state, now)
         return effects
 
+    def _take_outcome(self, outcome: PlatformOutcome, now: float) -> list[Effect]:
+        if not self._calls.settle(outcome, now):
+            return []
+        if not self._leadership.holds_lease(now):
+            return []
+        if outcome.token.startswith(PROBE_PREFIX):
+            return self._quarantine.take_report(outcome.report, now)
+        return self._tasks.take_outcome(outcome, now)
+
     def _take_proposal(self, outcome: ProposalOutcome) -> list[Effect]:
         key = self._proposals.settle(outcome)
         if outcome.status is ProposalStatus.REJECTED and outcome.result is not None:
@@ -200,6 +227,7 @@
         if isinstance(command, SubmitJob | EndJob | CancelJob | PlaceJob):
             self.wakeup = now
         self._planner.note(command)
+        self._quarantine.note(command)
         return _record(command)
 
     # Teams' calls.
@@ -315,6 +343,8 @@
             return [Record(Event.JOB_ATTEMPT_ENDED, job_id, ended)]
         case CancelJob(job_id):
             return [Record(Event.JOB_CANCELLED, job_id)]
+        case QuarantineInstance(instance, reason):
+            return [Record(Event.INSTANCE_QUARANTINED, instance, {"reason": reason})]
         case RefuseJob(job_id, reason):
             return [Record(Event.JOB_REFUSED, job_id, {"reason": reason})]
     return []
--- a/src/gypsumwalk/tasks.py
+++ b/src/gypsumwalk/tasks.py
@@ -1,5 +1,7 @@
 """Attempts in progress: started, renewed, stopped, and ended only when certain."""
 
+from typing import Any
+
 import msgspec
 
 from gypsumwalk._calls import PendingCalls
@@ -26,7 +28,9 @@
     TaskState,
     TaskStates,
 )
-from gypsumwalk.pools import CancelDrain, PoolSection
+from gypsumwalk.pool_commands import CancelDrain
+from gypsumwalk.pools import PoolSection
+from gypsumwalk.suspicion import SuspicionTable
 from gypsumwalk.views import FolderView
 from gypsumwalk.waves import WAVE_PURPOSE
 
@@ -44,6 +48,9 @@
 CHECKPOINT_SECONDS = 20.0
 """Seconds for a checkpoint before a stop."""
 
+UNKNOWN_SECONDS = 30.0
+"""Seconds for which the platform can't tell how an attempt stands before a stop."""
+
 ENDED = (
     TaskPhase.SUCCEEDED,
     TaskPhase.FAILED,
@@ -74,6 +81,8 @@
         Proposals of the part that owns the keeper.
     calls : PendingCalls
         Calls of the part that owns the keeper.
+    suspicion : SuspicionTable
+        Evidence against workers, which grows with each failure.
     """
 
     def __init__(
@@ -83,16 +92,20 @@
         folder: FolderView,
         proposals: PendingProposals,
         calls: PendingCalls,
+        suspicion: SuspicionTable,
     ) -> None:
         self._jobs = jobs
         self._pools = pools
         self._folder = folder
         self._proposals = proposals
         self._calls = calls
+        self._suspicion = suspicion
+        self._judged: dict[TaskKey, bool] = {}
         self._stopped_at: dict[TaskKey, float] = {}
         self._causes: dict[TaskKey, str] = {}
         self._checkpoint_at: dict[TaskKey, float] = {}
         self._draining_since: dict[str, float] = {}
+        self._unknown_since: dict[TaskKey, float] = {}
         self._renew_at = 0.0
         self._renewals = 0
 
@@ -104,10 +117,11 @@
         now : float
             Time in seconds.
         """
-        self._calls.reset()
         self._stopped_at.clear()
         self._causes.clear()
+        self._judged.clear()
         self._checkpoint_at.clear()
+        self._unknown_since.clear()
         self._draining_since.clear()
         self._renew_at = now
 
@@ -155,13 +169,15 @@
                 return []
             detail = "its lease ran out after a stop that the worker did not answer"
             state = TaskState(key, TaskPhase.LEASE_EXPIRED)
-            return self._end(record, state, detail)
+            return self._end(record, state, detail, now)
         instance = self._pools.find(record.instance)
         if record.state is JobState.CANCELLING:
             return self._stop(key, now)
         if instance is None or instance.state in GONE:
             self._causes.setdefault(key, "its instance was lost")
             return self._stop(key, now)
+        if now - self._unknown_since.get(key, now) > UNKNOWN_SECONDS:
+            self._causes.setdefault(key, "the platform lost sight of it")
         if key in self._causes:
             return self._checkpoint_and_stop(key, now)
         if record.state is JobState.PLACED:
@@ -205,7 +221,14 @@
 
     def _prune(self, records: list[JobRecord]) -> None:
         alive = {_key(record) for record in records}
-        for table in (self._stopped_at, self._causes, self._checkpoint_at):
+        tables: tuple[dict[TaskKey, Any], ...] = (
+            self._stopped_at,
+            self._causes,
+            self._checkpoint_at,
+            self._judged,
+            self._unknown_since,
+        )
+        for table in tables:
             for key in [key for key in table if key not in alive]:
                 del table[key]
 
@@ -251,12 +274,12 @@
     # Outcomes of the platform.
 
     def take_outcome(self, outcome: PlatformOutcome, now: float) -> list[Effect]:
-        """Take in the end of a call to the platform.
+        """Take in the platform's answer to a call.
 
         Parameters
         ----------
         outcome : PlatformOutcome
-            The end.
+            The answer.
         now : float
             Time in seconds.
 
@@ -265,8 +288,6 @@
         list of Effect
             Proposals.
         """
-        if not self._calls.settle(outcome, now):
-            return []
         _, kind, *rest = outcome.token.split("/")
         report = outcome.report
         if kind == "start":
@@ -323,27 +344,47 @@
             return []
         if record.attempt != state.task.attempt:
             return []
+        if state.phase is TaskPhase.UNKNOWN:
+            self._unknown_since.setdefault(state.task, now)
+            return []
+        self._unknown_since.pop(state.task, None)
         if state.phase is TaskPhase.RUNNING and record.state is JobState.PLACED:
             command = StartedJob(state.task.job_id, state.task.attempt)
             return self._proposals.propose(record.spec.job_id, command)
         if state.phase in ENDED:
-            return self._end(record, state, detail)
+            return self._end(record, state, detail, now)
         return []
 
-    def _end(self, record: JobRecord, state: TaskState, detail: str) -> list[Effect]:
+    def _end(
+        self, record: JobRecord, state: TaskState, detail: str, now: float
+    ) -> list[Effect]:
         cause = self._causes.get(state.task, "")
-        stopped = state.phase in (TaskPhase.STOPPED, TaskPhase.LEASE_EXPIRED)
+        blame = not cause
+        if state.task not in self._judged:
+            self._judged[state.task] = self._judge(record, state.phase, now)
+        if state.phase is TaskPhase.FAILED:
+            blame = self._judged[state.task]
+            detail = detail or ("" if blame else "other jobs fail on its instance too")
         command = EndJob(
             state.task.job_id,
             state.task.attempt,
             state.phase,
             state.result,
             state.checkpoint,
-            blame=not (stopped and cause),
+            blame=blame,
             detail=detail or cause,
         )
         return self._proposals.propose(record.spec.job_id, command)
 
+    def _judge(self, record: JobRecord, phase: TaskPhase, now: float) -> bool:
+        team, instance = record.spec.team, record.instance
+        job_id = record.spec.job_id
+        if phase is TaskPhase.SUCCEEDED:
+            self._suspicion.note_success(team, instance)
+        if phase is TaskPhase.FAILED:
+            return self._suspicion.note_failure(team, job_id, instance, now)
+        return True
+
 
 def _key(record: JobRecord) -> TaskKey:
     return TaskKey(record.spec.job_id, record.attempt)
--- a/src/gypsumwalk/upkeep.py
+++ b/src/gypsumwalk/upkeep.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Sequence
 
+from gypsumwalk._outcomes import answer_outcome
 from gypsumwalk._proposals import PendingProposals
-from gypsumwalk.effects import Answer, Effect, Record, Respond
+from gypsumwalk.effects import Answer, Effect, Propose, Record, Respond
 from gypsumwalk.events import Event
 from gypsumwalk.heartbeats import HeartbeatTable
 from gypsumwalk.inputs import CallInput, Committed, Input, ProposalOutcome
@@ -16,19 +17,20 @@
     InstanceStatus,
     ListInstances,
     ListPools,
+    MoveInstanceCall,
     PoolList,
     PoolStatus,
 )
-from gypsumwalk.pools import (
+from gypsumwalk.pool_commands import (
     CancelDrain,
     LoseInstance,
     MoveInstance,
-    PoolSection,
     ReassignInstance,
     ReconcileInstances,
     RecoverInstance,
     SettleInstance,
 )
+from gypsumwalk.pools import PoolSection
 from gypsumwalk.problems import Outcome, ProblemType, refuse
 from gypsumwalk.state import Accepted
 from gypsumwalk.views import FolderView, KeyView, LeadershipView
@@ -76,6 +78,7 @@
         ListPools,
         ListInstances,
         ExplainInstance,
+        MoveInstanceCall,
         LoseInstance,
         ReassignInstance,
     )
@@ -96,6 +99,8 @@
         self._folder = folder
         self._leadership = leadership
         self._proposals = PendingProposals(self.name)
+        self._answers: dict[str, int] = {}
+        self._count = 0
         self._leading = False
         self._healthy_since: dict[str, float] = {}
 
@@ -115,6 +120,8 @@
             Answers and events.
         """
         match item:
+            case CallInput(body=MoveInstanceCall()):
+                return self._take_move(item, now)
             case CallInput():
                 return [Respond(item.call_id, self._answer(item, now))]
             case Committed(command=LoseInstance() as command, result=Accepted()):
@@ -122,6 +129,8 @@
                 return [Record(Event.INSTANCE_LOST, command.instance, reason)]
             case Committed(command=ReassignInstance() as command, result=Accepted()):
                 return self._record_move(command.instance)
+            case ProposalOutcome(token=token) if token in self._answers:
+                return [Respond(self._answers.pop(token), answer_outcome(item))]
             case ProposalOutcome():
                 self._proposals.settle(item)
         return []
@@ -165,10 +174,12 @@
         if record.state is InstanceState.LOST:
             if self._heartbeats.is_silent(name, now) or record.reboot_index:
                 return []
-            return self._proposals.propose(name, RecoverInstance(name))
-        lost = self._heartbeats.is_lost(name, now)
-        if lost and record.state in REACHABLE and record.counted:
-            return self._proposals.propose(name, LoseInstance(name))
+            boots = self._heartbeats.find_boots(name)
+            return self._proposals.propose(name, RecoverInstance(name, boots))
+        if record.state in REACHABLE and record.counted:
+            reason = self._find_loss(record, now)
+            if reason:
+                return self._proposals.propose(name, LoseInstance(name, reason))
         if record.state in SETTLING:
             return self._settle(record, now)
         self._healthy_since.pop(name, None)
@@ -178,6 +189,13 @@
             return self._keep_active(record, now)
         return []
 
+    def _find_loss(self, record: InstanceRecord, now: float) -> str:
+        if self._heartbeats.is_lost(record.name, now):
+            return "no heartbeat"
+        if self._heartbeats.find_boots(record.name) > record.boots:
+            return "it booted unexpectedly"
+        return ""
+
     def _settle(self, record: InstanceRecord, now: float) -> list[Effect]:
         name = record.name
         if self._heartbeats.is_silent(name, now):
@@ -187,7 +205,8 @@
         dwell = self._find_dwell(record)
         if now - since < dwell:
             return []
-        return self._proposals.propose(name, SettleInstance(name, dwell))
+        boots = self._heartbeats.find_boots(name)
+        return self._proposals.propose(name, SettleInstance(name, dwell, boots))
 
     def _find_dwell(self, record: InstanceRecord) -> float:
         if record.state is InstanceState.JOINING:
@@ -219,6 +238,22 @@
 
     # Answers to operators.
 
+    def _take_move(self, call: CallInput, now: float) -> list[Effect]:
+        if not self._keys.check_operator(call.credential, now):
+            refusal = refuse(ProblemType.UNAUTHENTICATED, Outcome.NOT_RUN)
+            return [Respond(call.call_id, refusal)]
+        assert isinstance(call.body, MoveInstanceCall)
+        record = self._pools.find(call.body.name)
+        if record is None or not call.body.destination:
+            detail = f"instance {call.body.name} or its destination is not known"
+            refusal = refuse(ProblemType.NOT_FOUND, Outcome.NOT_RUN, detail)
+            return [Respond(call.call_id, refusal)]
+        self._count += 1
+        token = f"{self.name}/call/{self._count}"
+        self._answers[token] = call.call_id
+        command = MoveInstance(record.name, record.pool, call.body.destination)
+        return [Propose(token, command)]
+
     def _answer(self, call: CallInput, now: float) -> Answer:
         if not self._keys.check_operator(call.credential, now):
             return refuse(ProblemType.UNAUTHENTICATED, Outcome.NOT_RUN)
--- a/src/gypsumwalk/wave_steps.py
+++ b/src/gypsumwalk/wave_steps.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from gypsumwalk._calls import PendingCalls
+from gypsumwalk._outcomes import answer_outcome
 from gypsumwalk._proposals import PendingProposals
 from gypsumwalk.effects import Answer, Effect, Propose, Record, Respond
 from gypsumwalk.estimates import estimate_wave
@@ -16,7 +17,6 @@
     Input,
     PlatformOutcome,
     ProposalOutcome,
-    ProposalStatus,
 )
 from gypsumwalk.instances import InstanceRecord, InstanceState
 from gypsumwalk.operator_calls import (
@@ -34,9 +34,10 @@
     ProbeInstance,
     RebootInstance,
 )
-from gypsumwalk.pools import CancelDrain, LoseInstance, PoolSection
+from gypsumwalk.pool_commands import CancelDrain, LoseInstance
+from gypsumwalk.pools import PoolSection
 from gypsumwalk.problems import Outcome, ProblemType, refuse
-from gypsumwalk.state import Accepted, Rejected
+from gypsumwalk.state import Accepted
 from gypsumwalk.views import FolderView, KeyView, LeadershipView
 from gypsumwalk.wave_records import (
     AbortWave,
@@ -51,7 +52,7 @@
     WaveRecord,
     WaveState,
 )
-from gypsumwalk.waves import WAVE_PURPOSE, WaveSection, is_given_up
+from gypsumwalk.waves import WAVE_PURPOSE, WaveSection
 
 __all__ = ["ENDPOINTS", "WavePart"]
 
@@ -133,7 +134,7 @@
             case CallInput():
                 return self._take_call(item, now)
             case ProposalOutcome(token=token) if token in self._answers:
-                return [Respond(self._answers.pop(token), _answer_outcome(item))]
+                return [Respond(self._answers.pop(token), answer_outcome(item))]
             case ProposalOutcome():
                 self._proposals.settle(item)
             case PlatformOutcome():
@@ -222,7 +223,7 @@
         if record.reboot_index:
             effects += self._reboot(record, now)
         if state is ItemState.PENDING:
-            if is_given_up(record, now) or record.state is InstanceState.RETIRED:
+            if self._waves.explain_skip(wave.name, record, now):
                 command = ReturnWaveInstance(wave.name, name)
                 effects += self._proposals.propose(name, command)
             return effects
@@ -351,19 +352,6 @@
     return refuse(ProblemType.NOT_FOUND, Outcome.NOT_RUN, detail)
 
 
-def _answer_outcome(outcome: ProposalOutcome) -> Answer:
-    match outcome.status:
-        case ProposalStatus.COMMITTED:
-            return Answer(200, outcome.result)
-        case ProposalStatus.REJECTED:
-            rejected = outcome.result
-            detail = rejected.detail if isinstance(rejected, Rejected) else ""
-            return refuse(ProblemType.CONFLICT, Outcome.NOT_RUN, detail)
-        case ProposalStatus.NOT_COMMITTED:
-            return refuse(ProblemType.NO_QUORUM, Outcome.NOT_RUN)
-    return refuse(ProblemType.OUTCOME_UNKNOWN, Outcome.UNKNOWN)
-
-
 def _record(command: msgspec.Struct) -> list[Effect]:
     match command:
         case GrantWaveDrain(instance=instance, wave=wave):
--- a/src/gypsumwalk/waves.py
+++ b/src/gypsumwalk/waves.py
@@ -28,7 +28,6 @@
     "CORRELATED_LOSSES",
     "WAVE_PURPOSE",
     "WaveSection",
-    "is_given_up",
 ]
 
 COMMANDS = (
@@ -55,12 +54,6 @@
 """Seconds after which a wave goes on without an instance that stays lost."""
 
 
-def is_given_up(record: InstanceRecord, at: float) -> bool:
-    """Tell whether an instance is lost for so long that waves go on without it."""
-    lost = record.state is InstanceState.LOST
-    return lost and at - record.since >= GIVE_UP_SECONDS
-
-
 class _Dump(msgspec.Struct):
     waves: list[WaveRecord]
 
@@ -167,12 +160,20 @@
         ]
         records.sort(key=lambda record: (record.data_centre, record.rack, record.name))
         wave = WaveRecord(command.wave, command.run, WaveState.RUNNING, at, at)
-        wave.items = {record.name: WaveItem() for record in records}
+        wave.items = {
+            record.name: self._plan_item(command.wave, record, at) for record in records
+        }
         add_reason(wave.reasons, at, f"run {command.run}: {len(records)} instances")
         if not records:
             self._change(wave, command.run, "finish", at, "it has no instances")
         return wave
 
+    def _plan_item(self, wave: str, record: InstanceRecord, at: float) -> WaveItem:
+        """Take over an instance that an aborted run left on its way."""
+        if record.purpose != WAVE_PURPOSE + wave:
+            return WaveItem()
+        return WaveItem(ItemState.AWAY, away_at=at, attempts=1)
+
     def _change(
         self, wave: WaveRecord, run: int, event: str, at: float, reason: str
     ) -> str:
@@ -227,6 +228,9 @@
         item = wave.items.get(command.instance)
         if item is None or item.state is not ItemState.PENDING:
             return f"instance {command.instance} is not pending in wave {wave.name}"
+        record = self._pools.find(command.instance)
+        if record is None or record.pool not in table.pools:
+            return f"instance {command.instance} is in no pool of wave {wave.name}"
         away = len(wave.list_items(ItemState.AWAY))
         if away >= table.concurrency:
             return f"wave {wave.name} has {away} instances away"
@@ -288,6 +292,7 @@
         refusal = self._pools.trigger(instance, event, at, "rebooted and healthy")
         if not refusal:
             item.rebooted = True
+            self._pools.note_boots(instance, boots)
         return refusal
 
     def _return(self, wave: WaveRecord, instance: str, at: float) -> str:
@@ -298,10 +303,11 @@
         if record is None or record.state is InstanceState.RETIRED:
             item.state = ItemState.SKIPPED
         elif item.state is ItemState.PENDING:
-            if not is_given_up(record, at):
+            reason = self.explain_skip(wave.name, record, at)
+            if not reason:
                 return f"instance {instance} is pending"
             item.state = ItemState.SKIPPED
-            add_reason(wave.reasons, at, f"skipped {instance}: lost for long")
+            add_reason(wave.reasons, at, f"skipped {instance}: {reason}")
         elif record.available:
             self._settle_item(wave, instance, item, at)
         elif record.state is InstanceState.LOST:
@@ -311,6 +317,32 @@
         self._finish_if_done(wave, at)
         return ""
 
+    def explain_skip(self, wave: str, record: InstanceRecord, at: float) -> str:
+        """Return why a wave goes on without a pending instance, or empty.
+
+        Parameters
+        ----------
+        wave : str
+            The wave.
+        record : InstanceRecord
+            The instance.
+        at : float
+            Time in seconds.
+
+        Returns
+        -------
+        str
+            The reason.
+        """
+        if record.state is InstanceState.RETIRED:
+            return "no longer declared"
+        if record.pool not in self._list_pools(wave):
+            return f"moved to pool {record.pool}"
+        lost = record.state is InstanceState.LOST
+        if lost and at - record.since >= GIVE_UP_SECONDS:
+            return "lost for long"
+        return ""
+
     def _settle_item(
         self, wave: WaveRecord, instance: str, item: WaveItem, at: float
     ) -> None:
--- a/tests/_fleet.py
+++ b/tests/_fleet.py
@@ -169,6 +169,7 @@
             settings=settings,
             jobs=self.jobs,
             pools=self.pools,
+            heartbeats=table,
             random=Random(1),
             **shared,
         )
