--- a/src/gypsumwalk/scheduler.py
+++ b/src/gypsumwalk/job_steps.py
@@ -1,4 +1,4 @@
-"""Scheduler of jobs, run by the leader, and teams' calls on jobs."""
+"""Steps of jobs, taken by the leader, and calls of teams on jobs."""
 
 from collections.abc import Sequence
 from random import Random
--- a/src/gypsumwalk/upkeep.py
+++ b/src/gypsumwalk/pool_steps.py
@@ -1,4 +1,4 @@
-"""Upkeep of instances by the leader: losses, dwell times, moves and the folder."""
+"""Steps of instances, taken by the leader: losses, dwell times, moves."""
 
 from collections.abc import Sequence
 
--- a/tests/_fleet.py
+++ b/tests/_fleet.py
@@ -16,13 +16,13 @@
 )
 from gypsumwalk.heartbeats import HeartbeatPart, HeartbeatTable
 from gypsumwalk.inputs import Committed, ProposalOutcome, ProposalStatus
+from gypsumwalk.job_steps import JobPart
 from gypsumwalk.jobs import JobSection
 from gypsumwalk.node import Node
+from gypsumwalk.pool_steps import PoolPart
 from gypsumwalk.pools import PoolSection
-from gypsumwalk.scheduler import JobPart
 from gypsumwalk.settings import Settings
 from gypsumwalk.state import Rejected, ReplicatedState
-from gypsumwalk.upkeep import PoolPart
 from gypsumwalk.views import KeyVerdict, Permit, QueueRule, TeamRule
 from gypsumwalk.wave_steps import WavePart
 from gypsumwalk.waves import WaveSection
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -202,7 +202,7 @@
             check_budget(self.sampler)
 
     def test_budget_check_fails_without_a_dwell_time(self):
-        with mock.patch("gypsumwalk.upkeep.PoolPart._find_dwell", return_value=0.0):
+        with mock.patch("gypsumwalk.pool_steps.PoolPart._find_dwell", return_value=0.0):
             world = self.start()
             self.begin_wave()
             world.run(200.0)
