--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -6,8 +6,8 @@
 from string import Formatter
 
 import gypsumwalk
-from gypsumwalk.events import Event
 from gypsumwalk.eventlines import SECRET_NAMES
+from gypsumwalk.events import Event
 
 SOURCES = Path(gypsumwalk.__file__).parent
 RANGES = range(1000, 5000)
