Call a waiting request "in progress", never "not run"

Change: both say "in progress" until the request has ended. Measured: the new test fails without the change and passes with it; the other tests of requests pass. Conclusion: "not run" is said of ended requests only.

--- a/src/gypsumwalk/requests.py
+++ b/src/gypsumwalk/requests.py
@@ -329,7 +329,7 @@
             request.waiters.append(waiter)
             return []
         else:
-            answer = refuse(ProblemType.IN_PROGRESS, request.outcome)
+            answer = refuse(ProblemType.IN_PROGRESS, Outcome.IN_PROGRESS)
         return [answer_waiter(waiter, request.request_id, answer)]
 
     def _cancel(self, request: Request, waiter: Waiter, now: float) -> list[Effect]:
@@ -492,8 +492,11 @@
 
 
 def _make_status(request: Request) -> Answer:
-    status = request.answer.status if request.answer is not None else 0
+    if request.answer is None:
+        # One that waits may run yet, so it is not called "not run".
+        outcome, status = Outcome.IN_PROGRESS, 0
+    else:
+        outcome, status = request.outcome, request.answer.status
     return Answer(
-        200,
-        RequestStatus(request.request_id, request.state, request.outcome, status),
+        200, RequestStatus(request.request_id, request.state, outcome, status)
     )
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -96,6 +96,21 @@
         assert first.answer.payload == second.answer.payload == b"answer to chart"
         assert cluster.world.targets.count_runs() == {request_id: 1}
 
+    def test_waiting_request_is_never_called_not_run(self):
+        cluster, owner, _ = make_pair(slots=1, service_seconds=2.0)
+        cluster.submit(b"first", to=owner)
+        cluster.world.run(0.1)
+        request_id = self.mint(cluster, owner)
+        resends = [
+            cluster.submit(b"chart", to=owner, request_id=request_id) for _ in range(8)
+        ]
+        status = cluster.read(request_id, to=owner)
+        cluster.world.run(0.2)
+        refused = [call.answer.body for call in resends if call.answer]
+        assert refused and status.answer.body.state == "waiting"
+        for body in (*refused, status.answer.body):
+            assert body.outcome == "in progress"
+
     def test_other_body_under_the_same_id_is_a_conflict(self):
         cluster, owner, _ = make_pair()
         request_id = self.mint(cluster, owner)
