--- a/tests/_agreement.py
+++ b/tests/_agreement.py
@@ -7,6 +7,7 @@
 from gypsumwalk.configuration import ConfigurationPart, ConfigurationSection
 from gypsumwalk.consensus import Consensus
 from gypsumwalk.effects import Propose, Record
+from gypsumwalk.events import Event
 from gypsumwalk.inputs import Committed, ProposalOutcome
 from gypsumwalk.keys import KeyPart, KeySection
 from gypsumwalk.membership import MembershipPart
@@ -127,6 +128,9 @@
 
     def __init__(self, seed, voters=5, followers=0, data_centres=1):
         self.seed = seed
+        self._seen = 0
+        self._withdrawn = {}
+        self.observers = []
         self.voters = [f"v{number}" for number in range(voters)]
         self.followers = [f"f{number}" for number in range(followers)]
         super().__init__(self.build, seed=seed)
@@ -158,6 +162,11 @@
         )
         return AgreementNode(settings, recovered, incarnation, self.seed)
 
+    def _carry_out(self, daemon, effects):
+        super()._carry_out(daemon, effects)
+        for observe in self.observers:
+            observe(daemon)
+
     def own_time(self, name):
         return self.daemons[name].read_clock(self.now)
 
@@ -191,6 +200,16 @@
         self.run_until(lambda: call.ended, within=within)
         return call.answer
 
+    @property
+    def withdrawn(self):
+        """Time of the first sight of each key's withdrawal, by its public part."""
+        for entry in self.trace[self._seen :]:
+            effect = entry.effect
+            if isinstance(effect, Record) and effect.event is Event.KEY_WITHDRAWN:
+                self._withdrawn.setdefault(effect.subject, entry.at)
+        self._seen = len(self.trace)
+        return self._withdrawn
+
     def events(self, event):
         return [
             entry
--- /dev/null
+++ b/tests/_faults.py
@@ -0,0 +1,360 @@
+"""State machine of random fault schedules over a cluster, with every check."""
+
+from unittest import mock
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+)
+
+from gypsumwalk.configuration import ApplyCall
+from gypsumwalk.keys import GiveCall, WithdrawCall
+from tests._agreement import OPERATOR, Cluster
+from tests._checkers import (
+    AcknowledgedKept,
+    AppliedOnce,
+    ElectionSafety,
+    GenerationsForward,
+    LogMatching,
+    PortionsWithinLimit,
+    WithdrawnRefused,
+)
+
+TEAM = "hanbit"
+LIMIT = 3
+BASE = f"""
+[teams.{TEAM}]
+limit = {LIMIT}
+[pools.seats]
+max_unavailable = 1
+[services.seating]
+pool = "seats"
+[queues.seats]
+service = "seating"
+"""
+VOTERS = 5
+FOLLOWERS = 1
+SLICE_SECONDS = 0.1
+SMALL_SIZES = {
+    "leadership.MAX_BATCH_ENTRIES": 2,
+    "leadership.CHUNK_BYTES": 400,
+    "replica.SNAPSHOT_ENTRIES": 12,
+    "replica.KEPT_ENTRIES": 4,
+}
+"""Sizes that make batches, snapshots and chunks common in short runs."""
+
+FOCUSES = ("log", "keys", "portions", "configuration")
+"""What one schedule works on, beside the faults that all have."""
+
+SCHEDULES = 200
+STEPS = 12
+
+
+def make_settings(schedules):
+    return settings(
+        max_examples=schedules,
+        stateful_step_count=STEPS,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        phases=[Phase.generate],
+        suppress_health_check=list(HealthCheck),
+    )
+
+
+names = st.integers(0, VOTERS + FOLLOWERS - 1)
+seconds = st.sampled_from([0.05, 0.3, 1.0, 2.5])
+
+
+def focused(focus):
+    return precondition(lambda machine: machine.focus == focus)
+
+
+class FaultMachine(RuleBasedStateMachine):
+    focus = ""
+
+    def __init__(self):
+        super().__init__()
+        self.patches = [
+            mock.patch(f"gypsumwalk.{name}", value)
+            for name, value in SMALL_SIZES.items()
+        ]
+        for patch in self.patches:
+            patch.start()
+
+    @initialize(seed=st.integers(0, 2**32), focus=st.sampled_from(FOCUSES))
+    def begin(self, seed, focus):
+        self.focus = self.focus or focus
+        self.cluster = Cluster(seed, voters=VOTERS, followers=FOLLOWERS)
+        self.names = self.cluster.voters + self.cluster.followers
+        self.count = 0
+        self.disk_lost = False
+        self.keys = []
+        self.withdrawals = []
+        self.running = []
+        self.portions = PortionsWithinLimit(self.cluster, TEAM, LIMIT)
+        self.withdrawn = WithdrawnRefused(self.cluster, "seats")
+        generations = GenerationsForward(self.cluster)
+        self.cluster.observers += [generations.observe, self.portions.observe]
+        self.checks = [
+            ElectionSafety(self.cluster),
+            LogMatching(self.cluster),
+            AcknowledgedKept(self.cluster),
+            AppliedOnce(self.cluster),
+            generations,
+            self.portions,
+            self.withdrawn,
+        ]
+        self.cluster.elect()
+        self.let_pass(1.0)
+        answer = self.cluster.ask(ApplyCall(base=0, files={"10.toml": BASE}), to="v0")
+        assert answer.status == 200, answer
+        self.give(0)
+
+    def let_pass(self, duration):
+        end = self.cluster.now + duration
+        while self.cluster.now < end - 1e-9:
+            self.cluster.run(min(SLICE_SECONDS, end - self.cluster.now))
+            self.note_withdrawals()
+            for check in self.checks:
+                check.check()
+
+    def note_withdrawals(self):
+        for key, call in self.withdrawals:
+            if call.answer is not None and call.answer.status == 200:
+                self.withdrawn.note_answered(key)
+            key_id = key.partition(".")[0]
+            if key_id in self.cluster.withdrawn:
+                self.withdrawn.note_committed(key, self.cluster.withdrawn[key_id])
+
+    def is_alive(self, name):
+        return self.cluster.daemons[name].alive
+
+    @focused("log")
+    @rule(number=names, repeats=st.integers(1, 5))
+    def put(self, number, repeats):
+        name = self.names[number]
+        if not self.is_alive(name):
+            return
+        for _ in range(repeats):
+            self.count += 1
+            self.cluster.propose(name, f"c{self.count}")
+        self.let_pass(0.05)
+
+    @focused("portions")
+    @rule(number=names, units=st.integers(1, 3))
+    def acquire(self, number, units):
+        name = self.names[number]
+        for _ in range(4):
+            for _ in range(units):
+                self.try_to_acquire(name)
+            self.let_pass(0.15)
+
+    def try_to_acquire(self, name):
+        daemon = self.cluster.daemons[name]
+        if not daemon.alive or daemon.paused:
+            return
+        self.count += 1
+        request = f"r{self.count}"
+        own = self.cluster.own_time(name)
+        if daemon.node.portions.acquire(TEAM, request, own):
+            self.portions.in_use.add(request)
+            self.running.append((name, daemon.node, request))
+        self.cluster._arm(daemon)
+
+    @focused("portions")
+    @rule()
+    def release(self):
+        if not self.running:
+            return
+        name, node, request = self.running.pop(0)
+        self.portions.in_use.discard(request)
+        if self.cluster.daemons[name].node is node:
+            node.portions.release(TEAM, request, self.cluster.own_time(name))
+            self.cluster._arm(self.cluster.daemons[name])
+
+    @focused("configuration")
+    @rule(number=names)
+    def apply(self, number):
+        name = self.names[number]
+        if not self.is_alive(name):
+            return
+        self.count += 1
+        files = {f"{self.count:04}.toml": f"[teams.t{self.count}]\nlimit = 1\n"}
+        base = self.cluster.daemons[name].node.folder.generation
+        self.cluster.call(
+            ApplyCall(base=base, files=files), to=name, credential=OPERATOR
+        )
+        self.let_pass(0.2)
+
+    @focused("configuration")
+    @rule(number=names)
+    def apply_and_restart(self, number):
+        for _ in range(3):
+            self.apply(number)
+        self.let_pass(1.0)
+        self.cluster.restart(self.names[number])
+        self.let_pass(2.0)
+
+    @focused("keys")
+    @rule(number=names)
+    def give(self, number):
+        name = self.names[number]
+        if not self.is_alive(name):
+            return
+        call = self.cluster.call(GiveCall(team=TEAM), to=name, credential=OPERATOR)
+        self.let_pass(0.3)
+        if call.answer is not None and call.answer.status == 200:
+            self.keys.append(call.answer.body.key)
+
+    @focused("keys")
+    @rule(number=names)
+    def withdraw(self, number):
+        name = self.names[number]
+        if not self.is_alive(name):
+            return
+        if not self.keys:
+            self.give(number)
+        if not self.keys:
+            return
+        key = self.keys.pop()
+        body = WithdrawCall(key.partition(".")[0])
+        call = self.cluster.call(body, to=name, credential=OPERATOR)
+        self.withdrawals.append((key, call))
+        self.let_pass(0.2)
+
+    @rule(number=names, duration=seconds)
+    def kill(self, number, duration):
+        self.cluster.kill(self.names[number])
+        self.let_pass(duration)
+
+    @rule(duration=seconds)
+    def kill_leader(self, duration):
+        leader = self.cluster.find_leader()
+        if leader:
+            self.cluster.kill(leader)
+        self.let_pass(duration)
+
+    @rule(number=names, duration=seconds)
+    def restart(self, number, duration):
+        self.cluster.restart(self.names[number])
+        self.let_pass(duration)
+
+    @rule(duration=seconds)
+    def restart_all(self, duration):
+        for name in self.names:
+            if not self.is_alive(name):
+                self.cluster.restart(name)
+        self.let_pass(duration)
+
+    @rule(group=st.sets(names, min_size=1, max_size=3), one_way=st.booleans())
+    def part(self, group, one_way):
+        self.cluster.part([self.names[number] for number in group], one_way=one_way)
+        self.let_pass(1.0)
+
+    @rule(duration=seconds)
+    def part_leader(self, duration):
+        leader = self.cluster.find_leader()
+        if leader:
+            self.cluster.part([leader])
+        self.let_pass(duration)
+
+    @rule(duration=seconds)
+    def heal(self, duration):
+        self.cluster.heal()
+        self.let_pass(duration)
+
+    @rule(number=names, duration=seconds)
+    def pause(self, number, duration):
+        name = self.names[number]
+        if not self.is_alive(name):
+            return
+        self.cluster.pause(name)
+        self.let_pass(duration)
+        self.cluster.resume(name)
+        self.let_pass(0.1)
+
+    @rule(first=names, second=names, duration=seconds)
+    def part_pair(self, first, second, duration):
+        self.cluster.part([self.names[first]], [self.names[second]], one_way=True)
+        self.let_pass(duration)
+
+    @focused("log")
+    @rule(number=names)
+    def put_unheard(self, number):
+        """Let the leader take commands of a daemon that can't hear it."""
+        name = self.names[number]
+        leader = self.cluster.find_leader()
+        if not leader or not self.is_alive(name) or leader == name:
+            return
+        self.cluster.part([leader], [name], one_way=True)
+        self.put(number, 2)
+        self.let_pass(1.0)
+        self.cluster.heal()
+
+    @focused("log")
+    @rule(delay=st.sampled_from([0.01, 0.05, 0.2]))
+    def cut_power(self, delay):
+        """End every process at once, just after commands came in."""
+        for name in self.names:
+            if self.is_alive(name):
+                self.count += 1
+                self.cluster.propose(name, f"c{self.count}")
+        self.let_pass(delay)
+        for name in self.names:
+            self.cluster.kill(name)
+        for name in self.names:
+            self.cluster.restart(name)
+        self.let_pass(2.5)
+
+    @focused("log")
+    @rule(write=st.sampled_from([0.0005, 0.02, 0.3]))
+    def slow_disks(self, write):
+        for name in self.cluster.voters:
+            self.cluster.daemons[name].disk.write_seconds = write
+
+    @rule(drop=st.sampled_from([0.0, 0.05, 0.3]), jitter=st.sampled_from([0.5, 0.99]))
+    def spoil(self, drop, jitter):
+        self.cluster.network.drop = drop
+        self.cluster.network.duplicate = drop
+        self.cluster.network.jitter = jitter
+        self.cluster.network.delay = 0.001 if drop < 0.1 else 0.03
+
+    @focused("log")
+    @rule()
+    def lose_disk(self):
+        """Lose one disk of the five; more can't be survived by any majority."""
+        if self.disk_lost:
+            return
+        self.disk_lost = True
+        self.cluster.lose_disk("v4")
+        self.let_pass(0.3)
+        self.cluster.restart("v4")
+
+    def teardown(self):
+        try:
+            if hasattr(self, "cluster"):
+                self.end()
+        finally:
+            self.stop()
+
+    def stop(self):
+        for patch in self.patches:
+            patch.stop()
+
+    def end(self):
+        for name in self.cluster.voters:
+            self.cluster.daemons[name].disk.write_seconds = 0.0005
+        self.cluster.heal()
+        network = self.cluster.network
+        network.drop = network.duplicate = 0.0
+        network.delay = 0.001
+        self.restart_all(6.0)
+        self.let_pass(4.0)
+        assert self.cluster.find_leader(), "no leader after every fault ended"
+        first, *others = self.cluster.lists().values()
+        assert all(items == first for items in others), "states differ at the end"
