Wait for a daemon's report before trying the next, and draw lives

Cause: in a trial of eight daemons with one killed, apply gave up on each daemon after an eighth of its deadline, before any could report; the page did not show when a daemon was down. Change: a daemon that took a call is waited for at least 6 seconds, a request for its whole deadline; lanes show the lives of a daemon, and suspected ones are faults. Measured: the new tests of client and chart pass. Conclusion: to be tried again on eight daemons.

--- a/src/gypsumwalk/drivers/_actions.py
+++ b/src/gypsumwalk/drivers/_actions.py
@@ -28,6 +28,8 @@
 KEY_VARIABLE = "GYPSUMWALK_KEY"
 DEFAULT_ADDRESSES = "127.0.0.1:7701"
 MAX_DEADLINE_SECONDS = 600.0
+PATIENCE_SECONDS = 6.0
+"""Longer than a daemon's report on who has a change in force takes."""
 MAX_PORT = 65_535
 
 
@@ -159,9 +161,23 @@
             raise BadArgument("key", "printable ASCII characters", "others")
         return cls(parsed, shown, seconds)
 
-    def open(self) -> OperatorClient:
-        """Return a client; the caller closes it."""
-        return OperatorClient(self.addresses, key=self.key, deadline=self.deadline)
+    def open(self, patience: float = PATIENCE_SECONDS) -> OperatorClient:
+        """Return a client; the caller closes it.
+
+        Parameters
+        ----------
+        patience : float
+            Seconds that a daemon which took a call is waited for, before the next is
+            tried.
+
+        Returns
+        -------
+        OperatorClient
+            The client.
+        """
+        return OperatorClient(
+            self.addresses, key=self.key, deadline=self.deadline, patience=patience
+        )
 
 
 def _check_address(address: str) -> None:
--- a/src/gypsumwalk/drivers/_calls.py
+++ b/src/gypsumwalk/drivers/_calls.py
@@ -7,7 +7,7 @@
 
 __all__ = ["DEADLINE", "make_call", "query"]
 
-DEADLINE = "15"
+DEADLINE = "20"
 """Seconds that a call may take when no other deadline is given."""
 
 Render = Callable[[Any], Report]
--- a/src/gypsumwalk/drivers/client.py
+++ b/src/gypsumwalk/drivers/client.py
@@ -103,6 +103,9 @@
         Key that is shown, empty for none.
     deadline : float
         Seconds that one call may take over all daemons.
+    patience : float
+        Seconds that a daemon which took the call is waited for, before the next is
+        tried; more where the deadline leaves more for each.
     clock : Callable
         Monotonic clock, in seconds.
     """
@@ -113,6 +116,7 @@
         *,
         key: str = "",
         deadline: float = DEFAULT_DEADLINE_SECONDS,
+        patience: float = 0.0,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         if not addresses:
@@ -120,6 +124,7 @@
         self._addresses = list(addresses)
         self._key = key
         self._deadline = deadline
+        self._patience = patience
         self._clock = clock
         self._pool = urllib3.PoolManager(
             num_pools=len(self._addresses),
@@ -211,8 +216,9 @@
                 break
             # A daemon that hangs leaves time for the others.
             share = (ends_at - now) / (left if idempotent else 1)
+            give_up_at = min(ends_at, now + max(share, self._patience))
             try:
-                reply = self._try(attempt, address, now + share)
+                reply = self._try(attempt, address, give_up_at)
             except (NewConnectionError, ConnectTimeoutError) as error:
                 tries.note(address, _describe(error))
                 continue
--- a/src/gypsumwalk/drivers/commands_work.py
+++ b/src/gypsumwalk/drivers/commands_work.py
@@ -179,7 +179,8 @@
         request_id = str(ticket["request_id"])
     headers = {f"gypsumwalk-{name}": str(is_set) for name, is_set in flags.items()}
     headers["gypsumwalk-request-id"] = request_id
-    client = connection.open()
+    # A daemon that took the request is waited for: another could say no more.
+    client = connection.open(patience=connection.deadline)
     try:
         # The identifier makes it idempotent: a resent request gets the first answer.
         reply = client.send(
--- a/src/gypsumwalk/timelinechart.py
+++ b/src/gypsumwalk/timelinechart.py
@@ -72,6 +72,7 @@
 )
 """Groups; those with words come first, the others in the order of their numbers."""
 
+FAULTY_CHANGES = frozenset({"suspect", "dead"})
 ROWS = 1 + max(group.row for group in GROUPS)
 LANE_PIXELS = TERM_PIXELS + ROWS * ROW_PIXELS
 
@@ -89,6 +90,8 @@
     EventGroup
         Its group.
     """
+    if event.attributes.get("change") in FAULTY_CHANGES:
+        return GROUPS[0]
     parts = set(event.name.split("_"))
     for group in GROUPS:
         if parts.intersection(group.words):
@@ -123,6 +126,7 @@
         top = TOP_PIXELS + number * (LANE_PIXELS + LANE_GAP_PIXELS)
         events = [e for e in timeline.events if e.instance == instance]
         parts += _draw_lane(top, data_centre, instance)
+        parts += _draw_lives(events, scale, top)
         parts += _draw_terms(events, timeline.events, scale, top)
         parts += _draw_marks(events, scale, top)
     parts += _draw_ticks(scale, height)
@@ -146,15 +150,35 @@
 
 
 def _draw_lane(top: int, data_centre: str, instance: str) -> Iterator[str]:
-    width = WIDTH_PIXELS - LEFT_PIXELS
-    yield (
-        f'<rect class="lane" x="{LEFT_PIXELS}" y="{top}"'
-        f' width="{width}" height="{LANE_PIXELS}"/>'
-    )
     yield f'<text x="4" y="{top + 20}">{escape(instance)}</text>'
     yield f'<text class="dim" x="4" y="{top + 36}">{escape(data_centre)}</text>'
 
 
+def _draw_lives(events: Sequence[EventLine], scale: _Scale, top: int) -> Iterator[str]:
+    for first, last in _find_lives(events, scale):
+        left = scale.place(first) - MARK_PIXELS
+        width = scale.place(last) + MARK_PIXELS - left
+        yield (
+            f'<rect class="lane" x="{left:.1f}" y="{top}"'
+            f' width="{width:.1f}" height="{LANE_PIXELS}"/>'
+        )
+
+
+def _find_lives(
+    events: Sequence[EventLine], scale: _Scale
+) -> Iterator[tuple[int, int]]:
+    """Yield start and end of each life; a killed one ends with its last event."""
+    first = last = events[0].timestamp.milliseconds
+    stopped = False
+    for event in events:
+        if event.name == "DAEMON_STARTED" and event is not events[0]:
+            yield first, last
+            first = event.timestamp.milliseconds
+        last = event.timestamp.milliseconds
+        stopped = event.name == "DAEMON_STOPPED"
+    yield first, last if stopped else scale.end
+
+
 def _draw_terms(
     events: Sequence[EventLine], everyone: Sequence[EventLine], scale: _Scale, top: int
 ) -> Iterator[str]:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -128,6 +128,15 @@
             with self.assertRaises(OutcomeUnknown):
                 client.call("GET", "/v1/x", idempotent=False)
 
+    def test_patience_goes_before_an_equal_share_of_the_deadline(self):
+        with socket.create_server(("127.0.0.1", 0)) as hanging:
+            address = f"127.0.0.1:{hanging.getsockname()[1]}"
+            self.first.answer("GET", "/v1/x", 200, {})
+            client = self.open(address, self.first.address, deadline=0.4, patience=0.4)
+            with self.assertRaises(OutcomeUnknown):
+                client.call("GET", "/v1/x", idempotent=True)
+        assert self.first.calls == []
+
     def test_answer_that_is_no_problem_document_is_of_unknown_outcome(self):
         self.first.answer("GET", "/v1/x", 500, b"<html>")
         with self.assertRaises(Refused) as caught:
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -125,6 +125,30 @@
         )
         assert abs(float(first[0]) + float(first[1]) - float(second[0])) < 0.3
 
+    def test_life_of_a_daemon_ends_with_its_last_event_before_a_restart(self):
+        other = {"name": "TARGET_TAKEN"}
+        events = (
+            make_event("d1", 0),
+            make_event("d1", 2000, **other),
+            make_event("d1", 6000),
+            make_event("d2", 8000),
+            make_event("d2", 9000, name="DAEMON_STOPPED"),
+            make_event("d1", 10_000, **other),
+        )
+        chart = render_chart(Timeline(events))
+        found = re.findall(r'class="lane" x="([\d.]+)".* width="([\d.]+)"', chart)
+        pixels = [(float(left) + 4, float(width) - 8) for left, width in found]
+        spans = [((x - 120) / 114, width / 114) for x, width in pixels]
+        for span, expected in zip(spans, ((0, 2), (6, 4), (8, 1)), strict=True):
+            assert abs(span[0] - expected[0]) < 0.01
+            assert abs(span[1] - expected[1]) < 0.01
+
+    def test_suspected_daemon_is_a_fault(self):
+        fields = {"name": "MEMBER_CHANGED", "number": 2101}
+        for change, group in (("dead", "faults"), ("alive", "membership")):
+            event = make_event("d1", 0, attributes={"change": change}, **fields)
+            assert find_group(event).name == group
+
     def test_close_events_are_drawn_as_one_mark(self):
         events = tuple(make_event("d1", number) for number in range(1000))
         events += (make_event("d1", 10_000_000),)
