Run the whole path on real processes

Cause: decisions stood alone; nothing carried their inputs and effects. Change: assembly of all parts, trio daemon, cheroot servers with a bridge and a watch over slow senders, urllib3 clients of targets and platform, UDP and HTTP between daemons, status, a demo on real processes, first pages.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	touch $(STAMP)
 
 demo: $(STAMP)
-	$(BIN)/python examples/demo.py
+	$(BIN)/python -m examples.demo
 
 test: $(STAMP)
 	$(BIN)/python -W error::ResourceWarning -m unittest discover -s tests -t . -b
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that measure gypsumwalk; results are kept as JSON in docs."""
--- /dev/null
+++ b/examples/demo.py
@@ -0,0 +1,350 @@
+"""Run a scaled-down system of the Hanbit example on real processes.
+
+Two data centres, three daemons, targets as separate processes and a stand-in for the
+platform. Exits with 1 and names the promise if one is broken.
+"""
+
+import sys
+import tempfile
+import threading
+import time
+import tomllib
+from collections.abc import Callable
+from pathlib import Path
+
+from rich.console import Console
+
+from examples._callers import Callers
+from examples._report import Report, count_executions, find_most_running
+from examples._stage import (
+    OPERATOR_KEY,
+    Stage,
+    apply_folder,
+    find_port,
+    is_ready,
+    place_daemon,
+    wait_until,
+)
+from gypsumwalk.drivers.client import OperatorClient
+
+FOLDER = Path(__file__).parent / "demo" / "folder"
+SLOTS = 8
+REQUESTS = 60
+SLOW_REQUESTS = 6
+SLOW_SECONDS = 2.0
+JOBS = 4
+JOB_SECONDS = 1.0
+WAVE_SECONDS = 40.0
+WITHDRAWAL_SECONDS = 5.0
+POLL_SECONDS = 0.1
+HTTP_OK = 200
+LOG_CHARACTERS = 1500
+
+
+class Demo:
+    """The steps of the demo.
+
+    Parameters
+    ----------
+    stage : Stage
+        The processes.
+    console : Console
+        Where progress goes.
+    """
+
+    def __init__(self, stage: Stage, console: Console) -> None:
+        self.report = Report()
+        self._stage = stage
+        self._console = console
+        addresses = [place.peer_address for place in stage.daemons]
+        self._operator = OperatorClient(addresses, key=OPERATOR_KEY)
+        callers = [place.caller_address for place in stage.daemons]
+        self._jobs = callers
+        self._callers = Callers(stage.daemons)
+        self._keys: dict[str, tuple[str, str]] = {}
+        self._most_unavailable: dict[str, int] = {}
+        self._watching = threading.Event()
+
+    def run(self) -> None:
+        """Carry out every step."""
+        steps: list[tuple[str, Callable[[], None]]] = [
+            ("starting daemons, targets and the platform", self._start),
+            ("applying the folder and giving keys", self._configure),
+            ("handing in requests", self._send_requests),
+            ("handing in jobs", self._run_jobs),
+            ("running a maintenance wave", self._run_wave),
+            ("withdrawing a key", self._withdraw_key),
+            ("shutting a daemon down under load", self._shut_down),
+        ]
+        for what, step in steps:
+            started = time.monotonic()
+            step()
+            self._console.print(f"{what}: {time.monotonic() - started:.1f} s")
+        self._check_executions()
+
+    def _start(self) -> None:
+        stage = self._stage
+        stage.start_platform()
+        for place in stage.daemons:
+            stage.start_daemon(place)
+        for data_centre in ("seoul", "busan"):
+            for service in ("seat-holds", "rebuilds"):
+                stage.start_target(f"{service}-{data_centre}", data_centre, service)
+        seconds = wait_until(
+            lambda: all(map(is_ready, stage.daemons)), "ready daemons", 20.0
+        )
+        self.report.measure("three daemons ready", f"{seconds:.2f} s")
+
+    def _configure(self) -> None:
+        text = (FOLDER / "50-instances.toml").read_text()
+        names = list(tomllib.loads(text)["instances"])
+        wait_until(lambda: self._stage.add_instances(names), "platform", 10.0)
+        started = time.monotonic()
+        generation = apply_folder(self._operator, FOLDER)
+        wait_until(lambda: self._find_generations() == {generation}, "folder", 14.0)
+        seconds = time.monotonic() - started
+        self.report.measure("folder in force everywhere", f"{seconds:.2f} s")
+        for team in ("gabbaim", "pledges"):
+            body = {"team": team}
+            given = self._operator.call(
+                "POST", "/v1/keys/give", body, idempotent=False
+            ).decode()
+            self._keys[team] = (given["key_id"], given["key"])
+        _, key = self._keys["gabbaim"]
+        wait_until(
+            lambda: (
+                self._callers.send_many(6, queue="holds", key=key)[-1].status == HTTP_OK
+            ),
+            "first answer",
+            10.0,
+        )
+
+    def _find_generations(self) -> set[int]:
+        found = set()
+        for place in self._stage.daemons:
+            client = OperatorClient([place.peer_address], key=OPERATOR_KEY)
+            status = client.call("GET", "/v1/status", idempotent=True).decode()
+            found.add(status["generation"])
+        return found
+
+    def _send_requests(self) -> None:
+        _, key = self._keys["gabbaim"]
+        started = time.monotonic()
+        sent = self._callers.send_many(REQUESTS, queue="holds", key=key)
+        seconds = time.monotonic() - started
+        answered = [item for item in sent if item.status == HTTP_OK]
+        own = [item for item in answered if item.is_own_answer]
+        self.report.check(
+            "a caller gets the whole answer to its own request",
+            len(own) == REQUESTS,
+            f"{len(own)} of {REQUESTS}, over three daemons",
+        )
+        self.report.measure("60 requests", f"{seconds:.2f} s")
+
+    def _run_jobs(self) -> None:
+        _, key = self._keys["gabbaim"]
+        client = OperatorClient(self._jobs, key=key)
+        for number in range(JOBS):
+            job = {
+                "job_id": f"rebuild-{number}",
+                "queue": "chart-rebuilds",
+                "run_seconds": JOB_SECONDS,
+                "command": f"run {JOB_SECONDS}",
+                "processors": 4.0,
+                "memory_gb": 8.0,
+                "repeatable": True,
+            }
+            client.call("POST", "/v1/jobs/submit", job, idempotent=True)
+
+        def count_done() -> int:
+            states = [
+                client.call(
+                    "GET", f"/v1/jobs/rebuild-{number}", idempotent=True
+                ).decode()["state"]
+                for number in range(JOBS)
+            ]
+            return states.count("succeeded")
+
+        seconds = wait_until(lambda: count_done() == JOBS, "finished jobs", 20.0)
+        self.report.measure(f"{JOBS} jobs", f"{seconds:.2f} s")
+
+    def _run_wave(self) -> None:
+        watcher = threading.Thread(target=self._watch_pools, daemon=True)
+        watcher.start()
+        started = time.monotonic()
+        self._operator.call(
+            "POST", "/v1/waves/start", {"name": "kernel"}, idempotent=True
+        )
+        wait_until(
+            lambda: self._show_wave()["state"] == "finished",
+            "end of wave",
+            WAVE_SECONDS,
+        )
+        seconds = time.monotonic() - started
+        self._watching.set()
+        watcher.join()
+        wave = self._show_wave()
+        budgets = tomllib.loads((FOLDER / "20-pools.toml").read_text())["pools"]
+        held = all(
+            most <= budgets[pool]["max_unavailable"]
+            for pool, most in self._most_unavailable.items()
+        )
+        self.report.check(
+            "every pool's availability budget holds through the wave",
+            held and wave["done"] == wave["instances"],
+            f"{wave['done']} of {wave['instances']} instances, "
+            f"most unavailable {self._most_unavailable}",
+        )
+        bound = wave["lower_bound_seconds"]
+        self.report.measure(
+            "roll-out over its lower bound", f"{seconds:.1f} s / {bound:.1f} s"
+        )
+
+    def _show_wave(self) -> dict[str, int | float | str]:
+        reply = self._operator.call("GET", "/v1/waves/kernel", idempotent=True)
+        wave: dict[str, int | float | str] = reply.decode()
+        return wave
+
+    def _watch_pools(self) -> None:
+        client = OperatorClient(
+            [place.peer_address for place in self._stage.daemons], key=OPERATOR_KEY
+        )
+        seen: dict[str, set[str]] = {}
+        while not self._watching.wait(POLL_SECONDS):
+            pools = client.call("GET", "/v1/pools", idempotent=True).decode()["pools"]
+            for pool in pools:
+                most = self._most_unavailable.get(pool["name"], 0)
+                self._most_unavailable[pool["name"]] = max(most, pool["unavailable"])
+                for instance in pool["instances"]:
+                    seen.setdefault(instance, set()).add(pool["name"])
+            listed = [name for pool in pools for name in pool["instances"]]
+            if len(listed) != len(set(listed)):
+                self.report.check("one pool per instance", False, str(listed))
+        self.report.check(
+            "an instance belongs to exactly one pool",
+            bool(seen),
+            f"{len(seen)} instances, every look",
+        )
+
+    def _withdraw_key(self) -> None:
+        key_id, key = self._keys["pledges"]
+        before = self._callers.send(self._stage.daemons[0], queue="holds", key=key)
+        started = time.monotonic()
+        self._operator.call(
+            "POST", "/v1/keys/withdraw", {"key_id": key_id}, idempotent=True
+        )
+
+        def is_refused_everywhere() -> bool:
+            return all(
+                self._callers.send(place, queue="holds", key=key).status != HTTP_OK
+                for place in self._stage.daemons
+            )
+
+        wait_until(is_refused_everywhere, "refusal everywhere", 20.0)
+        seconds = time.monotonic() - started
+        self.report.check(
+            "a withdrawn key stops working within seconds",
+            before.status == HTTP_OK and seconds <= WITHDRAWAL_SECONDS,
+            f"refused by every daemon after {seconds:.2f} s",
+        )
+
+    def _shut_down(self) -> None:
+        leaving = self._stage.daemons[-1]
+        _, key = self._keys["gabbaim"]
+        callers = Callers([leaving])
+        thread = threading.Thread(
+            target=callers.send_many,
+            args=(SLOW_REQUESTS,),
+            kwargs={"queue": "holds", "key": key, "work_seconds": SLOW_SECONDS},
+        )
+        before = sum(count_executions(self._stage.executions).values())
+        thread.start()
+        wait_until(
+            lambda: (
+                sum(count_executions(self._stage.executions).values())
+                >= before + SLOW_REQUESTS
+            ),
+            "requests in progress",
+            10.0,
+        )
+        code = self._stage.stop(leaving.name)
+        thread.join()
+        whole = [item for item in callers.sent if item.is_own_answer]
+        self.report.check(
+            "a graceful shutdown cuts no request in progress",
+            len(whole) == SLOW_REQUESTS and code == 0,
+            f"{len(whole)} of {SLOW_REQUESTS} answered whole, exit code {code}",
+        )
+        self._callers.sent += callers.sent
+        rest = self._stage.daemons[:-1]
+        sent = Callers(rest).send_many(6, queue="holds", key=key)
+        self.report.check(
+            "the others go on",
+            all(item.is_own_answer for item in sent),
+            f"{sum(item.is_own_answer for item in sent)} of 6 answered",
+        )
+
+    def _check_executions(self) -> None:
+        files = self._stage.executions
+        executions = count_executions(files)
+        sent = {item.ticket: item for item in self._callers.sent if item.ticket}
+        twice = [ticket for ticket in sent if executions[ticket] > 1]
+        self.report.check(
+            "no request ran twice",
+            not twice,
+            f"{sum(executions.values())} executions of {len(sent)} requests",
+        )
+        untrue = [
+            ticket
+            for ticket, item in sent.items()
+            if item.outcome == "not run" and executions[ticket]
+        ]
+        refused = sum(item.outcome == "not run" for item in sent.values())
+        self.report.check(
+            'a refusal that says "not run" is true',
+            not untrue,
+            f"{refused} refusals, {len(untrue)} untrue",
+        )
+        most = find_most_running(files)
+        self.report.check(
+            "slots of a target are not exceeded",
+            most <= SLOTS,
+            f"at most {most} of {SLOTS} at once",
+        )
+
+
+def show_logs(stage: Stage, console: Console) -> None:
+    """Print the end of every process's log, as the demo failed."""
+    for path in sorted(stage.folder.glob("*.log")):
+        text = path.read_text()[-LOG_CHARACTERS:]
+        console.print(f"{path.name}\n{text}", markup=False, highlight=False)
+
+
+def main() -> int:
+    """Run the demo and return its exit code."""
+    console = Console(width=100)
+    places = [
+        place_daemon("seoul-1", "seoul"),
+        place_daemon("seoul-2", "seoul"),
+        place_daemon("busan-1", "busan"),
+    ]
+    started = time.monotonic()
+    with tempfile.TemporaryDirectory() as folder:
+        stage = Stage(Path(folder), places, find_port())
+        demo = Demo(stage, console)
+        try:
+            demo.run()
+        except Exception:
+            show_logs(stage, console)
+            raise
+        finally:
+            stage.stop_all()
+    demo.report.measure("whole demo", f"{time.monotonic() - started:.1f} s")
+    demo.report.print(console)
+    for finding in demo.report.broken:
+        console.print(f"[bold red]broken promise:[/] {finding.promise}")
+    return 1 if demo.report.broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/gypsumwalk/__main__.py
@@ -0,0 +1,6 @@
+"""Run the ``gypsumwalk`` program by ``python -m gypsumwalk``."""
+
+from gypsumwalk.command import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/gypsumwalk/assembly.py
@@ -0,0 +1,294 @@
+"""Assembly of the parts of one daemon."""
+
+from collections.abc import Sequence
+from random import Random
+
+from gypsumwalk import (
+    configuration,
+    consensus,
+    exchange,
+    heartbeats,
+    job_calls,
+    keys,
+    membership,
+    operator_calls,
+    platform,
+    status,
+    submissions,
+    targets,
+)
+from gypsumwalk.configuration import ConfigurationPart, ConfigurationSection
+from gypsumwalk.consensus import Consensus
+from gypsumwalk.endpoints import Endpoint
+from gypsumwalk.fences import FenceSection
+from gypsumwalk.heartbeats import HeartbeatPart, HeartbeatTable
+from gypsumwalk.jobs import JobSection
+from gypsumwalk.keys import KeyPart, KeySection
+from gypsumwalk.membership import MembershipPart
+from gypsumwalk.node import Node
+from gypsumwalk.part import Part
+from gypsumwalk.pools import PoolSection
+from gypsumwalk.portions import PortionPart, PortionSection
+from gypsumwalk.recovery import Recovered
+from gypsumwalk.replay import ReplayWindow
+from gypsumwalk.requests import RequestPart
+from gypsumwalk.scheduler import JobPart
+from gypsumwalk.settings import Settings
+from gypsumwalk.state import ReplicatedState, Section
+from gypsumwalk.status import StatusPart
+from gypsumwalk.targets import TargetPart
+from gypsumwalk.upkeep import PoolPart
+from gypsumwalk.wave_steps import WavePart
+from gypsumwalk.waves import WaveSection
+from gypsumwalk.wire import Envelope
+
+__all__ = ["ENDPOINTS", "PEER_MESSAGES", "Assembly", "build_node"]
+
+SEED_BITS = 64
+
+PEER_MESSAGES: tuple[type, ...] = (
+    *consensus.PEER_MESSAGES,
+    *membership.PEER_MESSAGES,
+    *configuration.PEER_MESSAGES,
+    *targets.PEER_MESSAGES,
+    *exchange.PEER_MESSAGES,
+    *heartbeats.PEER_MESSAGES,
+)
+"""Every type of message between daemons."""
+
+ENDPOINTS: tuple[Endpoint, ...] = (
+    *submissions.ENDPOINTS,
+    *targets.ENDPOINTS,
+    *job_calls.ENDPOINTS,
+    *platform.ENDPOINTS,
+    *operator_calls.WAVE_ENDPOINTS,
+    *operator_calls.INSTANCE_ENDPOINTS,
+    *configuration.ENDPOINTS,
+    *keys.ENDPOINTS,
+    *status.ENDPOINTS,
+)
+"""Every HTTP call."""
+
+
+class _Sections:
+    def __init__(self) -> None:
+        self.configuration = ConfigurationSection()
+        self.keys = KeySection()
+        self.portions = PortionSection(self.configuration)
+        self.fences = FenceSection()
+        self.pools = PoolSection(self.configuration)
+        self.jobs = JobSection(self.pools, self.portions, self.configuration)
+        self.waves = WaveSection(self.pools, self.configuration)
+
+    def list(self) -> Sequence[Section]:
+        return [
+            self.configuration,
+            self.keys,
+            self.portions,
+            self.fences,
+            self.pools,
+            self.jobs,
+            self.waves,
+        ]
+
+
+class Assembly:
+    """One daemon's parts, joined in a node, and what its driver needs of them.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the daemon.
+    incarnation : int
+        Incarnation, higher after every start.
+    recovered : Recovered
+        Content of the data folder.
+    random : Random
+        Source of all chance; each part gets one of its own, seeded from it.
+    secrets : Random
+        Source of new keys; outside of tests one of the system's.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        incarnation: int,
+        recovered: Recovered,
+        random: Random,
+        secrets: Random,
+    ) -> None:
+        self.settings = settings
+        self.incarnation = incarnation
+        self.sections = _Sections()
+        self.state = ReplicatedState(self.sections.list())
+        self._random = random
+        self._has_been_fresh = False
+        self._window = ReplayWindow()
+        self.membership = MembershipPart(
+            settings=settings, random=self._derive(), incarnation=incarnation
+        )
+        self.consensus = Consensus(
+            settings=settings,
+            state=self.state,
+            recovered=recovered,
+            random=self._derive(),
+            incarnation=incarnation,
+        )
+        self.keys = KeyPart(
+            settings=settings,
+            section=self.sections.keys,
+            folder=self.sections.configuration,
+            freshness=self.consensus,
+            members=self.membership,
+            random=secrets,
+        )
+        parts: list[Part] = [
+            self.consensus,
+            self.membership,
+            self.keys,
+            *self._make_work(),
+            *self._make_fleet(),
+            *self._make_administration(),
+        ]
+        self.node = Node(parts, self.consensus)
+
+    def accept(self, envelope: Envelope) -> bool:
+        """Tell whether a peer's message is new, and note it."""
+        return self._window.admit(
+            envelope.source, envelope.incarnation, envelope.sequence
+        )
+
+    def is_ready(self, now: float) -> bool:
+        """Tell whether the daemon has caught up with the quorum since its start.
+
+        A daemon that is cut off later stays ready: it goes on to serve what it can.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether it may be given work.
+        """
+        if not self._has_been_fresh:
+            age = now - self.consensus.find_freshness(now)
+            self._has_been_fresh = age <= keys.FRESH_SECONDS
+        return self._has_been_fresh
+
+    def _make_work(self) -> list[Part]:
+        portions = PortionPart(
+            settings=self.settings,
+            section=self.sections.portions,
+            leadership=self.consensus,
+            incarnation=self.incarnation,
+        )
+        target_part = TargetPart(
+            settings=self.settings,
+            membership=self.membership,
+            keys=self.keys,
+            fences=self.sections.fences,
+            random=self._derive(),
+            incarnation=self.incarnation,
+        )
+        request_part = RequestPart(
+            settings=self.settings,
+            keys=self.keys,
+            folder=self.sections.configuration,
+            portions=portions,
+            membership=self.membership,
+            targets=target_part,
+            random=self._derive(),
+            incarnation=self.incarnation,
+        )
+        return [portions, target_part, request_part]
+
+    def _make_fleet(self) -> list[Part]:
+        table = HeartbeatTable()
+        sections = self.sections
+        folder = sections.configuration
+        return [
+            HeartbeatPart(
+                settings=self.settings, leadership=self.consensus, table=table
+            ),
+            JobPart(
+                settings=self.settings,
+                jobs=sections.jobs,
+                pools=sections.pools,
+                keys=self.keys,
+                folder=folder,
+                leadership=self.consensus,
+                random=self._derive(),
+            ),
+            PoolPart(
+                pools=sections.pools,
+                heartbeats=table,
+                keys=self.keys,
+                folder=folder,
+                leadership=self.consensus,
+            ),
+            WavePart(
+                waves=sections.waves,
+                pools=sections.pools,
+                heartbeats=table,
+                keys=self.keys,
+                folder=folder,
+                leadership=self.consensus,
+            ),
+        ]
+
+    def _make_administration(self) -> list[Part]:
+        return [
+            ConfigurationPart(
+                settings=self.settings,
+                section=self.sections.configuration,
+                state=self.state,
+                keys=self.keys,
+                members=self.membership,
+            ),
+            StatusPart(
+                settings=self.settings,
+                state=self.state,
+                folder=self.sections.configuration,
+                leadership=self.consensus,
+                membership=self.membership,
+            ),
+        ]
+
+    def _derive(self) -> Random:
+        return Random(self._random.getrandbits(SEED_BITS))
+
+
+def build_node(
+    settings: Settings, *, incarnation: int, recovered: Recovered, random: Random
+) -> Node:
+    """Build the node of one daemon from seeded chance alone, as tests want it.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the daemon.
+    incarnation : int
+        Incarnation, higher after every start.
+    recovered : Recovered
+        Content of the data folder.
+    random : Random
+        Source of all chance.
+
+    Returns
+    -------
+    Node
+        The node.
+    """
+    secrets = Random(random.getrandbits(SEED_BITS))
+    assembly = Assembly(
+        settings,
+        incarnation=incarnation,
+        recovered=recovered,
+        random=random,
+        secrets=secrets,
+    )
+    return assembly.node
--- /dev/null
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -0,0 +1,373 @@
+"""The daemon: sockets, files, threads and the clock around one node."""
+
+import contextlib
+import signal
+import sys
+import time
+from collections.abc import Callable, Sequence
+from random import Random, SystemRandom
+
+import trio
+
+from gypsumwalk import __version__
+from gypsumwalk.assembly import ENDPOINTS, PEER_MESSAGES, Assembly
+from gypsumwalk.drivers.bridge import CallBridge
+from gypsumwalk.drivers.clock import RuntimeClock
+from gypsumwalk.drivers.connections import ReceiveWatch
+from gypsumwalk.drivers.disk import FolderDisk
+from gypsumwalk.drivers.journal import EventJournal
+from gypsumwalk.drivers.metrics import Metrics
+from gypsumwalk.drivers.peers import PeerAddress, PeerNetwork
+from gypsumwalk.drivers.platform import PlatformHttpClient
+from gypsumwalk.drivers.server import HttpServer, ServerLimits, WebApplication
+from gypsumwalk.drivers.targets import TargetHttpClient
+from gypsumwalk.effects import (
+    Answer,
+    CallPlatform,
+    CancelDispatch,
+    Dispatch,
+    Effect,
+    Record,
+    Respond,
+    SendPeer,
+    Stop,
+    WriteDisk,
+)
+from gypsumwalk.endpoints import Audience, EndpointTable
+from gypsumwalk.errors import DiskFailure
+from gypsumwalk.events import Event
+from gypsumwalk.inputs import DiskOutcome, Input, PlatformOutcome, ShutdownRequested
+from gypsumwalk.recovery import Recovered
+from gypsumwalk.settings import Settings
+from gypsumwalk.timestamps import HybridClock
+from gypsumwalk.wire import PeerCodec
+
+__all__ = ["Daemon", "run_daemon"]
+
+MAX_WAITING_INPUTS = 4096
+MAX_WAITING_WRITES = 1024
+PEER_THREADS = 24
+PEER_QUEUE = 64
+CALLER_QUEUE_PER_THREAD = 2
+DISPATCH_THREADS = 128
+SHUTDOWN_SECONDS = 30.0
+LONGEST_WAIT_SECONDS = 1.0
+MILLISECONDS_PER_SECOND = 1000
+PLAIN_TEXT = "text/plain; charset=utf-8"
+METRICS_TEXT = "text/plain; version=0.0.4; charset=utf-8"
+
+
+class Daemon:
+    """Drives the node of one daemon.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the daemon.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._disk = FolderDisk(settings.data_folder) if settings.data_folder else None
+        self._clock = RuntimeClock()
+        self._hybrid = HybridClock()
+        self._journal = EventJournal(settings, self._hybrid)
+        self._metrics = Metrics()
+        self._assembly = self._assemble()
+        self._node = self._assembly.node
+        self._send_input, self._inputs = trio.open_memory_channel[Input](
+            MAX_WAITING_INPUTS
+        )
+        self._send_write, self._writes = trio.open_memory_channel[WriteDisk](
+            MAX_WAITING_WRITES
+        )
+        self._bridge = CallBridge(trio.lowlevel.current_trio_token(), self._send_input)
+        self._targets = TargetHttpClient(
+            concurrency=DISPATCH_THREADS, max_body_bytes=settings.max_body_bytes
+        )
+        self._platform = PlatformHttpClient(settings.platform_url)
+        self._watch = ReceiveWatch()
+        self._peers = self._make_network()
+        self._dispatches: dict[str, trio.CancelScope] = {}
+        self._stop: Stop | None = None
+        self._shutting_down = False
+        self._ready = False
+        self._actions: dict[type, Callable[..., None]] = {
+            Respond: self._bridge.resolve,
+            SendPeer: self._send_peer,
+            Dispatch: self._start_dispatch,
+            CancelDispatch: self._cancel_dispatch,
+            CallPlatform: self._start_platform_call,
+            WriteDisk: self._send_write.send_nowait,
+            Record: self._record,
+            Stop: self._request_stop,
+        }
+
+    async def run(self) -> int:
+        """Run until asked to stop.
+
+        Returns
+        -------
+        int
+            Exit code of the process.
+        """
+        servers = self._make_servers()
+        own = PeerAddress(self._settings.address, self._settings.peer_port)
+        await self._peers.bind(own)
+        for server in servers:
+            server.prepare()
+        self._watch.start()
+        self._record(Record(Event.DAEMON_STARTED, "", {"version": __version__}))
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            self._peers.start(nursery)
+            nursery.start_soon(self._write_disk)
+            nursery.start_soon(self._await_signals)
+            for server in servers:
+                nursery.start_soon(_serve, server)
+            await self._drive()
+            await self._stop_servers(servers)
+            nursery.cancel_scope.cancel()
+        self._close()
+        assert self._stop is not None
+        return self._stop.exit_code
+
+    async def _drive(self) -> None:
+        self._execute(self._node.advance(self._clock.now()))
+        while self._stop is None:
+            item = await self._receive_input()
+            now = self._clock.now()
+            if item is not None:
+                self._execute(self._node.handle(item, now))
+            if self._node.wakeup <= now:
+                self._execute(self._node.advance(now))
+            self._ready = self._assembly.is_ready(now)
+
+    async def _receive_input(self) -> Input | None:
+        now = self._clock.now()
+        wait = min(max(self._node.wakeup - now, 0.0), LONGEST_WAIT_SECONDS)
+        with trio.move_on_after(wait):
+            return await self._inputs.receive()
+        return None
+
+    def _execute(self, effects: Sequence[Effect]) -> None:
+        for effect in effects:
+            self._actions[type(effect)](effect)
+
+    def _send_peer(self, effect: SendPeer) -> None:
+        self._peers.send(effect.recipient, effect.body, reliable=effect.reliable)
+
+    def _start_dispatch(self, effect: Dispatch) -> None:
+        self._nursery.start_soon(self._dispatch, effect)
+
+    async def _dispatch(self, effect: Dispatch) -> None:
+        started = self._clock.now()
+        with trio.CancelScope() as scope:
+            self._dispatches[effect.dispatch_id] = scope
+            outcome = await self._targets.dispatch(effect)
+            self._metrics.count("dispatches", status=outcome.status)
+            self._metrics.observe_latency("dispatch", self._clock.now() - started)
+            await self._send_input.send(outcome)
+        self._dispatches.pop(effect.dispatch_id, None)
+
+    def _cancel_dispatch(self, effect: CancelDispatch) -> None:
+        scope = self._dispatches.pop(effect.dispatch_id, None)
+        if scope is not None:
+            scope.cancel()
+
+    def _start_platform_call(self, effect: CallPlatform) -> None:
+        self._nursery.start_soon(self._call_platform, effect)
+
+    async def _call_platform(self, effect: CallPlatform) -> None:
+        started = self._clock.now()
+        if self._settings.platform_url:
+            outcome = await self._platform.call(effect)
+        else:
+            outcome = PlatformOutcome(effect.token, succeeded=False)
+        self._metrics.count("platform_calls", outcome=_describe(outcome.succeeded))
+        self._metrics.observe_latency("platform", self._clock.now() - started)
+        await self._send_input.send(outcome)
+
+    async def _write_disk(self) -> None:
+        async for write in self._writes:
+            started = self._clock.now()
+            succeeded = await trio.to_thread.run_sync(self._write_blocking, write)
+            self._metrics.count("disk_writes", outcome=_describe(succeeded))
+            self._metrics.observe_latency("disk_write", self._clock.now() - started)
+            await self._send_input.send(DiskOutcome(write.token, succeeded))
+
+    def _write_blocking(self, write: WriteDisk) -> bool:
+        if self._disk is None:
+            return False
+        try:
+            self._disk.write(write.operations)
+        except DiskFailure:
+            return False
+        return True
+
+    def _record(self, record: Record) -> None:
+        self._journal.write(record, self._clock.now())
+        self._metrics.count("events", number=record.event.number)
+
+    def _request_stop(self, effect: Stop) -> None:
+        self._stop = effect
+
+    async def _await_signals(self) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                # A second signal shortens the deadline to now.
+                patience = 0.0 if self._shutting_down else SHUTDOWN_SECONDS
+                self._shutting_down = True
+                deadline = self._clock.now() + patience
+                await self._send_input.send(ShutdownRequested(deadline))
+
+    async def _stop_servers(self, servers: Sequence[HttpServer]) -> None:
+        self._bridge.close()
+        for server in servers:
+            await trio.to_thread.run_sync(server.stop)
+
+    def _close(self) -> None:
+        self._watch.stop()
+        self._peers.close()
+        self._targets.close()
+        self._platform.close()
+        self._journal.close()
+
+    def _assemble(self) -> Assembly:
+        recovered = self._disk.recover() if self._disk else Recovered()
+        settings = self._settings
+        seed = settings.seed or SystemRandom().getrandbits(64)
+        return Assembly(
+            settings,
+            incarnation=time.time_ns() // (1_000_000_000 // MILLISECONDS_PER_SECOND),
+            recovered=recovered,
+            random=Random(seed),
+            secrets=SystemRandom(),
+        )
+
+    def _make_network(self) -> PeerNetwork:
+        settings = self._settings
+        codec = PeerCodec(PEER_MESSAGES, settings.cluster_secret.encode())
+        return PeerNetwork(
+            name=settings.name,
+            incarnation=self._assembly.incarnation,
+            codec=codec,
+            clock=self._clock,
+            hybrid=self._hybrid,
+            find=self._find_peer,
+            accept=self._assembly.accept,
+            inputs=self._send_input,
+            record=self._record,
+            metrics=self._metrics,
+        )
+
+    def _find_peer(self, name: str) -> PeerAddress | None:
+        member = self._assembly.membership.find(name)
+        if member is not None and member.peer_port:
+            return PeerAddress(member.address, member.peer_port)
+        for peer in self._settings.peers:
+            if peer.name == name:
+                return PeerAddress(peer.address, peer.peer_port)
+        return None
+
+    def _make_servers(self) -> list[HttpServer]:
+        table = EndpointTable(ENDPOINTS)
+        settings = self._settings
+        pages = {
+            "/healthz": self._show_health,
+            "/readyz": self._show_readiness,
+            "/metrics": self._show_metrics,
+        }
+        caller = WebApplication(
+            self._bridge,
+            table,
+            audiences=frozenset({Audience.CALLER}),
+            watch=self._watch,
+            pages=pages,
+            metrics=self._metrics,
+        )
+        peer = WebApplication(
+            self._bridge,
+            table,
+            audiences=frozenset(Audience),
+            watch=self._watch,
+            pages=pages,
+            metrics=self._metrics,
+            receive_peer=self._peers.receive_batch,
+        )
+        caller_limits = ServerLimits(
+            settings.caller_threads,
+            settings.caller_threads * CALLER_QUEUE_PER_THREAD,
+            settings.max_body_bytes,
+        )
+        peer_limits = ServerLimits(
+            PEER_THREADS, PEER_QUEUE, settings.max_body_bytes * 2
+        )
+        return [
+            HttpServer(
+                settings.address,
+                port,
+                application,
+                watch=self._watch,
+                limits=limits,
+            )
+            for port, application, limits in (
+                (settings.caller_port, caller, caller_limits),
+                (settings.peer_port, peer, peer_limits),
+            )
+        ]
+
+    def _show_health(self) -> Answer:
+        return Answer(200, payload=b"ok\n", content_type=PLAIN_TEXT)
+
+    def _show_readiness(self) -> Answer:
+        ready = self._ready and not self._shutting_down
+        payload = b"ready\n" if ready else b"not ready\n"
+        status = 200 if ready else 503
+        return Answer(status, payload=payload, content_type=PLAIN_TEXT)
+
+    def _show_metrics(self) -> Answer:
+        self._metrics.set_gauge("waiting_calls", self._bridge.waiting)
+        payload = self._metrics.render()
+        return Answer(200, payload=payload, content_type=METRICS_TEXT)
+
+
+def _describe(succeeded: bool) -> str:
+    return "succeeded" if succeeded else "failed"
+
+
+async def _serve(server: HttpServer) -> None:
+    await trio.to_thread.run_sync(
+        server.serve, abandon_on_cancel=True, limiter=trio.CapacityLimiter(1)
+    )
+
+
+async def _run(settings: Settings) -> int:
+    return await Daemon(settings).run()
+
+
+def run_daemon(settings: Settings) -> int:
+    """Run a daemon until it is asked to stop.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the daemon.
+
+    Returns
+    -------
+    int
+        Exit code of the process.
+    """
+    with contextlib.suppress(KeyboardInterrupt):
+        return trio.run(_run, settings)
+    return 1
+
+
+if __name__ == "__main__":
+    from pathlib import Path
+
+    from gypsumwalk.settings import decode_settings
+
+    path = Path(sys.argv[1])
+    sys.exit(run_daemon(decode_settings(path.read_text(), file=str(path))))
--- /dev/null
+++ b/src/gypsumwalk/drivers/server.py
@@ -0,0 +1,242 @@
+"""HTTP servers: one for callers, one for daemons, targets and operators."""
+
+import time
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qsl
+
+import msgspec
+from cheroot.wsgi import Server
+
+from gypsumwalk.drivers.bridge import CallBridge
+from gypsumwalk.drivers.connections import ReceiveWatch, watch_connections
+from gypsumwalk.drivers.metrics import Metrics
+from gypsumwalk.effects import Answer
+from gypsumwalk.endpoints import Audience, EndpointTable
+from gypsumwalk.errors import BadBoundary, MalformedMessage
+from gypsumwalk.problems import Outcome, Problem, ProblemType, refuse
+
+__all__ = ["HttpServer", "ServerLimits", "WebApplication"]
+
+PEER_PATH = "/peer/v1/messages"
+MAX_HEADER_BYTES = 16 * 1024
+SOCKET_TIMEOUT_SECONDS = 10
+SHUTDOWN_TIMEOUT_SECONDS = 5
+LISTEN_BACKLOG = 256
+ANSWER_TIMEOUT_SECONDS = 90.0
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """Bounds of one server.
+
+    Attributes
+    ----------
+    threads : int
+        Calls that are served at the same time.
+    queued : int
+        Connections that wait for a thread; further ones get a 503.
+    max_body_bytes : int
+        Largest body, in bytes.
+    """
+
+    threads: int
+    queued: int
+    max_body_bytes: int
+
+
+class WebApplication:
+    """WSGI application that validates calls and hands them to the decisions.
+
+    Parameters
+    ----------
+    bridge : CallBridge
+        Way to the decisions.
+    table : EndpointTable
+        The endpoints.
+    audiences : frozenset of Audience
+        Audiences that this server takes calls from.
+    watch : ReceiveWatch
+        Watch over slow senders.
+    pages : Mapping[str, Callable]
+        Plain pages by path, for example ``/healthz``.
+    metrics : Metrics
+        Counters of calls and refusals.
+    receive_peer : Callable or None
+        Takes a signed batch of a daemon's messages; None where daemons do not call.
+    """
+
+    def __init__(
+        self,
+        bridge: CallBridge,
+        table: EndpointTable,
+        *,
+        audiences: frozenset[Audience],
+        watch: ReceiveWatch,
+        pages: Mapping[str, Callable[[], Answer]],
+        metrics: Metrics,
+        receive_peer: Callable[[bytes, str], None] | None = None,
+    ) -> None:
+        self._bridge = bridge
+        self._table = table
+        self._audiences = audiences
+        self._watch = watch
+        self._pages = pages
+        self._metrics = metrics
+        self._receive_peer = receive_peer
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Serve one call."""
+        try:
+            answer = self._serve(environ)
+        except BadBoundary as error:
+            answer = refuse(ProblemType.MALFORMED, Outcome.NOT_RUN, str(error))
+        content = _encode_answer(answer)
+        headers = [
+            ("Content-Type", answer.content_type),
+            ("Content-Length", str(len(content))),
+            *answer.headers.items(),
+        ]
+        start_response(f"{answer.status} {_phrase(answer.status)}", headers)
+        return [content]
+
+    def _serve(self, environ: dict[str, Any]) -> Answer:
+        body = _read_body(environ)
+        self._watch.finish()
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        page = self._pages.get(path)
+        if page is not None:
+            return page()
+        if path == PEER_PATH and self._receive_peer is not None:
+            return self._take_peer_batch(environ, body)
+        match = self._table.match(method, path)
+        if match is None or match.endpoint.audience not in self._audiences:
+            return refuse(ProblemType.NOT_FOUND, Outcome.NOT_RUN, f"{method} {path}")
+        headers = _collect_headers(environ)
+        query = dict(parse_qsl(environ.get("QUERY_STRING", "")))
+        call = match.decode(headers=headers, query=query, body=body)
+        started = time.perf_counter()
+        answer = self._bridge.call(
+            call,
+            credential=_find_credential(headers),
+            payload=body,
+            timeout=ANSWER_TIMEOUT_SECONDS,
+        )
+        self._count(match.endpoint.audience, answer, time.perf_counter() - started)
+        return answer
+
+    def _count(self, audience: Audience, answer: Answer, seconds: float) -> None:
+        status = str(answer.status)
+        self._metrics.count("http_calls", audience=audience.value, status=status)
+        self._metrics.observe_latency("http", seconds, audience=audience.value)
+        if isinstance(answer.body, Problem):
+            kind, outcome = answer.body.type, answer.body.outcome
+            self._metrics.count("refusals", type=kind, outcome=outcome)
+
+    def _take_peer_batch(self, environ: dict[str, Any], body: bytes) -> Answer:
+        assert self._receive_peer is not None
+        signature = environ.get("HTTP_GYPSUMWALK_SIGNATURE", "")
+        try:
+            self._receive_peer(body, signature)
+        except MalformedMessage as error:
+            return refuse(ProblemType.UNAUTHENTICATED, Outcome.NOT_RUN, str(error))
+        return Answer(HTTPStatus.NO_CONTENT)
+
+
+class HttpServer:
+    """One HTTP server with a bounded pool of threads.
+
+    Parameters
+    ----------
+    address : str
+        IP number to listen on.
+    port : int
+        TCP port.
+    application : WebApplication
+        The application.
+    watch : ReceiveWatch
+        Watch over slow senders.
+    limits : ServerLimits
+        Bounds.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        application: WebApplication,
+        *,
+        watch: ReceiveWatch,
+        limits: ServerLimits,
+    ) -> None:
+        self._server = Server(
+            (address, port),
+            application,
+            numthreads=limits.threads,
+            max=limits.threads,
+            request_queue_size=LISTEN_BACKLOG,
+            timeout=SOCKET_TIMEOUT_SECONDS,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS,
+            accepted_queue_size=limits.queued,
+            accepted_queue_timeout=0,
+        )
+        self._server.max_request_header_size = MAX_HEADER_BYTES
+        self._server.max_request_body_size = limits.max_body_bytes
+        self._server.ConnectionClass = watch_connections(watch)
+
+    def prepare(self) -> None:
+        """Bind the socket and start the threads."""
+        self._server.prepare()
+
+    def serve(self) -> None:
+        """Serve until ``stop`` is called; blocks its thread."""
+        self._server.serve()
+
+    def stop(self) -> None:
+        """Stop accepting; calls being served are completed."""
+        self._server.stop()
+
+
+def _read_body(environ: dict[str, Any]) -> bytes:
+    if not environ.get("CONTENT_LENGTH") and not environ.get("HTTP_TRANSFER_ENCODING"):
+        return b""
+    try:
+        body: bytes = environ["wsgi.input"].read()
+    except (OSError, ValueError) as error:
+        raise BadBoundary(f"body not received whole: {error}") from error
+    declared = environ.get("CONTENT_LENGTH")
+    if declared and len(body) != int(declared):
+        raise BadBoundary(f"received {len(body)} bytes of a body of {declared}")
+    return body
+
+
+def _collect_headers(environ: Mapping[str, Any]) -> dict[str, str]:
+    return {
+        name.removeprefix("HTTP_").replace("_", "-").lower(): str(value)
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+
+
+def _find_credential(headers: Mapping[str, str]) -> str:
+    scheme, _, key = headers.get("authorization", "").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def _encode_answer(answer: Answer) -> bytes:
+    if answer.body is None:
+        return answer.payload
+    return msgspec.json.encode(answer.body)
+
+
+def _phrase(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
--- a/src/gypsumwalk/wire.py
+++ b/src/gypsumwalk/wire.py
@@ -67,9 +67,9 @@
         """Return MAC and envelope, in MessagePack."""
         return self._seal(msgspec.msgpack.encode(envelope))
 
-    def encode_stream(self, envelope: Envelope) -> bytes:
-        """Return the envelope in JSON; its MAC goes into a header field."""
-        return msgspec.json.encode(envelope)
+    def encode_stream(self, envelopes: Sequence[Envelope]) -> bytes:
+        """Return envelopes in JSON; their MAC goes into a header field."""
+        return msgspec.json.encode(envelopes)
 
     def encode_body(self, body: msgspec.Struct, *, stream: bool) -> msgspec.Raw:
         """Encode a message for an envelope."""
@@ -101,12 +101,16 @@
         mac, body = content[:MAC_BYTES], content[MAC_BYTES:]
         if not hmac.compare_digest(mac, self._digest(body)):
             raise MalformedMessage("wrong MAC")
-        return self._open(msgspec.msgpack.decode, "msgpack", body)
+        try:
+            envelope = msgspec.msgpack.decode(body, type=Envelope)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            raise MalformedMessage(str(error)) from error
+        return envelope, self._open("msgpack", envelope.body)
 
     def decode_stream(
         self, content: bytes, signature: str
-    ) -> tuple[Envelope, msgspec.Struct]:
-        """Authenticate and decode a JSON envelope.
+    ) -> list[tuple[Envelope, msgspec.Struct]]:
+        """Authenticate and decode a batch of envelopes in JSON.
 
         Parameters
         ----------
@@ -117,28 +121,29 @@
 
         Returns
         -------
-        tuple of Envelope and msgspec.Struct
-            The envelope and its message.
+        list of tuple of Envelope and msgspec.Struct
+            The envelopes and their messages.
 
         Raises
         ------
         MalformedMessage
-            If it is not whole, not authentic or of no known type.
+            If it is not whole, not authentic or a message is of no known type.
         """
         expected = self.sign(content).encode()
         if not hmac.compare_digest(signature.encode(), expected):
             raise MalformedMessage("wrong MAC")
-        return self._open(msgspec.json.decode, "json", content)
+        try:
+            envelopes = msgspec.json.decode(content, type=list[Envelope])
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            raise MalformedMessage(str(error)) from error
+        return [(item, self._open("json", item.body)) for item in envelopes]
 
-    def _open(
-        self, decode: Any, codec: str, content: bytes
-    ) -> tuple[Envelope, msgspec.Struct]:
+    def _open(self, codec: str, content: msgspec.Raw) -> msgspec.Struct:
         try:
-            envelope = decode(content, type=Envelope)
-            body: msgspec.Struct = self._bodies[codec].decode(envelope.body)
-            return envelope, body
+            body: msgspec.Struct = self._bodies[codec].decode(content)
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
             raise MalformedMessage(str(error)) from error
+        return body
 
     def _seal(self, content: bytes) -> bytes:
         return self._digest(content) + content
--- a/tests/test_fuzz_border.py
+++ b/tests/test_fuzz_border.py
@@ -208,8 +208,9 @@
         ask = Ask(queue, count)
         datagram = CODEC.encode_datagram(make_envelope(ask, stream=False))
         assert CODEC.decode_datagram(datagram)[1] == ask
-        content = CODEC.encode_stream(make_envelope(ask, stream=True))
-        assert CODEC.decode_stream(content, CODEC.sign(content))[1] == ask
+        content = CODEC.encode_stream([make_envelope(ask, stream=True)] * 2)
+        batch = CODEC.decode_stream(content, CODEC.sign(content))
+        assert [body for _, body in batch] == [ask, ask]
 
     def test_every_prefix_and_every_flipped_byte_is_refused(self):
         datagram = CODEC.encode_datagram(make_envelope(Ask("q"), stream=False))
@@ -217,7 +218,7 @@
         for content in spoilt:
             with self.assertRaises(MalformedMessage):
                 CODEC.decode_datagram(content)
-        stream = CODEC.encode_stream(make_envelope(Ask("q"), stream=True))
+        stream = CODEC.encode_stream([make_envelope(Ask("q"), stream=True)])
         signature = CODEC.sign(stream)
         for content in [*_fuzz.cut_prefixes(stream), *_fuzz.flip_bytes(stream)]:
             with self.assertRaises(MalformedMessage):
--- /dev/null
+++ b/tests/test_server.py
@@ -0,0 +1,142 @@
+"""Tests of the HTTP servers against malformed and slow senders."""
+
+import contextlib
+import socket
+import threading
+import time
+import unittest
+
+import msgspec
+
+from gypsumwalk.drivers.connections import ReceiveWatch
+from gypsumwalk.drivers.metrics import Metrics
+from gypsumwalk.drivers.server import HttpServer, ServerLimits, WebApplication
+from gypsumwalk.effects import Answer
+from gypsumwalk.endpoints import Audience, BodyKind, Endpoint, EndpointTable
+
+TIMEOUT_SECONDS = 10.0
+
+
+class Order(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    count: int
+
+
+class Upload(msgspec.Struct, frozen=True):
+    queue: str
+    repeatable: bool = False
+
+
+class EchoBridge:
+    def __init__(self):
+        self.calls = []
+
+    def call(self, body, *, credential, payload, timeout):
+        self.calls.append((body, credential))
+        return Answer(200, payload=payload, content_type="text/plain")
+
+
+class TestServer(unittest.TestCase):
+    def setUp(self):
+        self.bridge = EchoBridge()
+        self.watch = ReceiveWatch(limit=1000.0)
+        table = EndpointTable(
+            [
+                Endpoint("POST", "/v1/orders", Order, Audience.CALLER),
+                Endpoint(
+                    "POST",
+                    "/v1/queues/{queue}/requests",
+                    Upload,
+                    Audience.CALLER,
+                    BodyKind.PAYLOAD,
+                ),
+                Endpoint("POST", "/v1/keys", Order, Audience.OPERATOR),
+            ]
+        )
+        application = WebApplication(
+            self.bridge,
+            table,
+            audiences=frozenset({Audience.CALLER}),
+            watch=self.watch,
+            pages={"/healthz": lambda: Answer(200, payload=b"ok\n")},
+            metrics=Metrics(),
+        )
+        limits = ServerLimits(threads=2, queued=4, max_body_bytes=1024)
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            self.port = probe.getsockname()[1]
+        self.server = HttpServer(
+            "127.0.0.1", self.port, application, watch=self.watch, limits=limits
+        )
+        self.server.prepare()
+        self.thread = threading.Thread(target=self.server.serve)
+        self.thread.start()
+
+    def tearDown(self):
+        self.server.stop()
+        self.thread.join()
+
+    def send(self, content):
+        address = ("127.0.0.1", self.port)
+        with socket.create_connection(address, TIMEOUT_SECONDS) as connection:
+            connection.sendall(content)
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_WR)
+            return read_all(connection)
+
+    def post(self, path, body, headers=""):
+        head = f"POST {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n{headers}"
+        return self.send(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+
+    def test_json_is_validated_before_a_decision(self):
+        answer = self.post("/v1/orders", b'{"count": "many"}')
+        assert answer.startswith(b"HTTP/1.1 400 ")
+        assert b'"outcome":"not run"' in answer
+        assert b"Expected `int`, got `str` - at `$.count`" in answer
+        assert self.bridge.calls == []
+
+    def test_fields_of_a_raw_request_come_from_path_and_headers(self):
+        headers = "Authorization: Bearer key-1\r\nGypsumwalk-Repeatable: true\r\n"
+        answer = self.post("/v1/queues/holds/requests", b"\x00row 4", headers)
+        assert answer.endswith(b"\r\n\r\n\x00row 4")
+        assert self.bridge.calls == [(Upload("holds", True), "key-1")]
+
+    def test_operator_call_is_not_found_on_the_callers_listener(self):
+        assert self.post("/v1/keys", b'{"count": 1}').startswith(b"HTTP/1.1 404 ")
+
+    def test_body_over_the_limit_is_refused(self):
+        answer = self.post("/v1/queues/holds/requests", b"x" * 2000)
+        assert answer.startswith(b"HTTP/1.1 413 ")
+        assert self.bridge.calls == []
+
+    def test_body_cut_short_never_reaches_a_decision(self):
+        head = "POST /v1/queues/holds/requests HTTP/1.1\r\nHost: a\r\n"
+        answer = self.send(f"{head}Content-Length: 100\r\n\r\nabc".encode())
+        assert b" 200 " not in answer
+        assert self.bridge.calls == []
+
+    def test_slow_sender_is_cut_and_its_thread_serves_again(self):
+        stuck = [
+            socket.create_connection(("127.0.0.1", self.port), TIMEOUT_SECONDS)
+            for _ in range(2)
+        ]
+        for connection in stuck:
+            connection.sendall(b"POST /v1/orders HTTP/1.1\r\nHost: a\r\nContent-Le")
+        cut = 0
+        while cut < 2:
+            cut += self.watch.cut_overdue(time.monotonic() + 2000.0)
+        for connection in stuck:
+            read_all(connection)
+            connection.close()
+        assert self.post("/v1/orders", b'{"count": 1}').startswith(b"HTTP/1.1 200 ")
+
+
+def read_all(connection):
+    chunks = []
+    with contextlib.suppress(OSError):
+        while chunk := connection.recv(65536):
+            chunks.append(chunk)
+    return b"".join(chunks)
+
+
+if __name__ == "__main__":
+    unittest.main()
