Follow the renamed modules of the leader's steps

Cause: the fleet's parts moved to modules named after their steps. Change: imports and the heartbeat table of the job part in the assembly. Measured: mypy strict clean. Conclusion: none beyond the names.

--- a/src/gypsumwalk/assembly.py
+++ b/src/gypsumwalk/assembly.py
@@ -22,22 +22,22 @@
 from gypsumwalk.endpoints import Endpoint
 from gypsumwalk.fences import FenceSection
 from gypsumwalk.heartbeats import HeartbeatPart, HeartbeatTable
+from gypsumwalk.job_steps import JobPart
 from gypsumwalk.jobs import JobSection
 from gypsumwalk.keys import KeyPart, KeySection
 from gypsumwalk.membership import MembershipPart
 from gypsumwalk.node import Node
 from gypsumwalk.part import Part
+from gypsumwalk.pool_steps import PoolPart
 from gypsumwalk.pools import PoolSection
 from gypsumwalk.portions import PortionPart, PortionSection
 from gypsumwalk.recovery import Recovered
 from gypsumwalk.replay import ReplayWindow
 from gypsumwalk.requests import RequestPart
-from gypsumwalk.scheduler import JobPart
 from gypsumwalk.settings import Settings
 from gypsumwalk.state import ReplicatedState, Section
 from gypsumwalk.status import StatusPart
 from gypsumwalk.targets import TargetPart
-from gypsumwalk.upkeep import PoolPart
 from gypsumwalk.wave_steps import WavePart
 from gypsumwalk.waves import WaveSection
 from gypsumwalk.wire import Envelope
@@ -218,6 +218,7 @@
                 settings=self.settings,
                 jobs=sections.jobs,
                 pools=sections.pools,
+                heartbeats=table,
                 keys=self.keys,
                 folder=folder,
                 leadership=self.consensus,
