Add and remove voters one at a time

Cause: a voter whose disk was lost never votes again under its old identity, so operators need a way to admit the new disk. Conclusion: a lost disk is replaced by one removal and one addition.

--- a/tests/_agreement.py
+++ b/tests/_agreement.py
@@ -17,6 +17,7 @@
 from gypsumwalk.recovery import Recovered
 from gypsumwalk.settings import PeerSettings, Settings
 from gypsumwalk.state import Accepted, ReplicatedState
+from gypsumwalk.voters import VoterPart
 from tests._world import World
 
 OPERATOR = "first operator's key"
@@ -111,6 +112,9 @@
             leadership=self.consensus,
             incarnation=incarnation,
         )
+        self.voters = VoterPart(
+            settings=settings, consensus=self.consensus, keys=self.keys
+        )
         self.client = ClientPart()
         parts = [
             self.consensus,
@@ -118,6 +122,7 @@
             self.configuration,
             self.keys,
             self.portions,
+            self.voters,
             self.client,
         ]
         super().__init__(parts, self.consensus)
--- a/tests/_faults.py
+++ b/tests/_faults.py
@@ -13,6 +13,7 @@
 
 from gypsumwalk.configuration import ApplyCall
 from gypsumwalk.keys import GiveCall, WithdrawCall
+from gypsumwalk.voters import AddVoterCall, RemoveVoterCall
 from tests._agreement import OPERATOR, Cluster
 from tests._checkers import (
     AcknowledgedKept,
@@ -324,6 +325,16 @@
         self.cluster.network.jitter = jitter
         self.cluster.network.delay = 0.001 if drop < 0.1 else 0.03
 
+    @focused("log")
+    @rule(number=names, voter=st.sampled_from(["v3", "v4"]), add=st.booleans())
+    def change_voters(self, number, voter, add):
+        name = self.names[number]
+        if not self.is_alive(name):
+            return
+        body = AddVoterCall(voter) if add else RemoveVoterCall(voter)
+        self.cluster.call(body, to=name, credential=OPERATOR)
+        self.let_pass(0.5)
+
     @focused("log")
     @rule()
     def lose_disk(self):
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -1,10 +1,21 @@
 """Tests of the replicated log in a world of fakes."""
 
 import unittest
+from contextlib import ExitStack
+from unittest import mock
 
+import msgspec
+
+from gypsumwalk.admission import Admission
+from gypsumwalk.effects import SendPeer
 from gypsumwalk.events import Event
 from gypsumwalk.inputs import ProposalStatus
+from gypsumwalk.leadership import Leadership
+from gypsumwalk.replica import Replica
+from gypsumwalk.replication import Introduced
+from gypsumwalk.voters import AddVoterCall, ListVotersCall, RemoveVoterCall
 from tests._agreement import Cluster
+from tests._checkers import AcknowledgedKept
 
 
 class TestConsensus(unittest.TestCase):
@@ -64,6 +75,119 @@
         cluster.run(8)
         assert cluster.find_leader() == ""
 
+    def lose_the_disk_that_knows(self):
+        """Commit on two of three, lose one's disk, and cut the other off."""
+        cluster = Cluster(4, voters=3)
+        kept = AcknowledgedKept(cluster)
+        cluster.elect()
+        cluster.run(2)
+        cluster.kill("v2")
+        leader = cluster.elect()
+        cluster.propose(leader, "kept")
+        cluster.run(1)
+        kept.check()
+        other = "v1" if leader == "v0" else "v0"
+        cluster.kill(leader)
+        cluster.lose_disk(other)
+        cluster.restart(other)
+        cluster.restart("v2")
+        cluster.run(8)
+        if cluster.find_leader():
+            cluster.propose("v2", "after the loss")
+            cluster.propose(other, "after the loss, too")
+        cluster.run(2)
+        kept.check()
+        return cluster.find_leader()
+
+    def test_lost_disk_loses_no_acknowledged_command(self):
+        assert self.lose_the_disk_that_knows() == ""
+
+    def test_voting_with_a_lost_disk_would_lose_acknowledged_commands(self):
+        accept = Introduced("", True, "")
+
+        def answer(admission, source, body):
+            own = admission._replica.identity
+            return [SendPeer(source, replace(accept, body.identity, own))]
+
+        def replace(answer, introduced, identity):
+            return msgspec.structs.replace(
+                answer, introduced=introduced, identity=identity
+            )
+
+        mutations = (
+            mock.patch.object(Admission, "take_introduce", answer),
+            mock.patch.object(
+                Admission, "may_vote", lambda self: bool(self._replica.identity)
+            ),
+            mock.patch.object(Leadership, "_counts", lambda *_: True),
+            mock.patch.object(Replica, "identify", lambda *_: "any"),
+            mock.patch.object(Replica, "identity", "any"),
+        )
+        with ExitStack() as stack:
+            for mutation in mutations:
+                stack.enter_context(mutation)
+            with self.assertRaisesRegex(AssertionError, "kept is lost"):
+                self.lose_the_disk_that_knows()
+
+    def test_voter_with_a_new_disk_votes_after_it_was_removed_and_added(self):
+        cluster = Cluster(6, voters=3, followers=1)
+        cluster.elect()
+        cluster.run(2)
+        before = cluster.ask(ListVotersCall(), to="f0").body.voters
+        cluster.lose_disk("v1")
+        cluster.restart("v1")
+        cluster.run(5)
+        assert cluster.ask(RemoveVoterCall("v1"), to="f0").body.voters.keys() == {
+            "v0",
+            "v2",
+        }
+        after = cluster.ask(AddVoterCall("v1"), to="f0").body.voters
+        assert after["v1"] not in ("", before["v1"])
+        cluster.run(1)
+        cluster.kill("v0")
+        assert cluster.run_until(cluster.find_leader, within=8)
+        cluster.propose("v1", "with the new disk")
+        cluster.run(2)
+        assert cluster.outcome("v1", "with the new disk")
+
+    def test_leader_that_is_removed_hands_over(self):
+        cluster = Cluster(7, voters=4)
+        leader = cluster.elect()
+        cluster.run(2)
+        other = next(name for name in cluster.voters if name != leader)
+        answer = cluster.ask(RemoveVoterCall(leader), to=other)
+        assert leader not in answer.body.voters
+        cluster.run(8)
+        assert cluster.find_leader() not in ("", leader)
+        cluster.propose(leader, "as a follower")
+        cluster.run(3)
+        assert cluster.outcome(leader, "as a follower").index
+
+    def test_snapshot_reaches_a_daemon_that_is_far_behind(self):
+        sizes = {"SNAPSHOT_ENTRIES": 50, "KEPT_ENTRIES": 5}
+        with mock.patch.multiple("gypsumwalk.replica", **sizes):
+            cluster = Cluster(8, voters=3, followers=1)
+            cluster.elect()
+            cluster.run(2)
+            cluster.kill("f0")
+            leader = cluster.find_leader()
+            texts = [f"{number:03}" + "x" * 2000 for number in range(200)]
+            for text in texts:
+                cluster.propose(leader, text)
+            cluster.run(3)
+            cluster.restart("f0")
+            cluster.run(5)
+            assert cluster.events(Event.SNAPSHOT_INSTALLED)
+            assert sorted(cluster.lists()["f0"]) == texts
+            for name in cluster.voters:
+                replica = cluster.daemons[name].node.consensus.replica
+                assert len(replica.log) <= 60
+                cluster.restart(name)
+            cluster.elect()
+            cluster.run(2)
+            for items in cluster.lists().values():
+                assert sorted(items) == texts
+
     def test_leader_with_a_full_disk_steps_down_and_acknowledges_nothing(self):
         cluster = Cluster(5)
         leader = cluster.elect()
