Place jobs by shares, urgency and learned sizes, with backfill and preemption

Cause: jobs were placed in order of arrival by declared sizes, and every pass counted every job of a pool anew. Change: a ledger of what is held, kept up by commits; lanes per team; the lane with the smallest weighted dominant share goes first, urgent lanes before others; the first job without room reserves the instance that frees first, and later ones fill gaps that end before; urgent jobs and, after 30 s, teams below their share stop repeatable work of teams above; sizes and run times are quantiles of reports; overload is met by throttle, checkpoint, stop.

--- a/src/gypsumwalk/job_steps.py
+++ b/src/gypsumwalk/job_steps.py
@@ -39,8 +39,8 @@
 )
 from gypsumwalk.jobs import JobSection
 from gypsumwalk.operator_calls import Explanation
-from gypsumwalk.placement import explain_never
-from gypsumwalk.platform import ReportWorkers
+from gypsumwalk.overload import OverloadKeeper
+from gypsumwalk.platform import ReportWorkers, TaskKey, TaskPhase
 from gypsumwalk.pool_commands import QuarantineInstance
 from gypsumwalk.pools import PoolSection
 from gypsumwalk.problems import Outcome, ProblemType, refuse
@@ -48,6 +48,7 @@
 from gypsumwalk.queueing import Planner
 from gypsumwalk.reasons import Reason
 from gypsumwalk.settings import Settings
+from gypsumwalk.sizes import SizeTable
 from gypsumwalk.state import Accepted, Rejected
 from gypsumwalk.suspicion import SuspicionTable
 from gypsumwalk.tasks import TaskKeeper
@@ -131,7 +132,11 @@
         self._quarantine = QuarantineKeeper(
             pools, heartbeats, self._suspicion, self._proposals, self._calls
         )
-        self._planner = Planner(jobs, pools, folder, self._suspicion)
+        self._sizes = SizeTable()
+        self._planner = Planner(jobs, pools, folder, self._suspicion, self._sizes)
+        self._overload = OverloadKeeper(
+            jobs, pools, self._planner, self._tasks, self._calls
+        )
         self._answers: dict[str, tuple[int, str]] = {}
         self._count = 0
         self._leading = False
@@ -159,7 +164,7 @@
             case ProposalOutcome(token=token) if token in self._answers:
                 return [self._answer_outcome(item)]
             case ProposalOutcome():
-                return self._take_proposal(item)
+                return self._take_proposal(item, now)
             case PlatformOutcome():
                 return self._take_outcome(item, now)
             case Committed(result=Accepted()):
@@ -189,13 +194,27 @@
             self._calls.reset()
             self._planner.reset()
             self._suspicion.reset()
+            self._sizes.reset()
+            self._overload.reset()
             self._quarantine.reset()
         effects = self._tasks.advance(now)
         effects += self._quarantine.advance(now)
+        effects += self._overload.advance(now)
         for command in self._planner.plan(now):
-            effects += self._proposals.propose(command.job_id, command)
+            effects += self._propose_placement(command, now)
+        for preemption in self._planner.preemptions:
+            self._tasks.request_stop_of(preemption.job_id, preemption.cause)
         return effects
 
+    def _propose_placement(
+        self, command: PlaceJob | RefuseJob, now: float
+    ) -> list[Effect]:
+        proposal = self._proposals.propose(command.job_id, command)
+        if not proposal:
+            reason = "an earlier step has no outcome yet"
+            self._planner.note_failed_proposal(command.job_id, reason, now)
+        return proposal
+
     # The leader's side.
 
     def _take_reports(self, item: Input, now: float) -> list[Effect]:
@@ -203,7 +222,7 @@
             return []
         effects: list[Effect] = []
         for report in read_reports(item):
-            self._planner.learn(report)
+            self._overload.note_report(report, now)
             for state in report.ended:
                 effects += self._tasks.take_state(state, now)
         return effects
@@ -217,19 +236,35 @@
             return self._quarantine.take_report(outcome.report, now)
         return self._tasks.take_outcome(outcome, now)
 
-    def _take_proposal(self, outcome: ProposalOutcome) -> list[Effect]:
+    def _take_proposal(self, outcome: ProposalOutcome, now: float) -> list[Effect]:
         key = self._proposals.settle(outcome)
-        if outcome.status is ProposalStatus.REJECTED and outcome.result is not None:
-            self._planner.note_rejection(key, outcome.result)
+        if outcome.status is not ProposalStatus.COMMITTED:
+            rejected = outcome.result
+            detail = "the log took no placement"
+            reason = rejected.detail if isinstance(rejected, Rejected) else detail
+            self._planner.note_failed_proposal(key, reason, now)
         return []
 
     def _take_commit(self, command: msgspec.Struct, now: float) -> list[Effect]:
         if isinstance(command, SubmitJob | EndJob | CancelJob | PlaceJob):
             self.wakeup = now
-        self._planner.note(command)
+        job_id = getattr(command, "job_id", "")
+        if job_id and self._leading:
+            self._planner.note(job_id)
+        if isinstance(command, EndJob):
+            self._learn(command, now)
         self._quarantine.note(command)
         return _record(command)
 
+    def _learn(self, command: EndJob, now: float) -> None:
+        record = self._jobs.find(command.job_id)
+        if record is None:
+            return
+        whole = command.phase in (TaskPhase.SUCCEEDED, TaskPhase.FAILED)
+        seconds = now - record.started_at if whole and record.started_at else 0.0
+        key = TaskKey(command.job_id, command.attempt)
+        self._sizes.note_end(key, record.spec, seconds)
+
     # Teams' calls.
 
     def _take_call(self, call: CallInput, now: float) -> list[Effect]:
@@ -284,7 +319,7 @@
         team = self._folder.team(spec.team) if spec.team else None
         if spec.team and (team is None or team.limit < 1):
             return f"team {spec.team} has an upper limit of 0"
-        return explain_never(spec, pool, self._folder.folder)
+        return self._planner.explain_never(spec, pool)
 
     def _propose_for(
         self, call: CallInput, command: msgspec.Struct, job_id: str
--- a/src/gypsumwalk/placement.py
+++ b/src/gypsumwalk/placement.py
@@ -1,15 +1,13 @@
 """Choice of the instance that a job runs on."""
 
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
 from gypsumwalk.folder import Folder
 from gypsumwalk.instances import InstanceRecord
-from gypsumwalk.job_records import JobRecord, SubmitJob
-from gypsumwalk.suspicion import SuspicionTable
+from gypsumwalk.job_records import SubmitJob
 
-__all__ = ["Choice", "Size", "Usage", "choose_instance", "explain_never", "size_of"]
+__all__ = ["CapacityTable", "Choice", "Size", "choose_instance", "size_of"]
 
 
 class Size(NamedTuple):
@@ -32,9 +30,9 @@
     def fits(self, room: "Size") -> bool:
         """Tell whether this fits into what is free."""
         return (
-            self.processors <= room.processors
-            and self.memory_gb <= room.memory_gb
-            and self.accelerators <= room.accelerators
+            self.processors <= room.processors + ROUNDING
+            and self.memory_gb <= room.memory_gb + ROUNDING
+            and self.accelerators <= room.accelerators + ROUNDING
         )
 
     def add(self, other: "Size", sign: int = 1) -> "Size":
@@ -45,43 +43,37 @@
             self.accelerators + sign * other.accelerators,
         )
 
+    def find_dominant(self, total: "Size") -> float:
+        """Return the largest fraction of a total over all resources."""
+        return max(
+            self.processors / total.processors if total.processors else 0.0,
+            self.memory_gb / total.memory_gb if total.memory_gb else 0.0,
+            self.accelerators / total.accelerators if total.accelerators else 0.0,
+        )
 
-def size_of(item: SubmitJob | InstanceRecord) -> Size:
-    """Return the declared size of a job, or the capacity of an instance."""
-    return Size(item.processors, item.memory_gb, float(item.accelerators))
 
+ROUNDING = 1e-6
+"""Error of sums of sizes that is overlooked."""
 
-@dataclass
-class Usage:
-    """What is in use on one instance.
 
-    Attributes
-    ----------
-    free : Size
-        What is left.
-    jobs : int
-        Jobs on it.
-    """
-
-    free: Size
-    jobs: int = 0
+def size_of(item: SubmitJob | InstanceRecord) -> Size:
+    """Return the declared size of a job, or the capacity of an instance."""
+    return Size(item.processors, item.memory_gb, float(item.accelerators))
 
 
 class Choice(NamedTuple):
     """Chosen instance and why, or no instance and why not."""
 
-    instance: str
+    instance: InstanceRecord | None
     reason: str
 
 
 def choose_instance(
-    job: JobRecord,
     size: Size,
-    candidates: Iterable[InstanceRecord],
-    usage: dict[str, Usage],
-    rack_jobs: dict[str, int],
-    suspicion: SuspicionTable,
-    now: float,
+    racks: Mapping[str, Sequence[InstanceRecord]],
+    count_in_rack: Callable[[str], int],
+    find_room: Callable[[InstanceRecord], Size],
+    rank: Callable[[InstanceRecord], int],
 ) -> Choice:
     """Choose the instance for a job.
 
@@ -90,96 +82,96 @@
 
     Parameters
     ----------
-    job : JobRecord
-        The job.
     size : Size
-        What it is expected to use.
-    candidates : Iterable of InstanceRecord
-        Instances that may take it.
-    usage : dict of str to Usage
-        What is in use, by instance.
-    rack_jobs : dict of str to int
-        Jobs of the same team, by rack.
-    suspicion : SuspicionTable
-        Evidence against workers; one that failed the job before, or others, comes
-        last.
-    now : float
-        Time in seconds.
+        What the job is expected to use.
+    racks : Mapping of str to Sequence of InstanceRecord
+        Available instances of its pool, by rack.
+    count_in_rack : Callable
+        Returns how many jobs of the same team a rack runs.
+    find_room : Callable
+        Returns what is free on an instance.
+    rank : Callable
+        Returns 0 for an instance that may take the job, a higher number for one that
+        others are preferred to, and a negative one to leave it out.
 
     Returns
     -------
     Choice
-        The instance, or an empty name with the reason.
-    """
-    best: tuple[bool, int, float, str] | None = None
-    seen = 0
-    for record in candidates:
-        seen += 1
-        room = usage[record.name]
-        if not size.fits(room.free):
-            continue
-        repeatable = job.spec.repeatable
-        doubts = suspicion.doubts(
-            job.spec.job_id, record.name, now, repeatable=repeatable
-        )
-        key = (
-            doubts,
-            rack_jobs.get(record.rack, 0),
-            -room.free.processors,
-            record.name,
-        )
-        if best is None or key < best:
-            best = key
-    if best is None:
-        if not seen:
-            return Choice("", "no instance of its pool is available")
-        return Choice("", f"none of {seen} available instances has room for it")
-    racks = f"its rack runs {best[1]} jobs of the team"
-    return Choice(best[3], f"{racks}, {-best[2]:g} processors free")
-
-
-def explain_never(spec: SubmitJob, pool: str, folder: Folder) -> str:
-    """Return why a job can never run on the instances declared, or empty.
-
-    Parameters
-    ----------
-    spec : SubmitJob
-        The job.
-    pool : str
-        Pool that runs its queue's jobs.
-    folder : Folder
-        The configuration.
-
-    Returns
-    -------
-    str
-        The reason, or empty if some instance could run it.
+        The instance, or None with the reason.
     """
-    spares = {name for name, table in folder.pools.items() if table.spare}
-    instances = [
-        table
-        for table in folder.instances.values()
-        if table.pool == pool or table.pool in spares
-    ]
-    if not instances:
-        return f"pool {pool} has no instances"
-    size = size_of(spec)
-    fits = any(
-        size.fits(Size(table.processors, table.memory_gb, float(table.accelerators)))
-        for table in instances
-    )
-    if fits:
-        return ""
-    return "; ".join(_list_excesses(size, instances)) or (
-        f"no single instance of pool {pool} has all of what it needs"
-    )
-
-
-def _list_excesses(size: Size, instances: Sequence[object]) -> list[str]:
+    doubted: InstanceRecord | None = None
+    for count, rack in sorted((count_in_rack(rack), rack) for rack in racks):
+        fitting = [item for item in racks[rack] if size.fits(find_room(item))]
+        ranks = [(rank(item), item) for item in fitting]
+        free = [item for standing, item in ranks if standing == 0]
+        if free:
+            best = max(free, key=lambda item: find_room(item).processors)
+            return Choice(best, f"{rack} runs {count} jobs of the team")
+        last = [item for standing, item in ranks if standing > 0]
+        doubted = doubted or (last[0] if last else None)
+    if doubted is not None:
+        return Choice(doubted, "others have no room, although it failed lately")
+    seen = sum(len(records) for records in racks.values())
+    if not seen:
+        return Choice(None, "no instance of its pool is available")
+    return Choice(None, f"none of {seen} available instances has room for it")
+
+
+class CapacityTable:
+    """Distinct sizes of the instances that each pool has or may be given."""
+
+    def __init__(self) -> None:
+        self._generation = -1
+        self._sizes: dict[str, set[Size]] = {}
+        self._spare: set[Size] = set()
+
+    def explain_never(
+        self, size: Size, pool: str, folder: Folder, generation: int
+    ) -> str:
+        """Return why a job can never run on the instances declared, or empty.
+
+        Parameters
+        ----------
+        size : Size
+            Declared size of the job.
+        pool : str
+            Pool that runs its queue's jobs.
+        folder : Folder
+            The configuration.
+        generation : int
+            Its generation.
+
+        Returns
+        -------
+        str
+            The reason, or empty if some instance could run it.
+        """
+        if generation != self._generation:
+            self._build(folder, generation)
+        sizes = self._sizes.get(pool, set()) | self._spare
+        if not sizes:
+            return f"pool {pool} has no instances"
+        if any(size.fits(capacity) for capacity in sizes):
+            return ""
+        whole = f"no single instance of pool {pool} has all of what it needs"
+        return "; ".join(_list_excesses(size, sizes)) or whole
+
+    def _build(self, folder: Folder, generation: int) -> None:
+        self._generation = generation
+        self._sizes = {}
+        for table in folder.instances.values():
+            size = Size(table.processors, table.memory_gb, float(table.accelerators))
+            self._sizes.setdefault(table.pool, set()).add(size)
+        self._spare = set()
+        for name, pool in folder.pools.items():
+            if pool.spare:
+                self._spare |= self._sizes.get(name, set())
+
+
+def _list_excesses(size: Size, sizes: set[Size]) -> list[str]:
     excesses = []
-    for name in Size._fields:
-        most = max(getattr(table, name) for table in instances)
-        needed = getattr(size, name)
-        if needed > most:
-            excesses.append(f"needs {needed:g} {name}, the largest has {most:g}")
+    for number, name in enumerate(Size._fields):
+        most = max(capacity[number] for capacity in sizes)
+        if size[number] > most:
+            excesses.append(f"needs {size[number]:g} {name}, the largest has {most:g}")
     return excesses
--- a/src/gypsumwalk/pools.py
+++ b/src/gypsumwalk/pools.py
@@ -77,6 +77,7 @@
         self._instances: dict[str, InstanceRecord] = {}
         self._members: dict[str, set[str]] = {}
         self._unavailable: dict[str, int] = {}
+        self._versions: dict[str, int] = {}
         self._losses: list[Loss] = []
         self.generation = 0
 
@@ -94,6 +95,10 @@
         """Return the names of a pool's instances in order."""
         return sorted(self._members.get(pool, ()))
 
+    def find_version(self, pool: str) -> int:
+        """Return a number that grows whenever an instance of a pool changes."""
+        return self._versions.get(pool, 0)
+
     def budget(self, pool: str) -> int:
         """Return how many instances of a pool may be unavailable at once."""
         table = self._folder.folder.pools.get(pool)
@@ -461,6 +466,7 @@
         self._count(record, 1)
 
     def _count(self, record: InstanceRecord, step: int) -> None:
+        self._versions[record.pool] = self._versions.get(record.pool, 0) + 1
         if record.counted and not record.available:
             lost = self._unavailable.get(record.pool, 0)
             self._unavailable[record.pool] = lost + step
--- a/src/gypsumwalk/tasks.py
+++ b/src/gypsumwalk/tasks.py
@@ -137,6 +137,20 @@
         """
         self._causes.setdefault(key, cause)
 
+    def request_stop_of(self, job_id: str, cause: str) -> None:
+        """Have a job's attempt in progress checkpointed and stopped.
+
+        Parameters
+        ----------
+        job_id : str
+            The job.
+        cause : str
+            Why.
+        """
+        record = self._jobs.find(job_id)
+        if record is not None and record.in_progress:
+            self.request_stop(_key(record), cause)
+
     def advance(self, now: float) -> list[Effect]:
         """Take the steps that are due.
 
