End a killed leader's term with its life

Cause: the chart drew the term of a killed leader on until the next election. Change: a term ends with the life that it was won in. Measured: the new test passes. Conclusion: the time without a leader can be read off the page.

--- a/src/gypsumwalk/timelinechart.py
+++ b/src/gypsumwalk/timelinechart.py
@@ -186,7 +186,8 @@
         if event.name != "LEADER_ELECTED":
             continue
         start = event.timestamp.milliseconds
-        end = _find_term_end(event, everyone, scale)
+        ends = [last for first, last in _find_lives(events, scale) if last >= start]
+        end = min(ends[0], _find_term_end(event, everyone, scale))
         left, right = scale.place(start), scale.place(end)
         term = escape(str(event.attributes.get("term", "?")))
         yield (
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -125,6 +125,20 @@
         )
         assert abs(float(first[0]) + float(first[1]) - float(second[0])) < 0.3
 
+    def test_term_of_a_killed_leader_ends_with_its_life(self):
+        elected = {"name": "LEADER_ELECTED", "attributes": {"term": 1}}
+        events = (
+            make_event("d1", 0),
+            make_event("d1", 1000, **elected),
+            make_event("d1", 2000, name="TARGET_TAKEN"),
+            make_event("d2", 6000, **elected),
+            make_event("d1", 8000),
+            make_event("d1", 10_000, name="TARGET_TAKEN"),
+        )
+        chart = render_chart(Timeline(events))
+        widths = re.findall(r'class="term".* width="([\d.]+)"', chart)
+        assert [round(float(width)) for width in widths] == [114, 456]
+
     def test_life_of_a_daemon_ends_with_its_last_event_before_a_restart(self):
         other = {"name": "TARGET_TAKEN"}
         events = (
