Return units of upper limits as a daemon leaves

Ruled out: the daemon's own requests (all were answered). Change: from the wish to leave on, units are returned as soon as they are idle. Conclusion: a crash still keeps units for 726 s; see docs/PROMISES.md.

--- a/src/gypsumwalk/portions.py
+++ b/src/gypsumwalk/portions.py
@@ -7,7 +7,13 @@
 
 from gypsumwalk.effects import Effect, Propose, Record
 from gypsumwalk.events import Event
-from gypsumwalk.inputs import Committed, Input, ProposalOutcome, ProposalStatus
+from gypsumwalk.inputs import (
+    Committed,
+    Input,
+    ProposalOutcome,
+    ProposalStatus,
+    ShutdownRequested,
+)
 from gypsumwalk.part import NEVER
 from gypsumwalk.settings import Settings
 from gypsumwalk.state import Accepted, Rejected
@@ -286,7 +292,7 @@
     """
 
     name = "portions"
-    accepts: tuple[type, ...] = (AskPortion, ReturnPortion)
+    accepts: tuple[type, ...] = (AskPortion, ReturnPortion, ShutdownRequested)
 
     def __init__(
         self,
@@ -306,6 +312,7 @@
         self._number = 0
         self._transfer = 0
         self._lease_start = float("-inf")
+        self._is_leaving = False
         self._renew_due = 0.0
         self._reclaim_due = 0.0
         self._wakeup = 0.0
@@ -363,10 +370,12 @@
         self._wakeup = min(self._wakeup, now + self._find_idle_time(team))
 
     def handle(self, item: Input, now: float) -> Sequence[Effect]:
-        """Take in the end of a proposal, or the news of a movement."""
+        """Take in the end of a proposal, a movement, or the wish to leave."""
         if isinstance(item, ProposalOutcome):
             return self._take_outcome(item, now)
-        if isinstance(item, Committed):
+        if isinstance(item, ShutdownRequested):
+            self._is_leaving = True
+        if isinstance(item, Committed | ShutdownRequested):
             self._wakeup = min(self._wakeup, now)
         return []
 
@@ -423,7 +432,7 @@
         return now >= local.idle_since + self._find_idle_time(team)
 
     def _find_idle_time(self, team: str) -> float:
-        if self._section.total(team) > self._section.limit(team):
+        if self._is_leaving or self._section.total(team) > self._section.limit(team):
             return 0.0
         return WANTED_IDLE_SECONDS if self._section.is_wanted(team) else IDLE_SECONDS
 
--- a/tests/test_portion_part.py
+++ b/tests/test_portion_part.py
@@ -3,7 +3,7 @@
 import unittest
 
 from gypsumwalk.effects import Propose
-from gypsumwalk.inputs import ProposalOutcome, ProposalStatus
+from gypsumwalk.inputs import ProposalOutcome, ProposalStatus, ShutdownRequested
 from gypsumwalk.portions import IDLE_SECONDS, PortionPart, PortionSection, ReturnPortion
 from gypsumwalk.settings import Settings
 from gypsumwalk.views import TeamRule
@@ -69,6 +69,17 @@
         assert self.advance(20.02) == []
         assert self.part.acquire("elul", "r2", 20.05)
 
+    def test_leaving_daemon_returns_units_as_they_are_released(self):
+        assert not self.part.acquire("elul", "r1", 10.0)
+        self.advance(10.0)
+        assert self.part.acquire("elul", "r1", 10.1)
+        self.part.handle(ShutdownRequested(40.0), 10.2)
+        assert self.advance(10.2) == []
+        self.part.release("elul", "r1", 10.3)
+        returned = self.advance(10.3)
+        assert [type(item) for item in returned] == [ReturnPortion]
+        assert self.section.total("elul") == 0
+
 
 if __name__ == "__main__":
     unittest.main()
