--- a/src/gypsumwalk/frames.py
+++ b/src/gypsumwalk/frames.py
@@ -104,7 +104,10 @@
     payload = content[start:end]
     if zlib.crc32(payload, zlib.crc32(struct.pack(">I", length))) != checksum:
         return None
-    return Frame(_decoder.decode(payload), end)
+    try:
+        return Frame(_decoder.decode(payload), end)
+    except msgspec.MsgspecError:
+        return None
 
 
 def _find_frame(content: bytes, position: int) -> bool:
--- a/src/gypsumwalk/replica.py
+++ b/src/gypsumwalk/replica.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from functools import reduce
 from operator import or_
-from typing import Any
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
@@ -32,6 +32,8 @@
 VOTE_FILE = "vote"
 SNAPSHOT_FILE = "snapshot"
 LOG_FILES = ("log-0", "log-1")
+
+_Stored = TypeVar("_Stored")
 SNAPSHOT_ENTRIES = 8192
 SNAPSHOT_BYTES = 4 * 1024 * 1024
 KEPT_ENTRIES = 1024
@@ -73,7 +75,7 @@
 
 
 class _SnapshotFile(msgspec.Struct, frozen=True):
-    log_file: int
+    log_file: Annotated[int, msgspec.Meta(ge=0, lt=len(LOG_FILES))]
     base_index: int
     base_term: int
     content: bytes
@@ -333,15 +335,16 @@
 
     def _recover(self, recovered: Recovered) -> None:
         if file := recovered.files.get(SNAPSHOT_FILE):
-            stored = msgspec.msgpack.decode(file, type=_SnapshotFile)
-            content = msgspec.msgpack.decode(stored.content, type=SnapshotContent)
+            stored = _decode(file, _SnapshotFile, SNAPSHOT_FILE)
+            content = _decode(stored.content, SnapshotContent, SNAPSHOT_FILE)
             self.snapshot, self.snapshot_index = stored.content, content.index
             self._log_file = stored.log_file
             self.log.reset(stored.base_index, stored.base_term)
             self.commit = content.index
             self._voter_changes = [(content.index, content.voters)]
-        records = recovered.records.get(LOG_FILES[self._log_file], ())
-        entries = [msgspec.msgpack.decode(record, type=Entry) for record in records]
+        log_file = LOG_FILES[self._log_file]
+        records = recovered.records.get(log_file, ())
+        entries = [_decode(record, Entry, log_file) for record in records]
         self._file_base = self.log.base_index
         for position, entry in enumerate(entries, self.log.base_index + 1):
             if entry.index != position:
@@ -353,10 +356,17 @@
 
 def _recover_vote(recovered: Recovered, identity: str) -> Vote:
     if content := recovered.files.get(VOTE_FILE):
-        return msgspec.msgpack.decode(content, type=Vote)
+        return _decode(content, Vote, VOTE_FILE)
     return Vote(identity)
 
 
+def _decode(content: bytes, kind: type[_Stored], file: str) -> _Stored:
+    try:
+        return msgspec.msgpack.decode(content, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise CorruptRecord(f"{file}: {error}") from error
+
+
 def _make_decoder(state: ReplicatedState) -> "msgspec.msgpack.Decoder[Any]":
     union: Any = reduce(or_, (ChangeVoters, *state.commands))
     return msgspec.msgpack.Decoder(union)
--- /dev/null
+++ b/tests/test_fuzz_files.py
@@ -0,0 +1,182 @@
+"""Fuzz tests of what a daemon finds on its disk, and of the folder's files.
+
+Damage leads to a typed error or to a whole prefix of what was written, never to
+records that were not written.
+"""
+
+import contextlib
+import tempfile
+import unittest
+from pathlib import Path
+from random import Random
+
+import msgspec
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from gypsumwalk.assembly import Assembly
+from gypsumwalk.drivers.disk import FolderDisk
+from gypsumwalk.effects import AppendRecords, WriteFile
+from gypsumwalk.errors import BadFolder, BadSetting, CorruptRecord
+from gypsumwalk.folder import Folder
+from gypsumwalk.frames import HEADER, MAGIC, encode_frame, scan_frames
+from gypsumwalk.merging import merge_files, parse_file
+from gypsumwalk.recovery import Recovered
+from gypsumwalk.replica import LOG_FILES, SNAPSHOT_FILE, VOTE_FILE
+from gypsumwalk.settings import decode_settings
+from tests import _fuzz
+from tests._scenario_worlds import make_files
+from tests.test_fuzz_border import SETTINGS_TEXT, TOML_VALUES
+
+BATCHES = ((b"first", b"second"), (b"third",), (b"", b"fourth" * 5, b"\x00\xff"))
+WRITTEN = [record for batch in BATCHES for record in batch]
+CONTENT = b"".join(encode_frame(batch) for batch in BATCHES)
+KINDS = ["teams", "services", "queues", "pools", "instances", "waves"]
+KEYS = ["limit", "share", "pool", "open", "teams", "max_unavailable", "rack", "x"]
+
+
+def check_scan(content):
+    try:
+        scan = scan_frames(content, "log")
+    except CorruptRecord as error:
+        assert str(error).startswith("log: ")
+        return None
+    records = [record for frame in scan.frames for record in frame.records]
+    assert records == WRITTEN[: len(records)]
+    return records
+
+
+class TestFrames(unittest.TestCase):
+    def test_every_prefix_is_a_torn_tail(self):
+        for content in _fuzz.cut_prefixes(CONTENT):
+            assert check_scan(content) is not None
+
+    def test_every_flipped_byte_is_refused_or_in_the_last_frame(self):
+        last = len(encode_frame(BATCHES[-1]))
+        for number, content in enumerate(_fuzz.flip_bytes(CONTENT)):
+            records = check_scan(content)
+            in_last = number // 2 >= len(CONTENT) - last
+            assert (records is not None) == in_last
+
+    @given(st.binary(max_size=200))
+    @example(MAGIC)
+    @example(HEADER.pack(MAGIC, 2**32 - 1, 0))
+    def test_any_tail_is_cut(self, tail):
+        assert check_scan(CONTENT + tail) == WRITTEN
+
+    @given(st.binary(max_size=100), st.binary(max_size=100))
+    def test_any_bytes_in_the_middle(self, before, after):
+        check_scan(before + CONTENT + after)
+
+
+class TestDisk(unittest.TestCase):
+    def damage(self, name, content):
+        with tempfile.TemporaryDirectory() as folder:
+            disk = FolderDisk(folder)
+            disk.recover()
+            for batch in BATCHES:
+                disk.write([AppendRecords("log", batch)])
+            disk.write([WriteFile("vote", b"voted")])
+            disk.close()
+            (Path(folder) / name).write_bytes(content)
+            return FolderDisk(folder).recover()
+
+    def test_flipped_bytes_of_a_whole_file_are_refused(self):
+        content = encode_frame([b"voted"])
+        for spoilt in [*_fuzz.flip_bytes(content), *_fuzz.cut_prefixes(content)]:
+            with self.assertRaises(CorruptRecord):
+                self.damage("vote.file", spoilt)
+
+    def test_torn_log_is_cut_and_stays_cut(self):
+        for spoilt in _fuzz.cut_prefixes(CONTENT, step=7):
+            recovered = self.damage("log.records", spoilt)
+            records = recovered.records["log"]
+            assert list(records) == WRITTEN[: len(records)]
+            assert recovered.files["vote"] == b"voted"
+
+
+class TestRecovery(unittest.TestCase):
+    """A whole frame may still hold what no version of the program wrote."""
+
+    def recover(self, recovered):
+        settings = decode_settings(SETTINGS_TEXT, file="s")
+        with contextlib.suppress(CorruptRecord):
+            make_assembly(settings, recovered)
+
+    @given(st.lists(st.binary(max_size=40), max_size=4))
+    def test_any_records_of_the_log(self, records):
+        self.recover(Recovered(records={LOG_FILES[0]: tuple(records)}))
+
+    @given(st.sampled_from([VOTE_FILE, SNAPSHOT_FILE]), st.binary(max_size=80))
+    def test_any_file(self, name, content):
+        self.recover(Recovered(files={name: content}))
+
+
+class TestFolder(unittest.TestCase):
+    def check(self, files):
+        try:
+            parsed = {name: parse_file(name, text) for name, text in files.items()}
+            folder = merge_files(parsed)
+        except BadSetting as error:
+            assert error.file
+            return
+        except BadFolder as error:
+            assert all(isinstance(item, BadSetting) for item in error.exceptions)
+            return
+        assert isinstance(folder, Folder)
+
+    @given(st.text(max_size=200))
+    @example("[" * 3000)
+    @example("a.b.c = 1\n[a]\nb = 2")
+    def test_any_text(self, text):
+        self.check({"10-x.toml": text})
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(KINDS),
+                st.sampled_from(["a", "b", '"c d"']),
+                st.dictionaries(st.sampled_from(KEYS), TOML_VALUES, max_size=4),
+            ),
+            max_size=4,
+        )
+    )
+    def test_any_tables_over_a_valid_folder(self, tables):
+        base = make_files({"h0": ("holds", "r0")}, {"a": "x"})
+        for number, (kind, name, values) in enumerate(tables):
+            lines = [f"[{kind}.{name}]"]
+            lines += [f"{key} = {value}" for key, value in values.items()]
+            base[f"9{number}-x.toml"] = "\n".join(lines)
+        self.check(base)
+
+    def test_every_prefix_and_flipped_byte_of_a_file(self):
+        base = make_files({"h0": ("holds", "r0")}, {"a": "x"})
+        content = base["20-pools.toml"].encode()
+        for spoilt in [*_fuzz.cut_prefixes(content), *_fuzz.flip_bytes(content)]:
+            self.check(base | {"20-pools.toml": spoilt.decode("latin-1")})
+
+
+class TestSnapshots(unittest.TestCase):
+    """Snapshot of a whole daemon, as its disk keeps it."""
+
+    def test_every_prefix_and_flipped_byte_is_refused_or_loaded(self):
+        settings = decode_settings(SETTINGS_TEXT, file="s")
+        assembly = make_assembly(settings, Recovered())
+        whole = assembly.state.dump()
+        for spoilt in [*_fuzz.cut_prefixes(whole), *_fuzz.flip_bytes(whole)]:
+            with contextlib.suppress(msgspec.MsgspecError, CorruptRecord):
+                assembly.state.load(spoilt)
+
+
+def make_assembly(settings, recovered):
+    return Assembly(
+        settings,
+        incarnation=1,
+        recovered=recovered,
+        random=Random(1),
+        secrets=Random(2),
+    )
+
+
+if __name__ == "__main__":
+    unittest.main()
