Attack each promise by scenarios, and show each checker red

Cause: each promise needs scenarios that attack it, a bound, and a mutation that shows that its check can fail.

--- a/tests/_facts.py
+++ b/tests/_facts.py
@@ -34,6 +34,15 @@
     limit: int
 
 
+@dataclass
+class LeavingFacts:
+    """One time that a target was leaving; ``until`` is when it came back, if ever."""
+
+    target: str
+    since: float
+    until: float = float("inf")
+
+
 @dataclass(frozen=True)
 class AcceptedFacts:
     """A configuration that was answered as accepted."""
@@ -98,7 +107,7 @@
     limits: list[LimitFacts] = field(default_factory=list)
     accepted: list[AcceptedFacts] = field(default_factory=list)
     samples: list[GenerationSample] = field(default_factory=list)
-    leaving_since: dict[str, float] = field(default_factory=dict)
+    leaving: list[LeavingFacts] = field(default_factory=list)
     shutdowns: dict[str, float] = field(default_factory=dict)
     executions: list = field(default_factory=list)
     tasks: list[TaskRun] = field(default_factory=list)
--- /dev/null
+++ b/tests/_mutations.py
@@ -0,0 +1,176 @@
+"""Deliberate faults in decisions, one for each promise at least.
+
+Each replaces one method while a test runs. The test requires that a scenario then
+fails, and that the checker of the promise says so.
+"""
+
+from dataclasses import dataclass, replace
+from unittest import mock
+
+from gypsumwalk.configuration import ConfigurationSection, FolderAccepted
+from gypsumwalk.effects import Stop
+from gypsumwalk.instances import InstanceEvent
+from gypsumwalk.keys import KeyPart
+from gypsumwalk.pools import PoolSection
+from gypsumwalk.portions import PortionPart
+from gypsumwalk.problems import Outcome
+from gypsumwalk.records import Request, RequestTable
+from gypsumwalk.requests import RequestPart
+from gypsumwalk.scheduling import Scheduler
+from gypsumwalk.slots import OwnedTarget
+
+
+@dataclass(frozen=True)
+class Mutation:
+    """One fault: the class and the method replaced, and what must notice."""
+
+    name: str
+    checker: str
+    scenario: str
+    owner: type
+    method: str
+    replacement: object
+
+    def switch_on(self):
+        """Return the context in which the fault exists."""
+        return mock.patch.object(self.owner, self.method, self.replacement)
+
+
+def _ignore_budget(self, pool):
+    return 100
+
+
+def _drain_at_once(self, instance, purpose, silent, at):
+    refusal = _drain(self, instance, purpose, silent, at)
+    if not refusal:
+        self.trigger(instance, InstanceEvent.CONFIRM_EMPTY, at, "not looked at")
+    return refusal
+
+
+_drain = PoolSection.drain
+
+
+def _is_always_fresh(self, now):
+    return True
+
+
+def _count_many(self, team, local, now):
+    return 100
+
+
+_end = RequestTable.end
+
+
+def _end_with_part(self, request, answer, outcome, now):
+    part = replace(answer, payload=answer.payload[:-1])
+    return _end(self, request, part, outcome, now)
+
+
+def _may_always_repeat(self, request, now):
+    request.may_have_run = False
+    return request.attempts < 3
+
+
+def _is_serving_while_leaving(self, now):
+    return self.confirmed
+
+
+def _leave_at_once(self, now):
+    if self._stop_at is None or self._stopped:
+        return []
+    self._stopped = True
+    return [Stop()]
+
+
+def _skip_second(self, command, index, at):
+    if self.generation >= 1 and not getattr(self, "skipped", False):
+        self.skipped = True
+        return FolderAccepted(self.generation + 1)
+    return _apply(self, command, index, at)
+
+
+_apply = ConfigurationSection.apply
+
+
+MUTATIONS = [
+    Mutation(
+        "budget-ignored",
+        "budgets",
+        "budgets-wave",
+        PoolSection,
+        "budget",
+        _ignore_budget,
+    ),
+    Mutation(
+        "drain-not-awaited",
+        "pools",
+        "pools-one-per-instance",
+        PoolSection,
+        "drain",
+        _drain_at_once,
+    ),
+    Mutation(
+        "stale-keys-used",
+        "keys",
+        "keys-withdrawn",
+        KeyPart,
+        "_is_fresh",
+        _is_always_fresh,
+    ),
+    Mutation(
+        "portions-not-counted",
+        "limits",
+        "limits-across-fleet",
+        PortionPart,
+        "_count_free",
+        _count_many,
+    ),
+    Mutation(
+        "answer-cut",
+        "answers",
+        "answers-own-and-whole",
+        RequestTable,
+        "end",
+        _end_with_part,
+    ),
+    Mutation(
+        "not-run-guessed",
+        "refusals",
+        "refusals-true",
+        Request,
+        "unstarted_outcome",
+        property(lambda self: Outcome.NOT_RUN),
+    ),
+    Mutation(
+        "always-repeated",
+        "single-runs",
+        "single-run-resent",
+        Scheduler,
+        "_may_repeat",
+        _may_always_repeat,
+    ),
+    Mutation(
+        "leaving-not-heeded",
+        "leaving",
+        "leaving-target",
+        OwnedTarget,
+        "is_serving",
+        _is_serving_while_leaving,
+    ),
+    Mutation(
+        "shutdown-not-graceful",
+        "shutdowns",
+        "shutdown-cuts-nothing",
+        RequestPart,
+        "_leave",
+        _leave_at_once,
+    ),
+    Mutation(
+        "generation-skipped",
+        "configuration",
+        "configuration-in-force",
+        ConfigurationSection,
+        "apply",
+        _skip_second,
+    ),
+]
--- a/tests/_promise_checkers.py
+++ b/tests/_promise_checkers.py
@@ -8,11 +8,11 @@
 
 KEY_SECONDS = 5.0
 """Bound in which a withdrawn key stops working."""
-LEAVING_SECONDS = 3.0
+LEAVING_SECONDS = 2.0
 """Bound in which a leaving target gets no more new work."""
 CONFIGURATION_SECONDS = 14.0
 """Bound in which an accepted configuration is in force."""
-DETECTION_SECONDS = 15.0
+DETECTION_SECONDS = 8.0
 """Bound in which the system knows that an instance is lost or back."""
 NOT_RUN = "not run"
 
@@ -207,12 +207,12 @@
 def check_leaving(facts):
     """A target that is leaving gets no new work after a few seconds."""
     for execution in facts.executions:
-        since = facts.leaving_since.get(execution.target)
-        if since is None:
-            continue
-        late = execution.started - since
-        if late > LEAVING_SECONDS:
-            yield f"{execution.target} got new work {late:.3f} s after it said so"
+        for leaving in facts.leaving:
+            if leaving.target != execution.target:
+                continue
+            late = execution.started - leaving.since
+            if late > LEAVING_SECONDS and execution.started < leaving.until:
+                yield f"{execution.target} got new work {late:.3f} s after it said so"
 
 
 def check_shutdowns(facts):
--- a/tests/_scenario_expectations.py
+++ b/tests/_scenario_expectations.py
@@ -57,9 +57,9 @@
     if call.answer is None:
         return False
     problem = getattr(call.answer.body, "outcome", None)
-    is_problem = call.answer.status >= 400
+    is_problem = call.answer.status >= 400 and problem is not None
     if state == "answered":
-        return not is_problem
+        return call.answer.status < 400
     found = (
         [call.answer.body.type.rpartition("/")[2], str(problem)] if is_problem else []
     )
@@ -73,6 +73,8 @@
     if call.answer is None:
         return "waiting"
     body = call.answer.body
+    if call.answer.status >= 400 and body is None:
+        return f"failed {call.answer.status}"
     if call.answer.status >= 400:
         kind = body.type.rpartition("/")[2]
         return f"refused {kind} {str(body.outcome)!r} {body.detail}".strip()
@@ -131,9 +133,7 @@
 
     def find_leaders():
         return [
-            name
-            for name, status in sorted(run.setup.status.items())
-            if status.leader == name and run.world.daemons[name].alive
+            name for name, status in run.setup.status.items() if status.leader == name
         ]
 
     run.expect(
@@ -169,8 +169,9 @@
 
     def find_generations():
         return {
-            name: run.setup.status[name].generation if name in run.setup.status else 0
+            name: status.generation if status else 0
             for name in names
+            for status in [run.setup.status.get(name)]
         }
 
     run.expect(
--- a/tests/_scenario_faults.py
+++ b/tests/_scenario_faults.py
@@ -1,5 +1,6 @@
 """Verbs of the scenario language that cause faults."""
 
+from tests._facts import LeavingFacts
 from tests._fake_targets import Behaviour
 from tests._scenario_runner import verb
 
@@ -10,6 +11,7 @@
     "refuses": Behaviour.REFUSE,
 }
 SHUTDOWN_SECONDS = 30.0
+ROLL_SECONDS = 20.0
 
 
 def split_groups(run, command):
@@ -98,6 +100,21 @@
         run.world.shut_down(name, command.read_duration(text))
 
 
+@verb("roll")
+def roll_daemon(run, command):
+    """``roll DAEMON``: shut it down, wait until it ended, and start it again."""
+    command.check(words=1)
+    (name,) = command.words
+    daemon = run.find_daemon(command, name)
+    run.facts.shutdowns[name] = run.world.now
+    run.world.shut_down(name, SHUTDOWN_SECONDS)
+    if not run.world.run_until(lambda: daemon.stopped, within=SHUTDOWN_SECONDS):
+        raise command.fail(f"{name} did not stop")
+    run.world.restart(name)
+    if not run.world.run_until(lambda: run.setup.is_ready(name), within=ROLL_SECONDS):
+        raise command.fail(f"{name} did not get ready")
+
+
 @verb("lose")
 def lose_disk(run, command):
     """``lose disk DAEMON``: end a process and replace its disk by an empty one."""
@@ -161,11 +178,13 @@
     match action:
         case "leaves":
             target.leaving = True
-            run.facts.leaving_since[name] = run.world.now
+            run.facts.leaving.append(LeavingFacts(name, run.world.now))
         case "returns":
             target.leaving = False
             target.incarnation += 1
-            run.facts.leaving_since.pop(name, None)
+            for leaving in run.facts.leaving:
+                if leaving.target == name:
+                    leaving.until = min(leaving.until, run.world.now)
         case "dies":
             run.world.targets.kill(name)
         case "revives":
--- a/tests/_scenario_operators.py
+++ b/tests/_scenario_operators.py
@@ -1,5 +1,6 @@
 """Verbs of the scenario language for operators, and for the platform's faults."""
 
+from gypsumwalk.pools import MoveInstance
 from tests._scenario_callers import find_entry
 from tests._scenario_runner import verb
 from tests._scenario_worlds import OPERATOR_KEY
@@ -44,6 +45,37 @@
     run.pending_files.clear()
 
 
+@verb("changes")
+def apply_many(run, command):
+    """``changes COUNT``: apply so many small changes, one after another."""
+    command.check(words=1)
+    setup = run.setup
+    for number in range(command.read_number(command.words[0], int)):
+        limit = 4 + number % 2
+        text = f"[teams.elul]\nlimit = {limit}\n"
+        body = {"base": setup.generation, "files": {"80-change.toml": text}}
+        answer = setup.ask_until(
+            lambda answer: answer.status == 200,
+            "POST",
+            "/v1/configuration/apply",
+            key=OPERATOR_KEY,
+            body=body,
+        )
+        files = setup.files | body["files"]
+        setup.note_accepted(answer.body.generation, files)
+
+
+@verb("platform")
+def change_platform(run, command):
+    """``platform [usage=8] [reboot=30s]``: tasks use so much, reboots take so long."""
+    command.check(words=0, options=("usage", "reboot"))
+    platform = run.setup.platform
+    if "usage" in command.options:
+        platform.usage_factor = command.read_number(command.options["usage"])
+    if "reboot" in command.options:
+        platform.reboot_seconds = command.read_duration(command.options["reboot"])
+
+
 @verb("reapply")
 def apply_again(run, command):
     """``reapply NAME [to=D]``: resend an operator's call after a lost answer."""
@@ -108,6 +140,22 @@
     run.calls.setdefault(f"wave-{name}", []).append(call)
 
 
+@verb("move")
+def move_instance(run, command):
+    """``move INSTANCE POOL``: propose a move to the log through the leader."""
+    command.check(words=2)
+    name, destination = command.words
+    if name not in run.setup.instances:
+        raise command.fail(f"no instance is called {name!r}")
+    held = run.facts.pool_of.get(name) or [(0.0, run.setup.instances[name][0])]
+    leaders = [
+        daemon for daemon, status in run.setup.status.items() if status.leader == daemon
+    ]
+    if not leaders:
+        raise command.fail("there is no leader")
+    run.world.propose(leaders[0], MoveInstance(name, held[-1][1], destination))
+
+
 @verb("instance")
 def change_instance(run, command):
     """``instance NAME... dies|returns|breaks|mends|hides|appears|sticks``.
--- a/tests/_scenario_runner.py
+++ b/tests/_scenario_runner.py
@@ -10,6 +10,10 @@
 from tests._world import START
 
 FOLDER = pathlib.Path(__file__).parent / "scenarios"
+AFTERMATH_SECONDS = 20.0
+"""Time after a failed expectation in which broken promises still show."""
+LOOK_SECONDS = 0.02
+"""Time between two looks at what is expected."""
 VERBS = {}
 """Function ``(run, command)`` of each verb."""
 
@@ -61,8 +65,12 @@
 
     def expect(self, command, condition, within, describe):
         """Wait until a condition holds, or fail with what was found instead."""
-        if not self.world.run_until(condition, within=within):
-            raise command.fail(f"expected {' '.join(command.words)}: {describe()}")
+        ends = self.world.now + within
+        while not condition():
+            if self.world.now >= ends:
+                expected = " ".join(command.words)
+                raise command.fail(f"expected {expected}: {describe()}")
+            self.world.run(min(LOOK_SECONDS, ends - self.world.now))
 
 
 class BrokenPromise(AssertionError):
@@ -97,6 +105,8 @@
             run_command(run, command)
         except ScenarioError as caught:
             error = caught
+            if run.setup is not None:
+                run.world.run(AFTERMATH_SECONDS)
             break
     broken = _judge(run)
     if broken:
@@ -151,3 +161,22 @@
     """``wait DURATION``: let time pass."""
     command.check(words=1)
     run.world.run(command.read_duration(command.words[0]))
+
+
+@verb("repeat")
+def repeat_command(run, command):
+    """``repeat COUNT VERB ...``: with ``%`` in words and options as 1, 2, 3..."""
+    command.check(words=(2, None), options=command.options)
+    count, name, *words = command.words
+    for number in range(1, command.read_number(count, int) + 1):
+        single = Command(
+            command.file,
+            command.line,
+            name,
+            tuple(word.replace("%", str(number)) for word in words),
+            {
+                key: value.replace("%", str(number))
+                for key, value in command.options.items()
+            },
+        )
+        run_command(run, single)
--- a/tests/_scenario_worlds.py
+++ b/tests/_scenario_worlds.py
@@ -67,8 +67,7 @@
         self.teams_of_jobs = {}
         self.connected_since = dict.fromkeys(daemons)
         self.keys = {}
-        self.status = {}
-        """Newest status that each daemon answered."""
+        self._status = {}
         self._applied = 0
         self._epochs = {}
         self.platform = FakePlatform(reboot_seconds=10.0)
@@ -263,6 +262,15 @@
 
     # Observations.
 
+    @property
+    def status(self):
+        """Newest status that each living process answered, by its daemon."""
+        return {
+            name: status
+            for name, (epoch, status) in sorted(self._status.items())
+            if self.world.daemons[name].epoch == epoch
+        }
+
     def _observe(self):
         self.world.schedule(OBSERVE_SECONDS, self._observe)
         for name, daemon in self.world.daemons.items():
@@ -293,13 +301,14 @@
 
     def _observe_daemon(self, name):
         since = self.connected_since[name]
+        epoch = self.world.daemons[name].epoch
         place = self.world.daemons[name].place
         call = self.ask("GET", "/v1/status", to=name, key=OPERATOR_KEY, origin=place)
 
         def note():
             if call.answer is None or call.answer.status != 200:
                 return
-            self.status[name] = call.answer.body
+            self._status[name] = (epoch, call.answer.body)
             sample = GenerationSample(
                 call.answered_at, name, call.answer.body.generation, since
             )
--- a/tests/_world.py
+++ b/tests/_world.py
@@ -26,6 +26,7 @@
     CancelDispatch,
     Dispatch,
     Effect,
+    Propose,
     Record,
     Respond,
     SendPeer,
@@ -284,6 +285,14 @@
     def _reaches(self, origin, daemon):
         return daemon.alive and not self.network.blocks(origin, daemon.place)
 
+    def propose(self, name, command):
+        """Let a daemon propose a command whose outcome nobody waits for."""
+        self._count += 1
+        proposal = Propose(f"scenario/{self._count}", command)
+        daemon = self.daemons[name]
+        own = daemon.read_clock(self.now)
+        self._carry_out(daemon, daemon.node._settle([proposal], own))
+
     # Inputs and effects.
 
     def deliver(self, daemon, item, *, epoch=None):
--- a/tests/test_promise_checkers.py
+++ b/tests/test_promise_checkers.py
@@ -10,6 +10,7 @@
     Facts,
     GenerationSample,
     KeyFacts,
+    LeavingFacts,
     LimitFacts,
     OutageFacts,
     RequestFacts,
@@ -97,8 +98,13 @@
         assert find_broken(facts) == []
 
     def test_leaving_target(self):
-        assert find_broken(make_facts(leaving_since={"t1": 8.0})) == []
-        assert find_broken(make_facts(leaving_since={"t1": 5.0})) == ["leaving"]
+        for since, until, broken in (
+            (8.5, 99.0, []),
+            (5.0, 99.0, ["leaving"]),
+            (5.0, 9.0, []),
+        ):
+            leaving = [LeavingFacts("t1", since, until)]
+            assert find_broken(make_facts(leaving=leaving)) == broken
 
     def test_request_cut_by_a_shutdown(self):
         facts = make_facts(shutdowns={"a": 9.5})
