Work the capacity page out from measured slopes

Cause: the users ask for state, messages, processor time and memory at the two-year size. Change: make slopes measures 41 lines at four or five sizes and writes docs/measurements/slopes.* and docs/CAPACITY.md, a figure being slope times size. Measured: docs/measurements/slopes.md.

--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,7 @@
 
 pages: $(STAMP)
 	$(BIN)/python -m tests._reference
+
+slopes: $(STAMP)
+	$(BIN)/python -m bench.slopes
+	$(BIN)/python -m bench.capacity
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bench.capacity import render_page
 from gypsumwalk.folder import Folder
 from gypsumwalk.settings import decode_settings
 from tests._reference import DOCS, TABLES, render_pages
@@ -15,6 +16,10 @@
             found = (DOCS / name).read_text(encoding="utf-8")
             assert found == text, f"run python -m tests._reference for {name}"
 
+    def test_capacity_page_is_worked_out_from_the_measurements(self):
+        found = (DOCS / "CAPACITY.md").read_text(encoding="utf-8")
+        assert found == render_page(), "run make slopes"
+
     def test_every_table_of_the_folder_has_a_section(self):
         fields = [field.name for field in msgspec.structs.fields(Folder)]
         assert [name for name, _ in TABLES] == fields
