--- a/src/gypsumwalk/configuration.py
+++ b/src/gypsumwalk/configuration.py
@@ -1,17 +1,21 @@
-"""Configuration folder: its replicated generations, and the operators' calls."""
+"""Operators' calls on the configuration folder."""
 
-from collections import OrderedDict
 from collections.abc import Sequence
-from dataclasses import dataclass
-from hashlib import blake2b
 
 import msgspec
 
 from gypsumwalk.effects import Answer, Effect, Propose, Record, Respond, SendPeer
 from gypsumwalk.endpoints import Audience, BodyKind, Endpoint
-from gypsumwalk.errors import BadFolder, BadSetting
+from gypsumwalk.errors import BadFolder
 from gypsumwalk.events import Event
 from gypsumwalk.folder import Folder
+from gypsumwalk.generations import (
+    COMMANDS,
+    ApplyFolder,
+    ConfigurationSection,
+    FolderAccepted,
+    describe_folder_errors,
+)
 from gypsumwalk.in_force import PEER_MESSAGES as IN_FORCE_MESSAGES
 from gypsumwalk.in_force import AppliedAnswer, AppliedQuery, InForce, Report
 from gypsumwalk.inputs import (
@@ -22,11 +26,10 @@
     ProposalOutcome,
     ProposalStatus,
 )
-from gypsumwalk.merging import Tables, merge_files, parse_file
 from gypsumwalk.problems import Outcome, ProblemType, refuse
 from gypsumwalk.settings import Settings
 from gypsumwalk.state import Rejected, ReplicatedState
-from gypsumwalk.views import KeyView, MembershipView, QueueRule, TeamRule
+from gypsumwalk.views import KeyView, MembershipView
 
 __all__ = [
     "COMMANDS",
@@ -40,176 +43,9 @@
     "ReadCall",
 ]
 
-KEPT_GENERATIONS = 4096
-DIGEST_BYTES = 16
+PEER_MESSAGES = IN_FORCE_MESSAGES
 APPLY_SECONDS = 10.0
 REPORT_SECONDS = 4.0
-MAX_FOLDER_BYTES = 16 * 1024 * 1024
-
-
-class ApplyFolder(msgspec.Struct, frozen=True, tag=True):
-    """Command: change files of the folder.
-
-    Attributes
-    ----------
-    base : int
-        Generation that the change was made from.
-    files : dict of str to str
-        New or changed files.
-    removed : list of str
-        Files that are dropped.
-    whole : bool
-        Whether files that are not named are dropped too.
-    """
-
-    base: int
-    files: dict[str, str]
-    removed: list[str] = []
-    whole: bool = False
-
-
-class FolderAccepted(msgspec.Struct, frozen=True, tag=True):
-    """Result: the change is accepted as a generation."""
-
-    generation: int
-    repeated: bool = False
-
-
-COMMANDS = (ApplyFolder,)
-PEER_MESSAGES = IN_FORCE_MESSAGES
-
-
-class _Dump(msgspec.Struct, frozen=True):
-    generation: int
-    files: dict[str, str]
-    digests: dict[int, bytes]
-
-
-class ConfigurationSection:
-    """Files of the generation in force, and the merged folder."""
-
-    name = "configuration"
-    commands: tuple[type, ...] = COMMANDS
-
-    def __init__(self) -> None:
-        self.generation = 0
-        self.files: dict[str, str] = {}
-        self._folder = Folder()
-        self._parsed: dict[str, Tables] = {}
-        self._digests: OrderedDict[int, bytes] = OrderedDict()
-
-    @property
-    def folder(self) -> Folder:
-        """The merged folder in force."""
-        return self._folder
-
-    def team(self, name: str) -> TeamRule | None:
-        """Return the rule of a team."""
-        table = self._folder.teams.get(name)
-        return TeamRule(name, table.share, table.limit) if table else None
-
-    def teams(self) -> Sequence[TeamRule]:
-        """Return the rules of all teams, ordered by name."""
-        teams = sorted(self._folder.teams.items())
-        return [TeamRule(name, table.share, table.limit) for name, table in teams]
-
-    def queue(self, name: str) -> QueueRule | None:
-        """Return the rule of a queue."""
-        table = self._folder.queues.get(name)
-        if table is None:
-            return None
-        return QueueRule(
-            name,
-            table.service,
-            table.open,
-            tuple(table.teams),
-            table.max_waiting,
-            table.deadline_seconds,
-        )
-
-    def preview(self, command: ApplyFolder) -> Folder:
-        """Return the folder that a change would make.
-
-        Parameters
-        ----------
-        command : ApplyFolder
-            The change.
-
-        Returns
-        -------
-        Folder
-            The merged folder.
-
-        Raises
-        ------
-        BadFolder
-            Every wrong setting.
-        """
-        return merge_files(self._parse(self._change_files(command)))
-
-    def apply(self, command: msgspec.Struct, index: int, at: float) -> msgspec.Struct:
-        """Apply one committed change, the first of each base generation."""
-        assert isinstance(command, ApplyFolder)
-        digest = _digest(command)
-        if command.base != self.generation:
-            return self._answer_late(command.base + 1, digest)
-        files = self._change_files(command)
-        try:
-            parsed = self._parse(files)
-            folder = merge_files(parsed)
-        except BadFolder as error:
-            return Rejected("BadFolder", _describe(error)[0])
-        self.generation += 1
-        self.files, self._parsed, self._folder = files, parsed, folder
-        self._digests[self.generation] = digest
-        if len(self._digests) > KEPT_GENERATIONS:
-            self._digests.popitem(last=False)
-        return FolderAccepted(self.generation)
-
-    def dump(self) -> bytes:
-        """Return the section as bytes."""
-        dump = _Dump(self.generation, self.files, dict(self._digests))
-        return msgspec.msgpack.encode(dump)
-
-    def load(self, content: bytes) -> None:
-        """Replace the section by one that was dumped."""
-        dump = msgspec.msgpack.decode(content, type=_Dump)
-        self.generation, self.files = dump.generation, dump.files
-        self._digests = OrderedDict(dump.digests)
-        self._parsed = self._parse(dump.files)
-        self._folder = merge_files(self._parsed)
-
-    def _answer_late(self, generation: int, digest: bytes) -> msgspec.Struct:
-        if self._digests.get(generation) == digest:
-            return FolderAccepted(generation, repeated=True)
-        detail = f"generation {self.generation} is in force already"
-        if generation > self.generation:
-            detail = f"generation {self.generation} is the newest there is"
-        return Rejected("ConflictingGeneration", detail)
-
-    def _change_files(self, command: ApplyFolder) -> dict[str, str]:
-        files = {} if command.whole else dict(self.files)
-        for name in command.removed:
-            files.pop(name, None)
-        return dict(sorted((files | command.files).items()))
-
-    def _parse(self, files: dict[str, str]) -> dict[str, Tables]:
-        parsed = {}
-        wrongs = []
-        if sum(map(len, files.values())) > MAX_FOLDER_BYTES:
-            expected = f"at most {MAX_FOLDER_BYTES} characters"
-            wrongs.append(BadSetting("(folder)", "(files)", expected, "more"))
-        for name, text in files.items():
-            if name in self._parsed and self.files.get(name) == text:
-                parsed[name] = self._parsed[name]
-                continue
-            try:
-                parsed[name] = parse_file(name, text)
-            except BadSetting as error:
-                wrongs.append(error)
-        if wrongs:
-            raise BadFolder("configuration folder", wrongs)
-        return parsed
 
 
 class ApplyCall(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -274,11 +110,6 @@
 )
 
 
-@dataclass(slots=True)
-class _Accepted:
-    result: FolderAccepted
-
-
 class ConfigurationPart:
     """Operators' calls on the configuration folder.
 
@@ -319,7 +150,7 @@
         self._state = state
         self._keys = keys
         self._in_force = InForce(self.name, settings.name, members)
-        self._results: dict[int, _Accepted] = {}
+        self._results: dict[int, FolderAccepted] = {}
 
     @property
     def wakeup(self) -> float:
@@ -384,7 +215,7 @@
         call_id = int(item.token.partition("/")[2])
         match item.status, item.result:
             case ProposalStatus.COMMITTED, FolderAccepted() as result:
-                self._results[call_id] = _Accepted(result)
+                self._results[call_id] = result
                 deadline = now + REPORT_SECONDS
                 self._in_force.begin(call_id, item.index, deadline, now)
                 return list(self.advance(now))
@@ -401,28 +232,14 @@
     def _report(self, now: float) -> list[Effect]:
         effects: list[Effect] = []
         for call_id, _, report in self._in_force.take_finished(now):
-            result = self._results.pop(call_id).result
+            result = self._results.pop(call_id)
             body = ApplyResult(result.generation, result.repeated, report)
             effects.append(Respond(call_id, Answer(200, body)))
         return effects
 
 
-def _digest(command: ApplyFolder) -> bytes:
-    ordered = msgspec.structs.replace(
-        command,
-        files=dict(sorted(command.files.items())),
-        removed=sorted(command.removed),
-    )
-    content = msgspec.msgpack.encode(ordered)
-    return blake2b(content, digest_size=DIGEST_BYTES).digest()
-
-
-def _describe(error: BadFolder) -> list[str]:
-    return [str(wrong) for wrong in error.exceptions]
-
-
 def _refuse_folder(error: BadFolder) -> Answer:
-    errors = _describe(error)
+    errors = describe_folder_errors(error)
     return refuse(ProblemType.INVALID_FOLDER, Outcome.NOT_RUN, errors=errors)
 
 
