--- a/src/gypsumwalk/assembly.py
+++ b/src/gypsumwalk/assembly.py
@@ -16,6 +16,7 @@
     status,
     submissions,
     targets,
+    voters,
 )
 from gypsumwalk.configuration import ConfigurationPart, ConfigurationSection
 from gypsumwalk.consensus import Consensus
@@ -38,6 +39,7 @@
 from gypsumwalk.state import ReplicatedState, Section
 from gypsumwalk.status import StatusPart
 from gypsumwalk.targets import TargetPart
+from gypsumwalk.voters import VoterPart
 from gypsumwalk.wave_steps import WavePart
 from gypsumwalk.waves import WaveSection
 from gypsumwalk.wire import Envelope
@@ -66,6 +68,7 @@
     *configuration.ENDPOINTS,
     *keys.ENDPOINTS,
     *status.ENDPOINTS,
+    *voters.ENDPOINTS,
 )
 """Every HTTP call."""
 
@@ -257,6 +260,9 @@
                 leadership=self.consensus,
                 membership=self.membership,
             ),
+            VoterPart(
+                settings=self.settings, consensus=self.consensus, keys=self.keys
+            ),
         ]
 
     def _derive(self) -> Random:
--- /dev/null
+++ b/tests/_real_cluster.py
@@ -0,0 +1,200 @@
+"""Several real daemons as processes on loopback, to be killed and paused."""
+
+import json
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import time
+from contextlib import suppress
+from pathlib import Path
+
+import urllib3
+
+import gypsumwalk
+from tests._real_daemon import OPERATOR_KEY, find_ports
+
+POLL_SECONDS = 0.02
+STOP_SECONDS = 40
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+HEAD = """\
+name = "{name}"
+data_centre = "{data_centre}"
+caller_port = {caller_port}
+peer_port = {peer_port}
+cluster_secret = "at least sixteen characters"
+operator_key = "{key}"
+record_folder = "{folder}/{name}.records"
+{data_folder}
+"""
+PEER = """
+[[peers]]
+name = "{name}"
+data_centre = "{data_centre}"
+address = "127.0.0.1"
+peer_port = {peer_port}
+voter = {voter}
+"""
+
+
+class RealCluster:
+    """Voters ``v0``... with data folders and followers ``f0``... without."""
+
+    def __init__(self, folder, voters=5, followers=0):
+        self.folder = Path(folder)
+        self.voters = [f"v{number}" for number in range(voters)]
+        self.followers = [f"f{number}" for number in range(followers)]
+        self.names = self.voters + self.followers
+        ports = find_ports(2 * len(self.names))
+        self.ports = dict(zip(self.names, ports[::2], strict=True))
+        self.caller_ports = dict(zip(self.names, ports[1::2], strict=True))
+        self.processes = {}
+        self.http = urllib3.PoolManager(retries=False)
+        for name in self.names:
+            self.start(name)
+
+    def data_folder(self, name):
+        return self.folder / f"{name}.data"
+
+    def start(self, name):
+        path = self.folder / f"{name}.toml"
+        path.write_text(self._make_settings(name))
+        source = str(Path(gypsumwalk.__file__).parent.parent)
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "gypsumwalk", "serve", str(path)],
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "PYTHONPATH": source},
+            )
+
+    def kill(self, name):
+        """End one process at once, as kill -9 does."""
+        process = self.processes[name]
+        process.kill()
+        process.wait()
+
+    def pause(self, name):
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name):
+        self.processes[name].send_signal(signal.SIGCONT)
+
+    def wipe(self, name):
+        """Empty the data folder of a daemon that was killed."""
+        shutil.rmtree(self.data_folder(name))
+
+    def close(self):
+        """Stop every process, by its id."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        for process in self.processes.values():
+            try:
+                process.wait(STOP_SECONDS)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+    def call(self, name, method, path, body=None, timeout=12.0):
+        """Make an operator's call; returns status and body, or None if it failed."""
+        url = f"http://127.0.0.1:{self.ports[name]}{path}"
+        headers = {
+            "Authorization": f"Bearer {OPERATOR_KEY}",
+            "Content-Type": "application/json",
+        }
+        content = None if body is None else json.dumps(body).encode()
+        with suppress(urllib3.exceptions.HTTPError):
+            answer = self.http.request(
+                method, url, body=content, headers=headers, timeout=timeout
+            )
+            return answer.status, json.loads(answer.data or b"null")
+        return None
+
+    def find_leader(self, names=None):
+        """Return the leader that a majority of the voters names, or empty."""
+        heard = []
+        for name in names or self.voters:
+            if self.processes[name].poll() is None:
+                answer = self.call(name, "GET", "/v1/voters", timeout=0.5)
+                if answer and answer[0] == 200:
+                    heard.append(answer[1]["leader"])
+        for leader in set(heard) - {""}:
+            if heard.count(leader) > len(self.voters) // 2:
+                return leader
+        return ""
+
+    def await_leader(self, within=20.0, other_than=""):
+        """Wait until a majority agrees on a leader, and return it."""
+        end = time.monotonic() + within
+        while time.monotonic() < end:
+            leader = self.find_leader()
+            if leader not in ("", other_than):
+                return leader
+            time.sleep(POLL_SECONDS)
+        raise AssertionError("no leader in time")
+
+    def apply(self, name, base, files, timeout=15.0):
+        return self.call(
+            name,
+            "POST",
+            "/v1/configuration/apply",
+            {"base": base, "files": files},
+            timeout,
+        )
+
+    def read(self, name):
+        answer = self.call(name, "GET", "/v1/configuration", timeout=2.0)
+        return answer[1] if answer and answer[0] == 200 else None
+
+    def await_files(self, name, files, within=10.0):
+        """Wait until a daemon shows exactly these files."""
+        end = time.monotonic() + within
+        while time.monotonic() < end:
+            found = self.read(name)
+            if found and found["files"] == files:
+                return
+            time.sleep(POLL_SECONDS)
+        raise AssertionError(f"{name} shows {found}")
+
+    def measure_cpu(self, name):
+        """Return the seconds of processor time that a process has used."""
+        pid = self.processes[name].pid
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+    def measure_memory(self, name):
+        """Return the resident memory of a process in bytes."""
+        pid = self.processes[name].pid
+        return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
+
+    def _make_settings(self, name):
+        data_folder = ""
+        if name in self.voters:
+            data_folder = f'data_folder = "{self.data_folder(name)}"'
+        head = HEAD.format(
+            name=name,
+            data_centre=self._place(name),
+            caller_port=self.caller_ports[name],
+            peer_port=self.ports[name],
+            key=OPERATOR_KEY,
+            folder=self.folder,
+            data_folder=data_folder,
+        )
+        peers = [
+            PEER.format(
+                name=voter,
+                data_centre=self._place(voter),
+                peer_port=self.ports[voter],
+                voter="true",
+            )
+            for voter in self.voters
+        ]
+        return head + "".join(peers)
+
+    def _place(self, name):
+        return f"dc{self.names.index(name) % 3}"
