--- a/src/gypsumwalk/assembly.py
+++ b/src/gypsumwalk/assembly.py
@@ -260,9 +260,7 @@
                 leadership=self.consensus,
                 membership=self.membership,
             ),
-            VoterPart(
-                settings=self.settings, consensus=self.consensus, keys=self.keys
-            ),
+            VoterPart(settings=self.settings, consensus=self.consensus, keys=self.keys),
         ]
 
     def _derive(self) -> Random:
--- a/src/gypsumwalk/configuration.py
+++ b/src/gypsumwalk/configuration.py
@@ -149,7 +149,9 @@
         self._section = section
         self._state = state
         self._keys = keys
-        self._in_force = InForce(self.name, settings.name, members)
+        self._in_force = InForce(
+            self.name, settings.name, members, waits_for_ended=False
+        )
         self._results: dict[int, FolderAccepted] = {}
 
     @property
--- a/src/gypsumwalk/in_force.py
+++ b/src/gypsumwalk/in_force.py
@@ -11,7 +11,8 @@
 
 __all__ = ["PEER_MESSAGES", "AppliedAnswer", "AppliedQuery", "InForce", "Report"]
 
-QUERY_SECONDS = 0.25
+FIRST_QUERY_SECONDS = 0.02
+LAST_QUERY_SECONDS = 0.32
 
 
 class AppliedQuery(msgspec.Struct, frozen=True, tag=True):
@@ -52,6 +53,7 @@
     index: int
     deadline: float
     due: float
+    interval: float = FIRST_QUERY_SECONDS
     waiting: set[str] = field(default_factory=set)
     done: set[str] = field(default_factory=set)
 
@@ -67,9 +69,19 @@
         Name of the daemon.
     members : MembershipView
         The daemons to ask.
+    waits_for_ended : bool
+        Whether a report waits for daemons that membership holds for ended.
     """
 
-    def __init__(self, name: str, daemon: str, members: MembershipView) -> None:
+    def __init__(
+        self,
+        name: str,
+        daemon: str,
+        members: MembershipView,
+        *,
+        waits_for_ended: bool = True,
+    ) -> None:
+        self._waits_for_ended = waits_for_ended
         self._name = name
         self._daemon = daemon
         self._members = members
@@ -98,7 +110,9 @@
         """
         self._number += 1
         others = {member.name for member in self._members.members()} - {self._daemon}
-        watch = _Watch(call_id, index, deadline, now, others, {self._daemon})
+        watch = _Watch(
+            call_id, index, deadline, now, waiting=others, done={self._daemon}
+        )
         self._watches[f"{self._name}/{self._number}"] = watch
 
     def take_answer(self, source: str, answer: AppliedAnswer) -> None:
@@ -114,7 +128,8 @@
         for name, watch in self._watches.items():
             if watch.due > now:
                 continue
-            watch.due = now + QUERY_SECONDS
+            watch.due = now + watch.interval
+            watch.interval = min(2 * watch.interval, LAST_QUERY_SECONDS)
             query = AppliedQuery(name, watch.index)
             effects += [SendPeer(daemon, query) for daemon in sorted(watch.waiting)]
         return effects
@@ -123,9 +138,15 @@
         """Return call, index and report of each watch that has ended."""
         finished = []
         for name, watch in list(self._watches.items()):
-            if watch.waiting and now < watch.deadline:
+            if now < watch.deadline and self._is_open(watch):
                 continue
             del self._watches[name]
             report = Report(sorted(watch.done), sorted(watch.waiting))
             finished.append((watch.call_id, watch.index, report))
         return finished
+
+    def _is_open(self, watch: _Watch) -> bool:
+        if self._waits_for_ended or not watch.waiting:
+            return bool(watch.waiting)
+        alive = {member.name for member in self._members.members() if member.alive}
+        return not watch.waiting.isdisjoint(alive)
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -42,6 +42,15 @@
         assert answer.body.report.in_force == ["f0", "f1", "v0", "v1", "v2"]
         assert answer.body.report.unreachable == []
 
+    def test_report_names_an_ended_daemon_without_waiting_for_it(self):
+        self.cluster.run(5)
+        self.cluster.kill("f1")
+        self.cluster.run(20)
+        started = self.cluster.now
+        answer = self.apply(0, {"10-base.toml": BASE})
+        assert answer.body.report.unreachable == ["f1"]
+        assert self.cluster.now - started < 1.0
+
     def test_operators_racing_with_equal_numbers_get_one_winner(self):
         one = self.cluster.call(
             ApplyCall(base=0, files={"a.toml": BASE}), to="f0", credential="x"
