--- a/tests/_scenario_worlds.py
+++ b/tests/_scenario_worlds.py
@@ -4,9 +4,9 @@
 from random import Random
 
 import msgspec
-from gypsumwalk.assembly import ENDPOINTS, Assembly
 
 from gypsumwalk.announcements import AnnounceTarget
+from gypsumwalk.assembly import ENDPOINTS, Assembly
 from gypsumwalk.effects import CallPlatform
 from gypsumwalk.endpoints import EndpointTable
 from gypsumwalk.errors import BadBoundary
