--- a/src/gypsumwalk/consensus.py
+++ b/src/gypsumwalk/consensus.py
@@ -1,11 +1,11 @@
 """Replicated log: elections, replication and the commands of this daemon."""
 
 from collections.abc import Sequence
-from enum import Enum
 from random import Random
 
 from gypsumwalk.admission import Admission
 from gypsumwalk.effects import Effect, Propose, Raise, Record, Scalar, SendPeer
+from gypsumwalk.elections import Elections, Standing
 from gypsumwalk.events import Event
 from gypsumwalk.follower import Follower
 from gypsumwalk.inputs import (
@@ -41,7 +41,6 @@
 
 __all__ = ["COMMANDS", "PEER_MESSAGES", "Consensus"]
 
-ELECTION_JITTER_SECONDS = 1.0
 CONTACT_SECONDS = 2.0
 """Time in seconds after which a leader that hears no majority steps down."""
 
@@ -50,13 +49,6 @@
 IDENTITY_BITS = 64
 
 
-class _Role(Enum):
-    FOLLOWER = "follower"
-    PRE_CANDIDATE = "pre-candidate"
-    CANDIDATE = "candidate"
-    LEADER = "leader"
-
-
 class Consensus:
     """The part that replicates commands, on voters and on other daemons alike.
 
@@ -98,13 +90,12 @@
         )
         self._admission = Admission(settings.name, self._replica, settings.voters)
         self._follower = Follower(self._replica)
+        self._elections = Elections(settings.name, self._replica, random)
         self._leadership: Leadership | None = None
-        self._role = _Role.FOLLOWER
+        self._elections.withdraw()
         self._leader = ""
-        self._votes: set[str] = set()
         self._started = False
         self._heard = 0.0
-        self._election_due = 0.0
         self._follow_due = 0.0
 
     @property
@@ -136,7 +127,7 @@
         if self._leadership:
             times.append(self._leadership.wakeup)
         elif self._admission.may_vote():
-            times.append(self._election_due)
+            times.append(self._elections.due)
         else:
             times.append(self._follow_due)
         return min(times)
@@ -229,7 +220,7 @@
         if self._leadership:
             effects += self._check_contact(now)
         elif self._admission.may_vote():
-            if now >= self._election_due:
+            if now >= self._elections.due:
                 effects += self._begin_pre_vote(now)
         elif now >= self._follow_due:
             effects += self._ask_to_follow(now)
@@ -306,11 +297,8 @@
     def _recognise_leader(self, source: str, term: int, now: float) -> list[Effect]:
         if term < self.term:
             return []
-        effects: list[Effect] = []
-        if term > self.term:
-            effects += self._step_down("a later term has begun")
-            self._replica.enter_term(term)
-        self._role = _Role.FOLLOWER
+        effects = self._enter_later_term(term)
+        self._elections.withdraw()
         self._note_leader_heard(now)
         if source != self._leader:
             self._leader = source
@@ -322,9 +310,8 @@
 
     def _note_leader_heard(self, now: float) -> None:
         self._heard = now
-        jitter = self._random.uniform(0, ELECTION_JITTER_SECONDS)
-        self._election_due = now + ELECTION_SECONDS + jitter
-        self._follow_due = self._election_due
+        self._elections.postpone(now)
+        self._follow_due = self._elections.due
 
     def _ask_to_follow(self, now: float) -> list[Effect]:
         self._follow_due = now + FOLLOW_SECONDS
@@ -381,102 +368,42 @@
 
     def _begin_pre_vote(self, now: float) -> list[Effect]:
         self._leader = ""
-        self._role = _Role.PRE_CANDIDATE
-        self._votes = {self._daemon}
-        self._plan_election(now)
-        if self._has_majority():
-            return self._begin_election(now)
-        return self._request_votes(self.term + 1, pre_vote=True)
-
-    def _begin_election(self, now: float) -> list[Effect]:
-        self._role = _Role.CANDIDATE
-        self._votes = set()
-        self._plan_election(now)
-        self._replica.enter_term(self.term + 1, self._daemon)
-        vote = VoteAnswer(self.term, True, False, self._replica.identity)
-        own_vote = Raise(PeerInput(self._daemon, vote))
-        requests = self._request_votes(self.term, pre_vote=False)
-        return self._replica.storage.hold([own_vote, *requests])
-
-    def _plan_election(self, now: float) -> None:
-        jitter = self._random.uniform(0, ELECTION_JITTER_SECONDS)
-        self._election_due = now + ELECTION_SECONDS + jitter
-
-    def _request_votes(self, term: int, *, pre_vote: bool) -> list[Effect]:
-        log = self._replica.log
-        body = VoteRequest(term, log.last_index, log.last_term, pre_vote)
-        voters = [voter for voter in self._replica.voters if voter != self._daemon]
-        return [SendPeer(voter, body) for voter in voters]
+        return self._elections.begin_pre_vote(now)
 
     def _take_vote_request(
         self, source: str, body: VoteRequest, now: float
     ) -> list[Effect]:
         if not self._admission.may_vote() or self._hears_leader(now):
             return []
-        if body.pre_vote:
-            granted = body.term > self.term and self._is_current(body)
-            term = body.term if granted else self.term
-            return [SendPeer(source, self._make_vote(term, granted, True))]
         effects: list[Effect] = []
-        if body.term > self.term:
-            effects += self._step_down("a later term has begun")
-            self._replica.enter_term(body.term)
-        granted = self._grant_vote(source, body)
-        if granted:
-            self._plan_election(now)
-        answer = SendPeer(source, self._make_vote(self.term, granted, False))
-        return effects + self._replica.storage.hold([answer])
-
-    def _make_vote(self, term: int, granted: bool, pre_vote: bool) -> VoteAnswer:
-        return VoteAnswer(term, granted, pre_vote, self._replica.identity)
+        if not body.pre_vote:
+            effects += self._enter_later_term(body.term)
+        return effects + self._elections.judge(source, body, now)
 
     def _hears_leader(self, now: float) -> bool:
         return self._leadership is not None or now - self._heard < ELECTION_SECONDS
 
-    def _is_current(self, body: VoteRequest) -> bool:
-        log = self._replica.log
-        own = (log.last_term, log.last_index)
-        return (body.last_term, body.last_index) >= own
-
-    def _grant_vote(self, source: str, body: VoteRequest) -> bool:
-        vote = self._replica.vote
-        if body.term < vote.term or vote.voted_for not in ("", source):
-            return False
-        if not self._is_current(body):
-            return False
-        if not vote.voted_for:
-            self._replica.enter_term(vote.term, source)
-        return True
-
     def _take_vote_answer(
         self, source: str, body: VoteAnswer, now: float
     ) -> list[Effect]:
-        if body.term > self.term and not (body.pre_vote and body.granted):
-            effects = self._step_down("a later term has begun")
-            self._replica.enter_term(body.term)
-            return effects
-        role = _Role.PRE_CANDIDATE if body.pre_vote else _Role.CANDIDATE
-        term = self.term + 1 if body.pre_vote else self.term
-        if self._role is not role or body.term != term or not body.granted:
-            return []
-        if source != self._daemon and body.identity != self._replica.identify(source):
-            return []
-        self._votes.add(source)
-        if not self._has_majority():
-            return []
-        if body.pre_vote:
-            return self._begin_election(now)
-        return self._become_leader(now)
+        if not (body.pre_vote and body.granted) and body.term > self.term:
+            return self._enter_later_term(body.term)
+        effects = self._elections.take_answer(source, body, now)
+        if self._elections.standing is Standing.WON:
+            effects += self._become_leader(now)
+        return effects
 
-    def _has_majority(self) -> bool:
-        voters = self._replica.voters
-        votes = sum(voter in self._votes for voter in voters)
-        return votes > len(voters) // 2
+    def _enter_later_term(self, term: int) -> list[Effect]:
+        if term <= self.term:
+            return []
+        effects = self._step_down("a later term has begun")
+        self._replica.enter_term(term)
+        return effects
 
     # Leading
 
     def _become_leader(self, now: float) -> list[Effect]:
-        self._role = _Role.LEADER
+        self._elections.withdraw()
         self._leader = self._daemon
         self._heard = now
         self._leadership = Leadership(self._daemon, self._replica, now)
@@ -489,9 +416,7 @@
         self, source: str, body: AppendAnswer, now: float
     ) -> list[Effect]:
         if body.term > self.term:
-            effects = self._step_down("a later term has begun")
-            self._replica.enter_term(body.term)
-            return effects
+            return self._enter_later_term(body.term)
         if self._leadership and body.term == self.term:
             self._leadership.take_answer(source, body, now)
         return []
@@ -515,7 +440,7 @@
     def _step_down(self, reason: str) -> list[Effect]:
         was_leader = self._leadership is not None
         self._leadership = None
-        self._role = _Role.FOLLOWER
+        self._elections.withdraw()
         self._leader = ""
         self._follower.forget_leader()
         if not was_leader:
--- /dev/null
+++ b/src/gypsumwalk/elections.py
@@ -0,0 +1,173 @@
+"""Elections: who stands, who gets a vote, and who has won."""
+
+from enum import Enum
+from random import Random
+
+from gypsumwalk.effects import Effect, Raise, SendPeer
+from gypsumwalk.inputs import PeerInput
+from gypsumwalk.progress import ELECTION_SECONDS
+from gypsumwalk.replica import Replica
+from gypsumwalk.replication import VoteAnswer, VoteRequest
+
+__all__ = ["Elections", "Standing"]
+
+ELECTION_JITTER_SECONDS = 1.0
+
+
+class Standing(Enum):
+    """Whether a daemon stands for election."""
+
+    NONE = "none"
+    PRE_VOTE = "pre-vote"
+    VOTE = "vote"
+    WON = "won"
+
+
+class Elections:
+    """Votes that one daemon asks for, and votes that it gives.
+
+    Parameters
+    ----------
+    daemon : str
+        Name of the daemon.
+    replica : Replica
+        Its replica.
+    random : Random
+        Source of election timeouts.
+    """
+
+    def __init__(self, daemon: str, replica: Replica, random: Random) -> None:
+        self.due = 0.0
+        self.standing = Standing.NONE
+        self._daemon = daemon
+        self._replica = replica
+        self._random = random
+        self._votes: set[str] = set()
+
+    def postpone(self, now: float) -> None:
+        """Draw the time at which to stand unless a leader is heard before."""
+        jitter = self._random.uniform(0, ELECTION_JITTER_SECONDS)
+        self.due = now + ELECTION_SECONDS + jitter
+
+    def withdraw(self) -> None:
+        """Stand no more, as there is a leader or a later term."""
+        self.standing = Standing.NONE
+
+    def begin_pre_vote(self, now: float) -> list[Effect]:
+        """Ask whether the others would vote, without a new term.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        list of Effect
+            The requests.
+        """
+        self.standing = Standing.PRE_VOTE
+        self._votes = {self._daemon}
+        self.postpone(now)
+        if self._has_majority():
+            return self._begin_vote(now)
+        return self._request(self._replica.vote.term + 1, pre_vote=True)
+
+    def judge(self, source: str, body: VoteRequest, now: float) -> list[Effect]:
+        """Answer a candidate, once the vote is synced.
+
+        Parameters
+        ----------
+        source : str
+            Name of the candidate.
+        body : VoteRequest
+            Its request, of a term that is not later than the replica's own unless
+            it is a pre-vote.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        list of Effect
+            The answer.
+        """
+        vote = self._replica.vote
+        if body.pre_vote:
+            granted = body.term > vote.term and self._is_current(body)
+            term = body.term if granted else vote.term
+            return [SendPeer(source, self._answer(term, granted, True))]
+        granted = self._grant_vote(source, body)
+        if granted:
+            self.postpone(now)
+        answer = SendPeer(source, self._answer(vote.term, granted, False))
+        return self._replica.storage.hold([answer])
+
+    def take_answer(self, source: str, body: VoteAnswer, now: float) -> list[Effect]:
+        """Count a vote; ``standing`` is ``WON`` once a majority has voted.
+
+        Parameters
+        ----------
+        source : str
+            Name of the voter.
+        body : VoteAnswer
+            Its answer.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        list of Effect
+            Requests of the next stage.
+        """
+        expected = Standing.PRE_VOTE if body.pre_vote else Standing.VOTE
+        term = self._replica.vote.term + int(body.pre_vote)
+        if self.standing is not expected or body.term != term or not body.granted:
+            return []
+        if source != self._daemon and body.identity != self._replica.identify(source):
+            return []
+        self._votes.add(source)
+        if not self._has_majority():
+            return []
+        if body.pre_vote:
+            return self._begin_vote(now)
+        self.standing = Standing.WON
+        return []
+
+    def _begin_vote(self, now: float) -> list[Effect]:
+        self.standing = Standing.VOTE
+        self._votes = set()
+        self.postpone(now)
+        term = self._replica.vote.term + 1
+        self._replica.enter_term(term, self._daemon)
+        own_vote = Raise(PeerInput(self._daemon, self._answer(term, True, False)))
+        requests = self._request(term, pre_vote=False)
+        return self._replica.storage.hold([own_vote, *requests])
+
+    def _request(self, term: int, *, pre_vote: bool) -> list[Effect]:
+        log = self._replica.log
+        body = VoteRequest(term, log.last_index, log.last_term, pre_vote)
+        voters = [voter for voter in self._replica.voters if voter != self._daemon]
+        return [SendPeer(voter, body) for voter in voters]
+
+    def _answer(self, term: int, granted: bool, pre_vote: bool) -> VoteAnswer:
+        return VoteAnswer(term, granted, pre_vote, self._replica.identity)
+
+    def _is_current(self, body: VoteRequest) -> bool:
+        log = self._replica.log
+        own = (log.last_term, log.last_index)
+        return (body.last_term, body.last_index) >= own
+
+    def _grant_vote(self, source: str, body: VoteRequest) -> bool:
+        vote = self._replica.vote
+        if body.term < vote.term or vote.voted_for not in ("", source):
+            return False
+        if not self._is_current(body):
+            return False
+        if not vote.voted_for:
+            self._replica.enter_term(vote.term, source)
+        return True
+
+    def _has_majority(self) -> bool:
+        voters = self._replica.voters
+        votes = sum(voter in self._votes for voter in voters)
+        return votes > len(voters) // 2
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -6,6 +6,7 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from gypsumwalk.consensus import Consensus
+from gypsumwalk.elections import Elections
 from gypsumwalk.follower import Follower
 from gypsumwalk.keys import KeyPart
 from gypsumwalk.leadership import Leadership
@@ -111,12 +112,12 @@
         return ""
 
     def test_voting_twice_breaks_election_safety(self):
-        def grant(consensus, source, body):
-            return body.term >= consensus.term
+        def grant(elections, source, body):
+            return body.term >= elections._replica.vote.term
 
         message = self.run_mutated(
             elect_over_a_slow_network,
-            mock.patch.object(Consensus, "_grant_vote", grant),
+            mock.patch.object(Elections, "_grant_vote", grant),
             mock.patch.object(Consensus, "_hears_leader", lambda *_: False),
         )
         assert "two leaders in term" in message or "leases" in message, message
@@ -133,7 +134,7 @@
     def test_skipping_the_comparison_of_entries_breaks_log_matching(self):
         message = self.run_mutated(
             elect_after_a_voter_fell_behind,
-            mock.patch.object(Consensus, "_is_current", lambda *_: True),
+            mock.patch.object(Elections, "_is_current", lambda *_: True),
             mock.patch.object(Consensus, "_hears_leader", lambda *_: False),
         )
         assert "differs on" in message, message
