Say that a daemon without a quorum can't check operators

Cause: it answered an operator with a good key "unauthenticated". Change: refuse_operator tells a stale view (503) from a wrong key (401); make soak runs 4,000 fault schedules. Conclusion: the operator knows to ask another daemon.

--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,6 @@
 slopes: $(STAMP)
 	$(BIN)/python -m bench.slopes
 	$(BIN)/python -m bench.capacity
+
+soak: $(STAMP)
+	GYPSUMWALK_SCHEDULES=4000 $(BIN)/python -m unittest tests.test_faults
--- a/src/gypsumwalk/configuration.py
+++ b/src/gypsumwalk/configuration.py
@@ -26,6 +26,7 @@
     ProposalOutcome,
     ProposalStatus,
 )
+from gypsumwalk.operator_checks import refuse_operator
 from gypsumwalk.problems import Outcome, ProblemType, refuse
 from gypsumwalk.settings import Settings
 from gypsumwalk.state import Rejected, ReplicatedState
@@ -182,9 +183,8 @@
         return [*self._in_force.ask(now), *self._report(now)]
 
     def _take_call(self, item: CallInput, now: float) -> list[Effect]:
-        if not self._keys.check_operator(item.credential, now):
-            answer = refuse(ProblemType.UNAUTHENTICATED, Outcome.NOT_RUN)
-            return [Respond(item.call_id, answer)]
+        if refusal := refuse_operator(self._keys, item.credential, now):
+            return [Respond(item.call_id, refusal)]
         match item.body:
             case ReadCall():
                 body = ReadResult(self._section.generation, self._section.files)
--- a/src/gypsumwalk/keys.py
+++ b/src/gypsumwalk/keys.py
@@ -28,6 +28,7 @@
     WithdrawKey,
     hash_secret,
 )
+from gypsumwalk.operator_checks import refuse_operator
 from gypsumwalk.problems import Outcome, ProblemType, refuse
 from gypsumwalk.settings import Settings
 from gypsumwalk.state import Accepted, Rejected
@@ -218,7 +219,7 @@
         if is_open and not credential:
             return Permit(KeyVerdict.OPEN)
         verdict = Permit(KeyVerdict.STALE)
-        if self._is_fresh(now):
+        if self.is_fresh(now):
             verdict = self._check_team(credential, queue, now)
         if is_open and verdict.verdict is not KeyVerdict.VALID:
             return Permit(KeyVerdict.OPEN)
@@ -239,7 +240,7 @@
         bool
             Whether it is.
         """
-        if not credential or not self._is_fresh(now):
+        if not credential or not self.is_fresh(now):
             return False
         if not self._section.had_operator and self._operator_key:
             expected = self._operator_key.encode()
@@ -269,7 +270,19 @@
         """Ask daemons again, and answer calls whose time is over."""
         return [*self._in_force.ask(now), *self._report(now)]
 
-    def _is_fresh(self, now: float) -> bool:
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether the view of the keys is fresh enough to decide by.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether all that was committed up to ``FRESH_SECONDS`` ago is applied.
+        """
         return now - self._freshness.find_freshness(now) <= FRESH_SECONDS
 
     def _check_team(self, credential: str, queue: str, now: float) -> Permit:
@@ -286,9 +299,8 @@
         return Permit(KeyVerdict.VALID, record.team)
 
     def _take_call(self, item: CallInput, now: float) -> list[Effect]:
-        if not self.check_operator(item.credential, now):
-            answer = refuse(ProblemType.UNAUTHENTICATED, Outcome.NOT_RUN)
-            return [Respond(item.call_id, answer)]
+        if refusal := refuse_operator(self, item.credential, now):
+            return [Respond(item.call_id, refusal)]
         match item.body:
             case GiveCall() as call:
                 return self._give(item.call_id, call)
--- a/src/gypsumwalk/views.py
+++ b/src/gypsumwalk/views.py
@@ -52,6 +52,10 @@
         """Decide whether a key is an operator's."""
         ...
 
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether the view is fresh enough to decide by."""
+        ...
+
 
 class PortionView(Protocol):
     """View of the portions of the teams' upper limits that a daemon holds."""
--- a/src/gypsumwalk/voters.py
+++ b/src/gypsumwalk/voters.py
@@ -15,6 +15,7 @@
     ProposalOutcome,
     ProposalStatus,
 )
+from gypsumwalk.operator_checks import refuse_operator
 from gypsumwalk.part import NEVER
 from gypsumwalk.problems import Outcome, ProblemType, refuse
 from gypsumwalk.replication import ChangeVoters
@@ -118,9 +119,8 @@
         return []
 
     def _take_call(self, item: CallInput, now: float) -> list[Effect]:
-        if not self._keys.check_operator(item.credential, now):
-            answer = refuse(ProblemType.UNAUTHENTICATED, Outcome.NOT_RUN)
-            return [Respond(item.call_id, answer)]
+        if refusal := refuse_operator(self._keys, item.credential, now):
+            return [Respond(item.call_id, refusal)]
         voters = self._consensus.replica.voters
         match item.body:
             case AddVoterCall(name=name):
--- a/tests/_faults.py
+++ b/tests/_faults.py
@@ -1,5 +1,6 @@
 """State machine of random fault schedules over a cluster, with every check."""
 
+import os
 from unittest import mock
 
 from hypothesis import HealthCheck, Phase, settings
@@ -51,7 +52,7 @@
 FOCUSES = ("log", "keys", "portions", "configuration")
 """What one schedule works on, beside the faults that all have."""
 
-SCHEDULES = 200
+SCHEDULES = int(os.environ.get("GYPSUMWALK_SCHEDULES", "200"))
 STEPS = 12
 
 
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -110,6 +110,13 @@
         assert node.keys.check(given.key, "seats", now).verdict is KeyVerdict.STALE
         assert node.keys.check("", "lists", now).verdict is KeyVerdict.OPEN
 
+    def test_cut_off_daemon_says_that_it_can_not_check_an_operator(self):
+        self.cluster.part(["f0"], ["v0", "v1", "v2", "f1"])
+        self.cluster.run(4)
+        assert self.cluster.ask(ListCall(), to="f0").status == 503
+        assert self.cluster.ask(ListCall(), to="f1").status == 200
+        assert self.cluster.ask(ListCall(), to="f1", credential="no").status == 401
+
     def test_portions_follow_demand_and_never_exceed_the_limit(self):
         self.give("hanbit")
         nodes = self.cluster.nodes()
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -192,7 +192,7 @@
     def test_using_a_stale_view_accepts_a_withdrawn_key(self):
         message = self.run_mutated(
             withdraw_while_cut_off,
-            mock.patch.object(KeyPart, "_is_fresh", lambda *_: True),
+            mock.patch.object(KeyPart, "is_fresh", lambda *_: True),
         )
         assert "valid on" in message, message
 
