--- a/src/gypsumwalk/generations.py
+++ b/src/gypsumwalk/generations.py
@@ -151,10 +151,11 @@
     def load(self, content: bytes) -> None:
         """Replace the section by one that was dumped."""
         dump = msgspec.msgpack.decode(content, type=_Dump)
+        parsed = self._parse(dump.files)
+        folder = merge_files(parsed)
         self.generation, self.files = dump.generation, dump.files
         self._digests = OrderedDict(dump.digests)
-        self._parsed = self._parse(dump.files)
-        self._folder = merge_files(self._parsed)
+        self._parsed, self._folder = parsed, folder
 
     def _answer_late(self, generation: int, digest: bytes) -> msgspec.Struct:
         if self._digests.get(generation) == digest:
--- /dev/null
+++ b/tests/test_configuration_snapshot.py
@@ -0,0 +1,34 @@
+"""Tests that a folder from a snapshot replaces the one in force."""
+
+import unittest
+
+from gypsumwalk.configuration import ApplyFolder, ConfigurationSection
+from gypsumwalk.errors import BadFolder
+
+
+def make_section(limit):
+    section = ConfigurationSection()
+    files = {"10-teams.toml": f"[teams.elul]\nlimit = {limit}"}
+    section.apply(ApplyFolder(0, files), 1, 0.0)
+    return section
+
+
+class TestSnapshot(unittest.TestCase):
+    def test_changed_file_of_the_same_name_is_read_anew(self):
+        section = make_section(4)
+        newer = make_section(7)
+        section.load(newer.dump())
+        assert section.team("elul").limit == 7
+        assert section.folder == newer.folder
+
+    def test_snapshot_that_is_refused_changes_nothing(self):
+        section = make_section(4)
+        spoilt = make_section(7).dump().replace(b"limit = 7", b"limmt = 7")
+        with self.assertRaises(BadFolder):
+            section.load(spoilt)
+        assert section.team("elul").limit == 4
+        assert section.files == {"10-teams.toml": "[teams.elul]\nlimit = 4"}
+
+
+if __name__ == "__main__":
+    unittest.main()
