--- a/tests/_facts.py
+++ b/tests/_facts.py
@@ -49,6 +49,17 @@
 
     at: float
     generation: int
+    limits: dict[str, int] = field(default_factory=dict)
+    """Upper limit of each team, as the operator's files say it."""
+
+
+@dataclass(frozen=True)
+class FolderSample:
+    """Upper limits that a daemon had in force under a generation."""
+
+    daemon: str
+    generation: int
+    limits: dict[str, int]
 
 
 @dataclass(frozen=True)
@@ -107,6 +118,7 @@
     limits: list[LimitFacts] = field(default_factory=list)
     accepted: list[AcceptedFacts] = field(default_factory=list)
     samples: list[GenerationSample] = field(default_factory=list)
+    folders: list[FolderSample] = field(default_factory=list)
     leaving: list[LeavingFacts] = field(default_factory=list)
     shutdowns: dict[str, float] = field(default_factory=dict)
     executions: list = field(default_factory=list)
--- a/tests/_mutations.py
+++ b/tests/_mutations.py
@@ -11,6 +11,7 @@
 from gypsumwalk.effects import Stop
 from gypsumwalk.instances import InstanceEvent
 from gypsumwalk.keys import KeyPart
+from gypsumwalk.merging import merge_files
 from gypsumwalk.pools import PoolSection
 from gypsumwalk.portions import PortionPart
 from gypsumwalk.problems import Outcome
@@ -92,6 +93,16 @@
 _apply = ConfigurationSection.apply
 
 
+def _load_with_old_tables(self, content):
+    parsed = dict(self._parsed)
+    _load(self, content)
+    self._parsed |= {name: parsed[name] for name in parsed if name in self.files}
+    self._folder = merge_files(self._parsed)
+
+
+_load = ConfigurationSection.load
+
+
 MUTATIONS = [
     Mutation(
         "budget-ignored",
@@ -165,6 +176,14 @@
         "_leave",
         _leave_at_once,
     ),
+    Mutation(
+        "snapshot-with-old-tables",
+        "configuration",
+        "snapshot-for-a-late-daemon",
+        ConfigurationSection,
+        "load",
+        _load_with_old_tables,
+    ),
     Mutation(
         "generation-skipped",
         "configuration",
--- a/tests/_promise_checkers.py
+++ b/tests/_promise_checkers.py
@@ -241,6 +241,15 @@
                 f"{sample.at:.3f}, and {due} should be"
             )
 
+    accepted = {item.generation: item.limits for item in facts.accepted}
+    for folder in facts.folders:
+        expected = accepted.get(folder.generation, folder.limits)
+        if folder.limits != expected:
+            yield (
+                f"{folder.daemon} has limits {folder.limits} in force under generation "
+                f"{folder.generation}, accepted were {expected}"
+            )
+
 
 def _find_due_generation(facts, sample):
     if sample.connected_since is None:
--- a/tests/_promise_table.py
+++ b/tests/_promise_table.py
@@ -170,6 +170,7 @@
             "daemon-cut-off-long",
             "paused-leader",
             "data-centre-lost",
+            "snapshot-for-a-late-daemon",
         ),
         f"{CONFIGURATION_SECONDS:g} s on every daemon that reaches a quorum.",
         "A daemon that is cut off stays at its generation and never steps back; it "
--- a/tests/_scenario_runner.py
+++ b/tests/_scenario_runner.py
@@ -1,8 +1,11 @@
 """Runs a scenario on the paused clock and judges it by the promises' checkers."""
 
 import pathlib
+from contextlib import ExitStack
 from dataclasses import dataclass, field
+from unittest import mock
 
+from gypsumwalk import replica
 from tests._facts import Facts
 from tests._promise_checkers import check_all
 from tests._scenario_language import Command, ScenarioError, read_scenario
@@ -45,6 +48,7 @@
     """Credential that each job was handed in with."""
     pending_files: dict[str, str] = field(default_factory=dict)
     update_goldens: bool = False
+    patches: ExitStack = field(default_factory=ExitStack)
 
     @property
     def world(self):
@@ -96,9 +100,13 @@
 def run_text(text, file, *, update_goldens=False):
     """Run one scenario given as text; see ``run_scenario``."""
     run = Run(file, update_goldens=update_goldens)
-    commands = read_scenario(text, file)
+    with run.patches:
+        return _run_commands(run, read_scenario(text, file))
+
+
+def _run_commands(run, commands):
     if not commands or commands[0].verb != "world":
-        raise ScenarioError(file, 1, "a scenario begins with the verb world")
+        raise ScenarioError(run.file, 1, "a scenario begins with the verb world")
     error = None
     for command in commands:
         try:
@@ -134,13 +142,21 @@
 
 @verb("world")
 def make_world(run, command):
-    """``world NAME [seed=N]``: make daemons, targets, platform and folder."""
-    command.check(words=1, options=("seed",))
+    """``world NAME [seed=N] [snapshots=N]``: make daemons, targets and folder.
+
+    ``snapshots`` lets voters take a snapshot each so many entries, and keep no older
+    ones.
+    """
+    command.check(words=1, options=("seed", "snapshots"))
     if run.setup is not None:
         raise command.fail("a scenario has one world")
     (name,) = command.words
     if name not in WORLDS:
         raise command.fail(f"no world is called {name!r}")
+    if "snapshots" in command.options:
+        entries = command.read_number(command.options["snapshots"], int)
+        for constant, value in (("SNAPSHOT_ENTRIES", entries), ("KEPT_BYTES", 0)):
+            run.patches.enter_context(mock.patch.object(replica, constant, value))
     run.seed = command.read_number(command.options.get("seed", "1"), int)
     run.setup = WORLDS[name](run.seed, run.facts)
 
--- a/tests/_scenario_worlds.py
+++ b/tests/_scenario_worlds.py
@@ -18,6 +18,7 @@
 from tests._facts import (
     AcceptedFacts,
     BudgetFacts,
+    FolderSample,
     GenerationSample,
     KeyFacts,
     LimitFacts,
@@ -230,8 +231,9 @@
             return
         self.generation = generation
         self.files = dict(files)
-        self.facts.accepted.append(AcceptedFacts(now, generation))
         tables = merge_plainly(files)
+        limits = {team: table["limit"] for team, table in tables["teams"].items()}
+        self.facts.accepted.append(AcceptedFacts(now, generation, limits))
         for team, table in tables["teams"].items():
             self.facts.limits.append(LimitFacts(now, team, table["limit"]))
         for pool, table in tables["pools"].items():
@@ -344,7 +346,10 @@
                 loss[2] = self.world.now
 
     def collect(self, facts):
-        """Add what targets and platform saw to the facts."""
+        """Add what targets and platform saw, and folders in force, to the facts."""
+        for name, daemon in self.world.daemons.items():
+            if daemon.alive:
+                facts.folders.append(self._sample_folder(name))
         facts.executions = self.world.targets.executions
         self.platform.advance(self.world.now)
         facts.outages = [
@@ -357,6 +362,11 @@
         ]
         facts.tasks = [self._describe_task(item) for item in self.platform.executions]
 
+    def _sample_folder(self, name):
+        section = self.assemblies[name].sections.configuration
+        limits = {team: table.limit for team, table in section.folder.teams.items()}
+        return FolderSample(name, section.generation, limits)
+
     def _describe_task(self, execution):
         job = execution.key.job_id
         ended = execution.ended_at
--- a/tests/test_promise_checkers.py
+++ b/tests/test_promise_checkers.py
@@ -8,6 +8,7 @@
     AcceptedFacts,
     BudgetFacts,
     Facts,
+    FolderSample,
     GenerationSample,
     KeyFacts,
     LeavingFacts,
@@ -154,6 +155,13 @@
         assert self.check(GenerationSample(30.0, "a", 2, None)) == []
         assert self.check(GenerationSample(30.0, "a", 2, 20.0)) == []
 
+    def test_generation_with_the_content_of_another(self):
+        facts = Facts(accepted=[AcceptedFacts(10.0, 3, {"elul": 7})])
+        facts.folders = [FolderSample("a", 3, {"elul": 7}), FolderSample("b", 2, {})]
+        assert find_broken(facts) == []
+        facts.folders.append(FolderSample("b", 3, {"elul": 4}))
+        assert find_broken(facts) == ["configuration"]
+
     def test_step_back(self):
         samples = [GenerationSample(at, "a", 5 - int(at), None) for at in (1.0, 2.0)]
         assert self.check(*samples) == ["configuration"]
