--- a/bench/_worlds.py
+++ b/bench/_worlds.py
@@ -5,8 +5,8 @@
 
 from gypsumwalk.announcements import AnnounceTarget
 from gypsumwalk.assembly import Assembly
-from gypsumwalk.configuration import ApplyFolder
-from gypsumwalk.keys import GiveKey, KeyRecord, hash_secret
+from gypsumwalk.generations import ApplyFolder
+from gypsumwalk.key_table import GiveKey, KeyRecord, hash_secret
 from gypsumwalk.pools import ReconcileInstances, SettleInstance
 from gypsumwalk.recovery import Recovered
 from gypsumwalk.settings import PeerSettings, Settings
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -22,11 +22,11 @@
 
 from bench._fit import Slope, fit
 from bench._worlds import KEY, Stand, make_files
-from gypsumwalk.configuration import ApplyFolder, ConfigurationSection
+from gypsumwalk.generations import ApplyFolder, ConfigurationSection
 from gypsumwalk.jobs import JobSection, SubmitJob
-from gypsumwalk.keys import GiveKey, KeyRecord, KeySection, hash_secret
+from gypsumwalk.key_table import GiveKey, KeyRecord, KeySection, hash_secret
 from gypsumwalk.pools import PoolSection, ReconcileInstances
-from gypsumwalk.portions import AskPortion, Holder, PortionSection
+from gypsumwalk.portion_accounts import AskPortion, Holder, PortionSection
 from gypsumwalk.submissions import SubmitRequest
 from gypsumwalk.timestamps import Timestamp
 from gypsumwalk.wire import Envelope, PeerCodec
--- a/tests/_mutations.py
+++ b/tests/_mutations.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, replace
 from unittest import mock
 
-from gypsumwalk.configuration import ConfigurationSection, FolderAccepted
 from gypsumwalk.effects import Stop
+from gypsumwalk.generations import ConfigurationSection, FolderAccepted
 from gypsumwalk.instances import InstanceEvent
 from gypsumwalk.keys import KeyPart
 from gypsumwalk.merging import merge_files
@@ -125,7 +125,7 @@
         "keys",
         "keys-withdrawn",
         KeyPart,
-        "_is_fresh",
+        "is_fresh",
         _is_always_fresh,
     ),
     Mutation(
--- a/tests/test_configuration_snapshot.py
+++ b/tests/test_configuration_snapshot.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from gypsumwalk.configuration import ApplyFolder, ConfigurationSection
 from gypsumwalk.errors import BadFolder
+from gypsumwalk.generations import ApplyFolder, ConfigurationSection
 
 
 def make_section(limit):
