Add buffers, moves by policy, windows of waves, and incremental passes

Change: a policy moves instances from the spare when a shortage lasts, an even part to each pool, and back after a long surplus; two baselines; parts look at what may be due, and at everything each 10 or 30 s; a window of hours for waves; reasons of waiting are asked of the leader; the answers to teams' calls in a module of their own.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,10 @@
 fuzz: $(STAMP)
 	GYPSUMWALK_FUZZ=open $(BIN)/python -m unittest discover -s tests -t . -p "test_fuzz_*.py"
 
+measure: $(STAMP)
+	$(BIN)/python -m bench.measure
+	$(BIN)/python -m bench.placement_cost
+
 pages: $(STAMP)
 	$(BIN)/python -m tests._reference
 
--- /dev/null
+++ b/bench/_baselines.py
@@ -0,0 +1,40 @@
+"""Plain ways to decide on moves, which the policy is compared with."""
+
+from collections.abc import Sequence
+from math import ceil
+
+from gypsumwalk.buffers import PlannedMove, PoolLoad
+
+__all__ = ["GreedyPolicy", "StaticPolicy"]
+
+
+class StaticPolicy:
+    """Moves nothing."""
+
+    def note_loss(self, pool: str, now: float) -> None:
+        """Do nothing."""
+
+    def choose(self, loads: Sequence[PoolLoad], now: float) -> list[PlannedMove]:
+        """Return no moves."""
+        return []
+
+
+class GreedyPolicy:
+    """Moves at once from the least loaded pool to any that lacks instances."""
+
+    def note_loss(self, pool: str, now: float) -> None:
+        """Do nothing."""
+
+    def choose(self, loads: Sequence[PoolLoad], now: float) -> list[PlannedMove]:
+        """Return a move for each missing instance that some pool can give."""
+        movable = {load.name: load.movable for load in loads}
+        moves = []
+        for load in loads:
+            missing = ceil(load.demand) - load.available - load.incoming
+            sources = sorted(loads, key=lambda item: item.demand - item.available)
+            for source in sources:
+                while missing > 0 and source != load and movable[source.name] > 0:
+                    movable[source.name] -= 1
+                    missing -= 1
+                    moves.append(PlannedMove(source.name, load.name, "greedy"))
+        return moves
--- a/src/gypsumwalk/assembly.py
+++ b/src/gypsumwalk/assembly.py
@@ -7,6 +7,7 @@
     configuration,
     consensus,
     exchange,
+    explanations,
     heartbeats,
     job_calls,
     keys,
@@ -18,6 +19,8 @@
     targets,
     voters,
 )
+from gypsumwalk.buffer_steps import BufferPart
+from gypsumwalk.buffers import BufferPolicy
 from gypsumwalk.configuration import ConfigurationPart, ConfigurationSection
 from gypsumwalk.consensus import Consensus
 from gypsumwalk.endpoints import Endpoint
@@ -55,6 +58,7 @@
     *targets.PEER_MESSAGES,
     *exchange.PEER_MESSAGES,
     *heartbeats.PEER_MESSAGES,
+    *explanations.PEER_MESSAGES,
 )
 """Every type of message between daemons."""
 
@@ -213,34 +217,45 @@
         table = HeartbeatTable()
         sections = self.sections
         folder = sections.configuration
+        job_part = JobPart(
+            settings=self.settings,
+            jobs=sections.jobs,
+            pools=sections.pools,
+            heartbeats=table,
+            keys=self.keys,
+            folder=folder,
+            leadership=self.consensus,
+            random=self._derive(),
+        )
         return [
             HeartbeatPart(
                 settings=self.settings, leadership=self.consensus, table=table
             ),
-            JobPart(
-                settings=self.settings,
-                jobs=sections.jobs,
+            job_part,
+            PoolPart(
                 pools=sections.pools,
                 heartbeats=table,
                 keys=self.keys,
                 folder=folder,
                 leadership=self.consensus,
-                random=self._derive(),
             ),
-            PoolPart(
+            WavePart(
+                waves=sections.waves,
                 pools=sections.pools,
                 heartbeats=table,
                 keys=self.keys,
                 folder=folder,
                 leadership=self.consensus,
             ),
-            WavePart(
-                waves=sections.waves,
+            BufferPart(
+                jobs=sections.jobs,
+                planner=job_part.planner,
                 pools=sections.pools,
                 heartbeats=table,
-                keys=self.keys,
                 folder=folder,
                 leadership=self.consensus,
+                policy=BufferPolicy(),
+                waves=sections.waves,
             ),
         ]
 
--- a/src/gypsumwalk/estimates.py
+++ b/src/gypsumwalk/estimates.py
@@ -79,7 +79,7 @@
     left = [
         item for item in names if not wave or wave.items[item].state not in finished
     ]
-    away = wave.list_items(ItemState.AWAY) if wave else []
+    away = list(wave.away) if wave else []
     seconds = TYPICAL_REBOOT_SECONDS + table.dwell_seconds
     if wave and wave.done:
         seconds = wave.away_seconds / wave.done
@@ -94,7 +94,7 @@
         state=wave.state.value if wave else "not started",
         instances=len(names),
         done=wave.done if wave else 0,
-        skipped=len(wave.list_items(ItemState.SKIPPED)) if wave else 0,
+        skipped=wave.skipped if wave else 0,
         away=away,
         elapsed_seconds=end - wave.started_at if wave else 0.0,
         lower_bound_seconds=_bound(names, budgets, table.concurrency, seconds, pools),
@@ -131,6 +131,6 @@
     counts: dict[str, int] = {}
     for name in names:
         record = pools.find(name)
-        if record:
+        if record and record.pool in budgets:
             counts[record.pool] = counts.get(record.pool, 0) + 1
     return bound_rollout(counts, budgets, concurrency, seconds)
--- a/src/gypsumwalk/folder.py
+++ b/src/gypsumwalk/folder.py
@@ -127,12 +127,18 @@
         Seconds that a rebooted instance stays healthy before it counts as available.
     drain_seconds : float
         Seconds that work may go on before it is checkpointed and stopped.
+    window_start_hour : float
+        Hour of the day, in UTC, from which instances are taken away.
+    window_hours : float
+        Hours for which they are; what is away by then still comes back.
     """
 
     pools: list[str]
     concurrency: int = 1
     dwell_seconds: float = 60.0
     drain_seconds: float = 300.0
+    window_start_hour: float = 0.0
+    window_hours: float = 24.0
 
 
 class Folder(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/src/gypsumwalk/heartbeats.py
+++ b/src/gypsumwalk/heartbeats.py
@@ -1,5 +1,6 @@
 """Heartbeats of workers, as the leader hears them, and their way to the leader."""
 
+from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 
 import msgspec
@@ -65,7 +66,8 @@
     """When the leader last heard each instance, by its own clock."""
 
     def __init__(self) -> None:
-        self._heard: dict[str, float] = {}
+        self._heard: OrderedDict[str, float] = OrderedDict()
+        self._rebooted: dict[str, None] = {}
         self._boots: dict[str, int] = {}
         self._excused: dict[str, float] = {}
         self._since = 0.0
@@ -78,8 +80,12 @@
 
     def hear(self, report: WorkerReport, now: float) -> None:
         """Take in one heartbeat."""
-        self._heard[report.instance] = now
-        self._boots[report.instance] = report.boots
+        name = report.instance
+        self._heard[name] = now
+        self._heard.move_to_end(name)
+        if report.boots != self._boots.get(name, report.boots):
+            self._rebooted[name] = None
+        self._boots[name] = report.boots
 
     def excuse(self, instance: str, now: float) -> None:
         """Count the silence of an instance that reboots from now on only."""
@@ -106,6 +112,21 @@
         heard = max(heard, self._excused.get(instance, heard))
         return now - heard > LOSS_SECONDS
 
+    def list_overdue(self, now: float) -> list[str]:
+        """Return the instances heard once whose last heartbeat is long ago."""
+        overdue = []
+        for name, heard in self._heard.items():
+            if now - heard <= LOSS_SECONDS:
+                break
+            overdue.append(name)
+        return overdue
+
+    def take_rebooted(self) -> list[str]:
+        """Return the instances that have booted since the last time."""
+        names = list(self._rebooted)
+        self._rebooted.clear()
+        return names
+
     def list_silent(self, instances: Iterable[str], now: float) -> list[str]:
         """Return those instances that were not heard of lately."""
         return [name for name in instances if self.is_silent(name, now)]
--- a/src/gypsumwalk/job_steps.py
+++ b/src/gypsumwalk/job_steps.py
@@ -7,8 +7,9 @@
 
 from gypsumwalk._calls import PendingCalls
 from gypsumwalk._proposals import PendingProposals
-from gypsumwalk.effects import Answer, Effect, Propose, Record, Respond, Scalar
+from gypsumwalk.effects import Effect, Record, Scalar
 from gypsumwalk.events import Event
+from gypsumwalk.explanations import PEER_MESSAGES
 from gypsumwalk.heartbeats import HeartbeatTable, WorkersReported, read_reports
 from gypsumwalk.inputs import (
     CallInput,
@@ -19,51 +20,36 @@
     ProposalOutcome,
     ProposalStatus,
 )
-from gypsumwalk.job_calls import (
-    ENDPOINTS,
-    CancelJobCall,
-    DescribeJob,
-    ExplainJob,
-    SubmitJobCall,
-    describe_job,
-)
+from gypsumwalk.job_calls import ENDPOINTS
+from gypsumwalk.job_desk import JOB_CALLS, JobDesk
 from gypsumwalk.job_records import (
     CancelJob,
     EndJob,
-    JobRecord,
-    JobState,
     PlaceJob,
     RefuseJob,
     StartedJob,
     SubmitJob,
 )
 from gypsumwalk.jobs import JobSection
-from gypsumwalk.operator_calls import Explanation
 from gypsumwalk.overload import OverloadKeeper
 from gypsumwalk.platform import ReportWorkers, TaskKey, TaskPhase
-from gypsumwalk.pool_commands import QuarantineInstance
+from gypsumwalk.pool_commands import LoseInstance, QuarantineInstance
 from gypsumwalk.pools import PoolSection
-from gypsumwalk.problems import Outcome, ProblemType, refuse
 from gypsumwalk.quarantine import QuarantineKeeper
 from gypsumwalk.queueing import Planner
-from gypsumwalk.reasons import Reason
 from gypsumwalk.settings import Settings
 from gypsumwalk.sizes import SizeTable
 from gypsumwalk.state import Accepted, Rejected
 from gypsumwalk.suspicion import SuspicionTable
 from gypsumwalk.tasks import TaskKeeper
-from gypsumwalk.views import FolderView, KeyVerdict, KeyView, LeadershipView
+from gypsumwalk.views import FolderView, KeyView, LeadershipView
 
-__all__ = ["ENDPOINTS", "JobPart"]
+__all__ = ["ENDPOINTS", "PEER_MESSAGES", "JobPart"]
 
 PERIOD_SECONDS = 0.5
 PROBE_PREFIX = "jobs/probe/"
-JOB_CALLS = (SubmitJobCall, DescribeJob, CancelJobCall, ExplainJob)
-KEY_REFUSALS = {
-    KeyVerdict.UNKNOWN_KEY: ProblemType.UNAUTHENTICATED,
-    KeyVerdict.FORBIDDEN: ProblemType.FORBIDDEN,
-    KeyVerdict.STALE: ProblemType.KEY_VIEW_STALE,
-}
+HASTY_PREFIXES = ("jobs/checkpoint/", "jobs/stop/")
+"""Calls after whose answers a further step is due at once."""
 
 
 class JobPart:
@@ -92,6 +78,7 @@
     name = "jobs"
     accepts = (
         *JOB_CALLS,
+        *PEER_MESSAGES,
         ReportWorkers,
         WorkersReported,
         SubmitJob,
@@ -101,6 +88,7 @@
         CancelJob,
         RefuseJob,
         QuarantineInstance,
+        LoseInstance,
     )
 
     def __init__(
@@ -133,12 +121,19 @@
             pools, heartbeats, self._suspicion, self._proposals, self._calls
         )
         self._sizes = SizeTable()
-        self._planner = Planner(jobs, pools, folder, self._suspicion, self._sizes)
+        self.planner = Planner(jobs, pools, folder, self._suspicion, self._sizes)
         self._overload = OverloadKeeper(
-            jobs, pools, self._planner, self._tasks, self._calls
+            jobs, pools, self.planner, self._tasks, self._calls
+        )
+        self._desk = JobDesk(
+            part=self.name,
+            daemon=settings.name,
+            jobs=jobs,
+            planner=self.planner,
+            keys=keys,
+            folder=folder,
+            leadership=leadership,
         )
-        self._answers: dict[str, tuple[int, str]] = {}
-        self._count = 0
         self._leading = False
 
     def handle(self, item: Input, now: float) -> Sequence[Effect]:
@@ -159,10 +154,12 @@
         match item:
             case CallInput(body=ReportWorkers()) | PeerInput(body=WorkersReported()):
                 return self._take_reports(item, now)
+            case PeerInput():
+                return self._desk.take_peer(item, now)
             case CallInput():
-                return self._take_call(item, now)
-            case ProposalOutcome(token=token) if token in self._answers:
-                return [self._answer_outcome(item)]
+                return self._desk.take_call(item, now)
+            case ProposalOutcome(token=token) if self._desk.owns(token):
+                return [self._desk.answer_outcome(item)]
             case ProposalOutcome():
                 return self._take_proposal(item, now)
             case PlatformOutcome():
@@ -185,25 +182,27 @@
             Proposals, and calls to the platform.
         """
         self.wakeup = now + PERIOD_SECONDS
+        answers = list(self._desk.expire(now))
         if not self._leadership.holds_lease(now):
             self._leading = False
-            return []
+            return answers
         if not self._leading:
             self._leading = True
             self._tasks.reset(now)
             self._calls.reset()
-            self._planner.reset()
+            self.planner.reset()
             self._suspicion.reset()
             self._sizes.reset()
             self._overload.reset()
             self._quarantine.reset()
-        effects = self._tasks.advance(now)
+        effects = answers + self._tasks.advance(now)
         effects += self._quarantine.advance(now)
         effects += self._overload.advance(now)
-        for command in self._planner.plan(now):
+        for command in self.planner.plan(now):
             effects += self._propose_placement(command, now)
-        for preemption in self._planner.preemptions:
+        for preemption in self.planner.preemptions:
             self._tasks.request_stop_of(preemption.job_id, preemption.cause)
+            self.wakeup = now
         return effects
 
     def _propose_placement(
@@ -212,7 +211,7 @@
         proposal = self._proposals.propose(command.job_id, command)
         if not proposal:
             reason = "an earlier step has no outcome yet"
-            self._planner.note_failed_proposal(command.job_id, reason, now)
+            self.planner.note_failed_proposal(command.job_id, reason, now)
         return proposal
 
     # The leader's side.
@@ -232,6 +231,8 @@
             return []
         if not self._leadership.holds_lease(now):
             return []
+        if outcome.token.startswith(HASTY_PREFIXES):
+            self.wakeup = now
         if outcome.token.startswith(PROBE_PREFIX):
             return self._quarantine.take_report(outcome.report, now)
         return self._tasks.take_outcome(outcome, now)
@@ -242,7 +243,7 @@
             rejected = outcome.result
             detail = "the log took no placement"
             reason = rejected.detail if isinstance(rejected, Rejected) else detail
-            self._planner.note_failed_proposal(key, reason, now)
+            self.planner.note_failed_proposal(key, reason, now)
         return []
 
     def _take_commit(self, command: msgspec.Struct, now: float) -> list[Effect]:
@@ -250,7 +251,10 @@
             self.wakeup = now
         job_id = getattr(command, "job_id", "")
         if job_id and self._leading:
-            self._planner.note(job_id)
+            self.planner.note(job_id)
+            self._tasks.watch(job_id)
+        if isinstance(command, LoseInstance):
+            self._tasks.watch_instance(command.instance)
         if isinstance(command, EndJob):
             self._learn(command, now)
         self._quarantine.note(command)
@@ -265,104 +269,6 @@
         key = TaskKey(command.job_id, command.attempt)
         self._sizes.note_end(key, record.spec, seconds)
 
-    # Teams' calls.
-
-    def _take_call(self, call: CallInput, now: float) -> list[Effect]:
-        if isinstance(call.body, SubmitJobCall):
-            return self._submit(call, call.body, now)
-        job_id = call.body.job_id  # type: ignore[attr-defined]
-        record = self._jobs.find(job_id)
-        if record is None:
-            detail = f"job {job_id} is not known here"
-            refusal = refuse(ProblemType.NOT_FOUND, Outcome.UNKNOWN, detail)
-            return [Respond(call.call_id, refusal)]
-        refusal_or_none = self._check_key(call, record, now)
-        if refusal_or_none is not None:
-            return [Respond(call.call_id, refusal_or_none)]
-        match call.body:
-            case CancelJobCall():
-                return self._propose_for(call, CancelJob(job_id), job_id)
-            case ExplainJob():
-                return [Respond(call.call_id, self._explain(record, now))]
-        return [Respond(call.call_id, Answer(200, describe_job(record)))]
-
-    def _check_key(
-        self, call: CallInput, record: JobRecord, now: float
-    ) -> Answer | None:
-        permit = self._keys.check(call.credential, record.spec.queue, now)
-        if permit.verdict in KEY_REFUSALS:
-            return refuse(KEY_REFUSALS[permit.verdict], Outcome.NOT_RUN)
-        if permit.team != record.spec.team:
-            detail = "the job is another team's"
-            return refuse(ProblemType.FORBIDDEN, Outcome.NOT_RUN, detail)
-        return None
-
-    def _submit(self, call: CallInput, body: SubmitJobCall, now: float) -> list[Effect]:
-        permit = self._keys.check(call.credential, body.queue, now)
-        if permit.verdict in KEY_REFUSALS:
-            kind = KEY_REFUSALS[permit.verdict]
-            return [Respond(call.call_id, refuse(kind, Outcome.NOT_RUN))]
-        pool = self._jobs.find_pool(body.queue)
-        if not pool:
-            detail = f"queue {body.queue} has no service with a pool"
-            refusal = refuse(ProblemType.NOT_FOUND, Outcome.NOT_RUN, detail)
-            return [Respond(call.call_id, refusal)]
-        fields = msgspec.structs.asdict(body)
-        spec = SubmitJob(team=permit.team, **fields)
-        never = self._explain_never(spec, pool)
-        if never and self._jobs.find(body.job_id) is None:
-            refusal = refuse(ProblemType.NEVER_RUNS, Outcome.NOT_RUN, never)
-            return [Respond(call.call_id, refusal)]
-        return self._propose_for(call, spec, body.job_id)
-
-    def _explain_never(self, spec: SubmitJob, pool: str) -> str:
-        team = self._folder.team(spec.team) if spec.team else None
-        if spec.team and (team is None or team.limit < 1):
-            return f"team {spec.team} has an upper limit of 0"
-        return self._planner.explain_never(spec, pool)
-
-    def _propose_for(
-        self, call: CallInput, command: msgspec.Struct, job_id: str
-    ) -> list[Effect]:
-        self._count += 1
-        token = f"{self.name}/call/{self._count}"
-        self._answers[token] = (call.call_id, job_id)
-        return [Propose(token, command)]
-
-    def _answer_outcome(self, outcome: ProposalOutcome) -> Effect:
-        call_id, job_id = self._answers.pop(outcome.token)
-        return Respond(call_id, self._choose_answer(outcome, job_id))
-
-    def _choose_answer(self, outcome: ProposalOutcome, job_id: str) -> Answer:
-        match outcome.status:
-            case ProposalStatus.NOT_COMMITTED:
-                return refuse(ProblemType.NO_QUORUM, Outcome.NOT_RUN)
-            case ProposalStatus.REJECTED if isinstance(outcome.result, Rejected):
-                return _refuse_rejected(outcome.result)
-            case ProposalStatus.COMMITTED:
-                record = self._jobs.find(job_id)
-                if record is not None:
-                    return Answer(200, describe_job(record))
-        return refuse(ProblemType.OUTCOME_UNKNOWN, Outcome.UNKNOWN)
-
-    def _explain(self, record: JobRecord, now: float) -> Answer:
-        reasons = list(record.reasons)
-        waits = self._planner.explain(record.spec.job_id)
-        if record.state is JobState.WAITING and waits:
-            reasons.append(Reason(now, f"waits: {waits}"))
-        job_id = record.spec.job_id
-        return Answer(200, Explanation(job_id, record.state.value, reasons))
-
-
-def _refuse_rejected(rejected: Rejected) -> Answer:
-    kinds = {
-        "ConflictingJob": ProblemType.CONFLICT,
-        "TooManyJobs": ProblemType.OVERLOADED,
-        "UnknownJob": ProblemType.NOT_FOUND,
-    }
-    kind = kinds.get(rejected.reason, ProblemType.CONFLICT)
-    return refuse(kind, Outcome.NOT_RUN, rejected.detail)
-
 
 def _record(command: msgspec.Struct) -> list[Effect]:
     match command:
--- a/src/gypsumwalk/ledger.py
+++ b/src/gypsumwalk/ledger.py
@@ -1,5 +1,6 @@
 """What jobs hold on each instance, kept up to date as jobs come and go."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from gypsumwalk.placement import Size
@@ -39,8 +40,9 @@
 
 @dataclass(slots=True)
 class _PoolUse:
+    total: Size = NO_SIZE
     teams: dict[str, Size] = field(default_factory=dict)
-    racks: dict[tuple[str, str], int] = field(default_factory=dict)
+    racks: dict[str, dict[str, int]] = field(default_factory=dict)
 
 
 class Ledger:
@@ -113,10 +115,15 @@
         use = self._pools.get(pool)
         return use.teams.get(team, NO_SIZE) if use else NO_SIZE
 
-    def count_in_rack(self, pool: str, team: str, rack: str) -> int:
-        """Return how many jobs a team has in a rack of a pool."""
+    def sum_pool(self, pool: str) -> Size:
+        """Return what all teams hold in a pool."""
         use = self._pools.get(pool)
-        return use.racks.get((team, rack), 0) if use else 0
+        return use.total if use else NO_SIZE
+
+    def find_racks(self, pool: str, team: str) -> Mapping[str, int]:
+        """Return how many jobs a team has in each rack of a pool."""
+        use = self._pools.get(pool)
+        return use.racks.get(team, {}) if use else {}
 
     def _change(self, holding: Holding, sign: int) -> None:
         instance, size = holding.instance, holding.size
@@ -125,10 +132,10 @@
         if instance not in self._by_instance:
             del self._used[instance]
         use = self._pools.setdefault(holding.pool, _PoolUse())
+        use.total = use.total.add(size, sign)
         team = use.teams.get(holding.team, NO_SIZE).add(size, sign)
         use.teams[holding.team] = team
-        key = (holding.team, holding.rack)
-        count = use.racks.get(key, 0) + sign
-        use.racks[key] = count
-        if not count:
-            del use.racks[key]
+        racks = use.racks.setdefault(holding.team, {})
+        racks[holding.rack] = racks.get(holding.rack, 0) + sign
+        if not racks[holding.rack]:
+            del racks[holding.rack]
--- a/src/gypsumwalk/placement.py
+++ b/src/gypsumwalk/placement.py
@@ -1,6 +1,7 @@
 """Choice of the instance that a job runs on."""
 
 from collections.abc import Callable, Mapping, Sequence
+from itertools import chain
 from typing import NamedTuple
 
 from gypsumwalk.folder import Folder
@@ -71,7 +72,7 @@
 def choose_instance(
     size: Size,
     racks: Mapping[str, Sequence[InstanceRecord]],
-    count_in_rack: Callable[[str], int],
+    team_racks: Mapping[str, int],
     find_room: Callable[[InstanceRecord], Size],
     rank: Callable[[InstanceRecord], int],
 ) -> Choice:
@@ -86,8 +87,8 @@
         What the job is expected to use.
     racks : Mapping of str to Sequence of InstanceRecord
         Available instances of its pool, by rack.
-    count_in_rack : Callable
-        Returns how many jobs of the same team a rack runs.
+    team_racks : Mapping of str to int
+        Jobs of the same team, by rack.
     find_room : Callable
         Returns what is free on an instance.
     rank : Callable
@@ -100,12 +101,16 @@
         The instance, or None with the reason.
     """
     doubted: InstanceRecord | None = None
-    for count, rack in sorted((count_in_rack(rack), rack) for rack in racks):
+    crowded = [rack for rack in racks if rack in team_racks]
+    crowded.sort(key=team_racks.__getitem__)
+    empty = (rack for rack in racks if rack not in team_racks)
+    for rack in chain(empty, crowded):
         fitting = [item for item in racks[rack] if size.fits(find_room(item))]
         ranks = [(rank(item), item) for item in fitting]
         free = [item for standing, item in ranks if standing == 0]
         if free:
             best = max(free, key=lambda item: find_room(item).processors)
+            count = team_racks.get(rack, 0)
             return Choice(best, f"{rack} runs {count} jobs of the team")
         last = [item for standing, item in ranks if standing > 0]
         doubted = doubted or (last[0] if last else None)
--- a/src/gypsumwalk/pool_steps.py
+++ b/src/gypsumwalk/pool_steps.py
@@ -39,6 +39,8 @@
 
 ENDPOINTS = INSTANCE_ENDPOINTS
 PERIOD_SECONDS = 1.0
+SCAN_SECONDS = 10.0
+"""Seconds between two looks at every instance."""
 JOIN_SECONDS = 2.0
 """Seconds that an instance is healthy before it joins a pool."""
 DWELL_SECONDS = 60.0
@@ -53,6 +55,15 @@
     InstanceState.DWELLING,
     InstanceState.QUARANTINED,
 )
+PASSING = (
+    InstanceState.JOINING,
+    InstanceState.DRAINING,
+    InstanceState.DRAINED,
+    InstanceState.DWELLING,
+    InstanceState.QUARANTINED,
+    InstanceState.LOST,
+)
+"""States that an instance leaves by a step of this part."""
 RECALLABLE = (InstanceState.DRAINING, InstanceState.DRAINED)
 
 
@@ -103,6 +114,7 @@
         self._count = 0
         self._leading = False
         self._healthy_since: dict[str, float] = {}
+        self._scan_at = 0.0
 
     def handle(self, item: Input, now: float) -> Sequence[Effect]:
         """Take in one input.
@@ -161,14 +173,28 @@
             self._leading = True
             self._heartbeats.reset(now)
             self._healthy_since.clear()
+            self._scan_at = now
         effects: list[Effect] = []
         if self._folder.generation != self._pools.generation:
             command = ReconcileInstances(self._folder.generation)
             effects += self._proposals.propose("reconcile", command)
-        for record in list(self._pools.instances()):
+        for record in self._select(now):
             effects += self._keep(record, now)
         return effects
 
+    def _select(self, now: float) -> list[InstanceRecord]:
+        """Return the instances to look at: all now and then, else what may be due."""
+        if now >= self._scan_at:
+            self._scan_at = now + SCAN_SECONDS
+            return list(self._pools.instances())
+        selected = {record.name: record for record in self._pools.list_in(*PASSING)}
+        overdue = self._heartbeats.list_overdue(now)
+        for name in overdue + self._heartbeats.take_rebooted():
+            record = self._pools.find(name)
+            if record is not None:
+                selected[name] = record
+        return list(selected.values())
+
     def _keep(self, record: InstanceRecord, now: float) -> list[Effect]:
         name = record.name
         if record.state is InstanceState.LOST:
--- a/src/gypsumwalk/pools.py
+++ b/src/gypsumwalk/pools.py
@@ -78,6 +78,7 @@
         self._members: dict[str, set[str]] = {}
         self._unavailable: dict[str, int] = {}
         self._versions: dict[str, int] = {}
+        self._by_state: dict[InstanceState, dict[str, None]] = {}
         self._losses: list[Loss] = []
         self.generation = 0
 
@@ -95,6 +96,18 @@
         """Return the names of a pool's instances in order."""
         return sorted(self._members.get(pool, ()))
 
+    def list_in(self, *states: InstanceState) -> list[InstanceRecord]:
+        """Return the records in some states; do not change them."""
+        return [
+            self._instances[name]
+            for state in states
+            for name in self._by_state.get(state, ())
+        ]
+
+    def count_members(self, pool: str) -> int:
+        """Return how many instances belong to a pool."""
+        return len(self._members.get(pool, ()))
+
     def find_version(self, pool: str) -> int:
         """Return a number that grows whenever an instance of a pool changes."""
         return self._versions.get(pool, 0)
@@ -467,6 +480,11 @@
 
     def _count(self, record: InstanceRecord, step: int) -> None:
         self._versions[record.pool] = self._versions.get(record.pool, 0) + 1
+        names = self._by_state.setdefault(record.state, {})
+        if step > 0:
+            names[record.name] = None
+        else:
+            names.pop(record.name, None)
         if record.counted and not record.available:
             lost = self._unavailable.get(record.pool, 0)
             self._unavailable[record.pool] = lost + step
@@ -492,6 +510,7 @@
         self._instances = {record.name: record for record in dump.instances}
         self._members = {}
         self._unavailable = {}
+        self._by_state = {}
         for record in dump.instances:
             if record.pool:
                 self._members.setdefault(record.pool, set()).add(record.name)
--- a/src/gypsumwalk/quarantine.py
+++ b/src/gypsumwalk/quarantine.py
@@ -58,11 +58,8 @@
         """Forget what was only known here, and find the quarantined anew."""
         self._probe_at.clear()
         self._pause.clear()
-        self._quarantined = {
-            record.name
-            for record in self._pools.instances()
-            if record.state is InstanceState.QUARANTINED
-        }
+        records = self._pools.list_in(InstanceState.QUARANTINED)
+        self._quarantined = {record.name for record in records}
 
     def note(self, command: msgspec.Struct) -> None:
         """Take in a committed command."""
--- a/src/gypsumwalk/queueing.py
+++ b/src/gypsumwalk/queueing.py
@@ -39,6 +39,7 @@
     racks: dict[str, list[InstanceRecord]]
     total: Size
     largest: Size
+    members: int = 0
 
 
 @dataclass(slots=True)
@@ -244,6 +245,7 @@
             if record is None or not record.counted:
                 continue
             capacity = size_of(record)
+            layout.members += 1
             layout.total = layout.total.add(capacity)
             pairs = zip(layout.largest, capacity, strict=True)
             layout.largest = Size(*(max(pair) for pair in pairs))
@@ -287,6 +289,12 @@
         team, routine = lane
         return (routine, self.find_share(pool, team, total), lane)
 
+    def find_resources(self, pool: str) -> tuple[int, Size, int]:
+        """Return a pool's instances, their resources, and how many are available."""
+        layout = self._find_layout(pool)
+        available = sum(len(records) for records in layout.racks.values())
+        return layout.members, layout.total, available
+
     def find_share(self, pool: str, team: str, total: Size) -> float:
         """Return a team's dominant share of a pool, divided by its weight.
 
@@ -343,7 +351,7 @@
         choice = choose_instance(
             size,
             layout.racks,
-            lambda rack: self.ledger.count_in_rack(pool, spec.team, rack),
+            self.ledger.find_racks(pool, spec.team),
             self._find_room,
             rank,
         )
@@ -422,6 +430,7 @@
         spec = record.spec
         pool = self._jobs.find_pool(spec.queue)
         wanted = self._find_share_after(pool, spec.team, size, 1, layout.total)
+        present = self.find_share(pool, spec.team, layout.total)
         candidates = []
         for holding in self.ledger.list_on(instance.name):
             other = self._jobs.find(holding.job_id)
@@ -432,7 +441,7 @@
             left = self._find_share_after(
                 pool, holding.team, holding.size, -1, layout.total
             )
-            above = left >= wanted if not spec.urgent else share >= wanted
+            above = left >= wanted if not spec.urgent else share >= present
             if above and not same_team or same_team and spec.urgent:
                 candidates.append(Candidate(share, holding))
         return candidates
--- a/src/gypsumwalk/tasks.py
+++ b/src/gypsumwalk/tasks.py
@@ -37,7 +37,9 @@
 __all__ = ["LEASE_END_SECONDS", "LEASE_SECONDS", "TaskKeeper"]
 
 LEASE_SECONDS = 20.0
-RENEWAL_SECONDS = 4.0
+RENEWAL_SECONDS = 5.0
+SCAN_SECONDS = 30.0
+"""Seconds between two looks at every attempt in progress."""
 MAX_DRIFT = 0.01
 """Most by which the rates of two clocks differ, as a fraction."""
 LEASE_END_SECONDS = LEASE_SECONDS * (1.0 + 2 * MAX_DRIFT) + 1.0
@@ -106,6 +108,8 @@
         self._checkpoint_at: dict[TaskKey, float] = {}
         self._draining_since: dict[str, float] = {}
         self._unknown_since: dict[TaskKey, float] = {}
+        self._watched: dict[str, None] = {}
+        self._scan_at = 0.0
         self._renew_at = 0.0
         self._renewals = 0
 
@@ -122,6 +126,8 @@
         self._judged.clear()
         self._checkpoint_at.clear()
         self._unknown_since.clear()
+        self._watched.clear()
+        self._scan_at = now
         self._draining_since.clear()
         self._renew_at = now
 
@@ -136,6 +142,7 @@
             Why.
         """
         self._causes.setdefault(key, cause)
+        self.watch(key.job_id)
 
     def request_stop_of(self, job_id: str, cause: str) -> None:
         """Have a job's attempt in progress checkpointed and stopped.
@@ -165,16 +172,37 @@
             Proposals, and calls to the platform.
         """
         effects: list[Effect] = []
-        records = self._jobs.in_progress()
-        for record in records:
-            effects += self._follow(record, now)
         if now >= self._renew_at:
             self._renew_at = now + RENEWAL_SECONDS
+            records = self._jobs.in_progress()
+            if now >= self._scan_at:
+                self._scan_at = now + SCAN_SECONDS
+                self._watched.update((item.spec.job_id, None) for item in records)
             effects += self._renew(records, now)
             self._prune(records)
+        for job_id in list(self._watched):
+            record = self._jobs.find(job_id)
+            if record is None or not record.in_progress:
+                del self._watched[job_id]
+                continue
+            effects += self._follow(record, now)
+            if self._is_calm(record):
+                del self._watched[job_id]
         effects += self._follow_drains(now)
         return effects
 
+    def watch(self, job_id: str) -> None:
+        """Look at a job in each pass until nothing is to be done for it."""
+        self._watched[job_id] = None
+
+    def _is_calm(self, record: JobRecord) -> bool:
+        if record.state is not JobState.RUNNING:
+            return False
+        key = _key(record)
+        return not (
+            key in self._causes or key in self._stopped_at or key in self._unknown_since
+        )
+
     def _follow(self, record: JobRecord, now: float) -> list[Effect]:
         key = _key(record)
         stopped_at = self._stopped_at.get(key)
@@ -233,6 +261,11 @@
             effects += self._calls.call(token, action, now)
         return effects
 
+    def watch_instance(self, instance: str) -> None:
+        """Look at every job of an instance that is lost."""
+        for record in self._jobs.on_instance(instance):
+            self.watch(record.spec.job_id)
+
     def _prune(self, records: list[JobRecord]) -> None:
         alive = {_key(record) for record in records}
         tables: tuple[dict[TaskKey, Any], ...] = (
@@ -250,11 +283,8 @@
 
     def _follow_drains(self, now: float) -> list[Effect]:
         effects: list[Effect] = []
-        draining = {
-            record.name: record
-            for record in self._pools.instances()
-            if record.state is InstanceState.DRAINING
-        }
+        states = self._pools.list_in(InstanceState.DRAINING)
+        draining = {record.name: record for record in states}
         for name in [name for name in self._draining_since if name not in draining]:
             del self._draining_since[name]
         for name, record in draining.items():
@@ -360,6 +390,7 @@
             return []
         if state.phase is TaskPhase.UNKNOWN:
             self._unknown_since.setdefault(state.task, now)
+            self.watch(state.task.job_id)
             return []
         self._unknown_since.pop(state.task, None)
         if state.phase is TaskPhase.RUNNING and record.state is JobState.PLACED:
--- a/src/gypsumwalk/wave_records.py
+++ b/src/gypsumwalk/wave_records.py
@@ -210,6 +210,10 @@
         Sum of the seconds for which its finished instances were away.
     done : int
         Instances that are finished.
+    skipped : int
+        Instances that were left out.
+    away : dict of str to None
+        Instances that are away.
     reasons : list of Reason
         Why it is where it is.
     """
@@ -223,6 +227,8 @@
     items: dict[str, WaveItem] = {}
     away_seconds: float = 0.0
     done: int = 0
+    skipped: int = 0
+    away: dict[str, None] = {}
     reasons: list[Reason] = []
 
     @property
@@ -230,6 +236,24 @@
         """Whether it has not ended."""
         return self.state in (WaveState.RUNNING, WaveState.PAUSED)
 
+    def move_item(self, instance: str, state: ItemState) -> None:
+        """Note where an instance stands.
+
+        Parameters
+        ----------
+        instance : str
+            The instance.
+        state : ItemState
+            Where it stands.
+        """
+        item = self.items[instance]
+        item.state = state
+        self.away.pop(instance, None)
+        if state is ItemState.AWAY:
+            self.away[instance] = None
+        self.done += state is ItemState.DONE
+        self.skipped += state is ItemState.SKIPPED
+
     def list_items(self, state: ItemState) -> list[str]:
         """Return the instances that stand in a state, in order."""
         return [name for name, item in self.items.items() if item.state is state]
--- a/src/gypsumwalk/wave_steps.py
+++ b/src/gypsumwalk/wave_steps.py
@@ -39,6 +39,7 @@
 from gypsumwalk.problems import Outcome, ProblemType, refuse
 from gypsumwalk.state import Accepted
 from gypsumwalk.views import FolderView, KeyView, LeadershipView
+from gypsumwalk.wave_order import PendingOrder
 from gypsumwalk.wave_records import (
     AbortWave,
     AcknowledgeReboot,
@@ -52,12 +53,14 @@
     WaveRecord,
     WaveState,
 )
-from gypsumwalk.waves import WAVE_PURPOSE, WaveSection
+from gypsumwalk.waves import WAVE_PURPOSE, WaveSection, is_in_window
 
 __all__ = ["ENDPOINTS", "WavePart"]
 
 ENDPOINTS = WAVE_ENDPOINTS
 PERIOD_SECONDS = 1.0
+SCAN_SECONDS = 10.0
+"""Seconds between two looks at every instance of a wave."""
 REBOOT_SECONDS = 600.0
 """Seconds after which a reboot that has not returned counts as a loss."""
 WAVE_CALLS = (
@@ -114,6 +117,8 @@
         self._count = 0
         self._leading = False
         self._rebooting_since: dict[str, float] = {}
+        self._scan_at: dict[str, float] = {}
+        self._orders: dict[str, tuple[int, PendingOrder]] = {}
 
     def handle(self, item: Input, now: float) -> Sequence[Effect]:
         """Take in one input.
@@ -165,6 +170,8 @@
             self._leading = True
             self._calls.reset()
             self._rebooting_since.clear()
+            self._scan_at.clear()
+            self._orders.clear()
         effects: list[Effect] = []
         for wave in self._waves.waves():
             effects += self._step(wave, now)
@@ -180,27 +187,43 @@
                 command = PauseWave(wave.name, wave.run, correlation)
                 return self._proposals.propose(f"pause/{wave.name}", command)
             effects += self._take_away(wave, now)
-        for name, item in wave.items.items():
-            if item.state in (ItemState.DONE, ItemState.SKIPPED):
-                continue
+        for name in self._select(wave, now):
             record = self._pools.find(name)
             if record is not None:
-                effects += self._step_item(wave, record, item.state, now)
+                state = wave.items[name].state
+                effects += self._step_item(wave, record, state, now)
         return effects
 
+    def _select(self, wave: WaveRecord, now: float) -> list[str]:
+        """Return the instances to look at: all now and then, else those away."""
+        if now < self._scan_at.get(wave.name, now):
+            return list(wave.away)
+        self._scan_at[wave.name] = now + SCAN_SECONDS
+        self._orders.pop(wave.name, None)
+        ended = (ItemState.DONE, ItemState.SKIPPED)
+        return [name for name, item in wave.items.items() if item.state not in ended]
+
+    def _find_order(self, wave: WaveRecord) -> PendingOrder:
+        known = self._orders.get(wave.name)
+        if known is not None and known[0] == wave.run:
+            return known[1]
+        order = PendingOrder(wave, self._pools)
+        self._orders[wave.name] = (wave.run, order)
+        return order
+
     def _take_away(self, wave: WaveRecord, now: float) -> list[Effect]:
         table = self._folder.folder.waves.get(wave.name)
-        if table is None:
+        if table is None or not is_in_window(table, now):
             return []
-        room = table.concurrency - len(wave.list_items(ItemState.AWAY))
+        room = table.concurrency - len(wave.away)
         effects: list[Effect] = []
+        if room <= 0:
+            return effects
         granted: dict[str, int] = {}
-        for name in wave.list_items(ItemState.PENDING):
-            if room <= 0:
-                break
+        for name in self._find_order(wave).list_candidates(wave):
             record = self._pools.find(name)
-            if record is None or not record.available:
-                continue
+            if record is None or room <= 0:
+                break
             taken = granted.get(record.pool, 0)
             silent = self._list_silent(record.pool, now)
             lost = self._pools.count_unavailable(record.pool, silent)
--- a/src/gypsumwalk/waves.py
+++ b/src/gypsumwalk/waves.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from gypsumwalk.folder import WaveTable
 from gypsumwalk.instances import InstanceEvent, InstanceRecord, InstanceState
 from gypsumwalk.pools import PoolSection
 from gypsumwalk.reasons import add_reason
@@ -28,6 +29,7 @@
     "CORRELATED_LOSSES",
     "WAVE_PURPOSE",
     "WaveSection",
+    "is_in_window",
 ]
 
 COMMANDS = (
@@ -50,10 +52,31 @@
 
 MAX_ITEM_ATTEMPTS = 2
 """Times that a wave takes an instance away which is then lost."""
+SECONDS_PER_HOUR = 3600.0
+HOURS_PER_DAY = 24.0
 GIVE_UP_SECONDS = 900.0
 """Seconds after which a wave goes on without an instance that stays lost."""
 
 
+def is_in_window(table: WaveTable, at: float) -> bool:
+    """Tell whether a wave may take instances away at a time.
+
+    Parameters
+    ----------
+    table : WaveTable
+        The wave.
+    at : float
+        Time in seconds.
+
+    Returns
+    -------
+    bool
+        Whether its window is open.
+    """
+    hour = at / SECONDS_PER_HOUR
+    return (hour - table.window_start_hour) % HOURS_PER_DAY < table.window_hours
+
+
 class _Dump(msgspec.Struct):
     waves: list[WaveRecord]
 
@@ -163,6 +186,8 @@
         wave.items = {
             record.name: self._plan_item(command.wave, record, at) for record in records
         }
+        away = (name for name, item in wave.items.items() if item.away_at)
+        wave.away = dict.fromkeys(away)
         add_reason(wave.reasons, at, f"run {command.run}: {len(records)} instances")
         if not records:
             self._change(wave, command.run, "finish", at, "it has no instances")
@@ -228,10 +253,12 @@
         item = wave.items.get(command.instance)
         if item is None or item.state is not ItemState.PENDING:
             return f"instance {command.instance} is not pending in wave {wave.name}"
+        if not is_in_window(table, at):
+            return f"the window of wave {wave.name} is closed"
         record = self._pools.find(command.instance)
         if record is None or record.pool not in table.pools:
             return f"instance {command.instance} is in no pool of wave {wave.name}"
-        away = len(wave.list_items(ItemState.AWAY))
+        away = len(wave.away)
         if away >= table.concurrency:
             return f"wave {wave.name} has {away} instances away"
         correlation = self.find_correlation(wave, at)
@@ -241,7 +268,7 @@
         refusal = self._pools.drain(command.instance, purpose, command.silent, at)
         if refusal:
             return refusal
-        item.state = ItemState.AWAY
+        wave.move_item(command.instance, ItemState.AWAY)
         item.away_at = at
         item.rebooted = False
         item.attempts += 1
@@ -301,12 +328,12 @@
             return f"instance {instance} is not awaited by wave {wave.name}"
         record = self._pools.find(instance)
         if record is None or record.state is InstanceState.RETIRED:
-            item.state = ItemState.SKIPPED
+            wave.move_item(instance, ItemState.SKIPPED)
         elif item.state is ItemState.PENDING:
             reason = self.explain_skip(wave.name, record, at)
             if not reason:
                 return f"instance {instance} is pending"
-            item.state = ItemState.SKIPPED
+            wave.move_item(instance, ItemState.SKIPPED)
             add_reason(wave.reasons, at, f"skipped {instance}: {reason}")
         elif record.available:
             self._settle_item(wave, instance, item, at)
@@ -349,8 +376,7 @@
         if not item.rebooted:
             self._postpone(wave, instance, item)
             return
-        item.state = ItemState.DONE
-        wave.done += 1
+        wave.move_item(instance, ItemState.DONE)
         wave.away_seconds += at - item.away_at
         add_reason(wave.reasons, at, f"finished {instance}")
 
@@ -360,18 +386,17 @@
         if item.rebooted:
             self._settle_item(wave, instance, item, at)
         elif item.attempts >= MAX_ITEM_ATTEMPTS:
-            item.state = ItemState.SKIPPED
+            wave.move_item(instance, ItemState.SKIPPED)
             add_reason(wave.reasons, at, f"skipped {instance}: lost each time")
         else:
             self._postpone(wave, instance, item)
 
     def _postpone(self, wave: WaveRecord, instance: str, item: WaveItem) -> None:
-        item.state = ItemState.PENDING
+        wave.move_item(instance, ItemState.PENDING)
         wave.items[instance] = wave.items.pop(instance)
 
     def _finish_if_done(self, wave: WaveRecord, at: float) -> None:
-        ended = (ItemState.DONE, ItemState.SKIPPED)
-        if all(item.state in ended for item in wave.items.values()) and wave.active:
+        if wave.done + wave.skipped == len(wave.items) and wave.active:
             self._change(wave, wave.run, "finish", at, f"finished {wave.done}")
 
     # Snapshots.
--- a/tests/_fleet.py
+++ b/tests/_fleet.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from gypsumwalk.buffer_steps import BufferPart
+from gypsumwalk.buffers import BufferPolicy
 from gypsumwalk.effects import Raise
 from gypsumwalk.folder import (
     Folder,
@@ -36,13 +38,13 @@
 class FakeLog:
     """Shared log with a leader that the test appoints."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, make_policy):
         self.folder = folder
         self.generation = 1
         self.entries = []
         self.leader = ""
         self.cut = {}
-        self.limits = {}
+        self.make_policy = make_policy
 
 
 class FakeReplicator:
@@ -180,7 +182,24 @@
         heartbeats = HeartbeatPart(
             settings=settings, leadership=replicator, table=table
         )
-        parts = [replicator, heartbeats, self.pool_part, self.wave_part, self.job_part]
+        self.buffer_part = BufferPart(
+            jobs=self.jobs,
+            planner=self.job_part.planner,
+            pools=self.pools,
+            heartbeats=table,
+            folder=views,
+            leadership=replicator,
+            policy=log.make_policy(),
+            waves=self.waves,
+        )
+        parts = [
+            replicator,
+            heartbeats,
+            self.pool_part,
+            self.wave_part,
+            self.job_part,
+            self.buffer_part,
+        ]
         super().__init__(parts, replicator)
 
 
@@ -211,12 +230,20 @@
 class FleetWorld(World):
     """World of three daemons with the fleet's parts."""
 
-    def __init__(self, folder=None, *, seed=1, names=("a", "b", "c"), platform=None):
+    def __init__(
+        self,
+        folder=None,
+        *,
+        seed=1,
+        names=("a", "b", "c"),
+        platform=None,
+        make_policy=BufferPolicy,
+    ):
         folder = folder or make_folder()
         platform = platform or FakePlatform()
         for name in folder.instances:
             platform.add(name)
-        self.log = FakeLog(folder)
+        self.log = FakeLog(folder, make_policy)
         self.log.leader = names[0]
         super().__init__(self._make, seed=seed, platform=platform)
         for name in names:
--- a/tests/_fleet_checks.py
+++ b/tests/_fleet_checks.py
@@ -30,6 +30,7 @@
     breaches: list = field(default_factory=list)
 
     def __post_init__(self):
+        self.began = self.world.now
         for name in self.world.platform.machines:
             self.up_since[name] = 0.0
         self.world.schedule(0.1, self.sample)
--- /dev/null
+++ b/tests/test_buffers.py
@@ -0,0 +1,91 @@
+"""Tests of buffers and of moves between pools."""
+
+import unittest
+from unittest import mock
+
+from gypsumwalk import buffers
+from gypsumwalk.buffers import BufferPolicy, PoolLoad
+from gypsumwalk.folder import PoolTable
+from gypsumwalk.job_calls import SubmitJobCall
+from tests._fleet import FleetWorld, make_folder
+from tests._fleet_checks import Sampler, check_all
+
+
+def load(name, *, spare=False, members=4, incoming=0, movable=1, demand=0.0):
+    declared = 4
+    return PoolLoad(name, spare, members, members, incoming, declared, movable, demand)
+
+
+class TestBufferPolicy(unittest.TestCase):
+    def choose(self, loads, seconds, policy=None):
+        policy = policy or BufferPolicy()
+        moves = []
+        for now in range(0, seconds, 2):
+            moves += policy.choose(loads, float(now))
+        return moves
+
+    def test_spare_pool_comes_first(self):
+        loads = [load("a", demand=6.0), load("b"), load("s", spare=True, movable=2)]
+        moves = BufferPolicy().choose(loads, 0.0)
+        assert moves == []
+        policy = BufferPolicy()
+        policy.choose(loads, 0.0)
+        moves = policy.choose(loads, 4.0)
+        assert [(move.source, move.destination) for move in moves] == [("s", "a")] * 2
+
+    def test_short_spike_moves_nothing(self):
+        policy = BufferPolicy()
+        spare = load("s", spare=True)
+        moves = policy.choose([load("a", demand=9.0), spare], 0.0)
+        moves += policy.choose([load("a", demand=1.0), spare], 2.0)
+        moves += policy.choose([load("a", demand=9.0), spare], 4.0)
+        assert moves == []
+
+    def test_busy_pool_gives_nothing(self):
+        loads = [load("a", demand=6.0), load("b", demand=4.0)]
+        assert self.choose(loads, 1000) == []
+
+    def test_surplus_goes_back_to_the_spare_after_long(self):
+        loads = [load("a", demand=1.0), load("s", spare=True)]
+        assert self.choose(loads, int(buffers.SURPLUS_SECONDS)) == []
+        moves = self.choose(loads, int(buffers.SURPLUS_SECONDS) + 10)
+        assert [(move.source, move.destination) for move in moves] == [("a", "s")]
+
+    def test_hysteresis_test_fails_without_a_waiting_time(self):
+        with mock.patch.object(buffers, "SURPLUS_SECONDS", 0.0):
+            loads = [load("a", demand=1.0), load("s", spare=True)]
+            assert self.choose(loads, 100) != []
+
+    def test_losses_raise_the_need(self):
+        policy = BufferPolicy()
+        calm = policy.find_need(load("a", demand=2.0), 0.0)
+        for number in range(3):
+            policy.note_loss("a", 100.0 * number)
+        assert policy.find_need(load("a", demand=2.0), 600.0) == calm + 3
+
+
+class TestMovesUnderLoad(unittest.TestCase):
+    def test_spike_is_met_from_the_spare_and_budgets_hold(self):
+        folder = make_folder(pools=3, instances=4, per_rack=2, limit=200)
+        for name in folder.pools:
+            folder.pools[name] = PoolTable(max_unavailable=2, min_instances=2)
+        folder.pools["p2"] = PoolTable(max_unavailable=2, spare=True)
+        world = FleetWorld(folder)
+        world.settle()
+        sampler = Sampler(world)
+        for number in range(24):
+            call = SubmitJobCall(
+                job_id=f"j{number}", queue="p0", command="run 30", processors=16.0
+            )
+            world.call(call, credential="red")
+        world.run(20.0)
+        assert len(world.leader.pools.members("p0")) == 6
+        assert len(world.leader.pools.members("p1")) == 4
+        world.run(2000.0)
+        assert len(world.leader.pools.members("p2")) >= 4
+        assert len(world.leader.pools.members("p0")) >= 2
+        check_all(world, sampler)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -170,6 +170,23 @@
         assert len(world.platform.reboots) == 4
         assert self.operate(StartWaveCall("w", run=3)).status == 409
 
+    def test_wave_takes_instances_away_in_its_window_only(self):
+        world = self.start()
+        hour = (world.now / 3600.0) % 24.0
+        start = (hour + 1.0) % 24.0
+        table = WaveTable(pools=["p0"], window_start_hour=start, window_hours=0.05)
+        world.log.folder.waves["w"] = table
+        self.begin_wave()
+        world.run(3500.0)
+        assert world.platform.reboots == []
+        world.run(1000.0)
+        opened = (start - hour) % 24.0 * 3600.0
+        assert world.platform.reboots
+        start_at = self.sampler.began + opened
+        for at, _ in world.platform.reboots:
+            assert start_at <= at < start_at + 0.05 * 3600.0 + 60.0
+        check_all(world, self.sampler)
+
     def test_two_waves_at_once_share_the_budget(self):
         world = self.start()
         world.log.folder.waves["v"] = WaveTable(pools=["p0", "p1"], concurrency=4)
@@ -265,8 +282,12 @@
         for number in range(5):
             self.submit(f"j{number}", command="run 20")
         world.run(5.0)
-        reasons = world.ask(ExplainJob("j4"), to="a").body.reasons
-        assert any("upper limit" in item.text for item in reasons), reasons
+        for daemon in ("a", "b"):
+            reasons = world.ask(ExplainJob("j4"), to=daemon).body.reasons
+            assert any("upper limit" in item.text for item in reasons), reasons
+        world.part(["b"], ["a"])
+        assert world.ask(ExplainJob("j4"), to="b").status == 200
+        world.heal()
         world.run(100.0)
         assert all(self.state(f"j{number}") == "succeeded" for number in range(5))
         check_all(world, self.sampler)
