--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -7,21 +7,12 @@
 from pathlib import Path
 from unittest import mock
 
-from gypsumwalk import configuration, job_calls, keys, operator_calls, submissions
+from gypsumwalk.assembly import ENDPOINTS
 from gypsumwalk.endpoints import EndpointTable
 from tests._stub_daemon import make_problem, run_stub
 from tests.test_command import run
 
-TABLE = EndpointTable(
-    [
-        *configuration.ENDPOINTS,
-        *keys.ENDPOINTS,
-        *operator_calls.WAVE_ENDPOINTS,
-        *operator_calls.INSTANCE_ENDPOINTS,
-        *job_calls.ENDPOINTS,
-        *submissions.ENDPOINTS,
-    ]
-)
+TABLE = EndpointTable(ENDPOINTS)
 FOLDER = """
 [teams.gabbaim]
 limit = 4
@@ -61,6 +52,7 @@
             (("keys", "give", "--operator"), "POST", "/v1/keys/give"),
             (("keys", "withdraw", "12"), "POST", "/v1/keys/withdraw"),
             (("keys", "list"), "GET", "/v1/keys"),
+            (("status",), "GET", "/v1/status"),
             (("pools",), "GET", "/v1/pools"),
             (("instances",), "GET", "/v1/instances"),
             (("instances", "w1"), "GET", "/v1/instances/w1/why"),
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -4,30 +4,12 @@
 import unittest
 from importlib.util import find_spec
 
-from gypsumwalk import (
-    configuration,
-    job_calls,
-    keys,
-    operator_calls,
-    platform,
-    submissions,
-    targets,
-)
+from gypsumwalk.assembly import ENDPOINTS
 from gypsumwalk.problems import STATUSES
 from tests._curl import read_examples
 from tests._reference import DOCS
 
 PAGE = (DOCS / "API.md").read_text(encoding="utf-8")
-ENDPOINTS = (
-    *configuration.ENDPOINTS,
-    *keys.ENDPOINTS,
-    *operator_calls.WAVE_ENDPOINTS,
-    *operator_calls.INSTANCE_ENDPOINTS,
-    *job_calls.ENDPOINTS,
-    *submissions.ENDPOINTS,
-    *targets.ENDPOINTS,
-    *platform.ENDPOINTS,
-)
 
 
 class TestPages(unittest.TestCase):
