--- a/src/gypsumwalk/command.py
+++ b/src/gypsumwalk/command.py
@@ -19,6 +19,7 @@
     commands_folder,
     commands_keys,
     commands_service,
+    commands_voters,
     commands_work,
 )
 from gypsumwalk.drivers._actions import (
@@ -130,6 +131,12 @@
         submit=commands_work.submit,
         timeline=commands_service.timeline,
         version=commands_service.version,
+        voters=Group(
+            "List, add and remove the voters of the replicated log.",
+            list=commands_voters.list_voters,
+            add=commands_voters.add_voter,
+            remove=commands_voters.remove_voter,
+        ),
     )
 
 
--- /dev/null
+++ b/src/gypsumwalk/drivers/commands_voters.py
@@ -0,0 +1,89 @@
+"""Commands about the voters of the replicated log."""
+
+from gypsumwalk.drivers._actions import Action, Connection, require
+from gypsumwalk.drivers._calls import DEADLINE, query
+
+__all__ = ["add_voter", "list_voters", "remove_voter"]
+
+
+def list_voters(
+    addresses: str = "",
+    key: str = "",
+    deadline: str = DEADLINE,
+    json: str | bool = False,
+) -> Action:
+    """List the daemons whose disks vote, and the leader.
+
+    Example: gypsumwalk voters list
+
+    Parameters
+    ----------
+    addresses : str
+        Daemons to try in turn, divided by commas; by default GYPSUMWALK_ADDRESSES.
+    key : str
+        Key to show; by default GYPSUMWALK_KEY.
+    deadline : str
+        Seconds that the call may take.
+    json : bool
+        Print JSON.
+    """
+    connection = Connection.parse(addresses, key, deadline)
+    return query(connection, "GET", "/v1/voters", json=json)
+
+
+def add_voter(
+    name: str,
+    addresses: str = "",
+    key: str = "",
+    deadline: str = DEADLINE,
+    json: str | bool = False,
+) -> Action:
+    """Let the disk of a daemon vote, for example after its old disk was lost.
+
+    Example: gypsumwalk voters add entry3
+
+    Parameters
+    ----------
+    name : str
+        The daemon.
+    addresses : str
+        Daemons to try in turn, divided by commas; by default GYPSUMWALK_ADDRESSES.
+    key : str
+        Key to show; by default GYPSUMWALK_KEY.
+    deadline : str
+        Seconds that the call may take.
+    json : bool
+        Print JSON.
+    """
+    connection = Connection.parse(addresses, key, deadline)
+    body = {"name": require("name", name)}
+    return query(connection, "POST", "/v1/voters/add", body, json=json)
+
+
+def remove_voter(
+    name: str,
+    addresses: str = "",
+    key: str = "",
+    deadline: str = DEADLINE,
+    json: str | bool = False,
+) -> Action:
+    """Let the disk of a daemon vote no more.
+
+    Example: gypsumwalk voters remove entry3
+
+    Parameters
+    ----------
+    name : str
+        The daemon.
+    addresses : str
+        Daemons to try in turn, divided by commas; by default GYPSUMWALK_ADDRESSES.
+    key : str
+        Key to show; by default GYPSUMWALK_KEY.
+    deadline : str
+        Seconds that the call may take.
+    json : bool
+        Print JSON.
+    """
+    connection = Connection.parse(addresses, key, deadline)
+    body = {"name": require("name", name)}
+    return query(connection, "POST", "/v1/voters/remove", body, json=json)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -26,6 +26,7 @@
     "key_id",
     "request_id",
     "unavailable",
+    "voters",
 }
 
 
