--- a/src/gypsumwalk/queues.py
+++ b/src/gypsumwalk/queues.py
@@ -13,7 +13,8 @@
 """Urgent starts in a row after which a request that is not urgent starts."""
 MEASURED_SECONDS = 0.5
 MEASURED_STARTS = 4
-"""Least time and starts from which the wait in a line is estimated."""
+"""Least time and starts from which the rate of starts is known."""
+FORGETTING_SECONDS = 2.0
 DEMAND_SECONDS = 1.5
 """Age at which the demand of another daemon is forgotten."""
 
@@ -49,8 +50,28 @@
 
 @dataclass(slots=True)
 class _Drain:
+    """Starts a second, measured while anything waits."""
+
     since: float
-    starts: int = 0
+    starts: float = 0.0
+    known: float = 0.0
+    measured: bool = False
+
+    def note_start(self, now: float) -> None:
+        self.starts += 1.0
+        elapsed = now - self.since
+        enough = self.starts >= MEASURED_STARTS and elapsed >= MEASURED_SECONDS
+        self.measured = self.measured or enough
+        if self.measured:
+            self.known = self.starts / elapsed
+        if elapsed >= FORGETTING_SECONDS:
+            self.starts /= 2.0
+            self.since = now - elapsed / 2.0
+
+    def begin(self, now: float) -> None:
+        self.since = now
+        self.starts = 0.0
+        self.measured = False
 
 
 class ServiceQueue:
@@ -66,7 +87,8 @@
         self._shares = shares
         self._lines: dict[Line, OrderedDict[str, str]] = {}
         self._depths: dict[str, int] = {}
-        self._drains: dict[Line, _Drain] = {}
+        self._length = 0
+        self._drain = _Drain(0.0)
         self._demands: dict[str, _Demand] = {}
         self._streak = 0
         self._served: dict[Line, str] = {}
@@ -90,7 +112,6 @@
             self._shares.activate(line.team)
         if line not in self._lines:
             self._lines[line] = OrderedDict()
-            self._drains[line] = _Drain(now)
         waiting = self._lines[line]
         if request_id in waiting:
             return
@@ -98,6 +119,9 @@
         if first:
             waiting.move_to_end(request_id, last=False)
         self._depths[queue] = self._depths.get(queue, 0) + 1
+        if not self._length:
+            self._drain.begin(now)
+        self._length += 1
 
     def remove(self, line: Line, request_id: str) -> bool:
         """Take a request out of its line; false if it was not in it."""
@@ -106,25 +130,19 @@
             return False
         queue = waiting.pop(request_id)
         self._depths[queue] -= 1
+        self._length -= 1
         if not waiting:
             del self._lines[line]
-            del self._drains[line]
         return True
 
-    def start(self, line: Line, request_id: str) -> None:
+    def start(self, line: Line, request_id: str, now: float) -> None:
         """Take a request out of its line as it starts."""
-        self._drains[line].starts += 1
+        self._drain.note_start(now)
         self.remove(line, request_id)
 
-    def estimate_wait(self, line: Line, now: float) -> float:
-        """Return the seconds that a new request of a line would wait, 0 if unknown."""
-        drain = self._drains.get(line)
-        if drain is None:
-            return 0.0
-        measured = now - drain.since
-        if measured < MEASURED_SECONDS or drain.starts < MEASURED_STARTS:
-            return 0.0
-        return self.count(line) * measured / drain.starts
+    def estimate_wait(self) -> float:
+        """Return the seconds until all that waits has started, 0 if unknown."""
+        return self._length / self._drain.known if self._drain.known else 0.0
 
     def depth(self, queue: str) -> int:
         """Return how many requests of a queue wait here."""
--- a/src/gypsumwalk/records.py
+++ b/src/gypsumwalk/records.py
@@ -106,6 +106,11 @@
         """Line that the request waits in."""
         return Line(self.team, self.urgent)
 
+    @property
+    def stated_outcome(self) -> Outcome:
+        """What callers are told; one that waits may run yet, so never "not run"."""
+        return Outcome.IN_PROGRESS if self.answer is None else self.outcome
+
     @property
     def unstarted_outcome(self) -> Outcome:
         """What is known of a request that has no attempt under way."""
--- a/src/gypsumwalk/requests.py
+++ b/src/gypsumwalk/requests.py
@@ -259,7 +259,7 @@
             return self._take_unknown(call, credential, content, waiter, now)
         problem = self._check_caller(request, credential, now)
         if problem is not None:
-            answer = refuse(problem, request.outcome)
+            answer = refuse(problem, request.stated_outcome)
             return [answer_waiter(waiter, call.request_id, answer)]
         match call:
             case SubmitRequest():
@@ -321,7 +321,7 @@
     ) -> list[Effect]:
         if (call.queue, content.digest) != (request.queue, request.digest):
             detail = "the request id belongs to another request"
-            answer = refuse(ProblemType.CONFLICT, request.outcome, detail)
+            answer = refuse(ProblemType.CONFLICT, request.stated_outcome, detail)
         elif request.answer is not None:
             answer = request.answer
         elif waiter in request.waiters:
@@ -330,7 +330,7 @@
             request.waiters.append(waiter)
             return []
         else:
-            answer = refuse(ProblemType.IN_PROGRESS, Outcome.IN_PROGRESS)
+            answer = refuse(ProblemType.IN_PROGRESS, request.stated_outcome)
         return [answer_waiter(waiter, request.request_id, answer)]
 
     def _cancel(self, request: Request, waiter: Waiter, now: float) -> list[Effect]:
@@ -493,11 +493,8 @@
 
 
 def _make_status(request: Request) -> Answer:
-    if request.answer is None:
-        # One that waits may run yet, so it is not called "not run".
-        outcome, status = Outcome.IN_PROGRESS, 0
-    else:
-        outcome, status = request.outcome, request.answer.status
+    status = request.answer.status if request.answer is not None else 0
+    outcome = request.stated_outcome
     return Answer(
         200, RequestStatus(request.request_id, request.state, outcome, status)
     )
--- a/src/gypsumwalk/scheduling.py
+++ b/src/gypsumwalk/scheduling.py
@@ -135,20 +135,21 @@
             What to do, or why the request is refused.
         """
         queue = self.queue_of(request.service)
-        refusal = self._shedder.judge(request, queue, now)
-        if refusal is not None:
-            return refusal
         effects: list[Effect] = []
+        if self._shedder.is_full(request, queue, now):
+            effects += self._evict(request, [queue], now)
+            if not effects:
+                return Refusal(queue.estimate_wait())
         if queue.depth(request.queue) >= max_waiting:
             effects += self._evict(request, [queue], now, same_queue=True)
             if queue.depth(request.queue) >= max_waiting:
-                return Refusal(queue.estimate_wait(request.line, now))
+                return Refusal(queue.estimate_wait())
         for _ in range(MAX_EVICTED):
             if self._records.has_room(request.content.length):
                 break
             effects += self._evict(request, self._queues.values(), now)
         if not self._records.has_room(request.content.length):
-            return Refusal(queue.estimate_wait(request.line, now))
+            return Refusal(queue.estimate_wait())
         self._records.add(request)
         self._watch(request, request.deadline)
         queue.push(request.line, request.request_id, request.queue, now)
@@ -167,7 +168,7 @@
         if found is None:
             return []
         victim = self._records.live[found]
-        wait = self.queue_of(victim.service).estimate_wait(victim.line, now)
+        wait = self.queue_of(victim.service).estimate_wait()
         return self._refuse(victim, ProblemType.OVERLOADED, now, retry_after=wait)
 
     def withdraw(self, request: Request) -> None:
@@ -228,7 +229,7 @@
                     continue
                 if not self._acquire(request, now):
                     return [*effects, SendPeer(source, ReturnSlot(body.token))]
-                queue.start(line, request_id)
+                queue.start(line, request_id, now)
                 return [*effects, *self._start_remote(request, source, body, now)]
         return [*effects, SendPeer(source, ReturnSlot(body.token))]
 
@@ -307,7 +308,7 @@
             return refused
         if not self._acquire(request, now):
             return []
-        queue.start(pick.line, request_id)
+        queue.start(pick.line, request_id, now)
         charged = shares.charge(pick.line.team, weight)
         run, effects = self._runs.start(_make_work(request), target, charged, now)
         self._note_start(request, "", run.token, now)
--- a/src/gypsumwalk/shedding.py
+++ b/src/gypsumwalk/shedding.py
@@ -1,5 +1,6 @@
 """Refusal of requests that can't start in time, before they cost anything."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -9,7 +10,7 @@
 
 __all__ = ["Refusal", "Shedder"]
 
-WAIT_SHARE = 0.8
+WAIT_SHARE = 0.9
 """Part of the time until its deadline that a request may be expected to wait."""
 MAX_USUAL_SHARE = 0.5
 """Most of a request's time that is kept for its run, as learned run times may err."""
@@ -28,13 +29,6 @@
     retry_after: float
 
 
-class _Heaviest(NamedTuple):
-    weight: float
-    queue: ServiceQueue
-    line: Line
-    request_id: str
-
-
 class Shedder:
     """Keeps the waiting requests within bounds, fairly between teams.
 
@@ -64,10 +58,8 @@
         usual = self._durations.find_usual(request.service)
         return request.deadline - now < min(usual, whole * MAX_USUAL_SHARE)
 
-    def judge(
-        self, request: Request, queue: ServiceQueue, now: float
-    ) -> Refusal | None:
-        """Refuse a new request that would wait too long.
+    def is_full(self, request: Request, queue: ServiceQueue, now: float) -> bool:
+        """Tell whether a new request would have to wait too long.
 
         Parameters
         ----------
@@ -80,20 +72,17 @@
 
         Returns
         -------
-        Refusal or None
-            The refusal, or None if the request may wait.
+        bool
+            Whether it would hardly start by its deadline.
         """
-        wait = queue.estimate_wait(request.line, now)
-        if wait <= (request.deadline - now) * WAIT_SHARE:
-            return None
-        return Refusal(wait)
+        return queue.estimate_wait() > (request.deadline - now) * WAIT_SHARE
 
     def find_victim(
         self,
         request: Request,
         queues: Iterable[ServiceQueue],
         *,
-        same_queue: bool,
+        same_queue: bool = False,
     ) -> str | None:
         """Return the waiting request to refuse in favour of a new one, or None.
 
@@ -114,22 +103,26 @@
         str or None
             Identifier of the victim.
         """
-        heaviest: _Heaviest | None = None
-        own = 0
+        counts: Counter[str] = Counter()
+        last: dict[str, str] = {}
         for queue in queues:
-            for line, count in queue.count_lines().items():
-                if line.team == request.team:
-                    own += count
+            for line, count in sorted(
+                queue.count_lines().items(), key=_put_urgent_first
+            ):
+                counts[line.team] += count
                 victim = queue.peek_last(line)
-                if victim is None or (same_queue and not self._shares(victim, request)):
-                    continue
-                weight = count / max(self._weigh(line.team), MIN_WEIGHT)
-                if heaviest is None or weight > heaviest.weight:
-                    heaviest = _Heaviest(weight, queue, line, victim)
-        if heaviest is None or heaviest.line.team == request.team:
-            return None
-        own_weight = (own + 1) / max(self._weigh(request.team), MIN_WEIGHT)
-        return heaviest.request_id if heaviest.weight > own_weight else None
-
-    def _shares(self, victim: str, request: Request) -> bool:
-        return self._records.live[victim].queue == request.queue
+                if victim and not (same_queue and self._differs(victim, request)):
+                    last[line.team] = victim
+        counts[request.team] += 1
+        heaviest = max(counts, key=lambda team: (self._measure(team, counts), team))
+        return last.get(heaviest) if heaviest != request.team else None
+
+    def _measure(self, team: str, counts: Counter[str]) -> float:
+        return counts[team] / max(self._weigh(team), MIN_WEIGHT)
+
+    def _differs(self, victim: str, request: Request) -> bool:
+        return self._records.live[victim].queue != request.queue
+
+
+def _put_urgent_first(item: tuple[Line, int]) -> bool:
+    return not item[0].urgent
--- a/tests/_request_fakes.py
+++ b/tests/_request_fakes.py
@@ -200,7 +200,7 @@
             peer_port=2,
             cluster_secret="a secret of the cluster",
         )
-        membership = FakeMembership(self, name, incarnation)
+        membership = self.make_membership(name, incarnation)
         keys = self.keys.setdefault(name, FakeKeys(self))
         fences = self.fences.setdefault(name, FenceSection())
         random = Random(f"{self.seed} {name} {incarnation}")
@@ -226,6 +226,10 @@
         replicator = FakeReplicator(self, name)
         return Node([targets, requests, replicator], replicator)
 
+    def make_membership(self, name, incarnation):
+        """Return the view of the daemons that one daemon has."""
+        return FakeMembership(self, name, incarnation)
+
     def add_team(self, name, *, share=1.0, limit=1000):
         self.folder.team_rules[name] = TeamRule(name, share, limit)
 
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -102,13 +102,22 @@
         assert not self.queue.remove(SEATS, "b")
         assert self.queue.depth("charts") == 3
 
-    def test_wait_is_estimated_from_the_starts_of_a_full_line(self):
+    def test_wait_is_estimated_from_the_starts_while_something_waits(self):
         for number in range(100):
             self.push(SEATS, str(number))
+        assert self.queue.estimate_wait() == 0.0
         for number in range(10):
-            self.queue.start(SEATS, str(number))
-        assert self.queue.estimate_wait(SEATS, NOW + 1.0) == 9.0
-        assert self.queue.estimate_wait(HOLDS, NOW + 1.0) == 0.0
+            self.queue.start(SEATS, str(number), NOW + 0.1 * (number + 1))
+        assert abs(self.queue.estimate_wait() - 9.0) < 1e-6
+
+    def test_estimate_follows_a_rate_that_falls(self):
+        for number in range(100):
+            self.push(SEATS, str(number))
+        for number in range(40):
+            self.queue.start(SEATS, str(number), NOW + 0.1 * (number + 1))
+        for number in range(40, 50):
+            self.queue.start(SEATS, str(number), NOW + 4.0 + (number - 39))
+        assert 40.0 < self.queue.estimate_wait() < 55.0
 
 
 class TestRetries(unittest.TestCase):
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -142,7 +142,7 @@
 
     def test_without_shedding(self):
         broken = [
-            ("shedding.Shedder.judge", lambda *_: None),
+            ("shedding.Shedder.is_full", lambda *_: False),
             ("shedding.Shedder.is_too_late", lambda _, request, now: False),
         ]
         assert self.fails("test_goodput_stays_level_past_saturation", *broken)
