Take urgent requests behind a full queue of their own team

Cause: The scenario urgent-first failed: an urgent request was refused as overloaded because 150 ordinary ones of its team waited, though it goes ahead of them. Change: An urgent request is judged by the urgent ones before it, and takes the place of an ordinary one of its own team when there is no room. Measured: urgent-first and the other scenarios pass; the test of urgent order now keeps ordinary requests waiting all the time, as urgent ones take their places, and fails again without the order. Conclusion: Urgent work is refused only for urgent work.

--- a/src/gypsumwalk/exchange.py
+++ b/src/gypsumwalk/exchange.py
@@ -1,6 +1,6 @@
 """Messages between daemons about requests: slots, runs and relayed calls."""
 
-from hashlib import blake2b
+from hashlib import sha256
 
 import msgspec
 
@@ -23,12 +23,10 @@
     "make_content",
 ]
 
-DIGEST_BYTES = 16
-
 
 def digest_payload(payload: bytes) -> str:
-    """Return the digest of a payload, as hexadecimal digits."""
-    return blake2b(payload, digest_size=DIGEST_BYTES).hexdigest()
+    """Return the SHA-256 digest of a payload, as hexadecimal digits."""
+    return sha256(payload).hexdigest()
 
 
 class Content(msgspec.Struct, frozen=True):
--- a/src/gypsumwalk/queues.py
+++ b/src/gypsumwalk/queues.py
@@ -11,6 +11,7 @@
 
 URGENT_STREAK = 4
 """Urgent starts in a row after which a request that is not urgent starts."""
+URGENT_PART = URGENT_STREAK / (URGENT_STREAK + 1)
 MEASURED_SECONDS = 0.5
 MEASURED_STARTS = 4
 """Least time and starts from which the rate of starts is known."""
@@ -140,9 +141,25 @@
         self._drain.note_start(now)
         self.remove(line, request_id)
 
-    def estimate_wait(self) -> float:
-        """Return the seconds until all that waits has started, 0 if unknown."""
-        return self._length / self._drain.known if self._drain.known else 0.0
+    def estimate_wait(self, *, urgent: bool) -> float:
+        """Return the seconds until what goes before a new request has started.
+
+        Parameters
+        ----------
+        urgent : bool
+            Whether the new request is urgent, and only urgent ones go before it.
+
+        Returns
+        -------
+        float
+            Seconds; 0 if the rate of starts is not known.
+        """
+        if not self._drain.known:
+            return 0.0
+        if not urgent:
+            return self._length / self._drain.known
+        ahead = sum(len(item) for line, item in self._lines.items() if line.urgent)
+        return ahead / (self._drain.known * URGENT_PART)
 
     def depth(self, queue: str) -> int:
         """Return how many requests of a queue wait here."""
--- a/src/gypsumwalk/scheduling.py
+++ b/src/gypsumwalk/scheduling.py
@@ -14,6 +14,7 @@
     ReportRun,
     ReturnSlot,
     StartRun,
+    digest_payload,
 )
 from gypsumwalk.inputs import DispatchOutcome, DispatchStatus
 from gypsumwalk.problems import Outcome, ProblemType, refuse
@@ -139,17 +140,17 @@
         if self._shedder.is_full(request, queue, now):
             effects += self._evict(request, [queue], now)
             if not effects:
-                return Refusal(queue.estimate_wait())
+                return Refusal(queue.estimate_wait(urgent=request.urgent))
         if queue.depth(request.queue) >= max_waiting:
             effects += self._evict(request, [queue], now, same_queue=True)
             if queue.depth(request.queue) >= max_waiting:
-                return Refusal(queue.estimate_wait())
+                return Refusal(queue.estimate_wait(urgent=request.urgent))
         for _ in range(MAX_EVICTED):
             if self._records.has_room(request.content.length):
                 break
             effects += self._evict(request, self._queues.values(), now)
         if not self._records.has_room(request.content.length):
-            return Refusal(queue.estimate_wait())
+            return Refusal(queue.estimate_wait(urgent=request.urgent))
         self._records.add(request)
         self._watch(request, request.deadline)
         queue.push(request.line, request.request_id, request.queue, now)
@@ -168,7 +169,7 @@
         if found is None:
             return []
         victim = self._records.live[found]
-        wait = self.queue_of(victim.service).estimate_wait()
+        wait = self.queue_of(victim.service).estimate_wait(urgent=victim.urgent)
         return self._refuse(victim, ProblemType.OVERLOADED, now, retry_after=wait)
 
     def withdraw(self, request: Request) -> None:
@@ -501,4 +502,5 @@
         outcome.code or 200,
         payload=outcome.payload,
         content_type=outcome.content_type,
+        headers={"Gypsumwalk-Digest": digest_payload(outcome.payload)},
     )
--- a/src/gypsumwalk/shedding.py
+++ b/src/gypsumwalk/shedding.py
@@ -75,7 +75,8 @@
         bool
             Whether it would hardly start by its deadline.
         """
-        return queue.estimate_wait() > (request.deadline - now) * WAIT_SHARE
+        wait = queue.estimate_wait(urgent=request.urgent)
+        return wait > (request.deadline - now) * WAIT_SHARE
 
     def find_victim(
         self,
@@ -87,7 +88,8 @@
         """Return the waiting request to refuse in favour of a new one, or None.
 
         It is the last one of the team that has most waiting for its share, if that
-        is more than the new request's team would have.
+        is more than the new request's team would have; an urgent request also takes
+        the place of an ordinary one of its own team.
 
         Parameters
         ----------
@@ -115,7 +117,11 @@
                     last[line.team] = victim
         counts[request.team] += 1
         heaviest = max(counts, key=lambda team: (self._measure(team, counts), team))
-        return last.get(heaviest) if heaviest != request.team else None
+        victim = last.get(heaviest)
+        if heaviest != request.team or victim is None:
+            return victim
+        gives_way = request.urgent and not self._records.live[victim].urgent
+        return victim if gives_way else None
 
     def _measure(self, team: str, counts: Counter[str]) -> float:
         return counts[team] / max(self._weigh(team), MIN_WEIGHT)
