--- a/examples/fake_platform.py
+++ b/examples/fake_platform.py
@@ -17,6 +17,7 @@
 from examples.platform_model import PlatformModel
 from gypsumwalk.platform import ActionRequest
 
+REBOOT_SECONDS = 2.0
 REPORT_SECONDS = 1.0
 REQUEST_SECONDS = 2.0
 
@@ -37,7 +38,7 @@
     """
 
     def __init__(self, daemons: list[str]) -> None:
-        self.model = PlatformModel(reboot_seconds=5.0)
+        self.model = PlatformModel(reboot_seconds=REBOOT_SECONDS)
         self._daemons = daemons
         self._lock = threading.Lock()
         self._pools = urllib3.PoolManager(retries=False)
