--- a/src/gypsumwalk/pools.py
+++ b/src/gypsumwalk/pools.py
@@ -23,6 +23,7 @@
     ReleaseInstance,
     SettleInstance,
 )
+from gypsumwalk.pool_index import PoolIndex
 from gypsumwalk.reasons import add_reason
 from gypsumwalk.state import Accepted, Rejected
 from gypsumwalk.views import FolderView
@@ -75,10 +76,7 @@
     def __init__(self, folder: FolderView) -> None:
         self._folder = folder
         self._instances: dict[str, InstanceRecord] = {}
-        self._members: dict[str, set[str]] = {}
-        self._unavailable: dict[str, int] = {}
-        self._versions: dict[str, int] = {}
-        self._by_state: dict[InstanceState, dict[str, None]] = {}
+        self._index = PoolIndex()
         self._losses: list[Loss] = []
         self.generation = 0
 
@@ -94,23 +92,15 @@
 
     def members(self, pool: str) -> list[str]:
         """Return the names of a pool's instances in order."""
-        return sorted(self._members.get(pool, ()))
+        return self._index.members(pool)
 
     def list_in(self, *states: InstanceState) -> list[InstanceRecord]:
         """Return the records in some states; do not change them."""
-        return [
-            self._instances[name]
-            for state in states
-            for name in self._by_state.get(state, ())
-        ]
-
-    def count_members(self, pool: str) -> int:
-        """Return how many instances belong to a pool."""
-        return len(self._members.get(pool, ()))
+        return [self._instances[name] for name in self._index.names_in(states)]
 
     def find_version(self, pool: str) -> int:
         """Return a number that grows whenever an instance of a pool changes."""
-        return self._versions.get(pool, 0)
+        return self._index.find_version(pool)
 
     def budget(self, pool: str) -> int:
         """Return how many instances of a pool may be unavailable at once."""
@@ -137,7 +127,7 @@
             record = self._instances.get(name)
             if record and record.pool == pool and record.available:
                 extra += 1
-        return self._unavailable.get(pool, 0) + extra
+        return self._index.count_unavailable(pool) + extra
 
     # Changes that other sections ask for while they apply a command.
 
@@ -250,14 +240,14 @@
         after = follow(record.state, event)
         if after is None:
             return f"instance {instance} is {record.state.value}"
-        self._count(record, -1)
+        self._index.remove(record)
         record.state = after
         record.since = at
         add_reason(record.reasons, at, f"{after.value}: {reason}", MAX_INSTANCE_REASONS)
         if event is InstanceEvent.LOSE:
             self._losses.append(Loss(instance, record.pool, at))
             del self._losses[:-MAX_LOSSES]
-        self._count(record, 1)
+        self._index.add(record)
         return ""
 
     def acknowledge_reboot(self, instance: str) -> None:
@@ -402,7 +392,7 @@
     def _count_lasting(self, pool: str) -> int:
         return sum(
             not self._instances[name].purpose.startswith((MOVE_PURPOSE, RETIRE_PURPOSE))
-            for name in self._members.get(pool, ())
+            for name in self._index.members(pool)
         )
 
     def _reassign(self, instance: str, at: float) -> str:
@@ -453,11 +443,13 @@
             self._instances[name] = record
             self._assign(record, table.pool)
             return
+        self._index.remove(record)
         record.data_centre = table.data_centre
         record.rack = table.rack
         record.processors = table.processors
         record.memory_gb = table.memory_gb
         record.accelerators = table.accelerators
+        self._index.add(record)
         if record.state is InstanceState.RETIRED:
             self.trigger(name, InstanceEvent.READMIT, at, "declared again")
             self._assign(record, table.pool)
@@ -471,23 +463,9 @@
         return refusal
 
     def _assign(self, record: InstanceRecord, pool: str) -> None:
-        self._count(record, -1)
-        self._members.get(record.pool, set()).discard(record.name)
+        self._index.remove(record)
         record.pool = pool
-        if pool:
-            self._members.setdefault(pool, set()).add(record.name)
-        self._count(record, 1)
-
-    def _count(self, record: InstanceRecord, step: int) -> None:
-        self._versions[record.pool] = self._versions.get(record.pool, 0) + 1
-        names = self._by_state.setdefault(record.state, {})
-        if step > 0:
-            names[record.name] = None
-        else:
-            names.pop(record.name, None)
-        if record.counted and not record.available:
-            lost = self._unavailable.get(record.pool, 0)
-            self._unavailable[record.pool] = lost + step
+        self._index.add(record)
 
     # Snapshots.
 
@@ -508,10 +486,6 @@
         self.generation = dump.generation
         self._losses = dump.losses
         self._instances = {record.name: record for record in dump.instances}
-        self._members = {}
-        self._unavailable = {}
-        self._by_state = {}
+        self._index.clear()
         for record in dump.instances:
-            if record.pool:
-                self._members.setdefault(record.pool, set()).add(record.name)
-            self._count(record, 1)
+            self._index.add(record)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,7 +9,7 @@
     ListPools,
     StartWaveCall,
 )
-from tests._fleet import FleetWorld, make_folder
+from tests._fleet import FleetNode, FleetWorld, make_folder
 
 
 class TestJobs(unittest.TestCase):
@@ -83,6 +83,27 @@
         names = sorted(name for _, name in world.platform.reboots)
         assert names == ["p0-0", "p0-1", "p0-2", "p0-3"]
 
+    def test_snapshot_in_the_middle_holds_the_whole_state(self):
+        world = FleetWorld(make_folder(instances=4, per_rack=2))
+        world.settle()
+        for number in range(6):
+            body = SubmitJobCall(job_id=f"j{number}", queue="p0", processors=48.0)
+            world.ask(body)
+        world.ask(StartWaveCall("w"), credential="operator")
+        world.run(15.0)
+        world.platform.crash("p1-0", world.now)
+        world.run(20.0)
+        kept = world.leader
+        fresh = FleetNode("a", world.log)
+        fresh.state.load(kept.state.dump())
+        assert fresh.state.dump() == kept.state.dump()
+        for pool in ("p0", "p1"):
+            lost = kept.pools.count_unavailable(pool)
+            assert fresh.pools.count_unavailable(pool) == lost > 0
+            assert fresh.pools.members(pool) == kept.pools.members(pool)
+        assert fresh.jobs.in_progress() == kept.jobs.in_progress()
+        assert fresh.waves.waves() == kept.waves.waves()
+
     def test_operators_calls_need_an_operators_key(self):
         world = FleetWorld()
         assert world.ask(StartWaveCall("w"), credential="red").status == 401
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -397,7 +397,7 @@
     def test_one_pool_check_fails_when_the_old_pool_keeps_its_member(self):
         def assign(self, record, pool):
             record.pool = pool
-            self._members.setdefault(pool, set()).add(record.name)
+            self._index.add(record)
 
         with mock.patch.object(PoolSection, "_assign", assign):
             world = self.start()
