End the process after a fault of a running daemon

Cause: in a trial of eight daemons a fault ended the decisions, while the threads of the servers kept each process alive: it took calls and answered none. Change: the program ends at once with exit code 1 after a fault; a test holds that every event of the catalogue is recorded somewhere.

--- a/src/gypsumwalk/command.py
+++ b/src/gypsumwalk/command.py
@@ -35,6 +35,8 @@
 
 PROGRAM = "gypsumwalk"
 HELP_FLAG = "--help"
+INTERRUPTED = 130
+"""Exit code of a program that was interrupted."""
 SECTION_RULE = "----------\n"
 HELP_NOTE = re.compile(r"INFO: Showing help with the command .*\n")
 
@@ -175,9 +177,15 @@
 def main() -> NoReturn:
     """Run the program with the arguments of the process."""
     try:
-        sys.exit(run_command(sys.argv[1:]))
+        code = run_command(sys.argv[1:])
     except KeyboardInterrupt:
-        sys.exit(130)
+        code = INTERRUPTED
+    if code == ExitCode.FAULT:
+        # Threads of servers would keep a daemon alive that decides nothing more.
+        sys.stdout.flush()
+        sys.stderr.flush()
+        os._exit(code)
+    sys.exit(code)
 
 
 def _parse(arguments: list[str]) -> Action | int:
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -3,10 +3,14 @@
 import contextlib
 import io
 import json
+import os
+import subprocess
+import sys
 import tempfile
 import unittest
 from pathlib import Path
 
+import gypsumwalk
 from gypsumwalk import __version__
 from gypsumwalk.command import Command, make_commands, run_command
 from gypsumwalk.drivers._failures import describe_failure
@@ -23,6 +27,18 @@
 peer_port = 7700
 cluster_secret = "short"
 """
+SOURCE = Path(gypsumwalk.__file__).parent.parent
+FAULTY_PROGRAM = """
+import threading
+from gypsumwalk import command
+
+def perform():
+    threading.Thread(target=threading.Event().wait).start()
+    raise RuntimeError("a fault")
+
+command._parse = lambda arguments: command.Action(perform)
+command.main()
+"""
 
 
 def run(*arguments):
@@ -136,3 +152,13 @@
     def test_fault_of_a_running_daemon_is_not_called_bad_input(self):
         failure = describe_failure(ExceptionGroup("", [UnknownMetric("x", [])]))
         assert (failure.exit_code, failure.outcome) == (1, Outcome.UNKNOWN)
+
+    def test_process_ends_after_a_fault_although_threads_go_on(self):
+        done = subprocess.run(
+            [sys.executable, "-c", FAULTY_PROGRAM],
+            env={**os.environ, "PYTHONPATH": str(SOURCE)},
+            capture_output=True,
+            timeout=20,
+        )
+        assert done.returncode == 1
+        assert b"a fault" in done.stderr
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -54,3 +54,8 @@
         gaps = find_gaps("Record(Event.DAEMON_STARTED, '', {'versio': 1})")
         assert gaps == [("Event.DAEMON_STARTED", ["version"])]
         assert not find_gaps("Record(Event.DAEMON_STARTED, '', {'version': 1})")
+
+    def test_every_event_of_the_catalogue_is_used(self):
+        text = "\n".join(path.read_text() for path in SOURCES.rglob("*.py"))
+        unused = [event.name for event in Event if f"Event.{event.name}" not in text]
+        assert not unused
