--- a/src/gypsumwalk/drivers/connections.py
+++ b/src/gypsumwalk/drivers/connections.py
@@ -94,7 +94,10 @@
     """
 
     class WatchedConnection(HTTPConnection):
+        """Connection whose sender is watched while it is served."""
+
         def communicate(self) -> Any:
+            """Serve the next call of the connection."""
             watch.begin(self.socket)
             try:
                 return super().communicate()  # type: ignore[no-untyped-call]
