--- /dev/null
+++ b/bench/throughput.py
@@ -0,0 +1,144 @@
+"""Requests a second that one daemon process carries, and its processor time for each.
+
+``python -m bench.throughput`` starts one daemon and some targets on loopback, keeps a
+fixed number of callers busy, and writes JSON.
+"""
+
+import json
+import tempfile
+import threading
+import time
+from pathlib import Path
+from typing import Any
+
+import fire
+import urllib3
+from hdrh.histogram import HdrHistogram
+
+from bench._processes import read_cpu_seconds, read_resident_mb
+from examples._stage import (
+    OPERATOR_KEY,
+    DaemonPlace,
+    Stage,
+    apply_folder,
+    find_port,
+    is_ready,
+    place_daemon,
+    wait_until,
+)
+from gypsumwalk.drivers.client import OperatorClient
+
+__all__ = ["main"]
+
+FOLDER = {
+    "10-teams.toml": "[teams.load]\nlimit = 1000\n",
+    "20-pools.toml": "[pools.load]\nmax_unavailable = 1\n",
+    "30-services.toml": '[services.load]\npool = "load"\n',
+    "40-queues.toml": '[queues.load]\nservice = "load"\nopen = true\n',
+}
+HIGHEST_MICROSECONDS = 60_000_000
+PAYLOAD = b'{"work_seconds": 0.0}'
+
+
+def main(
+    out: str = "docs/measurements",
+    callers: int = 32,
+    targets: int = 6,
+    seconds: float = 10.0,
+) -> None:
+    """Measure one daemon and write what was found.
+
+    Parameters
+    ----------
+    out : str
+        Folder for the JSON.
+    callers : int
+        Callers that hand in one request after the other.
+    targets : int
+        Target processes.
+    seconds : float
+        Length of the measurement.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        place = place_daemon("load-1", "seoul")
+        stage = Stage(Path(folder), [place], find_port(), voters=1)
+        try:
+            _start(stage, place, targets)
+            report = _measure(stage, place, callers, seconds)
+        finally:
+            stage.stop_all()
+    report["command"] = (
+        f"python -m bench.throughput --callers={callers} --targets={targets} "
+        f"--seconds={seconds}"
+    )
+    text = json.dumps(report, indent=1, sort_keys=True)
+    (Path(out) / "throughput-daemon.json").write_text(text + "\n", encoding="utf-8")
+    print(text)
+
+
+def _start(stage: Stage, place: DaemonPlace, targets: int) -> None:
+    stage.start_daemon(place)
+    wait_until(lambda: is_ready(place), "ready daemon", 20.0)
+    source = stage.folder / "folder"
+    source.mkdir()
+    for name, text in FOLDER.items():
+        (source / name).write_text(text)
+    apply_folder(OperatorClient([place.peer_address], key=OPERATOR_KEY), source)
+    for number in range(targets):
+        stage.start_target(f"runner-{number}", "seoul", "load")
+    pool = urllib3.PoolManager(retries=False)
+    wait_until(lambda: _send(pool, place) == 200, "first answer", 20.0)
+    time.sleep(4.0)
+
+
+def _measure(
+    stage: Stage, place: DaemonPlace, callers: int, seconds: float
+) -> dict[str, Any]:
+    pool = urllib3.PoolManager(maxsize=callers, retries=False)
+    histogram = HdrHistogram(1, HIGHEST_MICROSECONDS, 3)
+    lock = threading.Lock()
+    statuses: dict[int, int] = {}
+    pid = stage.processes[place.name].pid
+    end = time.monotonic() + seconds
+
+    def call() -> None:
+        while time.monotonic() < end:
+            began = time.perf_counter()
+            status = _send(pool, place)
+            took = int((time.perf_counter() - began) * 1e6)
+            with lock:
+                statuses[status] = statuses.get(status, 0) + 1
+                histogram.record_value(took)
+
+    cpu = read_cpu_seconds(pid)
+    began = time.monotonic()
+    threads = [threading.Thread(target=call) for _ in range(callers)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    elapsed = time.monotonic() - began
+    used = read_cpu_seconds(pid) - cpu
+    answered = statuses.get(200, 0)
+    return {
+        "requests_per_second": answered / elapsed,
+        "daemon_cpu_ms_per_request": 1000.0 * used / max(answered, 1),
+        "daemon_cores": used / elapsed,
+        "daemon_resident_mb": read_resident_mb(pid),
+        "statuses": {str(key): count for key, count in sorted(statuses.items())},
+        "p50_ms": histogram.get_value_at_percentile(50.0) / 1000.0,
+        "p99_ms": histogram.get_value_at_percentile(99.0) / 1000.0,
+        "p999_ms": histogram.get_value_at_percentile(99.9) / 1000.0,
+    }
+
+
+def _send(pool: urllib3.PoolManager, place: DaemonPlace) -> int:
+    url = f"http://{place.caller_address}/v1/queues/load/requests"
+    try:
+        return pool.request("POST", url, body=PAYLOAD, timeout=30.0).status
+    except urllib3.exceptions.HTTPError:
+        return 0
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/src/gypsumwalk/ownership.py
+++ b/src/gypsumwalk/ownership.py
@@ -4,7 +4,7 @@
 
 from gypsumwalk.claims import ClaimBook, Contacts, ForeignClaim, Heard, TargetClaims
 from gypsumwalk.fences import FenceSection
-from gypsumwalk.views import KeyVerdict, KeyView, Member, MembershipView
+from gypsumwalk.views import KeyView, Member, MembershipView
 
 __all__ = ["Ownership"]
 
@@ -99,7 +99,7 @@
 
     def is_fresh(self, now: float) -> bool:
         """Tell whether the view of the replicated state is fresh."""
-        return self._keys.check("", "", now).verdict is not KeyVerdict.STALE
+        return self._keys.is_fresh(now)
 
     def is_confirmed(self, since: float, now: float) -> bool:
         """Tell whether every required daemon has echoed a claim sent since a time."""
--- a/tests/_request_fakes.py
+++ b/tests/_request_fakes.py
@@ -61,6 +61,9 @@
         now = self.cluster.world.now
         return cut_off_at is not None and now - cut_off_at > FRESHNESS_SECONDS
 
+    def is_fresh(self, now):
+        return not self.is_stale()
+
     def check(self, credential, queue, now):
         if self.is_stale():
             return Permit(KeyVerdict.STALE)
