--- a/src/gypsumwalk/jobs.py
+++ b/src/gypsumwalk/jobs.py
@@ -109,9 +109,7 @@
     def in_progress(self) -> list[JobRecord]:
         """Return the jobs with an attempt that may be running."""
         return [
-            self._jobs[job_id]
-            for instance in sorted(self._by_instance)
-            for job_id in self._by_instance[instance]
+            self._jobs[job_id] for held in self._by_instance.values() for job_id in held
         ]
 
     def on_instance(self, instance: str) -> list[JobRecord]:
--- a/src/gypsumwalk/tasks.py
+++ b/src/gypsumwalk/tasks.py
@@ -178,8 +178,8 @@
             if now >= self._scan_at:
                 self._scan_at = now + SCAN_SECONDS
                 self._watched.update((item.spec.job_id, None) for item in records)
+                self._prune(records)
             effects += self._renew(records, now)
-            self._prune(records)
         for job_id in list(self._watched):
             record = self._jobs.find(job_id)
             if record is None or not record.in_progress:
