Keep the incarnation on disk, and refuse large bodies by type

Cause: a restart with the clock set back would have repeated an incarnation, and a body over the limit was refused in plain text without an outcome. Conclusion: chunked bodies stay bounded by the server's own limit.

--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -36,6 +36,7 @@
 from gypsumwalk.endpoints import Audience, EndpointTable
 from gypsumwalk.errors import DiskFailure
 from gypsumwalk.events import Event
+from gypsumwalk.incarnations import choose_incarnation, keep_incarnation
 from gypsumwalk.inputs import DiskOutcome, Input, PlatformOutcome, ShutdownRequested
 from gypsumwalk.recovery import Recovered
 from gypsumwalk.settings import Settings
@@ -49,11 +50,11 @@
 MAX_BATCH_INPUTS = 64
 PEER_THREADS = 24
 PEER_QUEUE = 64
+PEER_BODY_FACTOR = 2
 CALLER_QUEUE_PER_THREAD = 2
 DISPATCH_THREADS = 128
 SHUTDOWN_SECONDS = 30.0
 LONGEST_WAIT_SECONDS = 1.0
-MILLISECONDS_PER_SECOND = 1000
 PLAIN_TEXT = "text/plain; charset=utf-8"
 METRICS_TEXT = "text/plain; version=0.0.4; charset=utf-8"
 
@@ -243,11 +244,14 @@
 
     def _assemble(self) -> Assembly:
         recovered = self._disk.recover() if self._disk else Recovered()
+        incarnation = choose_incarnation(time.time(), recovered)
+        if self._disk:
+            self._disk.write([keep_incarnation(incarnation)])
         settings = self._settings
         seed = settings.seed or SystemRandom().getrandbits(64)
         return Assembly(
             settings,
-            incarnation=time.time_ns() // (1_000_000_000 // MILLISECONDS_PER_SECOND),
+            incarnation=incarnation,
             recovered=recovered,
             random=Random(seed),
             secrets=SystemRandom(),
@@ -290,6 +294,7 @@
             self._bridge,
             table,
             audiences=frozenset({Audience.CALLER}),
+            max_body_bytes=settings.max_body_bytes,
             watch=self._watch,
             pages=pages,
             metrics=self._metrics,
@@ -298,6 +303,7 @@
             self._bridge,
             table,
             audiences=frozenset(Audience),
+            max_body_bytes=settings.max_body_bytes * PEER_BODY_FACTOR,
             watch=self._watch,
             pages=pages,
             metrics=self._metrics,
@@ -309,7 +315,7 @@
             settings.max_body_bytes,
         )
         peer_limits = ServerLimits(
-            PEER_THREADS, PEER_QUEUE, settings.max_body_bytes * 2
+            PEER_THREADS, PEER_QUEUE, settings.max_body_bytes * PEER_BODY_FACTOR
         )
         return [
             HttpServer(
--- a/src/gypsumwalk/drivers/server.py
+++ b/src/gypsumwalk/drivers/server.py
@@ -1,5 +1,6 @@
 """HTTP servers: one for callers, one for daemons, targets and operators."""
 
+import dataclasses
 import time
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
@@ -8,6 +9,7 @@
 from urllib.parse import parse_qsl
 
 import msgspec
+from cheroot.errors import MaxSizeExceeded
 from cheroot.wsgi import Server
 
 from gypsumwalk.drivers.bridge import CallBridge
@@ -25,6 +27,7 @@
 SOCKET_TIMEOUT_SECONDS = 10
 SHUTDOWN_TIMEOUT_SECONDS = 5
 LISTEN_BACKLOG = 256
+BACKSTOP_FACTOR = 2
 ANSWER_TIMEOUT_SECONDS = 90.0
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -66,6 +69,8 @@
         Plain pages by path, for example ``/healthz``.
     metrics : Metrics
         Counters of calls and refusals.
+    max_body_bytes : int
+        Largest body, in bytes; a larger one is refused unread.
     receive_peer : Callable or None
         Takes a signed batch of a daemon's messages; None where daemons do not call.
     """
@@ -79,6 +84,7 @@
         watch: ReceiveWatch,
         pages: Mapping[str, Callable[[], Answer]],
         metrics: Metrics,
+        max_body_bytes: int,
         receive_peer: Callable[[bytes, str], None] | None = None,
     ) -> None:
         self._bridge = bridge
@@ -87,6 +93,7 @@
         self._watch = watch
         self._pages = pages
         self._metrics = metrics
+        self._max_body_bytes = max_body_bytes
         self._receive_peer = receive_peer
 
     def __call__(
@@ -107,7 +114,10 @@
         return [content]
 
     def _serve(self, environ: dict[str, Any]) -> Answer:
-        body = _read_body(environ)
+        declared = _read_declared_length(environ)
+        if declared > self._max_body_bytes:
+            return self._refuse_large(declared)
+        body = _read_body(environ, declared)
         self._watch.finish()
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
         page = self._pages.get(path)
@@ -131,6 +141,11 @@
         self._count(match.endpoint.audience, answer, time.perf_counter() - started)
         return answer
 
+    def _refuse_large(self, declared: int) -> Answer:
+        detail = f"body of {declared} bytes, at most {self._max_body_bytes}"
+        answer = refuse(ProblemType.TOO_LARGE, Outcome.NOT_RUN, detail)
+        return dataclasses.replace(answer, headers={"Connection": "close"})
+
     def _count(self, audience: Audience, answer: Answer, seconds: float) -> None:
         status = str(answer.status)
         self._metrics.count("http_calls", audience=audience.value, status=status)
@@ -187,7 +202,7 @@
             accepted_queue_timeout=0,
         )
         self._server.max_request_header_size = MAX_HEADER_BYTES
-        self._server.max_request_body_size = limits.max_body_bytes
+        self._server.max_request_body_size = limits.max_body_bytes * BACKSTOP_FACTOR
         self._server.ConnectionClass = watch_connections(watch)
 
     def prepare(self) -> None:
@@ -203,15 +218,21 @@
         self._server.stop()
 
 
-def _read_body(environ: dict[str, Any]) -> bytes:
-    if not environ.get("CONTENT_LENGTH") and not environ.get("HTTP_TRANSFER_ENCODING"):
+def _read_declared_length(environ: Mapping[str, Any]) -> int:
+    declared = environ.get("CONTENT_LENGTH") or "0"
+    if not declared.isdecimal():
+        raise BadBoundary(f"Content-Length {declared!r} is no number")
+    return int(declared)
+
+
+def _read_body(environ: Mapping[str, Any], declared: int) -> bytes:
+    if not declared and not environ.get("HTTP_TRANSFER_ENCODING"):
         return b""
     try:
         body: bytes = environ["wsgi.input"].read()
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, MaxSizeExceeded) as error:
         raise BadBoundary(f"body not received whole: {error}") from error
-    declared = environ.get("CONTENT_LENGTH")
-    if declared and len(body) != int(declared):
+    if declared and len(body) != declared:
         raise BadBoundary(f"received {len(body)} bytes of a body of {declared}")
     return body
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -59,6 +59,7 @@
             watch=self.watch,
             pages={"/healthz": lambda: Answer(200, payload=b"ok\n")},
             metrics=Metrics(),
+            max_body_bytes=1024,
         )
         limits = ServerLimits(threads=2, queued=4, max_body_bytes=1024)
         with socket.socket() as probe:
@@ -106,6 +107,16 @@
     def test_body_over_the_limit_is_refused(self):
         answer = self.post("/v1/queues/holds/requests", b"x" * 2000)
         assert answer.startswith(b"HTTP/1.1 413 ")
+        assert b'"type":"/problems/too-large"' in answer
+        assert b'"outcome":"not run"' in answer
+        assert self.bridge.calls == []
+
+    def test_body_of_many_chunks_over_the_limit_never_reaches_a_decision(self):
+        head = "POST /v1/queues/holds/requests HTTP/1.1\r\nHost: a\r\n"
+        chunks = "400\r\n" + "x" * 1024 + "\r\n"
+        content = f"{head}Transfer-Encoding: chunked\r\n\r\n{chunks * 8}0\r\n\r\n"
+        answer = self.send(content.encode())
+        assert b" 200 " not in answer
         assert self.bridge.calls == []
 
     def test_body_cut_short_never_reaches_a_decision(self):
