Bound the deadline of queues by what upper limits count on

Cause: units of an ended daemon are taken back after the longest request, but a queue's deadline in the folder had no bound, and the grace was not counted. Change: a queue's deadline is at most that of a call (600 s); reclaiming waits for 60 s of grace more. Conclusion: 792 s after its last renewal a daemon's units return.

--- a/src/gypsumwalk/merging.py
+++ b/src/gypsumwalk/merging.py
@@ -8,6 +8,7 @@
 from gypsumwalk.errors import BadFolder, BadSetting
 from gypsumwalk.folder import Folder
 from gypsumwalk.settings import explain_validation
+from gypsumwalk.submissions import MAX_DEADLINE_SECONDS
 
 __all__ = ["Tables", "merge_files", "parse_file"]
 
@@ -179,9 +180,10 @@
             yield f"{key}.teams", "teams of the folder", repr(unknown)
         if queue.max_waiting < 0:
             yield f"{key}.max_waiting", "0 or more", repr(queue.max_waiting)
-        if not 0 < queue.deadline_seconds < float("inf"):
+        if not 0 < queue.deadline_seconds <= MAX_DEADLINE_SECONDS:
+            expected = f"above 0 and at most {MAX_DEADLINE_SECONDS:.0f}"
             found = repr(queue.deadline_seconds)
-            yield f"{key}.deadline_seconds", "a number above 0", found
+            yield f"{key}.deadline_seconds", expected, found
 
 
 def _find_pool_faults(folder: Folder) -> Iterator[_Fault]:
--- a/src/gypsumwalk/portion_accounts.py
+++ b/src/gypsumwalk/portion_accounts.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from gypsumwalk.state import Accepted, Rejected
+from gypsumwalk.submissions import MAX_DEADLINE_SECONDS
 from gypsumwalk.views import FolderView
 
 __all__ = [
@@ -18,7 +19,8 @@
 ]
 
 LEASE_SECONDS = 60.0
-REQUEST_SECONDS = 600.0
+GRACE_SECONDS = 60.0
+REQUEST_SECONDS = MAX_DEADLINE_SECONDS + GRACE_SECONDS
 """Longest time in seconds that a request may go on after its daemon ended."""
 
 CLOCK_DRIFT = 0.1
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -76,9 +76,10 @@
     def test_wrong_folder_is_refused_as_a_whole_and_diff_changes_nothing(self):
         self.apply(0, {"10-base.toml": BASE})
         wrong = '[queues.q]\nservice = "nowhere"\n[teams.t]\nlimit = -1\n'
-        answer = self.apply(1, {"20.toml": wrong})
+        slow = "[queues.seats]\ndeadline_seconds = 601.0\n"
+        answer = self.apply(1, {"20.toml": wrong, "30.toml": slow})
         assert answer.status == 422
-        assert len(answer.body.errors) == 2
+        assert len(answer.body.errors) == 3
         change = "[teams.batedores]\nlimit = 2\n[teams.hanbit]\nlimit = 5\n"
         diff = self.cluster.ask(DiffCall(files={"20.toml": change}), to="v0").body
         assert diff.added == ["teams.batedores"]
