Hand leadership over when the leader leaves

Cause: a restart of the leader, as in every roll-out, left 1.6 s without one. Change: a leader that is asked to leave steps down, and the voter that has the whole log stands at once. Conclusion: a planned restart costs one election round in place of a timeout.

--- a/src/gypsumwalk/consensus.py
+++ b/src/gypsumwalk/consensus.py
@@ -14,6 +14,7 @@
     PeerInput,
     ProposalOutcome,
     ProposalStatus,
+    ShutdownRequested,
 )
 from gypsumwalk.leadership import Leadership
 from gypsumwalk.part import NEVER
@@ -33,6 +34,7 @@
     LeaderHint,
     SnapshotAnswer,
     SnapshotChunk,
+    TakeOver,
     VoteAnswer,
     VoteRequest,
 )
@@ -67,7 +69,7 @@
     """
 
     name = "consensus"
-    accepts: tuple[type, ...] = (*PEER_MESSAGES, DiskOutcome)
+    accepts: tuple[type, ...] = (*PEER_MESSAGES, DiskOutcome, ShutdownRequested)
 
     def __init__(
         self,
@@ -198,6 +200,8 @@
             effects = self._take_disk_outcome(item)
         elif isinstance(item, PeerInput):
             effects = self._take_message(item, now)
+        elif isinstance(item, ShutdownRequested):
+            effects = self._hand_over(now)
         return effects + self._settle(now)
 
     def advance(self, now: float) -> Sequence[Effect]:
@@ -258,10 +262,8 @@
                 return self._take_append(source, body, now)
             case AppendAnswer() as body:
                 return self._take_append_answer(source, body, now)
-            case VoteRequest() as body:
-                return self._take_vote_request(source, body, now)
-            case VoteAnswer() as body:
-                return self._take_vote_answer(source, body, now)
+            case VoteRequest() | VoteAnswer() | TakeOver() as body:
+                return self._take_election(source, body, now)
             case SnapshotChunk() | SnapshotAnswer() as body:
                 return self._take_snapshot(source, body, now)
             case Introduce() as body:
@@ -370,16 +372,34 @@
         self._leader = ""
         return self._elections.begin_pre_vote(now)
 
+    def _take_election(
+        self, source: str, body: VoteRequest | VoteAnswer | TakeOver, now: float
+    ) -> list[Effect]:
+        match body:
+            case VoteRequest():
+                return self._take_vote_request(source, body, now)
+            case VoteAnswer():
+                return self._take_vote_answer(source, body, now)
+            case TakeOver(term=term):
+                return self._take_over(term, now)
+
     def _take_vote_request(
         self, source: str, body: VoteRequest, now: float
     ) -> list[Effect]:
-        if not self._admission.may_vote() or self._hears_leader(now):
+        hears_leader = self._hears_leader(now) and not body.handed_over
+        if not self._admission.may_vote() or hears_leader:
             return []
         effects: list[Effect] = []
         if not body.pre_vote:
             effects += self._enter_later_term(body.term)
         return effects + self._elections.judge(source, body, now)
 
+    def _take_over(self, term: int, now: float) -> list[Effect]:
+        if term != self.term or not self._admission.may_vote():
+            return []
+        self._leader = ""
+        return self._elections.take_over(now)
+
     def _hears_leader(self, now: float) -> bool:
         return self._leadership is not None or now - self._heard < ELECTION_SECONDS
 
@@ -437,6 +457,14 @@
             return []
         return self._step_down("it is no voter any more")
 
+    def _hand_over(self, now: float) -> list[Effect]:
+        successor = self._leadership.find_successor() if self._leadership else ""
+        if not successor:
+            return []
+        effects = self._step_down("the daemon leaves")
+        self._elections.postpone(now)
+        return [*effects, SendPeer(successor, TakeOver(self.term))]
+
     def _step_down(self, reason: str) -> list[Effect]:
         was_leader = self._leadership is not None
         self._leadership = None
--- a/src/gypsumwalk/elections.py
+++ b/src/gypsumwalk/elections.py
@@ -73,6 +73,21 @@
             return self._begin_vote(now)
         return self._request(self._replica.vote.term + 1, pre_vote=True)
 
+    def take_over(self, now: float) -> list[Effect]:
+        """Stand at once, as the leader handed over.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        list of Effect
+            The requests, once the own vote is synced.
+        """
+        return self._begin_vote(now, handed_over=True)
+
     def judge(self, source: str, body: VoteRequest, now: float) -> list[Effect]:
         """Answer a candidate, once the vote is synced.
 
@@ -133,19 +148,22 @@
         self.standing = Standing.WON
         return []
 
-    def _begin_vote(self, now: float) -> list[Effect]:
+    def _begin_vote(self, now: float, *, handed_over: bool = False) -> list[Effect]:
         self.standing = Standing.VOTE
         self._votes = set()
         self.postpone(now)
         term = self._replica.vote.term + 1
         self._replica.enter_term(term, self._daemon)
         own_vote = Raise(PeerInput(self._daemon, self._answer(term, True, False)))
-        requests = self._request(term, pre_vote=False)
+        requests = self._request(term, pre_vote=False, handed_over=handed_over)
         return self._replica.storage.hold([own_vote, *requests])
 
-    def _request(self, term: int, *, pre_vote: bool) -> list[Effect]:
+    def _request(
+        self, term: int, *, pre_vote: bool, handed_over: bool = False
+    ) -> list[Effect]:
         log = self._replica.log
-        body = VoteRequest(term, log.last_index, log.last_term, pre_vote)
+        last = (log.last_index, log.last_term)
+        body = VoteRequest(term, *last, pre_vote, handed_over)
         voters = [voter for voter in self._replica.voters if voter != self._daemon]
         return [SendPeer(voter, body) for voter in voters]
 
--- a/src/gypsumwalk/leadership.py
+++ b/src/gypsumwalk/leadership.py
@@ -82,6 +82,19 @@
                 times.append(self._find_acknowledged(voter))
         return find_quorum_value(times)
 
+    def find_successor(self) -> str:
+        """Return the voter that has the whole log and answered last, or empty."""
+        last_index = self._replica.log.last_index
+        able = [
+            item
+            for item in self._progress.values()
+            if item.name in self._replica.voters
+            and self._counts(item)
+            and item.match == last_index
+        ]
+        best = max(able, key=lambda item: item.acknowledged, default=None)
+        return best.name if best else ""
+
     def add_learner(self, name: str, now: float) -> None:
         """Begin to send the log to a daemon that asked for it."""
         if name not in self._progress:
--- a/src/gypsumwalk/replication.py
+++ b/src/gypsumwalk/replication.py
@@ -16,6 +16,7 @@
     "LeaderHint",
     "SnapshotAnswer",
     "SnapshotChunk",
+    "TakeOver",
     "VoteAnswer",
     "VoteRequest",
 ]
@@ -64,12 +65,25 @@
 
 
 class VoteRequest(msgspec.Struct, frozen=True, tag=True):
-    """A candidate asks for a vote, or before it stands, whether it would get one."""
+    """A candidate asks for a vote, or before it stands, whether it would get one.
+
+    Attributes
+    ----------
+    term : int
+        Term that it stands for.
+    last_index, last_term : int
+        Last entry of its log.
+    pre_vote : bool
+        Whether it only asks.
+    handed_over : bool
+        Whether the leader has given up its lease to this candidate.
+    """
 
     term: int
     last_index: int
     last_term: int
     pre_vote: bool
+    handed_over: bool = False
 
 
 class VoteAnswer(msgspec.Struct, frozen=True, tag=True):
@@ -161,6 +175,12 @@
     stamp: float
 
 
+class TakeOver(msgspec.Struct, frozen=True, tag=True):
+    """A leader that leaves has stepped down; the recipient stands at once."""
+
+    term: int
+
+
 class Follow(msgspec.Struct, frozen=True, tag=True):
     """A daemon that hears no leader asks to be sent the log."""
 
@@ -203,6 +223,7 @@
     AppendAnswer,
     SnapshotChunk,
     SnapshotAnswer,
+    TakeOver,
     Follow,
     LeaderHint,
     Forward,
--- a/tests/_faults.py
+++ b/tests/_faults.py
@@ -13,6 +13,7 @@
 )
 
 from gypsumwalk.configuration import ApplyCall
+from gypsumwalk.inputs import ShutdownRequested
 from gypsumwalk.keys import GiveCall, WithdrawCall
 from gypsumwalk.voters import AddVoterCall, RemoveVoterCall
 from tests._agreement import OPERATOR, Cluster
@@ -241,6 +242,18 @@
             self.cluster.kill(leader)
         self.let_pass(duration)
 
+    @rule(duration=seconds)
+    def leave(self, duration):
+        """Ask the leader to leave, and end it some time later."""
+        leader = self.cluster.find_leader()
+        if not leader:
+            return
+        deadline = self.cluster.own_time(leader) + 5.0
+        daemon = self.cluster.daemons[leader]
+        self.cluster.deliver(daemon, ShutdownRequested(deadline))
+        self.let_pass(duration)
+        self.cluster.kill(leader)
+
     @rule(number=names, duration=seconds)
     def restart(self, number, duration):
         self.cluster.restart(self.names[number])
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -9,7 +9,7 @@
 from gypsumwalk.admission import Admission
 from gypsumwalk.effects import SendPeer
 from gypsumwalk.events import Event
-from gypsumwalk.inputs import ProposalStatus
+from gypsumwalk.inputs import ProposalStatus, ShutdownRequested
 from gypsumwalk.leadership import Leadership, find_next_tick
 from gypsumwalk.replica import Replica
 from gypsumwalk.replication import Introduced
@@ -163,6 +163,23 @@
         cluster.run(3)
         assert cluster.outcome(leader, "as a follower").index
 
+    def test_leader_that_leaves_hands_over_at_once(self):
+        cluster = Cluster(9)
+        leader = cluster.elect()
+        cluster.run(2)
+        daemon = cluster.daemons[leader]
+        cluster.deliver(daemon, ShutdownRequested(cluster.own_time(leader) + 5))
+        assert not daemon.node.consensus.holds_lease(cluster.own_time(leader))
+        assert cluster.run_until(cluster.find_leader, within=0.1)
+        assert cluster.find_leader() != leader
+
+    def test_only_voter_that_leaves_goes_on_leading(self):
+        cluster = Cluster(9, voters=1)
+        leader = cluster.elect()
+        daemon = cluster.daemons[leader]
+        cluster.deliver(daemon, ShutdownRequested(cluster.own_time(leader) + 5))
+        assert cluster.find_leader() == leader
+
     def test_snapshot_reaches_a_daemon_that_is_far_behind(self):
         sizes = {"SNAPSHOT_ENTRIES": 50, "KEPT_ENTRIES": 5}
         with mock.patch.multiple("gypsumwalk.replica", **sizes):
