Let a leaving daemon use the units that it was just granted

Cause: a leaving daemon returned units in the step in which they came, so its waiting requests asked for ever and ended "not run" at their deadline. Conclusion: units that are released while leaving still return at once.

--- a/src/gypsumwalk/portions.py
+++ b/src/gypsumwalk/portions.py
@@ -58,6 +58,7 @@
     ask_due: float = 0.0
     returning: int = 0
     idle_since: float = NEVER
+    kept_until: float = 0.0
     holders: set[str] = field(default_factory=set)
 
 
@@ -133,6 +134,8 @@
             return False
         local.holders.add(holder)
         local.idle_since = NEVER
+        if not self._count_idle(team, local):
+            local.kept_until = 0.0
         return True
 
     def release(self, team: str, holder: str, now: float) -> None:
@@ -214,7 +217,13 @@
     def _is_return_due(self, team: str, local: _Local, now: float) -> bool:
         if local.idle_since == NEVER:
             local.idle_since = now
-        return now >= local.idle_since + self._find_idle_time(team)
+        return now >= self._find_idle_end(team, local)
+
+    def _find_idle_end(self, team: str, local: _Local) -> float:
+        end = local.idle_since + self._find_idle_time(team)
+        if self._section.total(team) > self._section.limit(team):
+            return end
+        return max(end, local.kept_until)
 
     def _find_idle_time(self, team: str) -> float:
         if self._is_leaving or self._section.total(team) > self._section.limit(team):
@@ -258,6 +267,7 @@
             team, asked = self._asks.pop(number)
             self._teams[team].asking = False
             self._teams[team].idle_since = now
+            self._teams[team].kept_until = now + WANTED_IDLE_SECONDS
             self._note_lease(asked, committed)
         elif command := self._returns.pop(number, None):
             return self._end_return(command, item)
@@ -290,6 +300,6 @@
             if local.demand and not local.asking:
                 times.append(max(now, local.ask_due))
             if self._count_idle(team, local) > 0 and local.idle_since != NEVER:
-                idle_end = local.idle_since + self._find_idle_time(team)
+                idle_end = self._find_idle_end(team, local)
                 times.append(max(idle_end, now + ASK_SECONDS))
         self._wakeup = min(times)
--- a/tests/test_portion_part.py
+++ b/tests/test_portion_part.py
@@ -80,6 +80,17 @@
         assert [type(item) for item in returned] == [ReturnPortion]
         assert self.section.total("elul") == 0
 
+    def test_leaving_daemon_keeps_what_its_waiting_requests_were_granted(self):
+        self.part.handle(ShutdownRequested(40.0), 10.0)
+        assert not self.part.acquire("elul", "r1", 10.0)
+        self.advance(10.0)
+        self.advance(10.0)
+        assert self.part.acquire("elul", "r1", 10.1)
+        assert not self.part.acquire("elul", "r2", 10.1)
+        self.advance(10.3)
+        self.advance(11.0)
+        assert self.section.total("elul") == 1
+
 
 if __name__ == "__main__":
     unittest.main()
