--- a/bench/agreement_faults.py
+++ b/bench/agreement_faults.py
@@ -18,6 +18,7 @@
 VOTERS = 5
 FOLLOWERS = 2
 ROUNDS = int(sys.argv[1]) if len(sys.argv) > 1 else 6
+RESTARTS = 5
 PAUSE_SECONDS = 30.0
 MILLISECONDS = 1000
 MOST_MILLISECONDS = 120_000
@@ -82,6 +83,19 @@
     time.sleep(2.0)
 
 
+def restart_leaders(cluster, histogram):
+    """Ask leaders to leave, as a roll-out does, and start them again."""
+    for _ in range(RESTARTS):
+        leader = cluster.await_leader()
+        started = time.monotonic()
+        cluster.processes[leader].terminate()
+        cluster.await_leader(other_than=leader)
+        Writer.note(histogram, started)
+        cluster.processes[leader].wait()
+        cluster.start(leader)
+        time.sleep(2.0)
+
+
 def replace_disk(cluster):
     """Wipe a voter's folder, and admit its new disk."""
     leader = cluster.await_leader()
@@ -157,6 +171,7 @@
     """Run every fault with a writer beside it, and compare at the end."""
     leaders = HdrHistogram(1, MOST_MILLISECONDS, 2)
     paused = HdrHistogram(1, MOST_MILLISECONDS, 2)
+    left = HdrHistogram(1, MOST_MILLISECONDS, 2)
     cluster.await_leader()
     writer = Writer(cluster)
     writer.start()
@@ -164,6 +179,7 @@
     try:
         for _ in range(ROUNDS):
             kill_leaders(cluster, leaders)
+        restart_leaders(cluster, left)
         replaced = replace_disk(cluster)
         pause_leader(cluster, paused)
         time.sleep(5.0)
@@ -185,6 +201,7 @@
         "conflicts": writer.conflicts,
         "replaced_disk_of": replaced,
         "new_leader_after_kill": describe(leaders, LEADER_TARGET_SECONDS),
+        "new_leader_after_leaving": describe(left, LEADER_TARGET_SECONDS),
         "new_leader_after_pause": describe(paused, LEADER_TARGET_SECONDS),
         "folder_in_force_everywhere": describe(
             writer.everywhere, IN_FORCE_TARGET_SECONDS
