--- /dev/null
+++ b/bench/_slopes_of_work.py
@@ -0,0 +1,302 @@
+"""Slopes of work: daemons, targets, requests, workers, jobs and teams."""
+
+import socket
+
+import msgspec
+
+from bench._fit import Slope
+from bench._measuring import (
+    PAUSE_SECONDS,
+    REST_SECONDS,
+    collect,
+    fit_all,
+    measurement,
+    spend,
+)
+from bench._worlds import KEY, Stand
+from gypsumwalk.generations import ApplyFolder
+from gypsumwalk.jobs import SubmitJob
+from gypsumwalk.key_table import GiveKey, KeyRecord, hash_secret
+from gypsumwalk.submissions import SubmitRequest
+from gypsumwalk.timestamps import Timestamp
+from gypsumwalk.wire import Envelope, PeerCodec
+
+DATAGRAMS = 4_000
+
+
+@measurement
+def measure_daemons() -> list[Slope]:
+    """Measure daemons at rest against their number."""
+    sizes = (3, 6, 12, 18, 27)
+
+    def measure(count: int) -> dict[str, float]:
+        stand = Stand(daemons=count)
+        stand.world.run(10.0)
+        stand.reset_counters()
+        seconds = stand.spend(REST_SECONDS)
+        network = stand.world.network
+        others = [name for name in stand.names if name != stand.leader]
+        return {
+            "cpu": seconds / REST_SECONDS / count * 1000,
+            "leader messages": network.sent_messages[stand.leader] / REST_SECONDS,
+            "leader bytes": network.sent_bytes[stand.leader] / REST_SECONDS,
+            "messages": sum(network.sent_messages[name] for name in others)
+            / len(others)
+            / REST_SECONDS,
+            "bytes": sum(network.sent_bytes[name] for name in others)
+            / len(others)
+            / REST_SECONDS,
+        }
+
+    names = {
+        "cpu": ("daemon at rest, decisions", "ms/s"),
+        "leader messages": ("leader at rest, messages sent", "1/s"),
+        "leader bytes": ("leader at rest, bytes sent", "B/s"),
+        "messages": ("other daemon at rest, messages sent", "1/s"),
+        "bytes": ("other daemon at rest, bytes sent", "B/s"),
+    }
+    return fit_all(collect(sizes, measure), sizes, "daemons", names)
+
+
+@measurement
+def measure_in_force() -> list[Slope]:
+    """Measure the time until a change is in force everywhere against the daemons."""
+    sizes = (3, 7, 14, 27)
+
+    def measure(count: int) -> dict[str, float]:
+        stand = Stand(daemons=count)
+        times = []
+        for number in range(10):
+            files = {"90-x.toml": f"[teams.team0]\nlimit = {number}"}
+            begin = stand.world.now
+            command = ApplyFolder(number + 1, files)
+            stand.world.propose(stand.leader, command)
+            wanted = number + 2
+            stand.world.run_until(
+                lambda wanted=wanted: min(_list_generations(stand)) >= wanted,
+                within=20.0,
+            )
+            times.append(stand.world.now - begin)
+            stand.world.run(1.37)
+        return {"seconds": max(times)}
+
+    names = {"seconds": ("change in force everywhere, longest of ten", "s")}
+    return fit_all(collect(sizes, measure), sizes, "daemons", names)
+
+
+def _list_generations(stand: Stand) -> list[int]:
+    return [
+        assembly.sections.configuration.generation
+        for assembly in stand.assemblies.values()
+    ]
+
+
+@measurement
+def measure_targets() -> list[Slope]:
+    """Measure a daemon that owns idle targets against their number."""
+    sizes = (10, 20, 40, 80)
+
+    def measure(count: int) -> dict[str, float]:
+        stand = Stand(daemons=3, data_centres=1)
+        base = stand.spend(REST_SECONDS)
+        stand.reset_counters()
+        stand.add_targets(count, "dc0")
+        stand.world.run(10.0)
+        stand.reset_counters()
+        seconds = stand.spend(REST_SECONDS) - base
+        sent = sum(stand.world.network.sent_bytes.values())
+        return {
+            "cpu": seconds / REST_SECONDS / 3 * 1000,
+            "bytes": sent / REST_SECONDS / 3,
+        }
+
+    names = {
+        "cpu": ("daemon of a data centre of three, idle targets, decisions", "ms/s"),
+        "bytes": ("daemon of a data centre of three, idle targets, bytes sent", "B/s"),
+    }
+    return fit_all(collect(sizes, measure), sizes, "targets", names)
+
+
+@measurement
+def measure_requests() -> list[Slope]:
+    """Measure the processor time of requests against their rate."""
+    sizes = (25, 50, 100, 200)
+
+    def measure(rate: int) -> dict[str, float]:
+        stand = Stand(daemons=3, data_centres=1, limit=200)
+        stand.add_targets(30, "dc0")
+        stand.world.run(5.0)
+        stand.reset_counters()
+        base = stand.spend(10.0)
+        stand.reset_counters()
+        for number in range(rate * 10):
+            stand.world.schedule(number / rate, lambda: _send_request(stand))
+        seconds = stand.spend(10.0) - base
+        ended = [call for call in stand.world.calls.values() if call.payload]
+        assert sum(call.ended for call in ended) >= 0.9 * len(ended)
+        return {
+            "cpu": seconds / 10.0 / 3 * 1000,
+            "bytes": sum(stand.world.network.sent_bytes.values()) / 10.0 / 3,
+        }
+
+    names = {
+        "cpu": ("daemon of three, requests, decisions", "ms/s"),
+        "bytes": ("daemon of three, requests, bytes sent", "B/s"),
+    }
+    return fit_all(collect(sizes, measure), sizes, "requests/s over three", names)
+
+
+def _send_request(stand: Stand) -> None:
+    call = SubmitRequest(queue="queue0", repeatable=True)
+    stand.world.call(call, credential=KEY, payload=b"x" * 200)
+
+
+@measurement
+def measure_workers() -> list[Slope]:
+    """Measure idle workers that report every second against their number."""
+    sizes = (200, 400, 800, 1600)
+
+    def measure(count: int) -> dict[str, float]:
+        stand = Stand(daemons=3, instances=count)
+        stand.world.run(30.0)
+        stand.reset_counters()
+        seconds = stand.spend(REST_SECONDS)
+        parts = {part.name: part for part in stand.assemblies[stand.leader].node._parts}
+        now = stand.world.now
+        return {
+            "cpu": seconds / REST_SECONDS * 1000,
+            "pools": spend(lambda: parts["pools"].advance(now)) * 1000,
+            "jobs": spend(lambda: parts["jobs"].advance(now)) * 1000,
+            "waves": spend(lambda: parts["waves"].advance(now)) * 1000,
+            "bytes": sum(stand.world.network.sent_bytes.values()) / REST_SECONDS,
+        }
+
+    names = {
+        "cpu": ("three daemons, idle workers, decisions and stand-in platform", "ms/s"),
+        "pools": ("leader, one pass over the pools", "ms"),
+        "jobs": ("leader, one pass of the scheduler without jobs", "ms"),
+        "waves": ("leader, one pass over the waves without a wave", "ms"),
+        "bytes": ("three daemons, worker reports passed on, bytes sent", "B/s"),
+    }
+    return fit_all(collect(sizes, measure), sizes, "workers", names)
+
+
+@measurement
+def measure_running_jobs() -> list[Slope]:
+    """Measure jobs that run under leases against their number."""
+    sizes = (100, 200, 400, 800)
+
+    def measure(count: int) -> dict[str, float]:
+        stand = Stand(daemons=3, instances=200, limit=100_000)
+        stand.world.run(30.0)
+        base = stand.spend(REST_SECONDS)
+        stand.reset_counters()
+        stand.world.run(REST_SECONDS)
+        idle = sum(stand.world.network.sent_bytes.values())
+        for number in range(count):
+            job = SubmitJob(
+                job_id=f"job-{number}",
+                queue=f"queue{number % 2}",
+                team="team0",
+                command="run 100000",
+            )
+            stand.world.propose(stand.leader, job)
+            stand.world.run(PAUSE_SECONDS)
+        stand.world.run(40.0)
+        jobs = stand.assemblies[stand.leader].sections.jobs
+        assert len(jobs.in_progress()) == count
+        before = stand.assemblies[stand.leader].state.applied
+        stand.reset_counters()
+        seconds = stand.spend(REST_SECONDS) - base
+        entries = stand.assemblies[stand.leader].state.applied - before
+        sent = sum(stand.world.network.sent_bytes.values()) - idle
+        return {
+            "cpu": seconds / REST_SECONDS * 1000,
+            "entries": entries / REST_SECONDS,
+            "bytes": sent / REST_SECONDS,
+        }
+
+    names = {
+        "cpu": ("three daemons, running jobs, decisions and stand-in platform", "ms/s"),
+        "entries": ("running jobs, log entries", "1/s"),
+        "bytes": ("three daemons, running jobs, bytes sent", "B/s"),
+    }
+    return fit_all(collect(sizes, measure), sizes, "running jobs", names)
+
+
+@measurement
+def measure_active_teams() -> list[Slope]:
+    """Measure what moving portions costs against teams that send now and then."""
+    sizes = (10, 20, 40, 80)
+
+    def measure(count: int) -> dict[str, float]:
+        stand = Stand(daemons=3, data_centres=1, teams=count)
+        stand.add_targets(30, "dc0")
+        for number in range(count):
+            name = f"key{number}"
+            record = _make_record(name, f"team{number}")
+            stand.world.propose(stand.leader, GiveKey(record))
+        stand.world.run(5.0)
+        base = stand.spend(REST_SECONDS)
+        before = stand.assemblies[stand.leader].state.applied
+        stand.reset_counters()
+        for number in range(count):
+            for beat in range(4):
+                stand.world.schedule(
+                    5.0 * beat + 5.0 * number / count,
+                    lambda number=number: stand.world.call(
+                        SubmitRequest(queue="queue0"),
+                        credential=f"key{number}.secret",
+                        payload=b"x",
+                    ),
+                )
+        seconds = stand.spend(REST_SECONDS) - base
+        entries = stand.assemblies[stand.leader].state.applied - before
+        return {
+            "entries": entries / REST_SECONDS,
+            "cpu": seconds / REST_SECONDS / 3 * 1000,
+        }
+
+    names = {
+        "entries": ("log entries, each team sending once in 5 s", "1/s"),
+        "cpu": ("daemon of three, each team sending once in 5 s, decisions", "ms/s"),
+    }
+    return fit_all(collect(sizes, measure), sizes, "teams", names)
+
+
+def _make_record(key_id: str, team: str) -> KeyRecord:
+    return KeyRecord(
+        key_id, team, False, [], 0.0, b"salt", hash_secret("secret", b"salt")
+    )
+
+
+@measurement
+def measure_datagrams() -> list[Slope]:
+    """Measure a datagram between two sockets, both ends, against its size."""
+    sizes = (50, 200, 500, 1000)
+
+    class Blob(msgspec.Struct, frozen=True, tag=True):
+        content: bytes
+
+    codec = PeerCodec([Blob], b"secret")
+
+    def measure(size: int) -> dict[str, float]:
+        first = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        second = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        second.bind(("127.0.0.1", 0))
+        address = second.getsockname()
+
+        def exchange() -> None:
+            for number in range(DATAGRAMS):
+                body = codec.encode_body(Blob(b"x" * size), stream=False)
+                envelope = Envelope("a", 1, "b", number, Timestamp(1, 0), body)
+                first.sendto(codec.encode_datagram(envelope), address)
+                codec.decode_datagram(second.recv(65_536))
+
+        seconds = spend(exchange)
+        first.close()
+        second.close()
+        return {"cpu": seconds / DATAGRAMS * 1000}
+
+    names = {"cpu": ("one datagram, both ends, without a runtime", "ms")}
+    return fit_all(collect(sizes, measure), sizes, "bytes", names)
