Let targets and the platform show a key of their own

Cause: whoever reached the peers' port could announce targets and report workers. Change: setting target_key; calls of targets and the platform are refused as unauthenticated without it; the demo uses one. Measured: the test of the refusal is red without the check, green with it; demo green. Conclusion: empty keeps announcements open, as before.

--- a/examples/_stage.py
+++ b/examples/_stage.py
@@ -19,6 +19,7 @@
 HOST = "127.0.0.1"
 CLUSTER_SECRET = "demo-secret-of-this-cluster"
 OPERATOR_KEY = "demo-operator-key"
+TARGET_KEY = "demo-target-key"
 START_SECONDS = 20.0
 STOP_SECONDS = 15.0
 POLL_SECONDS = 0.05
@@ -164,7 +165,7 @@
                 stdout=log,
                 stderr=log,
                 cwd=ROOT,
-                env=dict(os.environ),
+                env=os.environ | {"GYPSUMWALK_TARGET_KEY": TARGET_KEY},
             )
 
     def _write_settings(self, place: DaemonPlace) -> str:
@@ -175,6 +176,7 @@
             f"peer_port = {place.peer_port}",
             f'cluster_secret = "{CLUSTER_SECRET}"',
             f'operator_key = "{OPERATOR_KEY}"',
+            f'target_key = "{TARGET_KEY}"',
             f'data_folder = "{self.folder / ("data-" + place.name)}"',
             f'record_folder = "{self.records}"',
             f'platform_url = "http://{HOST}:{self.platform_port}"',
--- a/examples/fake_platform.py
+++ b/examples/fake_platform.py
@@ -4,6 +4,7 @@
 appear once an action or ``POST /instances {"names": [...]}`` names them.
 """
 
+import os
 import sys
 import threading
 import time
@@ -20,6 +21,7 @@
 REBOOT_SECONDS = 2.0
 REPORT_SECONDS = 1.0
 REQUEST_SECONDS = 2.0
+TARGET_KEY = os.environ.get("GYPSUMWALK_TARGET_KEY", "")
 
 
 class Instances(msgspec.Struct):
@@ -83,7 +85,10 @@
                     "POST",
                     url + "/v1/workers/report",
                     body=content,
-                    headers={"Content-Type": "application/json"},
+                    headers={
+                        "Content-Type": "application/json",
+                        "Authorization": f"Bearer {TARGET_KEY}",
+                    },
                     timeout=REQUEST_SECONDS,
                 )
             except urllib3.exceptions.HTTPError:
--- a/examples/fake_target.py
+++ b/examples/fake_target.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import os
 import signal
 import threading
 import time
@@ -64,6 +65,7 @@
             "connections": slots * 8,
         }
         self._daemons = daemons
+        self._key = os.environ.get("GYPSUMWALK_TARGET_KEY", "")
         self._record = Path(record)
         self._lock = threading.Lock()
         self._running = 0
@@ -94,6 +96,7 @@
                 "POST",
                 f"http://{daemon}/v1/targets/announce",
                 body=body,
+                headers={"Authorization": f"Bearer {self._key}"},
                 timeout=ANNOUNCE_TIMEOUT_SECONDS,
             )
         except HTTPError:
--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -304,6 +304,7 @@
             table,
             audiences=frozenset(Audience),
             max_body_bytes=settings.max_body_bytes * PEER_BODY_FACTOR,
+            target_key=settings.target_key,
             watch=self._watch,
             pages=pages,
             metrics=self._metrics,
--- a/src/gypsumwalk/drivers/server.py
+++ b/src/gypsumwalk/drivers/server.py
@@ -1,6 +1,7 @@
 """HTTP servers: one for callers, one for daemons, targets and operators."""
 
 import dataclasses
+import hmac
 import time
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
@@ -71,6 +72,8 @@
         Counters of calls and refusals.
     max_body_bytes : int
         Largest body, in bytes; a larger one is refused unread.
+    target_key : str
+        Key that calls of targets and the platform need; empty for none.
     receive_peer : Callable or None
         Takes a signed batch of a daemon's messages; None where daemons do not call.
     """
@@ -85,6 +88,7 @@
         pages: Mapping[str, Callable[[], Answer]],
         metrics: Metrics,
         max_body_bytes: int,
+        target_key: str = "",
         receive_peer: Callable[[bytes, str], None] | None = None,
     ) -> None:
         self._bridge = bridge
@@ -94,6 +98,7 @@
         self._pages = pages
         self._metrics = metrics
         self._max_body_bytes = max_body_bytes
+        self._target_key = target_key.encode()
         self._receive_peer = receive_peer
 
     def __call__(
@@ -129,6 +134,8 @@
         if match is None or match.endpoint.audience not in self._audiences:
             return refuse(ProblemType.NOT_FOUND, Outcome.NOT_RUN, f"{method} {path}")
         headers = _collect_headers(environ)
+        if not self._is_admitted(match.endpoint.audience, headers):
+            return refuse(ProblemType.UNAUTHENTICATED, Outcome.NOT_RUN)
         query = dict(parse_qsl(environ.get("QUERY_STRING", "")))
         call = match.decode(headers=headers, query=query, body=body)
         started = time.perf_counter()
@@ -141,6 +148,12 @@
         self._count(match.endpoint.audience, answer, time.perf_counter() - started)
         return answer
 
+    def _is_admitted(self, audience: Audience, headers: Mapping[str, str]) -> bool:
+        if audience is not Audience.TARGET or not self._target_key:
+            return True
+        shown = _find_credential(headers).encode()
+        return hmac.compare_digest(shown, self._target_key)
+
     def _refuse_large(self, declared: int) -> Answer:
         detail = f"body of {declared} bytes, at most {self._max_body_bytes}"
         answer = refuse(ProblemType.TOO_LARGE, Outcome.NOT_RUN, detail)
--- a/src/gypsumwalk/settings.py
+++ b/src/gypsumwalk/settings.py
@@ -56,6 +56,9 @@
         Secret, at least 16 characters, that authenticates daemons to each other.
     operator_key : str
         First operator's key, in force until operators give keys of their own.
+    target_key : str
+        Key that targets and the platform show when they announce or report; empty
+        takes announcements from whoever reaches the peers' port.
     data_folder : str
         Folder for durable state; empty on an instance without a disk.
     record_folder : str
@@ -78,6 +81,7 @@
     peers: list[PeerSettings] = []
     cluster_secret: str
     operator_key: str = ""
+    target_key: str = ""
     data_folder: str = ""
     record_folder: str = ""
     platform_url: str = ""
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -50,16 +50,18 @@
                     BodyKind.PAYLOAD,
                 ),
                 Endpoint("POST", "/v1/keys", Order, Audience.OPERATOR),
+                Endpoint("POST", "/v1/reports", Order, Audience.TARGET),
             ]
         )
         application = WebApplication(
             self.bridge,
             table,
-            audiences=frozenset({Audience.CALLER}),
+            audiences=frozenset({Audience.CALLER, Audience.TARGET}),
             watch=self.watch,
             pages={"/healthz": lambda: Answer(200, payload=b"ok\n")},
             metrics=Metrics(),
             max_body_bytes=1024,
+            target_key="key of the targets",
         )
         limits = ServerLimits(threads=2, queued=4, max_body_bytes=1024)
         with socket.socket() as probe:
@@ -104,6 +106,16 @@
     def test_operator_call_is_not_found_on_the_callers_listener(self):
         assert self.post("/v1/keys", b'{"count": 1}').startswith(b"HTTP/1.1 404 ")
 
+    def test_report_needs_the_key_of_the_targets(self):
+        body = b'{"count": 1}'
+        for shown in ("", "Authorization: Bearer wrong\r\n"):
+            answer = self.post("/v1/reports", body, shown)
+            assert answer.startswith(b"HTTP/1.1 401 ")
+        assert self.bridge.calls == []
+        right = "Authorization: Bearer key of the targets\r\n"
+        answer = self.post("/v1/reports", body, right)
+        assert answer.startswith(b"HTTP/1.1 200 ")
+
     def test_body_over_the_limit_is_refused(self):
         answer = self.post("/v1/queues/holds/requests", b"x" * 2000)
         assert answer.startswith(b"HTTP/1.1 413 ")
