Tell operators and callers of a stale view, not of a wrong key or queue

Cause: a daemon without a fresh view answered an operator's wave and pool calls as unauthenticated, and a restarted one called a known queue not found. Change: both ask for freshness first, by the check that the other operators' calls use; the type is key-view-stale, the outcome not run. Conclusion: the type now tells the caller to ask another daemon.

--- a/src/gypsumwalk/pool_steps.py
+++ b/src/gypsumwalk/pool_steps.py
@@ -21,6 +21,7 @@
     PoolList,
     PoolStatus,
 )
+from gypsumwalk.operator_checks import refuse_operator
 from gypsumwalk.pool_commands import (
     CancelDrain,
     LoseInstance,
@@ -265,8 +266,7 @@
     # Answers to operators.
 
     def _take_move(self, call: CallInput, now: float) -> list[Effect]:
-        if not self._keys.check_operator(call.credential, now):
-            refusal = refuse(ProblemType.UNAUTHENTICATED, Outcome.NOT_RUN)
+        if refusal := refuse_operator(self._keys, call.credential, now):
             return [Respond(call.call_id, refusal)]
         assert isinstance(call.body, MoveInstanceCall)
         record = self._pools.find(call.body.name)
@@ -281,8 +281,8 @@
         return [Propose(token, command)]
 
     def _answer(self, call: CallInput, now: float) -> Answer:
-        if not self._keys.check_operator(call.credential, now):
-            return refuse(ProblemType.UNAUTHENTICATED, Outcome.NOT_RUN)
+        if refusal := refuse_operator(self._keys, call.credential, now):
+            return refusal
         match call.body:
             case ListPools():
                 return Answer(200, self._list_pools())
--- a/src/gypsumwalk/requests.py
+++ b/src/gypsumwalk/requests.py
@@ -398,7 +398,7 @@
     ) -> ProblemType | None:
         if self.is_leaving:
             return ProblemType.LEAVING
-        if rule is None:
+        if rule is None and verdict is not KeyVerdict.STALE:
             return ProblemType.NOT_FOUND
         if verdict in REFUSALS:
             return REFUSALS[verdict]
--- a/src/gypsumwalk/wave_steps.py
+++ b/src/gypsumwalk/wave_steps.py
@@ -28,6 +28,7 @@
     PauseWaveCall,
     StartWaveCall,
 )
+from gypsumwalk.operator_checks import refuse_operator
 from gypsumwalk.platform import (
     ActionRefused,
     InstanceHealth,
@@ -333,8 +334,7 @@
     # Operators' calls.
 
     def _take_call(self, call: CallInput, now: float) -> list[Effect]:
-        if not self._keys.check_operator(call.credential, now):
-            refusal = refuse(ProblemType.UNAUTHENTICATED, Outcome.NOT_RUN)
+        if refusal := refuse_operator(self._keys, call.credential, now):
             return [Respond(call.call_id, refusal)]
         match call.body:
             case StartWaveCall(name=name, run=run):
--- a/tests/_fleet.py
+++ b/tests/_fleet.py
@@ -108,6 +108,7 @@
     def __init__(self, log):
         self.log = log
         self.taken = {}
+        self.fresh = True
 
     @property
     def folder(self):
@@ -135,6 +136,9 @@
             return Permit(KeyVerdict.VALID, credential)
         return Permit(KeyVerdict.UNKNOWN_KEY)
 
+    def is_fresh(self, now):
+        return self.fresh
+
     def check_operator(self, credential, now):
         return credential == "operator"
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -112,6 +112,13 @@
     def test_operators_calls_need_an_operators_key(self):
         world = FleetWorld()
         assert world.ask(StartWaveCall("w"), credential="red").status == 401
+        world.leader.views.fresh = False
+        for call in (StartWaveCall("w"), ListPools()):
+            answer = world.ask(call, credential="operator", to=world.log.leader)
+            assert (answer.status, answer.body.type) == (
+                503,
+                "/problems/key-view-stale",
+            )
 
     def test_why_of_an_instance_tells_its_history(self):
         world = FleetWorld()
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -26,6 +26,17 @@
         assert cluster.world.run_until(lambda: call.answer, within=1.0)
         assert (call.answer.status, call.answer.payload) == (200, b"answer to chart")
 
+    def test_unknown_queue_is_told_only_by_a_daemon_with_a_fresh_view(self):
+        cluster, owner, _ = make_pair()
+        types = []
+        for stale in (False, True):
+            cluster.keys[owner].stale = stale
+            call = cluster.submit(b"chart", to=owner, queue="no-such-queue")
+            assert cluster.world.run_until(lambda call=call: call.answer, within=1.0)
+            assert call.answer.body.outcome == "not run"
+            types.append(call.answer.body.type)
+        assert types == ["/problems/not-found", "/problems/key-view-stale"]
+
     def test_other_daemon_borrows_a_slot_from_the_owner(self):
         cluster, _, other = make_pair()
         call = cluster.submit(b"chart", to=other)
