Keep the last idle unit of a large limit for thirty seconds

Change: one idle unit of a limit of 8 or more stays 30 s after its last use while no other daemon and no job wants it. Conclusion: a crash locks one more unit of such a team until it is taken back; the rest needs one entry for all teams of a daemon.

--- a/src/gypsumwalk/portions.py
+++ b/src/gypsumwalk/portions.py
@@ -47,6 +47,12 @@
 WANTED_IDLE_SECONDS = 0.5
 """Time in seconds that a unit stays idle although another daemon wants it."""
 
+WARM_SECONDS = 30.0
+"""Time in seconds that the last idle unit of a team stays while nobody wants it."""
+
+MIN_WARM_LIMIT = 8
+"""Smallest upper limit, in units, of which a daemon keeps an idle unit longer."""
+
 PROPOSAL_SECONDS = 3.0
 MAX_ASKED = 64
 
@@ -59,6 +65,7 @@
     returning: int = 0
     idle_since: float = NEVER
     kept_until: float = 0.0
+    used_at: float = float("-inf")
     holders: set[str] = field(default_factory=set)
 
 
@@ -134,6 +141,7 @@
             return False
         local.holders.add(holder)
         local.idle_since = NEVER
+        local.used_at = now
         if not self._count_idle(team, local):
             local.kept_until = 0.0
         return True
@@ -202,7 +210,7 @@
         return [self._propose(number, command)]
 
     def _return_idle(self, team: str, local: _Local, now: float) -> list[Effect]:
-        idle = self._count_idle(team, local)
+        idle = self._count_idle(team, local) - self._count_warm(team, local, now)
         if idle <= 0 or local.returning or local.asking:
             return []
         if not self._is_return_due(team, local, now):
@@ -214,6 +222,14 @@
         self._returns[number] = command
         return [self._propose(number, command)]
 
+    def _count_warm(self, team: str, local: _Local, now: float) -> int:
+        # A team that sends now and then would otherwise cost two log entries each time.
+        if self._is_leaving or self._section.is_wanted(team):
+            return 0
+        if self._section.limit(team) < MIN_WARM_LIMIT:
+            return 0
+        return 1 if now < local.used_at + WARM_SECONDS else 0
+
     def _is_return_due(self, team: str, local: _Local, now: float) -> bool:
         if local.idle_since == NEVER:
             local.idle_since = now
@@ -299,7 +315,10 @@
         for team, local in self._teams.items():
             if local.demand and not local.asking:
                 times.append(max(now, local.ask_due))
-            if self._count_idle(team, local) > 0 and local.idle_since != NEVER:
+            idle = self._count_idle(team, local)
+            if idle > 0 and local.idle_since != NEVER:
                 idle_end = self._find_idle_end(team, local)
+                if idle <= self._count_warm(team, local, now):
+                    idle_end = local.used_at + WARM_SECONDS
                 times.append(max(idle_end, now + ASK_SECONDS))
         self._wakeup = min(times)
--- a/tests/test_portion_part.py
+++ b/tests/test_portion_part.py
@@ -4,14 +4,25 @@
 
 from gypsumwalk.effects import Propose
 from gypsumwalk.inputs import ProposalOutcome, ProposalStatus, ShutdownRequested
-from gypsumwalk.portions import IDLE_SECONDS, PortionPart, PortionSection, ReturnPortion
+from gypsumwalk.portion_accounts import Holder
+from gypsumwalk.portions import (
+    IDLE_SECONDS,
+    MIN_WARM_LIMIT,
+    WARM_SECONDS,
+    AskPortion,
+    PortionPart,
+    PortionSection,
+    ReturnPortion,
+)
 from gypsumwalk.settings import Settings
 from gypsumwalk.views import TeamRule
 
 
 class FakeFolder:
+    limit = 4
+
     def team(self, name):
-        return TeamRule(name, 1.0, 4)
+        return TeamRule(name, 1.0, self.limit)
 
 
 class FakeLeadership:
@@ -30,7 +41,8 @@
             peer_port=2,
             cluster_secret="x" * 16,
         )
-        self.section = PortionSection(FakeFolder())
+        self.folder = FakeFolder()
+        self.section = PortionSection(self.folder)
         self.part = PortionPart(
             settings=settings,
             section=self.section,
@@ -53,6 +65,10 @@
                 self.part.handle(outcome, now)
         return commands
 
+    def list_returned(self, now):
+        commands = self.advance(now)
+        return [item.units for item in commands if isinstance(item, ReturnPortion)]
+
     def use_unit(self, now):
         assert not self.part.acquire("elul", f"r{now}", now)
         self.advance(now)
@@ -69,6 +85,24 @@
         assert self.advance(20.02) == []
         assert self.part.acquire("elul", "r2", 20.05)
 
+    def test_team_that_sends_now_and_then_keeps_one_unit_of_a_large_limit(self):
+        self.folder.limit = MIN_WARM_LIMIT
+        self.use_unit(10.0)
+        for now in (15.0, 20.0, 25.0):
+            assert self.list_returned(now) == []
+            assert self.part.acquire("elul", f"r{now}", now)
+            self.part.release("elul", f"r{now}", now)
+        assert self.list_returned(25.0 + WARM_SECONDS - 0.1) == []
+        assert self.list_returned(25.0 + WARM_SECONDS) == [1]
+
+    def test_kept_unit_is_returned_at_once_when_another_daemon_wants_it(self):
+        self.folder.limit = MIN_WARM_LIMIT
+        self.use_unit(10.0)
+        assert self.list_returned(15.0) == []
+        ask = AskPortion(Holder("b", 1), "elul", MIN_WARM_LIMIT)
+        self.section.apply(ask, 50, 15.0)
+        assert self.list_returned(15.1) == [1]
+
     def test_leaving_daemon_returns_units_as_they_are_released(self):
         assert not self.part.acquire("elul", "r1", 10.0)
         self.advance(10.0)
