List the late start after a lowered limit as known red

Ruled out: a unit taken after the lowering; both were taken before. Conclusion: not mended; the check keeps its 0.1 s.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 	$(BIN)/python -m examples.demo
 
 test: $(STAMP)
+	@test ! -f KNOWN-RED.txt || cat KNOWN-RED.txt
 	$(BIN)/python -W error::ResourceWarning -m unittest discover -s tests -t . -b
 
 lint: $(STAMP)
