--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -51,7 +51,7 @@
 PEER_THREADS = 24
 PEER_QUEUE = 64
 PEER_BODY_FACTOR = 2
-CALLER_QUEUE_PER_THREAD = 2
+CALLER_THREADS_PER_QUEUED = 4
 DISPATCH_THREADS = 128
 SHUTDOWN_SECONDS = 30.0
 LONGEST_WAIT_SECONDS = 1.0
@@ -313,7 +313,7 @@
         )
         caller_limits = ServerLimits(
             settings.caller_threads,
-            settings.caller_threads * CALLER_QUEUE_PER_THREAD,
+            max(1, settings.caller_threads // CALLER_THREADS_PER_QUEUED),
             settings.max_body_bytes,
         )
         peer_limits = ServerLimits(
--- a/src/gypsumwalk/settings.py
+++ b/src/gypsumwalk/settings.py
@@ -85,7 +85,7 @@
     data_folder: str = ""
     record_folder: str = ""
     platform_url: str = ""
-    caller_threads: int = 64
+    caller_threads: int = 256
     max_body_bytes: int = 8 * 1024 * 1024
     seed: int = 0
 
