Test that callers beyond threads and queue are refused at once

Cause: callers once waited for a thread outside of their deadlines, found by the load on real processes, and no test held the bound. Change: limit_callers gives the bounds; tests of it, and of a server whose threads and queue are full. Conclusion: the fault has its test.

--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -43,7 +43,7 @@
 from gypsumwalk.timestamps import HybridClock
 from gypsumwalk.wire import PeerCodec
 
-__all__ = ["Daemon", "run_daemon"]
+__all__ = ["Daemon", "limit_callers", "run_daemon"]
 
 MAX_WAITING_INPUTS = 4096
 MAX_WAITING_WRITES = 1024
@@ -311,11 +311,7 @@
             metrics=self._metrics,
             receive_peer=self._peers.receive_batch,
         )
-        caller_limits = ServerLimits(
-            settings.caller_threads,
-            max(1, settings.caller_threads // CALLER_THREADS_PER_QUEUED),
-            settings.max_body_bytes,
-        )
+        caller_limits = limit_callers(settings)
         peer_limits = ServerLimits(
             PEER_THREADS, PEER_QUEUE, settings.max_body_bytes * PEER_BODY_FACTOR
         )
@@ -348,6 +344,26 @@
         return Answer(200, payload=payload, content_type=METRICS_TEXT)
 
 
+def limit_callers(settings: Settings) -> ServerLimits:
+    """Return the bounds of the callers' listener.
+
+    Few connections wait for a thread, since a request that waits there is not yet in
+    its daemon's queue, where deadlines, shares and shedding apply.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the daemon.
+
+    Returns
+    -------
+    ServerLimits
+        The bounds.
+    """
+    queued = max(1, settings.caller_threads // CALLER_THREADS_PER_QUEUED)
+    return ServerLimits(settings.caller_threads, queued, settings.max_body_bytes)
+
+
 def _describe(succeeded: bool) -> str:
     return "succeeded" if succeeded else "failed"
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -9,12 +9,16 @@
 import msgspec
 
 from gypsumwalk.drivers.connections import ReceiveWatch
+from gypsumwalk.drivers.daemon import limit_callers
 from gypsumwalk.drivers.metrics import Metrics
 from gypsumwalk.drivers.server import HttpServer, ServerLimits, WebApplication
 from gypsumwalk.effects import Answer
 from gypsumwalk.endpoints import Audience, BodyKind, Endpoint, EndpointTable
+from gypsumwalk.settings import Settings
 
 TIMEOUT_SECONDS = 10.0
+THREADS = 2
+QUEUED = 4
 
 
 class Order(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -29,9 +33,12 @@
 class EchoBridge:
     def __init__(self):
         self.calls = []
+        self.gate = None
 
     def call(self, body, *, credential, payload, timeout):
         self.calls.append((body, credential))
+        if self.gate is not None:
+            self.gate.wait(TIMEOUT_SECONDS)
         return Answer(200, payload=payload, content_type="text/plain")
 
 
@@ -63,7 +70,7 @@
             max_body_bytes=1024,
             target_key="key of the targets",
         )
-        limits = ServerLimits(threads=2, queued=4, max_body_bytes=1024)
+        limits = ServerLimits(THREADS, QUEUED, max_body_bytes=1024)
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
             self.port = probe.getsockname()[1]
@@ -152,6 +159,41 @@
             connection.close()
         assert self.post("/v1/orders", b'{"count": 1}').startswith(b"HTTP/1.1 200 ")
 
+    def test_call_beyond_threads_and_queue_is_refused_at_once(self):
+        gate = threading.Event()
+        self.bridge.gate = gate
+        running = [self.hold_call() for _ in range(THREADS)]
+        while len(self.bridge.calls) < THREADS:
+            threading.Event().wait(0.001)
+        queued = [self.hold_call() for _ in range(QUEUED)]
+        refused = self.hold_call()
+        try:
+            answer = refused.recv(1024)
+        finally:
+            gate.set()
+            for connection in [*running, *queued, refused]:
+                connection.close()
+        assert answer.startswith(b"HTTP/1.1 503 ")
+
+    def hold_call(self):
+        address = ("127.0.0.1", self.port)
+        connection = socket.create_connection(address, TIMEOUT_SECONDS)
+        head = b"POST /v1/orders HTTP/1.1\r\nHost: a\r\nContent-Length: 12\r\n\r\n"
+        connection.sendall(head + b'{"count": 1}')
+        return connection
+
+    def test_fewer_callers_wait_for_a_thread_than_hold_one(self):
+        for threads in (1, 64, 256):
+            settings = Settings(
+                name="a",
+                data_centre="b",
+                caller_port=1,
+                peer_port=2,
+                cluster_secret="x" * 16,
+                caller_threads=threads,
+            )
+            assert limit_callers(settings).queued <= max(1, threads // 4)
+
 
 def read_all(connection):
     chunks = []
