Use the driver interfaces where drivers are held, and drop what is unused

Cause: no module imported interfaces, the raw socket was dug out in two places, and one error was raised nowhere. Change: the daemon holds a Disk and the network a Clock; the raw socket is found once; NotLeader is gone. Conclusion: behaviour as before; Network, Platform, TargetClient and EventSink are still met by shape only.

--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -38,6 +38,7 @@
 from gypsumwalk.events import Event
 from gypsumwalk.incarnations import choose_incarnation, keep_incarnation
 from gypsumwalk.inputs import DiskOutcome, Input, PlatformOutcome, ShutdownRequested
+from gypsumwalk.interfaces import Disk
 from gypsumwalk.recovery import Recovered
 from gypsumwalk.settings import Settings
 from gypsumwalk.timestamps import HybridClock
@@ -70,7 +71,9 @@
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        self._disk = FolderDisk(settings.data_folder) if settings.data_folder else None
+        self._disk: Disk | None = None
+        if settings.data_folder:
+            self._disk = FolderDisk(settings.data_folder)
         self._clock = RuntimeClock()
         self._hybrid = HybridClock()
         self._journal = EventJournal(settings, self._hybrid)
--- a/src/gypsumwalk/drivers/peers.py
+++ b/src/gypsumwalk/drivers/peers.py
@@ -9,12 +9,12 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
-from gypsumwalk.drivers.clock import RuntimeClock
 from gypsumwalk.drivers.metrics import Metrics
 from gypsumwalk.effects import Record
 from gypsumwalk.errors import MalformedMessage
 from gypsumwalk.events import Event
 from gypsumwalk.inputs import Input, PeerInput
+from gypsumwalk.interfaces import Clock
 from gypsumwalk.timestamps import HybridClock
 from gypsumwalk.wire import Envelope, PeerCodec
 
@@ -49,7 +49,7 @@
         Incarnation of this daemon.
     codec : PeerCodec
         Codec that authenticates messages.
-    clock : RuntimeClock
+    clock : Clock
         Time.
     hybrid : HybridClock
         Clock that messages carry readings of.
@@ -71,7 +71,7 @@
         name: str,
         incarnation: int,
         codec: PeerCodec,
-        clock: RuntimeClock,
+        clock: Clock,
         hybrid: HybridClock,
         find: Callable[[str], PeerAddress | None],
         accept: Callable[[Envelope], bool],
@@ -91,6 +91,8 @@
         self._metrics = metrics
         self._sequence = 0
         self._socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+        # Sending and draining never wait, so they need no turn of the scheduler.
+        self._raw = self._socket._sock  # type: ignore[attr-defined]
         self._queues: dict[str, trio.MemorySendChannel[Envelope]] = {}
         self._nursery: trio.Nursery | None = None
         self._limiter = trio.CapacityLimiter(SENDER_THREADS)
@@ -116,10 +118,9 @@
 
     def _take_waiting_datagrams(self) -> None:
         # Heartbeats are answered all at once: one wake-up takes in all answers.
-        raw = self._socket._sock  # type: ignore[attr-defined]
         for _ in range(MAX_BATCH_DATAGRAMS):
             try:
-                content, _ = raw.recvfrom(RECEIVE_BYTES)
+                content, _ = self._raw.recvfrom(RECEIVE_BYTES)
             except BlockingIOError:
                 return
             self._take_datagram(content)
@@ -185,7 +186,7 @@
         if address is None:
             return
         with contextlib.suppress(OSError):
-            _send_without_blocking(self._socket, content, address)
+            self._raw.sendto(content, tuple(address))
             self._count("sent", "udp", 1, len(content))
 
     def _enqueue(self, recipient: str, envelope: Envelope) -> None:
@@ -282,10 +283,3 @@
         self._complained[peer] = now
         key = "peer" if event is Event.PEER_UNREACHABLE else "source"
         self._record(Record(event, peer, {key: peer, "reason": reason}))
-
-
-def _send_without_blocking(
-    sock: trio.socket.SocketType, content: bytes, address: PeerAddress
-) -> None:
-    raw = sock._sock  # type: ignore[attr-defined]
-    raw.sendto(content, tuple(address))
--- a/src/gypsumwalk/errors.py
+++ b/src/gypsumwalk/errors.py
@@ -10,7 +10,6 @@
     "DiskFailure",
     "GypsumwalkError",
     "MalformedMessage",
-    "NotLeader",
     "OutcomeUnknown",
     "SettingsInvalid",
     "UnknownMessage",
@@ -112,10 +111,6 @@
         self.labels = labels
 
 
-class NotLeader(GypsumwalkError):
-    """The daemon is not the leader of the replicated log."""
-
-
 class UnreachableDaemon(GypsumwalkError):
     """No daemon took the call: no byte of it left, or each refused it for now."""
 
