--- a/src/gypsumwalk/consensus.py
+++ b/src/gypsumwalk/consensus.py
@@ -66,6 +66,9 @@
         Source of election timeouts and disk identities.
     incarnation : int
         Incarnation of the daemon, higher after every start.
+    first_start : bool or None
+        Whether the whole system starts for the first time, with empty disks; None
+        where nobody tells, so that the first voters have to meet once.
     """
 
     name = "consensus"
@@ -79,17 +82,19 @@
         recovered: Recovered,
         random: Random,
         incarnation: int,
+        first_start: bool | None = None,
     ) -> None:
         self._daemon = settings.name
         self._random = random
         self._seeds = [voter for voter in settings.voters if voter != settings.name]
         self._proposals = Proposals(settings.name, incarnation)
         identity = ""
+        voters = list_first_voters(settings.voters, told=first_start is not None)
         if settings.data_folder:
             identity = f"{random.getrandbits(IDENTITY_BITS):016x}"
-        self._replica = Replica(
-            state, recovered, identity, settings.voters, self._proposals
-        )
+            if first_start:
+                identity = voters.get(settings.name, identity)
+        self._replica = Replica(state, recovered, identity, voters, self._proposals)
         self._admission = Admission(settings.name, self._replica, settings.voters)
         self._follower = Follower(self._replica)
         self._elections = Elections(settings.name, self._replica, random)
@@ -160,6 +165,25 @@
             return now
         return self._follower.fresh_as_of
 
+    def replace_seeds(self, names: Sequence[str]) -> None:
+        """Ask other daemons for the leader, where none is known."""
+        self._seeds = [name for name in names if name != self._daemon]
+
+    def find_better_voters(self, now: float) -> dict[str, str] | None:
+        """Return voters without a lost disk or a silent voter, or None if all is well.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        dict of str to str or None
+            Identity of the disk of each voter, by name.
+        """
+        return self._leadership.find_better_voters(now) if self._leadership else None
+
     def propose(self, proposal: Propose, now: float) -> Sequence[Effect]:
         """Begin to replicate a command; a ``ProposalOutcome`` is raised later.
 
@@ -482,3 +506,22 @@
             return []
         detail: dict[str, Scalar] = {"term": self.term, "reason": reason}
         return [Record(Event.LEADER_STEPPED_DOWN, self._daemon, detail)]
+
+
+def list_first_voters(names: Sequence[str], *, told: bool) -> dict[str, str]:
+    """Return the identity that each first voter's first disk has.
+
+    Parameters
+    ----------
+    names : Sequence of str
+        Names of the first voters.
+    told : bool
+        Whether the platform tells the first start from a later one. Then the first
+        disks have identities that all know, and any other disk is a new one.
+
+    Returns
+    -------
+    dict of str to str
+        Identities by name, empty where only the disk itself knows it.
+    """
+    return {name: f"first-{name}" if told else "" for name in names}
--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -5,24 +5,22 @@
 import sys
 import time
 from collections.abc import Callable, Sequence
-from random import Random, SystemRandom
 
 import trio
 
 from gypsumwalk import __version__
-from gypsumwalk.assembly import ENDPOINTS, PEER_MESSAGES, Assembly
 from gypsumwalk.drivers.bridge import CallBridge
 from gypsumwalk.drivers.clock import RuntimeClock
 from gypsumwalk.drivers.connections import ReceiveWatch
 from gypsumwalk.drivers.disk import FolderDisk
 from gypsumwalk.drivers.journal import EventJournal
+from gypsumwalk.drivers.kit import DaemonAssembly, DaemonKit, ServerContext
 from gypsumwalk.drivers.metrics import Metrics
 from gypsumwalk.drivers.peers import PeerAddress, PeerNetwork
-from gypsumwalk.drivers.platform import PlatformHttpClient
-from gypsumwalk.drivers.server import HttpServer, ServerLimits, WebApplication
+from gypsumwalk.drivers.server import HttpServer
+from gypsumwalk.drivers.standard_kit import StandardKit
 from gypsumwalk.drivers.targets import TargetHttpClient
 from gypsumwalk.effects import (
-    Answer,
     CallPlatform,
     CancelDispatch,
     Dispatch,
@@ -33,31 +31,24 @@
     Stop,
     WriteDisk,
 )
-from gypsumwalk.endpoints import Audience, EndpointTable
 from gypsumwalk.errors import DiskFailure
 from gypsumwalk.events import Event
 from gypsumwalk.incarnations import choose_incarnation, keep_incarnation
-from gypsumwalk.inputs import DiskOutcome, Input, PlatformOutcome, ShutdownRequested
+from gypsumwalk.inputs import DiskOutcome, Input, ShutdownRequested
 from gypsumwalk.interfaces import Disk
 from gypsumwalk.recovery import Recovered
 from gypsumwalk.settings import Settings
 from gypsumwalk.timestamps import HybridClock
 from gypsumwalk.wire import PeerCodec
 
-__all__ = ["Daemon", "limit_callers", "run_daemon"]
+__all__ = ["Daemon", "run_daemon"]
 
 MAX_WAITING_INPUTS = 4096
 MAX_WAITING_WRITES = 1024
 MAX_BATCH_INPUTS = 64
-PEER_THREADS = 24
-PEER_QUEUE = 64
-PEER_BODY_FACTOR = 2
-CALLER_THREADS_PER_QUEUED = 4
 DISPATCH_THREADS = 128
 SHUTDOWN_SECONDS = 30.0
 LONGEST_WAIT_SECONDS = 1.0
-PLAIN_TEXT = "text/plain; charset=utf-8"
-METRICS_TEXT = "text/plain; version=0.0.4; charset=utf-8"
 
 
 class Daemon:
@@ -67,10 +58,13 @@
     ----------
     settings : Settings
         Settings of the daemon.
+    kit : DaemonKit, optional
+        What differs between kinds of daemons; the standard one by default.
     """
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, kit: DaemonKit | None = None) -> None:
         self._settings = settings
+        self._kit = kit or StandardKit(settings)
         self._disk: Disk | None = None
         if settings.data_folder:
             self._disk = FolderDisk(settings.data_folder)
@@ -90,7 +84,7 @@
         self._targets = TargetHttpClient(
             concurrency=DISPATCH_THREADS, max_body_bytes=settings.max_body_bytes
         )
-        self._platform = PlatformHttpClient(settings.platform_url)
+        self._platform = self._kit.make_platform()
         self._watch = ReceiveWatch()
         self._peers = self._make_network()
         self._dispatches: dict[str, trio.CancelScope] = {}
@@ -116,7 +110,7 @@
         int
             Exit code of the process.
         """
-        servers = self._make_servers()
+        servers = self._kit.make_servers(self._describe_context())
         own = PeerAddress(self._settings.address, self._settings.peer_port)
         await self._peers.bind(own)
         for server in servers:
@@ -193,10 +187,7 @@
 
     async def _call_platform(self, effect: CallPlatform) -> None:
         started = self._clock.now()
-        if self._settings.platform_url:
-            outcome = await self._platform.call(effect)
-        else:
-            outcome = PlatformOutcome(effect.token, succeeded=False)
+        outcome = await self._platform.call(effect)
         self._metrics.count("platform_calls", outcome=_describe(outcome.succeeded))
         self._metrics.observe_latency("platform", self._clock.now() - started)
         await self._send_input.send(outcome)
@@ -226,14 +217,23 @@
         self._stop = effect
 
     async def _await_signals(self) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
+        caught = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with trio.open_signal_receiver(*caught) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    self._reload()
+                    continue
                 # A second signal shortens the deadline to now.
                 patience = 0.0 if self._shutting_down else SHUTDOWN_SECONDS
                 self._shutting_down = True
                 deadline = self._clock.now() + patience
                 await self._send_input.send(ShutdownRequested(deadline))
 
+    def _reload(self) -> None:
+        changed = self._kit.reload()
+        attributes = {"changed": ", ".join(changed) or "nothing"}
+        self._record(Record(Event.DAEMON_RELOADED, "", attributes))
+
     async def _stop_servers(self, servers: Sequence[HttpServer]) -> None:
         self._bridge.close()
         for server in servers:
@@ -246,126 +246,38 @@
         self._platform.close()
         self._journal.close()
 
-    def _assemble(self) -> Assembly:
+    def _assemble(self) -> DaemonAssembly:
         recovered = self._disk.recover() if self._disk else Recovered()
         incarnation = choose_incarnation(time.time(), recovered)
         if self._disk:
             self._disk.write([keep_incarnation(incarnation)])
-        settings = self._settings
-        seed = settings.seed or SystemRandom().getrandbits(64)
-        return Assembly(
-            settings,
-            incarnation=incarnation,
-            recovered=recovered,
-            random=Random(seed),
-            secrets=SystemRandom(),
+        return self._kit.assemble(recovered, incarnation)
+
+    def _describe_context(self) -> ServerContext:
+        return ServerContext(
+            bridge=self._bridge,
+            watch=self._watch,
+            metrics=self._metrics,
+            receive_peer=self._peers.receive_batch,
+            is_ready=lambda: self._ready and not self._shutting_down,
         )
 
     def _make_network(self) -> PeerNetwork:
         settings = self._settings
-        codec = PeerCodec(PEER_MESSAGES, settings.cluster_secret.encode())
+        codec = PeerCodec(self._kit.peer_messages, settings.cluster_secret.encode())
         return PeerNetwork(
             name=settings.name,
             incarnation=self._assembly.incarnation,
             codec=codec,
             clock=self._clock,
             hybrid=self._hybrid,
-            find=self._find_peer,
+            find=self._kit.find_peer,
             accept=self._assembly.accept,
             inputs=self._send_input,
             record=self._record,
             metrics=self._metrics,
         )
 
-    def _find_peer(self, name: str) -> PeerAddress | None:
-        member = self._assembly.membership.find(name)
-        if member is not None and member.peer_port:
-            return PeerAddress(member.address, member.peer_port)
-        for peer in self._settings.peers:
-            if peer.name == name:
-                return PeerAddress(peer.address, peer.peer_port)
-        return None
-
-    def _make_servers(self) -> list[HttpServer]:
-        table = EndpointTable(ENDPOINTS)
-        settings = self._settings
-        pages = {
-            "/healthz": self._show_health,
-            "/readyz": self._show_readiness,
-            "/metrics": self._show_metrics,
-        }
-        caller = WebApplication(
-            self._bridge,
-            table,
-            audiences=frozenset({Audience.CALLER}),
-            max_body_bytes=settings.max_body_bytes,
-            watch=self._watch,
-            pages=pages,
-            metrics=self._metrics,
-        )
-        peer = WebApplication(
-            self._bridge,
-            table,
-            audiences=frozenset(Audience),
-            max_body_bytes=settings.max_body_bytes * PEER_BODY_FACTOR,
-            target_key=settings.target_key,
-            watch=self._watch,
-            pages=pages,
-            metrics=self._metrics,
-            receive_peer=self._peers.receive_batch,
-        )
-        caller_limits = limit_callers(settings)
-        peer_limits = ServerLimits(
-            PEER_THREADS, PEER_QUEUE, settings.max_body_bytes * PEER_BODY_FACTOR
-        )
-        return [
-            HttpServer(
-                settings.address,
-                port,
-                application,
-                watch=self._watch,
-                limits=limits,
-            )
-            for port, application, limits in (
-                (settings.caller_port, caller, caller_limits),
-                (settings.peer_port, peer, peer_limits),
-            )
-        ]
-
-    def _show_health(self) -> Answer:
-        return Answer(200, payload=b"ok\n", content_type=PLAIN_TEXT)
-
-    def _show_readiness(self) -> Answer:
-        ready = self._ready and not self._shutting_down
-        payload = b"ready\n" if ready else b"not ready\n"
-        status = 200 if ready else 503
-        return Answer(status, payload=payload, content_type=PLAIN_TEXT)
-
-    def _show_metrics(self) -> Answer:
-        self._metrics.set_gauge("waiting_calls", self._bridge.waiting)
-        payload = self._metrics.render()
-        return Answer(200, payload=payload, content_type=METRICS_TEXT)
-
-
-def limit_callers(settings: Settings) -> ServerLimits:
-    """Return the bounds of the callers' listener.
-
-    Few connections wait for a thread, since a request that waits there is not yet in
-    its daemon's queue, where deadlines, shares and shedding apply.
-
-    Parameters
-    ----------
-    settings : Settings
-        Settings of the daemon.
-
-    Returns
-    -------
-    ServerLimits
-        The bounds.
-    """
-    queued = max(1, settings.caller_threads // CALLER_THREADS_PER_QUEUED)
-    return ServerLimits(settings.caller_threads, queued, settings.max_body_bytes)
-
 
 def _describe(succeeded: bool) -> str:
     return "succeeded" if succeeded else "failed"
@@ -377,17 +289,19 @@
     )
 
 
-async def _run(settings: Settings) -> int:
-    return await Daemon(settings).run()
+async def _run(settings: Settings, kit: DaemonKit | None) -> int:
+    return await Daemon(settings, kit).run()
 
 
-def run_daemon(settings: Settings) -> int:
+def run_daemon(settings: Settings, kit: DaemonKit | None = None) -> int:
     """Run a daemon until it is asked to stop.
 
     Parameters
     ----------
     settings : Settings
         Settings of the daemon.
+    kit : DaemonKit, optional
+        What differs between kinds of daemons; the standard one by default.
 
     Returns
     -------
@@ -395,7 +309,7 @@
         Exit code of the process.
     """
     with contextlib.suppress(KeyboardInterrupt):
-        return trio.run(_run, settings)
+        return trio.run(_run, settings, kit)
     return 1
 
 
--- a/src/gypsumwalk/drivers/journal.py
+++ b/src/gypsumwalk/drivers/journal.py
@@ -28,7 +28,7 @@
 
 
 class LogStyle(Enum):
-    """Form of the log on the standard error."""
+    """Form of the log on the standard output."""
 
     JSON = "json"
     TEXT = "text"
@@ -46,7 +46,7 @@
     style : LogStyle
         Form of the log.
     stream : TextIO, optional
-        Where the log goes; the standard error by default.
+        Where the log goes; the standard output by default.
     threshold : Level
         Least severe event that goes to the log; the file takes all.
     max_bytes : int
@@ -70,7 +70,7 @@
         self._lines = LineWriter(settings.name, settings.data_centre, secrets)
         self._clock = clock
         self._handlers: list[Any] = [
-            _open_log(stream or sys.stderr, style, LEVELS[threshold])
+            _open_log(stream or sys.stdout, style, LEVELS[threshold])
         ]
         self._file: _EventFile | None = None
         if settings.record_folder:
--- a/src/gypsumwalk/drivers/platform.py
+++ b/src/gypsumwalk/drivers/platform.py
@@ -23,11 +23,11 @@
     Parameters
     ----------
     url : str
-        Base URL of the platform.
+        Base URL of the platform; empty where there is none, and every call fails.
     """
 
     def __init__(self, url: str) -> None:
-        self._url = url.rstrip("/") + "/actions"
+        self._url = url.rstrip("/") + "/actions" if url else ""
         self._limiter = trio.CapacityLimiter(PLATFORM_THREADS)
         self._pools = urllib3.PoolManager(maxsize=PLATFORM_THREADS, retries=False)
 
@@ -44,6 +44,8 @@
         PlatformOutcome
             How it ended; ``unknown`` where a byte may have left and no answer came.
         """
+        if not self._url:
+            return PlatformOutcome(call.token, succeeded=False)
         return await trio.to_thread.run_sync(
             self._post, call, limiter=self._limiter, abandon_on_cancel=True
         )
--- /dev/null
+++ b/src/gypsumwalk/drivers/relay.py
@@ -0,0 +1,318 @@
+"""Relay of callers' requests from an entry instance to the daemon that leads."""
+
+import json
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any
+
+import urllib3
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from gypsumwalk.fleet_desk import LEADER_HEADER
+
+__all__ = ["Relay", "RelayAnswer", "RelayApplication"]
+
+CONNECT_SECONDS = 0.3
+"""Links are a few milliseconds long; a connection takes one round trip."""
+
+ANSWER_SECONDS = 1.0
+"""Time in seconds for one attempt; a commit takes about 20 ms, an election 1.7 s."""
+
+HOLD_SECONDS = 1.5
+"""Time in seconds that a request waits for a leader before it is refused."""
+
+PAUSE_SECONDS = 0.08
+"""Pause in seconds between two rounds of asking for the leader."""
+
+STALE_SECONDS = 2.0
+"""Time in seconds without a leader's answer after which the relay is not ready."""
+
+PROBE_SECONDS = 0.4
+"""Interval of asking for the leader while no request does."""
+
+RETRY_AFTER = "1"
+"""Seconds after which a caller may come back; an election takes up to 1.7 s."""
+
+POOL_SIZE = 64
+HOP_HEADERS = ("connection", "keep-alive", "transfer-encoding", "content-length")
+IDEMPOTENT = ("GET", "HEAD")
+
+
+@dataclass(frozen=True, slots=True)
+class RelayAnswer:
+    """Answer to a relayed request."""
+
+    status: int
+    body: bytes = b"{}"
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+
+class Relay:
+    """Sends requests to the leader, and finds it.
+
+    Parameters
+    ----------
+    list_seeds : Callable
+        Returns addresses, ``host:port``, of daemons to ask for the leader.
+    find_address : Callable
+        Returns the address of a daemon by the name that answers carry.
+    probe_path : str
+        Path that only a leader answers with success.
+    """
+
+    def __init__(
+        self,
+        list_seeds: Callable[[], Sequence[str]],
+        find_address: Callable[[str], str],
+        probe_path: str,
+    ) -> None:
+        self._list_seeds = list_seeds
+        self._find_address = find_address
+        self._probe_path = probe_path
+        self._pools = urllib3.PoolManager(
+            num_pools=16, maxsize=POOL_SIZE, retries=False
+        )
+        self._leader = ""
+        self._turn = 0
+        self._answered = float("-inf")
+        self._was_ready = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether a leader answered lately."""
+        return time.monotonic() - self._answered < STALE_SECONDS
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        *,
+        headers: Mapping[str, str],
+        body: bytes,
+        patience: float,
+    ) -> RelayAnswer:
+        """Send a request until the leader has answered it or the time is over.
+
+        A request that may have reached a daemon is sent again, as calls are
+        idempotent. It is refused as not run only if no daemon can have taken it.
+
+        Parameters
+        ----------
+        method : str
+            HTTP method.
+        path : str
+            Path and query.
+        headers : Mapping of str to str
+            Header fields.
+        body : bytes
+            Body.
+        patience : float
+            Seconds that the caller waits.
+
+        Returns
+        -------
+        RelayAnswer
+            The answer.
+        """
+        started = time.monotonic()
+        may_have_run = False
+        while True:
+            elapsed = time.monotonic() - started
+            limit = patience if may_have_run else min(patience, HOLD_SECONDS)
+            if elapsed >= limit:
+                return _give_up(may_have_run and method not in IDEMPOTENT)
+            left = max(0.05, min(ANSWER_SECONDS, patience - elapsed))
+            answer = self._try_once(method, path, headers, body, left)
+            if answer is None:
+                may_have_run = True
+            elif answer.status == HTTPStatus.BAD_GATEWAY:
+                may_have_run = True
+                time.sleep(PAUSE_SECONDS)
+            elif not _is_referral(answer):
+                return _hide_refusal(answer) if may_have_run else answer
+
+    def probe(self) -> None:
+        """Ask for the leader once, if no request did lately."""
+        if time.monotonic() - self._answered < PROBE_SECONDS:
+            return
+        self._try_once("GET", self._probe_path, {}, b"", ANSWER_SECONDS)
+        self._note_readiness()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._pools.clear()
+
+    def _try_once(
+        self,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        timeout: float,
+    ) -> RelayAnswer | None:
+        address = self._leader or self._choose_seed()
+        if not address:
+            time.sleep(PAUSE_SECONDS)
+            return _refer()
+        try:
+            response = self._pools.request(
+                method,
+                f"http://{address}{path}",
+                body=body,
+                headers=dict(headers),
+                timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=timeout),
+                retries=False,
+                redirect=False,
+            )
+        except (NewConnectionError, ConnectTimeoutError):
+            self._leader = ""
+            time.sleep(PAUSE_SECONDS)
+            return _refer()
+        except (HTTPError, OSError):
+            self._leader = ""
+            return None
+        answer = RelayAnswer(response.status, response.data, _keep(response.headers))
+        self._note_leader(address, answer)
+        return answer
+
+    def _note_leader(self, address: str, answer: RelayAnswer) -> None:
+        if not _is_referral(answer):
+            self._leader = address
+            self._answered = time.monotonic()
+            return
+        name = answer.headers.get(LEADER_HEADER, "")
+        leader = self._find_address(name) if name else ""
+        if not leader or leader == address:
+            self._leader = ""
+            time.sleep(PAUSE_SECONDS)
+            return
+        self._leader = leader
+
+    def _choose_seed(self) -> str:
+        seeds = self._list_seeds()
+        if not seeds:
+            return ""
+        self._turn += 1
+        return seeds[self._turn % len(seeds)]
+
+    def _note_readiness(self) -> None:
+        ready = self.is_ready
+        if ready == self._was_ready:
+            return
+        self._was_ready = ready
+        event = "relay ready" if ready else "no leader answers"
+        write_line(event=event, leader=self._leader)
+
+
+class RelayApplication:
+    """WSGI application that relays every request.
+
+    Parameters
+    ----------
+    relay : Relay
+        The relay.
+    find_patience : Callable
+        Returns the seconds that a caller waits, from the request's environment.
+    """
+
+    def __init__(
+        self, relay: Relay, find_patience: Callable[[Mapping[str, Any]], float]
+    ) -> None:
+        self._relay = relay
+        self._find_patience = find_patience
+        self.leaving = False
+        self.in_progress = 0
+        self._lock = threading.Lock()
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Relay one request."""
+        with self._lock:
+            self.in_progress += 1
+        try:
+            answer = self._send(environ)
+        finally:
+            with self._lock:
+                self.in_progress -= 1
+        headers = {"Content-Type": "application/json", **answer.headers}
+        headers["Content-Length"] = str(len(answer.body))
+        if self.leaving:
+            headers["Connection"] = "close"
+        phrase = HTTPStatus(answer.status).phrase
+        start_response(f"{answer.status} {phrase}", list(headers.items()))
+        return [answer.body]
+
+    def _send(self, environ: Mapping[str, Any]) -> RelayAnswer:
+        path = environ["PATH_INFO"]
+        if query := environ.get("QUERY_STRING"):
+            path = f"{path}?{query}"
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = environ["wsgi.input"].read(length) if length else b""
+        headers = {
+            key.removeprefix("HTTP_").replace("_", "-").title(): value
+            for key, value in environ.items()
+            if key in ("HTTP_HOST", "HTTP_AUTHORIZATION")
+        }
+        started = time.monotonic()
+        answer = self._relay.send(
+            environ["REQUEST_METHOD"],
+            path,
+            headers=headers,
+            body=body,
+            patience=self._find_patience(environ),
+        )
+        if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            waited = round(time.monotonic() - started, 3)
+            write_line(
+                event="request failed", path=path, status=answer.status, s=waited
+            )
+        return answer
+
+
+def write_line(**fields: object) -> None:
+    """Write one line of the log to the standard output."""
+    try:
+        print(json.dumps(fields), file=sys.stdout, flush=True)
+    except OSError as error:
+        # A reader that went away must not end the daemon.
+        del error
+
+
+def _keep(headers: Mapping[str, str]) -> dict[str, str]:
+    return {
+        name: value
+        for name, value in headers.items()
+        if name.lower() not in (*HOP_HEADERS, "date", "server")
+    }
+
+
+def _is_referral(answer: RelayAnswer) -> bool:
+    return LEADER_HEADER in answer.headers
+
+
+def _refer() -> RelayAnswer:
+    return RelayAnswer(HTTPStatus.SERVICE_UNAVAILABLE, headers={LEADER_HEADER: ""})
+
+
+def _give_up(may_have_run: bool) -> RelayAnswer:
+    if may_have_run:
+        return RelayAnswer(HTTPStatus.GATEWAY_TIMEOUT)
+    headers = {"Retry-After": RETRY_AFTER}
+    return RelayAnswer(HTTPStatus.SERVICE_UNAVAILABLE, headers=headers)
+
+
+def _hide_refusal(answer: RelayAnswer) -> RelayAnswer:
+    # An earlier attempt may have been taken, so "not run" would not be known.
+    refusals = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
+    if answer.status in refusals:
+        return RelayAnswer(HTTPStatus.GATEWAY_TIMEOUT)
+    return answer
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -52,6 +52,11 @@
     PEER_UNREACHABLE = EventEntry(
         1005, Level.WARNING, "peer {peer} did not take a message: {reason}"
     )
+    DAEMON_RELOADED = EventEntry(
+        1006, Level.INFO, "read the settings again; changed: {changed}"
+    )
+    RELAY_LOST = EventEntry(1007, Level.WARNING, "no daemon takes calls: {reason}")
+    RELAY_REGAINED = EventEntry(1008, Level.INFO, "daemon {leader} takes calls")
     # Agreement, membership, configuration, keys and portions: 2000 to 2999.
     LEADER_ELECTED = EventEntry(
         2001, Level.INFO, "became leader of the replicated log in term {term}"
@@ -130,6 +135,33 @@
     INSTANCE_MOVING = EventEntry(
         4106, Level.INFO, "drains to move from {source} to {destination}"
     )
+    # Work on a fleet of instances: 5000 to 5999.
+    FLEET_CALL_DECIDED = EventEntry(
+        5001,
+        Level.INFO,
+        "answered {status} at index {index} under version {version}: {reason}",
+    )
+    FLEET_TAKEN_OVER = EventEntry(
+        5002, Level.INFO, "took over {instances} instances with {runs} runs"
+    )
+    FLEET_FENCED = EventEntry(
+        5003, Level.WARNING, "the instance has seen a later leader; orders end"
+    )
+    RUN_STARTED = EventEntry(
+        5004,
+        Level.INFO,
+        "run {run} goes to {life}, attempt {attempt}, {free} thousandths of a core"
+        " free, version {version}",
+    )
+    RUN_REFUSED = EventEntry(5005, Level.INFO, "{life} refused run {run}: {reason}")
+    RUN_ENDED = EventEntry(5006, Level.INFO, "run {run} on {life} ended: {kind}")
+    RUNS_LOST = EventEntry(5007, Level.WARNING, "{runs} runs are lost: {reason}")
+    INSTANCE_SILENT = EventEntry(
+        5008, Level.WARNING, "the instance with {runs} runs does not answer"
+    )
+    INSTANCE_READ = EventEntry(
+        5009, Level.INFO, "the instance answers and has {runs} runs"
+    )
     WAVE_STARTED = EventEntry(4201, Level.INFO, "run {run} of the wave started")
     WAVE_PAUSED = EventEntry(4202, Level.WARNING, "the wave is paused: {reason}")
 
--- /dev/null
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -0,0 +1,128 @@
+"""Assembly of the parts of a daemon that keeps a fleet of instances."""
+
+from dataclasses import dataclass
+from random import Random
+
+from gypsumwalk import consensus
+from gypsumwalk.consensus import Consensus
+from gypsumwalk.declarations import DeclarationSection
+from gypsumwalk.dispatcher import Dispatcher
+from gypsumwalk.fleet_desk import FleetDesk
+from gypsumwalk.node import Node
+from gypsumwalk.part import Part
+from gypsumwalk.recovery import Recovered
+from gypsumwalk.replay import ReplayWindow
+from gypsumwalk.retirement import Retirement
+from gypsumwalk.scheduler import Scheduler
+from gypsumwalk.settings import Settings
+from gypsumwalk.state import ReplicatedState, Section
+from gypsumwalk.upkeep import UpkeepSection
+from gypsumwalk.voter_keeper import VoterKeeper
+from gypsumwalk.wire import Envelope
+from gypsumwalk.workloads import WorkloadSection
+
+__all__ = ["PEER_MESSAGES", "FleetAssembly", "FleetLimits"]
+
+PEER_MESSAGES: tuple[type, ...] = consensus.PEER_MESSAGES
+"""Every type of message between daemons that keep a fleet."""
+
+
+@dataclass(frozen=True, slots=True)
+class FleetLimits:
+    """Bounds that the platform states.
+
+    Attributes
+    ----------
+    max_lease : float
+        Longest lease of an instance, in seconds.
+    move : float
+        Time in seconds that a machine takes to change its pool.
+    maintenance : float
+        Time in seconds that the maintenance of a machine takes.
+    away_notice : float
+        Time in seconds for which a task that came back counts as away.
+    """
+
+    max_lease: float
+    move: float = 1.5
+    maintenance: float = 2.0
+    away_notice: float = 4.5
+
+
+class FleetAssembly:
+    """One daemon's parts, joined in a node, and what its driver needs of them.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the daemon.
+    limits : FleetLimits
+        Bounds that the platform states.
+    incarnation : int
+        Incarnation, higher after every start.
+    recovered : Recovered
+        Content of the data folder.
+    random : Random
+        Source of all chance.
+    first_start : bool
+        Whether the whole system starts for the first time, with empty disks.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        limits: FleetLimits,
+        *,
+        incarnation: int,
+        recovered: Recovered,
+        random: Random,
+        first_start: bool,
+    ) -> None:
+        self.incarnation = incarnation
+        self.declarations = DeclarationSection()
+        self.workloads = WorkloadSection()
+        self.upkeep = UpkeepSection()
+        sections: list[Section] = [self.declarations, self.workloads, self.upkeep]
+        self.state = ReplicatedState(sections)
+        self._window = ReplayWindow()
+        self.consensus = Consensus(
+            settings=settings,
+            state=self.state,
+            recovered=recovered,
+            random=random,
+            incarnation=incarnation,
+            first_start=first_start,
+        )
+        self.scheduler = Scheduler(self.declarations, self.workloads)
+        self.dispatcher = Dispatcher(
+            leadership=self.consensus,
+            declarations=self.declarations,
+            workloads=self.workloads,
+            scheduler=self.scheduler,
+            max_lease=limits.max_lease,
+        )
+        self.desk = FleetDesk(
+            leadership=self.consensus,
+            declarations=self.declarations,
+            workloads=self.workloads,
+            upkeep=self.upkeep,
+        )
+        keeper = VoterKeeper(settings.name, self.consensus)
+        parts: list[Part] = [
+            self.consensus,
+            self.desk,
+            self.dispatcher,
+            keeper,
+            Retirement(),
+        ]
+        self.node = Node(parts, self.consensus)
+
+    def accept(self, envelope: Envelope) -> bool:
+        """Tell whether a peer's message is new, and note it."""
+        return self._window.admit(
+            envelope.source, envelope.incarnation, envelope.sequence
+        )
+
+    def is_ready(self, now: float) -> bool:
+        """Tell whether the daemon knows a leader."""
+        return bool(self.consensus.leader) or self.consensus.holds_lease(now)
--- /dev/null
+++ b/src/gypsumwalk/fleet_calls.py
@@ -0,0 +1,119 @@
+"""Calls of callers, operators and instances on a fleet, and their answers."""
+
+import msgspec
+
+from gypsumwalk.declaration_records import Declaration
+from gypsumwalk.workload_records import RegisteredInstance, Step, WorkloadState
+
+__all__ = [
+    "AnnounceInstanceCall",
+    "CancelWorkloadCall",
+    "CountWaitingCall",
+    "DeclarationAnswer",
+    "DescribeUpkeepCall",
+    "DescribeWorkloadCall",
+    "LeaveInstanceCall",
+    "PutDeclarationCall",
+    "ReadDeclarationCall",
+    "StartUpkeepCall",
+    "SubmitWorkloadCall",
+    "UpkeepAnswer",
+    "WaitingAnswer",
+    "WorkloadAnswer",
+]
+
+
+class SubmitWorkloadCall(msgspec.Struct, frozen=True):
+    """Caller's call: run a job."""
+
+    host: str
+    path: str
+    spec: str = ""
+    steps: list[Step] = []
+    first_run: float = 0.0
+    interval: float = 0.0
+    occurrences: int = 1
+
+
+class DescribeWorkloadCall(msgspec.Struct, frozen=True):
+    """Caller's call: tell the state of a job."""
+
+    host: str
+    path: str
+
+
+class CancelWorkloadCall(msgspec.Struct, frozen=True):
+    """Caller's call: cancel a job."""
+
+    host: str
+    path: str
+
+
+class CountWaitingCall(msgspec.Struct, frozen=True):
+    """Caller's call: count the jobs of a queue that have not begun."""
+
+    host: str
+    path: str
+
+
+class PutDeclarationCall(msgspec.Struct, frozen=True):
+    """Operator's call: take a declaration."""
+
+    declaration: Declaration
+
+
+class ReadDeclarationCall(msgspec.Struct, frozen=True):
+    """Operator's call: read the declaration in force."""
+
+
+class AnnounceInstanceCall(msgspec.Struct, frozen=True):
+    """Instance's call: heartbeat with all that it says of itself."""
+
+    registered: RegisteredInstance
+    sequence: int = 0
+
+
+class LeaveInstanceCall(msgspec.Struct, frozen=True):
+    """Instance's call: it ends now."""
+
+    instance: str
+    born: int = 0
+
+
+class StartUpkeepCall(msgspec.Struct, frozen=True):
+    """Operator's call: maintain machines within a time, a few at once."""
+
+    wave: int
+    machines: list[str]
+    duration: float
+    max_down: int
+
+
+class DescribeUpkeepCall(msgspec.Struct, frozen=True):
+    """Operator's call: tell how far a wave is."""
+
+    wave: int
+
+
+class WorkloadAnswer(msgspec.Struct, frozen=True):
+    """State of a job."""
+
+    state: WorkloadState
+
+
+class WaitingAnswer(msgspec.Struct, frozen=True):
+    """Jobs of a queue that have not begun."""
+
+    waiting: int
+
+
+class DeclarationAnswer(msgspec.Struct, frozen=True):
+    """The declaration in force, as the operator wrote it."""
+
+    source: str
+
+
+class UpkeepAnswer(msgspec.Struct, frozen=True):
+    """Whether a wave is completed."""
+
+    completed: bool
--- /dev/null
+++ b/src/gypsumwalk/fleet_desk.py
@@ -0,0 +1,311 @@
+"""Answers to the calls of callers, operators and instances on a fleet."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from gypsumwalk.declaration_records import (
+    DeclaredQueue,
+    DeclaredTeam,
+    PutDeclaration,
+    find_faults,
+)
+from gypsumwalk.declarations import DeclarationSection
+from gypsumwalk.effects import Answer, Effect, Propose, Record, Respond
+from gypsumwalk.events import Event
+from gypsumwalk.fleet_calls import (
+    AnnounceInstanceCall,
+    CancelWorkloadCall,
+    CountWaitingCall,
+    DeclarationAnswer,
+    DescribeUpkeepCall,
+    DescribeWorkloadCall,
+    LeaveInstanceCall,
+    PutDeclarationCall,
+    ReadDeclarationCall,
+    StartUpkeepCall,
+    SubmitWorkloadCall,
+    UpkeepAnswer,
+    WaitingAnswer,
+    WorkloadAnswer,
+)
+from gypsumwalk.inputs import CallInput, Input, ProposalOutcome, ProposalStatus
+from gypsumwalk.part import NEVER
+from gypsumwalk.problems import Outcome, ProblemType, refuse
+from gypsumwalk.upkeep import StartUpkeep, UpkeepSection
+from gypsumwalk.views import LeadershipView
+from gypsumwalk.workload_records import (
+    AcceptWorkload,
+    CancelWorkload,
+    RegisterInstance,
+    RemoveInstance,
+    Workload,
+)
+from gypsumwalk.workloads import WorkloadSection
+
+__all__ = ["LEADER_HEADER", "FleetDesk"]
+
+PROPOSAL_SECONDS = 2.0
+"""Callers wait 3 s at most, so a command not committed by then is unknown to them."""
+
+RETRY_SECONDS = 1.0
+"""Time in seconds in which a new leader is usually elected."""
+
+LEADER_HEADER = "Gypsumwalk-Leader"
+"""Header field with the name of the leader, on answers of daemons that do not lead."""
+
+CALLS: tuple[type, ...] = (
+    SubmitWorkloadCall,
+    DescribeWorkloadCall,
+    CancelWorkloadCall,
+    CountWaitingCall,
+    PutDeclarationCall,
+    ReadDeclarationCall,
+    AnnounceInstanceCall,
+    LeaveInstanceCall,
+    StartUpkeepCall,
+    DescribeUpkeepCall,
+)
+
+
+class FleetDesk:
+    """The part that answers calls; only the leader decides them.
+
+    Parameters
+    ----------
+    leadership : LeadershipView
+        Leadership of the replicated log.
+    declarations : DeclarationSection
+        Declaration in force.
+    workloads : WorkloadSection
+        Jobs and instances.
+    upkeep : UpkeepSection
+        Maintenance waves.
+    """
+
+    name = "desk"
+    wakeup = NEVER
+    accepts: tuple[type, ...] = CALLS
+
+    def __init__(
+        self,
+        *,
+        leadership: LeadershipView,
+        declarations: DeclarationSection,
+        workloads: WorkloadSection,
+        upkeep: UpkeepSection,
+    ) -> None:
+        self._leadership = leadership
+        self._declarations = declarations
+        self._workloads = workloads
+        self._upkeep = upkeep
+        self._subjects: dict[str, str] = {}
+
+    def handle(self, item: Input, now: float) -> Sequence[Effect]:
+        """Take in a call, or the outcome of the command that it led to."""
+        match item:
+            case CallInput():
+                return self._take_call(item, now)
+            case ProposalOutcome():
+                return self._take_outcome(item)
+        return []
+
+    def advance(self, now: float) -> Sequence[Effect]:
+        """Do nothing, as nothing is due."""
+        return []
+
+    def _take_call(self, item: CallInput, now: float) -> list[Effect]:
+        if not self._leadership.holds_lease(now):
+            return [Respond(item.call_id, self._refer())]
+        match item.body:
+            case SubmitWorkloadCall() as call:
+                return self._submit(item, call, now)
+            case DescribeWorkloadCall() | CancelWorkloadCall() as lookup:
+                return self._look_up(item, lookup)
+            case CountWaitingCall() as count:
+                return [Respond(item.call_id, self._count(item, count))]
+            case AnnounceInstanceCall() as announcement:
+                return self._announce(item, announcement)
+            case LeaveInstanceCall() as leaving:
+                return self._leave(item, leaving)
+        return self._take_operator_call(item)
+
+    def _take_operator_call(self, item: CallInput) -> list[Effect]:
+        match item.body:
+            case PutDeclarationCall() as put:
+                return self._declare(item, put)
+            case ReadDeclarationCall():
+                return [Respond(item.call_id, self._read())]
+            case StartUpkeepCall() as start:
+                command = StartUpkeep(
+                    start.wave, start.machines, start.duration, start.max_down
+                )
+                return self._propose(item, command, f"wave {start.wave}")
+            case DescribeUpkeepCall(wave=wave):
+                return [Respond(item.call_id, self._describe_wave(wave))]
+        return []
+
+    def _refer(self) -> Answer:
+        answer = refuse(
+            ProblemType.NOT_LEADER,
+            Outcome.NOT_RUN,
+            "another daemon leads",
+            retry_after=RETRY_SECONDS,
+        )
+        headers = {**answer.headers, LEADER_HEADER: self._leadership.leader}
+        return Answer(answer.status, answer.body, headers=headers)
+
+    def _admit(
+        self, item: CallInput, host: str, path: str
+    ) -> tuple[DeclaredQueue, DeclaredTeam | None] | Answer:
+        if self._declarations.current is None:
+            detail = "no declaration is in force yet"
+            return refuse(
+                ProblemType.OVERLOADED,
+                Outcome.NOT_RUN,
+                detail,
+                retry_after=RETRY_SECONDS,
+            )
+        queue = self._declarations.find_queue(host, path)
+        if queue is None:
+            detail = f'no queue serves "{host}{path}"'
+            return refuse(ProblemType.NOT_FOUND, Outcome.NOT_RUN, detail)
+        team = self._declarations.find_team(item.credential)
+        if team is None and not queue.public:
+            detail = f'the key shown belongs to no team, queue "{queue.name}" needs one'
+            return refuse(ProblemType.UNAUTHENTICATED, Outcome.NOT_RUN, detail)
+        return queue, team
+
+    def _submit(
+        self, item: CallInput, call: SubmitWorkloadCall, now: float
+    ) -> list[Effect]:
+        admitted = self._admit(item, call.host, call.path)
+        if isinstance(admitted, Answer):
+            return self._answer(item, call.path, admitted)
+        queue, team = admitted
+        job = call.path[len(queue.prefix) :]
+        if not job or not call.steps:
+            detail = "a job needs an identifier and at least one step"
+            refusal = refuse(ProblemType.MALFORMED, Outcome.NOT_RUN, detail)
+            return self._answer(item, call.path, refusal)
+        if job in self._workloads.jobs:
+            return self._answer(item, job, Answer(200))
+        workload = Workload(
+            job=job,
+            queue=queue.name,
+            service=queue.service,
+            team=team.name if team else "",
+            spec=call.spec,
+            steps=call.steps,
+            first_run=call.first_run,
+            interval=call.interval,
+            occurrences=max(1, call.occurrences),
+            max_attempts=queue.max_attempts,
+        )
+        return self._propose(item, AcceptWorkload(workload), job)
+
+    def _look_up(
+        self, item: CallInput, call: DescribeWorkloadCall | CancelWorkloadCall
+    ) -> list[Effect]:
+        admitted = self._admit(item, call.host, call.path)
+        if isinstance(admitted, Answer):
+            return self._answer(item, call.path, admitted)
+        job = call.path[len(admitted[0].prefix) :]
+        workload = self._workloads.jobs.get(job)
+        if workload is None:
+            detail = f'job "{job}" does not exist'
+            refusal = refuse(ProblemType.GONE, Outcome.NOT_RUN, detail)
+            return self._answer(item, job, refusal)
+        if isinstance(call, DescribeWorkloadCall):
+            return [Respond(item.call_id, Answer(200, WorkloadAnswer(workload.state)))]
+        if workload.is_over:
+            return self._answer(item, job, Answer(200))
+        return self._propose(item, CancelWorkload(job), job)
+
+    def _count(self, item: CallInput, call: CountWaitingCall) -> Answer:
+        admitted = self._admit(item, call.host, call.path)
+        if isinstance(admitted, Answer):
+            return admitted
+        waiting = self._workloads.count_waiting(admitted[0].name)
+        return Answer(200, WaitingAnswer(waiting))
+
+    def _declare(self, item: CallInput, call: PutDeclarationCall) -> list[Effect]:
+        subject = f"version {call.declaration.version}"
+        if faults := find_faults(call.declaration):
+            answer = refuse(
+                ProblemType.INVALID_DECLARATION,
+                Outcome.NOT_RUN,
+                f"{subject} of the declaration is invalid",
+                errors=faults,
+            )
+            return self._answer(item, subject, answer)
+        if call.declaration.version <= self._declarations.version:
+            return self._answer(item, subject, Answer(200))
+        return self._propose(item, PutDeclaration(call.declaration), subject)
+
+    def _read(self) -> Answer:
+        current = self._declarations.current
+        if current is None:
+            return refuse(ProblemType.OVERLOADED, Outcome.NOT_RUN, "nothing declared")
+        return Answer(200, DeclarationAnswer(current.source))
+
+    def _describe_wave(self, wave: int) -> Answer:
+        known = self._upkeep.waves.get(wave)
+        if known is None:
+            detail = f"wave {wave} does not exist"
+            return refuse(ProblemType.NOT_FOUND, Outcome.NOT_RUN, detail)
+        return Answer(200, UpkeepAnswer(self._upkeep.is_completed(wave)))
+
+    def _announce(self, item: CallInput, call: AnnounceInstanceCall) -> list[Effect]:
+        registered = call.registered
+        known = self._workloads.instances.get(registered.life)
+        if self._workloads.is_outdated(registered):
+            return [Respond(item.call_id, Answer(200))]
+        if known is not None:
+            draining = known.draining or registered.draining
+            registered = msgspec.structs.replace(registered, draining=draining)
+        if known == registered:
+            return [Respond(item.call_id, Answer(200))]
+        command = RegisterInstance(registered)
+        return self._propose(item, command, registered.life)
+
+    def _leave(self, item: CallInput, call: LeaveInstanceCall) -> list[Effect]:
+        life = self._workloads.find_life(call.instance)
+        if life is None or (call.born and life.born != call.born):
+            return [Respond(item.call_id, Answer(200))]
+        return self._propose(item, RemoveInstance(life.life), life.life)
+
+    def _propose(
+        self, item: CallInput, command: msgspec.Struct, subject: str
+    ) -> list[Effect]:
+        token = f"{self.name}/{item.call_id}"
+        self._subjects[token] = subject
+        return [Propose(token, command, PROPOSAL_SECONDS)]
+
+    def _take_outcome(self, item: ProposalOutcome) -> list[Effect]:
+        call_id = int(item.token.partition("/")[2])
+        subject = self._subjects.pop(item.token, "")
+        match item.status:
+            case ProposalStatus.COMMITTED:
+                answer = Answer(200)
+            case ProposalStatus.REJECTED:
+                answer = refuse(ProblemType.GONE, Outcome.NOT_RUN, f"{subject}: gone")
+            case ProposalStatus.NOT_COMMITTED:
+                answer = self._refer()
+            case ProposalStatus.UNKNOWN:
+                detail = "not known to be committed; send the same call again"
+                answer = refuse(ProblemType.OUTCOME_UNKNOWN, Outcome.UNKNOWN, detail)
+        return [Respond(call_id, answer), self._record(subject, answer, item.index)]
+
+    def _answer(self, item: CallInput, subject: str, answer: Answer) -> list[Effect]:
+        return [Respond(item.call_id, answer), self._record(subject, answer, 0)]
+
+    def _record(self, subject: str, answer: Answer, index: int) -> Effect:
+        detail = getattr(answer.body, "detail", "")
+        attributes = {
+            "status": answer.status,
+            "index": index,
+            "version": self._declarations.version,
+            "reason": detail or "accepted",
+        }
+        return Record(Event.FLEET_CALL_DECIDED, subject, attributes)
--- a/src/gypsumwalk/leadership.py
+++ b/src/gypsumwalk/leadership.py
@@ -22,6 +22,12 @@
 HEARTBEAT_SECONDS = 0.3
 LEARNER_HEARTBEAT_SECONDS = 0.9
 LEARNER_EXPIRY_SECONDS = 30.0
+ANSWERING_SECONDS = 1.0
+"""A daemon that answered this lately, in seconds, counts as reachable."""
+MAX_MISSING_ENTRIES = 0
+"""A new disk votes only once it holds all that is committed."""
+REPLACE_SECONDS = 8.0
+"""Silence in seconds after which another daemon votes; longer than most cuts."""
 SNAPSHOT_RESEND_SECONDS = 1.0
 MAX_BATCH_BYTES = 256 * 1024
 MAX_BATCH_ENTRIES = 512
@@ -95,6 +101,50 @@
         best = max(able, key=lambda item: item.acknowledged, default=None)
         return best.name if best else ""
 
+    def find_better_voters(self, now: float) -> dict[str, str] | None:
+        """Return voters without a lost disk or a silent voter, or None if all is well.
+
+        Each answer differs from the present voters in one voter.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        dict of str to str or None
+            Identity of the disk of each voter, by name.
+        """
+        voters = self._replica.voters
+        if self._replica.voters_index > self.known_commit:
+            return None
+        able = {
+            item.name: item.identity
+            for item in self._progress.values()
+            if item.identity and self._has_caught_up(item, now)
+        }
+        for name, identity in able.items():
+            if voters.get(name, identity) != identity:
+                return {**voters, name: identity}
+        silent = [name for name in voters if self._is_silent(name, now)]
+        if len(silent) != 1:
+            return None
+        if len(voters) % 2 == 0:
+            return {name: voters[name] for name in voters if name not in silent}
+        spare = sorted(name for name in able if name not in voters)
+        return {**voters, spare[0]: able[spare[0]]} if spare else None
+
+    def _has_caught_up(self, item: Progress, now: float) -> bool:
+        missing = self._replica.commit - item.match
+        return missing <= MAX_MISSING_ENTRIES and now - item.heard < ANSWERING_SECONDS
+
+    def _is_silent(self, voter: str, now: float) -> bool:
+        item = self._progress.get(voter)
+        if voter == self._name or item is None:
+            return False
+        return now - item.heard > REPLACE_SECONDS
+
     def add_learner(self, name: str, now: float) -> None:
         """Begin to send the log to a daemon that asked for it."""
         if name not in self._progress:
@@ -283,7 +333,7 @@
 
     def _make_first_entry(self) -> Entry:
         voters = self._replica.voters
-        if all(voters.values()):
+        if all(voters.values()) and self._replica.voters_index:
             return Entry(0, 0, 0.0)
         identified = {voter: self._replica.identify(voter) for voter in voters}
         identified[self._name] = self._replica.identity
@@ -308,15 +358,19 @@
         filled = {}
         for voter, identity in voters.items():
             item = self._progress.get(voter)
-            known = self._replica.voters.get(voter) or identity
+            known = identity or self._replica.voters.get(voter, "")
             filled[voter] = known or (item.identity if item else "")
         return filled if all(filled.values()) else {}
 
     def _may_change(self, voters: dict[str, str]) -> bool:
         if self._replica.voters_index > self.known_commit:
             return False
-        old = set(self._replica.voters.items())
-        return len(old ^ set(voters.items())) == 1
+        old = self._replica.voters
+        if old.keys() == voters.keys():
+            # A disk was lost and the same daemon has a new one. The old one is in no
+            # quorum any more, so that this is a change of one voter too.
+            return sum(old[name] != voters[name] for name in old) == 1
+        return len(set(old.items()) ^ set(voters.items())) == 1
 
     def _append(self, entry: Entry, now: float) -> None:
         log = self._replica.log
--- a/src/gypsumwalk/problems.py
+++ b/src/gypsumwalk/problems.py
@@ -38,6 +38,9 @@
     OUTCOME_UNKNOWN = "outcome-unknown"
     LEAVING = "leaving"
     NO_QUORUM = "no-quorum"
+    NOT_LEADER = "not-leader"
+    GONE = "gone"
+    INVALID_DECLARATION = "invalid-declaration"
     CONFLICT = "conflict"
     INVALID_FOLDER = "invalid-folder"
     NEVER_RUNS = "never-runs"
@@ -61,6 +64,9 @@
     ProblemType.OUTCOME_UNKNOWN: 502,
     ProblemType.LEAVING: 503,
     ProblemType.NO_QUORUM: 503,
+    ProblemType.NOT_LEADER: 503,
+    ProblemType.GONE: 410,
+    ProblemType.INVALID_DECLARATION: 422,
     ProblemType.CONFLICT: 409,
     ProblemType.INVALID_FOLDER: 422,
     ProblemType.NEVER_RUNS: 422,
--- a/src/gypsumwalk/replica.py
+++ b/src/gypsumwalk/replica.py
@@ -1,6 +1,6 @@
 """Durable state of one replica: term, vote, log, snapshot and applied state."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from functools import reduce
 from operator import or_
 from typing import Annotated, Any, TypeVar
@@ -55,6 +55,8 @@
         Whether the disk may vote.
     registered : dict of str to str
         Identities of the other voters' disks.
+    first_voters : dict of str to str
+        Voters at the first start, as settings may name others later.
     """
 
     identity: str
@@ -62,6 +64,7 @@
     voted_for: str = ""
     admitted: bool = False
     registered: dict[str, str] = {}
+    first_voters: dict[str, str] = {}
 
 
 class SnapshotContent(msgspec.Struct, frozen=True):
@@ -92,8 +95,9 @@
         Content of the data folder.
     identity : str
         Identity for a disk that has none yet; empty without a disk.
-    voters : Sequence of str
-        Voters at the first start of the system.
+    voters : Mapping of str to str
+        Voters at the first start of the system, each with the identity of its disk
+        or an empty text.
     proposals : Proposals
         Proposals of this daemon, told of each command applied.
     """
@@ -103,7 +107,7 @@
         state: ReplicatedState,
         recovered: Recovered,
         identity: str,
-        voters: Sequence[str],
+        voters: Mapping[str, str],
         proposals: Proposals,
     ) -> None:
         self.state = state
@@ -119,8 +123,8 @@
         self._log_file = 0
         self._file_base = 0
         self._bytes = 0
-        self._voter_changes = [(0, dict.fromkeys(voters, ""))]
-        self.vote = _recover_vote(recovered, identity)
+        self.vote = _recover_vote(recovered, Vote(identity, first_voters=dict(voters)))
+        self._voter_changes = [(0, self.vote.first_voters or dict(voters))]
         self._recover(recovered)
         durable = self.log.last_index
         self.storage = Storage(enabled=bool(identity), durable=durable)
@@ -354,10 +358,10 @@
         self._note_voters(entries)
 
 
-def _recover_vote(recovered: Recovered, identity: str) -> Vote:
+def _recover_vote(recovered: Recovered, new: Vote) -> Vote:
     if content := recovered.files.get(VOTE_FILE):
         return _decode(content, Vote, VOTE_FILE)
-    return Vote(identity)
+    return new
 
 
 def _decode(content: bytes, kind: type[_Stored], file: str) -> _Stored:
--- /dev/null
+++ b/src/gypsumwalk/scheduler.py
@@ -0,0 +1,284 @@
+"""Scheduler of a fleet: which waiting tasks start now, and where."""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from gypsumwalk.declaration_records import Resources
+from gypsumwalk.declarations import DeclarationSection
+from gypsumwalk.leases import LeaseBook, RunState, RunView
+from gypsumwalk.placing import Candidate, choose_instance, find_need, list_ready
+from gypsumwalk.workload_records import Placement, Step, TaskKey, Workload
+from gypsumwalk.workloads import WorkloadSection
+
+__all__ = ["PlannedRun", "Scheduler"]
+
+NEVER = float("inf")
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedRun:
+    """A run that was chosen, and its placement for the log."""
+
+    run: RunView
+    placement: Placement
+
+
+class Scheduler:
+    """Chooses runs by priority and age, within room, quotas and spreads.
+
+    Parameters
+    ----------
+    declarations : DeclarationSection
+        Declaration in force.
+    workloads : WorkloadSection
+        Jobs and instances.
+    """
+
+    def __init__(
+        self, declarations: DeclarationSection, workloads: WorkloadSection
+    ) -> None:
+        self.cordoned: set[str] = set()
+        self._declarations = declarations
+        self._workloads = workloads
+        self._ready: dict[str, list[TaskKey]] = {}
+        self._stale: set[str] = set()
+        self._next_time = NEVER
+
+    def reset(self) -> None:
+        """Look at every job anew, as another term has begun."""
+        self._ready.clear()
+        self._stale = set(self._workloads.open)
+        self._next_time = NEVER
+
+    def touch(self, job: str) -> None:
+        """Look at a job anew in the next pass."""
+        self._stale.add(job)
+
+    def is_time_due(self, now: float) -> bool:
+        """Tell whether an occurrence of a job has become due."""
+        if now < self._next_time:
+            return False
+        self._next_time = NEVER
+        self._stale |= set(self._workloads.open)
+        return True
+
+    def adopt(self, placement: Placement, book: LeaseBook) -> None:
+        """Note a run that an earlier leader placed.
+
+        Parameters
+        ----------
+        placement : Placement
+            Its placement.
+        book : LeaseBook
+            Book of the present leader.
+        """
+        workload = self._workloads.jobs[placement.task.job]
+        run = _make_run(workload, placement, RunState.UNCONFIRMED)
+        run.stopping = workload.is_over
+        book.add(run)
+
+    def choose(self, book: LeaseBook, now: float) -> list[PlannedRun]:
+        """Choose what starts now, and note it in the book as planned.
+
+        Parameters
+        ----------
+        book : LeaseBook
+            What may be running.
+        now : float
+            Time in seconds since the epoch.
+
+        Returns
+        -------
+        list of PlannedRun
+            The runs.
+        """
+        self._refresh(book, now)
+        pools = self._find_pools(book, now)
+        planned: list[PlannedRun] = []
+        for workload in self._sort_waiting():
+            candidates = pools.get(self._find_service(workload), {})
+            if candidates:
+                planned += self._choose_for(workload, candidates, book)
+        return planned
+
+    def _refresh(self, book: LeaseBook, now: float) -> None:
+        for job in self._stale:
+            workload = self._workloads.open.get(job)
+            ready = list(list_ready(workload, book, now)) if workload else []
+            if ready:
+                self._ready[job] = ready
+            else:
+                self._ready.pop(job, None)
+            if workload:
+                self._note_next_time(workload, now)
+        self._stale.clear()
+
+    def _note_next_time(self, workload: Workload, now: float) -> None:
+        for occurrence in range(workload.occurrences):
+            due = workload.first_run + occurrence * workload.interval
+            if due > now:
+                self._next_time = min(self._next_time, due)
+                return
+
+    def _sort_waiting(self) -> list[Workload]:
+        waiting = [self._workloads.open[job] for job in self._ready]
+        return sorted(waiting, key=self._rank)
+
+    def _rank(self, workload: Workload) -> tuple[int, float, str]:
+        queue = self._declarations.get_queue(workload.queue)
+        priority = queue.priority if queue else 0
+        return priority, workload.accepted, workload.job
+
+    def _find_service(self, workload: Workload) -> str:
+        queue = self._declarations.get_queue(workload.queue)
+        return queue.service if queue else workload.service
+
+    def _find_pools(
+        self, book: LeaseBook, now: float
+    ) -> dict[str, dict[str, Candidate]]:
+        pools: dict[str, dict[str, Candidate]] = {}
+        for life, view in book.instances.items():
+            registered = view.registered
+            if registered.draining or registered.machine in self.cordoned:
+                continue
+            if not view.is_responsive or now < view.rejected_until:
+                continue
+            free = registered.capacity - view.used
+            serving = sum(self._is_serving(run) for run in view.runs.values())
+            pool = pools.setdefault(registered.service, {})
+            pool[life] = Candidate(view, free, serving)
+        return pools
+
+    def _is_serving(self, run: RunView) -> bool:
+        workload = self._workloads.jobs.get(run.task.job)
+        return bool(workload and workload.steps[run.task.step].latency_target)
+
+    def _choose_for(
+        self, workload: Workload, candidates: dict[str, Candidate], book: LeaseBook
+    ) -> list[PlannedRun]:
+        planned: list[PlannedRun] = []
+        ready = self._ready.pop(workload.job)
+        left: list[TaskKey] = []
+        steps: dict[tuple[int, int], list[TaskKey]] = {}
+        for task in ready:
+            steps.setdefault((task.occurrence, task.step), []).append(task)
+        for tasks in steps.values():
+            step = workload.steps[tasks[0].step]
+            if step.gang:
+                chosen = self._choose_gang(workload, step, tasks, candidates, book)
+            else:
+                chosen = self._choose_tasks(workload, step, tasks, candidates, book)
+            left += tasks[len(chosen) :]
+            planned += chosen
+        if left:
+            self._ready[workload.job] = left
+        return planned
+
+    def _choose_tasks(
+        self,
+        workload: Workload,
+        step: Step,
+        tasks: list[TaskKey],
+        candidates: dict[str, Candidate],
+        book: LeaseBook,
+    ) -> list[PlannedRun]:
+        planned: list[PlannedRun] = []
+        same = _count_same(tasks[0], book)
+        for task, number in zip(
+            tasks, _number_runs(workload, step, tasks), strict=True
+        ):
+            if not self._has_quota(workload.team, step, book):
+                break
+            chosen = choose_instance(
+                step, candidates, lambda item: same[item.view.registered.life]
+            )
+            if chosen is None:
+                break
+            same[chosen.view.registered.life] += 1
+            life = chosen.view.registered.life
+            placement = Placement(task, number, life)
+            run = _make_run(workload, placement, RunState.PLANNED)
+            book.add(run)
+            chosen.free -= run.need
+            planned.append(PlannedRun(run, placement))
+        return planned
+
+    def _choose_gang(
+        self,
+        workload: Workload,
+        step: Step,
+        tasks: list[TaskKey],
+        candidates: dict[str, Candidate],
+        book: LeaseBook,
+    ) -> list[PlannedRun]:
+        if len(tasks) < step.count:
+            return []
+        racks = {item.view.registered.rack for item in candidates.values()}
+        for rack in sorted(racks):
+            near = {
+                life: item
+                for life, item in candidates.items()
+                if item.view.registered.rack == rack
+            }
+            if planned := self._try_gang(workload, step, tasks, near, book):
+                return planned
+        return self._try_gang(workload, step, tasks, candidates, book)
+
+    def _try_gang(
+        self,
+        workload: Workload,
+        step: Step,
+        tasks: list[TaskKey],
+        candidates: dict[str, Candidate],
+        book: LeaseBook,
+    ) -> list[PlannedRun]:
+        planned = self._choose_tasks(workload, step, tasks, candidates, book)
+        if len(planned) == len(tasks):
+            return planned
+        for item in planned:
+            book.remove(item.run)
+            candidate = candidates[item.run.life]
+            candidate.free += item.run.need
+        return []
+
+    def _has_quota(self, team: str, step: Step, book: LeaseBook) -> bool:
+        declared = self._declarations.get_team(team)
+        if declared is None:
+            return True
+        used = book.by_team.get(team, Resources()) + step.need
+        quota = declared.quota
+        return (
+            (not quota.cpu or used.cpu <= quota.cpu)
+            and (not quota.memory or used.memory <= quota.memory)
+            and (not quota.accelerators or used.accelerators <= quota.accelerators)
+        )
+
+
+def _make_run(workload: Workload, placement: Placement, state: RunState) -> RunView:
+    step = workload.steps[placement.task.step]
+    return RunView(
+        task=placement.task,
+        run=placement.run,
+        life=placement.life,
+        need=find_need(step),
+        team=workload.team,
+        charge=step.need,
+        state=state,
+    )
+
+
+def _count_same(task: TaskKey, book: LeaseBook) -> Counter[str]:
+    same: Counter[str] = Counter()
+    for key, runs in book.by_task.items():
+        if key[:3] == task[:3]:
+            same.update(run.life for run in runs.values())
+    return same
+
+
+def _number_runs(workload: Workload, step: Step, tasks: list[TaskKey]) -> list[int]:
+    numbers = []
+    for task in tasks:
+        record = workload.tasks.get((task.occurrence, task.step, task.number))
+        numbers.append((record.run if record else 0) + 1)
+    # All members of a gang have the same number.
+    return [max(numbers)] * len(numbers) if step.gang else numbers
--- a/src/gypsumwalk/settings.py
+++ b/src/gypsumwalk/settings.py
@@ -62,7 +62,7 @@
     data_folder : str
         Folder for durable state; empty on an instance without a disk.
     record_folder : str
-        Folder for log and time line files; empty writes to the standard error.
+        Folder for log and time line files; empty writes to the standard output.
     platform_url : str
         Base URL of the platform's API; empty where there is none.
     caller_threads : int
--- a/src/gypsumwalk/views.py
+++ b/src/gypsumwalk/views.py
@@ -109,6 +109,11 @@
         """Name of the leader as last known, or empty."""
         ...
 
+    @property
+    def term(self) -> int:
+        """Latest term seen."""
+        ...
+
     def holds_lease(self, now: float) -> bool:
         """Tell whether this daemon leads and no other can lead at this time."""
         ...
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -9,9 +9,9 @@
 import msgspec
 
 from gypsumwalk.drivers.connections import ReceiveWatch
-from gypsumwalk.drivers.daemon import limit_callers
 from gypsumwalk.drivers.metrics import Metrics
 from gypsumwalk.drivers.server import HttpServer, ServerLimits, WebApplication
+from gypsumwalk.drivers.standard_kit import limit_callers
 from gypsumwalk.effects import Answer
 from gypsumwalk.endpoints import Audience, BodyKind, Endpoint, EndpointTable
 from gypsumwalk.settings import Settings
