Take machines down for waves within their bounds and budgets

Change: the leader cordons the machines that are due, evacuates lasting tasks while their step has nobody else away, commits the beginning, orders the maintenance and notes it.

--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -162,6 +162,15 @@
     INSTANCE_READ = EventEntry(
         5009, Level.INFO, "the instance answers and has {runs} runs"
     )
+    RUN_EVACUATED = EventEntry(
+        5010, Level.INFO, "run {run} is stopped to empty machine {machine}"
+    )
+    MAINTENANCE_ORDERED = EventEntry(
+        5011, Level.INFO, "the machine is ordered down for wave {wave}"
+    )
+    MAINTENANCE_ANSWERED = EventEntry(
+        5012, Level.INFO, "order of wave {wave} was answered: {outcome}"
+    )
     WAVE_STARTED = EventEntry(4201, Level.INFO, "run {run} of the wave started")
     WAVE_PAUSED = EventEntry(4202, Level.WARNING, "the wave is paused: {reason}")
 
--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -8,6 +8,7 @@
 from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.dispatcher import Dispatcher
 from gypsumwalk.fleet_desk import FleetDesk
+from gypsumwalk.machine_keeper import MachineKeeper
 from gypsumwalk.node import Node
 from gypsumwalk.part import Part
 from gypsumwalk.recovery import Recovered
@@ -107,11 +108,21 @@
             workloads=self.workloads,
             upkeep=self.upkeep,
         )
+        machines = MachineKeeper(
+            daemon=settings.name,
+            leadership=self.consensus,
+            workloads=self.workloads,
+            upkeep=self.upkeep,
+            dispatcher=self.dispatcher,
+            scheduler=self.scheduler,
+            maintenance=limits.maintenance,
+        )
         keeper = VoterKeeper(settings.name, self.consensus)
         parts: list[Part] = [
             self.consensus,
             self.desk,
             self.dispatcher,
+            machines,
             keeper,
             Retirement(),
         ]
--- /dev/null
+++ b/src/gypsumwalk/machine_keeper.py
@@ -0,0 +1,348 @@
+"""Leader's care for machines: maintenance waves within their bounds and budgets."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from gypsumwalk.dispatcher import Dispatcher
+from gypsumwalk.effects import CallPlatform, Effect, Propose, Record, Scalar
+from gypsumwalk.events import Event
+from gypsumwalk.inputs import Committed, Input, PlatformOutcome, ProposalOutcome
+from gypsumwalk.instance_actions import (
+    ListMachines,
+    MachineInfo,
+    MachineList,
+    MachineReport,
+    MaintainMachine,
+)
+from gypsumwalk.leases import RunState, RunView
+from gypsumwalk.scheduler import Scheduler
+from gypsumwalk.upkeep import (
+    BeginMaintenance,
+    NoteMaintained,
+    UpkeepSection,
+    UpkeepWave,
+)
+from gypsumwalk.views import LeadershipView
+from gypsumwalk.workload_records import RegisteredInstance, RemoveInstance, TaskKey
+from gypsumwalk.workloads import WorkloadSection
+
+__all__ = ["MachineKeeper"]
+
+CHECK_SECONDS = 0.1
+"""Interval of steps of a wave; short against the 2 s that a maintenance takes."""
+
+LIST_SECONDS = 2.0
+"""Interval of reading the list of machines while a wave is open."""
+
+TAKEOVER_SECONDS = 3.2
+"""A new leader orders nothing for this time, as holders must not take turns faster."""
+
+CALL_SECONDS = 2.0
+"""Timeout of one call to the API of machines, which may be slow."""
+
+RETRY_SECONDS = 1.0
+"""Time in seconds before an order without success is sent again."""
+
+PROPOSAL_SECONDS = 2.0
+"""A command not committed by then is proposed again in a later step."""
+
+MISSING_SECONDS = 10.0
+"""A machine that is not back by then has failed and is not down for the wave."""
+
+RETURN_SECONDS = 1.0
+"""Time in seconds after its maintenance in which a new instance announces itself."""
+
+RESERVE_SECONDS = 4.0
+"""Time in seconds before the end of a wave at which tasks are not waited for."""
+
+FULL_PERCENT = 100
+
+
+class MachineKeeper:
+    """The part that takes machines down for waves while this daemon leads.
+
+    Parameters
+    ----------
+    daemon : str
+        Name of the daemon, which is the holder of its orders.
+    leadership : LeadershipView
+        Leadership of the replicated log.
+    workloads : WorkloadSection
+        Jobs and instances.
+    upkeep : UpkeepSection
+        Maintenance waves.
+    dispatcher : Dispatcher
+        What runs where, and the way to stop it.
+    scheduler : Scheduler
+        Told which machines get no new work.
+    maintenance : float
+        Time in seconds that the maintenance of a machine takes.
+    """
+
+    name = "machines"
+    accepts: tuple[type, ...] = (BeginMaintenance,)
+
+    def __init__(
+        self,
+        *,
+        daemon: str,
+        leadership: LeadershipView,
+        workloads: WorkloadSection,
+        upkeep: UpkeepSection,
+        dispatcher: Dispatcher,
+        scheduler: Scheduler,
+        maintenance: float,
+    ) -> None:
+        self._daemon = daemon
+        self._leadership = leadership
+        self._workloads = workloads
+        self._upkeep = upkeep
+        self._dispatcher = dispatcher
+        self._scheduler = scheduler
+        self._maintenance = maintenance
+        self._machines: dict[str, MachineInfo] = {}
+        self._term = 0
+        self._orders_from = 0.0
+        self._listed_at = float("-inf")
+        self._list_open = False
+        self._ordered: dict[str, float] = {}
+        self._open: dict[str, tuple[int, str]] = {}
+        self._noting: set[str] = set()
+        self._count = 0
+        self._due = 0.0
+
+    @property
+    def wakeup(self) -> float:
+        """Time in seconds of the next step."""
+        return self._due
+
+    def handle(self, item: Input, now: float) -> Sequence[Effect]:
+        """Take in the end of a call, or a committed beginning of a maintenance."""
+        if self._dispatcher.term == 0 or self._dispatcher.term != self._term:
+            return []
+        match item:
+            case Committed(command=BeginMaintenance() as command):
+                return self._order(command.wave, command.machine, now)
+            case PlatformOutcome():
+                return self._take_outcome(item, now)
+            case ProposalOutcome():
+                self._noting.discard(item.token)
+        return []
+
+    def advance(self, now: float) -> Sequence[Effect]:
+        """Take the next steps of the open waves."""
+        self._due = now + CHECK_SECONDS
+        if not self._dispatcher.term or not self._dispatcher.is_leading(now):
+            return []
+        if self._dispatcher.term != self._term:
+            self._begin_term(now)
+        waves = self._upkeep.list_open()
+        if not waves:
+            self._scheduler.cordoned.clear()
+            return []
+        effects = self._list(now)
+        if now < self._orders_from or not self._machines:
+            return effects
+        for wave in waves:
+            effects += self._step(wave, now)
+        return effects
+
+    def _begin_term(self, now: float) -> None:
+        self._term = self._dispatcher.term
+        self._orders_from = now + TAKEOVER_SECONDS
+        self._machines = {}
+        self._listed_at = float("-inf")
+        self._list_open = False
+        self._ordered.clear()
+        self._open.clear()
+        self._noting.clear()
+
+    def _list(self, now: float) -> list[Effect]:
+        if self._list_open or now - self._listed_at < LIST_SECONDS:
+            return []
+        self._list_open = True
+        self._listed_at = now
+        return [CallPlatform(f"{self.name}/list", ListMachines(), CALL_SECONDS)]
+
+    # Steps of a wave
+
+    def _step(self, wave: UpkeepWave, now: float) -> list[Effect]:
+        effects = self._drop_missing(wave)
+        remaining = [item for item in wave.remaining if item in self._machines]
+        effects += self._resend_orders(wave, remaining, now)
+        down = sum(self._is_down(wave, machine, now) for machine in wave.begun)
+        due = [item for item in remaining if item not in wave.begun]
+        due.sort(key=self._count_runs)
+        chosen = due[: wave.max_down]
+        self._scheduler.cordoned = set(chosen) | {
+            machine for machine in wave.begun if self._is_down(wave, machine, now)
+        }
+        hurried = now > wave.started + wave.duration - self._find_time_needed(wave, due)
+        for machine in chosen:
+            effects += self._empty(machine, now)
+            if down >= wave.max_down or not self._may_take_down(machine, hurried):
+                continue
+            down += 1
+            effects += self._begin(wave, machine)
+        return effects
+
+    def _find_time_needed(self, wave: UpkeepWave, due: list[str]) -> float:
+        rounds = -(-len(due) // wave.max_down)
+        return rounds * (self._maintenance + RETURN_SECONDS) + RESERVE_SECONDS
+
+    def _is_down(self, wave: UpkeepWave, machine: str, now: float) -> bool:
+        begun = wave.begun[machine]
+        if now > begun.at + self._maintenance + MISSING_SECONDS:
+            return False
+        instance = self._find_instance(machine)
+        if instance is not None and instance.life != begun.life:
+            return False
+        returned = now > begun.at + self._maintenance + RETURN_SECONDS
+        # A machine whose pool is off comes back without an instance.
+        return begun.life != "" or not returned or machine not in wave.maintained
+
+    def _find_instance(self, machine: str) -> RegisteredInstance | None:
+        lives = [
+            item
+            for item in self._workloads.instances.values()
+            if item.machine == machine
+        ]
+        return max(lives, key=lambda item: item.born, default=None)
+
+    def _list_runs(self, machine: str) -> list[RunView]:
+        instance = self._find_instance(machine)
+        view = self._dispatcher.book.instances.get(instance.life) if instance else None
+        return list(view.runs.values()) if view else []
+
+    def _count_runs(self, machine: str) -> tuple[bool, int]:
+        instance = self._find_instance(machine)
+        unavailable = instance is not None and instance.draining
+        return unavailable, len(self._list_runs(machine))
+
+    def _empty(self, machine: str, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for run in self._list_runs(machine):
+            if run.stopping or run.state is not RunState.RUNNING:
+                continue
+            if self._is_lasting(run) and self._may_interrupt(run):
+                attributes: dict[str, Scalar] = {"run": run.run, "machine": machine}
+                effects.append(Record(Event.RUN_EVACUATED, str(run.task), attributes))
+                effects += self._dispatcher.stop(run, now)
+        return effects
+
+    def _is_lasting(self, run: RunView) -> bool:
+        workload = self._workloads.jobs.get(run.task.job)
+        return bool(workload and workload.steps[run.task.step].lasting)
+
+    def _may_interrupt(self, run: RunView) -> bool:
+        workload = self._workloads.jobs[run.task.job]
+        step = workload.steps[run.task.step]
+        if step.max_unavailable < 0:
+            return True
+        at_work = 0
+        for number in range(step.count):
+            task = run.task._replace(number=number)
+            if number != run.task.number and self._is_at_work(task):
+                at_work += 1
+        return step.count - 1 - at_work < step.max_unavailable
+
+    def _is_at_work(self, task: TaskKey) -> bool:
+        runs = self._dispatcher.book.by_task.get(task, {})
+        return any(
+            run.state is RunState.RUNNING
+            and run.seen_at > 0
+            and run.percent >= FULL_PERCENT
+            and not run.stopping
+            for run in runs.values()
+        )
+
+    def _may_take_down(self, machine: str, hurried: bool) -> bool:
+        info = self._machines[machine]
+        if info.state != "up":
+            return False
+        runs = self._list_runs(machine)
+        if any(self._is_lasting(run) for run in runs):
+            return False
+        return hurried or not runs
+
+    def _begin(self, wave: UpkeepWave, machine: str) -> list[Effect]:
+        token = f"{self.name}/begin/{wave.wave}/{machine}"
+        if token in self._noting:
+            return []
+        self._noting.add(token)
+        instance = self._find_instance(machine)
+        command = BeginMaintenance(
+            wave.wave, machine, instance.life if instance else ""
+        )
+        return [Propose(token, command, PROPOSAL_SECONDS)]
+
+    def _drop_missing(self, wave: UpkeepWave) -> list[Effect]:
+        gone = [item for item in wave.remaining if item not in self._machines]
+        return self._note(wave.wave, gone) if gone else []
+
+    def _note(self, wave: int, machines: list[str]) -> list[Effect]:
+        token = f"{self.name}/note/{wave}/{','.join(machines)}"
+        if token in self._noting:
+            return []
+        self._noting.add(token)
+        return [Propose(token, NoteMaintained(wave, machines), PROPOSAL_SECONDS)]
+
+    # Orders
+
+    def _resend_orders(
+        self, wave: UpkeepWave, remaining: list[str], now: float
+    ) -> list[Effect]:
+        effects: list[Effect] = []
+        for machine in remaining:
+            if machine not in wave.begun:
+                continue
+            if now - self._ordered.get(machine, float("-inf")) >= RETRY_SECONDS:
+                effects += self._order(wave.wave, machine, now)
+        return effects
+
+    def _order(self, wave: int, machine: str, now: float) -> list[Effect]:
+        if not self._dispatcher.is_leading(now) or now < self._orders_from:
+            return []
+        self._ordered[machine] = now
+        self._count += 1
+        token = f"{self.name}/order/{self._count}"
+        self._open[token] = (wave, machine)
+        action = MaintainMachine(machine, wave, self._daemon, self._term)
+        record = Record(Event.MAINTENANCE_ORDERED, machine, {"wave": wave})
+        return [record, CallPlatform(token, action, CALL_SECONDS)]
+
+    def _take_outcome(self, item: PlatformOutcome, now: float) -> list[Effect]:
+        if isinstance(item.report, MachineList):
+            self._list_open = False
+            self._machines = {info.machine: info for info in item.report.machines}
+            return []
+        if item.token == f"{self.name}/list":
+            self._list_open = False
+            return []
+        order = self._open.pop(item.token, None)
+        if order is None or not isinstance(item.report, MachineReport):
+            return []
+        return self._take_report(*order, item.report)
+
+    def _take_report(
+        self, wave: int, machine: str, report: MachineReport
+    ) -> list[Effect]:
+        attributes: dict[str, Scalar] = {
+            "wave": wave,
+            "outcome": report.refused or "done",
+        }
+        effects: list[Effect] = [
+            Record(Event.MAINTENANCE_ANSWERED, machine, attributes)
+        ]
+        if report.refused in ("busy", "limit", "fence"):
+            return effects
+        known = self._upkeep.waves.get(wave)
+        begun = known.begun.get(machine) if known else None
+        if begun is not None and begun.life and not report.refused:
+            effects.append(self._propose_end(begun.life))
+        return effects + self._note(wave, [machine])
+
+    def _propose_end(self, life: str) -> Propose:
+        command: msgspec.Struct = RemoveInstance(life)
+        return Propose(f"{self.name}/end/{life}", command, PROPOSAL_SECONDS)
--- a/src/gypsumwalk/scheduler.py
+++ b/src/gypsumwalk/scheduler.py
@@ -139,7 +139,9 @@
         pools: dict[str, dict[str, Candidate]] = {}
         for life, view in book.instances.items():
             registered = view.registered
-            if registered.draining or registered.machine in self.cordoned:
+            if registered.draining:
+                continue
+            if registered.machine and registered.machine in self.cordoned:
                 continue
             if not view.is_responsive or now < view.rejected_until:
                 continue
--- a/src/gypsumwalk/upkeep.py
+++ b/src/gypsumwalk/upkeep.py
@@ -4,7 +4,13 @@
 
 from gypsumwalk.state import Accepted
 
-__all__ = ["NoteMaintained", "StartUpkeep", "UpkeepSection", "UpkeepWave"]
+__all__ = [
+    "BeginMaintenance",
+    "NoteMaintained",
+    "StartUpkeep",
+    "UpkeepSection",
+    "UpkeepWave",
+]
 
 
 class StartUpkeep(msgspec.Struct, frozen=True, tag=True):
@@ -16,6 +22,24 @@
     max_down: int
 
 
+class BeginMaintenance(msgspec.Struct, frozen=True, tag=True):
+    """Command: note that a machine is about to be taken down for a wave.
+
+    Attributes
+    ----------
+    wave : int
+        Number of the wave.
+    machine : str
+        The machine.
+    life : str
+        Life of the instance on it, empty if there is none.
+    """
+
+    wave: int
+    machine: str
+    life: str
+
+
 class NoteMaintained(msgspec.Struct, frozen=True, tag=True):
     """Command: note that machines of a wave have begun their maintenance, or left."""
 
@@ -23,6 +47,13 @@
     machines: list[str]
 
 
+class BegunMaintenance(msgspec.Struct, frozen=True):
+    """A machine that was to be taken down: the life on it then, and the time."""
+
+    life: str
+    at: float
+
+
 class UpkeepWave(msgspec.Struct):
     """One wave.
 
@@ -40,6 +71,8 @@
         Most machines that may be down for it at once.
     maintained : list of str
         Machines that have begun their maintenance, or have left the fleet.
+    begun : dict of str to BegunMaintenance
+        Machines that were ordered down, whether or not the order was answered.
     """
 
     wave: int
@@ -48,6 +81,7 @@
     duration: float
     max_down: int
     maintained: list[str] = []
+    begun: dict[str, BegunMaintenance] = {}
 
     @property
     def remaining(self) -> list[str]:
@@ -59,7 +93,7 @@
     """All waves."""
 
     name = "upkeep"
-    commands: tuple[type, ...] = (StartUpkeep, NoteMaintained)
+    commands: tuple[type, ...] = (StartUpkeep, BeginMaintenance, NoteMaintained)
 
     def __init__(self) -> None:
         self.waves: dict[int, UpkeepWave] = {}
@@ -76,7 +110,11 @@
                         command.duration,
                         max(1, command.max_down),
                         [],
+                        {},
                     )
+            case BeginMaintenance(wave=wave, machine=machine, life=life):
+                if (known := self.waves.get(wave)) and machine not in known.begun:
+                    known.begun[machine] = BegunMaintenance(life, at)
             case NoteMaintained(wave=wave, machines=machines):
                 known = self.waves.get(wave)
                 if known is not None:
