--- /dev/null
+++ b/tests/_fleet_work.py
@@ -0,0 +1,196 @@
+"""Daemons that keep a fleet, over the emulated platform, on the paused clock."""
+
+from random import Random
+
+from gypsumwalk.declaration_records import (
+    Declaration,
+    DeclaredQueue,
+    DeclaredService,
+    DeclaredTeam,
+    Resources,
+)
+from gypsumwalk.emulator import EmulatedPlatform
+from gypsumwalk.fleet_assembly import FleetAssembly, FleetLimits
+from gypsumwalk.fleet_calls import (
+    AnnounceInstanceCall,
+    CancelWorkloadCall,
+    DescribeWorkloadCall,
+    PutDeclarationCall,
+    ReadDeclarationCall,
+    StartUpkeepCall,
+    SubmitWorkloadCall,
+)
+from gypsumwalk.recovery import Recovered
+from gypsumwalk.settings import PeerSettings, Settings
+from gypsumwalk.workload_records import RegisteredInstance, Step
+from tests._world import World
+
+KEY = "key-of-a-team"
+HOST = "jobs.example"
+HEARTBEAT_SECONDS = 1.5
+CAPACITY = Resources(8000, 16000)
+
+
+def make_declaration(version=1, *, quota=Resources(), attempts=3):
+    queues = [
+        DeclaredQueue(
+            f"queue-{name}",
+            HOST,
+            f"/{name}/",
+            f"service-{name}",
+            timeout=3.0,
+            max_attempts=attempts,
+        )
+        for name in ("a", "b")
+    ]
+    services = [DeclaredService("service-a"), DeclaredService("service-b")]
+    teams = [DeclaredTeam("team", [KEY], 1.0, quota)]
+    return Declaration(version, queues, services, teams, f"source {version}")
+
+
+class FleetWorld(World):
+    """Three voters, a platform with a few instances, and callers."""
+
+    def __init__(self, seed=0, *, instances=3, length=0.5, daemons=3):
+        self.seed = seed
+        self.length = length
+        self.lengths = {}
+        self.assemblies = {}
+        self.first_start = True
+        self.names = [f"v{number}" for number in range(daemons)]
+        self.model = EmulatedPlatform(Random(f"platform {seed}"), self._find_length)
+        self.model.on_maintenance = self._return_later
+        super().__init__(self._build_node, seed=seed, platform=self.model)
+        for name in self.names:
+            self.add(name, data_centre=f"dc-{name}")
+        for number in range(instances):
+            self.start_instance(number)
+        self.schedule(0.1, self._beat)
+        self.first_start = False
+
+    def _find_length(self, task, run):
+        return self.lengths.get((task, run), (self.length, "done"))
+
+    def _build_node(self, name, recovered, incarnation):
+        voters = self.names[:3]
+        settings = Settings(
+            name=name,
+            data_centre="dc",
+            caller_port=1,
+            peer_port=2,
+            peers=[
+                PeerSettings(
+                    name=voter,
+                    data_centre="dc",
+                    address=voter,
+                    peer_port=2,
+                    voter=True,
+                )
+                for voter in voters
+            ],
+            cluster_secret="0123456789abcdef",
+            data_folder="data",
+        )
+        assembly = FleetAssembly(
+            settings,
+            FleetLimits(max_lease=6.0),
+            incarnation=incarnation,
+            recovered=recovered or Recovered(),
+            random=Random(f"{self.seed}/{name}/{incarnation}"),
+            first_start=self.first_start,
+        )
+        self.assemblies[name] = assembly
+        return assembly.node
+
+    # Instances
+
+    def start_instance(self, number, *, life=1, service="service-a"):
+        registered = RegisteredInstance(
+            instance=f"i-{number}",
+            born=1000 + life,
+            service=service,
+            address=f"host-{number}:80",
+            data_centre="dc",
+            capacity=CAPACITY,
+            labels=["a", f"rack-{number // 2}"],
+            machine=f"m-{number}",
+        )
+        return self.model.add(registered, self.now)
+
+    def get_instance(self, number):
+        return self.model.instances[f"host-{number}:80"]
+
+    def _return_later(self, machine, now):
+        number = int(machine.partition("-")[2])
+        life = int(now) % 100000
+        self.schedule(2.0, lambda: self.start_instance(number, life=life))
+
+    def _beat(self):
+        for instance in list(self.model.instances.values()):
+            if not instance.dead and not instance.silent:
+                leader = self.find_leader()
+                if leader:
+                    self.call(AnnounceInstanceCall(instance.registered), to=leader)
+        self.schedule(HEARTBEAT_SECONDS, self._beat)
+
+    # Daemons
+
+    def find_leader(self):
+        for name, daemon in self.daemons.items():
+            own = daemon.read_clock(self.now)
+            if not daemon.alive or daemon.paused:
+                continue
+            if self.assemblies[name].consensus.holds_lease(own):
+                return name
+        return ""
+
+    def get_leader(self):
+        return self.assemblies[self.find_leader()]
+
+    def begin(self, **declared):
+        assert self.run_until(self.find_leader, within=10.0)
+        self.declare(make_declaration(**declared))
+        self.run(2.0)
+
+    # Callers
+
+    def ask(self, body, *, key=KEY, within=3.0):
+        """Make a call to the leader, as the relay does, and wait for its answer."""
+        assert self.run_until(self.find_leader, within=10.0)
+        call = self.call(body, to=self.find_leader(), credential=key)
+        self.run_until(lambda: call.ended, within=within)
+        return call.answer
+
+    def declare(self, declaration):
+        return self.ask(PutDeclarationCall(declaration))
+
+    def read_declaration(self):
+        return self.ask(ReadDeclarationCall())
+
+    def submit(self, job, steps=None, *, queue="a", key=KEY, **fields):
+        steps = steps or [Step(2, Resources(1000, 1000))]
+        call = SubmitWorkloadCall(
+            HOST, f"/{queue}/{job}", f"spec {job}", steps, **fields
+        )
+        return self.ask(call, key=key)
+
+    def describe(self, job, *, queue="a", key=KEY):
+        return self.ask(DescribeWorkloadCall(HOST, f"/{queue}/{job}"), key=key)
+
+    def cancel(self, job, *, queue="a"):
+        return self.ask(CancelWorkloadCall(HOST, f"/{queue}/{job}"))
+
+    def start_wave(self, wave, machines, *, duration=30.0, max_down=1):
+        return self.ask(StartUpkeepCall(wave, machines, duration, max_down))
+
+    def get_state(self, job):
+        answer = self.describe(job)
+        return answer.body.state.value if answer and answer.status == 200 else ""
+
+    def await_state(self, job, state, *, within=20.0):
+        end = self.now + within
+        while self.now < end:
+            if self.get_state(job) == state:
+                return True
+            self.run(0.1)
+        return False
--- /dev/null
+++ b/tests/_fleet_work_checks.py
@@ -0,0 +1,86 @@
+"""Checks of what instances really ran; they share no code with the decisions."""
+
+from collections import Counter
+
+
+def find_doubles(history, forever=float("inf")):
+    """Return tasks of which two runs overlapped, or one began after a done end."""
+    found = []
+    by_task = {}
+    for execution in history:
+        by_task.setdefault(execution.task, []).append(execution)
+    for task, runs in by_task.items():
+        runs.sort(key=lambda item: item.started)
+        for earlier, later in zip(runs, runs[1:], strict=False):
+            end = forever if earlier.ended is None else earlier.ended
+            if later.started < end:
+                found.append((task, earlier.run, later.run, "overlap"))
+            done = earlier.how == "done" and earlier.acknowledged
+            if earlier.ended is not None and done:
+                found.append((task, earlier.run, later.run, "after done"))
+    return found
+
+
+def find_overloads(history, needs, capacity):
+    """Return starts that brought an instance over its capacity."""
+    found = []
+    for execution in history:
+        at = execution.started
+        used = sum(
+            needs(item.task)
+            for item in history
+            if item.life == execution.life
+            and item.started <= at
+            and (item.ended is None or item.ended > at)
+        )
+        if used > capacity:
+            found.append((execution.task, execution.life, used))
+    return found
+
+
+def find_excess(history, needs, quota):
+    """Return starts that brought what runs above a quota and one task more."""
+    found = []
+    for execution in history:
+        at = execution.started
+        used = sum(
+            needs(item.task)
+            for item in history
+            if item.started <= at and (item.ended is None or item.ended > at)
+        )
+        if used > quota * 1.1 + needs(execution.task):
+            found.append((execution.task, used))
+    return found
+
+
+def find_early(history, after):
+    """Return starts before all tasks of the steps before them had ended well."""
+    found = []
+    for execution in history:
+        job, occurrence, step, _ = execution.task.split(".")
+        for earlier, count in after(int(step)):
+            prefix = f"{job}.{occurrence}.{earlier}."
+            done = {
+                item.task
+                for item in history
+                if item.task.startswith(prefix)
+                and item.how == "done"
+                and item.ended is not None
+                and item.ended <= execution.started
+            }
+            if len(done) < count:
+                found.append((execution.task, earlier))
+    return found
+
+
+def find_overspent(history, attempts):
+    """Return tasks that were started after as many failures as are allowed."""
+    failures = Counter(
+        item.task for item in history if item.how == "failed" and item.ended is not None
+    )
+    starts = Counter(item.task for item in history)
+    return [
+        task
+        for task, count in failures.items()
+        if count > attempts or (count == attempts and starts[task] > attempts)
+    ]
--- a/tests/_world.py
+++ b/tests/_world.py
@@ -415,7 +415,12 @@
             delay, outcome = self.platform.call(effect, self.now)
         if delay > effect.timeout:
             delay, outcome = effect.timeout, unknown
-        self.schedule(delay, lambda: self.deliver(daemon, outcome, epoch=epoch))
+
+        def arrive():
+            found = outcome(self.now) if callable(outcome) else outcome
+            self.deliver(daemon, found, epoch=epoch)
+
+        self.schedule(delay, arrive)
 
     def _report(self):
         self.schedule(1.0, self._report)
--- /dev/null
+++ b/tests/test_fleet_work.py
@@ -0,0 +1,297 @@
+"""Tests of jobs on a fleet: the whole path on the paused clock."""
+
+import unittest
+
+from gypsumwalk.declaration_records import Resources
+from gypsumwalk.workload_records import Step
+from tests._fleet_work import KEY, FleetWorld, make_declaration
+from tests._fleet_work_checks import (
+    find_doubles,
+    find_early,
+    find_excess,
+    find_overloads,
+    find_overspent,
+)
+
+JOB = "00000000000000aa"
+NEED = Resources(2000, 1000)
+
+
+class TestCalmDay(unittest.TestCase):
+    def test_a_job_of_two_steps_completes_in_order(self):
+        world = FleetWorld()
+        world.begin()
+        steps = [Step(3, NEED), Step(2, NEED, after=[0])]
+        assert world.submit(JOB, steps).status == 200
+        assert world.await_state(JOB, "completed", within=3.0)
+        history = world.model.history
+        assert len(history) == 5
+        assert find_early(history, lambda step: [(0, 3)] if step == 1 else []) == []
+        assert find_doubles(history) == []
+
+    def test_the_first_task_starts_at_once(self):
+        world = FleetWorld()
+        world.begin()
+        world.submit(JOB)
+        sent = world.now
+        world.run(0.1)
+        assert world.model.history[0].started - sent < 0.05
+
+    def test_the_same_identifier_is_the_same_job(self):
+        world = FleetWorld()
+        world.begin()
+        for _ in range(3):
+            assert world.submit(JOB).status == 200
+        world.await_state(JOB, "completed")
+        assert world.submit(JOB).status == 200
+        world.run(2.0)
+        assert len(world.model.history) == 2
+
+    def test_capacity_bounds_what_runs(self):
+        world = FleetWorld(instances=2)
+        world.begin()
+        world.submit(JOB, [Step(20, NEED)])
+        assert world.await_state(JOB, "completed")
+        assert find_overloads(world.model.history, lambda task: 2000, 8000) == []
+
+    def test_a_quota_bounds_what_a_team_runs(self):
+        world = FleetWorld()
+        world.begin(quota=Resources(4000, 0))
+        world.submit(JOB, [Step(10, NEED)])
+        assert world.await_state(JOB, "completed")
+        assert find_excess(world.model.history, lambda task: 2000, 4000) == []
+
+    def test_a_task_that_always_fails_ends_the_job(self):
+        world = FleetWorld()
+        world.begin(attempts=3)
+        for run in range(1, 10):
+            world.lengths[f"{JOB}.0.0.0", run] = (0.1, "failed")
+        world.submit(JOB, [Step(1, NEED)])
+        assert world.await_state(JOB, "failed")
+        world.run(3.0)
+        assert len(world.model.history) == 3
+        assert find_overspent(world.model.history, 3) == []
+
+    def test_spread_bounds_tasks_on_one_instance(self):
+        world = FleetWorld()
+        world.begin()
+        world.submit(JOB, [Step(3, NEED, max_per_instance=1)])
+        assert world.await_state(JOB, "completed")
+        assert len({item.life for item in world.model.history}) == 3
+
+    def test_an_occurrence_starts_when_it_is_due(self):
+        world = FleetWorld()
+        world.begin()
+        due = world.now + 2.0
+        world.submit(JOB, [Step(1, NEED)], first_run=due, interval=3.0, occurrences=2)
+        assert world.await_state(JOB, "completed")
+        starts = [item.started for item in world.model.history]
+        assert starts[0] >= due
+        assert starts[1] >= due + 3.0
+        assert starts[0] - due < 0.1
+
+    def test_a_gang_starts_with_one_number(self):
+        world = FleetWorld()
+        world.begin()
+        world.lengths[f"{JOB}.0.0.0", 1] = (0.2, "failed")
+        world.submit(JOB, [Step(3, NEED, gang=True)])
+        world.run(0.1)
+        assert {item.run for item in world.model.history} == {1}
+        assert len(world.model.history) == 3
+
+
+class TestCalls(unittest.TestCase):
+    def test_a_key_of_no_team_is_refused(self):
+        world = FleetWorld()
+        world.begin()
+        assert world.submit(JOB, key="another").status == 401
+        assert world.describe(JOB, key="another").status == 401
+
+    def test_an_unknown_queue_or_job_is_named(self):
+        world = FleetWorld()
+        world.begin()
+        assert world.submit(JOB, queue="none").status == 404
+        answer = world.describe(JOB)
+        assert answer.status == 410
+        assert JOB in answer.body.detail
+
+    def test_a_cancelled_job_is_stopped(self):
+        world = FleetWorld(length=60.0)
+        world.begin()
+        world.submit(JOB)
+        world.run(1.0)
+        assert world.cancel(JOB).status == 200
+        world.run(0.5)
+        assert world.get_state(JOB) == "cancelled"
+        assert all(item.how == "stopped" for item in world.model.history)
+        assert world.cancel(JOB).status == 200
+
+    def test_nothing_is_taken_before_a_declaration(self):
+        world = FleetWorld()
+        world.run_until(world.find_leader, within=10.0)
+        answer = world.submit(JOB)
+        assert answer.status == 503
+        assert "Retry-After" in answer.headers
+
+    def test_a_daemon_that_does_not_lead_names_the_leader(self):
+        world = FleetWorld()
+        world.begin()
+        leader = world.find_leader()
+        other = next(name for name in world.names if name != leader)
+        from gypsumwalk.fleet_calls import ReadDeclarationCall
+
+        call = world.call(ReadDeclarationCall(), to=other, credential=KEY)
+        world.run_until(lambda: call.ended, within=1.0)
+        assert call.answer.status == 503
+        assert call.answer.headers["Gypsumwalk-Leader"] == leader
+
+
+class TestDeclarations(unittest.TestCase):
+    def test_the_highest_version_is_in_force(self):
+        world = FleetWorld()
+        world.begin()
+        assert world.declare(make_declaration(7)).status == 200
+        assert world.declare(make_declaration(3)).status == 200
+        assert world.read_declaration().body.source == "source 7"
+
+    def test_an_invalid_one_is_refused_whole(self):
+        world = FleetWorld()
+        world.begin()
+        bad = make_declaration(9)
+        bad.queues.append(bad.queues[0])
+        answer = world.declare(bad)
+        assert answer.status == 422
+        assert 'queue "queue-a" stands twice' in answer.body.errors
+        assert world.read_declaration().body.source == "source 1"
+
+
+class TestInstances(unittest.TestCase):
+    def test_a_crashed_instance_loses_no_task(self):
+        world = FleetWorld(length=3.0)
+        world.begin()
+        world.submit(JOB)
+        world.run(1.0)
+        lives = {item.life for item in world.model.history}
+        for number in range(3):
+            instance = world.get_instance(number)
+            if instance.registered.life in lives:
+                world.model.crash(instance, world.now)
+                break
+        assert world.await_state(JOB, "completed", within=20.0)
+        assert find_doubles(world.model.history) == []
+
+    def test_a_silent_instance_runs_on_until_its_lease_ends(self):
+        world = FleetWorld(length=60.0)
+        world.begin()
+        world.submit(JOB, [Step(1, NEED, lasting=True)])
+        world.run(1.0)
+        instance = next(item for item in world.model.instances.values() if item.running)
+        instance.silent = True
+        world.run(15.0)
+        runs = world.model.history
+        assert len(runs) == 2
+        assert runs[0].how == "lapsed"
+        assert find_doubles(runs) == []
+
+    def test_an_order_carried_out_late_starts_nothing_twice(self):
+        world = FleetWorld(length=1.0)
+        world.begin()
+        for instance in world.model.instances.values():
+            instance.lateness = 3.0
+        world.submit(JOB)
+        world.run(2.0)
+        for instance in world.model.instances.values():
+            instance.lateness = 0.0
+        assert world.await_state(JOB, "completed")
+        world.run(5.0)
+        assert find_doubles(world.model.history) == []
+
+    def test_a_reborn_instance_has_lost_its_runs(self):
+        world = FleetWorld(length=3.0)
+        world.begin()
+        world.submit(JOB, [Step(3, NEED, max_per_instance=1)])
+        world.run(1.0)
+        world.start_instance(0, life=2)
+        assert world.await_state(JOB, "completed", within=15.0)
+        assert find_doubles(world.model.history) == []
+
+
+class TestChangeOfLeader(unittest.TestCase):
+    def test_a_new_leader_goes_on_without_doubles(self):
+        world = FleetWorld(length=2.0)
+        world.begin()
+        world.submit(JOB, [Step(6, NEED), Step(3, NEED, after=[0])])
+        world.run(1.0)
+        world.kill(world.find_leader())
+        assert world.await_state(JOB, "completed", within=20.0)
+        history = world.model.history
+        assert len(history) == 9
+        assert find_doubles(history) == []
+
+    def test_all_daemons_lose_power_and_nothing_accepted_is_lost(self):
+        world = FleetWorld(length=2.0)
+        world.begin()
+        world.submit(JOB)
+        world.declare(make_declaration(5))
+        for name in world.names:
+            world.kill(name)
+        world.run(1.0)
+        for name in world.names:
+            world.restart(name)
+        assert world.read_declaration().body.source == "source 5"
+        assert world.await_state(JOB, "completed", within=20.0)
+        assert find_doubles(world.model.history) == []
+
+    def test_a_wiped_disk_votes_again_by_itself(self):
+        world = FleetWorld()
+        world.begin()
+        leader = world.find_leader()
+        other = next(name for name in world.names if name != leader)
+        world.lose_disk(other)
+        world.run(0.5)
+        world.restart(other)
+        world.run(4.0)
+        voters = world.get_leader().consensus.replica.voters
+        assert sorted(voters) == world.names
+        assert voters[other] != f"first-{other}"
+        third = next(name for name in world.names if name not in (leader, other))
+        world.kill(third)
+        world.run(3.0)
+        assert world.declare(make_declaration(5)).status == 200
+
+    def test_a_frozen_leader_gives_no_orders_after_it_thaws(self):
+        world = FleetWorld(length=2.0)
+        world.begin()
+        world.submit(JOB, [Step(6, NEED), Step(3, NEED, after=[0])])
+        world.run(1.0)
+        frozen = world.find_leader()
+        world.pause(frozen)
+        world.run(4.0)
+        world.resume(frozen)
+        assert world.await_state(JOB, "completed", within=20.0)
+        assert find_doubles(world.model.history) == []
+
+
+class TestWaves(unittest.TestCase):
+    def test_a_wave_keeps_its_bound_and_the_budget_of_lasting_tasks(self):
+        world = FleetWorld(length=1000.0, instances=4)
+        world.begin()
+        step = Step(3, NEED, max_per_instance=1, lasting=True, max_unavailable=1)
+        world.submit(JOB, [step])
+        world.run(2.0)
+        machines = [f"m-{number}" for number in range(4)]
+        assert world.start_wave(1, machines, duration=40.0).status == 200
+        world.run(40.0)
+        downs = [at for at, _, _ in world.model.maintained]
+        assert sorted(machine for _, _, machine in world.model.maintained) == machines
+        gaps = [
+            later - earlier for earlier, later in zip(downs, downs[1:], strict=False)
+        ]
+        assert min(gaps) >= 2.0
+        assert find_doubles(world.model.history) == []
+        holders = {holder for _, _, holder, _ in world.model.machine_orders}
+        assert len(holders) == 1
+
+
+if __name__ == "__main__":
+    unittest.main()
