--- a/tests/_fleet_work.py
+++ b/tests/_fleet_work.py
@@ -31,7 +31,10 @@
 CAPACITY = Resources(8000, 16000)
 
 
-def make_declaration(version=1, *, quota=Resources(), attempts=3):
+NO_QUOTA = Resources()
+
+
+def make_declaration(version=1, *, quota=NO_QUOTA, attempts=3):
     queues = [
         DeclaredQueue(
             f"queue-{name}",
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,175 @@
+"""Tests of the translation between the platform's calls and the product's."""
+
+import sys
+import unittest
+from pathlib import Path
+
+import msgspec
+
+from gypsumwalk.declaration_records import Resources
+from gypsumwalk.effects import Answer
+from gypsumwalk.errors import BadBoundary
+from gypsumwalk.fleet_calls import (
+    AnnounceInstanceCall,
+    CancelWorkloadCall,
+    CountWaitingCall,
+    DescribeUpkeepCall,
+    DescribeWorkloadCall,
+    PutDeclarationCall,
+    StartUpkeepCall,
+    SubmitWorkloadCall,
+    UpkeepAnswer,
+    WaitingAnswer,
+    WorkloadAnswer,
+)
+from gypsumwalk.workload_records import WorkloadState
+
+FOLDER = str(Path(__file__).parent.parent / "platform")
+if FOLDER not in sys.path:
+    sys.path.append(FOLDER)
+
+from adapter_calls import (  # noqa: E402
+    decode_caller_call,
+    decode_control_call,
+    encode_answer,
+)
+from adapter_settings import PlatformSettings, make_product_settings  # noqa: E402
+
+JOB = "5c0e7a21d94b36f8"
+HEADERS = {"host": "jobs.example:8340"}
+BEAT = {
+    "service": "s",
+    "address": "10.0.0.9:8080",
+    "zone": "z",
+    "state": "ready",
+    "born": 1700000000000,
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 1},
+    "labels": ["a", "r1-3"],
+    "machine": "m-1",
+    "sequence": 4,
+    "unknown": "is ignored",
+}
+
+
+def encode(value):
+    return msgspec.json.encode(value)
+
+
+class TestCallerCalls(unittest.TestCase):
+    def test_a_job_is_decoded(self):
+        body = encode(
+            {
+                "spec": "text",
+                "steps": [
+                    {"count": 4, "cpu": 500, "mem_mb": 256, "estimated_ms": 900},
+                    {"count": 2, "depends_on": [0], "long_running": True},
+                ],
+                "first_run_ms": 2000,
+                "interval_ms": 500,
+                "repeat_count": 3,
+            }
+        )
+        call = decode_caller_call("POST", f"/a/{JOB}", HEADERS, body)
+        assert isinstance(call, SubmitWorkloadCall)
+        assert call.host == "jobs.example"
+        assert call.steps[0].need == Resources(500, 256, 0)
+        assert call.steps[0].estimate == 0.9
+        assert call.steps[1].lasting
+        assert call.steps[1].after == [0]
+        assert (call.first_run, call.interval, call.occurrences) == (2.0, 0.5, 3)
+
+    def test_the_other_calls_are_decoded(self):
+        path = f"/a/{JOB}"
+        describe = decode_caller_call("GET", path, HEADERS, b"")
+        assert describe == DescribeWorkloadCall("jobs.example", path)
+        cancel = decode_caller_call("DELETE", path, HEADERS, b"")
+        assert cancel == CancelWorkloadCall("jobs.example", path)
+        count = decode_caller_call("GET", "/a/", HEADERS, b"")
+        assert count == CountWaitingCall("jobs.example", "/a/")
+        assert decode_caller_call("PATCH", path, HEADERS, b"") is None
+
+    def test_a_body_that_does_not_fit_is_named(self):
+        with self.assertRaisesRegex(BadBoundary, "steps"):
+            decode_caller_call("POST", f"/a/{JOB}", HEADERS, b'{"steps": 3}')
+
+
+class TestControlCalls(unittest.TestCase):
+    def test_a_heartbeat_is_decoded(self):
+        path = "/instances/i-1/heartbeat"
+        call = decode_control_call("POST", path, encode(BEAT))
+        assert isinstance(call, AnnounceInstanceCall)
+        assert call.registered.life == "i-1@1700000000000"
+        assert call.registered.rack == "r1-3"
+        assert not call.registered.draining
+
+    def test_foreign_heartbeats_name_no_instance(self):
+        path = "/instances/i-1/heartbeat"
+        for change in (
+            {"state": "odd"},
+            {"service": 3},
+            {"born": "x"},
+            {"labels": 1},
+        ):
+            with self.assertRaises(BadBoundary):
+                decode_control_call("POST", path, encode(BEAT | change))
+        with self.assertRaises(BadBoundary):
+            decode_control_call("POST", path, b"\xff\x00")
+
+    def test_operators_calls_are_decoded(self):
+        configuration = {
+            "version": 7,
+            "routes": [
+                {
+                    "name": "r",
+                    "host": "h",
+                    "path_prefix": "/a/",
+                    "service": "s",
+                    "timeout_ms": 3000,
+                    "target_duration_ms": 600,
+                }
+            ],
+            "services": [{"name": "s", "standby": True}],
+            "tenants": [
+                {"name": "t", "api_keys": ["k"], "max_count": {"cpu": 5, "mem_mb": 6}}
+            ],
+        }
+        body = encode(configuration)
+        call = decode_control_call("POST", "/config/put", body)
+        assert isinstance(call, PutDeclarationCall)
+        declaration = call.declaration
+        assert declaration.queues[0].objective == 0.6
+        assert declaration.services[0].standby
+        assert declaration.teams[0].quota == Resources(5, 6, 0)
+        assert declaration.source == body.decode()
+        wave = {"wave": 1, "machines": ["m"], "duration_s": 20, "max_count": 2}
+        call = decode_control_call("POST", "/wave-start", encode(wave))
+        assert call == StartUpkeepCall(1, ["m"], 20.0, 2)
+        assert decode_control_call("GET", "/wave-get/1", b"") == DescribeUpkeepCall(1)
+        assert decode_control_call("GET", "/none", b"") is None
+
+
+class TestAnswers(unittest.TestCase):
+    def test_bodies_are_encoded(self):
+        running = Answer(200, WorkloadAnswer(WorkloadState.RUNNING))
+        assert encode_answer(running) == (200, b'{"state":"running"}')
+        assert encode_answer(Answer(200, WaitingAnswer(12))) == (200, b'{"pending":12}')
+        done = Answer(200, UpkeepAnswer(completed=True))
+        assert encode_answer(done) == (200, b'{"state":"completed"}')
+        assert encode_answer(Answer(200)) == (200, b"{}")
+
+
+class TestSettings(unittest.TestCase):
+    def test_seeds_are_the_first_voters(self):
+        settings = PlatformSettings(
+            ip="10.0.0.1",
+            zone="z",
+            seed_nodes=["10.0.0.1:80", "10.0.0.2:80"],
+            data_dir="/data",
+        )
+        product = make_product_settings(settings)
+        assert product.voters == ["10.0.0.1", "10.0.0.2"]
+        assert product.data_folder == "/data"
+
+
+if __name__ == "__main__":
+    unittest.main()
