Move machines to the demand, and let idle ones rest

Change: pooling.py sizes each pool by what runs and could run, within quotas; idle machines go to the neediest pool or rest in the standby pool; tasks go to the fullest machine with room.

--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -171,6 +171,10 @@
     MAINTENANCE_ANSWERED = EventEntry(
         5012, Level.INFO, "order of wave {wave} was answered: {outcome}"
     )
+    MACHINE_MOVED = EventEntry(
+        5013, Level.INFO, "the machine goes to pool {service}: {reason}"
+    )
+    MOVE_REFUSED = EventEntry(5014, Level.INFO, "the move was refused: {reason}")
     WAVE_STARTED = EventEntry(4201, Level.INFO, "run {run} of the wave started")
     WAVE_PAUSED = EventEntry(4202, Level.WARNING, "the wave is paused: {reason}")
 
--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -8,9 +8,11 @@
 from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.dispatcher import Dispatcher
 from gypsumwalk.fleet_desk import FleetDesk
+from gypsumwalk.machine_directory import MachineDirectory
 from gypsumwalk.machine_keeper import MachineKeeper
 from gypsumwalk.node import Node
 from gypsumwalk.part import Part
+from gypsumwalk.pool_keeper import PoolKeeper
 from gypsumwalk.recovery import Recovered
 from gypsumwalk.replay import ReplayWindow
 from gypsumwalk.retirement import Retirement
@@ -108,21 +110,33 @@
             workloads=self.workloads,
             upkeep=self.upkeep,
         )
+        directory = MachineDirectory(self.workloads, self.dispatcher)
         machines = MachineKeeper(
             daemon=settings.name,
-            leadership=self.consensus,
             workloads=self.workloads,
             upkeep=self.upkeep,
             dispatcher=self.dispatcher,
             scheduler=self.scheduler,
+            directory=directory,
             maintenance=limits.maintenance,
         )
+        pools = PoolKeeper(
+            daemon=settings.name,
+            declarations=self.declarations,
+            workloads=self.workloads,
+            upkeep=self.upkeep,
+            dispatcher=self.dispatcher,
+            scheduler=self.scheduler,
+            directory=directory,
+        )
         keeper = VoterKeeper(settings.name, self.consensus)
         parts: list[Part] = [
             self.consensus,
             self.desk,
             self.dispatcher,
+            directory,
             machines,
+            pools,
             keeper,
             Retirement(),
         ]
--- /dev/null
+++ b/src/gypsumwalk/machine_directory.py
@@ -0,0 +1,81 @@
+"""Leader's list of the machines of a fleet, read again while it is needed."""
+
+from collections.abc import Sequence
+
+from gypsumwalk.dispatcher import Dispatcher
+from gypsumwalk.effects import CallPlatform, Effect
+from gypsumwalk.inputs import Input, PlatformOutcome
+from gypsumwalk.instance_actions import ListMachines, MachineInfo, MachineList
+from gypsumwalk.workload_records import RegisteredInstance
+from gypsumwalk.workloads import WorkloadSection
+
+__all__ = ["MachineDirectory"]
+
+LIST_SECONDS = 1.0
+"""Interval of reading the list; a move takes 1.5 s and a maintenance 2 s."""
+
+CALL_SECONDS = 2.0
+"""Timeout of one call to the API of machines, which may be slow."""
+
+CHECK_SECONDS = 0.1
+"""Interval of checks."""
+
+
+class MachineDirectory:
+    """The part that keeps the list of machines while this daemon leads.
+
+    Parameters
+    ----------
+    workloads : WorkloadSection
+        Jobs and instances.
+    dispatcher : Dispatcher
+        Tells whether this daemon leads.
+    """
+
+    name = "directory"
+    accepts: tuple[type, ...] = ()
+
+    def __init__(self, workloads: WorkloadSection, dispatcher: Dispatcher) -> None:
+        self.machines: dict[str, MachineInfo] = {}
+        self.read_at = float("-inf")
+        self._workloads = workloads
+        self._dispatcher = dispatcher
+        self._term = 0
+        self._asked_at = float("-inf")
+        self._due = 0.0
+
+    @property
+    def wakeup(self) -> float:
+        """Time in seconds of the next check."""
+        return self._due
+
+    def handle(self, item: Input, now: float) -> Sequence[Effect]:
+        """Take in a list."""
+        if isinstance(item, PlatformOutcome) and isinstance(item.report, MachineList):
+            self.machines = {info.machine: info for info in item.report.machines}
+            # What the list shows is as old as its question.
+            self.read_at = self._asked_at
+        return []
+
+    def advance(self, now: float) -> Sequence[Effect]:
+        """Ask for the list, where that is due."""
+        self._due = now + CHECK_SECONDS
+        if not self._dispatcher.term or not self._dispatcher.is_leading(now):
+            return []
+        if self._dispatcher.term != self._term:
+            self._term = self._dispatcher.term
+            self.machines = {}
+            self._asked_at = float("-inf")
+        if now - self._asked_at < LIST_SECONDS:
+            return []
+        self._asked_at = now
+        return [CallPlatform(f"{self.name}/list", ListMachines(), CALL_SECONDS)]
+
+    def find_instance(self, machine: str) -> RegisteredInstance | None:
+        """Return the latest life of the instance on a machine."""
+        lives = [
+            item
+            for item in self._workloads.instances.values()
+            if item.machine == machine
+        ]
+        return max(lives, key=lambda item: item.born, default=None)
--- a/src/gypsumwalk/machine_keeper.py
+++ b/src/gypsumwalk/machine_keeper.py
@@ -7,15 +7,16 @@
 from gypsumwalk.dispatcher import Dispatcher
 from gypsumwalk.effects import CallPlatform, Effect, Propose, Record, Scalar
 from gypsumwalk.events import Event
-from gypsumwalk.inputs import Committed, Input, PlatformOutcome, ProposalOutcome
-from gypsumwalk.instance_actions import (
-    ListMachines,
-    MachineInfo,
-    MachineList,
-    MachineReport,
-    MaintainMachine,
+from gypsumwalk.inputs import (
+    Committed,
+    Input,
+    PlatformOutcome,
+    ProposalOutcome,
+    ProposalStatus,
 )
+from gypsumwalk.instance_actions import MachineReport, MaintainMachine
 from gypsumwalk.leases import RunState, RunView
+from gypsumwalk.machine_directory import MachineDirectory
 from gypsumwalk.scheduler import Scheduler
 from gypsumwalk.upkeep import (
     BeginMaintenance,
@@ -23,8 +24,7 @@
     UpkeepSection,
     UpkeepWave,
 )
-from gypsumwalk.views import LeadershipView
-from gypsumwalk.workload_records import RegisteredInstance, RemoveInstance, TaskKey
+from gypsumwalk.workload_records import RemoveInstance, TaskKey
 from gypsumwalk.workloads import WorkloadSection
 
 __all__ = ["MachineKeeper"]
@@ -32,9 +32,6 @@
 CHECK_SECONDS = 0.1
 """Interval of steps of a wave; short against the 2 s that a maintenance takes."""
 
-LIST_SECONDS = 2.0
-"""Interval of reading the list of machines while a wave is open."""
-
 TAKEOVER_SECONDS = 3.2
 """A new leader orders nothing for this time, as holders must not take turns faster."""
 
@@ -66,8 +63,6 @@
     ----------
     daemon : str
         Name of the daemon, which is the holder of its orders.
-    leadership : LeadershipView
-        Leadership of the replicated log.
     workloads : WorkloadSection
         Jobs and instances.
     upkeep : UpkeepSection
@@ -76,6 +71,8 @@
         What runs where, and the way to stop it.
     scheduler : Scheduler
         Told which machines get no new work.
+    directory : MachineDirectory
+        The machines.
     maintenance : float
         Time in seconds that the maintenance of a machine takes.
     """
@@ -87,26 +84,24 @@
         self,
         *,
         daemon: str,
-        leadership: LeadershipView,
         workloads: WorkloadSection,
         upkeep: UpkeepSection,
         dispatcher: Dispatcher,
         scheduler: Scheduler,
+        directory: MachineDirectory,
         maintenance: float,
     ) -> None:
         self._daemon = daemon
-        self._leadership = leadership
         self._workloads = workloads
         self._upkeep = upkeep
         self._dispatcher = dispatcher
         self._scheduler = scheduler
+        self._directory = directory
         self._maintenance = maintenance
-        self._machines: dict[str, MachineInfo] = {}
         self._term = 0
         self._orders_from = 0.0
-        self._listed_at = float("-inf")
-        self._list_open = False
         self._ordered: dict[str, float] = {}
+        self._lives: dict[str, str] = {}
         self._open: dict[str, tuple[int, str]] = {}
         self._noting: set[str] = set()
         self._count = 0
@@ -126,8 +121,10 @@
                 return self._order(command.wave, command.machine, now)
             case PlatformOutcome():
                 return self._take_outcome(item, now)
-            case ProposalOutcome():
-                self._noting.discard(item.token)
+            case ProposalOutcome(token=token, status=status):
+                # A beginning that may still be committed counts as down.
+                if status is not ProposalStatus.UNKNOWN:
+                    self._noting.discard(token)
         return []
 
     def advance(self, now: float) -> Sequence[Effect]:
@@ -141,9 +138,9 @@
         if not waves:
             self._scheduler.cordoned.clear()
             return []
-        effects = self._list(now)
-        if now < self._orders_from or not self._machines:
-            return effects
+        if now < self._orders_from or not self._directory.machines:
+            return []
+        effects: list[Effect] = []
         for wave in waves:
             effects += self._step(wave, now)
         return effects
@@ -151,28 +148,26 @@
     def _begin_term(self, now: float) -> None:
         self._term = self._dispatcher.term
         self._orders_from = now + TAKEOVER_SECONDS
-        self._machines = {}
-        self._listed_at = float("-inf")
-        self._list_open = False
         self._ordered.clear()
+        self._lives.clear()
         self._open.clear()
         self._noting.clear()
 
-    def _list(self, now: float) -> list[Effect]:
-        if self._list_open or now - self._listed_at < LIST_SECONDS:
-            return []
-        self._list_open = True
-        self._listed_at = now
-        return [CallPlatform(f"{self.name}/list", ListMachines(), CALL_SECONDS)]
-
     # Steps of a wave
 
     def _step(self, wave: UpkeepWave, now: float) -> list[Effect]:
         effects = self._drop_missing(wave)
-        remaining = [item for item in wave.remaining if item in self._machines]
+        remaining = [
+            item for item in wave.remaining if item in self._directory.machines
+        ]
         effects += self._resend_orders(wave, remaining, now)
         down = sum(self._is_down(wave, machine, now) for machine in wave.begun)
-        due = [item for item in remaining if item not in wave.begun]
+        down += sum(self._is_beginning(wave, machine) for machine in remaining)
+        due = [
+            item
+            for item in remaining
+            if item not in wave.begun and item not in self._scheduler.leaving
+        ]
         due.sort(key=self._count_runs)
         chosen = due[: wave.max_down]
         self._scheduler.cordoned = set(chosen) | {
@@ -181,6 +176,8 @@
         hurried = now > wave.started + wave.duration - self._find_time_needed(wave, due)
         for machine in chosen:
             effects += self._empty(machine, now)
+            if self._is_beginning(wave, machine):
+                continue
             if down >= wave.max_down or not self._may_take_down(machine, hurried):
                 continue
             down += 1
@@ -195,28 +192,22 @@
         begun = wave.begun[machine]
         if now > begun.at + self._maintenance + MISSING_SECONDS:
             return False
-        instance = self._find_instance(machine)
-        if instance is not None and instance.life != begun.life:
-            return False
-        returned = now > begun.at + self._maintenance + RETURN_SECONDS
-        # A machine whose pool is off comes back without an instance.
-        return begun.life != "" or not returned or machine not in wave.maintained
-
-    def _find_instance(self, machine: str) -> RegisteredInstance | None:
-        lives = [
-            item
-            for item in self._workloads.instances.values()
-            if item.machine == machine
-        ]
-        return max(lives, key=lambda item: item.born, default=None)
+        if machine not in wave.maintained:
+            return True
+        life = self._lives.get(machine, begun.life)
+        if not life:
+            # A machine whose pool is off comes back without an instance.
+            return now <= begun.at + self._maintenance + RETURN_SECONDS
+        instance = self._directory.find_instance(machine)
+        return instance is None or instance.life == life
 
     def _list_runs(self, machine: str) -> list[RunView]:
-        instance = self._find_instance(machine)
+        instance = self._directory.find_instance(machine)
         view = self._dispatcher.book.instances.get(instance.life) if instance else None
         return list(view.runs.values()) if view else []
 
     def _count_runs(self, machine: str) -> tuple[bool, int]:
-        instance = self._find_instance(machine)
+        instance = self._directory.find_instance(machine)
         unavailable = instance is not None and instance.draining
         return unavailable, len(self._list_runs(machine))
 
@@ -258,7 +249,7 @@
         )
 
     def _may_take_down(self, machine: str, hurried: bool) -> bool:
-        info = self._machines[machine]
+        info = self._directory.machines[machine]
         if info.state != "up":
             return False
         runs = self._list_runs(machine)
@@ -266,19 +257,25 @@
             return False
         return hurried or not runs
 
+    def _is_beginning(self, wave: UpkeepWave, machine: str) -> bool:
+        if machine in wave.begun:
+            return False
+        return self._name_beginning(wave, machine) in self._noting
+
+    def _name_beginning(self, wave: UpkeepWave, machine: str) -> str:
+        return f"{self.name}/begin/{wave.wave}/{machine}"
+
     def _begin(self, wave: UpkeepWave, machine: str) -> list[Effect]:
-        token = f"{self.name}/begin/{wave.wave}/{machine}"
-        if token in self._noting:
-            return []
+        token = self._name_beginning(wave, machine)
         self._noting.add(token)
-        instance = self._find_instance(machine)
+        instance = self._directory.find_instance(machine)
         command = BeginMaintenance(
             wave.wave, machine, instance.life if instance else ""
         )
         return [Propose(token, command, PROPOSAL_SECONDS)]
 
     def _drop_missing(self, wave: UpkeepWave) -> list[Effect]:
-        gone = [item for item in wave.remaining if item not in self._machines]
+        gone = [item for item in wave.remaining if item not in self._directory.machines]
         return self._note(wave.wave, gone) if gone else []
 
     def _note(self, wave: int, machines: list[str]) -> list[Effect]:
@@ -305,6 +302,9 @@
         if not self._dispatcher.is_leading(now) or now < self._orders_from:
             return []
         self._ordered[machine] = now
+        if machine not in self._lives:
+            instance = self._directory.find_instance(machine)
+            self._lives[machine] = instance.life if instance else ""
         self._count += 1
         token = f"{self.name}/order/{self._count}"
         self._open[token] = (wave, machine)
@@ -313,13 +313,6 @@
         return [record, CallPlatform(token, action, CALL_SECONDS)]
 
     def _take_outcome(self, item: PlatformOutcome, now: float) -> list[Effect]:
-        if isinstance(item.report, MachineList):
-            self._list_open = False
-            self._machines = {info.machine: info for info in item.report.machines}
-            return []
-        if item.token == f"{self.name}/list":
-            self._list_open = False
-            return []
         order = self._open.pop(item.token, None)
         if order is None or not isinstance(item.report, MachineReport):
             return []
@@ -337,10 +330,9 @@
         ]
         if report.refused in ("busy", "limit", "fence"):
             return effects
-        known = self._upkeep.waves.get(wave)
-        begun = known.begun.get(machine) if known else None
-        if begun is not None and begun.life and not report.refused:
-            effects.append(self._propose_end(begun.life))
+        life = self._lives.get(machine, "")
+        if life and not report.refused:
+            effects.append(self._propose_end(life))
         return effects + self._note(wave, [machine])
 
     def _propose_end(self, life: str) -> Propose:
--- a/src/gypsumwalk/placing.py
+++ b/src/gypsumwalk/placing.py
@@ -84,8 +84,9 @@
 ) -> Candidate | None:
     """Choose an instance for one task.
 
-    The rack of the data goes first, then the instance with most processors left, so
-    that work spreads. Fillers avoid instances with tasks that have a latency target.
+    The rack of the data goes first, then the fullest instance that has room, so that
+    others become idle and can rest. Fillers avoid instances with tasks that have a
+    latency target.
 
     Parameters
     ----------
@@ -114,7 +115,7 @@
             continue
         near = not step.data_rack or step.data_rack in registered.labels
         crowding = candidate.serving if step.filler else 0
-        rank = (near, -crowding, candidate.free.cpu)
+        rank = (near, -crowding, -candidate.free.cpu)
         if best_rank is None or rank > best_rank:
             best, best_rank = candidate, rank
     return best
--- /dev/null
+++ b/src/gypsumwalk/pool_keeper.py
@@ -0,0 +1,230 @@
+"""Leader's care for pools: orders the moves of machines that the plan asks for."""
+
+from collections.abc import Sequence
+
+from gypsumwalk.declarations import DeclarationSection
+from gypsumwalk.dispatcher import Dispatcher
+from gypsumwalk.effects import CallPlatform, Effect, Propose, Record, Scalar
+from gypsumwalk.events import Event
+from gypsumwalk.inputs import Input, PlatformOutcome
+from gypsumwalk.instance_actions import MachineReport, MoveMachine
+from gypsumwalk.machine_directory import MachineDirectory
+from gypsumwalk.pooling import MachineMove, PoolDemand, PoolMachine, plan_moves
+from gypsumwalk.scheduler import Scheduler
+from gypsumwalk.upkeep import UpkeepSection
+from gypsumwalk.workload_records import RemoveInstance
+from gypsumwalk.workloads import WorkloadSection
+
+__all__ = ["PoolKeeper"]
+
+CHECK_SECONDS = 0.2
+"""Interval of plans; short against the 1.5 s that a move takes."""
+
+TAKEOVER_SECONDS = 3.2
+"""A new leader orders nothing for this time, as holders must not take turns faster."""
+
+CALL_SECONDS = 2.0
+"""Timeout of one call to the API of machines, which may be slow."""
+
+PROPOSAL_SECONDS = 2.0
+"""A command not committed by then is repeated by the instance's heartbeat."""
+
+ARRIVAL_SECONDS = 3.5
+"""Time in seconds in which a moved machine announces itself in its new pool."""
+
+RETURN_SECONDS = 3.0
+"""Time in seconds after which a machine is back from a maintenance of 2 s."""
+
+RETRY_SECONDS = 2.0
+"""Time in seconds for which a machine that refused a move is left alone."""
+
+NEVER = float("inf")
+
+
+class PoolKeeper:
+    """The part that moves machines between pools while this daemon leads.
+
+    Parameters
+    ----------
+    daemon : str
+        Name of the daemon, which is the holder of its orders.
+    declarations : DeclarationSection
+        Declaration in force.
+    workloads : WorkloadSection
+        Jobs and instances.
+    upkeep : UpkeepSection
+        Maintenance waves; machines that are down stay where they are.
+    dispatcher : Dispatcher
+        What runs where.
+    scheduler : Scheduler
+        Told which machines get no new work; tells the demand.
+    directory : MachineDirectory
+        The machines.
+    """
+
+    name = "poolkeeper"
+    accepts: tuple[type, ...] = ()
+
+    def __init__(
+        self,
+        *,
+        daemon: str,
+        declarations: DeclarationSection,
+        workloads: WorkloadSection,
+        upkeep: UpkeepSection,
+        dispatcher: Dispatcher,
+        scheduler: Scheduler,
+        directory: MachineDirectory,
+    ) -> None:
+        self._daemon = daemon
+        self._declarations = declarations
+        self._workloads = workloads
+        self._upkeep = upkeep
+        self._dispatcher = dispatcher
+        self._scheduler = scheduler
+        self._directory = directory
+        self._term = 0
+        self._orders_from = 0.0
+        self._idle_since: dict[str, float] = {}
+        self._moving: dict[str, tuple[str, float]] = {}
+        self._held_until: dict[str, float] = {}
+        self._open: dict[str, tuple[MachineMove, str]] = {}
+        self._count = 0
+        self._due = 0.0
+
+    @property
+    def wakeup(self) -> float:
+        """Time in seconds of the next plan."""
+        return self._due
+
+    def handle(self, item: Input, now: float) -> Sequence[Effect]:
+        """Take in the answer to an order."""
+        if not isinstance(item, PlatformOutcome):
+            return []
+        order = self._open.pop(item.token, None)
+        if order is None or self._dispatcher.term != self._term:
+            return []
+        return self._take_answer(*order, item, now)
+
+    def advance(self, now: float) -> Sequence[Effect]:
+        """Plan, and order the moves of the plan."""
+        self._due = now + CHECK_SECONDS
+        if not self._dispatcher.term or not self._dispatcher.is_leading(now):
+            return []
+        if self._dispatcher.term != self._term:
+            self._begin_term(now)
+        standby = self._find_standby()
+        if not standby or not self._directory.machines or now < self._orders_from:
+            return []
+        self._forget_arrived(now)
+        machines = self._describe_machines(now)
+        demands = self._find_demands(standby)
+        effects: list[Effect] = []
+        for move in plan_moves(machines, demands, standby, now):
+            effects += self._order(move, now)
+        return effects
+
+    def _begin_term(self, now: float) -> None:
+        self._term = self._dispatcher.term
+        self._orders_from = now + TAKEOVER_SECONDS
+        self._idle_since.clear()
+        self._moving.clear()
+        self._open.clear()
+        self._scheduler.leaving.clear()
+
+    def _find_standby(self) -> str:
+        current = self._declarations.current
+        services = current.services if current else []
+        return next((item.name for item in services if item.standby), "")
+
+    def _forget_arrived(self, now: float) -> None:
+        for machine, (service, since) in list(self._moving.items()):
+            info = self._directory.machines.get(machine)
+            instance = self._directory.find_instance(machine)
+            arrived = instance is not None and instance.service == service
+            listed = (
+                info is not None
+                and info.service == service
+                and info.state == "up"
+                and self._directory.read_at > since
+            )
+            if arrived or listed or now - since > ARRIVAL_SECONDS:
+                del self._moving[machine]
+                self._scheduler.leaving.discard(machine)
+                self._held_until[machine] = now + CHECK_SECONDS
+
+    def _describe_machines(self, now: float) -> list[PoolMachine]:
+        in_waves = {
+            machine for wave in self._upkeep.waves.values() for machine in wave.begun
+        }
+        in_waves -= self._find_returned(now)
+        in_waves |= self._scheduler.cordoned
+        described = []
+        for machine, info in self._directory.machines.items():
+            service = info.service
+            movable = info.state == "up" and machine not in in_waves
+            if machine in self._moving:
+                service, movable = self._moving[machine][0], False
+            elif info.state == "down":
+                continue
+            if now < self._held_until.get(machine, 0.0):
+                movable = False
+            idle_since = self._note_idle(machine, now)
+            described.append(
+                PoolMachine(machine, service, info.capacity.cpu, movable, idle_since)
+            )
+        return described
+
+    def _find_returned(self, now: float) -> set[str]:
+        return {
+            machine
+            for wave in self._upkeep.waves.values()
+            for machine, begun in wave.begun.items()
+            if machine in wave.maintained and now > begun.at + RETURN_SECONDS
+        }
+
+    def _note_idle(self, machine: str, now: float) -> float:
+        instance = self._directory.find_instance(machine)
+        view = self._dispatcher.book.instances.get(instance.life) if instance else None
+        if view is not None and (view.runs or not view.is_responsive):
+            self._idle_since.pop(machine, None)
+            return NEVER
+        return self._idle_since.setdefault(machine, now)
+
+    def _find_demands(self, standby: str) -> dict[str, PoolDemand]:
+        current = self._declarations.current
+        services = current.services if current else []
+        demands = {item.name: PoolDemand() for item in services if item.name != standby}
+        self._scheduler.add_demand(demands, self._dispatcher.book)
+        return demands
+
+    def _order(self, move: MachineMove, now: float) -> list[Effect]:
+        instance = self._directory.find_instance(move.machine)
+        self._moving[move.machine] = (move.service, now)
+        self._scheduler.leaving.add(move.machine)
+        self._idle_since.pop(move.machine, None)
+        self._count += 1
+        token = f"{self.name}/order/{self._count}"
+        self._open[token] = (move, instance.life if instance else "")
+        action = MoveMachine(move.machine, move.service, self._daemon, self._term)
+        attributes: dict[str, Scalar] = {"service": move.service, "reason": move.reason}
+        record = Record(Event.MACHINE_MOVED, move.machine, attributes)
+        return [record, CallPlatform(token, action, CALL_SECONDS)]
+
+    def _take_answer(
+        self, move: MachineMove, life: str, item: PlatformOutcome, now: float
+    ) -> list[Effect]:
+        report = item.report
+        if not isinstance(report, MachineReport):
+            # It may have been carried out: the list of machines will show it.
+            return []
+        if report.refused:
+            self._moving.pop(move.machine, None)
+            self._scheduler.leaving.discard(move.machine)
+            self._held_until[move.machine] = now + RETRY_SECONDS
+            attributes: dict[str, Scalar] = {"reason": report.refused}
+            return [Record(Event.MOVE_REFUSED, move.machine, attributes)]
+        if not life:
+            return []
+        token = f"{self.name}/end/{life}"
+        return [Propose(token, RemoveInstance(life), PROPOSAL_SECONDS)]
--- a/src/gypsumwalk/scheduler.py
+++ b/src/gypsumwalk/scheduler.py
@@ -1,16 +1,18 @@
 """Scheduler of a fleet: which waiting tasks start now, and where."""
 
 from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.leases import LeaseBook, RunState, RunView
 from gypsumwalk.placing import Candidate, choose_instance, find_need, list_ready
+from gypsumwalk.pooling import PoolDemand
 from gypsumwalk.workload_records import Placement, Step, TaskKey, Workload
 from gypsumwalk.workloads import WorkloadSection
 
-__all__ = ["PlannedRun", "Scheduler"]
+__all__ = ["PlannedRun", "Scheduler", "is_within"]
 
 NEVER = float("inf")
 
@@ -38,6 +40,9 @@
         self, declarations: DeclarationSection, workloads: WorkloadSection
     ) -> None:
         self.cordoned: set[str] = set()
+        """Machines that get no new work, as a wave takes them down next."""
+        self.leaving: set[str] = set()
+        """Machines that get no new work, as they are changing their pool."""
         self._declarations = declarations
         self._workloads = workloads
         self._ready: dict[str, list[TaskKey]] = {}
@@ -101,6 +106,44 @@
                 planned += self._choose_for(workload, candidates, book)
         return planned
 
+    def add_demand(self, demands: Mapping[str, PoolDemand], book: LeaseBook) -> None:
+        """Add what runs and what could run now to the demand of each pool.
+
+        Tasks that a quota keeps waiting ask for nothing.
+
+        Parameters
+        ----------
+        demands : Mapping of str to PoolDemand
+            Demand by service.
+        book : LeaseBook
+            What may be running.
+        """
+        for run in book.list_runs():
+            workload = self._workloads.jobs.get(run.task.job)
+            demand = demands.get(self._find_service(workload)) if workload else None
+            if workload is not None and demand is not None:
+                step = workload.steps[run.task.step]
+                _add_tasks(demand, step, run.need.cpu, 1)
+        used = dict(book.by_team)
+        for job, tasks in self._ready.items():
+            workload = self._workloads.open.get(job)
+            demand = demands.get(self._find_service(workload)) if workload else None
+            if workload is None or demand is None:
+                continue
+            for task in tasks:
+                step = workload.steps[task.step]
+                if not self._take_quota(workload.team, step, used):
+                    break
+                _add_tasks(demand, step, find_need(step).cpu, 1)
+
+    def _take_quota(self, team: str, step: Step, used: dict[str, Resources]) -> bool:
+        declared = self._declarations.get_team(team)
+        total = used.get(team, Resources()) + step.need
+        if declared is not None and not is_within(total, declared.quota):
+            return False
+        used[team] = total
+        return True
+
     def _refresh(self, book: LeaseBook, now: float) -> None:
         for job in self._stale:
             workload = self._workloads.open.get(job)
@@ -141,7 +184,7 @@
             registered = view.registered
             if registered.draining:
                 continue
-            if registered.machine and registered.machine in self.cordoned:
+            if self._is_closed(registered.machine):
                 continue
             if not view.is_responsive or now < view.rejected_until:
                 continue
@@ -151,6 +194,9 @@
             pool[life] = Candidate(view, free, serving)
         return pools
 
+    def _is_closed(self, machine: str) -> bool:
+        return bool(machine) and (machine in self.cordoned or machine in self.leaving)
+
     def _is_serving(self, run: RunView) -> bool:
         workload = self._workloads.jobs.get(run.task.job)
         return bool(workload and workload.steps[run.task.step].latency_target)
@@ -248,12 +294,39 @@
         if declared is None:
             return True
         used = book.by_team.get(team, Resources()) + step.need
-        quota = declared.quota
-        return (
-            (not quota.cpu or used.cpu <= quota.cpu)
-            and (not quota.memory or used.memory <= quota.memory)
-            and (not quota.accelerators or used.accelerators <= quota.accelerators)
-        )
+        return is_within(used, declared.quota)
+
+
+def is_within(used: Resources, quota: Resources) -> bool:
+    """Tell whether an amount keeps a quota, in which 0 stands for no bound.
+
+    Parameters
+    ----------
+    used : Resources
+        The amount.
+    quota : Resources
+        The quota.
+
+    Returns
+    -------
+    bool
+        Whether it does.
+    """
+    return (
+        (not quota.cpu or used.cpu <= quota.cpu)
+        and (not quota.memory or used.memory <= quota.memory)
+        and (not quota.accelerators or used.accelerators <= quota.accelerators)
+    )
+
+
+def _add_tasks(demand: PoolDemand, step: Step, cpu: int, count: int) -> None:
+    if not step.lasting:
+        demand.passing += cpu * count
+        return
+    demand.lasting += cpu * count
+    if step.max_per_instance:
+        machines = -(-step.count // step.max_per_instance)
+        demand.min_machines = max(demand.min_machines, machines)
 
 
 def _make_run(workload: Workload, placement: Placement, state: RunState) -> RunView:
