Forecast turns from arrivals, and start jobs that can be in time first

Cause: in a turn every job was late, as tasks were started in the order of arrival and machines left only when tasks were waiting. Change: turns.py sizes pools by the rate of arriving work of queues that can't wait for a move; urgency.py orders jobs by what is left of their time.

--- a/src/gypsumwalk/pool_keeper.py
+++ b/src/gypsumwalk/pool_keeper.py
@@ -6,13 +6,14 @@
 from gypsumwalk.dispatcher import Dispatcher
 from gypsumwalk.effects import CallPlatform, Effect, Propose, Record, Scalar
 from gypsumwalk.events import Event
-from gypsumwalk.inputs import Input, PlatformOutcome
+from gypsumwalk.inputs import Committed, Input, PlatformOutcome
 from gypsumwalk.instance_actions import MachineReport, MoveMachine
 from gypsumwalk.machine_directory import MachineDirectory
 from gypsumwalk.pooling import MachineMove, PoolDemand, PoolMachine, plan_moves
 from gypsumwalk.scheduler import Scheduler
+from gypsumwalk.turns import TurnForecast
 from gypsumwalk.upkeep import UpkeepSection
-from gypsumwalk.workload_records import RemoveInstance
+from gypsumwalk.workload_records import AcceptWorkload, RemoveInstance
 from gypsumwalk.workloads import WorkloadSection
 
 __all__ = ["PoolKeeper"]
@@ -63,7 +64,7 @@
     """
 
     name = "poolkeeper"
-    accepts: tuple[type, ...] = ()
+    accepts: tuple[type, ...] = (AcceptWorkload,)
 
     def __init__(
         self,
@@ -89,6 +90,7 @@
         self._moving: dict[str, tuple[str, float]] = {}
         self._held_until: dict[str, float] = {}
         self._open: dict[str, tuple[MachineMove, str]] = {}
+        self._forecast = TurnForecast(0.0)
         self._count = 0
         self._due = 0.0
 
@@ -98,7 +100,10 @@
         return self._due
 
     def handle(self, item: Input, now: float) -> Sequence[Effect]:
-        """Take in the answer to an order."""
+        """Take in the answer to an order, or a job that was accepted."""
+        if isinstance(item, Committed):
+            self._note_arrival(item.command, now)
+            return []
         if not isinstance(item, PlatformOutcome):
             return []
         order = self._open.pop(item.token, None)
@@ -118,7 +123,7 @@
             return []
         self._forget_arrived(now)
         machines = self._describe_machines(now)
-        demands = self._find_demands(standby)
+        demands = self._find_demands(standby, now)
         effects: list[Effect] = []
         for move in plan_moves(machines, demands, standby, now):
             effects += self._order(move, now)
@@ -126,6 +131,7 @@
 
     def _begin_term(self, now: float) -> None:
         self._term = self._dispatcher.term
+        self._forecast = TurnForecast(now)
         self._orders_from = now + TAKEOVER_SECONDS
         self._idle_since.clear()
         self._moving.clear()
@@ -191,11 +197,28 @@
             return NEVER
         return self._idle_since.setdefault(machine, now)
 
-    def _find_demands(self, standby: str) -> dict[str, PoolDemand]:
+    def _note_arrival(self, command: object, now: float) -> None:
+        if not self._term or not isinstance(command, AcceptWorkload):
+            return
+        workload = command.workload
+        work = sum(
+            step.count * step.need.cpu * step.estimate
+            for step in workload.steps
+            if not step.lasting
+        )
+        if work:
+            service = self._scheduler.find_service(workload)
+            slack = self._scheduler.find_slack(workload)
+            self._forecast.note(service, work, slack, now)
+
+    def _find_demands(self, standby: str, now: float) -> dict[str, PoolDemand]:
         current = self._declarations.current
         services = current.services if current else []
         demands = {item.name: PoolDemand() for item in services if item.name != standby}
         self._scheduler.add_demand(demands, self._dispatcher.book)
+        for service, demand in demands.items():
+            demand.expected = int(self._forecast.find_expected(service, now))
+            demand.may_rest = self._forecast.may_rest(service, now)
         return demands
 
     def _order(self, move: MachineMove, now: float) -> list[Effect]:
--- a/src/gypsumwalk/pooling.py
+++ b/src/gypsumwalk/pooling.py
@@ -63,12 +63,15 @@
         Processors that are expected within the time of a move, likewise.
     min_machines : int
         Machines that spread tasks need.
+    may_rest : bool
+        Whether machines may leave for the standby pool.
     """
 
     lasting: int = 0
     passing: int = 0
     expected: int = 0
     min_machines: int = 0
+    may_rest: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,7 +130,8 @@
                 break
             moves.append(_move(pools, lent, name, "demand"))
     if standby:
-        moves += _rest(pools, standby, now)
+        restful = [name for name in demands if demands[name].may_rest]
+        moves += _rest(pools, restful, standby, now)
     return moves
 
 
@@ -165,11 +169,12 @@
     )
 
 
-def _rest(pools: Mapping[str, _Pool], standby: str, now: float) -> list[MachineMove]:
+def _rest(
+    pools: Mapping[str, _Pool], restful: Sequence[str], standby: str, now: float
+) -> list[MachineMove]:
     moves: list[MachineMove] = []
-    for name, pool in pools.items():
-        if name == standby:
-            continue
+    for name in restful:
+        pool = pools[name]
         idle = [
             machine
             for machine in pool.machines
--- a/src/gypsumwalk/scheduler.py
+++ b/src/gypsumwalk/scheduler.py
@@ -9,6 +9,7 @@
 from gypsumwalk.leases import LeaseBook, RunState, RunView
 from gypsumwalk.placing import Candidate, choose_instance, find_need, list_ready
 from gypsumwalk.pooling import PoolDemand
+from gypsumwalk.urgency import Urgencies
 from gypsumwalk.workload_records import Placement, Step, TaskKey, Workload
 from gypsumwalk.workloads import WorkloadSection
 
@@ -45,6 +46,7 @@
         """Machines that get no new work, as they are changing their pool."""
         self._declarations = declarations
         self._workloads = workloads
+        self._urgencies = Urgencies()
         self._ready: dict[str, list[TaskKey]] = {}
         self._stale: set[str] = set()
         self._next_time = NEVER
@@ -100,8 +102,8 @@
         self._refresh(book, now)
         pools = self._find_pools(book, now)
         planned: list[PlannedRun] = []
-        for workload in self._sort_waiting():
-            candidates = pools.get(self._find_service(workload), {})
+        for workload in self._sort_waiting(now):
+            candidates = pools.get(self.find_service(workload), {})
             if candidates:
                 planned += self._choose_for(workload, candidates, book)
         return planned
@@ -120,14 +122,14 @@
         """
         for run in book.list_runs():
             workload = self._workloads.jobs.get(run.task.job)
-            demand = demands.get(self._find_service(workload)) if workload else None
+            demand = demands.get(self.find_service(workload)) if workload else None
             if workload is not None and demand is not None:
                 step = workload.steps[run.task.step]
                 _add_tasks(demand, step, run.need.cpu, 1)
         used = dict(book.by_team)
         for job, tasks in self._ready.items():
             workload = self._workloads.open.get(job)
-            demand = demands.get(self._find_service(workload)) if workload else None
+            demand = demands.get(self.find_service(workload)) if workload else None
             if workload is None or demand is None:
                 continue
             for task in tasks:
@@ -163,16 +165,30 @@
                 self._next_time = min(self._next_time, due)
                 return
 
-    def _sort_waiting(self) -> list[Workload]:
+    def _sort_waiting(self, now: float) -> list[Workload]:
         waiting = [self._workloads.open[job] for job in self._ready]
-        return sorted(waiting, key=self._rank)
+        return sorted(waiting, key=lambda workload: self._rank(workload, now))
 
-    def _rank(self, workload: Workload) -> tuple[int, float, str]:
+    def _rank(self, workload: Workload, now: float) -> tuple[int, int, float, str]:
         queue = self._declarations.get_queue(workload.queue)
-        priority = queue.priority if queue else 0
-        return priority, workload.accepted, workload.job
+        if queue is None:
+            return 0, 0, workload.accepted, workload.job
+        urgency = self._urgencies.rate(workload, queue, now)
+        return queue.priority, urgency.standing, urgency.order, workload.job
 
-    def _find_service(self, workload: Workload) -> str:
+    def find_slack(self, workload: Workload) -> float:
+        """Return the time in seconds that a job can wait and still be in time."""
+        queue = self._declarations.get_queue(workload.queue)
+        return self._urgencies.find_slack(workload, queue) if queue else 0.0
+
+    def note_duration(self, task: TaskKey, seconds: float) -> None:
+        """Learn how long tasks of a queue take."""
+        workload = self._workloads.jobs.get(task.job)
+        if workload is not None:
+            self._urgencies.learn(workload, task.step, seconds)
+
+    def find_service(self, workload: Workload) -> str:
+        """Return the service that runs a job under the declaration in force."""
         queue = self._declarations.get_queue(workload.queue)
         return queue.service if queue else workload.service
 
--- /dev/null
+++ b/src/gypsumwalk/turns.py
@@ -0,0 +1,149 @@
+"""Forecast of queues that take turns: how much work comes within a move's time.
+
+The pattern that this answers: each queue in its turn asks for several times its mean
+for some seconds. A machine takes a while to change its pool, so it has to leave as soon
+as the turn shows in the rate of arrivals, not when tasks are waiting; and where a queue
+has had two turns, before the third begins.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+__all__ = ["TurnForecast"]
+
+WINDOW_SECONDS = 1.2
+"""Time in seconds over which arriving work is averaged; a turn lasts some seconds."""
+
+MIN_SPAN_SECONDS = 0.8
+"""Shortest time in seconds that a rate is taken over; a few jobs come together."""
+
+MIN_ARRIVALS = 3
+"""Jobs in the window below which arrivals say nothing of the rate."""
+
+START_SHARE = 0.4
+"""A turn begins when work arrives at this share of the highest rate seen."""
+
+END_SHARE = 0.2
+"""A turn ends when work arrives at less than this share of the highest rate seen."""
+
+LEAD_SECONDS = 2.4
+"""Time in seconds that a machine needs to move (1.5 s), announce itself and be read."""
+
+TRAIL_SECONDS = 1.2
+"""Time in seconds for which machines wait for a turn that is late."""
+
+UNSEEN_SECONDS = 25.0
+"""Time in seconds without a turn after which a queue is taken as one without turns."""
+
+MIN_CPU = 16_000
+"""Rate in thousandths of a core below which arrivals are no turn."""
+
+
+@dataclass(slots=True)
+class _Queue:
+    arrivals: deque[tuple[float, float]] = field(default_factory=deque)
+    peak: float = 0.0
+    in_turn: bool = False
+    turned: bool = False
+    starts: deque[float] = field(default_factory=lambda: deque(maxlen=2))
+
+
+class TurnForecast:
+    """Rates of arriving work by service, and when each has its turns.
+
+    Parameters
+    ----------
+    now : float
+        Time in seconds.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._began = now
+        self._queues: dict[str, _Queue] = {}
+        self._patient: set[str] = set()
+
+    def note(self, service: str, work: float, slack: float, now: float) -> None:
+        """Note a job that was handed in.
+
+        A job that can wait for a machine to arrive needs no forecast.
+
+        Parameters
+        ----------
+        service : str
+            Its service.
+        work : float
+            Its work, in thousandths of a core times seconds.
+        slack : float
+            Time in seconds that it can wait and still be in time.
+        now : float
+            Time in seconds.
+        """
+        if slack >= LEAD_SECONDS:
+            self._patient.add(service)
+            return
+        queue = self._queues.setdefault(service, _Queue())
+        queue.arrivals.append((now, work))
+        self._update(queue, now)
+
+    def find_expected(self, service: str, now: float) -> float:
+        """Return the processors that a service will ask for within a move's time.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        float
+            Thousandths of a core.
+        """
+        queue = self._queues.get(service)
+        if queue is None:
+            return 0.0
+        self._update(queue, now)
+        expected = _find_rate(queue, now)
+        if _is_turn_near(queue, now):
+            expected = max(expected, queue.peak)
+        return expected
+
+    def may_rest(self, service: str, now: float) -> bool:
+        """Tell whether a pool's need in a turn is known, so that it can shrink."""
+        queue = self._queues.get(service)
+        if queue is not None and queue.turned:
+            return not queue.in_turn
+        if queue is None and service in self._patient:
+            return True
+        return now - self._began > UNSEEN_SECONDS
+
+    def _update(self, queue: _Queue, now: float) -> None:
+        rate = _find_rate(queue, now)
+        if queue.in_turn:
+            queue.peak = max(queue.peak, rate)
+            if rate < END_SHARE * queue.peak:
+                queue.in_turn = False
+                queue.turned = True
+        elif rate > max(MIN_CPU, START_SHARE * queue.peak):
+            queue.in_turn = True
+            queue.starts.append(now)
+
+
+def _is_turn_near(queue: _Queue, now: float) -> bool:
+    if len(queue.starts) < queue.starts.maxlen:  # type: ignore[operator]
+        return False
+    first, last = queue.starts
+    following = last + (last - first)
+    return following - LEAD_SECONDS <= now <= following + TRAIL_SECONDS
+
+
+def _find_rate(queue: _Queue, now: float) -> float:
+    """Return the rate at which work arrives, in thousandths of a core."""
+    while queue.arrivals and queue.arrivals[0][0] < now - WINDOW_SECONDS:
+        queue.arrivals.popleft()
+    if len(queue.arrivals) < MIN_ARRIVALS:
+        return 0.0
+    # A turn that has just begun has not filled the window yet.
+    span = max(MIN_SPAN_SECONDS, now - queue.arrivals[0][0])
+    return sum(work for _, work in queue.arrivals) / span
