Move machines right after a change of leader, unless another moved them lately

Change: moves are committed before they are ordered, so every daemon knows who ordered which machine last; only those wait.

--- a/src/gypsumwalk/drivers/relay.py
+++ b/src/gypsumwalk/drivers/relay.py
@@ -23,22 +23,26 @@
 CONNECT_SECONDS = 0.3
 """Links are a few milliseconds long; a connection takes one round trip."""
 
-ANSWER_SECONDS = 1.0
-"""Time in seconds for one attempt; a commit takes about 20 ms, an election 1.7 s."""
+ANSWER_SECONDS = 0.8
+"""Time in seconds for one attempt; a commit takes about 20 ms."""
 
 HOLD_SECONDS = 1.5
-"""Time in seconds that a request waits for a leader before it is refused."""
+"""Time in seconds that a request waits for a leader; an election takes 1.7 s. After
+that the caller is better served by another entry, or later."""
+
+SHORTEST_SECONDS = 0.05
+"""Shortest time in seconds that an attempt is worth."""
 
 PAUSE_SECONDS = 0.08
 """Pause in seconds between two rounds of asking for the leader."""
 
-STALE_SECONDS = 1.2
+STALE_SECONDS = 0.9
 """Time in seconds without a leader's answer after which the relay is not ready."""
 
 CUT_OFF_SECONDS = 3.0
 """Time in seconds after which no election but a partition keeps the leader away."""
 
-PROBE_SECONDS = 0.4
+PROBE_SECONDS = 0.3
 """Interval of asking for the leader while no request does."""
 
 RETRY_AFTER = "1"
@@ -135,7 +139,7 @@
         may_have_run = False
         while True:
             elapsed = time.monotonic() - started
-            left = max(0.05, min(ANSWER_SECONDS, patience - elapsed))
+            left = max(SHORTEST_SECONDS, min(ANSWER_SECONDS, patience - elapsed))
             answer = self._try_once(method, path, headers, body, left)
             if answer is None:
                 may_have_run = True
@@ -144,7 +148,7 @@
                 time.sleep(PAUSE_SECONDS)
             elif not _is_referral(answer):
                 return _hide_refusal(answer) if may_have_run else answer
-            limit = patience if may_have_run else min(patience, self._hold)
+            limit = min(patience - SHORTEST_SECONDS, self._hold)
             if time.monotonic() - started >= limit:
                 return _give_up(may_have_run and method not in IDEMPOTENT)
 
@@ -177,7 +181,9 @@
                 f"http://{address}{path}",
                 body=body,
                 headers=dict(headers),
-                timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=timeout),
+                timeout=urllib3.Timeout(
+                    connect=min(CONNECT_SECONDS, timeout), read=timeout
+                ),
                 retries=False,
                 redirect=False,
             )
--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -10,6 +10,7 @@
 from gypsumwalk.fleet_desk import FleetDesk
 from gypsumwalk.machine_directory import MachineDirectory
 from gypsumwalk.machine_keeper import MachineKeeper
+from gypsumwalk.machine_turns import MachineTurns
 from gypsumwalk.node import Node
 from gypsumwalk.part import Part
 from gypsumwalk.pool_keeper import PoolKeeper
@@ -111,6 +112,7 @@
             upkeep=self.upkeep,
         )
         directory = MachineDirectory(self.workloads, self.dispatcher)
+        turns = MachineTurns(settings.name)
         machines = MachineKeeper(
             daemon=settings.name,
             workloads=self.workloads,
@@ -118,6 +120,7 @@
             dispatcher=self.dispatcher,
             scheduler=self.scheduler,
             directory=directory,
+            turns=turns,
             maintenance=limits.maintenance,
         )
         pools = PoolKeeper(
@@ -128,6 +131,7 @@
             dispatcher=self.dispatcher,
             scheduler=self.scheduler,
             directory=directory,
+            turns=turns,
         )
         keeper = VoterKeeper(settings.name, self.consensus)
         parts: list[Part] = [
--- a/src/gypsumwalk/machine_keeper.py
+++ b/src/gypsumwalk/machine_keeper.py
@@ -17,6 +17,7 @@
 from gypsumwalk.instance_actions import MachineReport, MaintainMachine
 from gypsumwalk.leases import RunState, RunView
 from gypsumwalk.machine_directory import MachineDirectory
+from gypsumwalk.machine_turns import MachineTurns
 from gypsumwalk.scheduler import Scheduler
 from gypsumwalk.upkeep import (
     BeginMaintenance,
@@ -32,9 +33,6 @@
 CHECK_SECONDS = 0.1
 """Interval of steps of a wave; short against the 2 s that a maintenance takes."""
 
-TAKEOVER_SECONDS = 3.2
-"""A new leader orders nothing for this time, as holders must not take turns faster."""
-
 CALL_SECONDS = 2.0
 """Timeout of one call to the API of machines, which may be slow."""
 
@@ -73,6 +71,8 @@
         Told which machines get no new work.
     directory : MachineDirectory
         The machines.
+    turns : MachineTurns
+        Who ordered something of each machine last.
     maintenance : float
         Time in seconds that the maintenance of a machine takes.
     """
@@ -89,6 +89,7 @@
         dispatcher: Dispatcher,
         scheduler: Scheduler,
         directory: MachineDirectory,
+        turns: MachineTurns,
         maintenance: float,
     ) -> None:
         self._daemon = daemon
@@ -97,9 +98,9 @@
         self._dispatcher = dispatcher
         self._scheduler = scheduler
         self._directory = directory
+        self._turns = turns
         self._maintenance = maintenance
         self._term = 0
-        self._orders_from = 0.0
         self._ordered: dict[str, float] = {}
         self._lives: dict[str, str] = {}
         self._open: dict[str, tuple[int, str]] = {}
@@ -114,6 +115,8 @@
 
     def handle(self, item: Input, now: float) -> Sequence[Effect]:
         """Take in the end of a call, or a committed beginning of a maintenance."""
+        if isinstance(item, Committed) and isinstance(item.command, BeginMaintenance):
+            self._turns.note([item.command.machine], item.command.holder, now)
         if self._dispatcher.term == 0 or self._dispatcher.term != self._term:
             return []
         match item:
@@ -138,7 +141,7 @@
         if not waves:
             self._scheduler.cordoned.clear()
             return []
-        if now < self._orders_from or not self._directory.machines:
+        if not self._directory.machines:
             return []
         effects: list[Effect] = []
         for wave in waves:
@@ -147,7 +150,6 @@
 
     def _begin_term(self, now: float) -> None:
         self._term = self._dispatcher.term
-        self._orders_from = now + TAKEOVER_SECONDS
         self._ordered.clear()
         self._lives.clear()
         self._open.clear()
@@ -166,7 +168,9 @@
         due = [
             item
             for item in remaining
-            if item not in wave.begun and item not in self._scheduler.leaving
+            if item not in wave.begun
+            and item not in self._scheduler.leaving
+            and self._turns.may_order(item, now)
         ]
         due.sort(key=self._count_runs)
         chosen = due[: wave.max_down]
@@ -269,9 +273,8 @@
         token = self._name_beginning(wave, machine)
         self._noting.add(token)
         instance = self._directory.find_instance(machine)
-        command = BeginMaintenance(
-            wave.wave, machine, instance.life if instance else ""
-        )
+        life = instance.life if instance else ""
+        command = BeginMaintenance(wave.wave, machine, life, self._daemon)
         return [Propose(token, command, PROPOSAL_SECONDS)]
 
     def _drop_missing(self, wave: UpkeepWave) -> list[Effect]:
@@ -299,7 +302,9 @@
         return effects
 
     def _order(self, wave: int, machine: str, now: float) -> list[Effect]:
-        if not self._dispatcher.is_leading(now) or now < self._orders_from:
+        if not self._dispatcher.is_leading(now):
+            return []
+        if not self._turns.may_order(machine, now):
             return []
         self._ordered[machine] = now
         if machine not in self._lives:
--- a/src/gypsumwalk/pool_keeper.py
+++ b/src/gypsumwalk/pool_keeper.py
@@ -9,6 +9,7 @@
 from gypsumwalk.inputs import Committed, Input, PlatformOutcome
 from gypsumwalk.instance_actions import MachineReport, MoveMachine
 from gypsumwalk.machine_directory import MachineDirectory
+from gypsumwalk.machine_turns import MachineTurns
 from gypsumwalk.pooling import (
     MachineMove,
     PoolDemand,
@@ -18,7 +19,7 @@
 )
 from gypsumwalk.scheduler import Scheduler
 from gypsumwalk.turns import TurnForecast
-from gypsumwalk.upkeep import UpkeepSection
+from gypsumwalk.upkeep import OrderMoves, UpkeepSection
 from gypsumwalk.workload_records import AcceptWorkload, RemoveInstance, Step
 from gypsumwalk.workloads import WorkloadSection
 
@@ -27,9 +28,6 @@
 CHECK_SECONDS = 0.2
 """Interval of plans; short against the 1.5 s that a move takes."""
 
-TAKEOVER_SECONDS = 3.2
-"""A new leader orders nothing for this time, as holders must not take turns faster."""
-
 CALL_SECONDS = 2.0
 """Timeout of one call to the API of machines, which may be slow."""
 
@@ -73,10 +71,12 @@
         Told which machines get no new work; tells the demand.
     directory : MachineDirectory
         The machines.
+    turns : MachineTurns
+        Who ordered something of each machine last.
     """
 
     name = "poolkeeper"
-    accepts: tuple[type, ...] = (AcceptWorkload,)
+    accepts: tuple[type, ...] = (AcceptWorkload, OrderMoves)
 
     def __init__(
         self,
@@ -88,6 +88,7 @@
         dispatcher: Dispatcher,
         scheduler: Scheduler,
         directory: MachineDirectory,
+        turns: MachineTurns,
     ) -> None:
         self._daemon = daemon
         self._declarations = declarations
@@ -96,12 +97,12 @@
         self._dispatcher = dispatcher
         self._scheduler = scheduler
         self._directory = directory
+        self._turns = turns
         self._term = 0
-        self._orders_from = 0.0
         self._idle_since: dict[str, float] = {}
         self._moving: dict[str, tuple[str, float]] = {}
         self._held_until: dict[str, float] = {}
-        self._open: dict[str, tuple[MachineMove, str]] = {}
+        self._open: dict[str, tuple[str, str]] = {}
         self._forecast = TurnForecast(0.0)
         self._count = 0
         self._reported = float("-inf")
@@ -115,8 +116,7 @@
     def handle(self, item: Input, now: float) -> Sequence[Effect]:
         """Take in the answer to an order, or a job that was accepted."""
         if isinstance(item, Committed):
-            self._note_arrival(item.command, now)
-            return []
+            return self._take_command(item.command, now)
         if not isinstance(item, PlatformOutcome):
             return []
         order = self._open.pop(item.token, None)
@@ -132,15 +132,14 @@
         if self._dispatcher.term != self._term:
             self._begin_term(now)
         standby = self._find_standby()
-        if not standby or not self._directory.machines or now < self._orders_from:
+        if not standby or not self._directory.machines:
             return []
         self._forget_arrived(now)
         machines = self._describe_machines(now)
         demands = self._find_demands(standby, now)
         effects = self._report(machines, demands, standby, now)
-        for move in plan_moves(machines, demands, standby, now):
-            effects += self._order(move, now)
-        return effects
+        moves = plan_moves(machines, demands, standby, now)
+        return effects + self._announce(moves, now)
 
     def _report(
         self,
@@ -170,7 +169,6 @@
     def _begin_term(self, now: float) -> None:
         self._term = self._dispatcher.term
         self._forecast = TurnForecast(now)
-        self._orders_from = now + TAKEOVER_SECONDS
         self._idle_since.clear()
         self._moving.clear()
         self._open.clear()
@@ -213,6 +211,8 @@
                 continue
             if now < self._held_until.get(machine, 0.0):
                 movable = False
+            if not self._turns.may_order(machine, now):
+                movable = False
             idle_since = self._note_idle(machine, now)
             described.append(
                 PoolMachine(machine, service, info.capacity.cpu, movable, idle_since)
@@ -255,32 +255,61 @@
             demand.may_rest = self._forecast.may_rest(service, now)
         return demands
 
-    def _order(self, move: MachineMove, now: float) -> list[Effect]:
-        instance = self._directory.find_instance(move.machine)
-        self._moving[move.machine] = (move.service, now)
-        self._scheduler.leaving.add(move.machine)
-        self._idle_since.pop(move.machine, None)
+    def _take_command(self, command: object, now: float) -> list[Effect]:
+        if not isinstance(command, OrderMoves):
+            self._note_arrival(command, now)
+            return []
+        self._turns.note(command.services, command.holder, now)
+        if command.term != self._term or not self._dispatcher.is_leading(now):
+            return []
+        effects: list[Effect] = []
+        for machine, service in command.services.items():
+            effects += self._order(machine, service, now)
+        return effects
+
+    def _announce(self, moves: Sequence[MachineMove], now: float) -> list[Effect]:
+        if not moves:
+            return []
+        effects: list[Effect] = []
+        for move in moves:
+            self._moving[move.machine] = (move.service, now)
+            self._scheduler.leaving.add(move.machine)
+            self._idle_since.pop(move.machine, None)
+            attributes: dict[str, Scalar] = {
+                "service": move.service,
+                "reason": move.reason,
+            }
+            effects.append(Record(Event.MACHINE_MOVED, move.machine, attributes))
+        services = {move.machine: move.service for move in moves}
+        command = OrderMoves(self._daemon, self._term, services)
+        self._count += 1
+        token = f"{self.name}/announce/{self._count}"
+        return [*effects, Propose(token, command, PROPOSAL_SECONDS)]
+
+    def _order(self, machine: str, service: str, now: float) -> list[Effect]:
+        if self._moving.get(machine, ("", 0.0))[0] != service:
+            return []
+        instance = self._directory.find_instance(machine)
+        self._moving[machine] = (service, now)
         self._count += 1
         token = f"{self.name}/order/{self._count}"
-        self._open[token] = (move, instance.life if instance else "")
-        action = MoveMachine(move.machine, move.service, self._daemon, self._term)
-        attributes: dict[str, Scalar] = {"service": move.service, "reason": move.reason}
-        record = Record(Event.MACHINE_MOVED, move.machine, attributes)
-        return [record, CallPlatform(token, action, CALL_SECONDS)]
+        self._open[token] = (machine, instance.life if instance else "")
+        action = MoveMachine(machine, service, self._daemon, self._term)
+        return [CallPlatform(token, action, CALL_SECONDS)]
 
     def _take_answer(
-        self, move: MachineMove, life: str, item: PlatformOutcome, now: float
+        self, machine: str, life: str, item: PlatformOutcome, now: float
     ) -> list[Effect]:
         report = item.report
         if not isinstance(report, MachineReport):
             # It may have been carried out: the list of machines will show it.
             return []
         if report.refused:
-            self._moving.pop(move.machine, None)
-            self._scheduler.leaving.discard(move.machine)
-            self._held_until[move.machine] = now + RETRY_SECONDS
+            self._moving.pop(machine, None)
+            self._scheduler.leaving.discard(machine)
+            self._held_until[machine] = now + RETRY_SECONDS
             attributes: dict[str, Scalar] = {"reason": report.refused}
-            return [Record(Event.MOVE_REFUSED, move.machine, attributes)]
+            return [Record(Event.MOVE_REFUSED, machine, attributes)]
         if not life:
             return []
         token = f"{self.name}/end/{life}"
--- a/src/gypsumwalk/upkeep.py
+++ b/src/gypsumwalk/upkeep.py
@@ -7,6 +7,7 @@
 __all__ = [
     "BeginMaintenance",
     "NoteMaintained",
+    "OrderMoves",
     "StartUpkeep",
     "UpkeepSection",
     "UpkeepWave",
@@ -33,11 +34,32 @@
         The machine.
     life : str
         Life of the instance on it, empty if there is none.
+    holder : str
+        Daemon that gives the order.
     """
 
     wave: int
     machine: str
     life: str
+    holder: str = ""
+
+
+class OrderMoves(msgspec.Struct, frozen=True, tag=True):
+    """Command: note which machines a holder is about to move, before it does.
+
+    Attributes
+    ----------
+    holder : str
+        Daemon that gives the orders.
+    term : int
+        Its term.
+    services : dict of str to str
+        Service that each machine goes to.
+    """
+
+    holder: str
+    term: int
+    services: dict[str, str]
 
 
 class NoteMaintained(msgspec.Struct, frozen=True, tag=True):
@@ -93,7 +115,12 @@
     """All waves."""
 
     name = "upkeep"
-    commands: tuple[type, ...] = (StartUpkeep, BeginMaintenance, NoteMaintained)
+    commands: tuple[type, ...] = (
+        StartUpkeep,
+        BeginMaintenance,
+        NoteMaintained,
+        OrderMoves,
+    )
 
     def __init__(self) -> None:
         self.waves: dict[int, UpkeepWave] = {}
