Write logs without waiting for their reader, and serve metrics of entries

Change: logstream.py hands lines to a thread and counts what it leaves out; entries write one line for each job handed in and each failed request, and count by status.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy
-	$(BIN)/numpydoc lint --ignore PR01 --ignore RT01 $$(find src -name "*.py")
+	$(BIN)/numpydoc lint --ignore PR01 --ignore RT01 $$(find src platform -name "*.py")
 
 format: $(STAMP)
 	$(BIN)/ruff format .
--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -70,7 +70,8 @@
             self._disk = FolderDisk(settings.data_folder)
         self._clock = RuntimeClock()
         self._hybrid = HybridClock()
-        self._journal = EventJournal(settings, self._hybrid)
+        self._log = self._kit.open_log()
+        self._journal = EventJournal(settings, self._hybrid, stream=self._log)
         self._metrics = Metrics()
         self._assembly = self._assemble()
         self._node = self._assembly.node
@@ -245,6 +246,7 @@
         self._targets.close()
         self._platform.close()
         self._journal.close()
+        self._log.close()
 
     def _assemble(self) -> DaemonAssembly:
         recovered = self._disk.recover() if self._disk else Recovered()
--- a/src/gypsumwalk/drivers/journal.py
+++ b/src/gypsumwalk/drivers/journal.py
@@ -4,7 +4,7 @@
 from enum import Enum
 from os import SEEK_END
 from pathlib import Path
-from typing import Any, TextIO
+from typing import Any, Protocol
 
 import logbook
 
@@ -27,6 +27,18 @@
 }
 
 
+class LogTarget(Protocol):
+    """Stream that takes lines of text."""
+
+    def write(self, text: str, /) -> object:
+        """Take in text."""
+        ...
+
+    def flush(self) -> None:
+        """Hand on what was taken in."""
+        ...
+
+
 class LogStyle(Enum):
     """Form of the log on the standard output."""
 
@@ -45,7 +57,7 @@
         Clock that stamps the events, shared with the network.
     style : LogStyle
         Form of the log.
-    stream : TextIO, optional
+    stream : LogTarget, optional
         Where the log goes; the standard output by default.
     threshold : Level
         Least severe event that goes to the log; the file takes all.
@@ -61,7 +73,7 @@
         clock: HybridClock,
         *,
         style: LogStyle = LogStyle.JSON,
-        stream: TextIO | None = None,
+        stream: LogTarget | None = None,
         threshold: Level = Level.INFO,
         max_bytes: int = MAX_FILE_BYTES,
         kept_files: int = KEPT_FILES,
@@ -124,7 +136,7 @@
             self.lost += 1
 
 
-def _open_log(stream: TextIO, style: LogStyle, level: int) -> logbook.StreamHandler:
+def _open_log(stream: LogTarget, style: LogStyle, level: int) -> logbook.StreamHandler:
     handler = logbook.StreamHandler(stream, level=level)
     handler.formatter = _format_json if style is LogStyle.JSON else _format_text
     return handler
--- a/src/gypsumwalk/drivers/kit.py
+++ b/src/gypsumwalk/drivers/kit.py
@@ -6,6 +6,7 @@
 
 from gypsumwalk.drivers.bridge import CallBridge
 from gypsumwalk.drivers.connections import ReceiveWatch
+from gypsumwalk.drivers.logstream import LogStream
 from gypsumwalk.drivers.metrics import Metrics
 from gypsumwalk.drivers.peers import PeerAddress
 from gypsumwalk.drivers.server import HttpServer
@@ -16,6 +17,7 @@
 from gypsumwalk.wire import Envelope
 
 __all__ = [
+    "METRICS_TEXT",
     "DaemonAssembly",
     "DaemonKit",
     "PlatformClient",
@@ -110,6 +112,10 @@
         """Make the listeners."""
         ...
 
+    def open_log(self) -> LogStream:
+        """Open the stream that the log goes to."""
+        ...
+
     def reload(self) -> list[str]:
         """Read changed settings again and return the names of what changed."""
         ...
@@ -128,22 +134,20 @@
     Mapping of str to Callable
         Pages by path.
     """
+    return {
+        "/healthz": lambda: Answer(200, payload=b"ok\n", content_type=PLAIN_TEXT),
+        "/readyz": lambda: _show_readiness(context),
+        "/metrics": lambda: _show_metrics(context),
+    }
 
-    def show_health() -> Answer:
-        return Answer(200, payload=b"ok\n", content_type=PLAIN_TEXT)
 
-    def show_readiness() -> Answer:
-        ready = context.is_ready()
-        payload = b"ready\n" if ready else b"not ready\n"
-        return Answer(200 if ready else 503, payload=payload, content_type=PLAIN_TEXT)
+def _show_readiness(context: ServerContext) -> Answer:
+    ready = context.is_ready()
+    payload = b"ready\n" if ready else b"not ready\n"
+    return Answer(200 if ready else 503, payload=payload, content_type=PLAIN_TEXT)
 
-    def show_metrics() -> Answer:
-        context.metrics.set_gauge("waiting_calls", context.bridge.waiting)
-        payload = context.metrics.render()
-        return Answer(200, payload=payload, content_type=METRICS_TEXT)
 
-    return {
-        "/healthz": show_health,
-        "/readyz": show_readiness,
-        "/metrics": show_metrics,
-    }
+def _show_metrics(context: ServerContext) -> Answer:
+    context.metrics.set_gauge("waiting_calls", context.bridge.waiting)
+    payload = context.metrics.render()
+    return Answer(200, payload=payload, content_type=METRICS_TEXT)
--- a/src/gypsumwalk/drivers/relay.py
+++ b/src/gypsumwalk/drivers/relay.py
@@ -1,7 +1,5 @@
 """Relay of callers' requests from an entry instance to the daemon that leads."""
 
-import json
-import sys
 import threading
 import time
 from collections.abc import Callable, Iterable, Mapping, Sequence
@@ -16,6 +14,7 @@
     NewConnectionError,
 )
 
+from gypsumwalk.drivers.metrics import Metrics
 from gypsumwalk.fleet_desk import LEADER_HEADER
 
 __all__ = ["Relay", "RelayAnswer", "RelayApplication"]
@@ -73,6 +72,8 @@
         Returns the address of a daemon by the name that answers carry.
     probe_path : str
         Path that only a leader answers with success.
+    record : Callable
+        Writes a line of the log from fields.
     """
 
     def __init__(
@@ -80,10 +81,12 @@
         list_seeds: Callable[[], Sequence[str]],
         find_address: Callable[[str], str],
         probe_path: str,
+        record: Callable[..., None],
     ) -> None:
         self._list_seeds = list_seeds
         self._find_address = find_address
         self._probe_path = probe_path
+        self._record = record
         self._pools = urllib3.PoolManager(
             num_pools=16, maxsize=POOL_SIZE, retries=False
         )
@@ -97,6 +100,11 @@
         """Whether a leader answered lately."""
         return time.monotonic() - self._answered < STALE_SECONDS
 
+    @property
+    def leader(self) -> str:
+        """Address of the leader as last known, or empty."""
+        return self._leader
+
     @property
     def _hold(self) -> float:
         silent = time.monotonic() - self._answered
@@ -224,7 +232,7 @@
             return
         self._was_ready = ready
         event = "relay ready" if ready else "no leader answers"
-        write_line(event=event, leader=self._leader)
+        self._record(event=event, leader=self._leader)
 
 
 class RelayApplication:
@@ -236,13 +244,24 @@
         The relay.
     find_patience : Callable
         Returns the seconds that a caller waits, from the request's environment.
+    record : Callable
+        Writes a line of the log from fields.
+    metrics : Metrics
+        Counters and latencies of requests.
     """
 
     def __init__(
-        self, relay: Relay, find_patience: Callable[[Mapping[str, Any]], float]
+        self,
+        relay: Relay,
+        find_patience: Callable[[Mapping[str, Any]], float],
+        *,
+        record: Callable[..., None],
+        metrics: Metrics,
     ) -> None:
         self._relay = relay
         self._find_patience = find_patience
+        self._record = record
+        self._metrics = metrics
         self.leaving = False
         self.in_progress = 0
         self._lock = threading.Lock()
@@ -267,7 +286,7 @@
         return [answer.body]
 
     def _send(self, environ: Mapping[str, Any]) -> RelayAnswer:
-        path = environ["PATH_INFO"]
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
         if query := environ.get("QUERY_STRING"):
             path = f"{path}?{query}"
         length = int(environ.get("CONTENT_LENGTH") or 0)
@@ -279,29 +298,28 @@
         }
         started = time.monotonic()
         answer = self._relay.send(
-            environ["REQUEST_METHOD"],
+            method,
             path,
             headers=headers,
             body=body,
             patience=self._find_patience(environ),
         )
-        if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-            waited = round(time.monotonic() - started, 3)
-            write_line(
-                event="request failed", path=path, status=answer.status, s=waited
+        waited = time.monotonic() - started
+        self._metrics.count("http_calls", audience="caller", status=str(answer.status))
+        self._metrics.observe_latency("http", waited, audience="caller")
+        if method == "POST" or answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            self._record(
+                event="request answered",
+                subject=path.rpartition("/")[2],
+                method=method,
+                path=path,
+                status=answer.status,
+                seconds=round(waited, 3),
+                leader=self._relay.leader,
             )
         return answer
 
 
-def write_line(**fields: object) -> None:
-    """Write one line of the log to the standard output."""
-    try:
-        print(json.dumps(fields), file=sys.stdout, flush=True)
-    except OSError as error:
-        # A reader that went away must not end the daemon.
-        del error
-
-
 def _keep(headers: Mapping[str, str]) -> dict[str, str]:
     return {
         name: value
--- a/src/gypsumwalk/drivers/server.py
+++ b/src/gypsumwalk/drivers/server.py
@@ -33,6 +33,8 @@
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
+Application = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
+
 
 @dataclass(frozen=True, slots=True)
 class ServerLimits:
@@ -186,8 +188,8 @@
         IP number to listen on.
     port : int
         TCP port.
-    application : WebApplication
-        The application.
+    application : Callable
+        The WSGI application.
     watch : ReceiveWatch
         Watch over slow senders.
     limits : ServerLimits
@@ -198,7 +200,7 @@
         self,
         address: str,
         port: int,
-        application: WebApplication,
+        application: Application,
         *,
         watch: ReceiveWatch,
         limits: ServerLimits,
--- a/src/gypsumwalk/drivers/standard_kit.py
+++ b/src/gypsumwalk/drivers/standard_kit.py
@@ -4,6 +4,7 @@
 
 from gypsumwalk.assembly import ENDPOINTS, PEER_MESSAGES, Assembly
 from gypsumwalk.drivers.kit import ServerContext, make_pages
+from gypsumwalk.drivers.logstream import LogStream
 from gypsumwalk.drivers.peers import PeerAddress
 from gypsumwalk.drivers.platform import PlatformHttpClient
 from gypsumwalk.drivers.server import HttpServer, ServerLimits, WebApplication
@@ -60,6 +61,10 @@
         """Make the client of the platform."""
         return PlatformHttpClient(self._settings.platform_url)
 
+    def open_log(self) -> LogStream:
+        """Open the log on the standard output."""
+        return LogStream()
+
     def reload(self) -> list[str]:
         """Change nothing: these settings are read at the start only."""
         return []
--- /dev/null
+++ b/tests/test_logstream.py
@@ -0,0 +1,58 @@
+"""Tests that a reader of the log that stands still holds nobody up."""
+
+import os
+import time
+import unittest
+
+from gypsumwalk.drivers.logstream import LogStream
+
+
+class TestLogStream(unittest.TestCase):
+    def test_lines_arrive_in_order(self):
+        reader, writer = os.pipe()
+        stream = LogStream(writer)
+        for number in range(100):
+            stream.write(f"line {number}\n")
+        stream.close()
+        os.close(writer)
+        with os.fdopen(reader) as lines:
+            assert lines.read().splitlines() == [f"line {n}" for n in range(100)]
+
+    def test_a_reader_that_stands_still_does_not_block(self):
+        reader, writer = os.pipe()
+        stream = LogStream(writer, max_lines=50)
+        started = time.monotonic()
+        for _ in range(5000):
+            stream.write("x" * 200 + "\n")
+        assert time.monotonic() - started < 2.0
+        assert stream.left_out > 0
+        os.close(reader)
+        stream.close()
+        os.close(writer)
+
+    def test_what_was_left_out_is_counted_in_a_line(self):
+        reader, writer = os.pipe()
+        stream = LogStream(writer, max_lines=2)
+        for _ in range(3000):
+            stream.write("x" * 200 + "\n")
+        left_out = stream.left_out
+        read = b""
+        while b"lines left out" not in read:
+            read += os.read(reader, 65536)
+        assert left_out > 0
+        stream.close()
+        os.close(writer)
+        os.close(reader)
+
+    def test_a_reader_that_went_away_ends_nothing(self):
+        reader, writer = os.pipe()
+        os.close(reader)
+        stream = LogStream(writer)
+        stream.write("line\n")
+        stream.close()
+        assert stream.left_out == 1
+        os.close(writer)
+
+
+if __name__ == "__main__":
+    unittest.main()
