Let a daemon that leads for the first time move machines at once

Change: who ordered what is heard from the log with its time; only machines that another holder ordered within 3.2 s wait.

--- a/src/gypsumwalk/machine_keeper.py
+++ b/src/gypsumwalk/machine_keeper.py
@@ -116,7 +116,9 @@
     def handle(self, item: Input, now: float) -> Sequence[Effect]:
         """Take in the end of a call, or a committed beginning of a maintenance."""
         if isinstance(item, Committed) and isinstance(item.command, BeginMaintenance):
-            self._turns.note([item.command.machine], item.command.holder, now)
+            machine = item.command.machine
+            at = self._upkeep.ordered_at.get(machine, now)
+            self._turns.note([machine], item.command.holder, at=at, now=now)
         if self._dispatcher.term == 0 or self._dispatcher.term != self._term:
             return []
         match item:
--- a/src/gypsumwalk/machine_turns.py
+++ b/src/gypsumwalk/machine_turns.py
@@ -7,6 +7,9 @@
 TURN_SECONDS = 3.2
 """Two holders must not take turns at one machine within 3 s."""
 
+OLD_SECONDS = 6.0
+"""An order that seems older is so on any clock; clocks jump by 2.4 s at most."""
+
 
 class MachineTurns:
     """Latest holder of each machine, as every daemon hears it from the log.
@@ -20,15 +23,32 @@
     def __init__(self, daemon: str) -> None:
         self._daemon = daemon
         self._latest: dict[str, tuple[str, float]] = {}
-        self._began: float | None = None
 
-    def note(self, machines: Iterable[str], holder: str, now: float) -> None:
-        """Note that a holder orders something of machines."""
+    def note(
+        self, machines: Iterable[str], holder: str, *, at: float, now: float
+    ) -> None:
+        """Note that a holder orders something of machines.
+
+        A daemon that starts again hears old orders anew; it takes the time that the
+        holder gave them, unless clocks that differ could make a late order an old one.
+
+        Parameters
+        ----------
+        machines : Iterable of str
+            The machines.
+        holder : str
+            Daemon that orders.
+        at : float
+            Time in seconds by the holder's clock.
+        now : float
+            Time in seconds by this daemon's clock.
+        """
+        heard = at if now - at > OLD_SECONDS else now
         for machine in machines:
-            self._latest[machine] = (holder, now)
+            self._latest[machine] = (holder, heard)
 
     def may_order(self, machine: str, now: float) -> bool:
-        """Tell whether this daemon may order something of a machine.
+        """Tell whether no other holder ordered something of a machine lately.
 
         Parameters
         ----------
@@ -40,12 +60,7 @@
         Returns
         -------
         bool
-            Whether no other holder ordered something lately. A daemon that started
-            lately does not know, and waits.
+            Whether this daemon may order something of it.
         """
-        if self._began is None:
-            self._began = now
-        if now - self._began < TURN_SECONDS:
-            return False
         holder, at = self._latest.get(machine, (self._daemon, 0.0))
         return holder == self._daemon or now - at >= TURN_SECONDS
--- a/src/gypsumwalk/pool_keeper.py
+++ b/src/gypsumwalk/pool_keeper.py
@@ -259,7 +259,9 @@
         if not isinstance(command, OrderMoves):
             self._note_arrival(command, now)
             return []
-        self._turns.note(command.services, command.holder, now)
+        for machine in command.services:
+            at = self._upkeep.ordered_at.get(machine, now)
+            self._turns.note([machine], command.holder, at=at, now=now)
         if command.term != self._term or not self._dispatcher.is_leading(now):
             return []
         effects: list[Effect] = []
--- a/src/gypsumwalk/upkeep.py
+++ b/src/gypsumwalk/upkeep.py
@@ -124,6 +124,8 @@
 
     def __init__(self) -> None:
         self.waves: dict[int, UpkeepWave] = {}
+        self.ordered_at: dict[str, float] = {}
+        """Time in seconds, by its holder's clock, of each machine's latest order."""
 
     def apply(self, command: msgspec.Struct, index: int, at: float) -> msgspec.Struct:
         """Apply one committed command."""
@@ -142,6 +144,9 @@
             case BeginMaintenance(wave=wave, machine=machine, life=life):
                 if (known := self.waves.get(wave)) and machine not in known.begun:
                     known.begun[machine] = BegunMaintenance(life, at)
+                self.ordered_at[machine] = at
+            case OrderMoves(services=services):
+                self.ordered_at.update(dict.fromkeys(services, at))
             case NoteMaintained(wave=wave, machines=machines):
                 known = self.waves.get(wave)
                 if known is not None:
