--- a/src/gypsumwalk/emulator.py
+++ b/src/gypsumwalk/emulator.py
@@ -68,7 +68,10 @@
     how : str
         How it ended, or will end by itself.
     acknowledged : bool
-        Whether its end was acknowledged.
+        Whether its end was acknowledged while the lease under it had not ended.
+    lapsed : bool
+        Whether the lease ended after it and before its end was acknowledged; such an
+        end does not count as noted.
     """
 
     task: str
@@ -80,6 +83,7 @@
     how: str
     ended: float | None = None
     acknowledged: bool = False
+    lapsed: bool = False
 
 
 @dataclass(slots=True)
@@ -275,7 +279,7 @@
     def _acknowledge(self, instance: EmulatedInstance, number: int) -> None:
         for item in instance.ends:
             if item[0] <= number:
-                item[1].acknowledged = True
+                item[1].acknowledged = not item[1].lapsed
         instance.ends = [item for item in instance.ends if item[0] > number]
 
     def _start(self, instance: EmulatedInstance, action: StartRun, now: float) -> str:
@@ -315,6 +319,9 @@
                 self._end(instance, task, execution, execution.ends, execution.how)
             elif instance.lease_until <= now:
                 self._end(instance, task, execution, instance.lease_until, "lapsed")
+        if instance.lease_until <= now:
+            for _, execution in instance.ends:
+                execution.lapsed = True
 
     def _end(
         self,
--- a/src/gypsumwalk/pool_keeper.py
+++ b/src/gypsumwalk/pool_keeper.py
@@ -46,6 +46,9 @@
 LOAD_SECONDS = 1.6
 """Time in seconds of a job that a forecast counts: about that of a move."""
 
+HURRIED_RESERVE = 1
+"""Machines more for jobs that can't wait for a move, until the first one arrives."""
+
 REPORT_SECONDS = 1.0
 """Interval of lines on the sizes of pools."""
 
@@ -243,7 +246,8 @@
         if steps:
             service = self._scheduler.find_service(workload)
             slack = self._scheduler.find_slack(workload)
-            self._forecast.note(service, find_load(steps), slack, now)
+            length = self._scheduler.find_length(workload)
+            self._forecast.note(service, find_load(steps, length), slack, now)
 
     def _find_demands(self, standby: str, now: float) -> dict[str, PoolDemand]:
         current = self._declarations.current
@@ -253,6 +257,8 @@
         for service, demand in demands.items():
             demand.expected = int(self._forecast.find_expected(service, now))
             demand.may_rest = self._forecast.may_rest(service, now)
+            if self._forecast.is_hurried(service):
+                demand.reserve = HURRIED_RESERVE
         return demands
 
     def _take_command(self, command: object, now: float) -> list[Effect]:
@@ -318,7 +324,7 @@
         return [Propose(token, RemoveInstance(life), PROPOSAL_SECONDS)]
 
 
-def find_load(steps: Sequence[Step]) -> float:
+def find_load(steps: Sequence[Step], length: float | None) -> float:
     """Return the work of a job that counts for the near future.
 
     Estimates are rough, and a long job takes its room later than a forecast reaches,
@@ -328,12 +334,17 @@
     ----------
     steps : Sequence of Step
         Steps of the job.
+    length : float or None
+        Mean length in seconds of the queue's tasks, where it is known.
 
     Returns
     -------
     float
         Work in thousandths of a core times seconds.
     """
-    work = sum(step.count * step.need.cpu * step.estimate for step in steps)
+    work = sum(
+        step.count * step.need.cpu * (step.estimate if length is None else length)
+        for step in steps
+    )
     widest = max(step.count * step.need.cpu for step in steps)
     return min(work, widest * LOAD_SECONDS)
--- a/src/gypsumwalk/pooling.py
+++ b/src/gypsumwalk/pooling.py
@@ -70,6 +70,8 @@
         Processors that are expected within the time of a move, likewise.
     min_machines : int
         Machines that spread tasks need.
+    reserve : int
+        Machines beyond what the demand needs.
     may_rest : bool
         Whether machines may leave for the standby pool.
     """
@@ -78,6 +80,7 @@
     passing: int = 0
     expected: int = 0
     min_machines: int = 0
+    reserve: int = 0
     may_rest: bool = True
 
 
@@ -172,7 +175,8 @@
     for name, demand in demands.items():
         passing = max(demand.passing, demand.expected) * HEADROOM
         count = ceil((demand.lasting + passing) / typical) + SPARE_MACHINES
-        pools[name].wanted = max(count, demand.min_machines + SPARE_MACHINES)
+        least = demand.min_machines + SPARE_MACHINES
+        pools[name].wanted = max(count + demand.reserve, least)
     return pools
 
 
--- a/src/gypsumwalk/scheduler.py
+++ b/src/gypsumwalk/scheduler.py
@@ -181,6 +181,10 @@
         queue = self._declarations.get_queue(workload.queue)
         return self._urgencies.find_slack(workload, queue) if queue else 0.0
 
+    def find_length(self, workload: Workload) -> float | None:
+        """Return the mean length in seconds of the tasks of a job's queue."""
+        return self._urgencies.find_length(workload.queue)
+
     def note_duration(self, task: TaskKey, seconds: float) -> None:
         """Learn how long tasks of a queue take."""
         workload = self._workloads.jobs.get(task.job)
--- a/src/gypsumwalk/turns.py
+++ b/src/gypsumwalk/turns.py
@@ -11,10 +11,10 @@
 
 __all__ = ["TurnForecast"]
 
-WINDOW_SECONDS = 1.2
+WINDOW_SECONDS = 1.4
 """Time in seconds over which arriving work is averaged; a turn lasts some seconds."""
 
-MIN_SPAN_SECONDS = 0.8
+MIN_SPAN_SECONDS = 0.65
 """Shortest time in seconds that a rate is taken over; a few jobs come together."""
 
 MIN_ARRIVALS = 3
@@ -109,6 +109,10 @@
             expected = max(expected, queue.peak)
         return expected
 
+    def is_hurried(self, service: str) -> bool:
+        """Tell whether jobs of a service can't wait for a machine to arrive."""
+        return service in self._queues
+
     def may_rest(self, service: str, now: float) -> bool:
         """Tell whether a pool's need in a turn is known, so that it can shrink."""
         queue = self._queues.get(service)
@@ -139,11 +143,22 @@
 
 
 def _find_rate(queue: _Queue, now: float) -> float:
-    """Return the rate at which work arrives, in thousandths of a core."""
+    """Return the rate at which work arrives, in thousandths of a core.
+
+    The later half of the window counts by itself, as the rate rises in a turn.
+    """
     while queue.arrivals and queue.arrivals[0][0] < now - WINDOW_SECONDS:
         queue.arrivals.popleft()
-    if len(queue.arrivals) < MIN_ARRIVALS:
+    late = [item for item in queue.arrivals if item[0] >= now - WINDOW_SECONDS / 2]
+    return max(
+        _average(list(queue.arrivals), now, MIN_ARRIVALS),
+        _average(late, now, 2 * MIN_ARRIVALS),
+    )
+
+
+def _average(arrivals: list[tuple[float, float]], now: float, least: int) -> float:
+    if len(arrivals) < least:
         return 0.0
     # A turn that has just begun has not filled the window yet.
-    span = max(MIN_SPAN_SECONDS, now - queue.arrivals[0][0])
-    return sum(work for _, work in queue.arrivals) / span
+    span = max(MIN_SPAN_SECONDS, now - arrivals[0][0])
+    return sum(work for _, work in arrivals) / span
--- a/src/gypsumwalk/urgency.py
+++ b/src/gypsumwalk/urgency.py
@@ -65,6 +65,10 @@
         learned = known + LEARNING_SHARE * (seconds - known)
         self._lengths[workload.queue] = learned
 
+    def find_length(self, queue: str) -> float | None:
+        """Return the mean length in seconds of a queue's tasks, None before one."""
+        return self._lengths.get(queue)
+
     def rate(self, workload: Workload, queue: DeclaredQueue, now: float) -> Urgency:
         """Rate one job.
 
