Let waves take resting machines first and leave a turn alone

Change: machines that rest go first; those in use wait for 45% of the wave's time, then go in the rounds that are left.

--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -115,6 +115,7 @@
         turns = MachineTurns(settings.name)
         machines = MachineKeeper(
             daemon=settings.name,
+            declarations=self.declarations,
             workloads=self.workloads,
             upkeep=self.upkeep,
             dispatcher=self.dispatcher,
--- a/src/gypsumwalk/machine_keeper.py
+++ b/src/gypsumwalk/machine_keeper.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.dispatcher import Dispatcher
 from gypsumwalk.effects import CallPlatform, Effect, Propose, Record, Scalar
 from gypsumwalk.events import Event
@@ -28,7 +29,7 @@
 from gypsumwalk.workload_records import RemoveInstance, TaskKey
 from gypsumwalk.workloads import WorkloadSection
 
-__all__ = ["MachineKeeper"]
+__all__ = ["MachineKeeper", "find_pace"]
 
 CHECK_SECONDS = 0.1
 """Interval of steps of a wave; short against the 2 s that a maintenance takes."""
@@ -48,6 +49,12 @@
 RETURN_SECONDS = 1.0
 """Time in seconds after its maintenance in which a new instance announces itself."""
 
+EMPTY_SECONDS = 1.5
+"""Time in seconds in which the tasks of a machine usually end."""
+
+PATIENT_SHARE = 0.45
+"""Share of a wave's time in which only resting machines are taken down."""
+
 RESERVE_SECONDS = 4.0
 """Time in seconds before the end of a wave at which tasks are not waited for."""
 
@@ -61,6 +68,8 @@
     ----------
     daemon : str
         Name of the daemon, which is the holder of its orders.
+    declarations : DeclarationSection
+        Declaration in force.
     workloads : WorkloadSection
         Jobs and instances.
     upkeep : UpkeepSection
@@ -84,6 +93,7 @@
         self,
         *,
         daemon: str,
+        declarations: DeclarationSection,
         workloads: WorkloadSection,
         upkeep: UpkeepSection,
         dispatcher: Dispatcher,
@@ -93,6 +103,7 @@
         maintenance: float,
     ) -> None:
         self._daemon = daemon
+        self._declarations = declarations
         self._workloads = workloads
         self._upkeep = upkeep
         self._dispatcher = dispatcher
@@ -175,7 +186,12 @@
             and self._turns.may_order(item, now)
         ]
         due.sort(key=self._count_runs)
-        chosen = due[: wave.max_down]
+        resting = [item for item in due if self._is_resting(item)]
+        busy = [item for item in due if item not in resting]
+        pace = find_pace(
+            len(due), wave, now, self._maintenance, waits=bool(self._find_standby())
+        )
+        chosen = resting[: wave.max_down] + busy[:pace]
         self._scheduler.cordoned = set(chosen) | {
             machine for machine in wave.begun if self._is_down(wave, machine, now)
         }
@@ -190,6 +206,14 @@
             effects += self._begin(wave, machine)
         return effects
 
+    def _find_standby(self) -> str:
+        current = self._declarations.current
+        services = current.services if current else []
+        return next((item.name for item in services if item.standby), "")
+
+    def _is_resting(self, machine: str) -> bool:
+        return self._directory.machines[machine].service == self._find_standby()
+
     def _find_time_needed(self, wave: UpkeepWave, due: list[str]) -> float:
         rounds = -(-len(due) // wave.max_down)
         return rounds * (self._maintenance + RETURN_SECONDS) + RESERVE_SECONDS
@@ -345,3 +369,37 @@
     def _propose_end(self, life: str) -> Propose:
         command: msgspec.Struct = RemoveInstance(life)
         return Propose(f"{self.name}/end/{life}", command, PROPOSAL_SECONDS)
+
+
+def find_pace(
+    due: int, wave: UpkeepWave, now: float, maintenance: float, *, waits: bool
+) -> int:
+    """Return how many machines in use a wave empties and takes down at once.
+
+    A queue in its turn needs its machines, and most of them rest at another time, so a
+    wave waits for that at first, and then takes no more than it needs to end in time.
+
+    Parameters
+    ----------
+    due : int
+        Machines that are still due.
+    wave : UpkeepWave
+        The wave.
+    now : float
+        Time in seconds.
+    maintenance : float
+        Time in seconds that the maintenance of a machine takes.
+    waits : bool
+        Whether machines come to rest at all.
+
+    Returns
+    -------
+    int
+        Number of machines.
+    """
+    left = wave.started + wave.duration - now - RESERVE_SECONDS
+    if waits and left > (1 - PATIENT_SHARE) * wave.duration:
+        return 0
+    length = maintenance + RETURN_SECONDS + EMPTY_SECONDS
+    rounds = max(1, int(left / length))
+    return min(wave.max_down, -(-due // rounds))
