Follow a referral to the leader after a long silence, and test the whole path

Cause: an entry that had heard of no leader for 3 s refused a request although a daemon had just told it who leads (found by the new test of the relay). Change: a known leader is tried before a request is refused. Tests: six of the relay over real sockets (refusals that are true, unknown outcomes), one of the whole path with real processes and a stub instance; the referral's failed first.

--- a/src/gypsumwalk/drivers/relay.py
+++ b/src/gypsumwalk/drivers/relay.py
@@ -108,8 +108,10 @@
     @property
     def _hold(self) -> float:
         silent = time.monotonic() - self._answered
+        if self._leader or silent <= CUT_OFF_SECONDS:
+            return HOLD_SECONDS
         # A request that can't be served is refused at once, after one attempt.
-        return 0.0 if silent > CUT_OFF_SECONDS else HOLD_SECONDS
+        return 0.0
 
     def send(
         self,
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,190 @@
+"""The whole path on real processes and sockets: entry, control daemon, an instance."""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import unittest
+from pathlib import Path
+
+import urllib3
+from cheroot.wsgi import Server
+
+ROOT = Path(__file__).parent.parent
+JOB = "5c0e7a21d94b36f8"
+DEADLINE_SECONDS = 30.0
+CONTROL, ENTRY = "127.0.0.71", "127.0.0.72"
+PORTS = (28_710, 28_725)
+CONTROL_PORT, FRONTEND_PORT, READY_PORT = 28_731, 28_732, 28_733
+SETTINGS = """
+ip = "{ip}"
+zone = "dc"
+internal_port_range = [{first}, {last}]
+seed_nodes = ["{control}:{control_port}"]
+bootstrap = true
+unknown = "is ignored"
+{more}
+"""
+CONFIGURATION = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r",
+            "host": "jobs.example",
+            "path_prefix": "/a/",
+            "service": "s",
+            "timeout_ms": 3000,
+            "max_attempts": 3,
+        }
+    ],
+    "services": [{"name": "s"}],
+    "tenants": [{"name": "t", "api_keys": ["key"]}],
+}
+
+
+class StubInstance:
+    """An instance that ends each task well as soon as it is asked for its runs."""
+
+    def __init__(self):
+        self.started = []
+        self.ended = []
+        self._server = Server(("127.0.0.73", 0), self._serve, numthreads=8)
+        self._server.shutdown_timeout = 0
+        self._server.prepare()
+        self.address = f"127.0.0.73:{self._server.bind_addr[1]}"
+        threading.Thread(target=self._server.serve, daemon=True).start()
+
+    def _serve(self, environ, start_response):
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = json.loads(environ["wsgi.input"].read(length))
+        answer = {"clock_ms": int(time.monotonic() * 1000), "born": 1000}
+        if environ["PATH_INFO"] == "/run-start":
+            self.started.append((body["task"], body["run"], body["spec"]))
+            number = len(self.started)
+            self.ended.append([number, body["task"], body["run"], "done", ""])
+        elif environ["PATH_INFO"] == "/hold":
+            self.ended = [row for row in self.ended if row[0] > body["ack_cursor"]]
+            answer |= {"running": [], "ended_runs": self.ended}
+        content = json.dumps(answer).encode()
+        headers = [("Content-Length", str(len(content)))]
+        start_response("200 OK", headers)
+        return [content]
+
+    def close(self):
+        self._server.stop()
+
+
+class TestPath(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.http = urllib3.PoolManager(retries=False, timeout=2.0)
+        self.addCleanup(self.http.clear)
+
+    def start(self, name, ip, more):
+        path = self.folder / f"{name}.toml"
+        path.write_text(
+            SETTINGS.format(
+                ip=ip,
+                first=PORTS[0],
+                last=PORTS[1],
+                control=CONTROL,
+                control_port=CONTROL_PORT,
+                more=more,
+            )
+        )
+        log = (self.folder / f"{name}.log").open("wb")
+        self.addCleanup(log.close)
+        process = subprocess.Popen(
+            [sys.executable, str(ROOT / "platform" / "serve.py")],
+            env={"GYPSUMWALK_SETTINGS": str(path), "PATH": os.environ["PATH"]},
+            stdout=log,
+            stderr=subprocess.STDOUT,
+            cwd=ROOT,
+        )
+        self.addCleanup(self.end, process)
+        return process
+
+    def end(self, process):
+        process.terminate()
+        try:
+            process.wait(10)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+
+    def ask(self, method, url, body=None, headers=None):
+        try:
+            return self.http.request(
+                method, url, body=json.dumps(body or {}), headers=headers
+            )
+        except urllib3.exceptions.HTTPError:
+            return None
+
+    def await_status(self, status, *request):
+        end = time.monotonic() + DEADLINE_SECONDS
+        waiting = threading.Event()
+        while time.monotonic() < end:
+            answer = self.ask(*request)
+            if answer is not None and answer.status == status:
+                return answer
+            waiting.wait(0.05)
+        self.fail(f"no answer {status} to {request[:2]}")
+        return None
+
+    def test_a_job_is_accepted_run_and_shown_as_completed(self):
+        instance = StubInstance()
+        self.addCleanup(instance.close)
+        data = self.folder / "data"
+        more = (
+            f'data_dir = "{data}"\n[listen_addrs]\n'
+            f'control_addr = "{CONTROL}:{CONTROL_PORT}"'
+        )
+        control = self.start("control", CONTROL, more)
+        more = (
+            f'[listen_addrs]\nfrontend = "{ENTRY}:{FRONTEND_PORT}"\n'
+            f'readiness_addr = "{ENTRY}:{READY_PORT}"'
+        )
+        entry = self.start("entry", ENTRY, more)
+        operator = f"http://{CONTROL}:{CONTROL_PORT}"
+        self.await_status(200, "POST", f"{operator}/config/put", CONFIGURATION)
+        beat = {
+            "service": "s",
+            "address": instance.address,
+            "state": "ready",
+            "born": 1000,
+            "capacity": {"cpu": 8000, "mem_mb": 8000, "gpu": 0},
+        }
+        self.await_status(200, "POST", f"{operator}/instances/i-1/heartbeat", beat)
+        self.await_status(200, "GET", f"http://{ENTRY}:{READY_PORT}/ready")
+        caller = f"http://{ENTRY}:{FRONTEND_PORT}/a/{JOB}"
+        headers = {"Host": "jobs.example", "Authorization": "Bearer key"}
+        job = {
+            "spec": "text",
+            "steps": [{"count": 2, "cpu": 500}, {"count": 1, "depends_on": [0]}],
+        }
+        self.await_status(200, "POST", caller, job, headers)
+        end = time.monotonic() + DEADLINE_SECONDS
+        state = ""
+        while state != "completed" and time.monotonic() < end:
+            answer = self.ask("GET", caller, headers=headers)
+            state = answer.json()["state"] if answer is not None else ""
+        assert state == "completed"
+        assert sorted(task for task, _, _ in instance.started) == [
+            f"{JOB}.0.0.0",
+            f"{JOB}.0.0.1",
+            f"{JOB}.0.1.0",
+        ]
+        assert {spec for _, _, spec in instance.started} == {"text"}
+        control.terminate()
+        assert control.wait(10) == 0
+        entry.terminate()
+        assert entry.wait(10) == 0
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,113 @@
+"""Tests of the relay: true refusals, unknown outcomes, and the way to the leader."""
+
+import socket
+import threading
+import unittest
+
+from cheroot.wsgi import Server
+
+from gypsumwalk.drivers import relay as relay_module
+from gypsumwalk.drivers.relay import Relay
+from gypsumwalk.fleet_desk import LEADER_HEADER
+
+PATIENCE = 3.0
+
+
+class Backend:
+    """A daemon that answers each request from a script."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.seen = []
+        self._server = Server(("127.0.0.1", 0), self._serve, numthreads=4)
+        self._server.shutdown_timeout = 0
+        self._server.prepare()
+        self.address = f"127.0.0.1:{self._server.bind_addr[1]}"
+        self._thread = threading.Thread(target=self._server.serve, daemon=True)
+        self._thread.start()
+
+    def _serve(self, environ, start_response):
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        environ["wsgi.input"].read(length)
+        self.seen.append((environ["REQUEST_METHOD"], environ["PATH_INFO"]))
+        answer = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+        if callable(answer):
+            answer = answer()
+        status, headers = answer
+        headers = [("Content-Length", "2"), *headers]
+        start_response(f"{status} Status", headers)
+        return [b"{}"]
+
+    def close(self):
+        self._server.stop()
+
+
+def find_free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class TestRelay(unittest.TestCase):
+    def make_relay(self, seeds, names=None):
+        lines = []
+        relay = Relay(
+            lambda: seeds,
+            lambda name: (names or {}).get(name, ""),
+            "/leader",
+            lambda **fields: lines.append(fields),
+        )
+        self.addCleanup(relay.close)
+        return relay
+
+    def make_backend(self, *answers):
+        backend = Backend(*answers)
+        self.addCleanup(backend.close)
+        return backend
+
+    def post(self, relay):
+        return relay.send("POST", "/a/b", headers={}, body=b"{}", patience=PATIENCE)
+
+    def test_a_referral_leads_to_the_leader(self):
+        leader = self.make_backend((200, []))
+        other = self.make_backend((503, [(LEADER_HEADER, "lead")]))
+        relay = self.make_relay([other.address], {"lead": leader.address})
+        assert self.post(relay).status == 200
+        assert self.post(relay).status == 200
+        assert len(other.seen) == 1
+        assert relay.is_ready
+
+    def test_nobody_listens_so_it_has_not_run(self):
+        relay = self.make_relay([f"127.0.0.1:{find_free_port()}"])
+        answer = self.post(relay)
+        assert answer.status == 503
+        assert answer.headers["Retry-After"] == "1"
+
+    def test_a_refusal_of_the_leader_is_passed_on(self):
+        leader = self.make_backend((429, [("Retry-After", "2")]))
+        answer = self.post(self.make_relay([leader.address]))
+        assert answer.status == 429
+        assert answer.headers["Retry-After"] == "2"
+
+    def test_an_unanswered_attempt_is_never_called_not_run(self):
+        silent = socket.socket()
+        self.addCleanup(silent.close)
+        silent.bind(("127.0.0.1", 0))
+        silent.listen(8)
+        address = f"127.0.0.1:{silent.getsockname()[1]}"
+        relay = self.make_relay([address])
+        relay._answered = relay_module.time.monotonic()
+        assert self.post(relay).status == 504
+
+    def test_an_unknown_outcome_is_asked_again(self):
+        leader = self.make_backend((502, []), (200, []))
+        assert self.post(self.make_relay([leader.address])).status == 200
+        assert len(leader.seen) == 2
+
+    def test_a_refusal_after_an_unknown_outcome_is_unknown(self):
+        leader = self.make_backend((502, []), (503, [("Retry-After", "1")]))
+        assert self.post(self.make_relay([leader.address])).status == 504
+
+
+if __name__ == "__main__":
+    unittest.main()
