--- a/src/gypsumwalk/drivers/relay.py
+++ b/src/gypsumwalk/drivers/relay.py
@@ -15,6 +15,8 @@
 )
 
 from gypsumwalk.drivers.metrics import Metrics
+from gypsumwalk.effects import Record, Scalar
+from gypsumwalk.events import Event
 from gypsumwalk.fleet_desk import LEADER_HEADER
 
 __all__ = ["Relay", "RelayAnswer", "RelayApplication"]
@@ -73,7 +75,7 @@
     probe_path : str
         Path that only a leader answers with success.
     record : Callable
-        Writes a line of the log from fields.
+        Writes an event.
     """
 
     def __init__(
@@ -81,7 +83,7 @@
         list_seeds: Callable[[], Sequence[str]],
         find_address: Callable[[str], str],
         probe_path: str,
-        record: Callable[..., None],
+        record: Callable[[Record], None],
     ) -> None:
         self._list_seeds = list_seeds
         self._find_address = find_address
@@ -233,8 +235,8 @@
         if ready == self._was_ready:
             return
         self._was_ready = ready
-        event = "relay ready" if ready else "no leader answers"
-        self._record(event=event, leader=self._leader)
+        event = Event.RELAY_REGAINED if ready else Event.RELAY_LOST
+        self._record(Record(event, "", {"leader": self._leader}))
 
 
 class RelayApplication:
@@ -247,7 +249,7 @@
     find_patience : Callable
         Returns the seconds that a caller waits, from the request's environment.
     record : Callable
-        Writes a line of the log from fields.
+        Writes an event.
     metrics : Metrics
         Counters and latencies of requests.
     """
@@ -257,7 +259,7 @@
         relay: Relay,
         find_patience: Callable[[Mapping[str, Any]], float],
         *,
-        record: Callable[..., None],
+        record: Callable[[Record], None],
         metrics: Metrics,
     ) -> None:
         self._relay = relay
@@ -310,15 +312,15 @@
         self._metrics.count("http_calls", audience="caller", status=str(answer.status))
         self._metrics.observe_latency("http", waited, audience="caller")
         if method == "POST" or answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-            self._record(
-                event="request answered",
-                subject=path.rpartition("/")[2],
-                method=method,
-                path=path,
-                status=answer.status,
-                seconds=round(waited, 3),
-                leader=self._relay.leader,
-            )
+            attributes: dict[str, Scalar] = {
+                "method": method,
+                "path": path,
+                "status": int(answer.status),
+                "seconds": round(waited, 3),
+                "leader": self._relay.leader,
+            }
+            subject = path.rpartition("/")[2]
+            self._record(Record(Event.REQUEST_RELAYED, subject, attributes))
         return answer
 
 
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -38,7 +38,7 @@
 
     Numbers 1000 to 1999 belong to the daemon, 2000 to 2999 to agreement, membership,
     configuration, keys and portions, 3000 to 3999 to requests and targets, 4000 to 4999
-    to jobs, pools and waves.
+    to jobs, pools and waves, 5000 to 5999 to work on a fleet of instances.
     """
 
     DAEMON_STARTED = EventEntry(1001, Level.INFO, "daemon started, version {version}")
@@ -55,8 +55,13 @@
     DAEMON_RELOADED = EventEntry(
         1006, Level.INFO, "read the settings again; changed: {changed}"
     )
-    RELAY_LOST = EventEntry(1007, Level.WARNING, "no daemon takes calls: {reason}")
-    RELAY_REGAINED = EventEntry(1008, Level.INFO, "daemon {leader} takes calls")
+    RELAY_LOST = EventEntry(1007, Level.WARNING, "no daemon that leads answers")
+    RELAY_REGAINED = EventEntry(1008, Level.INFO, "daemon {leader} leads and answers")
+    REQUEST_RELAYED = EventEntry(
+        1009,
+        Level.INFO,
+        "{method} {path} was answered {status} after {seconds} s, leader {leader}",
+    )
     # Agreement, membership, configuration, keys and portions: 2000 to 2999.
     LEADER_ELECTED = EventEntry(
         2001, Level.INFO, "became leader of the replicated log in term {term}"
