--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -8,7 +8,7 @@
 from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.effects import CallPlatform, Effect, Propose, Record, Scalar
 from gypsumwalk.events import Event
-from gypsumwalk.fleet_orders import OpenOrder, OrderKind, OrderTable, parse_task
+from gypsumwalk.fleet_orders import OpenOrder, OrderKind, OrderTable
 from gypsumwalk.inputs import (
     Committed,
     Input,
@@ -17,15 +17,14 @@
     ProposalStatus,
 )
 from gypsumwalk.instance_actions import (
-    EndedRun,
     InstanceReport,
     OrderReport,
     RenewLease,
-    RunningTask,
     StartRun,
     StopRun,
 )
 from gypsumwalk.leases import InstanceView, LeaseBook, RunState, RunView
+from gypsumwalk.run_lists import compare_lists
 from gypsumwalk.scheduler import Scheduler
 from gypsumwalk.state import Accepted
 from gypsumwalk.upkeep import NoteMaintained, StartUpkeep
@@ -77,18 +76,6 @@
 PROPOSAL_SECONDS = 2.0
 """A command not committed by then waits for a new leader."""
 
-MAX_LISTED_ENDS = 500
-"""An instance lists at most this many ends at once."""
-
-END_KINDS = {
-    "done": RunEndKind.DONE,
-    "failed": RunEndKind.FAILED,
-    "stopped": RunEndKind.STOPPED,
-    "lapsed": RunEndKind.LEASE_EXPIRED,
-    "broken": RunEndKind.GANG_BROKEN,
-    "alone": RunEndKind.GANG_TIMEOUT,
-}
-
 
 class Dispatcher:
     """The part that runs tasks on instances while this daemon leads.
@@ -356,14 +343,7 @@
             return []
         run.ordered_at = now
         run.order_open = True
-        registered = view.registered
-        action = StopRun(
-            registered.instance,
-            registered.address,
-            self._term,
-            str(run.task),
-            run.run,
-        )
+        action = self._make_stop(view, str(run.task), run.run)
         order = OpenOrder(OrderKind.STOP, run.life, now, run)
         return self._call(order, action, CALL_SECONDS)
 
@@ -515,64 +495,32 @@
     def _reconcile(
         self, view: InstanceView, report: InstanceReport, sent_at: float, now: float
     ) -> list[Effect]:
-        listed = {(item.task, item.run): item for item in report.running}
-        ended = {
-            (item.task, item.run): item
-            for item in report.ended
-            if item.number > view.acknowledged
-        }
-        gone: list[RunEnd] = []
-        complete = len(report.ended) < MAX_LISTED_ENDS
-        for key, run in view.runs.items():
-            if key in ended:
-                gone.append(self._describe_end(run, ended[key]))
-            elif key in listed:
-                self._note_running(run, listed[key], now)
-            elif complete and self._is_gone(run, sent_at):
-                gone.append(RunEnd(run.task, run.run, RunEndKind.LOST, run.checkpoint))
-        effects = self._stop_strangers(view, listed) if self.is_leading(now) else []
-        number = max((item.number for item in ended.values()), default=0)
-        if not gone and not number:
+        compared = compare_lists(view, report, sent_at=sent_at, now=now)
+        effects: list[Effect] = []
+        if self.is_leading(now):
+            effects += self._stop_strangers(view, compared.strangers)
+        if not compared.ends and not compared.last_end:
             return effects
         view.ends_open = True
-        proposal = self._propose(EndRuns(gone))
-        self._acknowledging[proposal.token] = (view.registered.life, number)
+        proposal = self._propose(EndRuns(compared.ends))
+        life = view.registered.life
+        self._acknowledging[proposal.token] = (life, compared.last_end)
         return [*effects, proposal]
 
-    def _describe_end(self, run: RunView, end: EndedRun) -> RunEnd:
-        kind = END_KINDS.get(end.kind, RunEndKind.LOST)
-        return RunEnd(run.task, run.run, kind, end.checkpoint or run.checkpoint)
-
-    def _note_running(self, run: RunView, item: RunningTask, now: float) -> None:
-        if run.state is not RunState.RUNNING:
-            run.state = RunState.RUNNING
-            run.confirmed_at = now
-        run.seen_at = run.seen_at or now
-        run.percent, run.load = item.percent, item.load
-        run.checkpoint = item.checkpoint
-
-    def _is_gone(self, run: RunView, sent_at: float) -> bool:
-        if run.state is RunState.UNCONFIRMED:
-            return True
-        if run.stopping and 0 < run.stopped_at < sent_at:
-            return True
-        return run.state is RunState.RUNNING and run.confirmed_at < sent_at
-
     def _stop_strangers(
-        self, view: InstanceView, listed: dict[tuple[str, int], RunningTask]
+        self, view: InstanceView, strangers: Iterable[tuple[str, int]]
     ) -> list[Effect]:
         effects: list[Effect] = []
-        for task, run in listed:
-            if (task, run) in view.runs or parse_task(task) is None:
-                continue
-            registered = view.registered
-            action = StopRun(
-                registered.instance, registered.address, self._term, task, run
-            )
-            order = OpenOrder(OrderKind.STRANGER, registered.life, 0.0)
+        for task, run in strangers:
+            order = OpenOrder(OrderKind.STRANGER, view.registered.life, 0.0)
+            action = self._make_stop(view, task, run)
             effects += self._call(order, action, CALL_SECONDS)
         return effects
 
+    def _make_stop(self, view: InstanceView, task: str, run: int) -> StopRun:
+        registered = view.registered
+        return StopRun(registered.instance, registered.address, self._term, task, run)
+
     def _take_order(
         self,
         view: InstanceView,
