Name the error of clocks once, and drop what is unused

Cause: reading the change as a newcomer: a bound of clocks stood twice, NEVER three times, two limits were decoded and not used.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -23,7 +23,14 @@
     StartRun,
     StopRun,
 )
-from gypsumwalk.leases import InstanceView, LeaseBook, RunState, RunView
+from gypsumwalk.leases import (
+    CLOCK_RATE_ERROR,
+    InstanceView,
+    LeaseBook,
+    RunState,
+    RunView,
+)
+from gypsumwalk.part import NEVER
 from gypsumwalk.run_lists import compare_lists
 from gypsumwalk.scheduler import Scheduler
 from gypsumwalk.state import Accepted
@@ -127,7 +134,7 @@
         self._acknowledging: dict[str, tuple[str, int]] = {}
         self._proposals = 0
         self._due = 0.0
-        self._pass_due = float("inf")
+        self._pass_due = NEVER
 
     @property
     def wakeup(self) -> float:
@@ -168,7 +175,7 @@
             self._due = now + TICK_SECONDS
             effects += self._tick(now)
         if now >= self._pass_due:
-            self._pass_due = float("inf")
+            self._pass_due = NEVER
             effects += self._place(now)
         return effects
 
@@ -204,11 +211,11 @@
         self._orders.clear()
         self._batches.clear()
         self._acknowledging.clear()
-        self._pass_due = float("inf")
+        self._pass_due = NEVER
 
     @property
     def _lease_span(self) -> float:
-        return self._lease / (1 - 0.02) + LAPSE_MARGIN_SECONDS
+        return self._lease / (1 - CLOCK_RATE_ERROR) + LAPSE_MARGIN_SECONDS
 
     def _request_pass(self, now: float) -> None:
         self._pass_due = min(self._pass_due, now + BATCH_SECONDS)
--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -39,18 +39,12 @@
     ----------
     max_lease : float
         Longest lease of an instance, in seconds.
-    move : float
-        Time in seconds that a machine takes to change its pool.
     maintenance : float
         Time in seconds that the maintenance of a machine takes.
-    away_notice : float
-        Time in seconds for which a task that came back counts as away.
     """
 
     max_lease: float
-    move: float = 1.5
     maintenance: float = 2.0
-    away_notice: float = 4.5
 
 
 class FleetAssembly:
--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -6,7 +6,7 @@
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.workload_records import RegisteredInstance, TaskKey
 
-__all__ = ["InstanceView", "LeaseBook", "RunState", "RunView"]
+__all__ = ["CLOCK_RATE_ERROR", "InstanceView", "LeaseBook", "RunState", "RunView"]
 
 CLOCK_RATE_ERROR = 0.02
 """An instance's clock may be this much slow or fast, as the platform states."""
--- a/src/gypsumwalk/pool_keeper.py
+++ b/src/gypsumwalk/pool_keeper.py
@@ -10,6 +10,7 @@
 from gypsumwalk.instance_actions import MachineReport, MoveMachine
 from gypsumwalk.machine_directory import MachineDirectory
 from gypsumwalk.machine_turns import MachineTurns
+from gypsumwalk.part import NEVER
 from gypsumwalk.pooling import (
     MachineMove,
     PoolDemand,
@@ -52,8 +53,6 @@
 REPORT_SECONDS = 1.0
 """Interval of lines on the sizes of pools."""
 
-NEVER = float("inf")
-
 
 class PoolKeeper:
     """The part that moves machines between pools while this daemon leads.
--- a/src/gypsumwalk/scheduler.py
+++ b/src/gypsumwalk/scheduler.py
@@ -7,6 +7,7 @@
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.leases import LeaseBook, RunState, RunView
+from gypsumwalk.part import NEVER
 from gypsumwalk.placing import Candidate, choose_instance, find_need, list_ready
 from gypsumwalk.pooling import PoolDemand
 from gypsumwalk.urgency import Urgencies
@@ -15,8 +16,6 @@
 
 __all__ = ["PlannedRun", "Scheduler", "is_within"]
 
-NEVER = float("inf")
-
 
 @dataclass(frozen=True, slots=True)
 class PlannedRun:
