--- /dev/null
+++ b/tests/test_machine_keeper.py
@@ -0,0 +1,67 @@
+"""Tests of which machines of a wave count as down."""
+
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from gypsumwalk.machine_keeper import MachineKeeper
+from gypsumwalk.machine_turns import MachineTurns
+from gypsumwalk.upkeep import BegunMaintenance, UpkeepWave
+
+
+class Directory:
+    """A directory that knows one instance."""
+
+    machines = {}
+
+    def __init__(self, life):
+        self.life = life
+
+    def find_instance(self, machine):
+        return SimpleNamespace(life=self.life) if self.life else None
+
+
+def make_keeper(life):
+    return MachineKeeper(
+        daemon="a",
+        declarations=mock.Mock(),
+        workloads=mock.Mock(),
+        upkeep=mock.Mock(),
+        dispatcher=mock.Mock(),
+        scheduler=mock.Mock(),
+        directory=Directory(life),
+        turns=MachineTurns("a"),
+        maintenance=2.0,
+    )
+
+
+def make_wave(*, maintained, life="i@1"):
+    begun = {"m": BegunMaintenance(life, 100.0)}
+    return UpkeepWave(1, ["m"], 99.0, 20.0, 1, ["m"] if maintained else [], begun)
+
+
+class TestDown(unittest.TestCase):
+    def is_down(self, wave, life, now=101.0):
+        return make_keeper(life)._is_down(wave, "m", now)
+
+    def test_an_order_without_an_answer_counts_whatever_runs_there(self):
+        """Bench, Hanbit quiet-1: a machine that moved as its wave began had a new life
+        before the order was carried out, and counted as back (LIMIT)."""
+        assert self.is_down(make_wave(maintained=False), "i@2")
+
+    def test_a_machine_is_down_until_another_life_announces_itself(self):
+        assert self.is_down(make_wave(maintained=True), None)
+        assert self.is_down(make_wave(maintained=True), "i@1")
+        assert not self.is_down(make_wave(maintained=True), "i@2")
+
+    def test_a_resting_machine_is_down_for_its_maintenance(self):
+        wave = make_wave(maintained=True, life="")
+        assert self.is_down(wave, None, now=102.5)
+        assert not self.is_down(wave, None, now=103.5)
+
+    def test_a_machine_that_never_returns_stops_counting(self):
+        assert not self.is_down(make_wave(maintained=True), None, now=113.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
