--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -93,6 +93,43 @@
             decode_caller_call("POST", f"/a/{JOB}", HEADERS, b'{"steps": 3}')
 
 
+class TestBadInput(unittest.TestCase):
+    def refuse(self, body):
+        with self.assertRaises(BadBoundary):
+            decode_caller_call("POST", f"/a/{JOB}", HEADERS, body)
+
+    def test_numbers_that_no_codec_carries_are_refused(self):
+        for number in (2**63, 2**64, 2**70, -1, -(2**63) - 1, 10**400):
+            self.refuse(b'{"steps":[{"count":1,"cpu":%d}]}' % number)
+            body = b'{"version":%d,"routes":[],"services":[]}' % number
+            with self.assertRaises(BadBoundary):
+                decode_control_call("POST", "/config/put", body)
+            with self.assertRaises(BadBoundary):
+                decode_control_call(
+                    "POST", "/instances/i/heartbeat", encode(BEAT | {"born": "x"})
+                )
+
+    def test_whatever_is_accepted_can_be_committed(self):
+        body = encode({"steps": [{"count": 3, "cpu": 2**53, "estimated_ms": 1e15}]})
+        call = decode_caller_call("POST", f"/a/{JOB}", HEADERS, body)
+        assert msgspec.msgpack.encode(call)
+
+    def test_jobs_that_can_have_no_order_are_refused(self):
+        self.refuse(b'{"steps":[{"count":1,"depends_on":[0]}]}')
+        self.refuse(b'{"steps":[{"count":1,"depends_on":[5]}]}')
+        self.refuse(b'{"steps":[{"count":1},{"count":1,"depends_on":[-1]}]}')
+
+    def test_jobs_without_bound_are_refused(self):
+        self.refuse(b'{"steps":[{"count":0}]}')
+        self.refuse(b'{"steps":[{"count":1000000000}]}')
+        self.refuse(b'{"repeat_count":1000000000,"steps":[{"count":1}]}')
+        self.refuse(encode({"steps": [{"count": 1}] * 1001}))
+
+    def test_broken_bodies_are_refused(self):
+        for body in (b"", b"{", b"[]", b"\xff", b"[" * 100_000, b'{"steps":[1]}'):
+            self.refuse(body)
+
+
 class TestControlCalls(unittest.TestCase):
     def test_a_heartbeat_is_decoded(self):
         path = "/instances/i-1/heartbeat"
