Count a machine as down from the answer of its order

Change: the time counts from the answer, and after a change of leader from the term's beginning. Tests: two in test_machine_keeper, red before.

--- a/src/gypsumwalk/machine_keeper.py
+++ b/src/gypsumwalk/machine_keeper.py
@@ -114,6 +114,8 @@
         self._term = 0
         self._ordered: dict[str, float] = {}
         self._lives: dict[str, str] = {}
+        self._answered: dict[str, float] = {}
+        self._term_began = float("-inf")
         self._open: dict[str, tuple[int, str]] = {}
         self._noting: set[str] = set()
         self._count = 0
@@ -165,6 +167,8 @@
         self._term = self._dispatcher.term
         self._ordered.clear()
         self._lives.clear()
+        self._answered.clear()
+        self._term_began = now
         self._open.clear()
         self._noting.clear()
 
@@ -220,14 +224,17 @@
 
     def _is_down(self, wave: UpkeepWave, machine: str, now: float) -> bool:
         begun = wave.begun[machine]
-        if now > begun.at + self._maintenance + MISSING_SECONDS:
+        # An order may be carried out long after it was begun; an earlier leader's
+        # order at the beginning of the term at the latest.
+        since = max(begun.at, self._answered.get(machine, self._term_began))
+        if now > since + self._maintenance + MISSING_SECONDS:
             return False
         if machine not in wave.maintained:
             return True
         life = self._lives.get(machine, begun.life)
         if not life:
             # A machine whose pool is off comes back without an instance.
-            return now <= begun.at + self._maintenance + RETURN_SECONDS
+            return now <= since + self._maintenance + RETURN_SECONDS
         instance = self._directory.find_instance(machine)
         return instance is None or instance.life == life
 
@@ -347,6 +354,8 @@
         order = self._open.pop(item.token, None)
         if order is None or not isinstance(item.report, MachineReport):
             return []
+        if not item.report.refused:
+            self._answered[order[1]] = now
         return self._take_report(*order, item.report)
 
     def _take_report(
--- a/tests/test_machine_keeper.py
+++ b/tests/test_machine_keeper.py
@@ -59,6 +59,21 @@
         assert self.is_down(wave, None, now=102.5)
         assert not self.is_down(wave, None, now=103.5)
 
+    def test_a_late_order_takes_a_resting_machine_down_late(self):
+        """Bench, Batedores trouble-1, seed 1073466885445: an order that is answered
+        late is carried out late, and the machine is away from then on (LIMIT)."""
+        keeper = make_keeper(None)
+        keeper._answered["m"] = 104.0
+        wave = make_wave(maintained=True, life="")
+        assert keeper._is_down(wave, "m", 105.5)
+        assert not keeper._is_down(wave, "m", 107.5)
+
+    def test_a_new_leader_counts_from_its_own_beginning(self):
+        keeper = make_keeper(None)
+        keeper._term_began = 104.0
+        wave = make_wave(maintained=True, life="")
+        assert keeper._is_down(wave, "m", 105.5)
+
     def test_a_machine_that_never_returns_stops_counting(self):
         assert not self.is_down(make_wave(maintained=True), None, now=113.0)
 
