--- a/src/gypsumwalk/declarations.py
+++ b/src/gypsumwalk/declarations.py
@@ -55,6 +55,11 @@
         """Return a service by name."""
         return self._services.get(name)
 
+    def find_standby(self) -> str:
+        """Return the service whose machines are off, or empty if there is none."""
+        services = self._services.values()
+        return next((item.name for item in services if item.standby), "")
+
     def get_team(self, name: str) -> DeclaredTeam | None:
         """Return a team by name."""
         return self._teams.get(name)
--- a/src/gypsumwalk/machine_keeper.py
+++ b/src/gypsumwalk/machine_keeper.py
@@ -193,7 +193,11 @@
         resting = [item for item in due if self._is_resting(item)]
         busy = [item for item in due if item not in resting]
         pace = find_pace(
-            len(due), wave, now, self._maintenance, waits=bool(self._find_standby())
+            len(due),
+            wave,
+            now,
+            self._maintenance,
+            waits=bool(self._declarations.find_standby()),
         )
         chosen = resting[: wave.max_down] + busy[:pace]
         self._scheduler.cordoned = set(chosen) | {
@@ -210,13 +214,11 @@
             effects += self._begin(wave, machine)
         return effects
 
-    def _find_standby(self) -> str:
-        current = self._declarations.current
-        services = current.services if current else []
-        return next((item.name for item in services if item.standby), "")
-
     def _is_resting(self, machine: str) -> bool:
-        return self._directory.machines[machine].service == self._find_standby()
+        return (
+            self._directory.machines[machine].service
+            == self._declarations.find_standby()
+        )
 
     def _find_time_needed(self, wave: UpkeepWave, due: list[str]) -> float:
         rounds = -(-len(due) // wave.max_down)
--- a/src/gypsumwalk/pool_keeper.py
+++ b/src/gypsumwalk/pool_keeper.py
@@ -133,7 +133,7 @@
             return []
         if self._dispatcher.term != self._term:
             self._begin_term(now)
-        standby = self._find_standby()
+        standby = self._declarations.find_standby()
         if not standby or not self._directory.machines:
             return []
         self._forget_arrived(now)
@@ -176,11 +176,6 @@
         self._open.clear()
         self._scheduler.leaving.clear()
 
-    def _find_standby(self) -> str:
-        current = self._declarations.current
-        services = current.services if current else []
-        return next((item.name for item in services if item.standby), "")
-
     def _forget_arrived(self, now: float) -> None:
         for machine, (service, since) in list(self._moving.items()):
             info = self._directory.machines.get(machine)
