Refuse a start whose unit was taken under a limit since lowered

Ruled out: letting the sender drop the resend, as an earlier copy may still arrive. Change: the start carries the limit under which its unit was taken; the owner of the target answers 'not sent' if the limit is lower now, and the request takes a unit anew.

Known red 'no leader in time' (seen once): daemons in tests had ports of the kernel's range for outgoing connections, so that a peer's call could hold one before its daemon listened. They lie below that range now, checked for TCP and UDP, and a failure shows exit codes and logs.

--- a/src/gypsumwalk/exchange.py
+++ b/src/gypsumwalk/exchange.py
@@ -111,6 +111,8 @@
         The request's body.
     repeatable : bool
         Whether the request may run more than once.
+    limit : int
+        Upper limit of the team when its unit was taken, 0 for none.
     """
 
     token: str
@@ -121,6 +123,7 @@
     seconds: float
     content: Content
     repeatable: bool
+    limit: int = 0
 
 
 class ReportRun(msgspec.Struct, frozen=True, tag=True):
--- a/src/gypsumwalk/runs.py
+++ b/src/gypsumwalk/runs.py
@@ -150,7 +150,9 @@
         token = self._make_token()
         return self._start(work, target, token, "", charged, now)
 
-    def start_lent(self, source: str, message: StartRun, now: float) -> list[Effect]:
+    def start_lent(
+        self, source: str, message: StartRun, now: float, *, may_start: bool = True
+    ) -> list[Effect]:
         """Send a request of another daemon to the target whose slot it was lent.
 
         Parameters
@@ -161,6 +163,8 @@
             The request.
         now : float
             Time in seconds.
+        may_start : bool
+            Whether its team may still use the unit that was taken for it.
 
         Returns
         -------
@@ -179,6 +183,8 @@
         loan = self.take_back(token)
         if loan is None or loan.asker != source or loan.expires_at <= now:
             return [self._report_unsent(source, message, DispatchStatus.NOT_SENT)]
+        if not may_start:
+            return [self._report_unsent(source, message, DispatchStatus.NOT_SENT)]
         target = self._targets.table.targets.get(loan.target)
         if target is None or not target.takes_work(now) or message.seconds <= 0:
             return [self._report_unsent(source, message, DispatchStatus.NOT_SENT)]
--- a/src/gypsumwalk/scheduling.py
+++ b/src/gypsumwalk/scheduling.py
@@ -244,7 +244,9 @@
 
     def take_start(self, source: str, body: StartRun, now: float) -> list[Effect]:
         """Run a request of another daemon in a slot lent to it."""
-        return self._runs.start_lent(source, body, now)
+        # A start that was delayed must not use a unit that the limit no longer has.
+        lowered = self._find_limit(body.team) < body.limit
+        return self._runs.start_lent(source, body, now, may_start=not lowered)
 
     def take_report(self, source: str, body: ReportRun, now: float) -> list[Effect]:
         """Take in how a run at another daemon ended."""
@@ -328,10 +330,15 @@
             seconds=request.deadline - now,
             content=request.content,
             repeatable=request.repeatable,
+            limit=self._find_limit(request.team),
         )
         self._remote[request.request_id] = (owner, message, now + RESEND_SECONDS)
         return [SendPeer(owner, message, reliable=True)]
 
+    def _find_limit(self, team: str) -> int:
+        rule = self._folder.team(team)
+        return rule.limit if rule else 0
+
     def _note_start(self, request: Request, owner: str, token: str, now: float) -> None:
         request.state = RequestState.RUNNING
         request.outcome = Outcome.IN_PROGRESS
--- a/tests/_real_cluster.py
+++ b/tests/_real_cluster.py
@@ -17,6 +17,7 @@
 
 POLL_SECONDS = 0.02
 STOP_SECONDS = 40
+LOG_LINES = 30
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
@@ -136,7 +137,16 @@
             if leader not in ("", other_than):
                 return leader
             time.sleep(POLL_SECONDS)
-        raise AssertionError("no leader in time")
+        raise AssertionError(f"no leader in {within} s: {self._describe()}")
+
+    def _describe(self):
+        """Return for each daemon its exit code and the end of its log."""
+        ends = []
+        for name, process in self.processes.items():
+            log = (self.folder / f"{name}.log").read_text().splitlines()
+            lines = [f"{name}: exit {process.poll()}", *log[-LOG_LINES:]]
+            ends.append("\n".join(lines))
+        return "\n\n".join(ends)
 
     def apply(self, name, base, files, timeout=15.0):
         return self.call(
--- a/tests/_real_daemon.py
+++ b/tests/_real_daemon.py
@@ -1,11 +1,12 @@
 """One real daemon as a process on loopback, and an echoing target."""
 
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -16,6 +17,7 @@
 
 START_SECONDS = 20
 STOP_SECONDS = 20
+PORTS = range(16_000, 32_000)
 OPERATOR_KEY = "first-operator-key"
 SETTINGS = """\
 name = "entry1"
@@ -112,13 +114,28 @@
 
 
 def find_ports(count):
-    """Return ports that are free for TCP and UDP."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    try:
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    """Return ports that are free for TCP and UDP.
+
+    They lie below the range that the kernel gives to outgoing connections: a daemon
+    that calls a peer before it listens could otherwise take the peer's port.
+    """
+    ports = []
+    with ExitStack() as stack:
+        while len(ports) < count:
+            port = random.choice(PORTS)
+            if _reserve(stack, port):
+                ports.append(port)
+    return ports
+
+
+def _reserve(stack, port):
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        item = stack.enter_context(socket.socket(socket.AF_INET, kind))
+        try:
+            item.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 class EchoTarget(StubDaemon):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -9,6 +9,7 @@
 from gypsumwalk.drivers import relay as relay_module
 from gypsumwalk.drivers.relay import Relay
 from gypsumwalk.fleet_desk import LEADER_HEADER
+from tests._real_daemon import find_ports
 
 PATIENCE = 3.0
 
@@ -42,12 +43,6 @@
         self._server.stop()
 
 
-def find_free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class TestRelay(unittest.TestCase):
     def make_relay(self, seeds, names=None):
         lines = []
@@ -78,7 +73,7 @@
         assert relay.is_ready
 
     def test_nobody_listens_so_it_has_not_run(self):
-        relay = self.make_relay([f"127.0.0.1:{find_free_port()}"])
+        relay = self.make_relay([f"127.0.0.1:{find_ports(1)[0]}"])
         answer = self.post(relay)
         assert answer.status == 503
         assert answer.headers["Retry-After"] == "1"
--- a/tests/test_request_faults.py
+++ b/tests/test_request_faults.py
@@ -38,6 +38,12 @@
             with self.subTest(fault=name):
                 assert check_all(run_faults([name], SEED, **LOSSY)) == []
 
+    def test_a_start_that_was_resent_uses_no_unit_of_a_limit_since_lowered(self):
+        for name, seed in (("resend", 51), ("late answer", 55)):
+            with self.subTest(fault=name):
+                run = run_faults((name, "limit lowered"), seed, **LOSSY)
+                assert check_all(run) == []
+
 
 class TestChecksCanFail(unittest.TestCase):
     """Each check finds the fault that it is meant for."""
