Ask for advice, pace fillers, and restart gangs as one

Cause: advice, pacing and gangs were decoded and only partly used: a start on a queue with advice carried no ticket, so every start there was refused; fillers were never paced (HARM); the members of a gang resumed from checkpoints of their own, and a member that was lost left the others waiting for the time-out (GANG). Ruled out: asking about every instance (each costs the service time; 30 fit the users' objective), and one pace for all instances (effects differ by instance). Change: AdviceBook keeps tickets by step and life, the scheduler wishes for advice where waiting tasks have room, AdviceKeeper asks one question at a time. Members of a gang resume from one checkpoint and are stopped together.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from gypsumwalk.advice import AdviceBook, name_step
 from gypsumwalk.declaration_records import PutDeclaration
 from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.effects import CallPlatform, Effect, Propose, Record, Scalar
@@ -65,6 +66,9 @@
 RENEWAL_WAIT_SECONDS = 0.8
 """Time in seconds that an instance waits for an end before it answers."""
 
+WATCH_WAIT_SECONDS = 0.25
+"""The same where fillers may slow tasks that serve; figures cover half a second."""
+
 CALL_SECONDS = 1.0
 """Timeout of one call; links are a few milliseconds long."""
 
@@ -80,6 +84,9 @@
 FORGET_SECONDS = 30.0
 """Time in seconds of silence after which an instance without runs is forgotten."""
 
+REJECTED_SECONDS = 1.0
+"""Time in seconds for which an instance gets no starts after it rejected one."""
+
 PROPOSAL_SECONDS = 2.0
 """A command not committed by then waits for a new leader."""
 
@@ -97,6 +104,10 @@
         Jobs and instances.
     scheduler : Scheduler
         Chooses what starts where.
+    advice : AdviceBook
+        Tickets for steps of queues with advice.
+    max_lease : float
+        Longest lease that an instance takes, in seconds.
     """
 
     name = "dispatcher"
@@ -119,6 +130,7 @@
         declarations: DeclarationSection,
         workloads: WorkloadSection,
         scheduler: Scheduler,
+        advice: AdviceBook,
         max_lease: float,
     ) -> None:
         self.book = LeaseBook()
@@ -126,6 +138,7 @@
         self._declarations = declarations
         self._workloads = workloads
         self._scheduler = scheduler
+        self._advice = advice
         self._lease = min(LEASE_SECONDS, max_lease)
         self._term = 0
         self._fenced_term = 0
@@ -197,7 +210,7 @@
             self.book.instances[registered.life] = view
         for placement in self._workloads.list_placed():
             self._scheduler.adopt(placement, self.book)
-        self._request_pass(now)
+        self.request_pass(now)
         runs = len(self.book.list_runs())
         attributes: dict[str, Scalar] = {
             "instances": len(self.book.instances),
@@ -217,13 +230,14 @@
     def _lease_span(self) -> float:
         return self._lease / (1 - CLOCK_RATE_ERROR) + LAPSE_MARGIN_SECONDS
 
-    def _request_pass(self, now: float) -> None:
+    def request_pass(self, now: float) -> None:
+        """Look at the waiting tasks soon, as something that they wait for has come."""
         self._pass_due = min(self._pass_due, now + BATCH_SECONDS)
 
     # Commands
 
     def _take_command(self, item: Committed, now: float) -> list[Effect]:
-        self._request_pass(now)
+        self.request_pass(now)
         match item.command:
             case AcceptWorkload(workload=workload):
                 self._scheduler.touch(workload.job)
@@ -272,10 +286,21 @@
         workload = self._workloads.jobs.get(run.task.job)
         if view is None or workload is None or workload.is_over:
             return False
-        if not self.is_leading(now):
+        if not self.is_leading(now) or not self._has_advice(run, now):
             return False
         return view.is_responsive and not view.registered.draining
 
+    def _has_advice(self, run: RunView, now: float) -> bool:
+        workload = self._workloads.jobs[run.task.job]
+        queue = self._declarations.get_queue(workload.queue)
+        if queue is None or queue.advice is None:
+            return True
+        return bool(self._find_ticket(run, now))
+
+    def _find_ticket(self, run: RunView, now: float) -> str:
+        step = name_step(run.task.job, run.task.occurrence, run.task.step)
+        return self._advice.find_ticket(step, run.life, now)
+
     def _forget_ended(self, ends: Iterable[RunEnd], now: float) -> list[Effect]:
         effects: list[Effect] = []
         for end in ends:
@@ -295,6 +320,20 @@
             workload = self._workloads.jobs.get(end.task.job)
             if workload is not None and workload.is_over:
                 effects += self._stop_job(end.task.job, now)
+            elif end.kind is not RunEndKind.DONE:
+                effects += self._stop_gang(end, now)
+        return effects
+
+    def _stop_gang(self, end: RunEnd, now: float) -> list[Effect]:
+        """Stop the other members of a run of a gang, which can't work any more."""
+        step = self._workloads.find_step(end.task)
+        if step is None or not step.gang:
+            return []
+        effects: list[Effect] = []
+        for number in range(step.count):
+            member = self.book.find(end.task._replace(number=number), end.run)
+            if member is not None and not member.stopping:
+                effects += self.stop(member, now)
         return effects
 
     def _stop_job(self, job: str, now: float) -> list[Effect]:
@@ -317,7 +356,6 @@
         workload = self._workloads.jobs[run.task.job]
         lease_until = view.read_clock(now) + int(self._lease * 1000)
         view.lease_until = max(view.lease_until, lease_until)
-        place = (run.task.occurrence, run.task.step, run.task.number)
         action = StartRun(
             instance=view.registered.instance,
             address=view.registered.address,
@@ -326,7 +364,8 @@
             run=run.run,
             spec=workload.spec,
             lease_until=lease_until,
-            checkpoint=workload.tasks[place].checkpoint,
+            checkpoint=workload.find_checkpoint(run.task),
+            ticket=self._find_ticket(run, now),
         )
         run.order_open = True
         run.ordered_at = now
@@ -360,7 +399,7 @@
         lease_until = None
         wait = 0.0
         if view.is_responsive:
-            wait = RENEWAL_WAIT_SECONDS
+            wait = WATCH_WAIT_SECONDS if view.watched else RENEWAL_WAIT_SECONDS
             if view.runs:
                 lease_until = view.read_clock(now) + int(self._lease * 1000)
                 view.lease_until = max(view.lease_until, lease_until)
@@ -395,7 +434,7 @@
             effects += self._resend(run, now)
         effects += self._empty_draining(now)
         if self._scheduler.is_time_due(now):
-            self._request_pass(now)
+            self.request_pass(now)
         return effects
 
     def _check_silence(self, view: InstanceView, now: float) -> list[Effect]:
@@ -417,6 +456,8 @@
         if run.stopping:
             return [] if run.stopped_at else self._send_stop(run, now)
         if run.state is RunState.STARTING and not view.registered.draining:
+            if not self._has_advice(run, now):
+                return self.stop(run, now)
             return self._send_start(run, now)
         return []
 
@@ -426,9 +467,8 @@
             if not view.registered.draining:
                 continue
             for run in list(view.runs.values()):
-                workload = self._workloads.jobs.get(run.task.job)
-                lasting = workload and workload.steps[run.task.step].lasting
-                if lasting and not run.stopping:
+                step = self._workloads.find_step(run.task)
+                if step is not None and step.lasting and not run.stopping:
                     effects += self.stop(run, now)
         return effects
 
@@ -495,7 +535,7 @@
         view.silent_since = 0.0
         if not was_silent:
             return []
-        self._request_pass(now)
+        self.request_pass(now)
         attributes: dict[str, Scalar] = {"runs": len(view.runs)}
         return [Record(Event.INSTANCE_READ, view.registered.life, attributes)]
 
@@ -561,14 +601,18 @@
             "reason": report.refused,
         }
         record = Record(Event.RUN_REFUSED, str(run.task), attributes)
-        view.rejected_until = now + 1.0
+        if report.refused == "ticket":
+            step = name_step(run.task.job, run.task.occurrence, run.task.step)
+            self._advice.drop_ticket(step, run.life)
+        else:
+            view.rejected_until = now + REJECTED_SECONDS
         if run.attempts > 1:
             # An earlier copy of the order may still arrive; a stop shuts it out.
             return [record, *self.stop(run, now)]
         return [record, *self._lose([run], report.refused)]
 
     def _take_proposal(self, item: ProposalOutcome, now: float) -> list[Effect]:
-        self._request_pass(now)
+        self.request_pass(now)
         if batch := self._batches.pop(item.token, None):
             if item.status in (ProposalStatus.REJECTED, ProposalStatus.NOT_COMMITTED):
                 for run in batch:
--- a/src/gypsumwalk/emulator.py
+++ b/src/gypsumwalk/emulator.py
@@ -16,6 +16,8 @@
 from gypsumwalk.effects import CallPlatform
 from gypsumwalk.inputs import PlatformOutcome
 from gypsumwalk.instance_actions import (
+    AdviceReport,
+    AskAdvice,
     EndedRun,
     InstanceReport,
     ListMachines,
@@ -33,7 +35,7 @@
 )
 from gypsumwalk.workload_records import RegisteredInstance
 
-__all__ = ["EmulatedInstance", "EmulatedPlatform", "Execution"]
+__all__ = ["EmulatedAdvice", "EmulatedInstance", "EmulatedPlatform", "Execution"]
 
 LINK_SECONDS = 0.001
 """One way to an instance, as between two data centres of one region."""
@@ -72,6 +74,8 @@
     lapsed : bool
         Whether the lease ended after it and before its end was acknowledged; such an
         end does not count as noted.
+    pace : int
+        Share of its speed that was ordered last, in percent.
     """
 
     task: str
@@ -84,6 +88,7 @@
     ended: float | None = None
     acknowledged: bool = False
     lapsed: bool = False
+    pace: int = 100
 
 
 @dataclass(slots=True)
@@ -109,6 +114,60 @@
         return int((now - self.born_at) * 1000) + 1000
 
 
+class EmulatedAdvice:
+    """Advice service: a ticket for each instance that may run a step.
+
+    Parameters
+    ----------
+    is_allowed : Callable
+        Tells whether a step may run on an instance, by their names.
+    decision : float
+        Time in seconds that an answer takes.
+    per_instance : float
+        Time in seconds more for each instance that is named.
+    validity : float
+        Time in seconds for which a ticket is valid.
+    """
+
+    def __init__(
+        self,
+        is_allowed: Callable[[str, str], bool],
+        *,
+        decision: float,
+        per_instance: float,
+        validity: float,
+    ) -> None:
+        self.asked: list[tuple[float, str, int]] = []
+        self._is_allowed = is_allowed
+        self._decision = decision
+        self._per_instance = per_instance
+        self._validity = validity
+        self._tickets: dict[str, tuple[str, str, float]] = {}
+
+    def answer(
+        self, token: str, action: AskAdvice, now: float
+    ) -> tuple[float, Callable[[float], PlatformOutcome]]:
+        """Answer a question, later."""
+        self.asked.append((now, action.step, len(action.instances)))
+        delay = self._decision + len(action.instances) * self._per_instance
+        tickets = {}
+        for instance in action.instances:
+            if self._is_allowed(action.step, instance):
+                ticket = f"ticket-{len(self._tickets)}"
+                until = now + delay + self._validity
+                self._tickets[ticket] = (action.step, instance, until)
+                tickets[instance] = ticket
+        report = AdviceReport(tickets, self._validity)
+        done = PlatformOutcome(token, succeeded=True, report=report)
+        return delay, lambda at: done
+
+    def admits(self, instance: EmulatedInstance, action: StartRun, now: float) -> bool:
+        """Tell whether the ticket of a start is valid for its step there."""
+        step = action.task.rpartition(".")[0]
+        known, allowed, until = self._tickets.get(action.ticket, ("", "", 0.0))
+        return (known, allowed) == (step, instance.registered.instance) and now < until
+
+
 class EmulatedPlatform:
     """All instances, and the history of what they ran.
 
@@ -129,6 +188,10 @@
         self.on_maintenance: Callable[[str, float], None] = lambda machine, now: None
         self.caller = ""
         """Name of the daemon that calls, for instances that only some can reach."""
+        self.find_load: Callable[[EmulatedInstance, Execution], int] = lambda *_: 0
+        """Returns the load that an instance lists for a run."""
+        self.advice: EmulatedAdvice | None = None
+        """Set where starts need tickets."""
         self._random = random
         self._find_length = find_length
         self._late: list[tuple[float, EmulatedInstance, msgspec.Struct]] = []
@@ -193,6 +256,8 @@
             answer = self._serve_machines(action, now)
             done = PlatformOutcome(effect.token, succeeded=True, report=answer)
             return 2 * LINK_SECONDS, lambda at: done
+        if isinstance(action, AskAdvice) and self.advice is not None:
+            return self.advice.answer(effect.token, action, now)
         if not isinstance(action, RenewLease | StartRun | StopRun | PaceRun):
             return effect.timeout, lambda at: unknown
         instance = self.instances.get(action.address)
@@ -239,7 +304,9 @@
         for execution in instance.running.values():
             starting = now - execution.started < STARTUP_SECONDS
             percent = 0 if starting else 100
-            running.append(RunningTask(execution.task, execution.run, percent=percent))
+            load = self.find_load(instance, execution)
+            row = RunningTask(execution.task, execution.run, percent=percent, load=load)
+            running.append(row)
         ended = [
             EndedRun(number, item.task, item.run, item.how)
             for number, item in instance.ends[:MAX_LISTED_ENDS]
@@ -266,6 +333,10 @@
                 return OrderReport(clock, born, self._start(instance, action, now))
             case StopRun():
                 self._stop(instance, action, now)
+            case PaceRun():
+                present = instance.running.get(action.task)
+                if present is not None and present.run == action.run:
+                    present.pace = action.percent
         return OrderReport(clock, born)
 
     def _extend(
@@ -290,6 +361,8 @@
             return "old"
         if action.lease_until <= instance.read_clock(now):
             return "late"
+        if self.advice is not None and not self.advice.admits(instance, action, now):
+            return "ticket"
         self._extend(instance, action.lease_until, now)
         length, how = self._find_length(action.task, action.run)
         execution = Execution(
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -191,6 +191,17 @@
         Level.WARNING,
         "machine {machine} under the silent instance is down; its {runs} runs are lost",
     )
+    ADVICE_GIVEN = EventEntry(
+        5017,
+        Level.INFO,
+        "asked about {asked} instances, {allowed} may run the step (-1: no answer)",
+    )
+    RUN_PACED = EventEntry(
+        5018,
+        Level.INFO,
+        "run {run} on {life} may work at {percent} percent; a tail of {tail} ms"
+        " against a target of {target} ms",
+    )
     WAVE_STARTED = EventEntry(4201, Level.INFO, "run {run} of the wave started")
     WAVE_PAUSED = EventEntry(4202, Level.WARNING, "the wave is paused: {reason}")
 
--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -4,6 +4,8 @@
 from random import Random
 
 from gypsumwalk import consensus
+from gypsumwalk.advice import AdviceBook
+from gypsumwalk.advice_keeper import AdviceKeeper
 from gypsumwalk.consensus import Consensus
 from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.dispatcher import Dispatcher
@@ -12,6 +14,7 @@
 from gypsumwalk.machine_keeper import MachineKeeper
 from gypsumwalk.machine_turns import MachineTurns
 from gypsumwalk.node import Node
+from gypsumwalk.pace_keeper import PaceKeeper
 from gypsumwalk.part import Part
 from gypsumwalk.pool_keeper import PoolKeeper
 from gypsumwalk.recovery import Recovered
@@ -91,12 +94,14 @@
             incarnation=incarnation,
             first_start=first_start,
         )
-        self.scheduler = Scheduler(self.declarations, self.workloads)
+        advice = AdviceBook()
+        self.scheduler = Scheduler(self.declarations, self.workloads, advice)
         self.dispatcher = Dispatcher(
             leadership=self.consensus,
             declarations=self.declarations,
             workloads=self.workloads,
             scheduler=self.scheduler,
+            advice=advice,
             max_lease=limits.max_lease,
         )
         self.desk = FleetDesk(
@@ -128,6 +133,13 @@
             directory=directory,
             turns=turns,
         )
+        adviser = AdviceKeeper(
+            workloads=self.workloads,
+            dispatcher=self.dispatcher,
+            scheduler=self.scheduler,
+            advice=advice,
+        )
+        pacer = PaceKeeper(workloads=self.workloads, dispatcher=self.dispatcher)
         keeper = VoterKeeper(settings.name, self.consensus)
         parts: list[Part] = [
             self.consensus,
@@ -136,6 +148,8 @@
             directory,
             machines,
             pools,
+            adviser,
+            pacer,
             keeper,
             Retirement(),
         ]
--- a/src/gypsumwalk/instance_actions.py
+++ b/src/gypsumwalk/instance_actions.py
@@ -242,7 +242,7 @@
 
 
 class AdviceReport(msgspec.Struct, frozen=True):
-    """Tickets by instance, for those that may run the step."""
+    """Tickets by instance that may run the step, and their validity in seconds."""
 
     tickets: dict[str, str]
     validity: float
--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -130,6 +130,8 @@
         Whether ends wait to be committed.
     rejected_until : float
         Time in seconds until which it gets no starts, as it rejected one.
+    watched : bool
+        Whether fillers run beside tasks that serve, so that lists are due sooner.
     """
 
     registered: RegisteredInstance
@@ -146,6 +148,7 @@
     answered_at: float = 0.0
     ends_open: bool = False
     rejected_until: float = 0.0
+    watched: bool = False
 
     @property
     def used(self) -> Resources:
--- a/src/gypsumwalk/machine_keeper.py
+++ b/src/gypsumwalk/machine_keeper.py
@@ -262,8 +262,8 @@
         return effects
 
     def _is_lasting(self, run: RunView) -> bool:
-        workload = self._workloads.jobs.get(run.task.job)
-        return bool(workload and workload.steps[run.task.step].lasting)
+        step = self._workloads.find_step(run.task)
+        return step is not None and step.lasting
 
     def _may_interrupt(self, run: RunView) -> bool:
         workload = self._workloads.jobs[run.task.job]
--- a/src/gypsumwalk/scheduler.py
+++ b/src/gypsumwalk/scheduler.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from gypsumwalk.advice import MAX_ASKED, AdviceBook, AdviceWish, name_step
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.leases import LeaseBook, RunState, RunView
@@ -34,17 +35,25 @@
         Declaration in force.
     workloads : WorkloadSection
         Jobs and instances.
+    advice : AdviceBook
+        Which instances may run steps of queues with advice.
     """
 
     def __init__(
-        self, declarations: DeclarationSection, workloads: WorkloadSection
+        self,
+        declarations: DeclarationSection,
+        workloads: WorkloadSection,
+        advice: AdviceBook,
     ) -> None:
         self.cordoned: set[str] = set()
         """Machines that get no new work, as a wave takes them down next."""
         self.leaving: set[str] = set()
         """Machines that get no new work, as they are changing their pool."""
+        self.wishes: list[AdviceWish] = []
+        """Questions that would let tasks start that wait now, the first ones first."""
         self._declarations = declarations
         self._workloads = workloads
+        self._advice = advice
         self._urgencies = Urgencies()
         self._ready: dict[str, list[TaskKey]] = {}
         self._stale: set[str] = set()
@@ -99,12 +108,13 @@
             The runs.
         """
         self._refresh(book, now)
+        self.wishes.clear()
         pools = self._find_pools(book, now)
         planned: list[PlannedRun] = []
         for workload in self._sort_waiting(now):
             candidates = pools.get(self.find_service(workload), {})
             if candidates:
-                planned += self._choose_for(workload, candidates, book)
+                planned += self._choose_for(workload, candidates, book, now)
         return planned
 
     def add_demand(self, demands: Mapping[str, PoolDemand], book: LeaseBook) -> None:
@@ -217,11 +227,15 @@
         return bool(machine) and (machine in self.cordoned or machine in self.leaving)
 
     def _is_serving(self, run: RunView) -> bool:
-        workload = self._workloads.jobs.get(run.task.job)
-        return bool(workload and workload.steps[run.task.step].latency_target)
+        step = self._workloads.find_step(run.task)
+        return step is not None and step.latency_target > 0
 
     def _choose_for(
-        self, workload: Workload, candidates: dict[str, Candidate], book: LeaseBook
+        self,
+        workload: Workload,
+        candidates: dict[str, Candidate],
+        book: LeaseBook,
+        now: float,
     ) -> list[PlannedRun]:
         planned: list[PlannedRun] = []
         ready = self._ready.pop(workload.job)
@@ -231,16 +245,68 @@
             steps.setdefault((task.occurrence, task.step), []).append(task)
         for tasks in steps.values():
             step = workload.steps[tasks[0].step]
+            allowed = self._find_allowed(workload, tasks[0], candidates, now)
             if step.gang:
-                chosen = self._choose_gang(workload, step, tasks, candidates, book)
+                chosen = self._choose_gang(workload, step, tasks, allowed, book)
             else:
-                chosen = self._choose_tasks(workload, step, tasks, candidates, book)
+                chosen = self._choose_tasks(workload, step, tasks, allowed, book)
+            if len(chosen) < len(tasks):
+                self._wish(workload, tasks[0], candidates, now)
             left += tasks[len(chosen) :]
             planned += chosen
         if left:
             self._ready[workload.job] = left
         return planned
 
+    def _find_allowed(
+        self,
+        workload: Workload,
+        task: TaskKey,
+        candidates: dict[str, Candidate],
+        now: float,
+    ) -> dict[str, Candidate]:
+        """Return the candidates with a ticket, or all where the queue asks for none."""
+        queue = self._declarations.get_queue(workload.queue)
+        if queue is None or queue.advice is None:
+            return candidates
+        name = name_step(task.job, task.occurrence, task.step)
+        return {
+            life: item
+            for life, item in candidates.items()
+            if self._advice.find_ticket(name, life, now)
+        }
+
+    def _wish(
+        self,
+        workload: Workload,
+        task: TaskKey,
+        candidates: dict[str, Candidate],
+        now: float,
+    ) -> None:
+        """Wish for advice on instances that have room, where the queue needs it."""
+        queue = self._declarations.get_queue(workload.queue)
+        if queue is None or queue.advice is None:
+            return
+        step = workload.steps[task.step]
+        name = name_step(task.job, task.occurrence, task.step)
+        need = find_need(step)
+        fitting = [
+            item
+            for item in candidates.values()
+            if need.fits(item.free)
+            and (not step.label or step.label in item.view.registered.labels)
+        ]
+        fitting.sort(
+            key=lambda item: (
+                step.data_rack not in item.view.registered.labels,
+                item.free.cpu,
+            )
+        )
+        lives = [item.view.registered.life for item in fitting]
+        unknown = self._advice.list_unknown(name, lives, now)[:MAX_ASKED]
+        if unknown:
+            self.wishes.append(AdviceWish(name, queue.advice, tuple(unknown)))
+
     def _choose_tasks(
         self,
         workload: Workload,
--- a/src/gypsumwalk/workload_records.py
+++ b/src/gypsumwalk/workload_records.py
@@ -216,6 +216,19 @@
         """Tell whether all tasks of a step have ended well."""
         return self.done.get((occurrence, step), 0) >= self.steps[step].count
 
+    def find_checkpoint(self, task: TaskKey) -> str:
+        """Return the checkpoint that the next run of a task resumes from.
+
+        The members of a gang resume from one checkpoint, as any one stands for all.
+        """
+        step = self.steps[task.step]
+        numbers = range(step.count) if step.gang else [task.number]
+        for number in numbers:
+            record = self.tasks.get((task.occurrence, task.step, number))
+            if record is not None and record.checkpoint:
+                return record.checkpoint
+        return ""
+
 
 class AcceptWorkload(msgspec.Struct, frozen=True, tag=True):
     """Command: accept a job; the same identifier again changes nothing."""
--- a/src/gypsumwalk/workloads.py
+++ b/src/gypsumwalk/workloads.py
@@ -16,6 +16,7 @@
     RemoveInstance,
     RunEnd,
     RunEndKind,
+    Step,
     TaskKey,
     TaskRecord,
     Workload,
@@ -82,6 +83,11 @@
         lives = [item for item in self.instances.values() if item.instance == instance]
         return max(lives, key=lambda item: item.born, default=None)
 
+    def find_step(self, task: TaskKey) -> Step | None:
+        """Return the step that a task belongs to, None if its job is not known."""
+        workload = self.jobs.get(task.job)
+        return workload.steps[task.step] if workload else None
+
     def is_outdated(self, instance: RegisteredInstance) -> bool:
         """Tell whether a later life took the address, or this life has left."""
         return instance.born < self._last_born.get(instance.address, 0)
--- a/tests/_fleet_work.py
+++ b/tests/_fleet_work.py
@@ -34,7 +34,7 @@
 NO_QUOTA = Resources()
 
 
-def make_declaration(version=1, *, quota=NO_QUOTA, attempts=3):
+def make_declaration(version=1, *, quota=NO_QUOTA, attempts=3, advice=None):
     queues = [
         DeclaredQueue(
             f"queue-{name}",
@@ -43,6 +43,7 @@
             f"service-{name}",
             timeout=3.0,
             max_attempts=attempts,
+            advice=advice,
         )
         for name in ("a", "b")
     ]
--- a/tests/test_fleet_work.py
+++ b/tests/test_fleet_work.py
@@ -3,7 +3,7 @@
 import unittest
 
 from gypsumwalk.declaration_records import Resources
-from gypsumwalk.workload_records import Step
+from gypsumwalk.workload_records import Step, TaskKey, TaskRecord, Workload
 from tests._fleet_work import KEY, FleetWorld, make_declaration
 from tests._fleet_work_checks import (
     find_doubles,
@@ -99,6 +99,32 @@
         assert {item.run for item in world.model.history} == {1}
         assert len(world.model.history) == 3
 
+    def test_a_gang_that_lost_a_member_is_stopped_and_starts_again_as_one(self):
+        world = FleetWorld(length=60.0)
+        world.begin()
+        world.lengths[f"{JOB}.0.0.0", 1] = (0.5, "failed")
+        world.submit(JOB, [Step(3, NEED, gang=True)])
+        world.run(1.5)
+        history = world.model.history
+        first = [item for item in history if item.run == 1]
+        assert [item.how for item in first] == ["failed", "stopped", "stopped"]
+        assert len([item for item in history if item.run == 2]) == 3
+        assert find_doubles(history) == []
+
+    def test_all_members_of_a_gang_resume_from_one_checkpoint(self):
+        tasks = {
+            (0, 0, number): TaskRecord(run=1, checkpoint=checkpoint)
+            for number, checkpoint in enumerate(["", "saved-1", "saved-2"])
+        }
+        for gang, expected in (
+            (True, ["saved-1", "saved-1", "saved-1"]),
+            (False, ["", "saved-1", "saved-2"]),
+        ):
+            steps = [Step(3, NEED, gang=gang, checkpoints=True)]
+            job = Workload(JOB, "queue", "service", "team", "", steps, tasks=tasks)
+            found = [job.find_checkpoint(TaskKey(JOB, 0, 0, item)) for item in range(3)]
+            assert found == expected
+
 
 class TestCalls(unittest.TestCase):
     def test_a_key_of_no_team_is_refused(self):
