--- a/src/gypsumwalk/consensus.py
+++ b/src/gypsumwalk/consensus.py
@@ -18,7 +18,7 @@
 )
 from gypsumwalk.leadership import Leadership
 from gypsumwalk.part import NEVER
-from gypsumwalk.progress import ELECTION_SECONDS
+from gypsumwalk.progress import ElectionTiming
 from gypsumwalk.proposals import Proposals
 from gypsumwalk.recovery import Recovered
 from gypsumwalk.replica import Replica
@@ -86,6 +86,7 @@
     ) -> None:
         self._daemon = settings.name
         self._random = random
+        self._timing = ElectionTiming(settings.election_seconds)
         self._seeds = [voter for voter in settings.voters if voter != settings.name]
         self._proposals = Proposals(settings.name, incarnation)
         identity = ""
@@ -97,7 +98,7 @@
         self._replica = Replica(state, recovered, identity, voters, self._proposals)
         self._admission = Admission(settings.name, self._replica, settings.voters)
         self._follower = Follower(self._replica)
-        self._elections = Elections(settings.name, self._replica, random)
+        self._elections = Elections(settings.name, self._replica, random, self._timing)
         self._leadership: Leadership | None = None
         self._elections.withdraw()
         self._leader = ""
@@ -366,7 +367,7 @@
         if self._leadership:
             self._leadership.add_learner(source, now)
             return []
-        if not self._leader or now - self._heard > ELECTION_SECONDS:
+        if not self._leader or now - self._heard > self._timing.silence:
             return []
         return [SendPeer(source, LeaderHint(self._leader, self.term))]
 
@@ -432,7 +433,7 @@
         return self._elections.take_over(now)
 
     def _hears_leader(self, now: float) -> bool:
-        return self._leadership is not None or now - self._heard < ELECTION_SECONDS
+        return self._leadership is not None or now - self._heard < self._timing.silence
 
     def _take_vote_answer(
         self, source: str, body: VoteAnswer, now: float
@@ -457,7 +458,7 @@
         self._elections.withdraw()
         self._leader = self._daemon
         self._heard = now
-        self._leadership = Leadership(self._daemon, self._replica, now)
+        self._leadership = Leadership(self._daemon, self._replica, self._timing, now)
         self._proposals.hurry(now)
         detail = {"term": self.term}
         event = Record(Event.LEADER_ELECTED, self._daemon, detail)
--- a/src/gypsumwalk/drivers/clock.py
+++ b/src/gypsumwalk/drivers/clock.py
@@ -4,7 +4,26 @@
 
 import trio
 
-__all__ = ["RuntimeClock"]
+__all__ = ["RuntimeClock", "SuspendClock"]
+
+
+class SuspendClock(trio.abc.Clock):
+    """Clock of trio that counts the time for which the machine was suspended.
+
+    The steady clock stands still then, so that a lease that ended meanwhile would seem
+    to hold for a moment after the machine has woken.
+    """
+
+    def start_clock(self) -> None:
+        """Do nothing, as the clock runs from the start of the machine."""
+
+    def current_time(self) -> float:
+        """Return the seconds since the start of the machine."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def deadline_to_sleep_time(self, deadline: float) -> float:
+        """Return the seconds until a deadline."""
+        return deadline - self.current_time()
 
 
 class RuntimeClock:
--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -10,7 +10,7 @@
 
 from gypsumwalk import __version__
 from gypsumwalk.drivers.bridge import CallBridge
-from gypsumwalk.drivers.clock import RuntimeClock
+from gypsumwalk.drivers.clock import RuntimeClock, SuspendClock
 from gypsumwalk.drivers.connections import ReceiveWatch
 from gypsumwalk.drivers.disk import FolderDisk
 from gypsumwalk.drivers.journal import EventJournal
@@ -311,7 +311,7 @@
         Exit code of the process.
     """
     with contextlib.suppress(KeyboardInterrupt):
-        return trio.run(_run, settings, kit)
+        return trio.run(_run, settings, kit, clock=SuspendClock())
     return 1
 
 
--- a/src/gypsumwalk/elections.py
+++ b/src/gypsumwalk/elections.py
@@ -5,14 +5,12 @@
 
 from gypsumwalk.effects import Effect, Raise, SendPeer
 from gypsumwalk.inputs import PeerInput
-from gypsumwalk.progress import ELECTION_SECONDS
+from gypsumwalk.progress import ElectionTiming
 from gypsumwalk.replica import Replica
 from gypsumwalk.replication import VoteAnswer, VoteRequest
 
 __all__ = ["Elections", "Standing"]
 
-ELECTION_JITTER_SECONDS = 1.0
-
 
 class Standing(Enum):
     """Whether a daemon stands for election."""
@@ -34,20 +32,25 @@
         Its replica.
     random : Random
         Source of election timeouts.
+    timing : ElectionTiming
+        Times of elections.
     """
 
-    def __init__(self, daemon: str, replica: Replica, random: Random) -> None:
+    def __init__(
+        self, daemon: str, replica: Replica, random: Random, timing: ElectionTiming
+    ) -> None:
         self.due = 0.0
         self.standing = Standing.NONE
         self._daemon = daemon
         self._replica = replica
         self._random = random
+        self._timing = timing
         self._votes: set[str] = set()
 
     def postpone(self, now: float) -> None:
         """Draw the time at which to stand unless a leader is heard before."""
-        jitter = self._random.uniform(0, ELECTION_JITTER_SECONDS)
-        self.due = now + ELECTION_SECONDS + jitter
+        jitter = self._random.uniform(0, self._timing.jitter)
+        self.due = now + self._timing.silence + jitter
 
     def withdraw(self) -> None:
         """Stand no more, as there is a leader or a later term."""
--- a/src/gypsumwalk/leadership.py
+++ b/src/gypsumwalk/leadership.py
@@ -5,7 +5,7 @@
 from gypsumwalk.effects import Effect, SendPeer
 from gypsumwalk.errors import UnknownMessage
 from gypsumwalk.part import NEVER
-from gypsumwalk.progress import LEASE_SECONDS, Progress, find_quorum_value
+from gypsumwalk.progress import ElectionTiming, Progress, find_quorum_value
 from gypsumwalk.replica import Replica
 from gypsumwalk.replication import (
     AppendAnswer,
@@ -19,7 +19,6 @@
 
 __all__ = ["Leadership"]
 
-HEARTBEAT_SECONDS = 0.3
 LEARNER_HEARTBEAT_SECONDS = 0.9
 LEARNER_EXPIRY_SECONDS = 30.0
 ANSWERING_SECONDS = 1.0
@@ -46,13 +45,18 @@
         Name of the daemon.
     replica : Replica
         Its replica.
+    timing : ElectionTiming
+        Times of elections and heartbeats.
     now : float
         Time in seconds.
     """
 
-    def __init__(self, name: str, replica: Replica, now: float) -> None:
+    def __init__(
+        self, name: str, replica: Replica, timing: ElectionTiming, now: float
+    ) -> None:
         self._name = name
         self._replica = replica
+        self._timing = timing
         self._progress: dict[str, Progress] = {}
         self._queued: set[tuple[str, int, int]] = set()
         for entry in replica.log.tail(replica.commit):
@@ -76,7 +80,7 @@
         """Tell whether no other daemon can lead at this time."""
         if not self.known_commit:
             return False
-        return now < self.find_contact(now) + LEASE_SECONDS
+        return now < self.find_contact(now) + self._timing.lease
 
     def find_contact(self, now: float) -> float:
         """Return the latest sending time that a majority has answered, in seconds."""
@@ -319,7 +323,7 @@
 
     def _find_interval(self, name: str) -> float:
         if name in self._replica.voters:
-            return HEARTBEAT_SECONDS
+            return self._timing.heartbeat
         return LEARNER_HEARTBEAT_SECONDS
 
     def _is_gone(self, item: Progress, now: float) -> bool:
--- a/src/gypsumwalk/progress.py
+++ b/src/gypsumwalk/progress.py
@@ -3,18 +3,45 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-__all__ = ["ELECTION_SECONDS", "LEASE_SECONDS", "Progress", "find_quorum_value"]
-
-ELECTION_SECONDS = 1.0
-"""Shortest time in seconds without a leader after which a voter may stand."""
+__all__ = ["ElectionTiming", "Progress", "find_quorum_value"]
 
 CLOCK_DRIFT = 0.1
-LEASE_SECONDS = ELECTION_SECONDS * (1 - CLOCK_DRIFT)
-"""Lease of a leader, in seconds; clocks may differ in rate by ``CLOCK_DRIFT``."""
+"""Share by which the rates of two clocks may differ."""
+
+HEARTBEAT_SHARE = 0.3
+"""Share of the silence between two heartbeats, so that two of them may be lost."""
 
 MAX_IN_FLIGHT = 4
 
 
+@dataclass(frozen=True, slots=True)
+class ElectionTiming:
+    """Times that all voters of a group have to agree on.
+
+    Attributes
+    ----------
+    silence : float
+        Shortest time in seconds without a leader after which a voter may stand.
+    """
+
+    silence: float
+
+    @property
+    def jitter(self) -> float:
+        """Longest time in seconds that a voter waits beyond the silence."""
+        return self.silence
+
+    @property
+    def lease(self) -> float:
+        """Lease of a leader, in seconds from the sending of what was answered."""
+        return self.silence * (1 - CLOCK_DRIFT)
+
+    @property
+    def heartbeat(self) -> float:
+        """Interval of heartbeats, in seconds."""
+        return self.silence * HEARTBEAT_SHARE
+
+
 @dataclass(slots=True)
 class Progress:
     """How far one daemon has come.
--- a/src/gypsumwalk/settings.py
+++ b/src/gypsumwalk/settings.py
@@ -69,6 +69,9 @@
         Callers that wait at the same time.
     max_body_bytes : int
         Largest body of a request, in bytes.
+    election_seconds : float
+        Seconds without a leader after which a voter may stand, the same on all
+        daemons; shorter ones cost more heartbeats.
     seed : int
         Seed of the random numbers; 0 takes one from the system.
     """
@@ -87,6 +90,7 @@
     platform_url: str = ""
     caller_threads: int = 256
     max_body_bytes: int = 8 * 1024 * 1024
+    election_seconds: float = 1.0
     seed: int = 0
 
     @property
@@ -105,6 +109,9 @@
 
 MIN_SECRET_CHARACTERS = 16
 
+ELECTION_BOUNDS = (0.2, 10.0)
+"""In seconds: a sync and a round trip fit below, a rollout of 14 s above."""
+
 
 def decode_settings(text: str, *, file: str) -> Settings:
     """Read settings from TOML.
@@ -195,6 +202,15 @@
             settings.max_body_bytes,
         ),
     ]
+    least, most = ELECTION_BOUNDS
+    rules.append(
+        _Rule(
+            "election_seconds",
+            f"{least} to {most}",
+            least <= settings.election_seconds <= most,
+            settings.election_seconds,
+        )
+    )
     ports = [("caller_port", settings.caller_port), ("peer_port", settings.peer_port)]
     rules += [
         _Rule(key, f"1 to {MAX_PORT}", 1 <= port <= MAX_PORT, port)
