Let every daemon learn turns and lengths from the log

Ruled out: a forecast in the replicated state, as it would have to be the same everywhere. Change: the part FleetHistory hears arrivals, starts and ends on every daemon, with the leader's time of each entry; entries read again after a start keep their old times. Tests: tests/test_fleet_history.py.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -309,8 +309,6 @@
                 continue
             self.book.remove(run)
             self._scheduler.touch(end.task.job)
-            if end.kind is RunEndKind.DONE and run.attempts:
-                self._scheduler.note_duration(end.task, now - run.ordered_at)
             attributes: dict[str, Scalar] = {
                 "run": end.run,
                 "kind": end.kind.value,
--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -10,6 +10,7 @@
 from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.dispatcher import Dispatcher
 from gypsumwalk.fleet_desk import FleetDesk
+from gypsumwalk.fleet_history import FleetHistory
 from gypsumwalk.machine_directory import MachineDirectory
 from gypsumwalk.machine_keeper import MachineKeeper
 from gypsumwalk.machine_turns import MachineTurns
@@ -23,6 +24,7 @@
 from gypsumwalk.scheduler import Scheduler
 from gypsumwalk.settings import Settings
 from gypsumwalk.state import ReplicatedState, Section
+from gypsumwalk.turns import TurnForecast
 from gypsumwalk.upkeep import UpkeepSection
 from gypsumwalk.voter_keeper import VoterKeeper
 from gypsumwalk.wire import Envelope
@@ -123,6 +125,7 @@
             turns=turns,
             maintenance=limits.maintenance,
         )
+        forecast = TurnForecast()
         pools = PoolKeeper(
             daemon=settings.name,
             declarations=self.declarations,
@@ -132,6 +135,7 @@
             scheduler=self.scheduler,
             directory=directory,
             turns=turns,
+            forecast=forecast,
         )
         adviser = AdviceKeeper(
             workloads=self.workloads,
@@ -143,6 +147,7 @@
         keeper = VoterKeeper(settings.name, self.consensus)
         parts: list[Part] = [
             self.consensus,
+            FleetHistory(self.scheduler, forecast),
             self.desk,
             self.dispatcher,
             directory,
--- a/src/gypsumwalk/inputs.py
+++ b/src/gypsumwalk/inputs.py
@@ -125,11 +125,14 @@
         The command.
     result : msgspec.Struct
         What the state machine answered.
+    at : float
+        Time in seconds of the leader that appended it.
     """
 
     index: int
     command: msgspec.Struct
     result: msgspec.Struct
+    at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/gypsumwalk/pool_keeper.py
+++ b/src/gypsumwalk/pool_keeper.py
@@ -21,10 +21,10 @@
 from gypsumwalk.scheduler import Scheduler
 from gypsumwalk.turns import TurnForecast
 from gypsumwalk.upkeep import OrderMoves, UpkeepSection
-from gypsumwalk.workload_records import AcceptWorkload, RemoveInstance, Step
+from gypsumwalk.workload_records import RemoveInstance
 from gypsumwalk.workloads import WorkloadSection
 
-__all__ = ["PoolKeeper", "find_load"]
+__all__ = ["PoolKeeper"]
 
 CHECK_SECONDS = 0.2
 """Interval of plans; short against the 1.5 s that a move takes."""
@@ -44,9 +44,6 @@
 RETRY_SECONDS = 2.0
 """Time in seconds for which a machine that refused a move is left alone."""
 
-LOAD_SECONDS = 1.6
-"""Time in seconds of a job that a forecast counts: about that of a move."""
-
 HURRIED_RESERVE = 1
 """Machines more for jobs that can't wait for a move, until the first one arrives."""
 
@@ -75,10 +72,12 @@
         The machines.
     turns : MachineTurns
         Who ordered something of each machine last.
+    forecast : TurnForecast
+        Turns of the queues, learned from the log.
     """
 
     name = "poolkeeper"
-    accepts: tuple[type, ...] = (AcceptWorkload, OrderMoves)
+    accepts: tuple[type, ...] = (OrderMoves,)
 
     def __init__(
         self,
@@ -91,6 +90,7 @@
         scheduler: Scheduler,
         directory: MachineDirectory,
         turns: MachineTurns,
+        forecast: TurnForecast,
     ) -> None:
         self._daemon = daemon
         self._declarations = declarations
@@ -105,7 +105,7 @@
         self._moving: dict[str, tuple[str, float]] = {}
         self._held_until: dict[str, float] = {}
         self._open: dict[str, tuple[str, str]] = {}
-        self._forecast = TurnForecast(0.0)
+        self._forecast = forecast
         self._count = 0
         self._reported = float("-inf")
         self._due = 0.0
@@ -116,7 +116,7 @@
         return self._due
 
     def handle(self, item: Input, now: float) -> Sequence[Effect]:
-        """Take in the answer to an order, or a job that was accepted."""
+        """Take in the answer to an order, or a committed order."""
         if isinstance(item, Committed):
             return self._take_command(item.command, now)
         if not isinstance(item, PlatformOutcome):
@@ -170,7 +170,7 @@
 
     def _begin_term(self, now: float) -> None:
         self._term = self._dispatcher.term
-        self._forecast = TurnForecast(now)
+        self._forecast.begin(now)
         self._idle_since.clear()
         self._moving.clear()
         self._open.clear()
@@ -232,17 +232,6 @@
             return NEVER
         return self._idle_since.setdefault(machine, now)
 
-    def _note_arrival(self, command: object, now: float) -> None:
-        if not self._term or not isinstance(command, AcceptWorkload):
-            return
-        workload = command.workload
-        steps = [step for step in workload.steps if not step.lasting]
-        if steps:
-            service = self._scheduler.find_service(workload)
-            slack = self._scheduler.find_slack(workload)
-            length = self._scheduler.find_length(workload)
-            self._forecast.note(service, find_load(steps, length), slack, now)
-
     def _find_demands(self, standby: str, now: float) -> dict[str, PoolDemand]:
         current = self._declarations.current
         services = current.services if current else []
@@ -257,7 +246,6 @@
 
     def _take_command(self, command: object, now: float) -> list[Effect]:
         if not isinstance(command, OrderMoves):
-            self._note_arrival(command, now)
             return []
         for machine in command.services:
             at = self._upkeep.ordered_at.get(machine, now)
@@ -316,29 +304,3 @@
             return []
         token = f"{self.name}/end/{life}"
         return [Propose(token, RemoveInstance(life), PROPOSAL_SECONDS)]
-
-
-def find_load(steps: Sequence[Step], length: float | None) -> float:
-    """Return the work of a job that counts for the near future.
-
-    Estimates are rough, and a long job takes its room later than a forecast reaches,
-    so that no more counts than the widest step for ``LOAD_SECONDS``.
-
-    Parameters
-    ----------
-    steps : Sequence of Step
-        Steps of the job.
-    length : float or None
-        Mean length in seconds of the queue's tasks, where it is known.
-
-    Returns
-    -------
-    float
-        Work in thousandths of a core times seconds.
-    """
-    work = sum(
-        step.count * step.need.cpu * (step.estimate if length is None else length)
-        for step in steps
-    )
-    widest = max(step.count * step.need.cpu for step in steps)
-    return min(work, widest * LOAD_SECONDS)
--- a/src/gypsumwalk/replica.py
+++ b/src/gypsumwalk/replica.py
@@ -278,7 +278,8 @@
         if entry.origin:
             encoded = msgspec.msgpack.encode(result)
             self._sessions.note(*source, entry.index, encoded)
-        effects: list[Effect] = [Raise(Committed(entry.index, command, result))]
+        committed = Committed(entry.index, command, result, entry.at)
+        effects: list[Effect] = [Raise(committed)]
         return effects + self._proposals.settle(*source, entry.index, result)
 
     def _note_voters(self, entries: Sequence[Entry]) -> None:
--- a/src/gypsumwalk/turns.py
+++ b/src/gypsumwalk/turns.py
@@ -49,19 +49,17 @@
 
 
 class TurnForecast:
-    """Rates of arriving work by service, and when each has its turns.
+    """Rates of arriving work by service, and when each has its turns."""
 
-    Parameters
-    ----------
-    now : float
-        Time in seconds.
-    """
-
-    def __init__(self, now: float) -> None:
-        self._began = now
+    def __init__(self) -> None:
+        self._began = float("inf")
         self._queues: dict[str, _Queue] = {}
         self._patient: set[str] = set()
 
+    def begin(self, now: float) -> None:
+        """Note that arrivals are heard from now on, unless they were before."""
+        self._began = min(self._began, now)
+
     def note(self, service: str, work: float, slack: float, now: float) -> None:
         """Note a job that was handed in.
 
@@ -78,6 +76,7 @@
         now : float
             Time in seconds.
         """
+        self.begin(now)
         if slack >= LEAD_SECONDS:
             self._patient.add(service)
             return
--- /dev/null
+++ b/tests/test_fleet_history.py
@@ -0,0 +1,74 @@
+"""Tests that daemons that do not lead learn turns and lengths from the log."""
+
+import unittest
+
+from gypsumwalk.declaration_records import Resources
+from gypsumwalk.workload_records import Step
+from tests._fleet_work import FleetWorld
+
+STEP = Step(4, Resources(4000, 1000), estimate=1.0)
+BURST_SECONDS = 1.5
+JOBS = 12
+
+
+def find_part(world, name, part):
+    parts = world.assemblies[name].node._parts
+    return next(item for item in parts if item.name == part)
+
+
+def find_expected(world, name):
+    forecast = find_part(world, name, "history")._forecast
+    return forecast.find_expected(
+        "service-a", world.daemons[name].read_clock(world.now)
+    )
+
+
+def submit_burst(world):
+    for number in range(JOBS):
+        world.submit(f"{number:016x}", [STEP])
+        world.run(BURST_SECONDS / JOBS)
+
+
+class TestFleetHistory(unittest.TestCase):
+    """Pattern: the leader ends in the middle of a turn."""
+
+    def test_a_new_leader_knows_the_turn_that_began_before_it(self):
+        world = FleetWorld(instances=6)
+        world.begin()
+        submit_burst(world)
+        old = world.find_leader()
+        before = find_expected(world, old)
+        assert before > 0
+        world.kill(old)
+        world.run_until(world.find_leader, within=5.0)
+        new = world.find_leader()
+        assert new != old
+        known = find_part(world, new, "history")._forecast._queues["service-a"]
+        assert known.in_turn or known.turned
+        assert known.peak > 0.5 * before
+
+    def test_every_daemon_learns_the_length_of_tasks(self):
+        world = FleetWorld(instances=6, length=0.7)
+        world.begin()
+        submit_burst(world)
+        world.run(10.0)
+        for name in world.names:
+            scheduler = world.assemblies[name].scheduler
+            assert 0.7 <= scheduler._urgencies.find_length("queue-a") < 0.9
+
+    def test_a_daemon_that_starts_again_sees_no_burst_in_the_log(self):
+        world = FleetWorld(instances=6)
+        world.begin()
+        submit_burst(world)
+        world.run(20.0)
+        follower = next(name for name in world.names if name != world.find_leader())
+        world.kill(follower)
+        world.restart(follower)
+        world.run(3.0)
+        assert find_expected(world, follower) == 0
+        length = world.assemblies[follower].scheduler._urgencies.find_length("queue-a")
+        assert 0.4 < length < 0.8
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -13,19 +13,20 @@
     """Pattern: some seconds of several times the mean, then a twentieth of it."""
 
     def test_a_burst_shows_within_a_second(self):
-        forecast = TurnForecast(0.0)
+        forecast = TurnForecast()
         for number in range(8):
             forecast.note("a", WORK, HURRIED, 5.0 + number / 10)
         expected = forecast.find_expected("a", 5.8)
         assert 0.8 * 10 * WORK <= expected <= 1.3 * 10 * WORK
 
     def test_a_single_job_is_no_burst(self):
-        forecast = TurnForecast(0.0)
+        forecast = TurnForecast()
         forecast.note("a", 50 * WORK, HURRIED, 5.0)
         assert forecast.find_expected("a", 5.1) == 0
 
     def test_a_pool_rests_after_its_first_turn_only(self):
-        forecast = TurnForecast(0.0)
+        forecast = TurnForecast()
+        forecast.begin(0.0)
         assert not forecast.may_rest("a", 5.0)
         for number in range(20):
             forecast.note("a", WORK, HURRIED, 5.0 + number / 10)
@@ -34,13 +35,13 @@
         assert forecast.may_rest("a", 10.0)
 
     def test_a_pool_of_patient_jobs_rests_at_once(self):
-        forecast = TurnForecast(0.0)
+        forecast = TurnForecast()
         forecast.note("a", WORK, PATIENT, 1.0)
         assert forecast.may_rest("a", 1.1)
         assert forecast.find_expected("a", 1.1) == 0
 
     def test_the_third_turn_is_expected(self):
-        forecast = TurnForecast(0.0)
+        forecast = TurnForecast()
         for start in (10.0, 28.0):
             for number in range(40):
                 forecast.note("a", WORK, HURRIED, start + number / 10)
