--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -1,8 +1,11 @@
 """Tests of the order of waiting jobs when a queue asks for more than its room."""
 
 import unittest
+from random import Random
+from unittest.mock import patch
 
 from gypsumwalk.declaration_records import DeclaredQueue, Resources
+from gypsumwalk.lengths import LengthTable
 from gypsumwalk.urgency import Urgencies
 from gypsumwalk.workload_records import Step, Workload, WorkloadState
 
@@ -56,5 +59,90 @@
         assert urgencies.find_slack(job, QUEUE) > slack
 
 
+class Turn:
+    """A pool of slots, and jobs of one task that a queue hands in for some seconds."""
+
+    SLOTS = 20
+    STEP_SECONDS = 0.02
+    TURN_SECONDS = 4.0
+    END_SECONDS = 12.0
+    MEAN_SECONDS = 0.69
+
+    def __init__(self, seed, error):
+        self.random = Random(seed)
+        self.error = error
+        self.urgencies = Urgencies()
+        self.lengths = {}
+        self.waiting = []
+        self.running = []
+        self.in_time = 0
+
+    def play(self, load):
+        """Hand in ``load`` times what the slots can serve; return the share in time."""
+        rate = load * self.SLOTS / self.MEAN_SECONDS
+        now = 0.0
+        while now < self.END_SECONDS:
+            while now < self.TURN_SECONDS and len(self.lengths) < rate * now:
+                self.hand_in(now)
+            self.finish(now)
+            self.start(now)
+            now += self.STEP_SECONDS
+        return self.in_time / len(self.lengths)
+
+    def hand_in(self, now):
+        length = self.random.lognormvariate(-0.5, 0.5)
+        estimate = length * self.random.lognormvariate(0, self.error)
+        job = make_job(f"{len(self.lengths):04}", now, length=estimate)
+        self.lengths[job.job] = length
+        self.waiting.append(job)
+
+    def finish(self, now):
+        for end, job in list(self.running):
+            if end <= now:
+                length = self.lengths[job.job]
+                self.running.remove((end, job))
+                objective = QUEUE.stretch * length + QUEUE.objective
+                self.in_time += now - job.accepted <= objective
+                self.urgencies.learn(job, 0, length)
+
+    def start(self, now):
+        def rank(job):
+            urgency = self.urgencies.rate(job, QUEUE, now)
+            return urgency.standing, urgency.order, job.job
+
+        self.waiting.sort(key=rank)
+        free = self.SLOTS - len(self.running)
+        for job in self.waiting[:free]:
+            job.state = WorkloadState.RUNNING
+            self.running.append((now + self.lengths[job.job], job))
+        self.waiting = self.waiting[max(0, free) :]
+
+
+class TestTurn(unittest.TestCase):
+    """Pattern: a queue in its turn asks for more than its pool holds."""
+
+    SEEDS = 3
+
+    def play(self, load, error):
+        shares = [Turn(seed, error).play(load) for seed in range(self.SEEDS)]
+        return sum(shares) / self.SEEDS
+
+    def play_without_margin(self, load, error):
+        with (
+            patch("gypsumwalk.urgency.START_SECONDS", 0.0),
+            patch.object(LengthTable, "find_error", lambda *_: 0.0),
+        ):
+            return self.play(load, error)
+
+    def test_at_twice_the_room_the_margin_keeps_more_jobs_in_time(self):
+        for error in (0.0, 0.2, 0.9):
+            with self.subTest(error=error):
+                with_margin = self.play(2.0, error)
+                assert with_margin > self.play_without_margin(2.0, error) + 0.03
+
+    def test_below_the_room_all_are_in_time(self):
+        assert self.play(0.9, 0.2) > 0.99
+
+
 if __name__ == "__main__":
     unittest.main()
