Keep a reserve only where a turn may come, and ask again sooner in elections

Cause: a pool that had just had its turn kept a machine more for the next one; a voter whose question found the others still waiting (all starting after a loss of power) asked again only after 0.5 to 1.0 s; a daemon that started again took orders on machines of the last 6 s as given just now, so that machines stood still for 3.2 s; entries wrote that a leader was regained only once no request had been answered for 0.3 s, up to 3 s late. Change: TurnForecast.is_due; a question is repeated after 0.1 to 0.2 s; an old order counts from the latest time that its holder can have meant.

--- a/src/gypsumwalk/drivers/relay.py
+++ b/src/gypsumwalk/drivers/relay.py
@@ -178,10 +178,10 @@
 
     def probe(self) -> None:
         """Ask for the leader once, if no request did lately."""
-        if time.monotonic() - self._answered < PROBE_SECONDS:
-            return
         address = self._leader
-        if not address or not self._confirm(address):
+        if time.monotonic() - self._answered >= PROBE_SECONDS and (
+            not address or not self._confirm(address)
+        ):
             self._search()
         self._note_readiness()
 
--- a/src/gypsumwalk/elections.py
+++ b/src/gypsumwalk/elections.py
@@ -11,6 +11,10 @@
 
 __all__ = ["Elections", "Standing"]
 
+QUESTION_SHARE = 0.4
+"""Share of the silence after which a question without a majority is asked again; the
+others may have heard the leader, or have started, a little later."""
+
 
 class Standing(Enum):
     """Whether a daemon stands for election."""
@@ -52,6 +56,11 @@
         jitter = self._random.uniform(0, self._timing.jitter)
         self.due = now + self._timing.silence + jitter
 
+    def _postpone_question(self, now: float) -> None:
+        """Draw the time at which to ask again; a question changes no term."""
+        longest = self._timing.silence * QUESTION_SHARE
+        self.due = now + longest * self._random.uniform(0.5, 1.0)
+
     def withdraw(self) -> None:
         """Stand no more, as there is a leader or a later term."""
         self.standing = Standing.NONE
@@ -71,7 +80,7 @@
         """
         self.standing = Standing.PRE_VOTE
         self._votes = {self._daemon}
-        self.postpone(now)
+        self._postpone_question(now)
         if self._has_majority():
             return self._begin_vote(now)
         return self._request(self._replica.vote.term + 1, pre_vote=True)
--- a/src/gypsumwalk/machine_turns.py
+++ b/src/gypsumwalk/machine_turns.py
@@ -7,8 +7,8 @@
 TURN_SECONDS = 3.2
 """Two holders must not take turns at one machine within 3 s."""
 
-OLD_SECONDS = 6.0
-"""An order that seems older is so on any clock; clocks jump by 2.4 s at most."""
+CLOCK_SECONDS = 2.5
+"""Clocks of two daemons may differ by 2.4 s, as the time of day jumps."""
 
 
 class MachineTurns:
@@ -29,8 +29,8 @@
     ) -> None:
         """Note that a holder orders something of machines.
 
-        A daemon that starts again hears old orders anew; it takes the time that the
-        holder gave them, unless clocks that differ could make a late order an old one.
+        A daemon that starts again hears old orders anew; it takes the latest time that
+        the holder can have meant.
 
         Parameters
         ----------
@@ -43,7 +43,7 @@
         now : float
             Time in seconds by this daemon's clock.
         """
-        heard = at if now - at > OLD_SECONDS else now
+        heard = min(now, at + CLOCK_SECONDS)
         for machine in machines:
             self._latest[machine] = (holder, heard)
 
--- a/src/gypsumwalk/pool_keeper.py
+++ b/src/gypsumwalk/pool_keeper.py
@@ -44,8 +44,8 @@
 RETRY_SECONDS = 2.0
 """Time in seconds for which a machine that refused a move is left alone."""
 
-HURRIED_RESERVE = 1
-"""Machines more for jobs that can't wait for a move, until the first one arrives."""
+DUE_RESERVE = 1
+"""Machines more where a turn may begin, until the first machine that moves arrives."""
 
 REPORT_SECONDS = 1.0
 """Interval of lines on the sizes of pools."""
@@ -240,8 +240,8 @@
         for service, demand in demands.items():
             demand.expected = int(self._forecast.find_expected(service, now))
             demand.may_rest = self._forecast.may_rest(service, now)
-            if self._forecast.is_hurried(service):
-                demand.reserve = HURRIED_RESERVE
+            if self._forecast.is_due(service):
+                demand.reserve = DUE_RESERVE
         return demands
 
     def _take_command(self, command: object, now: float) -> list[Effect]:
--- a/src/gypsumwalk/turns.py
+++ b/src/gypsumwalk/turns.py
@@ -47,6 +47,11 @@
     turned: bool = False
     starts: deque[float] = field(default_factory=lambda: deque(maxlen=2))
 
+    @property
+    def last_start(self) -> float:
+        """Time in seconds at which the last turn began, before all others if none."""
+        return self.starts[-1] if self.starts else float("-inf")
+
 
 class TurnForecast:
     """Rates of arriving work by service, and when each has its turns."""
@@ -108,9 +113,20 @@
             expected = max(expected, queue.peak)
         return expected
 
-    def is_hurried(self, service: str) -> bool:
-        """Tell whether jobs of a service can't wait for a machine to arrive."""
-        return service in self._queues
+    def is_due(self, service: str) -> bool:
+        """Tell whether a service is in its turn, or the next one may be its.
+
+        Queues take turns, so that one does not have another before the others had
+        theirs. A queue without any turn so far may have one at any time.
+        """
+        queue = self._queues.get(service)
+        if queue is None:
+            return False
+        if queue.in_turn:
+            return True
+        return queue.last_start <= min(
+            other.last_start for other in self._queues.values()
+        )
 
     def may_rest(self, service: str, now: float) -> bool:
         """Tell whether a pool's need in a turn is known, so that it can shrink."""
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -43,12 +43,32 @@
     def test_the_third_turn_is_expected(self):
         forecast = TurnForecast()
         for start in (10.0, 28.0):
-            for number in range(40):
-                forecast.note("a", WORK, HURRIED, start + number / 10)
-            forecast.find_expected("a", start + 8.0)
+            self.play_turn(forecast, "a", start)
         assert forecast.find_expected("a", 40.0) == 0
         assert forecast.find_expected("a", 44.5) > 5 * WORK
 
+    def test_a_queue_is_not_due_again_before_the_others_had_their_turns(self):
+        forecast = TurnForecast()
+        forecast.note("b", WORK, HURRIED, 1.0)
+        self.play_turn(forecast, "a", 2.0)
+        assert forecast.is_due("b")
+        assert not forecast.is_due("a")
+        self.play_turn(forecast, "b", 12.0)
+        assert forecast.is_due("a")
+        assert not forecast.is_due("b")
+
+    def test_a_queue_in_its_turn_is_due_and_an_unknown_one_is_not(self):
+        forecast = TurnForecast()
+        for number in range(20):
+            forecast.note("a", WORK, HURRIED, 5.0 + number / 10)
+        assert forecast.is_due("a")
+        assert not forecast.is_due("unknown")
+
+    def play_turn(self, forecast, service, start):
+        for number in range(40):
+            forecast.note(service, WORK, HURRIED, start + number / 10)
+        forecast.find_expected(service, start + 8.0)
+
 
 if __name__ == "__main__":
     unittest.main()
