Tell the story of one job from the logs of all daemons

Cause: an engineer had to search several logs for a job's id, and found neither the instances' troubles nor the changes of leader that explain it. Change: gypsumwalk explain JOB LOGS, text and JSON, over a folder of event files or one collected log whose lines have other words before them; timeline reads such a log too.

--- a/src/gypsumwalk/command.py
+++ b/src/gypsumwalk/command.py
@@ -132,6 +132,7 @@
         jobs=commands_work.jobs,
         submit=commands_work.submit,
         timeline=commands_service.timeline,
+        explain=commands_service.explain,
         version=commands_service.version,
         voters=Group(
             "List, add and remove the voters of the replicated log.",
--- a/src/gypsumwalk/drivers/commands_service.py
+++ b/src/gypsumwalk/drivers/commands_service.py
@@ -1,4 +1,4 @@
-"""Commands about the program itself: serve, version, timeline."""
+"""Commands about the program itself: serve, version, timeline, explain."""
 
 from importlib import import_module
 from pathlib import Path
@@ -15,10 +15,11 @@
 from gypsumwalk.errors import BadBoundary, BadSetting, SettingsInvalid
 from gypsumwalk.events import Level
 from gypsumwalk.settings import Settings, decode_settings
-from gypsumwalk.timeline import Selection, render_text
+from gypsumwalk.story import render_story, tell_story
+from gypsumwalk.timeline import Selection, Timeline, render_text
 from gypsumwalk.timelinepage import render_page
 
-__all__ = ["read_settings", "serve", "timeline", "version"]
+__all__ = ["explain", "read_settings", "serve", "timeline", "version"]
 
 MAX_EVENTS = 1_000_000
 DEFAULT_EVENTS = "2000"
@@ -68,7 +69,7 @@
     Parameters
     ----------
     folder : str
-        Folder that holds the event files of all daemons.
+        Folder that holds the event files of all daemons, or one collected log.
     subject : str
         Only events of this request, job, wave, instance or daemon.
     instance : str
@@ -91,12 +92,29 @@
         levels=frozenset(levels[levels.index(level) :]),
         last=int(parse_number("last", last, 1, MAX_EVENTS)),
     )
-    if not Path(folder).is_dir():
-        raise BadArgument("folder", "a folder", folder)
+    logs = _find_logs("folder", folder)
     if page and not Path(page).absolute().parent.is_dir():
         raise BadArgument("page", "a file in an existing folder", page)
     as_json = parse_flag("json", json)
-    return Action(lambda: _show_timeline(Path(folder), selection, page), as_json)
+    return Action(lambda: _show_timeline(logs, selection, page), as_json)
+
+
+def explain(job: str, logs: str, json: str | bool = False) -> Action:
+    """Tell the story of one job from the logs of all daemons.
+
+    Example: gypsumwalk explain 5c0e7a21d94b36f8 records
+
+    Parameters
+    ----------
+    job : str
+        Identifier of the job.
+    logs : str
+        Folder that holds the event files of all daemons, or one collected log.
+    json : bool
+        Print JSON.
+    """
+    found = _find_logs("logs", logs)
+    return Action(lambda: _show_story(found, job), parse_flag("json", json))
 
 
 def read_settings(path: str) -> Settings:
@@ -135,12 +153,28 @@
 
 
 def _show_timeline(folder: Path, selection: Selection, page: str) -> Report:
-    whole = read_event_files(folder)
-    if not whole.files:
-        raise BadBoundary(f"{folder} holds no event files")
-    selected = whole.select(selection)
+    selected = _read_logs(folder).select(selection)
     if not page:
         return Report(selected.to_builtins(), render_text(selected))
     Path(page).write_text(render_page(selected), encoding="utf-8")
     written = {"written": page, "events": len(selected.events)}
     return Report(written, [f"wrote {len(selected.events)} events to {page}"])
+
+
+def _show_story(logs: Path, job: str) -> Report:
+    story = tell_story(_read_logs(logs), job)
+    return Report(story.to_builtins(), list(render_story(story)))
+
+
+def _find_logs(argument: str, name: str) -> Path:
+    path = Path(name)
+    if not path.exists():
+        raise BadArgument(argument, "a folder or a file", name)
+    return path
+
+
+def _read_logs(path: Path) -> Timeline:
+    whole = read_event_files(path)
+    if not whole.files:
+        raise BadBoundary(f"{path} holds no event files")
+    return whole
