--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -4,12 +4,12 @@
 
 import msgspec
 
-from gypsumwalk.advice import AdviceBook, name_step
+from gypsumwalk.advice import AdviceBook
 from gypsumwalk.declaration_records import PutDeclaration
 from gypsumwalk.declarations import DeclarationSection
-from gypsumwalk.effects import CallPlatform, Effect, Propose, Record, Scalar
+from gypsumwalk.effects import Effect, Propose, Record, Scalar
 from gypsumwalk.events import Event
-from gypsumwalk.fleet_orders import OpenOrder, OrderKind, OrderTable
+from gypsumwalk.fleet_orders import OpenOrder, OrderKind
 from gypsumwalk.inputs import (
     Committed,
     Input,
@@ -17,22 +17,11 @@
     ProposalOutcome,
     ProposalStatus,
 )
-from gypsumwalk.instance_actions import (
-    InstanceReport,
-    OrderReport,
-    RenewLease,
-    StartRun,
-    StopRun,
-)
-from gypsumwalk.leases import (
-    CLOCK_RATE_ERROR,
-    InstanceView,
-    LeaseBook,
-    RunState,
-    RunView,
-)
+from gypsumwalk.instance_actions import InstanceReport, OrderReport
+from gypsumwalk.leases import InstanceView, LeaseBook, RunState, RunView
 from gypsumwalk.part import NEVER
 from gypsumwalk.run_lists import compare_lists
+from gypsumwalk.run_orders import LAPSE_MARGIN_SECONDS, RunOrders
 from gypsumwalk.scheduler import Scheduler
 from gypsumwalk.state import Accepted
 from gypsumwalk.upkeep import NoteMaintained, StartUpkeep
@@ -60,27 +49,12 @@
 BATCH_SECONDS = 0.002
 """Time in seconds that events are gathered before one pass over the queues."""
 
-LEASE_SECONDS = 4.5
-"""Spans a change of leader (1.7 s) after the last renewal (up to 1 s earlier)."""
-
-RENEWAL_WAIT_SECONDS = 0.8
-"""Time in seconds that an instance waits for an end before it answers."""
-
-WATCH_WAIT_SECONDS = 0.25
-"""The same where fillers may slow tasks that serve; figures cover half a second."""
-
-CALL_SECONDS = 1.0
-"""Timeout of one call; links are a few milliseconds long."""
-
 RESEND_SECONDS = 0.4
 """Time in seconds before an order without an answer is sent again."""
 
 SILENCE_RETRY_SECONDS = 0.3
 """Time in seconds between calls to an instance that does not answer."""
 
-LAPSE_MARGIN_SECONDS = 0.3
-"""Covers timers that fire late and a process that was suspended while it sent."""
-
 FORGET_SECONDS = 30.0
 """Time in seconds of silence after which an instance without runs is forgotten."""
 
@@ -138,11 +112,15 @@
         self._declarations = declarations
         self._workloads = workloads
         self._scheduler = scheduler
-        self._advice = advice
-        self._lease = min(LEASE_SECONDS, max_lease)
         self._term = 0
         self._fenced_term = 0
-        self._orders = OrderTable(self.name)
+        self._orders = RunOrders(
+            self.name,
+            declarations=declarations,
+            workloads=workloads,
+            advice=advice,
+            max_lease=max_lease,
+        )
         self._batches: dict[str, list[RunView]] = {}
         self._acknowledging: dict[str, tuple[str, int]] = {}
         self._proposals = 0
@@ -203,10 +181,11 @@
             return []
         self._resign()
         self._term = self._leadership.term
+        self._orders.begin(self._term)
         self._scheduler.reset()
         for registered in self._workloads.instances.values():
             view = InstanceView(registered, renewal_due=now)
-            view.lapse_floor = now + self._lease_span
+            view.lapse_floor = now + self._orders.lease_span
             self.book.instances[registered.life] = view
         for placement in self._workloads.list_placed():
             self._scheduler.adopt(placement, self.book)
@@ -221,15 +200,11 @@
     def _resign(self) -> None:
         self._term = 0
         self.book = LeaseBook()
-        self._orders.clear()
+        self._orders.begin(0)
         self._batches.clear()
         self._acknowledging.clear()
         self._pass_due = NEVER
 
-    @property
-    def _lease_span(self) -> float:
-        return self._lease / (1 - CLOCK_RATE_ERROR) + LAPSE_MARGIN_SECONDS
-
     def request_pass(self, now: float) -> None:
         """Look at the waiting tasks soon, as something that they wait for has come."""
         self._pass_due = min(self._pass_due, now + BATCH_SECONDS)
@@ -278,7 +253,7 @@
             if not self._may_start(run, now):
                 unsent.append(run)
                 continue
-            effects += self._send_start(run, now)
+            effects += self._orders.start(run, self.book.instances[run.life], now)
         return effects + self._lose(unsent, "it was not sent")
 
     def _may_start(self, run: RunView, now: float) -> bool:
@@ -286,21 +261,10 @@
         workload = self._workloads.jobs.get(run.task.job)
         if view is None or workload is None or workload.is_over:
             return False
-        if not self.is_leading(now) or not self._has_advice(run, now):
+        if not self.is_leading(now) or not self._orders.has_advice(run, now):
             return False
         return view.is_responsive and not view.registered.draining
 
-    def _has_advice(self, run: RunView, now: float) -> bool:
-        workload = self._workloads.jobs[run.task.job]
-        queue = self._declarations.get_queue(workload.queue)
-        if queue is None or queue.advice is None:
-            return True
-        return bool(self._find_ticket(run, now))
-
-    def _find_ticket(self, run: RunView, now: float) -> str:
-        step = name_step(run.task.job, run.task.occurrence, run.task.step)
-        return self._advice.find_ticket(step, run.life, now)
-
     def _forget_ended(self, ends: Iterable[RunEnd], now: float) -> list[Effect]:
         effects: list[Effect] = []
         for end in ends:
@@ -349,76 +313,16 @@
 
     # Orders
 
-    def _send_start(self, run: RunView, now: float) -> list[Effect]:
-        view = self.book.instances[run.life]
-        workload = self._workloads.jobs[run.task.job]
-        lease_until = view.read_clock(now) + int(self._lease * 1000)
-        view.lease_until = max(view.lease_until, lease_until)
-        action = StartRun(
-            instance=view.registered.instance,
-            address=view.registered.address,
-            fence=self._term,
-            task=str(run.task),
-            run=run.run,
-            spec=workload.spec,
-            lease_until=lease_until,
-            checkpoint=workload.find_checkpoint(run.task),
-            ticket=self._find_ticket(run, now),
-        )
-        run.order_open = True
-        run.ordered_at = now
-        run.attempts += 1
-        order = OpenOrder(OrderKind.START, run.life, now, run)
-        attributes: dict[str, Scalar] = {
-            "run": run.run,
-            "life": run.life,
-            "attempt": run.attempts,
-            "free": view.registered.capacity.cpu - view.used.cpu,
-            "version": self._declarations.version,
-        }
-        record = Record(Event.RUN_STARTED, str(run.task), attributes)
-        return [record, *self._call(order, action, CALL_SECONDS)]
-
     def _send_stop(self, run: RunView, now: float) -> list[Effect]:
         view = self.book.instances.get(run.life)
         if view is None or run.state is RunState.PLANNED:
             return []
-        if not self.is_leading(now):
-            return []
-        run.ordered_at = now
-        run.order_open = True
-        action = self._make_stop(view, str(run.task), run.run)
-        order = OpenOrder(OrderKind.STOP, run.life, now, run)
-        return self._call(order, action, CALL_SECONDS)
+        return self._orders.stop(run, view, now) if self.is_leading(now) else []
 
     def _renew(self, view: InstanceView, now: float) -> list[Effect]:
         if view.renewal_open or view.ends_open or not self.is_leading(now):
             return []
-        lease_until = None
-        wait = 0.0
-        if view.is_responsive:
-            wait = WATCH_WAIT_SECONDS if view.watched else RENEWAL_WAIT_SECONDS
-            if view.runs:
-                lease_until = view.read_clock(now) + int(self._lease * 1000)
-                view.lease_until = max(view.lease_until, lease_until)
-        view.renewal_open = True
-        view.renewal_sent = now
-        registered = view.registered
-        action = RenewLease(
-            registered.instance,
-            registered.address,
-            self._term,
-            view.acknowledged,
-            lease_until,
-            wait,
-        )
-        order = OpenOrder(OrderKind.RENEW, registered.life, now)
-        return self._call(order, action, wait + CALL_SECONDS)
-
-    def _call(
-        self, order: OpenOrder, action: msgspec.Struct, timeout: float
-    ) -> list[Effect]:
-        return [CallPlatform(self._orders.open(order), action, timeout)]
+        return self._orders.renew(view, now)
 
     def _tick(self, now: float) -> list[Effect]:
         if not self.is_leading(now):
@@ -454,9 +358,9 @@
         if run.stopping:
             return [] if run.stopped_at else self._send_stop(run, now)
         if run.state is RunState.STARTING and not view.registered.draining:
-            if not self._has_advice(run, now):
+            if not self._orders.has_advice(run, now):
                 return self.stop(run, now)
-            return self._send_start(run, now)
+            return self._orders.start(run, view, now)
         return []
 
     def _empty_draining(self, now: float) -> list[Effect]:
@@ -543,7 +447,8 @@
         compared = compare_lists(view, report, sent_at=sent_at, now=now)
         effects: list[Effect] = []
         if self.is_leading(now):
-            effects += self._stop_strangers(view, compared.strangers)
+            for task, run in compared.strangers:
+                effects += self._orders.stop_stranger(view, task, run)
         if not compared.ends and not compared.last_end:
             return effects
         view.ends_open = True
@@ -552,20 +457,6 @@
         self._acknowledging[proposal.token] = (life, compared.last_end)
         return [*effects, proposal]
 
-    def _stop_strangers(
-        self, view: InstanceView, strangers: Iterable[tuple[str, int]]
-    ) -> list[Effect]:
-        effects: list[Effect] = []
-        for task, run in strangers:
-            order = OpenOrder(OrderKind.STRANGER, view.registered.life, 0.0)
-            action = self._make_stop(view, task, run)
-            effects += self._call(order, action, CALL_SECONDS)
-        return effects
-
-    def _make_stop(self, view: InstanceView, task: str, run: int) -> StopRun:
-        registered = view.registered
-        return StopRun(registered.instance, registered.address, self._term, task, run)
-
     def _take_order(
         self,
         view: InstanceView,
@@ -600,8 +491,7 @@
         }
         record = Record(Event.RUN_REFUSED, str(run.task), attributes)
         if report.refused == "ticket":
-            step = name_step(run.task.job, run.task.occurrence, run.task.step)
-            self._advice.drop_ticket(step, run.life)
+            self._orders.drop_ticket(run)
         else:
             view.rejected_until = now + REJECTED_SECONDS
         if run.attempts > 1:
