Send nothing any more for a run that is taken as lost

Cause: a placed run that was not sent, as its instance did not answer just then, was proposed as lost; when the instance answered again before that was committed (a cut zone heals, commits take longer), the resend started it all the same, and the task was placed again. The same proposal was also repeated every 50 ms. Ruled out: lists that do not show a run being stopped. Change: RunState.ENDING; such a run gets no start and no stop, and its loss is proposed again only if it was not committed. Tests: two in tests/test_fleet_work.py failed before; the emulator lists no run that is being stopped.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -58,6 +58,9 @@
 FORGET_SECONDS = 30.0
 """Time in seconds of silence after which an instance without runs is forgotten."""
 
+STOP_MARGIN_SECONDS = 0.1
+"""Covers the way of a list and clocks whose rates differ by 2%."""
+
 REJECTED_SECONDS = 1.0
 """Time in seconds for which an instance gets no starts after it rejected one."""
 
@@ -82,6 +85,8 @@
         Tickets for steps of queues with advice.
     max_lease : float
         Longest lease that an instance takes, in seconds.
+    stop_grace : float
+        Longest time that a stop takes, in seconds.
     """
 
     name = "dispatcher"
@@ -106,12 +111,14 @@
         scheduler: Scheduler,
         advice: AdviceBook,
         max_lease: float,
+        stop_grace: float,
     ) -> None:
         self.book = LeaseBook()
         self._leadership = leadership
         self._declarations = declarations
         self._workloads = workloads
         self._scheduler = scheduler
+        self._stop_grace = stop_grace + STOP_MARGIN_SECONDS
         self._term = 0
         self._fenced_term = 0
         self._orders = RunOrders(
@@ -123,6 +130,7 @@
         )
         self._batches: dict[str, list[RunView]] = {}
         self._acknowledging: dict[str, tuple[str, int]] = {}
+        self._losing: dict[str, tuple[list[RunView], list[RunEnd]]] = {}
         self._proposals = 0
         self._due = 0.0
         self._pass_due = NEVER
@@ -203,6 +211,7 @@
         self._orders.begin(0)
         self._batches.clear()
         self._acknowledging.clear()
+        self._losing.clear()
         self._pass_due = NEVER
 
     def request_pass(self, now: float) -> None:
@@ -315,7 +324,7 @@
 
     def _send_stop(self, run: RunView, now: float) -> list[Effect]:
         view = self.book.instances.get(run.life)
-        if view is None or run.state is RunState.PLANNED:
+        if view is None or run.state in (RunState.PLANNED, RunState.ENDING):
             return []
         return self._orders.stop(run, view, now) if self.is_leading(now) else []
 
@@ -343,7 +352,7 @@
         if not view.silent_since:
             return []
         if view.runs and now >= view.find_lapse() + LAPSE_MARGIN_SECONDS:
-            return self._lose(list(view.runs.values()), "its lease has ended")
+            return self._lose(view.runs.values(), "its lease has ended")
         if not view.runs and now - view.silent_since > FORGET_SECONDS:
             view.silent_since = now
             return [self._propose(RemoveInstance(view.registered.life, left=False))]
@@ -355,6 +364,8 @@
             return []
         if now - run.ordered_at < RESEND_SECONDS:
             return []
+        if run.state is RunState.ENDING:
+            return []
         if run.stopping:
             return [] if run.stopped_at else self._send_stop(run, now)
         if run.state is RunState.STARTING and not view.registered.draining:
@@ -444,7 +455,9 @@
     def _reconcile(
         self, view: InstanceView, report: InstanceReport, sent_at: float, now: float
     ) -> list[Effect]:
-        compared = compare_lists(view, report, sent_at=sent_at, now=now)
+        compared = compare_lists(
+            view, report, sent_at=sent_at, now=now, stop_grace=self._stop_grace
+        )
         effects: list[Effect] = []
         if self.is_leading(now):
             for task, run in compared.strangers:
@@ -507,6 +520,10 @@
                     self.book.remove(run)
                     self._scheduler.touch(run.task.job)
             return []
+        if (losing := self._losing.pop(item.token, None)) and (
+            item.status is not ProposalStatus.COMMITTED
+        ):
+            return self._propose_loss(*losing)
         acknowledged = self._acknowledging.pop(item.token, None)
         if acknowledged is None:
             return []
@@ -534,7 +551,9 @@
         self._batches[proposal.token] = [item.run for item in runs]
         return [proposal]
 
-    def _lose(self, runs: Sequence[RunView], reason: str) -> list[Effect]:
+    def _lose(self, lost: Iterable[RunView], reason: str) -> list[Effect]:
+        """Take runs as ended that their instance will not report."""
+        runs = [run for run in lost if run.state is not RunState.ENDING]
         if not runs:
             return []
         ends = [
@@ -542,7 +561,17 @@
         ]
         attributes: dict[str, Scalar] = {"runs": len(ends), "reason": reason}
         record = Record(Event.RUNS_LOST, runs[0].life, attributes)
-        return [record, self._propose(EndRuns(ends))]
+        return [record, *self._propose_loss(runs, ends)]
+
+    def _propose_loss(
+        self, runs: Sequence[RunView], ends: list[RunEnd]
+    ) -> list[Effect]:
+        # A start that is sent from now on would begin a run that counts as ended.
+        for run in runs:
+            run.state = RunState.ENDING
+        proposal = self._propose(EndRuns(ends))
+        self._losing[proposal.token] = (list(runs), ends)
+        return [proposal]
 
     def _propose(self, command: msgspec.Struct) -> Propose:
         self._proposals += 1
--- a/src/gypsumwalk/emulator.py
+++ b/src/gypsumwalk/emulator.py
@@ -1,10 +1,11 @@
 """Model of a platform's instances and machines, for tests and experiments.
 
 Instances run tasks under leases and fences as real ones do: a run ends when its time is
-over, when it is stopped or when its lease ends; ends are listed until acknowledged; an
-order of an earlier term, or for a run that is not higher than one that ended there, is
-refused. Faults are switched on by the caller: orders carried out late, answers lost,
-instances silent, crashed or started anew. Nothing here shares code with the decisions.
+over, when it is stopped or when its lease ends; ends are listed until acknowledged; a
+run that is being stopped is listed neither as running nor as ended; an order of an
+earlier term, or for a run that is not higher than one that ended there, is refused.
+Faults are switched on by the caller: orders carried out late, answers lost, instances
+silent, crashed or started anew. Nothing here shares code with the decisions.
 """
 
 from collections.abc import Callable
@@ -190,6 +191,8 @@
         """Name of the daemon that calls, for instances that only some can reach."""
         self.find_load: Callable[[EmulatedInstance, Execution], int] = lambda *_: 0
         """Returns the load that an instance lists for a run."""
+        self.stop_lengths: list[float] = [STOP_SECONDS]
+        """Times in seconds that a stop may take."""
         self.advice: EmulatedAdvice | None = None
         """Set where starts need tickets."""
         self._random = random
@@ -302,6 +305,8 @@
     def _list(self, instance: EmulatedInstance, now: float) -> InstanceReport:
         running = []
         for execution in instance.running.values():
+            if execution.how == "stopped":
+                continue
             starting = now - execution.started < STARTUP_SECONDS
             percent = 0 if starting else 100
             load = self.find_load(instance, execution)
@@ -383,7 +388,8 @@
         instance.closed[action.task] = max(closed, action.run)
         present = instance.running.get(action.task)
         if present is not None and present.run <= action.run:
-            present.ends = min(present.ends, now + STOP_SECONDS)
+            length = self._random.choice(self.stop_lengths)
+            present.ends = min(present.ends, now + length)
             present.how = "stopped" if present.ends > now else present.how
 
     def _advance(self, instance: EmulatedInstance, now: float) -> None:
--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -46,10 +46,13 @@
         Longest lease of an instance, in seconds.
     maintenance : float
         Time in seconds that the maintenance of a machine takes.
+    stop_grace : float
+        Longest time in seconds that a stop of a run takes.
     """
 
     max_lease: float
     maintenance: float = 2.0
+    stop_grace: float = 0.4
 
 
 class FleetAssembly:
@@ -105,6 +108,7 @@
             scheduler=self.scheduler,
             advice=advice,
             max_lease=limits.max_lease,
+            stop_grace=limits.stop_grace,
         )
         self.desk = FleetDesk(
             leadership=self.consensus,
--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -24,6 +24,8 @@
     RUNNING = "running"
     UNCONFIRMED = "unconfirmed"
     """An earlier leader placed it; the instance has not been read since."""
+    ENDING = "ending"
+    """It has certainly ended, and that is being committed; nothing is sent for it."""
 
 
 @dataclass(slots=True)
@@ -52,6 +54,9 @@
         Time in seconds at which the instance confirmed it.
     seen_at : float
         Time in seconds at which a list showed it first, 0 before.
+    missing_since : float
+        Time in seconds of the first list that should have shown it and did not, 0
+        while lists show it.
     stopping : bool
         Whether it is to be stopped.
     stopped_at : float
@@ -80,6 +85,7 @@
     ordered_at: float = 0.0
     confirmed_at: float = 0.0
     seen_at: float = 0.0
+    missing_since: float = 0.0
     stopping: bool = False
     stopped_at: float = 0.0
     order_open: bool = False
--- a/src/gypsumwalk/run_lists.py
+++ b/src/gypsumwalk/run_lists.py
@@ -42,7 +42,12 @@
 
 
 def compare_lists(
-    view: InstanceView, report: InstanceReport, *, sent_at: float, now: float
+    view: InstanceView,
+    report: InstanceReport,
+    *,
+    sent_at: float,
+    now: float,
+    stop_grace: float,
 ) -> ListedRuns:
     """Compare a list with the book, and note in the book what goes on.
 
@@ -56,6 +61,8 @@
         Time in seconds at which the list was asked for.
     now : float
         Time in seconds.
+    stop_grace : float
+        Longest time in seconds that a stop takes.
 
     Returns
     -------
@@ -75,7 +82,7 @@
             ends.append(_describe_end(run, ended[key]))
         elif key in listed:
             _note_running(run, listed[key], now)
-        elif complete and _is_gone(run, sent_at):
+        elif complete and _is_gone(run, sent_at, now, stop_grace):
             ends.append(RunEnd(run.task, run.run, RunEndKind.LOST, run.checkpoint))
     last_end = max((item.number for item in ended.values()), default=0)
     strangers = [
@@ -92,20 +99,35 @@
 
 
 def _note_running(run: RunView, item: RunningTask, now: float) -> None:
+    if run.state is RunState.ENDING:
+        return
     if run.state is not RunState.RUNNING:
         run.state = RunState.RUNNING
         run.confirmed_at = now
     run.seen_at = run.seen_at or now
+    run.missing_since = 0.0
     run.percent, run.load = item.percent, item.load
     run.checkpoint = item.checkpoint
 
 
-def _is_gone(run: RunView, sent_at: float) -> bool:
+def _is_gone(run: RunView, sent_at: float, now: float, stop_grace: float) -> bool:
     """Tell whether a run that the list does not show can't be running any more.
 
     An order may be carried out after a list was made, so a list says something only of
-    what was confirmed before it was asked for.
+    what was confirmed before it was asked for. A run that is being stopped, perhaps by
+    an order of an earlier leader, may stand in no list while it goes on.
     """
+    if not _is_known_there(run, sent_at):
+        return False
+    if not run.missing_since:
+        run.missing_since = now
+        return False
+    return sent_at >= run.missing_since + stop_grace
+
+
+def _is_known_there(run: RunView, sent_at: float) -> bool:
+    if run.state is RunState.ENDING:
+        return False
     if run.state is RunState.UNCONFIRMED:
         return True
     if run.stopping and 0 < run.stopped_at < sent_at:
--- a/src/gypsumwalk/run_orders.py
+++ b/src/gypsumwalk/run_orders.py
@@ -19,8 +19,9 @@
 RENEWAL_WAIT_SECONDS = 0.8
 """Time in seconds that an instance waits for an end before it answers."""
 
-WATCH_WAIT_SECONDS = 0.25
-"""The same where fillers may slow tasks that serve; figures cover half a second."""
+HURRIED_WAIT_SECONDS = 0.25
+"""The same where fillers may slow tasks that serve, as figures cover half a second, or
+where a run is missing that may be ending, as a stop takes 0.2 to 0.4 s."""
 
 CALL_SECONDS = 1.0
 """Timeout of one call; links are a few milliseconds long."""
@@ -145,7 +146,10 @@
         lease_until = None
         wait = 0.0
         if view.is_responsive:
-            wait = WATCH_WAIT_SECONDS if view.watched else RENEWAL_WAIT_SECONDS
+            hurried = view.watched or any(
+                run.missing_since for run in view.runs.values()
+            )
+            wait = HURRIED_WAIT_SECONDS if hurried else RENEWAL_WAIT_SECONDS
             if view.runs:
                 lease_until = self._extend_lease(view, now)
         view.renewal_open = True
--- a/tests/_fleet_work_checks.py
+++ b/tests/_fleet_work_checks.py
@@ -84,3 +84,45 @@
         for task, count in failures.items()
         if count > attempts or (count == attempts and starts[task] > attempts)
     ]
+
+
+def find_unasked(history, job, cancelled_at, allowed):
+    """Return runs of a cancelled job that began or went on after the time allowed."""
+    until = cancelled_at + allowed
+    return [
+        item.task
+        for item in history
+        if item.task.startswith(f"{job}.")
+        and (item.started > until or item.ended is None or item.ended > until)
+    ]
+
+
+def find_starts_on(history, life, since):
+    """Return runs that began on one life of an instance after a time."""
+    return [item.task for item in history if item.life == life and item.started > since]
+
+
+def find_missing(history, job, count):
+    """Return how many of the tasks of a job have not ended well."""
+    done = {
+        item.task
+        for item in history
+        if item.task.startswith(f"{job}.") and item.how == "done" and item.ended
+    }
+    return count - len(done)
+
+
+def find_split_gangs(history, job):
+    """Return pairs of runs of one number: one has ended, and the other goes on."""
+    found = []
+    for ended in history:
+        if not ended.task.startswith(f"{job}.") or ended.ended is None:
+            continue
+        found += [
+            (ended.task, other.task)
+            for other in history
+            if other.task.startswith(f"{job}.")
+            and other.run == ended.run
+            and other.ended is None
+        ]
+    return found
--- /dev/null
+++ b/tests/test_fleet_mutations.py
@@ -0,0 +1,187 @@
+"""Rules of a fleet under attack, and the deliberate fault that breaks each of them."""
+
+import unittest
+from unittest.mock import patch
+
+import msgspec
+
+from gypsumwalk import placing
+from gypsumwalk.declaration_records import Resources
+from gypsumwalk.declarations import DeclarationSection
+from gypsumwalk.dispatcher import Dispatcher
+from gypsumwalk.fleet_calls import AnnounceInstanceCall, PutDeclarationCall
+from gypsumwalk.scheduler import Scheduler
+from gypsumwalk.state import Accepted
+from gypsumwalk.workload_records import Step, TaskKey
+from gypsumwalk.workloads import WorkloadSection
+from tests._fleet_work import KEY, FleetWorld, make_declaration
+from tests._fleet_work_checks import (
+    find_early,
+    find_excess,
+    find_missing,
+    find_overspent,
+    find_split_gangs,
+    find_starts_on,
+    find_unasked,
+)
+
+JOB = "00000000000000aa"
+NEED = Resources(2000, 1000)
+CANCEL_SECONDS = 3.4
+"""Time in which a cancelled job has to be gone: 3.0 s, and 0.4 s for the stop."""
+DRAIN_SECONDS = 2.0
+TAKE = DeclarationSection._take
+
+
+def play_steps():
+    world = FleetWorld()
+    world.begin()
+    world.submit(JOB, [Step(2, NEED), Step(2, NEED, after=[0])])
+    world.run(5.0)
+    return find_early(world.model.history, lambda step: [(0, 2)] if step == 1 else [])
+
+
+def play_quota():
+    world = FleetWorld()
+    world.begin(quota=Resources(4000, 0))
+    world.submit(JOB, [Step(10, NEED)])
+    world.run(5.0)
+    return find_excess(world.model.history, lambda task: 2000, 4000)
+
+
+def play_failures():
+    world = FleetWorld()
+    world.begin(attempts=3)
+    for run in range(1, 10):
+        world.lengths[f"{JOB}.0.0.0", run] = (0.1, "failed")
+    world.submit(JOB, [Step(1, NEED)])
+    world.run(5.0)
+    return find_overspent(world.model.history, 3)
+
+
+def play_cancel():
+    world = FleetWorld(length=60.0)
+    world.begin()
+    world.submit(JOB)
+    world.run(1.0)
+    assert world.cancel(JOB).status == 200
+    cancelled_at = world.now
+    world.run(CANCEL_SECONDS + 1.0)
+    return find_unasked(world.model.history, JOB, cancelled_at, CANCEL_SECONDS)
+
+
+def play_drain():
+    world = FleetWorld()
+    world.begin()
+    for instance in list(world.model.instances.values())[1:]:
+        world.model.crash(instance, world.now)
+    instance = world.get_instance(0)
+    leaving = msgspec.structs.replace(instance.registered, draining=True)
+    call = world.call(AnnounceInstanceCall(leaving), to=world.find_leader())
+    assert world.run_until(lambda: call.ended, within=3.0)
+    since = world.now + DRAIN_SECONDS
+    world.run(DRAIN_SECONDS)
+    world.submit(JOB)
+    world.run(3.0)
+    return find_starts_on(world.model.history, instance.registered.life, since)
+
+
+def play_completion():
+    world = FleetWorld()
+    world.begin()
+    world.lengths[f"{JOB}.0.0.1", 1] = (4.0, "done")
+    world.submit(JOB, [Step(2, NEED)])
+    assert world.await_state(JOB, "completed")
+    return find_missing(world.model.history, JOB, 2)
+
+
+def play_gang():
+    world = FleetWorld(length=60.0)
+    world.begin()
+    world.lengths[f"{JOB}.0.0.0", 1] = (0.5, "failed")
+    world.submit(JOB, [Step(3, NEED, gang=True)])
+    world.run(2.0)
+    return find_split_gangs(world.model.history, JOB)
+
+
+def play_versions():
+    world = FleetWorld()
+    world.begin()
+    leader = world.find_leader()
+    calls = []
+    for version in (7, 3):
+        body = PutDeclarationCall(make_declaration(version))
+        calls.append(world.call(body, to=leader))
+        # The second one comes before the first one is committed.
+        world.run(0.001)
+    assert world.run_until(lambda: all(call.ended for call in calls), within=3.0)
+    shown = world.read_declaration().body.source
+    return [] if shown == "source 7" else [shown]
+
+
+def play_keys():
+    world = FleetWorld()
+    world.begin()
+    without = make_declaration(5)
+    without.teams[0].keys.remove(KEY)
+    world.declare(without)
+    answer = world.submit(JOB)
+    return [] if answer.status == 401 else [answer.status]
+
+
+def list_without_order(workload, occurrence, book):
+    for number, step in enumerate(workload.steps):
+        for index in range(step.count):
+            task = TaskKey(workload.job, occurrence, number, index)
+            if task not in book.by_task and task[1:] not in workload.tasks:
+                yield task
+
+
+def keep_keys(section, current):
+    keys = dict(section._teams_by_key)
+    TAKE(section, current)
+    section._teams_by_key = {**keys, **section._teams_by_key}
+
+
+def take_any(section, command, index, at):
+    section._take(command.declaration)
+    return Accepted(index)
+
+
+FAULTS = {
+    play_steps: (placing, "_list_occurrence", list_without_order),
+    play_quota: (Scheduler, "_has_quota", lambda *_: True),
+    play_failures: (WorkloadSection, "_note_failure", lambda *_: None),
+    play_cancel: (Dispatcher, "_stop_job", lambda *_: []),
+    play_drain: (
+        WorkloadSection,
+        "_register",
+        lambda section, instance: section.instances.update(
+            {instance.life: msgspec.structs.replace(instance, draining=False)}
+        ),
+    ),
+    play_completion: (WorkloadSection, "_is_complete", lambda *_: True),
+    play_gang: (Dispatcher, "_stop_gang", lambda *_: []),
+    play_versions: (DeclarationSection, "apply", take_any),
+    play_keys: (DeclarationSection, "_take", keep_keys),
+}
+"""Attack on a rule, and the fault that has to break it: owner, name, replacement."""
+
+
+class TestRules(unittest.TestCase):
+    def test_each_rule_holds_under_its_attack(self):
+        for play in FAULTS:
+            with self.subTest(attack=play.__name__):
+                assert play() == [] or play() == 0
+
+    def test_each_deliberate_fault_is_found(self):
+        for play, (owner, name, replacement) in FAULTS.items():
+            with (
+                self.subTest(attack=play.__name__),
+                patch.object(owner, name, replacement),
+            ):
+                assert play()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_fleet_work.py
+++ b/tests/test_fleet_work.py
@@ -1,8 +1,10 @@
 """Tests of jobs on a fleet: the whole path on the paused clock."""
 
 import unittest
+from unittest.mock import patch
 
 from gypsumwalk.declaration_records import Resources
+from gypsumwalk.dispatcher import Dispatcher
 from gypsumwalk.workload_records import Step, TaskKey, TaskRecord, Workload
 from tests._fleet_work import KEY, FleetWorld, make_declaration
 from tests._fleet_work_checks import (
@@ -111,6 +113,19 @@
         assert len([item for item in history if item.run == 2]) == 3
         assert find_doubles(history) == []
 
+    def test_a_run_that_is_being_stopped_counts_until_its_end_is_listed(self):
+        """Ends of others bring lists in which a run being stopped does not stand."""
+        world = FleetWorld(instances=1, length=60.0)
+        world.begin()
+        world.model.stop_lengths = [0.05, 0.1, 0.2, 0.35]
+        world.lengths[f"{JOB}.0.0.0", 1] = (0.5, "failed")
+        world.submit(JOB, [Step(4, NEED, gang=True)])
+        world.run(3.0)
+        history = world.model.history
+        assert find_doubles(history) == []
+        assert find_overloads(history, lambda task: 2000, 8000) == []
+        assert len([item for item in history if item.run == 2]) == 4
+
     def test_all_members_of_a_gang_resume_from_one_checkpoint(self):
         tasks = {
             (0, 0, number): TaskRecord(run=1, checkpoint=checkpoint)
@@ -192,6 +207,24 @@
 
 
 class TestInstances(unittest.TestCase):
+    def test_a_run_that_is_taken_as_lost_is_not_started_any_more(self):
+        """Pattern: a link heals while the loss of a placed run is being committed."""
+        world = FleetWorld(length=1.0)
+        world.begin()
+        world.network.delay = 0.1
+        asked = []
+
+        def may_start(dispatcher, run, now):
+            asked.append(run)
+            return len(asked) > 1
+
+        with patch.object(Dispatcher, "_may_start", may_start):
+            world.submit(JOB, [Step(1, NEED)])
+            world.run(5.0)
+        assert world.get_state(JOB) == "completed"
+        assert find_doubles(world.model.history) == []
+        assert len(world.model.history) == 1
+
     def test_a_crashed_instance_loses_no_task(self):
         world = FleetWorld(length=3.0)
         world.begin()
