Say to lead only while the lease holds

Cause: a daemon answered the entries' question for the leader with yes until it heard of a later term. Cut off from its quorum but not from the entries, it won every search, as the first yes counts now: up to 2 s without service, found by reading the change. Change: the answer follows the dispatcher's last check (every 50 to 100 ms). Test: TestDeclarations.test_a_leader_without_a_quorum_does_not_say_that_it_leads.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -114,6 +114,8 @@
         stop_grace: float,
     ) -> None:
         self.book = LeaseBook()
+        self.is_active = False
+        """Whether this daemon led at the last check, for those who ask who leads."""
         self._leadership = leadership
         self._declarations = declarations
         self._workloads = workloads
@@ -181,7 +183,8 @@
     # Leadership
 
     def _refresh(self, now: float) -> list[Effect]:
-        if not self.is_leading(now):
+        self.is_active = self.is_leading(now)
+        if not self.is_active:
             if self._term and self._leadership.term != self._term:
                 self._resign()
             return []
--- a/tests/test_fleet_work.py
+++ b/tests/test_fleet_work.py
@@ -195,6 +195,15 @@
         assert world.declare(make_declaration(3)).status == 200
         assert world.read_declaration().body.source == "source 7"
 
+    def test_a_leader_without_a_quorum_does_not_say_that_it_leads(self):
+        world = FleetWorld()
+        world.begin()
+        cut = world.find_leader()
+        assert world.assemblies[cut].dispatcher.is_active
+        world.part([cut])
+        world.run(1.2)
+        assert not world.assemblies[cut].dispatcher.is_active
+
     def test_an_invalid_one_is_refused_whole(self):
         world = FleetWorld()
         world.begin()
