Stop a search for a red check at the first one

Each deliberate fault of the schedules played all its seeds (25 for orders without the leadership, 4 to 20 s each), although the check asks whether one of them turns red. It stops at the first that does now; which checks have to turn red, and within which seeds, is unchanged.

--- a/tests/test_fleet_schedules.py
+++ b/tests/test_fleet_schedules.py
@@ -209,12 +209,9 @@
     return schedule.find_faults()
 
 
-def find_red(seeds):
-    red = set()
-    for seed in seeds:
-        faults = play(seed)
-        red |= {name for name, found in faults.items() if found}
-    return red
+def turns_red(names, seeds):
+    """Tell whether one of the checks fails with one of the seeds."""
+    return any(any(faults[name] for name in names) for faults in map(play, seeds))
 
 
 class TestSchedules(unittest.TestCase):
@@ -232,19 +229,18 @@
 
     def test_leases_taken_as_ended_at_once(self):
         with mock.patch.object(InstanceView, "find_lapse", lambda self: 0.0):
-            assert "doubles" in find_red(range(12))
+            assert turns_red(["doubles"], range(12))
 
     def test_room_that_is_not_counted(self):
         with mock.patch.object(InstanceView, "used", Resources()):
-            assert "overloads" in find_red(range(4))
+            assert turns_red(["overloads"], range(4))
 
     def test_orders_without_the_leadership(self):
         def leads(self, now):
             return self._leadership.leader != "" or self._term > 0
 
         with mock.patch.object(Dispatcher, "is_leading", leads):
-            red = find_red(range(25))
-        assert red & {"doubles", "overloads", "lost"}
+            assert turns_red(["doubles", "overloads", "lost"], range(25))
 
 
 if __name__ == "__main__":
