Reproduce two causes of doubled runs in the simulated cluster

- A new leader repeats a wave's order on a machine that has come back.
The platform answers as for an order that is done; the leader removes the instance that runs there now, whose runs go on, and starts them elsewhere.
- A start that reaches the next life of an instance with the same identifier runs there, while the task is started elsewhere.

The emulator takes a repeated maintenance order as done and caps leases, as the platform does. The three tests are expected failures until the fixes.

--- a/src/gypsumwalk/emulator.py
+++ b/src/gypsumwalk/emulator.py
@@ -4,9 +4,10 @@
 over, when it is stopped or when its lease expires. Ended runs are listed until they are
 acknowledged. A run that is being stopped is listed neither as running nor as ended. An
 order with an older fence is refused, and so is a start whose run number is not higher
-than that of a run of the task that ended or was stopped there. The caller injects
-faults: delayed orders, lost answers, and silent, crashed or restarted instances. The
-emulator shares no code with the controllers.
+than that of a run of the task that ended or was stopped there. A repeated order to
+maintain a machine in a wave succeeds without an effect. The caller injects faults:
+delayed orders, lost answers, and silent, crashed or restarted instances. The emulator
+shares no code with the controllers.
 """
 
 from collections.abc import Callable
@@ -45,6 +46,9 @@
 STOP_SECONDS = 0.05
 """Default time that a task takes to stop; the platform allows 200 to 400 ms."""
 
+MAX_LEASE_SECONDS = 6.0
+"""Longest lease that an instance grants, whatever expiry an order names."""
+
 STARTUP_SECONDS = 0.3
 """Time from the start of a long-running task until it reports 100 percent."""
 
@@ -201,6 +205,7 @@
         self._random = random
         self._find_length = find_length
         self._delayed_orders: list[tuple[float, EmulatedInstance, msgspec.Struct]] = []
+        self._maintained: set[tuple[int, str]] = set()
 
     def add(self, registered: RegisteredInstance, now: float) -> EmulatedInstance:
         """Add an incarnation of an instance, ending the one at the same address."""
@@ -352,7 +357,8 @@
     ) -> None:
         if until is None:
             return
-        end = now + (until - instance.read_clock(now)) / 1000
+        seconds = (until - instance.read_clock(now)) / 1000
+        end = now + min(seconds, MAX_LEASE_SECONDS)
         instance.lease_until = max(instance.lease_until, end)
 
     def _acknowledge(self, instance: EmulatedInstance, number: int) -> None:
@@ -430,7 +436,11 @@
         order = (now, action.machine, action.holder, action.fence)
         self.machine_orders.append(order)
         if isinstance(action, MaintainMachine):
-            self.maintenance_orders.append((now, action.wave, action.machine))
+            maintained = (action.wave, action.machine)
+            if maintained in self._maintained:
+                return MachineReport()
+            self._maintained.add(maintained)
+            self.maintenance_orders.append((now, *maintained))
             for instance in self.instances.values():
                 if instance.registered.machine == action.machine:
                     self.crash(instance, now)
--- /dev/null
+++ b/tests/test_fleet_doubled_runs.py
@@ -0,0 +1,103 @@
+"""Tests that no task runs twice where an instance or a machine has a new life."""
+
+import unittest
+from unittest.mock import patch
+
+from gypsumwalk.declaration_records import Resources
+from gypsumwalk.inputs import PlatformOutcome
+from gypsumwalk.instance_actions import (
+    ListMachines,
+    MaintainMachine,
+    StartRun,
+)
+from gypsumwalk.workload_records import Step
+from tests._fleet_work import FleetWorld
+from tests._fleet_work_checks import find_duplicate_runs
+
+JOB = "00000000000000aa"
+NEED = Resources(2000, 1000)
+
+
+class DroppedAnswers:
+    """Carries out the platform's calls, and drops the answers of some actions."""
+
+    def __init__(self, world, *kinds):
+        self.kinds = kinds
+        self._call = world.model.call
+
+    def __call__(self, effect, now):
+        delay, find_outcome = self._call(effect, now)
+        if isinstance(effect.action, self.kinds):
+            lost = PlatformOutcome(effect.token, succeeded=False, unknown=True)
+            return effect.timeout, lambda at: lost
+        return delay, find_outcome
+
+
+class TestRepeatedMachineOrders(unittest.TestCase):
+    # A new leader repeats a wave's order after the machine has returned.
+    @unittest.expectedFailure
+    def test_maintenance_that_is_already_done_ends_no_run_of_the_returned_machine(self):
+        world = FleetWorld(task_seconds=60.0, instances=1)
+        world.begin()
+        dropped = DroppedAnswers(world, MaintainMachine)
+        with patch.object(world.model, "call", dropped):
+            assert world.start_wave(1, ["m-0"], duration=6.0).status == 200
+            world.run_until(lambda: world.model.maintenance_orders, within=10.0)
+            dropped.kinds = (MaintainMachine, ListMachines)
+            world.kill(world.find_leader())
+            world.submit(JOB, [Step(1, NEED)])
+            world.run_until(lambda: world.model.history, within=10.0)
+            world.start_instance(1)
+            world.run(2.0)
+            dropped.kinds = ()
+            world.run(8.0)
+        assert find_duplicate_runs(world.model.history) == []
+        assert world.model.history[0].ended is None
+
+
+class TestReusedIdentifiers(unittest.TestCase):
+    # A start to an instance that has just restarted is carried out by its new life.
+    @unittest.expectedFailure
+    def test_a_start_that_reaches_the_next_life_is_not_repeated_elsewhere(self):
+        world = FleetWorld(task_seconds=3.0, instances=1)
+        world.begin()
+        reborn = []
+        call = world.model.call
+
+        def restart_before_the_start(effect, now):
+            if isinstance(effect.action, StartRun) and not reborn:
+                reborn.append(world.start_instance(0, life=2))
+                world.start_instance(1)
+            return call(effect, now)
+
+        with patch.object(world.model, "call", restart_before_the_start):
+            world.submit(JOB, [Step(1, NEED)])
+            world.run(12.0)
+        assert find_duplicate_runs(world.model.history) == []
+        assert world.get_state(JOB) == "completed"
+
+    # As before, but the answer of the new life is lost.
+    @unittest.expectedFailure
+    def test_an_unanswered_start_to_the_next_life_is_not_repeated_elsewhere(self):
+        world = FleetWorld(task_seconds=3.0, instances=1)
+        world.begin()
+        reborn = []
+        dropped = DroppedAnswers(world, StartRun)
+
+        def restart_before_the_start(effect, now):
+            if isinstance(effect.action, StartRun) and not reborn:
+                reborn.append(world.start_instance(0, life=2))
+                world.start_instance(1)
+                return dropped(effect, now)
+            return call(effect, now)
+
+        call = world.model.call
+        with patch.object(world.model, "call", restart_before_the_start):
+            world.submit(JOB, [Step(1, NEED)])
+            world.run(12.0)
+        assert find_duplicate_runs(world.model.history) == []
+        assert world.get_state(JOB) == "completed"
+
+
+if __name__ == "__main__":
+    unittest.main()
