Log why an instance is removed

The logs did not tell which of the hypotheses on doubled runs held: an instance could be removed by a heartbeat, an answer of another life, a move, a maintenance or the list of machines, and only its lost runs were logged. RemoveInstance carries the reason, and event 5019 tells it with the number of runs at that time.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -235,10 +235,22 @@
                     return self._start_placed(command, now)
             case EndRuns(ends=ends):
                 return self._remove_ended(ends, now)
-            case RegisterInstance() | RemoveInstance():
+            case RemoveInstance(life=life, reason=reason):
+                return [
+                    *self._describe_removal(life, reason),
+                    *self._sync_instances(now),
+                ]
+            case RegisterInstance():
                 return self._sync_instances(now)
         return []
 
+    def _describe_removal(self, life: str, reason: str) -> list[Effect]:
+        view = self.lease_table.instances.get(life)
+        if view is None:
+            return []
+        attributes: dict[str, Scalar] = {"runs": len(view.runs), "reason": reason}
+        return [Record(Event.INSTANCE_REMOVED, life, attributes)]
+
     def _sync_instances(self, now: float) -> list[Effect]:
         lost: list[RunView] = []
         known = self._workloads.instances
@@ -360,7 +372,9 @@
             return self._end_as_lost(view.runs.values(), "its lease has expired")
         if not view.runs and now - view.silent_since > REMOVE_SILENT_SECONDS:
             view.silent_since = now
-            return [self._propose(RemoveInstance(view.registered.life, left=False))]
+            reason = "it has not answered for long"
+            command = RemoveInstance(view.registered.life, left=False, reason=reason)
+            return [self._propose(command)]
         return []
 
     def _resend_order(self, run: RunView, now: float) -> list[Effect]:
@@ -421,7 +435,8 @@
 
     def _remove_life(self, view: InstanceView) -> list[Effect]:
         view.is_renewal_pending = True
-        return [self._propose(RemoveInstance(view.registered.life))]
+        reason = "another instance answers in its place"
+        return [self._propose(RemoveInstance(view.registered.life, reason=reason))]
 
     def _handle_renewal_answer(
         self,
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -210,6 +210,9 @@
         "run {run} on {life} is limited to {percent} percent; tail latency {tail} ms,"
         " target {target} ms",
     )
+    INSTANCE_REMOVED = EventEntry(
+        5019, Level.INFO, "the instance is removed with {runs} runs: {reason}"
+    )
     WAVE_STARTED = EventEntry(4201, Level.INFO, "run {run} of the wave started")
     WAVE_PAUSED = EventEntry(4202, Level.WARNING, "the wave is paused: {reason}")
 
--- a/src/gypsumwalk/fleet_call_handler.py
+++ b/src/gypsumwalk/fleet_call_handler.py
@@ -283,7 +283,8 @@
         life = self._workloads.find_latest_life(call.instance)
         if life is None or (call.born and life.born != call.born):
             return [Respond(item.call_id, Answer(200))]
-        return self._propose(item, RemoveInstance(life.life), life.life)
+        command = RemoveInstance(life.life, reason="it has deregistered")
+        return self._propose(item, command, life.life)
 
     def _propose(
         self, item: CallInput, command: msgspec.Struct, subject: str
--- a/src/gypsumwalk/machine_directory.py
+++ b/src/gypsumwalk/machine_directory.py
@@ -91,7 +91,8 @@
                 }
                 effects.append(Record(Event.INSTANCE_DOWN, life, attributes))
                 token = f"{self.name}/end/{life}"
-                effects.append(Propose(token, RemoveInstance(life), PROPOSAL_SECONDS))
+                command = RemoveInstance(life, reason="its machine is down")
+                effects.append(Propose(token, command, PROPOSAL_SECONDS))
         return effects
 
     def find_instance(self, machine: str) -> RegisteredInstance | None:
--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Sequence
 
-import msgspec
-
 from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.dispatcher import Dispatcher
 from gypsumwalk.effects import CallPlatform, Effect, Propose, Record, Scalar
@@ -390,7 +388,7 @@
         return effects + self._propose_maintained(wave, [machine])
 
     def _propose_removal(self, life: str) -> Propose:
-        command: msgspec.Struct = RemoveInstance(life)
+        command = RemoveInstance(life, reason="its machine is maintained")
         return Propose(f"{self.name}/end/{life}", command, PROPOSAL_SECONDS)
 
 
--- a/src/gypsumwalk/pool_scaling_controller.py
+++ b/src/gypsumwalk/pool_scaling_controller.py
@@ -307,4 +307,5 @@
         if not life:
             return []
         token = f"{self.name}/end/{life}"
-        return [Propose(token, RemoveInstance(life), PROPOSAL_SECONDS)]
+        command = RemoveInstance(life, reason="its machine has moved")
+        return [Propose(token, command, PROPOSAL_SECONDS)]
--- a/src/gypsumwalk/workload_records.py
+++ b/src/gypsumwalk/workload_records.py
@@ -348,7 +348,10 @@
         The life.
     left : bool
         Whether it has ended for good; False if it does not answer and may return.
+    reason: str
+        How its end is known, for the log.
     """
 
     life: str
     left: bool = True
+    reason: str = ""
