End only the instance that a maintenance order was decided for

Callers could see a task done twice: the leader removed a healthy instance, whose runs went on until their lease ended, and started them elsewhere; the instance was refused for good afterwards, so its capacity was lost too.

Cause: a change of leader between an order and the note that it was carried out. The new leader repeats the order; the platform answers that it is done; the leader took the instance that ran there at the repetition for the one that had ended. Machines are cordoned meanwhile, but only once the new leader has read the list of machines.

The committed command names the instance that ran when the order was decided, and only that one is removed. The test failed before with an overlap of runs 1 and 2.

--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -114,7 +114,6 @@
         self._maintenance = maintenance
         self._term = 0
         self._ordered_at: dict[str, float] = {}
-        self._lives: dict[str, str] = {}
         self._answered_at: dict[str, float] = {}
         self._term_began = float("-inf")
         self._open_orders: dict[str, tuple[int, str]] = {}
@@ -167,7 +166,6 @@
     def _begin_term(self, now: float) -> None:
         self._term = self._dispatcher.term
         self._ordered_at.clear()
-        self._lives.clear()
         self._answered_at.clear()
         self._term_began = now
         self._open_orders.clear()
@@ -239,12 +237,11 @@
             return False
         if machine not in wave.maintained:
             return True
-        life = self._lives.get(machine, begun.life)
-        if not life:
+        if not begun.life:
             # A machine in the standby pool returns without an instance.
             return now <= since + self._maintenance + REGISTRATION_SECONDS
         instance = self._directory.find_instance(machine)
-        return instance is None or instance.life == life
+        return instance is None or instance.life == begun.life
 
     def _list_runs(self, machine: str) -> list[RunView]:
         instance = self._directory.find_instance(machine)
@@ -352,9 +349,6 @@
         if not self._cooldown.can_order(machine, now):
             return []
         self._ordered_at[machine] = now
-        if machine not in self._lives:
-            instance = self._directory.find_instance(machine)
-            self._lives[machine] = instance.life if instance else ""
         self._count += 1
         token = f"{self.name}/order/{self._count}"
         self._open_orders[token] = (wave, machine)
@@ -382,9 +376,11 @@
         ]
         if report.refused in ("busy", "limit", "fence"):
             return effects
-        life = self._lives.get(machine, "")
-        if life and not report.refused:
-            effects.append(self._propose_removal(life))
+        # The platform also answers so if an earlier order was carried out, and another
+        # life may run there now: only the one known when the order was decided ended.
+        begun = self._upkeep.waves[wave].begun[machine]
+        if begun.life and not report.refused:
+            effects.append(self._propose_removal(begun.life))
         return effects + self._propose_maintained(wave, [machine])
 
     def _propose_removal(self, life: str) -> Propose:
--- a/tests/test_fleet_doubled_runs.py
+++ b/tests/test_fleet_doubled_runs.py
@@ -35,7 +35,6 @@
 
 class TestRepeatedMachineOrders(unittest.TestCase):
     # A new leader repeats a wave's order after the machine has returned.
-    @unittest.expectedFailure
     def test_maintenance_that_is_already_done_ends_no_run_of_the_returned_machine(self):
         world = FleetWorld(task_seconds=60.0, instances=1)
         world.begin()
