Keep an instance registered whose move had been done before

As with a repeated maintenance order: the platform answers a move as done if the machine is in that pool already. An order planned from a list of machines that was read before the previous move removed the instance that had just joined its new pool, and that life is refused for good afterwards: its machine stands idle until it moves again.

An instance that is in the target pool already is not ended by the answer. The test failed before.

--- a/src/gypsumwalk/pool_scaling_controller.py
+++ b/src/gypsumwalk/pool_scaling_controller.py
@@ -284,10 +284,12 @@
         if self._moving.get(machine, ("", 0.0))[0] != service:
             return []
         instance = self._directory.find_instance(machine)
+        # An instance that is in that pool already has moved, and does not end again.
+        ending = instance if instance and instance.service != service else None
         self._moving[machine] = (service, now)
         self._count += 1
         token = f"{self.name}/order/{self._count}"
-        self._open_orders[token] = (machine, instance.life if instance else "")
+        self._open_orders[token] = (machine, ending.life if ending else "")
         action = MoveMachine(machine, service, self._daemon, self._term)
         return [CallPlatform(token, action, CALL_SECONDS)]
 
--- a/tests/test_fleet_doubled_runs.py
+++ b/tests/test_fleet_doubled_runs.py
@@ -4,12 +4,16 @@
 from unittest.mock import patch
 
 from gypsumwalk.declaration_records import Resources
-from gypsumwalk.inputs import PlatformOutcome
+from gypsumwalk.effects import CallPlatform
+from gypsumwalk.inputs import Committed, PlatformOutcome
 from gypsumwalk.instance_actions import (
     ListMachines,
+    MachineReport,
     MaintainMachine,
     StartRun,
 )
+from gypsumwalk.state import Accepted
+from gypsumwalk.upkeep import OrderMoves
 from gypsumwalk.workload_records import Step
 from tests._fleet_work import FleetWorld
 from tests._fleet_work_checks import find_duplicate_runs
@@ -53,6 +57,26 @@
         assert find_duplicate_runs(world.model.history) == []
         assert world.model.history[0].ended is None
 
+    # A list of machines that was read before a move makes the leader repeat the move.
+    def test_a_move_that_is_already_done_does_not_remove_the_moved_instance(self):
+        world = FleetWorld(instances=1)
+        world.begin()
+        leader = world.get_leader()
+        controller = leader.node._by_name["poolkeeper"]
+        controller._term = leader.consensus.term
+        controller._moving["m-0"] = ("service-a", world.now)
+        command = OrderMoves("v0", controller._term, {"m-0": "service-a"})
+        effects = controller.handle(
+            Committed(1, command, Accepted(1), world.now), world.now
+        )
+        orders = [item for item in effects if isinstance(item, CallPlatform)]
+        done = [
+            PlatformOutcome(item.token, succeeded=True, report=MachineReport())
+            for item in orders
+        ]
+        follow_ups = [controller.handle(item, world.now) for item in done]
+        assert not any(follow_ups)
+
 
 class TestReusedIdentifiers(unittest.TestCase):
     # A start to an instance that has just restarted is carried out by its new life.
