Complete waves whose proposals time out, and cordon all of them

Operators saw a wave with 83 of 90 instances done that was never said to be completed: a note or a beginning whose proposal timed out (2 s on an overloaded leader) stayed pending for the whole term. It is repeated now; a repetition has no further effect.

Two open waves overwrote each other's cordoned machines, so that a machine about to be taken down got new work.

The life that the first order of a term ended is kept, as a machine can move between the decision and the order; a new leader only knows the life in the log, and counts the machine as down for its maintenance after the answer.

--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Sequence
 
+import msgspec
+
 from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.dispatcher import Dispatcher
 from gypsumwalk.effects import CallPlatform, Effect, Propose, Record, Scalar
@@ -114,10 +116,11 @@
         self._maintenance = maintenance
         self._term = 0
         self._ordered_at: dict[str, float] = {}
+        self._lives: dict[str, str] = {}
         self._answered_at: dict[str, float] = {}
         self._term_began = float("-inf")
         self._open_orders: dict[str, tuple[int, str]] = {}
-        self._pending_proposals: set[str] = set()
+        self._pending_proposals: dict[str, Propose] = {}
         self._count = 0
         self._due = 0.0
 
@@ -136,13 +139,22 @@
             return []
         match item:
             case Committed(command=BeginMaintenance() as command):
-                return self._order(command.wave, command.machine, now)
+                return self._send_first_order(command, now)
             case PlatformOutcome():
                 return self._handle_outcome(item, now)
             case ProposalOutcome(token=token, status=status):
-                # While the command may still be committed, its machine counts as down.
-                if status is not ProposalStatus.UNKNOWN:
-                    self._pending_proposals.discard(token)
+                return self._handle_proposal_outcome(token, status)
+        return []
+
+    def _handle_proposal_outcome(
+        self, token: str, status: ProposalStatus
+    ) -> list[Effect]:
+        proposal = self._pending_proposals.get(token)
+        if proposal is not None and status is ProposalStatus.UNKNOWN:
+            # It may still be committed, so its machine counts as down; the repetition
+            # has no further effect if it is.
+            return [proposal]
+        self._pending_proposals.pop(token, None)
         return []
 
     def advance(self, now: float) -> Sequence[Effect]:
@@ -159,13 +171,16 @@
         if not self._directory.machines:
             return []
         effects: list[Effect] = []
+        cordoned: set[str] = set()
         for wave in waves:
-            effects += self._advance_wave(wave, now)
+            effects += self._advance_wave(wave, cordoned, now)
+        self._scheduler.cordoned = cordoned
         return effects
 
     def _begin_term(self, now: float) -> None:
         self._term = self._dispatcher.term
         self._ordered_at.clear()
+        self._lives.clear()
         self._answered_at.clear()
         self._term_began = now
         self._open_orders.clear()
@@ -173,7 +188,9 @@
 
     # Waves
 
-    def _advance_wave(self, wave: UpkeepWave, now: float) -> list[Effect]:
+    def _advance_wave(
+        self, wave: UpkeepWave, cordoned: set[str], now: float
+    ) -> list[Effect]:
         effects = self._complete_missing(wave)
         remaining = [
             item for item in wave.remaining if item in self._directory.machines
@@ -199,9 +216,8 @@
             has_standby=bool(self._declarations.find_standby()),
         )
         chosen = standby[: wave.max_down] + active[:concurrency]
-        self._scheduler.cordoned = set(chosen) | {
-            machine for machine in wave.begun if self._is_down(wave, machine, now)
-        }
+        cordoned.update(chosen)
+        cordoned.update(item for item in wave.begun if self._is_down(wave, item, now))
         is_urgent = now > wave.started + wave.duration - self._find_time_needed(
             wave, due
         )
@@ -237,11 +253,16 @@
             return False
         if machine not in wave.maintained:
             return True
-        if not begun.life:
+        life = self._lives.get(machine, begun.life)
+        is_repeated = machine in self._answered_at and machine not in self._lives
+        if is_repeated and now <= since + self._maintenance + REGISTRATION_SECONDS:
+            # The order of an earlier leader may have ended a life unknown here.
+            return True
+        if not life:
             # A machine in the standby pool returns without an instance.
             return now <= since + self._maintenance + REGISTRATION_SECONDS
         instance = self._directory.find_instance(machine)
-        return instance is None or instance.life == begun.life
+        return instance is None or instance.life == life
 
     def _list_runs(self, machine: str) -> list[RunView]:
         instance = self._directory.find_instance(machine)
@@ -313,11 +334,11 @@
 
     def _propose_begin(self, wave: UpkeepWave, machine: str) -> list[Effect]:
         token = self._make_begin_token(wave, machine)
-        self._pending_proposals.add(token)
         instance = self._directory.find_instance(machine)
         life = instance.life if instance else ""
-        command = BeginMaintenance(wave.wave, machine, life, self._daemon)
-        return [Propose(token, command, PROPOSAL_SECONDS)]
+        return self._propose(
+            token, BeginMaintenance(wave.wave, machine, life, self._daemon)
+        )
 
     def _complete_missing(self, wave: UpkeepWave) -> list[Effect]:
         gone = [item for item in wave.remaining if item not in self._directory.machines]
@@ -327,8 +348,12 @@
         token = f"{self.name}/note/{wave}/{','.join(machines)}"
         if token in self._pending_proposals:
             return []
-        self._pending_proposals.add(token)
-        return [Propose(token, NoteMaintained(wave, machines), PROPOSAL_SECONDS)]
+        return self._propose(token, NoteMaintained(wave, machines))
+
+    def _propose(self, token: str, command: msgspec.Struct) -> list[Effect]:
+        proposal = Propose(token, command, PROPOSAL_SECONDS)
+        self._pending_proposals[token] = proposal
+        return [proposal]
 
     # Orders
 
@@ -343,6 +368,11 @@
                 effects += self._order(wave.wave, machine, now)
         return effects
 
+    def _send_first_order(self, command: BeginMaintenance, now: float) -> list[Effect]:
+        instance = self._directory.find_instance(command.machine)
+        self._lives[command.machine] = instance.life if instance else ""
+        return self._order(command.wave, command.machine, now)
+
     def _order(self, wave: int, machine: str, now: float) -> list[Effect]:
         if not self._dispatcher.is_leading(now):
             return []
@@ -376,11 +406,12 @@
         ]
         if report.refused in ("busy", "limit", "fence"):
             return effects
-        # The platform also answers so if an earlier order was carried out, and another
-        # life may run there now: only the one known when the order was decided ended.
+        # The platform also answers so if an earlier leader's order was carried out, and
+        # another life may run there now than the one that ended.
         begun = self._upkeep.waves[wave].begun[machine]
-        if begun.life and not report.refused:
-            effects.append(self._propose_removal(begun.life))
+        life = self._lives.get(machine, begun.life)
+        if life and not report.refused:
+            effects.append(self._propose_removal(life))
         return effects + self._propose_maintained(wave, [machine])
 
     def _propose_removal(self, life: str) -> Propose:
--- a/tests/test_maintenance_controller.py
+++ b/tests/test_maintenance_controller.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from gypsumwalk.inputs import ProposalOutcome, ProposalStatus
 from gypsumwalk.maintenance_controller import MaintenanceController
 from gypsumwalk.order_cooldown import OrderCooldown
 from gypsumwalk.upkeep import BegunMaintenance, UpkeepWave
@@ -78,6 +79,41 @@
     def test_a_machine_that_never_returns_stops_counting_as_down(self):
         assert not self.is_down(make_wave(maintained=True), None, now=113.0)
 
+    # The order of an earlier leader may have ended a life that moved there meanwhile.
+    def test_a_machine_with_a_repeated_order_is_down_for_its_maintenance(self):
+        wave = make_wave(maintained=True)
+        controller = make_controller("i@2")
+        controller._answered_at["m"] = 104.0
+        assert controller._is_down(wave, "m", 105.5)
+        assert not controller._is_down(wave, "m", 107.5)
+
+
+class TestProposals(unittest.TestCase):
+    # A wave was never completed once a note had timed out on an overloaded leader.
+    def test_a_proposal_of_unknown_outcome_is_repeated(self):
+        controller = make_controller("i@1")
+        controller._dispatcher.term = controller._term = 1
+        (proposal,) = controller._propose_maintained(1, ["m"])
+        assert controller._propose_maintained(1, ["m"]) == []
+        unknown = ProposalOutcome(proposal.token, ProposalStatus.UNKNOWN)
+        assert controller.handle(unknown, 100.0) == [proposal]
+        rejected = ProposalOutcome(proposal.token, ProposalStatus.NOT_COMMITTED)
+        assert controller.handle(rejected, 101.0) == []
+        assert controller._propose_maintained(1, ["m"]) == [proposal]
+
+    # The machines of one wave got new work while another wave was open.
+    def test_machines_of_all_open_waves_are_cordoned(self):
+        controller = make_controller(None)
+        controller._dispatcher.term = controller._term = 1
+        waves = [make_wave(maintained=False), make_wave(maintained=False)]
+        waves[1].begun = {"n": BegunMaintenance("", 100.0)}
+        waves[1].machines = ["n"]
+        controller._upkeep.list_open.return_value = waves
+        controller._declarations.find_standby.return_value = ""
+        controller._directory.machines = {"m": None, "n": None}
+        controller.advance(101.0)
+        assert controller._scheduler.cordoned == {"m", "n"}
+
 
 if __name__ == "__main__":
     unittest.main()
