Answer calls cut off by a stop with 502, not with a refusal

Callers saw: a job ran although the attempts of its caller had been refused as "not run". Cause: a daemon that stops answered the calls that waited for their proposals with the type "leaving", whose status is 503. Its body said "outcome unknown", but a relay judges by the status and passed the 503 on, as if the job had not been accepted. Evidence: the test of the bridge asked only for the outcome in the body; with the status it failed on the code before: (503, "outcome unknown"). Ruled out: calls that are refused on entering (input queue full, bridge closed, event loop ended) never reach the node, so their 503 is true. Why it works: 502 is the status of an unknown outcome; a relay sends the call again and never turns a later refusal into "not run".

--- a/src/gypsumwalk/drivers/bridge.py
+++ b/src/gypsumwalk/drivers/bridge.py
@@ -107,7 +107,9 @@
             self._closed = True
             numbers = list(self._waiting)
         answer = refuse(
-            ProblemType.LEAVING, Outcome.UNKNOWN, "daemon stopped before answering"
+            ProblemType.OUTCOME_UNKNOWN,
+            Outcome.UNKNOWN,
+            "daemon stopped before answering",
         )
         for call_id in numbers:
             self.resolve(Respond(call_id, answer))
--- a/tests/test_bridge.py
+++ b/tests/test_bridge.py
@@ -82,9 +82,9 @@
                 await receiver.receive()
                 bridge.close()
             answers.append(await call(bridge, "late"))
-            return [answer.body.outcome for answer in answers]
+            return [(answer.status, answer.body.outcome) for answer in answers]
 
-        assert trio.run(run) == ["outcome unknown", "not run"]
+        assert trio.run(run) == [(502, "outcome unknown"), (503, "not run")]
 
 
 class TestEpochClock(unittest.TestCase):
