Let a repeated submission wait for the pending proposal of its job

Callers saw: refusals (503) of jobs that were accepted a moment later, and entries that lost a leader which led all the time. Cause: while a job's proposal was pending, a second attempt was handled on its own. It proposed the job again, or was referred on with "not run" by a daemon that had lost its lease, while the first proposal could still be committed. Ruled out: a proposal that was never sent is not committed after its time is over, as the table drops it then; NOT_COMMITTED is true for that proposal, but not for an earlier one of the same job. Why it works: the second call joins the first one's proposal, with or without the lease, and gets its outcome. A job whose proposal timed out is remembered for 10 s, so that a later attempt that is not proposed is answered "outcome unknown" (502). A leader that can not propose answers 503 with Retry-After and without a referral. Not covered: a daemon that never saw the earlier proposal still refers to the leader, or says that there is none.

--- a/src/gypsumwalk/fleet_call_handler.py
+++ b/src/gypsumwalk/fleet_call_handler.py
@@ -1,6 +1,7 @@
 """Handler of the API calls of callers, operators and instances on a fleet."""
 
 from collections.abc import Sequence
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -51,6 +52,10 @@
 RETRY_SECONDS = 1.0
 """Time in which a new leader is usually elected."""
 
+UNSETTLED_SECONDS = 10.0
+"""Time in which a command whose proposal timed out may still be committed; it is longer
+than an election and the retries of a caller."""
+
 LEADER_HEADER = "Gypsumwalk-Leader"
 """Response header with the leader's name, in answers of daemons that do not lead."""
 
@@ -68,6 +73,25 @@
 )
 
 
+@dataclass(slots=True)
+class _Pending:
+    """A proposal without an outcome, and the calls that wait for it.
+
+    Attributes
+    ----------
+    subject : str
+        Subject of the decision to record.
+    address : str
+        Host and path of the job that it accepts; empty for other commands.
+    call_ids : list of int
+        Numbers of the waiting calls.
+    """
+
+    subject: str
+    address: str = ""
+    call_ids: list[int] = field(default_factory=list)
+
+
 class FleetCallHandler:
     """Part that answers API calls; daemons that do not lead refer to the leader.
 
@@ -99,7 +123,9 @@
         self._declarations = declarations
         self._workloads = workloads
         self._upkeep = upkeep
-        self._subjects: dict[str, str] = {}
+        self._pending: dict[str, _Pending] = {}
+        self._submissions: dict[str, _Pending] = {}
+        self._unsettled: dict[str, float] = {}
 
     def handle(self, item: Input, now: float) -> Sequence[Effect]:
         """Process a call, or the outcome of the proposal for one."""
@@ -107,7 +133,7 @@
             case CallInput():
                 return self._handle_call(item, now)
             case ProposalOutcome():
-                return self._handle_outcome(item)
+                return self._handle_outcome(item, now)
         return []
 
     def advance(self, now: float) -> Sequence[Effect]:
@@ -115,6 +141,8 @@
         return []
 
     def _handle_call(self, item: CallInput, now: float) -> list[Effect]:
+        if isinstance(item.body, SubmitWorkloadCall) and self._join(item, item.body):
+            return []
         if not self._leadership.holds_lease(now):
             return [Respond(item.call_id, self._redirect_to_leader())]
         match item.body:
@@ -202,7 +230,22 @@
             occurrences=max(1, call.occurrences),
             max_attempts=queue.max_attempts,
         )
-        return self._propose(item, AcceptWorkload(workload), job)
+        address = f"{call.host}{call.path}"
+        return self._propose(item, AcceptWorkload(workload), job, address)
+
+    def _join(self, item: CallInput, call: SubmitWorkloadCall) -> bool:
+        """Let a call wait for the pending proposal of the same job, if there is one.
+
+        This holds without the lease too: the proposal may still be committed, so the
+        call must not be refused.
+        """
+        pending = self._submissions.get(f"{call.host}{call.path}")
+        if pending is None:
+            return False
+        if isinstance(self._authorize(item, call.host, call.path), Answer):
+            return False
+        pending.call_ids.append(item.call_id)
+        return True
 
     def _look_up(
         self, item: CallInput, call: DescribeWorkloadCall | CancelWorkloadCall
@@ -286,33 +329,72 @@
         return self._propose(item, RemoveInstance(life.life), life.life)
 
     def _propose(
-        self, item: CallInput, command: msgspec.Struct, subject: str
+        self,
+        item: CallInput,
+        command: msgspec.Struct,
+        subject: str,
+        address: str = "",
     ) -> list[Effect]:
         token = f"{self.name}/{item.call_id}"
-        self._subjects[token] = subject
+        pending = _Pending(subject, address, [item.call_id])
+        self._pending[token] = pending
+        if address:
+            self._submissions[address] = pending
         return [Propose(token, command, PROPOSAL_SECONDS)]
 
-    def _handle_outcome(self, item: ProposalOutcome) -> list[Effect]:
-        call_id = int(item.token.partition("/")[2])
-        subject = self._subjects.pop(item.token, "")
-        match item.status:
+    def _handle_outcome(self, item: ProposalOutcome, now: float) -> list[Effect]:
+        pending = self._pending.pop(item.token, None)
+        if pending is None:
+            return []
+        self._submissions.pop(pending.address, None)
+        answer = self._make_outcome_answer(item.status, pending, now)
+        effects: list[Effect] = []
+        for call_id in pending.call_ids:
+            effects += [
+                Respond(call_id, answer),
+                self._record_decision(pending.subject, answer, item.index),
+            ]
+        return effects
+
+    def _make_outcome_answer(
+        self, status: ProposalStatus, pending: _Pending, now: float
+    ) -> Answer:
+        match status:
             case ProposalStatus.COMMITTED:
-                answer = Answer(200)
+                self._unsettled.pop(pending.address, None)
+                return Answer(200)
             case ProposalStatus.REJECTED:
-                answer = refuse(
+                return refuse(
                     ProblemType.GONE,
                     Outcome.NOT_RUN,
-                    f"{subject} no longer exists",
+                    f"{pending.subject} no longer exists",
                 )
-            case ProposalStatus.NOT_COMMITTED:
-                answer = self._redirect_to_leader()
             case ProposalStatus.UNKNOWN:
-                detail = "the command may have been committed; repeat the same call"
-                answer = refuse(ProblemType.OUTCOME_UNKNOWN, Outcome.UNKNOWN, detail)
-        return [
-            Respond(call_id, answer),
-            self._record_decision(subject, answer, item.index),
-        ]
+                if pending.address:
+                    self._add_unsettled(pending.address, now)
+                return _make_unknown_answer()
+        if self._is_unsettled(pending.address, now):
+            return _make_unknown_answer()
+        if self._leadership.holds_lease(now):
+            return refuse(
+                ProblemType.OVERLOADED,
+                Outcome.NOT_RUN,
+                "too many commands are pending",
+                retry_after=RETRY_SECONDS,
+            )
+        return self._redirect_to_leader()
+
+    def _add_unsettled(self, address: str, now: float) -> None:
+        self._unsettled.pop(address, None)
+        self._unsettled[address] = now + UNSETTLED_SECONDS
+        for known in list(self._unsettled):
+            if self._is_unsettled(known, now):
+                return
+            del self._unsettled[known]
+
+    def _is_unsettled(self, address: str, now: float) -> bool:
+        """Tell whether an earlier proposal of a job may still be committed."""
+        return now < self._unsettled.get(address, now)
 
     def _respond(self, item: CallInput, subject: str, answer: Answer) -> list[Effect]:
         return [
@@ -329,3 +411,8 @@
             "reason": detail or "accepted",
         }
         return Record(Event.FLEET_CALL_DECIDED, subject, attributes)
+
+
+def _make_unknown_answer() -> Answer:
+    detail = "the command may have been committed; repeat the same call"
+    return refuse(ProblemType.OUTCOME_UNKNOWN, Outcome.UNKNOWN, detail)
--- a/tests/test_fleet_work.py
+++ b/tests/test_fleet_work.py
@@ -5,8 +5,9 @@
 
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.dispatcher import Dispatcher
+from gypsumwalk.fleet_calls import SubmitWorkloadCall
 from gypsumwalk.workload_records import Step, TaskKey, TaskRecord, Workload
-from tests._fleet_work import KEY, FleetWorld, make_declaration
+from tests._fleet_work import HOST, KEY, FleetWorld, make_declaration
 from tests._fleet_work_checks import (
     find_duplicate_runs,
     find_early_starts,
@@ -189,6 +190,76 @@
         assert call.answer.headers["Gypsumwalk-Leader"] == leader
 
 
+class TestPendingSubmissions(unittest.TestCase):
+    def setUp(self):
+        self.world = FleetWorld()
+        self.world.begin()
+        self.leader = self.world.find_leader()
+        self.consensus = self.world.get_leader().consensus
+        self.call = SubmitWorkloadCall(HOST, f"/a/{JOB}", "spec", [Step(1, NEED)])
+
+    def isolate_leader(self):
+        others = [name for name in self.world.names if name != self.leader]
+        self.world.partition([self.leader], others)
+
+    def send(self, *, key=KEY):
+        return self.world.call(self.call, to=self.leader, credential=key)
+
+    def await_answers(self, *calls):
+        assert self.world.run_until(
+            lambda: all(call.ended for call in calls), within=5.0
+        )
+        return [call.answer.status for call in calls]
+
+    def test_a_second_submission_joins_the_pending_proposal(self):
+        self.isolate_leader()
+        first = self.send()
+        self.world.run(0.1)
+        with patch.object(
+            self.consensus, "propose", side_effect=self.consensus.propose
+        ) as propose:
+            second = self.send()
+            self.world.run(0.1)
+            self.world.heal()
+            assert self.await_answers(first, second) == [200, 200]
+        assert propose.call_count == 0
+
+    def test_a_joining_call_needs_the_key_as_well(self):
+        self.isolate_leader()
+        first = self.send()
+        self.world.run(0.1)
+        assert self.await_answers(self.send(key="another")) == [401]
+        assert not first.ended
+
+    def test_a_former_leader_does_not_refuse_a_job_that_it_has_proposed(self):
+        self.isolate_leader()
+        first = self.send()
+        self.world.run(1.2)
+        assert not self.consensus.holds_lease(self.world.now)
+        second = self.send()
+        self.world.run(0.1)
+        assert not first.ended
+        assert self.await_answers(first, second) == [502, 502]
+
+    def test_a_leader_with_too_many_proposals_does_not_refer_to_itself(self):
+        with patch("gypsumwalk.proposals.MAX_PENDING", 0):
+            call = self.send()
+            assert self.await_answers(call) == [503]
+        assert "Gypsumwalk-Leader" not in call.answer.headers
+        assert call.answer.headers["Retry-After"] == "1"
+
+    def test_a_job_of_unknown_outcome_is_not_refused_afterwards(self):
+        self.isolate_leader()
+        assert self.await_answers(self.send()) == [502]
+        handler = self.world.assemblies[self.leader].call_handler
+        with (
+            patch("gypsumwalk.proposals.MAX_PENDING", 0),
+            patch.object(handler, "_leadership") as leadership,
+        ):
+            leadership.holds_lease.return_value = True
+            assert self.await_answers(self.send()) == [502]
+
+
 class TestDeclarations(unittest.TestCase):
     def test_the_highest_version_is_in_force(self):
         world = FleetWorld()
