Wait for a slow leader instead of treating it as lost

Cause: an attempt of a relay timed out after 0.6 s. The relay then forgot the leader, queried all seeds with a timeout of 0.15 s, through the servers that were full of calls, and sent the same call again, so every slow answer added load. An entry was not ready after 0.9 s without an answer. Before: 0.6 s until a second copy. No load was run with this change. Ruled out: an answer "busy" by the leader alone, as a relay would still not know whether a silent leader leads. Why it works: an attempt waits for as long as the caller does. Two unanswered probes of 0.5 s each, another daemon that says it leads, a refused or cut connection, or a referral change the leader; the waiting calls are then sent to the new one. A connection that is not accepted in time starts a probe and does not change the leader. A leader on a machine that is lost without a reset is found out after about 0.8 s instead of 0.6 s if a new leader is elected by then, otherwise after 1.3 s.

--- a/src/gypsumwalk/drivers/relay.py
+++ b/src/gypsumwalk/drivers/relay.py
@@ -3,7 +3,13 @@
 import threading
 import time
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from concurrent.futures import ThreadPoolExecutor, as_completed
+from concurrent.futures import (
+    FIRST_COMPLETED,
+    Future,
+    ThreadPoolExecutor,
+    as_completed,
+    wait,
+)
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
@@ -13,6 +19,7 @@
     ConnectTimeoutError,
     HTTPError,
     NewConnectionError,
+    ReadTimeoutError,
 )
 
 from gypsumwalk.drivers.metrics import Metrics
@@ -25,11 +32,14 @@
 CONNECT_TIMEOUT_SECONDS = 0.3
 """Connecting takes one round trip, and links have a latency of a few milliseconds."""
 
-ATTEMPT_TIMEOUT_SECONDS = 0.6
-"""Timeout of one attempt; a commit takes about 20 ms, an election 0.7 s."""
+LEADER_QUERY_TIMEOUT_SECONDS = 0.3
+"""Timeout of one query in a search for the leader, which needs no commit."""
+
+PROBE_TIMEOUT_SECONDS = 0.5
+"""Timeout of one probe of the known leader, whose process may be busy."""
 
-LEADER_QUERY_TIMEOUT_SECONDS = 0.15
-"""Timeout of one query for the leader, which needs no commit."""
+PROBE_ATTEMPTS = 2
+"""Unanswered probes after which the known leader is lost."""
 
 LEADER_WAIT_SECONDS = 1.5
 """Time that a request waits for a leader; an election takes 0.7 s. After that a retry,
@@ -41,23 +51,29 @@
 RETRY_DELAY_SECONDS = 0.05
 """Delay between two searches for the leader, and before a retry after a 502."""
 
-READINESS_WINDOW_SECONDS = 0.9
-"""Time since the leader's last answer after which the relay is not ready."""
+READINESS_WINDOW_SECONDS = 1.8
+"""Time since the leader's last answer after which the relay is not ready; longer than
+the interval between two probes and ``PROBE_ATTEMPTS`` unanswered ones."""
 
 PARTITION_SECONDS = 3.0
 """Time without an answer that is too long for an election and implies a partition."""
 
 PROBE_INTERVAL_SECONDS = 0.3
-"""Interval at which the leader is probed while no request reaches it."""
+"""Interval at which the leader is probed while it answers no request."""
 
 RETRY_AFTER = "1"
 """Value of the ``Retry-After`` header in seconds; an election takes about 0.7 s."""
 
-SEARCH_THREADS = 4
-"""Threads that query for the leader; the settings name three daemons, and a referral
-may name a fourth."""
+SEARCH_THREADS = 8
+"""Threads that query for the leader; the settings name three daemons, and queries of
+two searches may overlap."""
+
+ATTEMPT_THREADS = 128
+"""Threads that wait for answers; one for each caller, and as many for attempts at a
+former leader, which end when their time is over."""
 
 POOL_SIZE = 64
+POOL_ADDRESSES = 32
 HOP_BY_HOP_HEADERS = ("connection", "keep-alive", "transfer-encoding", "content-length")
 IDEMPOTENT_METHODS = ("GET", "HEAD")
 
@@ -71,6 +87,29 @@
     headers: Mapping[str, str] = field(default_factory=dict)
 
 
+class _Leader:
+    """A daemon that is known to lead, with an event for its loss.
+
+    Attributes
+    ----------
+    address : str
+        Address of the daemon.
+    lost : Future
+        Completed when the daemon is found not to lead any longer.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.lost: Future[None] = Future()
+        self._lock = threading.Lock()
+
+    def lose(self) -> None:
+        """Complete ``lost``; further calls do nothing."""
+        with self._lock:
+            if not self.lost.done():
+                self.lost.set_result(None)
+
+
 class Relay:
     """Forwards requests to the leader, and discovers it through the seeds.
 
@@ -84,6 +123,9 @@
         Path that only the leader answers with status 200.
     record : Callable
         Writes an event.
+    find_probe_address : Callable, optional
+        Returns the address at which a daemon answers probes, from its address for
+        calls; by default the same address.
     """
 
     def __init__(
@@ -92,15 +134,21 @@
         find_address: Callable[[str], str],
         probe_path: str,
         record: Callable[[Record], None],
+        *,
+        find_probe_address: Callable[[str], str] = str,
     ) -> None:
         self._list_seeds = list_seeds
         self._find_address = find_address
         self._probe_path = probe_path
         self._record = record
+        self._find_probe_address = find_probe_address
         self._http_pool = urllib3.PoolManager(
-            num_pools=16, maxsize=POOL_SIZE, retries=False
+            num_pools=POOL_ADDRESSES, maxsize=POOL_SIZE, retries=False
         )
-        self._leader = ""
+        self._known: _Leader | None = None
+        self._attempt_pool = ThreadPoolExecutor(ATTEMPT_THREADS, "attempt")
+        self._check_pool = ThreadPoolExecutor(1, "check")
+        self._check_lock = threading.Lock()
         self._search_pool = ThreadPoolExecutor(SEARCH_THREADS, "search")
         self._search_lock = threading.Lock()
         self._failed_searches = 0
@@ -115,12 +163,13 @@
     @property
     def leader(self) -> str:
         """Last known address of the leader, or empty."""
-        return self._leader
+        known = self._known
+        return known.address if known else ""
 
     @property
     def _leader_wait(self) -> float:
         silence = time.monotonic() - self._last_answer_at
-        if self._leader or silence <= PARTITION_SECONDS:
+        if self._known or silence <= PARTITION_SECONDS:
             return LEADER_WAIT_SECONDS
         # In a partition, refuse after one attempt instead of waiting for a leader.
         return 0.0
@@ -137,7 +186,8 @@
         """Forward a request, retrying until the leader answers or the timeout expires.
 
         All calls are idempotent, so a request that may have reached a daemon is sent
-        again. The answer says "not run" only if no daemon can have received it.
+        again, but not while the daemon leads and may still answer. The answer says "not
+        run" only if no daemon can have received it.
 
         Parameters
         ----------
@@ -157,19 +207,15 @@
         RelayAnswer
             The answer.
         """
-        started = time.monotonic()
+        deadline = time.monotonic() + timeout
+        leaderless_since = time.monotonic()
         may_have_run = False
         while True:
-            elapsed = time.monotonic() - started
-            attempt_timeout = max(
-                MIN_ATTEMPT_SECONDS, min(ATTEMPT_TIMEOUT_SECONDS, timeout - elapsed)
-            )
-            address = self._leader or self._search()
+            known = self._known or self._search()
             answer: RelayAnswer | None = _make_referral()
-            if address:
-                answer = self._try_once(
-                    address, method, path, headers, body, attempt_timeout
-                )
+            if known:
+                answer = self._try_once(known, method, path, headers, body, deadline)
+                leaderless_since = time.monotonic()
             if answer is None:
                 may_have_run = True
             elif answer.status == HTTPStatus.BAD_GATEWAY:
@@ -177,54 +223,85 @@
                 time.sleep(RETRY_DELAY_SECONDS)
             elif not _is_referral(answer):
                 return _mask_refusal(answer) if may_have_run else answer
-            limit = min(timeout - MIN_ATTEMPT_SECONDS, self._leader_wait)
-            if time.monotonic() - started >= limit:
+            limit = min(
+                deadline - MIN_ATTEMPT_SECONDS, leaderless_since + self._leader_wait
+            )
+            if time.monotonic() >= limit:
                 return _make_timeout_answer(
                     may_have_run and method not in IDEMPOTENT_METHODS
                 )
 
     def probe(self) -> None:
         """Query the leader, unless it answered within ``PROBE_INTERVAL_SECONDS``."""
-        address = self._leader
-        if time.monotonic() - self._last_answer_at >= PROBE_INTERVAL_SECONDS and (
-            not address or not self._confirm_leader(address)
-        ):
+        known = self._known
+        if known is None:
             self._search()
+        else:
+            self._check(known)
         self._record_readiness_change()
 
     def close(self) -> None:
         """Close the idle connections."""
-        self._search_pool.shutdown(wait=False, cancel_futures=True)
+        for pool in (self._attempt_pool, self._check_pool, self._search_pool):
+            pool.shutdown(wait=False, cancel_futures=True)
         self._http_pool.clear()
 
     def _try_once(
         self,
-        address: str,
+        known: _Leader,
         method: str,
         path: str,
         headers: Mapping[str, str],
         body: bytes,
-        timeout: float,
+        deadline: float,
     ) -> RelayAnswer | None:
-        """Send a request to one daemon and return its answer.
+        """Send a request to the leader and return its answer.
 
-        Return None if the outcome is unknown, and a referral without a name if no
-        connection was established.
+        Wait until it answers, the time is over or it is found not to lead. Return None
+        if the outcome is unknown, and a referral without a name if no daemon can have
+        received the request.
         """
+        timeout = max(MIN_ATTEMPT_SECONDS, deadline - time.monotonic())
+        attempt = self._attempt_pool.submit(
+            self._request, known.address, method, path, headers, body, timeout
+        )
+        if not self._await_attempt(attempt, known, deadline):
+            return _make_referral() if attempt.cancel() else None
         try:
-            answer = self._request(address, method, path, headers, body, timeout)
-        except (NewConnectionError, ConnectTimeoutError):
-            self._forget_leader(address)
+            answer = attempt.result()
+        except NewConnectionError:
+            self._forget_leader(known)
             return _make_referral()
-        except (HTTPError, OSError):
-            self._forget_leader(address)
+        except ConnectTimeoutError:
+            # A busy process may not accept a connection in time.
+            self._start_check(known)
+            return _make_referral()
+        except (HTTPError, OSError) as error:
+            if not isinstance(error, TimeoutError | ReadTimeoutError):
+                self._forget_leader(known)
             return None
         if _is_referral(answer):
-            self._forget_leader(address)
+            self._forget_leader(known)
         else:
             self._last_answer_at = time.monotonic()
         return answer
 
+    def _await_attempt(
+        self, attempt: Future[RelayAnswer], known: _Leader, deadline: float
+    ) -> bool:
+        """Wait for an attempt; a leader that does not answer is checked meanwhile.
+
+        Return whether the attempt has ended.
+        """
+        end = max(deadline, time.monotonic() + MIN_ATTEMPT_SECONDS)
+        awaited: list[Future[Any]] = [attempt, known.lost]
+        while (left := end - time.monotonic()) > 0:
+            wait(awaited, min(left, PROBE_INTERVAL_SECONDS), FIRST_COMPLETED)
+            if attempt.done() or known.lost.done():
+                break
+            self._start_check(known)
+        return attempt.done()
+
     def _request(
         self,
         address: str,
@@ -249,37 +326,87 @@
             response.status, response.data, _filter_headers(response.headers)
         )
 
-    def _forget_leader(self, address: str) -> None:
-        if self._leader == address:
-            self._leader = ""
+    def _forget_leader(self, known: _Leader) -> None:
+        if self._known is known:
+            self._known = None
+        known.lose()
+
+    # Check of the known leader
+
+    def _start_check(self, known: _Leader) -> None:
+        """Check the leader on another thread, unless a check is in progress."""
+        if not self._check_lock.locked():
+            self._check_pool.submit(self._check, known)
+
+    def _check(self, known: _Leader) -> None:
+        """Probe the leader if it was silent, and forget it if it does not lead.
+
+        Between the probes, the seeds are searched for another leader, as a daemon whose
+        machine was lost gives no answer at all.
+        """
+        with self._check_lock:
+            if self._known is not known or self._has_answered_lately():
+                return
+            for _ in range(PROBE_ATTEMPTS):
+                answer = self._query(known.address, PROBE_TIMEOUT_SECONDS)
+                if answer is not None:
+                    break
+                if self._has_answered_lately():
+                    return
+                found = self._find_leader(excluded=known.address)
+                if found:
+                    self._replace_leader(known, found)
+                    return
+            if answer is not None and answer.status == HTTPStatus.OK:
+                self._last_answer_at = time.monotonic()
+                return
+            self._forget_leader(known)
+            self._search()
+
+    def _has_answered_lately(self) -> bool:
+        return time.monotonic() - self._last_answer_at < PROBE_INTERVAL_SECONDS
+
+    def _replace_leader(self, known: _Leader, address: str) -> None:
+        if self._known is known:
+            self._known = _Leader(address)
+            self._last_answer_at = time.monotonic()
+        known.lose()
 
     # Search
 
-    def _search(self) -> str:
+    def _search(self) -> _Leader | None:
         """Query all seeds for the leader in parallel.
 
         One search runs at a time; threads that waited for it use its result.
 
         Returns
         -------
-        str
-            Address of the leader, or empty after a delay if none was found.
+        _Leader or None
+            The leader, or None after a delay if none was found.
         """
         searches = self._failed_searches
         with self._search_lock:
-            if self._leader or self._failed_searches != searches:
-                return self._leader
-            queries = [
-                self._search_pool.submit(self._resolve_leader, seed)
-                for seed in self._unique_seeds()
-            ]
-            for query in as_completed(queries):
-                if found := query.result():
-                    self._leader = found
-                    self._last_answer_at = time.monotonic()
-                    return found
+            if self._known or self._failed_searches != searches:
+                return self._known
+            if found := self._find_leader():
+                self._known = _Leader(found)
+                self._last_answer_at = time.monotonic()
+                return self._known
             self._failed_searches += 1
         time.sleep(RETRY_DELAY_SECONDS)
+        return None
+
+    def _find_leader(self, excluded: str = "") -> str:
+        """Return the address of the first daemon found to lead, or empty."""
+        queries = [
+            self._search_pool.submit(self._resolve_leader, seed)
+            for seed in self._unique_seeds()
+            if seed != excluded
+        ]
+        for query in as_completed(queries):
+            found = query.result()
+            if found and found != excluded:
+                return found
         return ""
 
     def _unique_seeds(self) -> Sequence[str]:
@@ -290,7 +417,7 @@
 
         A leader named in a referral is returned only if it confirms that it leads.
         """
-        answer = self._query_leader(address)
+        answer = self._query(address, LEADER_QUERY_TIMEOUT_SECONDS)
         if answer is None:
             return ""
         if not _is_referral(answer):
@@ -299,23 +426,15 @@
         named = self._find_address(name) if name else ""
         if not named or named == address:
             return ""
-        return named if self._confirm_leader(named) else ""
-
-    def _confirm_leader(self, address: str) -> bool:
-        """Query a daemon and return whether it leads."""
-        answer = self._query_leader(address)
-        if answer is None or answer.status != HTTPStatus.OK:
-            self._forget_leader(address)
-            return False
-        self._last_answer_at = time.monotonic()
-        return True
-
-    def _query_leader(self, address: str) -> RelayAnswer | None:
-        path = self._probe_path
+        confirmation = self._query(named, LEADER_QUERY_TIMEOUT_SECONDS)
+        leads = confirmation is not None and confirmation.status == HTTPStatus.OK
+        return named if leads else ""
+
+    def _query(self, address: str, timeout: float) -> RelayAnswer | None:
+        """Ask a daemon whether it leads; return None if it does not answer."""
+        path, probe_address = self._probe_path, self._find_probe_address(address)
         try:
-            return self._request(
-                address, "GET", path, {}, b"", LEADER_QUERY_TIMEOUT_SECONDS
-            )
+            return self._request(probe_address, "GET", path, {}, b"", timeout)
         except (HTTPError, OSError):
             # An unreachable daemon can't serve callers, even if it leads.
             return None
@@ -326,7 +445,7 @@
             return
         self._was_ready = ready
         event = Event.RELAY_REGAINED if ready else Event.RELAY_LOST
-        self._record(Record(event, "", {"leader": self._leader}))
+        self._record(Record(event, "", {"leader": self.leader}))
 
 
 class RelayApplication:
