Acknowledge known announcements on every daemon

Callers saw: of 11,571 heartbeats of instances to the control daemons 2,532 failed at their limit of 1 s, while the leader was busy. Cause: each instance announces itself every 1.5 s to any control daemon, and a daemon that does not lead relayed every announcement to the leader, also those that change nothing. Evidence: three of the four new tests failed on the code before, where a follower answered 503 with a referral to an announcement that it knew from its log. No load was run with this change, so the share of heartbeats that still reach the leader was not measured. Ruled out: acknowledging a draining that is not committed. A follower that is cut off refers it on; the test passes it only after the follower has applied it. Why it works: an announcement equal to the registration in the applied log, or of a life that has been superseded there, would change nothing at the leader either, as the log is committed as far as it was applied. Anything new or changed is relayed as before. To note: a follower that is far behind may acknowledge an instance that the leader has removed as silent; it is registered again by the first announcement to another daemon, or after the follower has caught up.

--- a/src/gypsumwalk/fleet_call_handler.py
+++ b/src/gypsumwalk/fleet_call_handler.py
@@ -38,6 +38,7 @@
 from gypsumwalk.workload_records import (
     AcceptWorkload,
     CancelWorkload,
+    RegisteredInstance,
     RegisterInstance,
     RemoveInstance,
     Workload,
@@ -143,6 +144,8 @@
     def _handle_call(self, item: CallInput, now: float) -> list[Effect]:
         if isinstance(item.body, SubmitWorkloadCall) and self._join(item, item.body):
             return []
+        if isinstance(item.body, AnnounceInstanceCall) and self._is_known(item.body):
+            return [Respond(item.call_id, Answer(200))]
         if not self._leadership.holds_lease(now):
             return [Respond(item.call_id, self._redirect_to_leader())]
         match item.body:
@@ -308,17 +311,26 @@
     def _register_instance(
         self, item: CallInput, call: AnnounceInstanceCall
     ) -> list[Effect]:
-        registered = call.registered
+        registered = self._merge_draining(call.registered)
+        return self._propose(item, RegisterInstance(registered), registered.life)
+
+    def _is_known(self, call: AnnounceInstanceCall) -> bool:
+        """Tell whether an announcement changes nothing in the applied log.
+
+        The log of a daemon that does not lead may end early, but what it contains is
+        committed, so such an announcement needs no leader.
+        """
+        if self._workloads.is_superseded(call.registered):
+            return True
+        known = self._workloads.instances.get(call.registered.life)
+        return known is not None and known == self._merge_draining(call.registered)
+
+    def _merge_draining(self, registered: RegisteredInstance) -> RegisteredInstance:
+        """Return an announcement that keeps the instance draining if it already is."""
         known = self._workloads.instances.get(registered.life)
-        if self._workloads.is_superseded(registered):
-            return [Respond(item.call_id, Answer(200))]
-        if known is not None:
-            draining = known.draining or registered.draining
-            registered = msgspec.structs.replace(registered, draining=draining)
-        if known == registered:
-            return [Respond(item.call_id, Answer(200))]
-        command = RegisterInstance(registered)
-        return self._propose(item, command, registered.life)
+        if known is None or not known.draining:
+            return registered
+        return msgspec.structs.replace(registered, draining=True)
 
     def _remove_instance(
         self, item: CallInput, call: LeaveInstanceCall
--- a/tests/test_fleet_work.py
+++ b/tests/test_fleet_work.py
@@ -3,9 +3,11 @@
 import unittest
 from unittest.mock import patch
 
+import msgspec
+
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.dispatcher import Dispatcher
-from gypsumwalk.fleet_calls import SubmitWorkloadCall
+from gypsumwalk.fleet_calls import AnnounceInstanceCall, SubmitWorkloadCall
 from gypsumwalk.workload_records import Step, TaskKey, TaskRecord, Workload
 from tests._fleet_work import HOST, KEY, FleetWorld, make_declaration
 from tests._fleet_work_checks import (
@@ -357,6 +359,69 @@
         assert find_duplicate_runs(world.model.history) == []
 
 
+class TestAnnouncements(unittest.TestCase):
+    def setUp(self):
+        self.world = FleetWorld()
+        self.world.begin()
+        self.registered = self.world.get_instance(0).registered
+        leader = self.world.find_leader()
+        self.follower = next(name for name in self.world.names if name != leader)
+        self.world.run_until(self.is_registered, within=5.0)
+
+    def is_registered(self):
+        workloads = self.world.assemblies[self.follower].workloads
+        return self.registered.life in workloads.instances
+
+    def announce(self, **changes):
+        registered = msgspec.structs.replace(self.registered, **changes)
+        call = self.world.call(AnnounceInstanceCall(registered), to=self.follower)
+        assert self.world.run_until(lambda: call.ended, within=1.0)
+        return call.answer.status
+
+    def isolate_follower(self):
+        others = [name for name in self.world.names if name != self.follower]
+        self.world.partition([self.follower], others)
+        self.world.run(3.0)
+
+    def test_a_follower_acknowledges_what_it_knows(self):
+        assert self.announce() == 200
+
+    def test_a_follower_refers_what_is_new_or_changed_to_the_leader(self):
+        changes = (
+            {"draining": True},
+            {"labels": ["b"]},
+            {"born": self.registered.born + 1},
+            {"instance": "i-new", "address": "host-new:80"},
+        )
+        for change in changes:
+            with self.subTest(**change):
+                assert self.announce(**change) == 503
+
+    def test_a_follower_that_is_cut_off_acknowledges_only_what_is_committed(self):
+        self.isolate_follower()
+        leader = self.world.find_leader()
+        draining = msgspec.structs.replace(self.registered, draining=True)
+        committed = self.world.call(AnnounceInstanceCall(draining), to=leader)
+        assert self.world.run_until(lambda: committed.ended, within=2.0)
+        assert committed.answer.status == 200
+        assert self.announce(draining=True) == 503
+        assert self.announce() == 200
+        self.world.heal()
+        workloads = self.world.assemblies[self.follower].workloads
+        assert self.world.run_until(
+            lambda: workloads.instances[self.registered.life].draining, within=5.0
+        )
+        assert self.announce(draining=True) == 200
+
+    def test_a_follower_acknowledges_an_earlier_life(self):
+        later = msgspec.structs.replace(
+            self.registered, born=self.registered.born + 1000
+        )
+        self.world.ask(AnnounceInstanceCall(later))
+        self.world.run_until(lambda: not self.is_registered(), within=5.0)
+        assert self.announce() == 200
+
+
 class TestChangeOfLeader(unittest.TestCase):
     def test_a_new_leader_continues_and_starts_no_task_twice(self):
         world = FleetWorld(task_seconds=2.0)
