Look only at runs with an open order at each check of the dispatcher

Cause: every 50 ms the leader walked all runs to find the few whose start or stop had to be sent again, and a job's end walked all runs to find its own.

The dispatcher now keeps the runs with a start or a stop that is not confirmed, and drops one from there when the table, the run list or the answer tells that nothing has to be sent again. The end of a job goes through the job's own task records. A planned run has no such record; it was not stopped before either, as no order is sent for it and its start is refused when its job has ended.

Ruled out: a heap by due time, which is of no use as the set is small: an order is answered within milliseconds.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -35,6 +35,7 @@
     RemoveInstance,
     RunEnd,
     RunEndKind,
+    TaskKey,
 )
 from gypsumwalk.workloads import WorkloadSection
 
@@ -134,6 +135,8 @@
         self._end_proposals: dict[str, tuple[str, int]] = {}
         self._lost_proposals: dict[str, tuple[list[RunView], list[RunEnd]]] = {}
         self._proposal_count = 0
+        self._ordered_runs: dict[tuple[TaskKey, int], RunView] = {}
+        """Runs with a start or a stop that the instance may not have accepted yet."""
         self._tick_due = 0.0
         self._pass_due = NEVER
 
@@ -201,10 +204,12 @@
         for placement in self._workloads.list_placements():
             self._scheduler.restore_run(placement, self.lease_table)
         self.request_scheduling_pass(now)
-        runs = len(self.lease_table.list_runs())
+        restored = self.lease_table.list_runs()
+        for run in restored:
+            self._watch_orders(run)
         attributes: dict[str, Scalar] = {
             "instances": len(self.lease_table.instances),
-            "runs": runs,
+            "runs": len(restored),
         }
         return [Record(Event.FLEET_TAKEN_OVER, f"term {self._term}", attributes)]
 
@@ -215,6 +220,7 @@
         self._placement_proposals.clear()
         self._end_proposals.clear()
         self._lost_proposals.clear()
+        self._ordered_runs.clear()
         self._pass_due = NEVER
 
     def request_scheduling_pass(self, now: float) -> None:
@@ -262,6 +268,7 @@
             if run is None or run.state is not RunState.PLANNED:
                 continue
             run.state = RunState.STARTING
+            self._watch_orders(run)
             if not self._can_start(run, now):
                 unsent.append(run)
                 continue
@@ -314,15 +321,22 @@
 
     def _stop_job(self, job: str, now: float) -> list[Effect]:
         self._scheduler.invalidate(job)
+        workload = self._workloads.jobs.get(job)
+        if workload is None:
+            return []
         effects: list[Effect] = []
-        for run in self.lease_table.list_runs():
-            if run.task.job == job and not run.is_stopping:
-                effects += self.stop(run, now)
+        # A planned run has no task record yet; it is not started, as its job has ended.
+        for numbers in workload.tasks:
+            runs = self.lease_table.runs_by_task.get(TaskKey(job, *numbers), {})
+            for run in runs.values():
+                if not run.is_stopping:
+                    effects += self.stop(run, now)
         return effects
 
     def stop(self, run: RunView, now: float) -> list[Effect]:
         """Stop a run; the order is resent until the instance accepts it."""
         run.is_stopping = True
+        self._watch_orders(run)
         return self._send_stop(run, now)
 
     # Orders
@@ -346,8 +360,7 @@
             if now >= view.renewal_due:
                 effects += self._renew(view, now)
             effects += self._check_unresponsive(view, now)
-        for run in self.lease_table.list_runs():
-            effects += self._resend_order(run, now)
+        effects += self._resend_orders(now)
         effects += self._stop_lasting_on_draining(now)
         if self._scheduler.invalidate_if_due(now):
             self.request_scheduling_pass(now)
@@ -363,16 +376,26 @@
             return [self._propose(RemoveInstance(view.registered.life, left=False))]
         return []
 
+    def _watch_orders(self, run: RunView) -> None:
+        self._ordered_runs[run.task, run.run] = run
+
+    def _resend_orders(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for key, run in list(self._ordered_runs.items()):
+            if self.lease_table.find(*key) is not run or not _has_open_order(run):
+                del self._ordered_runs[key]
+            else:
+                effects += self._resend_order(run, now)
+        return effects
+
     def _resend_order(self, run: RunView, now: float) -> list[Effect]:
         view = self.lease_table.instances.get(run.life)
         if view is None or run.is_order_pending or not view.is_responsive:
             return []
         if now - run.ordered_at < RESEND_SECONDS:
             return []
-        if run.state is RunState.ENDING:
-            return []
         if run.is_stopping:
-            return [] if run.stopped_at else self._send_stop(run, now)
+            return self._send_stop(run, now)
         if run.state is RunState.STARTING and not view.registered.draining:
             if not self._orders.has_advice(run, now):
                 return self.stop(run, now)
@@ -587,3 +610,11 @@
         self._proposal_count += 1
         token = f"{self.name}/{self._proposal_count}"
         return Propose(token, command, PROPOSAL_SECONDS)
+
+
+def _has_open_order(run: RunView) -> bool:
+    if run.state is RunState.ENDING:
+        return False
+    if run.is_stopping:
+        return not run.stopped_at
+    return run.state is RunState.STARTING
