Send no stop to runs whose ends are committed by the same command

Cause: when a command with several ends completed a job, the dispatcher took the first run out of its table and then ordered a stop for each other run of the job, although their ends were in the same command. Every such stop is one call to an instance. Now all ended runs leave the table before the runs of an ended job or of a broken gang are stopped. The new test fails before.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -288,22 +288,34 @@
 
     def _remove_ended(self, ends: Iterable[RunEnd], now: float) -> list[Effect]:
         effects: list[Effect] = []
+        removed: list[RunEnd] = []
         for end in ends:
             run = self.lease_table.find(end.task, end.run)
             if run is None:
                 continue
             self.lease_table.remove(run)
-            self._scheduler.invalidate(end.task.job)
+            removed.append(end)
             attributes: dict[str, Scalar] = {
                 "run": end.run,
                 "kind": end.kind.value,
                 "life": run.life,
             }
             effects.append(Record(Event.RUN_ENDED, str(end.task), attributes))
-            workload = self._workloads.jobs.get(end.task.job)
+        return effects + self._stop_related(removed, now)
+
+    def _stop_related(self, ends: Sequence[RunEnd], now: float) -> list[Effect]:
+        """Stop the runs that are of no use after the end of others.
+
+        Every ended run is out of the table by now, so no stop is sent for one.
+        """
+        effects: list[Effect] = []
+        for job in dict.fromkeys(end.task.job for end in ends):
+            self._scheduler.invalidate(job)
+            workload = self._workloads.jobs.get(job)
             if workload is not None and workload.has_ended:
-                effects += self._stop_job(end.task.job, now)
-            elif end.kind is not RunEndKind.DONE:
+                effects += self._stop_job(job, now)
+        for end in ends:
+            if end.kind is not RunEndKind.DONE:
                 effects += self._stop_gang(end, now)
         return effects
 
--- a/tests/test_fleet_work.py
+++ b/tests/test_fleet_work.py
@@ -5,6 +5,8 @@
 
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.dispatcher import Dispatcher
+from gypsumwalk.effects import CallPlatform
+from gypsumwalk.instance_actions import StopRun
 from gypsumwalk.workload_records import Step, TaskKey, TaskRecord, Workload
 from tests._fleet_work import KEY, FleetWorld, make_declaration
 from tests._fleet_work_checks import (
@@ -19,6 +21,10 @@
 NEED = Resources(2000, 1000)
 
 
+def is_stop(effect):
+    return isinstance(effect, CallPlatform) and isinstance(effect.action, StopRun)
+
+
 class TestWithoutFaults(unittest.TestCase):
     def test_a_job_of_two_steps_completes_in_order(self):
         world = FleetWorld()
@@ -33,6 +39,14 @@
         )
         assert find_duplicate_runs(history) == []
 
+    def test_no_stop_is_sent_to_runs_that_end_together(self):
+        world = FleetWorld(instances=1)
+        world.begin()
+        world.submit(JOB, [Step(4, NEED)])
+        assert world.await_state(JOB, "completed", within=3.0)
+        stops = [entry for entry in world.trace if is_stop(entry.effect)]
+        assert stops == []
+
     def test_the_first_task_starts_at_once(self):
         world = FleetWorld()
         world.begin()
