Follow up on each proposal of the dispatcher without a known commit

The ends of lost runs were proposed again in the same step, so while 256 proposals were pending the daemon answered itself without end. 3. Refused placements were planned and proposed again every 2 ms. 4. An ended life of an instance whose removal was not committed was never read or removed again.

Unknown placements now wait for a later command of the same leader: it appends its commands in order and never sends an expired one again, so a placement that is not applied by then never will be, and its tasks are planned again. The other cases wait 0.1 s, or 0.3 s for a call to the instance, before the next proposal.

Ruled out: NOT_COMMITTED for a command that is committed later. An unknown outcome is reported as such.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -68,6 +68,9 @@
 PROPOSAL_SECONDS = 2.0
 """Proposal timeout; a command not committed by then waits for a new leader."""
 
+PROPOSAL_RETRY_SECONDS = 0.1
+"""Delay before a proposal without a known commit is followed by another one."""
+
 
 class Dispatcher:
     """Part that runs tasks on instances while this daemon is the leader.
@@ -134,6 +137,14 @@
         self._placement_proposals: dict[str, list[RunView]] = {}
         self._end_proposals: dict[str, tuple[str, int]] = {}
         self._lost_proposals: dict[str, tuple[list[RunView], list[RunEnd]]] = {}
+        self._unresolved_placements: list[RunView] = []
+        """Planned runs whose proposal has an unknown outcome."""
+        self._barrier_proposals: dict[str, list[RunView]] = {}
+        self._unproposed_ends: list[tuple[list[RunView], list[RunEnd]]] = []
+        """Ends of lost runs that have to be proposed again."""
+        self._removal_proposals: dict[str, str] = {}
+        self._proposals_due = NEVER
+        self._placement_due = 0.0
         self._proposal_count = 0
         self._ordered_runs: dict[tuple[TaskKey, int], RunView] = {}
         """Runs with a start or a stop that the instance may not have accepted yet."""
@@ -143,7 +154,7 @@
     @property
     def wakeup(self) -> float:
         """Time in seconds at which ``advance`` is due."""
-        return min(self._tick_due, self._pass_due)
+        return min(self._tick_due, self._pass_due, self._proposals_due)
 
     @property
     def term(self) -> int:
@@ -178,6 +189,9 @@
         if now >= self._tick_due:
             self._tick_due = now + TICK_SECONDS
             effects += self._tick(now)
+        if now >= self._proposals_due:
+            self._proposals_due = NEVER
+            effects += self._propose_again(now)
         if now >= self._pass_due:
             self._pass_due = NEVER
             effects += self._place_ready_tasks(now)
@@ -221,11 +235,18 @@
         self._end_proposals.clear()
         self._lost_proposals.clear()
         self._ordered_runs.clear()
+        self._unresolved_placements.clear()
+        self._barrier_proposals.clear()
+        self._unproposed_ends.clear()
+        self._removal_proposals.clear()
+        self._proposals_due = NEVER
+        self._placement_due = 0.0
         self._pass_due = NEVER
 
     def request_scheduling_pass(self, now: float) -> None:
         """Schedule a pass over the ready tasks after a short batching delay."""
-        self._pass_due = min(self._pass_due, now + BATCH_SECONDS)
+        due = max(now + BATCH_SECONDS, self._placement_due)
+        self._pass_due = min(self._pass_due, due)
 
     # Commands
 
@@ -456,7 +477,9 @@
 
     def _remove_life(self, view: InstanceView) -> list[Effect]:
         view.is_renewal_pending = True
-        return [self._propose(RemoveInstance(view.registered.life))]
+        proposal = self._propose(RemoveInstance(view.registered.life))
+        self._removal_proposals[proposal.token] = view.registered.life
+        return [proposal]
 
     def _handle_renewal_answer(
         self,
@@ -560,24 +583,66 @@
     ) -> list[Effect]:
         self.request_scheduling_pass(now)
         if batch := self._placement_proposals.pop(item.token, None):
-            if item.status in (ProposalStatus.REJECTED, ProposalStatus.NOT_COMMITTED):
-                for run in batch:
-                    self.lease_table.remove(run)
-                    self._scheduler.invalidate(run.task.job)
-            return []
-        if (lost_proposal := self._lost_proposals.pop(item.token, None)) and (
-            item.status is not ProposalStatus.COMMITTED
-        ):
-            return self._propose_lost_ends(*lost_proposal)
-        acknowledged = self._end_proposals.pop(item.token, None)
-        if acknowledged is None:
-            return []
+            self._handle_placement_outcome(batch, item.status, now)
+        elif waiting := self._barrier_proposals.pop(item.token, None):
+            self._handle_barrier_outcome(waiting, item.status, now)
+        elif lost := self._lost_proposals.pop(item.token, None):
+            if item.status is not ProposalStatus.COMMITTED:
+                self._unproposed_ends.append(lost)
+                self._request_proposals(now)
+        elif life := self._removal_proposals.pop(item.token, ""):
+            self._handle_removal_outcome(life, item.status, now)
+        elif acknowledged := self._end_proposals.pop(item.token, None):
+            return self._handle_ends_outcome(acknowledged, item.status, now)
+        return []
+
+    def _handle_placement_outcome(
+        self, batch: list[RunView], status: ProposalStatus, now: float
+    ) -> None:
+        if status is ProposalStatus.UNKNOWN:
+            # They may still be committed, so they are planned again only after a later
+            # command of this term has been applied.
+            self._unresolved_placements += batch
+            self._request_proposals(now)
+        elif status is not ProposalStatus.COMMITTED:
+            self._discard_planned(batch)
+        if status is ProposalStatus.NOT_COMMITTED:
+            self._placement_due = now + PROPOSAL_RETRY_SECONDS
+            self._pass_due = self._placement_due
+
+    def _handle_barrier_outcome(
+        self, waiting: list[RunView], status: ProposalStatus, now: float
+    ) -> None:
+        if status is ProposalStatus.COMMITTED:
+            self._discard_planned(waiting)
+            return
+        self._unresolved_placements += waiting
+        self._request_proposals(now)
+
+    def _discard_planned(self, runs: Iterable[RunView]) -> None:
+        for run in runs:
+            if run.state is RunState.PLANNED:
+                self.lease_table.remove(run)
+                self._scheduler.invalidate(run.task.job)
+
+    def _handle_removal_outcome(
+        self, life: str, status: ProposalStatus, now: float
+    ) -> None:
+        view = self.lease_table.instances.get(life)
+        if view is None or status is ProposalStatus.COMMITTED:
+            return
+        view.is_renewal_pending = False
+        view.renewal_due = now + SILENCE_RETRY_SECONDS
+
+    def _handle_ends_outcome(
+        self, acknowledged: tuple[str, int], status: ProposalStatus, now: float
+    ) -> list[Effect]:
         life, number = acknowledged
         view = self.lease_table.instances.get(life)
         if view is None:
             return []
         view.has_pending_ends = False
-        if item.status is ProposalStatus.COMMITTED:
+        if status is ProposalStatus.COMMITTED:
             view.acknowledged = max(view.acknowledged, number)
             return self._renew(view, now)
         view.renewal_due = now + SILENCE_RETRY_SECONDS
@@ -618,6 +683,28 @@
         self._lost_proposals[proposal.token] = (list(runs), ends)
         return [proposal]
 
+    def _request_proposals(self, now: float) -> None:
+        self._proposals_due = min(self._proposals_due, now + PROPOSAL_RETRY_SECONDS)
+
+    def _propose_again(self, now: float) -> list[Effect]:
+        """Follow up on proposals whose command is not known to be committed."""
+        if not self.is_leading(now):
+            self._request_proposals(now)
+            return []
+        effects: list[Effect] = []
+        unproposed, self._unproposed_ends = self._unproposed_ends, []
+        for runs, ends in unproposed:
+            if any(self.lease_table.find(run.task, run.run) is run for run in runs):
+                effects += self._propose_lost_ends(runs, ends)
+        waiting, self._unresolved_placements = self._unresolved_placements, []
+        if waiting:
+            # This leader appends its commands in order, and an expired proposal is not
+            # sent again, so placements not committed before this one never will be.
+            barrier = self._propose(EndRuns([]))
+            self._barrier_proposals[barrier.token] = waiting
+            effects.append(barrier)
+        return effects
+
     def _propose(self, command: msgspec.Struct) -> Propose:
         self._proposal_count += 1
         token = f"{self.name}/{self._proposal_count}"
