Put the ends that instances list within 5 ms into one command

Cause: each run list with an end was a command of its own, with its own log entry, sends and sync. The dispatcher now collects the listed ends of all instances for 5 ms and acknowledges each instance's number after the commit.

Ruled out: a wait of 1.6 s or 2.0 s for instances without runs. Waits and leases stay.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -50,6 +50,9 @@
 BATCH_SECONDS = 0.002
 """Time for which events are batched before one scheduling pass."""
 
+ENDS_BATCH_SECONDS = 0.005
+"""Time for which the ends listed by all instances are put into one command."""
+
 RESEND_SECONDS = 0.4
 """Delay before an order without effect is sent again."""
 
@@ -135,7 +138,11 @@
             max_lease=max_lease,
         )
         self._placement_proposals: dict[str, list[RunView]] = {}
-        self._end_proposals: dict[str, tuple[str, int]] = {}
+        self._listed_ends: list[RunEnd] = []
+        self._listed_numbers: dict[str, int] = {}
+        """Latest end in ``_listed_ends`` that each instance listed, by its life."""
+        self._ends_due = NEVER
+        self._end_proposals: dict[str, dict[str, int]] = {}
         self._lost_proposals: dict[str, tuple[list[RunView], list[RunEnd]]] = {}
         self._unresolved_placements: list[RunView] = []
         """Planned runs whose proposal has an unknown outcome."""
@@ -154,7 +161,7 @@
     @property
     def wakeup(self) -> float:
         """Time in seconds at which ``advance`` is due."""
-        return min(self._tick_due, self._pass_due, self._proposals_due)
+        return min(self._tick_due, self._pass_due, self._proposals_due, self._ends_due)
 
     @property
     def term(self) -> int:
@@ -189,6 +196,8 @@
         if now >= self._tick_due:
             self._tick_due = now + TICK_SECONDS
             effects += self._tick(now)
+        if now >= self._ends_due:
+            effects += self._propose_listed_ends()
         if now >= self._proposals_due:
             self._proposals_due = NEVER
             effects += self._propose_again(now)
@@ -232,6 +241,8 @@
         self.lease_table = LeaseTable()
         self._orders.begin_term(0)
         self._placement_proposals.clear()
+        self._listed_ends, self._listed_numbers = [], {}
+        self._ends_due = NEVER
         self._end_proposals.clear()
         self._lost_proposals.clear()
         self._ordered_runs.clear()
@@ -496,9 +507,7 @@
         effects = self._mark_responsive(view, now)
         effects += self._reconcile(view, report, order.sent_at, now)
         view.renewal_due = now
-        if not effects or not view.has_pending_ends:
-            effects += self._renew(view, now)
-        return effects
+        return effects + self._renew(view, now)
 
     def _mark_unresponsive(self, view: InstanceView, now: float) -> list[Effect]:
         if view.silent_since:
@@ -530,10 +539,10 @@
         if not reconciled.ends and not reconciled.last_end:
             return effects
         view.has_pending_ends = True
-        proposal = self._propose(EndRuns(reconciled.ends))
-        life = view.registered.life
-        self._end_proposals[proposal.token] = (life, reconciled.last_end)
-        return [*effects, proposal]
+        self._listed_ends += reconciled.ends
+        self._listed_numbers[view.registered.life] = reconciled.last_end
+        self._ends_due = min(self._ends_due, now + ENDS_BATCH_SECONDS)
+        return effects
 
     def _handle_order_answer(
         self,
@@ -635,18 +644,20 @@
         view.renewal_due = now + SILENCE_RETRY_SECONDS
 
     def _handle_ends_outcome(
-        self, acknowledged: tuple[str, int], status: ProposalStatus, now: float
+        self, acknowledged: dict[str, int], status: ProposalStatus, now: float
     ) -> list[Effect]:
-        life, number = acknowledged
-        view = self.lease_table.instances.get(life)
-        if view is None:
-            return []
-        view.has_pending_ends = False
-        if status is ProposalStatus.COMMITTED:
-            view.acknowledged = max(view.acknowledged, number)
-            return self._renew(view, now)
-        view.renewal_due = now + SILENCE_RETRY_SECONDS
-        return []
+        effects: list[Effect] = []
+        for life, number in acknowledged.items():
+            view = self.lease_table.instances.get(life)
+            if view is None:
+                continue
+            view.has_pending_ends = False
+            if status is ProposalStatus.COMMITTED:
+                view.acknowledged = max(view.acknowledged, number)
+                effects += self._renew(view, now)
+            else:
+                view.renewal_due = now + SILENCE_RETRY_SECONDS
+        return effects
 
     # Proposals
 
@@ -661,6 +672,14 @@
         self._placement_proposals[proposal.token] = [item.run for item in runs]
         return [proposal]
 
+    def _propose_listed_ends(self) -> list[Effect]:
+        """Propose the ends that instances listed, which are acknowledged afterwards."""
+        self._ends_due = NEVER
+        proposal = self._propose(EndRuns(self._listed_ends))
+        self._end_proposals[proposal.token] = self._listed_numbers
+        self._listed_ends, self._listed_numbers = [], {}
+        return [proposal]
+
     def _end_as_lost(self, lost: Iterable[RunView], reason: str) -> list[Effect]:
         """Propose runs as lost whose end their instance will not report."""
         runs = [run for run in lost if run.state is not RunState.ENDING]
--- a/tests/test_dispatcher_proposals.py
+++ b/tests/test_dispatcher_proposals.py
@@ -138,6 +138,35 @@
         assert world.get_leader().dispatcher.lease_table.list_runs() == []
 
 
+class TestBatches(unittest.TestCase):
+    def test_ends_of_several_instances_are_one_command(self):
+        world = FleetWorld(instances=6)
+        world.begin()
+        proposed = []
+        original = Consensus.propose
+
+        def propose(self, proposal, now):
+            if isinstance(proposal.command, EndRuns):
+                proposed.append(proposal.command)
+            return original(self, proposal, now)
+
+        with patch.object(Consensus, "propose", propose):
+            world.submit(JOB, [Step(6, NEED, max_per_instance=1)])
+            assert world.await_state(JOB, "completed", within=3.0)
+        assert len({item.life for item in world.model.history}) == 6
+        assert [len(command.ends) for command in proposed] == [6]
+
+    def test_an_end_is_acknowledged_within_a_tenth_of_a_second(self):
+        world = FleetWorld(instances=1)
+        world.begin()
+        world.submit(JOB, [Step(1, NEED)])
+        instance = world.get_instance(0)
+        assert world.run_until(lambda: instance.end_count == 1, within=3.0)
+        listed = world.now
+        assert world.run_until(lambda: instance.ends == [], within=3.0)
+        assert world.now - listed < 0.1
+
+
 class TestRemovals(unittest.TestCase):
     def test_a_refused_removal_of_an_ended_life_is_repeated(self):
         world = FleetWorld()
