Compute the quorum contact once per answer of a daemon

Cause: each check of the leader lease looked up the acknowledged time and the disk of every voter: 10,150 times in 4 s with 8 daemons, 34 instances and 20 jobs/s, while they change only with an answer. The value is now kept until the next answer, or until the voters or the registered disks change; the identity in an answer is stored before the lease is checked with it. Votes are unchanged.

--- a/src/gypsumwalk/leadership.py
+++ b/src/gypsumwalk/leadership.py
@@ -43,6 +43,8 @@
 DATAGRAM_ENTRY_OVERHEAD_BYTES = 48
 """Estimated size of an entry without its command, to choose the transport."""
 
+_QuorumContact = tuple[tuple[dict[str, str], dict[str, str]], float]
+
 
 class Leadership:
     """State of a leader during one term.
@@ -71,6 +73,8 @@
             self._uncommitted.add((entry.origin, entry.incarnation, entry.sequence))
         self._add_voter_peers(now)
         self._append(self._make_term_start_entry(), now)
+        self._quorum_contact: _QuorumContact | None = None
+        """Disk identities and quorum contact since the last answer of a daemon."""
         self._term_start_index = replica.log.last_index
 
     @property
@@ -92,12 +96,16 @@
 
     def find_quorum_contact(self, now: float) -> float:
         """Return the latest send time in seconds acknowledged by a quorum."""
-        times = []
-        for voter in self._replica.voters:
-            if voter == self._name:
-                times.append(now)
-            else:
-                times.append(self._find_acknowledged(voter))
+        known = (self._replica.voters, dict(self._replica.vote.registered))
+        if self._quorum_contact is None or self._quorum_contact[0] != known:
+            self._quorum_contact = known, self._compute_quorum_contact()
+        return min(self._quorum_contact[1], now)
+
+    def _compute_quorum_contact(self) -> float:
+        times = [
+            NEVER if voter == self._name else self._find_acknowledged(voter)
+            for voter in self._replica.voters
+        ]
         return find_quorum_value(times)
 
     def find_transfer_target(self) -> str:
@@ -190,8 +198,8 @@
         peer = self._progress.get(source)
         if peer is None:
             return
-        self._record_contact(peer, answer.sent, answer.stamp, now)
         peer.identity = answer.identity
+        self._record_contact(peer, answer.sent, answer.stamp, now)
         if answer.accepted:
             peer.accept(answer.match, answer.received, answer.sent)
         else:
@@ -320,6 +328,7 @@
     ) -> None:
         peer.answered_at = now
         peer.acknowledged = max(peer.acknowledged, sent)
+        self._quorum_contact = None
         if not self.holds_lease(now):
             return
         if peer.stamp < 0:
