--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -36,6 +36,7 @@
     RemoveInstance,
     RunEnd,
     RunEndKind,
+    TaskKey,
     split_life,
 )
 from gypsumwalk.workloads import WorkloadSection
@@ -51,6 +52,9 @@
 BATCH_SECONDS = 0.002
 """Time for which events are batched before one scheduling pass."""
 
+ENDS_BATCH_SECONDS = 0.005
+"""Time for which the ends listed by all instances are put into one command."""
+
 RESEND_SECONDS = 0.4
 """Delay before an order without effect is sent again."""
 
@@ -69,6 +73,9 @@
 PROPOSAL_SECONDS = 2.0
 """Proposal timeout; a command not committed by then waits for a new leader."""
 
+PROPOSAL_RETRY_SECONDS = 0.1
+"""Delay before a proposal without a known commit is followed by another one."""
+
 
 class Dispatcher:
     """Part that runs tasks on instances while this daemon is the leader.
@@ -136,16 +143,30 @@
             max_lease=max_lease, transit=CALL_SECONDS + LEASE_MARGIN_SECONDS
         )
         self._placement_proposals: dict[str, list[RunView]] = {}
-        self._end_proposals: dict[str, tuple[str, int]] = {}
+        self._listed_ends: list[RunEnd] = []
+        self._listed_numbers: dict[str, int] = {}
+        """Latest end in ``_listed_ends`` that each instance listed, by its life."""
+        self._ends_due = NEVER
+        self._end_proposals: dict[str, dict[str, int]] = {}
         self._lost_proposals: dict[str, tuple[list[RunView], list[RunEnd]]] = {}
+        self._unresolved_placements: list[RunView] = []
+        """Planned runs whose proposal has an unknown outcome."""
+        self._barrier_proposals: dict[str, list[RunView]] = {}
+        self._unproposed_ends: list[tuple[list[RunView], list[RunEnd]]] = []
+        """Ends of lost runs that have to be proposed again."""
+        self._removal_proposals: dict[str, str] = {}
+        self._proposals_due = NEVER
+        self._placement_due = 0.0
         self._proposal_count = 0
+        self._ordered_runs: dict[tuple[TaskKey, int], RunView] = {}
+        """Runs with a start or a stop that the instance may not have accepted yet."""
         self._tick_due = 0.0
         self._pass_due = NEVER
 
     @property
     def wakeup(self) -> float:
         """Time in seconds at which ``advance`` is due."""
-        return min(self._tick_due, self._pass_due)
+        return min(self._tick_due, self._pass_due, self._proposals_due, self._ends_due)
 
     @property
     def term(self) -> int:
@@ -180,6 +201,11 @@
         if now >= self._tick_due:
             self._tick_due = now + TICK_SECONDS
             effects += self._tick(now)
+        if now >= self._ends_due:
+            effects += self._propose_listed_ends()
+        if now >= self._proposals_due:
+            self._proposals_due = NEVER
+            effects += self._propose_again(now)
         if now >= self._pass_due:
             self._pass_due = NEVER
             effects += self._place_ready_tasks(now)
@@ -207,10 +233,12 @@
             self._scheduler.restore_run(placement, self.lease_table)
         effects = self._take_over_runs(now)
         self.request_scheduling_pass(now)
-        runs = len(self.lease_table.list_runs())
+        restored = self.lease_table.list_runs()
+        for run in restored:
+            self._watch_orders(run)
         attributes: dict[str, Scalar] = {
             "instances": len(self.lease_table.instances),
-            "runs": runs,
+            "runs": len(restored),
         }
         taken_over = Record(Event.FLEET_TAKEN_OVER, f"term {self._term}", attributes)
         return [taken_over, *effects]
@@ -230,13 +258,23 @@
         self._orders.begin_term(0)
         self._orphans.clear()
         self._placement_proposals.clear()
+        self._listed_ends, self._listed_numbers = [], {}
+        self._ends_due = NEVER
         self._end_proposals.clear()
         self._lost_proposals.clear()
+        self._ordered_runs.clear()
+        self._unresolved_placements.clear()
+        self._barrier_proposals.clear()
+        self._unproposed_ends.clear()
+        self._removal_proposals.clear()
+        self._proposals_due = NEVER
+        self._placement_due = 0.0
         self._pass_due = NEVER
 
     def request_scheduling_pass(self, now: float) -> None:
         """Schedule a pass over the ready tasks after a short batching delay."""
-        self._pass_due = min(self._pass_due, now + BATCH_SECONDS)
+        due = max(now + BATCH_SECONDS, self._placement_due)
+        self._pass_due = min(self._pass_due, due)
 
     # Commands
 
@@ -304,6 +342,7 @@
             if run is None or run.state is not RunState.PLANNED:
                 continue
             run.state = RunState.STARTING
+            self._watch_orders(run)
             if not self._can_start(run, now):
                 unsent.append(run)
                 continue
@@ -323,22 +362,34 @@
 
     def _remove_ended(self, ends: Iterable[RunEnd], now: float) -> list[Effect]:
         effects: list[Effect] = []
+        removed: list[RunEnd] = []
         for end in ends:
             run = self.lease_table.find(end.task, end.run)
             if run is None:
                 continue
             self.lease_table.remove(run)
-            self._scheduler.invalidate(end.task.job)
+            removed.append(end)
             attributes: dict[str, Scalar] = {
                 "run": end.run,
                 "kind": end.kind.value,
                 "life": run.life,
             }
             effects.append(Record(Event.RUN_ENDED, str(end.task), attributes))
-            workload = self._workloads.jobs.get(end.task.job)
+        return effects + self._stop_related(removed, now)
+
+    def _stop_related(self, ends: Sequence[RunEnd], now: float) -> list[Effect]:
+        """Stop the runs that are of no use after the end of others.
+
+        Every ended run is out of the table by now, so no stop is sent for one.
+        """
+        effects: list[Effect] = []
+        for job in dict.fromkeys(end.task.job for end in ends):
+            self._scheduler.invalidate(job)
+            workload = self._workloads.jobs.get(job)
             if workload is not None and workload.has_ended:
-                effects += self._stop_job(end.task.job, now)
-            elif end.kind is not RunEndKind.DONE:
+                effects += self._stop_job(job, now)
+        for end in ends:
+            if end.kind is not RunEndKind.DONE:
                 effects += self._stop_gang(end, now)
         return effects
 
@@ -356,15 +407,22 @@
 
     def _stop_job(self, job: str, now: float) -> list[Effect]:
         self._scheduler.invalidate(job)
+        workload = self._workloads.jobs.get(job)
+        if workload is None:
+            return []
         effects: list[Effect] = []
-        for run in self.lease_table.list_runs():
-            if run.task.job == job and not run.is_stopping:
-                effects += self.stop(run, now)
+        # A planned run has no task record yet; it is not started, as its job has ended.
+        for numbers in workload.tasks:
+            runs = self.lease_table.runs_by_task.get(TaskKey(job, *numbers), {})
+            for run in runs.values():
+                if not run.is_stopping:
+                    effects += self.stop(run, now)
         return effects
 
     def stop(self, run: RunView, now: float) -> list[Effect]:
         """Stop a run; the order is resent until the instance accepts it."""
         run.is_stopping = True
+        self._watch_orders(run)
         return self._send_stop(run, now)
 
     # Orders
@@ -388,8 +446,7 @@
             if now >= view.renewal_due:
                 effects += self._renew(view, now)
             effects += self._check_unresponsive(view, now)
-        for run in self.lease_table.list_runs():
-            effects += self._resend_order(run, now)
+        effects += self._resend_orders(now)
         effects += self._stop_lasting_on_draining(now)
         effects += self._check_orphans(now)
         if self._scheduler.invalidate_if_due(now):
@@ -408,16 +465,26 @@
             return [self._propose(command)]
         return []
 
+    def _watch_orders(self, run: RunView) -> None:
+        self._ordered_runs[run.task, run.run] = run
+
+    def _resend_orders(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for key, run in list(self._ordered_runs.items()):
+            if self.lease_table.find(*key) is not run or not _has_open_order(run):
+                del self._ordered_runs[key]
+            else:
+                effects += self._resend_order(run, now)
+        return effects
+
     def _resend_order(self, run: RunView, now: float) -> list[Effect]:
         view = self.lease_table.instances.get(run.life)
         if view is None or run.is_order_pending or not view.is_responsive:
             return []
         if now - run.ordered_at < RESEND_SECONDS:
             return []
-        if run.state is RunState.ENDING:
-            return []
         if run.is_stopping:
-            return [] if run.stopped_at else self._send_stop(run, now)
+            return self._send_stop(run, now)
         if run.state is RunState.STARTING and not view.registered.draining:
             if not self._orders.has_advice(run, now):
                 return self.stop(run, now)
@@ -468,7 +535,9 @@
     def _remove_life(self, view: InstanceView) -> list[Effect]:
         view.is_renewal_pending = True
         reason = "another instance answers in its place"
-        return [self._propose(RemoveInstance(view.registered.life, reason=reason))]
+        proposal = self._propose(RemoveInstance(view.registered.life, reason=reason))
+        self._removal_proposals[proposal.token] = view.registered.life
+        return [proposal]
 
     def _handle_renewal_answer(
         self,
@@ -485,9 +554,7 @@
         effects = self._mark_responsive(view, now)
         effects += self._reconcile(view, report, order.sent_at, now)
         view.renewal_due = now
-        if not effects or not view.has_pending_ends:
-            effects += self._renew(view, now)
-        return effects
+        return effects + self._renew(view, now)
 
     def _mark_unresponsive(self, view: InstanceView, now: float) -> list[Effect]:
         if view.silent_since:
@@ -519,10 +586,10 @@
         if not reconciled.ends and not reconciled.last_end:
             return effects
         view.has_pending_ends = True
-        proposal = self._propose(EndRuns(reconciled.ends))
-        life = view.registered.life
-        self._end_proposals[proposal.token] = (life, reconciled.last_end)
-        return [*effects, proposal]
+        self._listed_ends += reconciled.ends
+        self._listed_numbers[view.registered.life] = reconciled.last_end
+        self._ends_due = min(self._ends_due, now + ENDS_BATCH_SECONDS)
+        return effects
 
     def _handle_order_answer(
         self,
@@ -572,28 +639,72 @@
     ) -> list[Effect]:
         self.request_scheduling_pass(now)
         if batch := self._placement_proposals.pop(item.token, None):
-            if item.status in (ProposalStatus.REJECTED, ProposalStatus.NOT_COMMITTED):
-                for run in batch:
-                    self.lease_table.remove(run)
-                    self._scheduler.invalidate(run.task.job)
-            return []
-        if (lost_proposal := self._lost_proposals.pop(item.token, None)) and (
-            item.status is not ProposalStatus.COMMITTED
-        ):
-            return self._propose_lost_ends(*lost_proposal)
-        acknowledged = self._end_proposals.pop(item.token, None)
-        if acknowledged is None:
-            return []
-        life, number = acknowledged
+            self._handle_placement_outcome(batch, item.status, now)
+        elif waiting := self._barrier_proposals.pop(item.token, None):
+            self._handle_barrier_outcome(waiting, item.status, now)
+        elif lost := self._lost_proposals.pop(item.token, None):
+            if item.status is not ProposalStatus.COMMITTED:
+                self._unproposed_ends.append(lost)
+                self._request_proposals(now)
+        elif life := self._removal_proposals.pop(item.token, ""):
+            self._handle_removal_outcome(life, item.status, now)
+        elif acknowledged := self._end_proposals.pop(item.token, None):
+            return self._handle_ends_outcome(acknowledged, item.status, now)
+        return []
+
+    def _handle_placement_outcome(
+        self, batch: list[RunView], status: ProposalStatus, now: float
+    ) -> None:
+        if status is ProposalStatus.UNKNOWN:
+            # They may still be committed, so they are planned again only after a later
+            # command of this term has been applied.
+            self._unresolved_placements += batch
+            self._request_proposals(now)
+        elif status is not ProposalStatus.COMMITTED:
+            self._discard_planned(batch)
+        if status is ProposalStatus.NOT_COMMITTED:
+            self._placement_due = now + PROPOSAL_RETRY_SECONDS
+            self._pass_due = self._placement_due
+
+    def _handle_barrier_outcome(
+        self, waiting: list[RunView], status: ProposalStatus, now: float
+    ) -> None:
+        if status is ProposalStatus.COMMITTED:
+            self._discard_planned(waiting)
+            return
+        self._unresolved_placements += waiting
+        self._request_proposals(now)
+
+    def _discard_planned(self, runs: Iterable[RunView]) -> None:
+        for run in runs:
+            if run.state is RunState.PLANNED:
+                self.lease_table.remove(run)
+                self._scheduler.invalidate(run.task.job)
+
+    def _handle_removal_outcome(
+        self, life: str, status: ProposalStatus, now: float
+    ) -> None:
         view = self.lease_table.instances.get(life)
-        if view is None:
-            return []
-        view.has_pending_ends = False
-        if item.status is ProposalStatus.COMMITTED:
-            view.acknowledged = max(view.acknowledged, number)
-            return self._renew(view, now)
+        if view is None or status is ProposalStatus.COMMITTED:
+            return
+        view.is_renewal_pending = False
         view.renewal_due = now + SILENCE_RETRY_SECONDS
-        return []
+
+    def _handle_ends_outcome(
+        self, acknowledged: dict[str, int], status: ProposalStatus, now: float
+    ) -> list[Effect]:
+        effects: list[Effect] = []
+        for life, number in acknowledged.items():
+            view = self.lease_table.instances.get(life)
+            if view is None:
+                continue
+            view.has_pending_ends = False
+            if status is ProposalStatus.COMMITTED:
+                view.acknowledged = max(view.acknowledged, number)
+                effects += self._renew(view, now)
+            else:
+                view.renewal_due = now + SILENCE_RETRY_SECONDS
+        return effects
 
     # Proposals
 
@@ -608,6 +719,14 @@
         self._placement_proposals[proposal.token] = [item.run for item in runs]
         return [proposal]
 
+    def _propose_listed_ends(self) -> list[Effect]:
+        """Propose the ends that instances listed, which are acknowledged afterwards."""
+        self._ends_due = NEVER
+        proposal = self._propose(EndRuns(self._listed_ends))
+        self._end_proposals[proposal.token] = self._listed_numbers
+        self._listed_ends, self._listed_numbers = [], {}
+        return [proposal]
+
     def _end_as_lost(self, lost: Iterable[RunView], reason: str) -> list[Effect]:
         """Propose runs as lost whose end their instance will not report."""
         runs = [run for run in lost if run.state is not RunState.ENDING]
@@ -630,6 +749,28 @@
         self._lost_proposals[proposal.token] = (list(runs), ends)
         return [proposal]
 
+    def _request_proposals(self, now: float) -> None:
+        self._proposals_due = min(self._proposals_due, now + PROPOSAL_RETRY_SECONDS)
+
+    def _propose_again(self, now: float) -> list[Effect]:
+        """Follow up on proposals whose command is not known to be committed."""
+        if not self.is_leading(now):
+            self._request_proposals(now)
+            return []
+        effects: list[Effect] = []
+        unproposed, self._unproposed_ends = self._unproposed_ends, []
+        for runs, ends in unproposed:
+            if any(self.lease_table.find(run.task, run.run) is run for run in runs):
+                effects += self._propose_lost_ends(runs, ends)
+        waiting, self._unresolved_placements = self._unresolved_placements, []
+        if waiting:
+            # This leader appends its commands in order, and an expired proposal is not
+            # sent again, so placements not committed before this one never will be.
+            barrier = self._propose(EndRuns([]))
+            self._barrier_proposals[barrier.token] = waiting
+            effects.append(barrier)
+        return effects
+
     def _propose(self, command: msgspec.Struct) -> Propose:
         self._proposal_count += 1
         token = f"{self.name}/{self._proposal_count}"
@@ -647,3 +788,11 @@
     is_other_life = report.born not in (0, split_life(order.life)[1])
     if report.refused or not is_other_life:
         run.unanswered_starts = 0
+
+
+def _has_open_order(run: RunView) -> bool:
+    if run.state is RunState.ENDING:
+        return False
+    if run.is_stopping:
+        return not run.stopped_at
+    return run.state is RunState.STARTING
