Index registered lives, and count waiting jobs as they change

Cause: find_latest_life, MachineDirectory.find_instance and each registration scanned every registered instance. The pool and maintenance controllers call find_instance for each machine every 0.2 s, so their cost was quadratic. count_waiting scanned every open job, and each command copied the table of the ended jobs to look at 32 of them.

The section keeps its lives by instance, address and machine, and the number of waiting jobs by queue. What is found stays the same, except which of two lives on one machine with equal birth is found after one of them has changed machine.

--- a/src/gypsumwalk/machine_directory.py
+++ b/src/gypsumwalk/machine_directory.py
@@ -96,9 +96,4 @@
 
     def find_instance(self, machine: str) -> RegisteredInstance | None:
         """Return the latest incarnation of the instance on a machine."""
-        lives = [
-            item
-            for item in self._workloads.instances.values()
-            if item.machine == machine
-        ]
-        return max(lives, key=lambda item: item.born, default=None)
+        return self._workloads.find_latest_on_machine(machine)
--- a/src/gypsumwalk/workloads.py
+++ b/src/gypsumwalk/workloads.py
@@ -1,6 +1,8 @@
 """Section of the replicated state that holds jobs and instances."""
 
+from collections import Counter
 from collections.abc import Iterable
+from itertools import islice
 
 import msgspec
 
@@ -38,6 +40,36 @@
     last_born: dict[str, int]
 
 
+class _LifeIndex:
+    """Registered lives by one of their attributes."""
+
+    def __init__(self) -> None:
+        self._lives: dict[str, dict[str, RegisteredInstance]] = {}
+
+    def add(self, key: str, instance: RegisteredInstance) -> None:
+        """Add a life."""
+        self._lives.setdefault(key, {})[instance.life] = instance
+
+    def remove(self, key: str, life: str) -> None:
+        """Remove a life if it is in the index."""
+        lives = self._lives.get(key, {})
+        lives.pop(life, None)
+        if not lives:
+            self._lives.pop(key, None)
+
+    def clear(self) -> None:
+        """Remove all lives."""
+        self._lives.clear()
+
+    def list_lives(self, key: str) -> list[RegisteredInstance]:
+        """Return the lives with a value of the attribute."""
+        return list(self._lives.get(key, {}).values())
+
+    def find_latest(self, key: str) -> RegisteredInstance | None:
+        """Return the life with a value of the attribute that began last."""
+        return max(self.list_lives(key), key=lambda item: item.born, default=None)
+
+
 class WorkloadSection:
     """Accepted jobs with their tasks, and the registered instances."""
 
@@ -58,6 +90,10 @@
         self._ended_at: dict[str, float] = {}
         self._term = 0
         self._last_born: dict[str, int] = {}
+        self._waiting: Counter[str] = Counter()
+        self._by_instance = _LifeIndex()
+        self._by_address = _LifeIndex()
+        self._by_machine = _LifeIndex()
 
     def apply(self, command: msgspec.Struct, index: int, at: float) -> msgspec.Struct:
         """Apply a committed command and return its result."""
@@ -80,8 +116,11 @@
 
     def find_latest_life(self, instance: str) -> RegisteredInstance | None:
         """Return the latest life of an instance."""
-        lives = [item for item in self.instances.values() if item.instance == instance]
-        return max(lives, key=lambda item: item.born, default=None)
+        return self._by_instance.find_latest(instance)
+
+    def find_latest_on_machine(self, machine: str) -> RegisteredInstance | None:
+        """Return the latest life of the instance on a machine."""
+        return self._by_machine.find_latest(machine)
 
     def find_step(self, task: TaskKey) -> Step | None:
         """Return the step of a task, or None if its job is unknown."""
@@ -102,10 +141,7 @@
 
     def count_waiting(self, queue: str) -> int:
         """Count the open jobs of a queue without a placed task."""
-        return sum(
-            workload.queue == queue and workload.state is WorkloadState.QUEUED
-            for workload in self.open_jobs.values()
-        )
+        return self._waiting[queue]
 
     def dump(self) -> bytes:
         """Return a deterministic encoding of the section."""
@@ -125,7 +161,16 @@
         self._ended_at = {
             workload.job: workload.ended for workload in dump.jobs if workload.has_ended
         }
-        self.instances = {item.life: item for item in dump.instances}
+        self._waiting = Counter(
+            workload.queue
+            for workload in dump.jobs
+            if workload.state is WorkloadState.QUEUED
+        )
+        self.instances = {}
+        for index in (self._by_instance, self._by_address, self._by_machine):
+            index.clear()
+        for instance in dump.instances:
+            self._store(instance)
         self._term = dump.term
         self._last_born = dump.last_born
 
@@ -135,6 +180,7 @@
         kept = msgspec.structs.replace(workload, accepted=at, tasks={}, done={})
         self.jobs[kept.job] = kept
         self.open_jobs[kept.job] = kept
+        self._waiting[kept.queue] += kept.state is WorkloadState.QUEUED
 
     def _cancel(self, job: str, index: int, at: float) -> msgspec.Struct:
         workload = self.jobs.get(job)
@@ -162,7 +208,7 @@
         record.run = max(record.run, placement.run)
         record.placed[placement.run] = placement.life
         if workload.state is WorkloadState.QUEUED:
-            workload.state = WorkloadState.RUNNING
+            self._set_state(workload, WorkloadState.RUNNING)
 
     def _end_run(self, end: RunEnd, at: float) -> None:
         workload = self.jobs.get(end.task.job)
@@ -211,33 +257,61 @@
         )
 
     def _end_job(self, workload: Workload, state: WorkloadState, at: float) -> None:
-        workload.state = state
+        self._set_state(workload, state)
         workload.ended = at
         self.open_jobs.pop(workload.job, None)
         self._ended_at[workload.job] = at
 
+    def _set_state(self, workload: Workload, state: WorkloadState) -> None:
+        self._waiting[workload.queue] -= workload.state is WorkloadState.QUEUED
+        workload.state = state
+
     def _register(self, instance: RegisteredInstance) -> None:
         if self.is_superseded(instance):
             return
         known = self.instances.get(instance.life)
         if known is not None and known.draining and not instance.draining:
             instance = msgspec.structs.replace(instance, draining=True)
-        for other in list(self.instances.values()):
+        related = [
+            *self._by_instance.list_lives(instance.instance),
+            *self._by_address.list_lives(instance.address),
+        ]
+        for other in related:
             if _is_superseded_by(other, instance):
-                del self.instances[other.life]
-        self.instances[instance.life] = instance
+                self._discard(other.life)
+        self._store(instance)
         self._last_born[instance.address] = instance.born
 
     def _remove(self, life: str, *, left: bool) -> None:
-        instance = self.instances.pop(life, None)
+        instance = self._discard(life)
         if instance is None or not left:
             return
         # A delayed announcement of a life that has ended must not register it again.
         born = max(instance.born + 1, self._last_born.get(instance.address, 0))
         self._last_born[instance.address] = born
 
+    def _store(self, instance: RegisteredInstance) -> None:
+        known = self.instances.get(instance.life)
+        if known is not None:
+            self._remove_from_indexes(known)
+        self.instances[instance.life] = instance
+        self._by_instance.add(instance.instance, instance)
+        self._by_address.add(instance.address, instance)
+        self._by_machine.add(instance.machine, instance)
+
+    def _discard(self, life: str) -> RegisteredInstance | None:
+        instance = self.instances.pop(life, None)
+        if instance is not None:
+            self._remove_from_indexes(instance)
+        return instance
+
+    def _remove_from_indexes(self, instance: RegisteredInstance) -> None:
+        self._by_instance.remove(instance.instance, instance.life)
+        self._by_address.remove(instance.address, instance.life)
+        self._by_machine.remove(instance.machine, instance.life)
+
     def _evict_ended(self, at: float) -> None:
-        for job in list(self._ended_at)[:MAX_EVICTED_PER_COMMAND]:
+        for job in list(islice(self._ended_at, MAX_EVICTED_PER_COMMAND)):
             if at - self._ended_at[job] < RETENTION_SECONDS:
                 return
             workload = self.jobs[job]
