Let a scheduling pass cost what has changed

Cause: every pass summed the runs of every instance, rated every waiting job, walked all runs for each step of each job, and examined all instances for each task, even when the pool was full.

The lease table keeps the used resources and indexes runs by job. Waiting jobs are grouped by queue and skipped when their pool has no room for the least of their needs. Candidates are sorted by free processors. The critical path of a job is kept until one of its tasks ends, without the learned durations. Ruled out: a rating kept until the learned duration changes, since every end changes it.

What may differ: durations are summed before they are multiplied, so ratings differ by rounding; and the demand of teams over their quota is counted in the order in which jobs became ready, not in that of the last pass.

--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -73,6 +73,8 @@
         Share of full speed in percent that was last ordered.
     checkpoint : str
         Latest checkpoint, as listed.
+    has_latency_target : bool
+        Whether its step has a latency target.
     """
 
     task: TaskKey
@@ -94,6 +96,7 @@
     load: int = 0
     requested_percent: int = 100
     checkpoint: str = ""
+    has_latency_target: bool = False
 
     @property
     def key(self) -> tuple[str, int]:
@@ -110,7 +113,8 @@
     registered : RegisteredInstance
         Registration that the instance announced.
     runs : dict
-        Runs that may be going on there, by ``RunView.key``.
+        Runs that may be going on there, by ``RunView.key``. Only ``add_run`` and
+        ``remove_run`` change it.
     clock : int
         Latest reading of its clock in milliseconds, 0 before the first.
     clock_at : float
@@ -156,14 +160,32 @@
     has_pending_ends: bool = False
     start_backoff_until: float = 0.0
     is_contended: bool = False
+    _used: Resources = field(default=Resources(), init=False)
+    _latency_sensitive_runs: int = field(default=0, init=False)
 
     @property
     def used(self) -> Resources:
         """Resources that the runs on the instance reserve."""
-        total = Resources()
-        for run in self.runs.values():
-            total += run.need
-        return total
+        return self._used
+
+    @property
+    def latency_sensitive_runs(self) -> int:
+        """Number of runs on the instance that have a latency target."""
+        return self._latency_sensitive_runs
+
+    def add_run(self, run: RunView) -> None:
+        """Add a run that may be going on; it replaces one with the same key."""
+        self.remove_run(run)
+        self.runs[run.key] = run
+        self._used += run.need
+        self._latency_sensitive_runs += run.has_latency_target
+
+    def remove_run(self, run: RunView) -> None:
+        """Remove a run if it is on the instance."""
+        known = self.runs.pop(run.key, None)
+        if known is not None:
+            self._used -= known.need
+            self._latency_sensitive_runs -= known.has_latency_target
 
     @property
     def is_responsive(self) -> bool:
@@ -196,13 +218,19 @@
         self.instances: dict[str, InstanceView] = {}
         self.runs_by_task: dict[TaskKey, dict[int, RunView]] = {}
         self.usage_by_team: dict[str, Resources] = {}
+        self._tasks_by_job: dict[str, dict[TaskKey, dict[int, RunView]]] = {}
 
     def add(self, run: RunView) -> None:
-        """Add a run that may be going on."""
+        """Add a run that may be going on; it replaces one with the same number."""
+        known = self.find(run.task, run.run)
+        if known is not None:
+            self.remove(known)
         view = self.instances.get(run.life)
         if view is not None:
-            view.runs[run.key] = run
-        self.runs_by_task.setdefault(run.task, {})[run.run] = run
+            view.add_run(run)
+        runs = self.runs_by_task.setdefault(run.task, {})
+        runs[run.run] = run
+        self._tasks_by_job.setdefault(run.task.job, {})[run.task] = runs
         self.usage_by_team[run.team] = (
             self.usage_by_team.get(run.team, Resources()) + run.quota_charge
         )
@@ -213,12 +241,19 @@
         if runs.pop(run.run, None) is None:
             return
         if not runs:
-            del self.runs_by_task[run.task]
+            self._remove_task(run.task)
         view = self.instances.get(run.life)
         if view is not None:
-            view.runs.pop(run.key, None)
+            view.remove_run(run)
         self.usage_by_team[run.team] -= run.quota_charge
 
+    def _remove_task(self, task: TaskKey) -> None:
+        del self.runs_by_task[task]
+        tasks = self._tasks_by_job[task.job]
+        del tasks[task]
+        if not tasks:
+            del self._tasks_by_job[task.job]
+
     def find(self, task: TaskKey, run: int) -> RunView | None:
         """Return a run of a task, or None if it is not in the table."""
         return self.runs_by_task.get(task, {}).get(run)
@@ -226,3 +261,12 @@
     def list_runs(self) -> list[RunView]:
         """Return every run."""
         return [run for runs in self.runs_by_task.values() for run in runs.values()]
+
+    def list_jobs(self) -> list[str]:
+        """Return the jobs that have runs."""
+        return list(self._tasks_by_job)
+
+    def list_runs_of_job(self, job: str) -> list[RunView]:
+        """Return every run of a job, in the order of ``list_runs``."""
+        tasks = self._tasks_by_job.get(job, {})
+        return [run for runs in tasks.values() for run in runs.values()]
--- /dev/null
+++ b/src/gypsumwalk/ready_tasks.py
@@ -0,0 +1,138 @@
+"""Jobs with ready tasks, grouped so that a pass skips those without room at once."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from gypsumwalk.declaration_records import Resources
+from gypsumwalk.task_placement import find_need
+from gypsumwalk.urgency import CriticalPath, find_critical_path
+from gypsumwalk.workload_records import TaskKey, Workload
+
+__all__ = ["JobGroup", "ReadyJob", "ReadyJobs", "find_least", "make_ready_job"]
+
+
+@dataclass(slots=True)
+class ReadyJob:
+    """A job with ready tasks.
+
+    Attributes
+    ----------
+    workload : Workload
+        The job.
+    tasks : dict
+        Its ready tasks, by occurrence and step.
+    least : Resources
+        Lower bounds of what one of its ready tasks reserves.
+    path : CriticalPath
+        Its critical path; valid until a task of the job ends.
+    """
+
+    workload: Workload
+    tasks: dict[tuple[int, int], list[TaskKey]]
+    least: Resources
+    path: CriticalPath
+
+
+@dataclass(slots=True)
+class JobGroup:
+    """Waiting jobs of one queue.
+
+    Attributes
+    ----------
+    least : Resources
+        Lower bounds of what one of their ready tasks reserves.
+    jobs : dict of str to ReadyJob
+        The jobs by identifier.
+    """
+
+    least: Resources
+    jobs: dict[str, ReadyJob] = field(default_factory=dict)
+
+
+class ReadyJobs:
+    """Jobs with ready tasks, by queue."""
+
+    def __init__(self) -> None:
+        self._jobs: dict[str, ReadyJob] = {}
+        self._groups: dict[tuple[str, str], JobGroup] = {}
+
+    def __iter__(self) -> Iterator[ReadyJob]:
+        return iter(self._jobs.values())
+
+    def clear(self) -> None:
+        """Remove all jobs."""
+        self._jobs.clear()
+        self._groups.clear()
+
+    def put(self, job: ReadyJob) -> None:
+        """Add a job, or replace what is known of it."""
+        name = job.workload.job
+        self._jobs[name] = job
+        group = self._groups.setdefault(_find_key(job.workload), JobGroup(job.least))
+        group.least = find_least([group.least, job.least])
+        group.jobs[name] = job
+
+    def remove(self, name: str) -> None:
+        """Remove a job if it is there."""
+        job = self._jobs.pop(name, None)
+        if job is None:
+            return
+        key = _find_key(job.workload)
+        group = self._groups[key]
+        del group.jobs[name]
+        if not group.jobs:
+            del self._groups[key]
+
+    def list_groups(self) -> list[JobGroup]:
+        """Return the groups, each with at least one job."""
+        return list(self._groups.values())
+
+
+def make_ready_job(workload: Workload, ready: Iterable[TaskKey]) -> ReadyJob | None:
+    """Group the ready tasks of a job by step.
+
+    Parameters
+    ----------
+    workload : Workload
+        The job.
+    ready : Iterable of TaskKey
+        Its ready tasks.
+
+    Returns
+    -------
+    ReadyJob or None
+        The job with its ready tasks, or None if there are none.
+    """
+    tasks: dict[tuple[int, int], list[TaskKey]] = {}
+    for task in ready:
+        tasks.setdefault((task.occurrence, task.step), []).append(task)
+    if not tasks:
+        return None
+    least = find_least(find_need(workload.steps[step]) for _, step in tasks)
+    return ReadyJob(workload, tasks, least, find_critical_path(workload))
+
+
+def find_least(needs: Iterable[Resources]) -> Resources:
+    """Return the least amount of each resource among some needs.
+
+    Parameters
+    ----------
+    needs : Iterable of Resources
+        The needs, at least one.
+
+    Returns
+    -------
+    Resources
+        The least amounts.
+    """
+    listed = list(needs)
+    return Resources(
+        min(need.cpu for need in listed),
+        min(need.memory for need in listed),
+        min(need.accelerators for need in listed),
+    )
+
+
+def _find_key(workload: Workload) -> tuple[str, str]:
+    # The service counts for jobs whose queue is not declared any more.
+    return workload.queue, workload.service
--- a/src/gypsumwalk/task_durations.py
+++ b/src/gypsumwalk/task_durations.py
@@ -63,14 +63,33 @@
             return 0.0
         return min(stats.error_of_mean, stats.error_of_estimate)
 
-    def predict(self, queue: str, estimate: float) -> float:
-        """Return the predicted duration of a task in seconds."""
+    def find_factors(self, queue: str) -> tuple[float | None, float]:
+        """Return how the duration of a task of a queue is predicted.
+
+        Parameters
+        ----------
+        queue : str
+            Queue of the task.
+
+        Returns
+        -------
+        ratio : float or None
+            Factor for the estimate of a task that has one; None if such a task is
+            predicted by ``mean`` too.
+        mean : float
+            Prediction for all other tasks in seconds.
+        """
         stats = self._queues.get(queue)
         if stats is None:
-            return estimate
-        if estimate and stats.error_of_estimate < stats.error_of_mean:
-            return stats.ratio * estimate
-        return stats.mean
+            return 1.0, 0.0
+        if stats.error_of_estimate < stats.error_of_mean:
+            return stats.ratio, stats.mean
+        return None, stats.mean
+
+    def predict(self, queue: str, estimate: float) -> float:
+        """Return the predicted duration of a task in seconds."""
+        ratio, mean = self.find_factors(queue)
+        return ratio * estimate if estimate and ratio is not None else mean
 
 
 def _smooth(average: float, latest: float) -> float:
--- a/src/gypsumwalk/task_placement.py
+++ b/src/gypsumwalk/task_placement.py
@@ -1,13 +1,17 @@
 """Ready tasks of a job, and the choice of an instance for each of them."""
 
-from collections.abc import Callable, Iterator, Mapping
+from bisect import bisect_left, insort
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.leases import InstanceView, LeaseTable
 from gypsumwalk.workload_records import Step, TaskKey, Workload
 
-__all__ = ["Candidate", "choose_instance", "find_need", "list_ready"]
+__all__ = ["Candidate", "CandidatePool", "find_need", "list_ready"]
+
+_Entry = tuple[int, int, int]
+"""Latency-sensitive runs if they count, free processors, and position in the pool."""
 
 
 def find_need(step: Step) -> Resources:
@@ -95,42 +99,157 @@
         return not step.label or step.label in self.view.registered.labels
 
 
-def choose_instance(
-    step: Step,
-    candidates: Mapping[str, Candidate],
-    count_tasks: Callable[[Candidate], int],
-) -> Candidate | None:
-    """Choose an instance for one task.
-
-    Prefers the rack that holds the data, then the instance with the fewest free
-    processors (bin packing), so that others become idle and their machines can be moved
-    or maintained. Fillers avoid instances with tasks that have a latency target.
+class CandidatePool:
+    """Candidates of one pool, sorted so that a choice examines few of them.
 
     Parameters
     ----------
-    step : Step
-        Step of the task.
-    candidates : Mapping of str to Candidate
-        Instances of the pool, by life.
-    count_tasks : Callable
-        Returns the number of tasks of the same step and occurrence on an instance.
-
-    Returns
-    -------
-    Candidate or None
-        The chosen instance, or None if no instance fits.
+    candidates : Sequence of Candidate
+        Instances of the pool; of equal candidates the first one is chosen. Their free
+        resources change only by ``take`` and ``give_back``.
     """
-    best: Candidate | None = None
-    best_rank: tuple[bool, int, int] | None = None
-    for candidate in candidates.values():
-        if not candidate.can_take(step):
-            continue
-        registered = candidate.view.registered
-        if step.max_per_instance and count_tasks(candidate) >= step.max_per_instance:
-            continue
-        is_near_data = not step.data_rack or step.data_rack in registered.labels
-        latency_sensitive_tasks = candidate.latency_sensitive_runs if step.filler else 0
-        rank = (is_near_data, -latency_sensitive_tasks, -candidate.free.cpu)
-        if best_rank is None or rank > best_rank:
-            best, best_rank = candidate, rank
-    return best
+
+    def __init__(self, candidates: Sequence[Candidate]) -> None:
+        self._candidates = candidates
+        self._positions = {
+            item.view.registered.life: number for number, item in enumerate(candidates)
+        }
+        # Upper bounds: during a pass the free resources do not grow beyond these.
+        self._free_memory = max((item.free.memory for item in candidates), default=0)
+        self._free_accelerators = max(
+            (item.free.accelerators for item in candidates), default=0
+        )
+        self._sorted: dict[tuple[str, bool], list[_Entry]] = {}
+        self._refused: set[tuple[Resources, str]] = set()
+
+    def has_room(self, need: Resources) -> bool:
+        """Tell whether some candidate may have the resources.
+
+        Parameters
+        ----------
+        need : Resources
+            Resources that a task reserves.
+
+        Returns
+        -------
+        bool
+            False only if no candidate has them.
+        """
+        by_cpu = self._sort("", filler=False)
+        return (
+            bool(by_cpu)
+            and need.cpu <= by_cpu[-1][1]
+            and need.memory <= self._free_memory
+            and need.accelerators <= self._free_accelerators
+            and (need, "") not in self._refused
+        )
+
+    def list_fitting(self, step: Step) -> list[Candidate]:
+        """Return the candidates that can take a task of a step, in the given order."""
+        if not self.has_room(find_need(step)):
+            return []
+        return [item for item in self._candidates if item.can_take(step)]
+
+    def list_racks(self) -> list[str]:
+        """Return the racks of the candidates in the order of their names."""
+        return sorted({item.view.registered.rack for item in self._candidates})
+
+    def choose(
+        self,
+        step: Step,
+        is_allowed: Callable[[Candidate], bool],
+        label: str = "",
+    ) -> Candidate | None:
+        """Choose an instance for one task.
+
+        Prefers the rack that holds the data, then the instance with the fewest free
+        processors (bin packing), so that others become idle and their machines can be
+        moved or maintained. Fillers avoid instances with tasks that have a latency
+        target.
+
+        Parameters
+        ----------
+        step : Step
+            Step of the task.
+        is_allowed : Callable
+            Tells whether the task may run on an instance that has the resources.
+        label : str
+            Label that the instance must have besides the label of the step; empty for
+            none.
+
+        Returns
+        -------
+        Candidate or None
+            The chosen instance, or None if no instance fits.
+        """
+        need = find_need(step)
+        key = (need, step.label)
+        if key in self._refused or not self.has_room(need):
+            return None
+        label = label or step.label
+        if step.data_rack:
+            for item in self._iterate(step, need, step.data_rack):
+                if _has_label(item, label) and is_allowed(item):
+                    return item
+        can_any_take = False
+        for item in self._iterate(step, need, label):
+            can_any_take = True
+            if is_allowed(item):
+                return item
+        if not can_any_take and label == step.label:
+            self._refused.add(key)
+        return None
+
+    def take(self, candidate: Candidate, need: Resources) -> None:
+        """Reserve resources of a candidate."""
+        self._change(candidate, candidate.free - need)
+
+    def give_back(self, life: str, need: Resources) -> None:
+        """Undo ``take`` on the candidate of a life, in the same pass."""
+        candidate = self._candidates[self._positions[life]]
+        self._change(candidate, candidate.free + need)
+        self._refused.clear()
+
+    def _iterate(self, step: Step, need: Resources, label: str) -> Iterator[Candidate]:
+        """Iterate over the candidates that can take a task, best first."""
+        entries = self._sort(label, filler=step.filler)
+        # The entries before hold no candidate with enough free processors.
+        start = 0 if step.filler else bisect_left(entries, (0, need.cpu, -1))
+        for number in range(start, len(entries)):
+            candidate = self._candidates[entries[number][2]]
+            if candidate.can_take(step):
+                yield candidate
+
+    def _sort(self, label: str, *, filler: bool) -> list[_Entry]:
+        entries = self._sorted.get((label, filler))
+        if entries is None:
+            entries = sorted(
+                _make_entry(item, number, filler=filler)
+                for number, item in enumerate(self._candidates)
+                if _has_label(item, label)
+            )
+            self._sorted[label, filler] = entries
+        return entries
+
+    def _change(self, candidate: Candidate, free: Resources) -> None:
+        position = self._positions[candidate.view.registered.life]
+        lists = [
+            (entries, filler)
+            for (label, filler), entries in self._sorted.items()
+            if _has_label(candidate, label)
+        ]
+        for entries, filler in lists:
+            entry = _make_entry(candidate, position, filler=filler)
+            del entries[bisect_left(entries, entry)]
+        candidate.free = free
+        for entries, filler in lists:
+            insort(entries, _make_entry(candidate, position, filler=filler))
+
+
+def _make_entry(candidate: Candidate, position: int, *, filler: bool) -> _Entry:
+    latency_sensitive_runs = candidate.latency_sensitive_runs if filler else 0
+    return latency_sensitive_runs, candidate.free.cpu, position
+
+
+def _has_label(candidate: Candidate, label: str) -> bool:
+    return not label or label in candidate.view.registered.labels
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -1,16 +1,22 @@
 """Scheduler of a fleet: which ready tasks start now, and on which instances."""
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from gypsumwalk.advice import MAX_ASKED, AdviceCache, AdviceQuery, name_step
-from gypsumwalk.declaration_records import Resources
+from gypsumwalk.declaration_records import DeclaredQueue, Resources
 from gypsumwalk.declarations import DeclarationSection
-from gypsumwalk.leases import LeaseTable, RunState, RunView
+from gypsumwalk.leases import InstanceView, LeaseTable, RunState, RunView
 from gypsumwalk.part import NEVER
 from gypsumwalk.pooling import PoolDemand
-from gypsumwalk.task_placement import Candidate, choose_instance, find_need, list_ready
+from gypsumwalk.ready_tasks import (
+    ReadyJob,
+    ReadyJobs,
+    find_least,
+    make_ready_job,
+)
+from gypsumwalk.task_placement import Candidate, CandidatePool, find_need, list_ready
 from gypsumwalk.urgency import UrgencyEstimator
 from gypsumwalk.workload_records import Placement, Step, TaskKey, Workload
 from gypsumwalk.workloads import WorkloadSection
@@ -18,6 +24,10 @@
 __all__ = ["PlannedRun", "TaskScheduler", "is_within_quota"]
 
 
+_Check = Callable[[Candidate], bool]
+"""Tells whether a task may run on an instance that has the resources."""
+
+
 @dataclass(frozen=True, slots=True)
 class PlannedRun:
     """A run to start, and its placement for the replicated log."""
@@ -55,13 +65,13 @@
         self._workloads = workloads
         self._advice = advice
         self._urgency = UrgencyEstimator()
-        self._ready: dict[str, list[TaskKey]] = {}
+        self._waiting = ReadyJobs()
         self._stale: set[str] = set()
         self._next_due = NEVER
 
     def reset(self) -> None:
         """Discard cached state at the start of a term and mark all open jobs stale."""
-        self._ready.clear()
+        self._waiting.clear()
         self._stale = set(self._workloads.open_jobs)
         self._next_due = NEVER
 
@@ -109,12 +119,11 @@
         """
         self._update_ready(lease_table, now)
         self.wanted_advice.clear()
-        pools = self._list_candidates(lease_table, now)
+        pools = self._list_pools(lease_table, now)
         planned: list[PlannedRun] = []
-        for workload in self._sort_waiting(now):
-            candidates = pools.get(self.find_service(workload), {})
-            if candidates:
-                planned += self._plan_job(workload, candidates, lease_table, now)
+        for job, pool in self._sort_waiting(pools, now):
+            if pool.has_room(job.least):
+                planned += self._plan_job(job, pool, lease_table, now)
         return planned
 
     def add_demand(
@@ -131,42 +140,58 @@
         lease_table : LeaseTable
             Runs that may be going on.
         """
-        for run in lease_table.list_runs():
-            workload = self._workloads.jobs.get(run.task.job)
+        for job in lease_table.list_jobs():
+            workload = self._workloads.jobs.get(job)
             demand = demands.get(self.find_service(workload)) if workload else None
             if workload is not None and demand is not None:
-                step = workload.steps[run.task.step]
-                _add_tasks(demand, step, run.need.cpu, 1)
+                for run in lease_table.list_runs_of_job(job):
+                    step = workload.steps[run.task.step]
+                    _add_tasks(demand, step, run.need.cpu, 1)
         used = dict(lease_table.usage_by_team)
-        for job, tasks in self._ready.items():
-            workload = self._workloads.open_jobs.get(job)
-            demand = demands.get(self.find_service(workload)) if workload else None
-            if workload is None or demand is None:
-                continue
-            for task in tasks:
-                step = workload.steps[task.step]
-                if not self._reserve_quota(workload.team, step, used):
-                    break
-                _add_tasks(demand, step, find_need(step).cpu, 1)
+        for waiting in self._waiting:
+            demand = demands.get(self.find_service(waiting.workload))
+            if demand is not None:
+                self._add_waiting(demand, waiting, used)
 
-    def _reserve_quota(self, team: str, step: Step, used: dict[str, Resources]) -> bool:
+    def _add_waiting(
+        self, demand: PoolDemand, waiting: ReadyJob, used: dict[str, Resources]
+    ) -> None:
+        workload = waiting.workload
+        for (_, number), tasks in waiting.tasks.items():
+            step = workload.steps[number]
+            count = self._reserve_quota(workload.team, step, len(tasks), used)
+            if count:
+                _add_tasks(demand, step, find_need(step).cpu, count)
+            if count < len(tasks):
+                return
+
+    def _reserve_quota(
+        self, team: str, step: Step, count: int, used: dict[str, Resources]
+    ) -> int:
+        """Charge up to a number of tasks to a quota; return how many fit."""
         declared = self._declarations.get_team(team)
-        total = used.get(team, Resources()) + step.need
-        if declared is not None and not is_within_quota(total, declared.quota):
-            return False
-        used[team] = total
-        return True
+        in_use = used.get(team, Resources())
+        if declared is not None:
+            count = _count_within_quota(in_use, step.need, declared.quota, count)
+        need = step.need
+        used[team] = in_use + Resources(
+            need.cpu * count, need.memory * count, need.accelerators * count
+        )
+        return count
 
     def _update_ready(self, lease_table: LeaseTable, now: float) -> None:
         for job in self._stale:
             workload = self._workloads.open_jobs.get(job)
-            ready = list(list_ready(workload, lease_table, now)) if workload else []
-            if ready:
-                self._ready[job] = ready
+            if workload is None:
+                self._waiting.remove(job)
+                continue
+            ready = list_ready(workload, lease_table, now)
+            waiting = make_ready_job(workload, ready)
+            if waiting is None:
+                self._waiting.remove(job)
             else:
-                self._ready.pop(job, None)
-            if workload:
-                self._update_next_due(workload, now)
+                self._waiting.put(waiting)
+            self._update_next_due(workload, now)
         self._stale.clear()
 
     def _update_next_due(self, workload: Workload, now: float) -> None:
@@ -176,15 +201,29 @@
                 self._next_due = min(self._next_due, due)
                 return
 
-    def _sort_waiting(self, now: float) -> list[Workload]:
-        waiting = [self._workloads.open_jobs[job] for job in self._ready]
-        return sorted(waiting, key=lambda workload: self._rank(workload, now))
-
-    def _rank(self, workload: Workload, now: float) -> tuple[int, int, float, str]:
-        queue = self._declarations.get_queue(workload.queue)
+    def _sort_waiting(
+        self, pools: Mapping[str, CandidatePool], now: float
+    ) -> list[tuple[ReadyJob, CandidatePool]]:
+        """List the jobs that may get room, most urgent first, with their pools."""
+        listed: list[tuple[tuple[int, int, float, str], ReadyJob, CandidatePool]] = []
+        for group in self._waiting.list_groups():
+            any_job = next(iter(group.jobs.values()))
+            pool = pools.get(self.find_service(any_job.workload))
+            if pool is None or not pool.has_room(group.least):
+                continue
+            queue = self._declarations.get_queue(any_job.workload.queue)
+            for job in group.jobs.values():
+                listed.append((self._rank(job, queue, now), job, pool))
+        listed.sort(key=lambda item: item[0])
+        return [(job, pool) for _, job, pool in listed]
+
+    def _rank(
+        self, job: ReadyJob, queue: DeclaredQueue | None, now: float
+    ) -> tuple[int, int, float, str]:
+        workload = job.workload
         if queue is None:
             return 0, 0, workload.accepted, workload.job
-        urgency = self._urgency.rate(workload, queue, now)
+        urgency = self._urgency.rate(workload, queue, now, job.path)
         return queue.priority, urgency.tier, urgency.sort_key, workload.job
 
     def find_slack(self, workload: Workload) -> float:
@@ -207,86 +246,86 @@
         queue = self._declarations.get_queue(workload.queue)
         return queue.service if queue else workload.service
 
-    def _list_candidates(
+    def _list_pools(
         self, lease_table: LeaseTable, now: float
-    ) -> dict[str, dict[str, Candidate]]:
-        pools: dict[str, dict[str, Candidate]] = {}
-        for life, view in lease_table.instances.items():
+    ) -> dict[str, CandidatePool]:
+        """Return the instances that may take a waiting task, by service."""
+        least_needs = self._find_least_needs()
+        listed: dict[str, list[Candidate]] = {}
+        if not least_needs:
+            return {}
+        for view in lease_table.instances.values():
             registered = view.registered
-            if registered.draining:
-                continue
-            if self._is_unschedulable(registered.machine):
-                continue
-            if not view.is_responsive or now < view.start_backoff_until:
+            least = least_needs.get(registered.service)
+            if least is None or not self._can_schedule_on(view, now):
                 continue
             free = registered.capacity - view.used
-            latency_sensitive_runs = sum(
-                self._has_latency_target(run) for run in view.runs.values()
-            )
-            pool = pools.setdefault(registered.service, {})
-            pool[life] = Candidate(view, free, latency_sensitive_runs)
-        return pools
+            if least.fits(free):
+                candidate = Candidate(view, free, view.latency_sensitive_runs)
+                listed.setdefault(registered.service, []).append(candidate)
+        return {service: CandidatePool(items) for service, items in listed.items()}
+
+    def _find_least_needs(self) -> dict[str, Resources]:
+        """Return lower bounds of what a waiting task reserves, by service."""
+        needs: dict[str, Resources] = {}
+        for group in self._waiting.list_groups():
+            any_job = next(iter(group.jobs.values()))
+            service = self.find_service(any_job.workload)
+            needs[service] = find_least([needs.get(service, group.least), group.least])
+        return needs
+
+    def _can_schedule_on(self, view: InstanceView, now: float) -> bool:
+        if view.registered.draining or self._is_unschedulable(view.registered.machine):
+            return False
+        return view.is_responsive and now >= view.start_backoff_until
 
     def _is_unschedulable(self, machine: str) -> bool:
         return bool(machine) and (
             machine in self.cordoned or machine in self.changing_pool
         )
 
-    def _has_latency_target(self, run: RunView) -> bool:
-        step = self._workloads.find_step(run.task)
-        return step is not None and step.has_latency_target
-
     def _plan_job(
         self,
-        workload: Workload,
-        candidates: dict[str, Candidate],
+        job: ReadyJob,
+        pool: CandidatePool,
         lease_table: LeaseTable,
         now: float,
     ) -> list[PlannedRun]:
+        workload = job.workload
         planned: list[PlannedRun] = []
-        ready = self._ready.pop(workload.job)
-        remaining: list[TaskKey] = []
-        steps: dict[tuple[int, int], list[TaskKey]] = {}
-        for task in ready:
-            steps.setdefault((task.occurrence, task.step), []).append(task)
-        for tasks in steps.values():
+        for key, tasks in list(job.tasks.items()):
             step = workload.steps[tasks[0].step]
-            allowed = self._list_allowed(workload, tasks[0], candidates, now)
-            if step.gang:
-                chosen = self._plan_gang(workload, step, tasks, allowed, lease_table)
+            if not pool.has_room(find_need(step)):
+                continue
+            is_allowed = self._make_advice_check(workload, tasks[0], now)
+            plan = self._plan_gang if step.gang else self._plan_tasks
+            chosen = plan(workload, tasks, pool, lease_table, is_allowed)
+            if len(chosen) == len(tasks):
+                del job.tasks[key]
             else:
-                chosen = self._plan_tasks(workload, step, tasks, allowed, lease_table)
-            if len(chosen) < len(tasks):
-                self._request_advice(workload, tasks[0], candidates, now)
-            remaining += tasks[len(chosen) :]
+                self._request_advice(workload, tasks[0], pool, now)
+                del tasks[: len(chosen)]
             planned += chosen
-        if remaining:
-            self._ready[workload.job] = remaining
+        if not job.tasks:
+            self._waiting.remove(workload.job)
         return planned
 
-    def _list_allowed(
-        self,
-        workload: Workload,
-        task: TaskKey,
-        candidates: dict[str, Candidate],
-        now: float,
-    ) -> dict[str, Candidate]:
-        """Return the candidates with a valid ticket, or all if none is required."""
+    def _make_advice_check(
+        self, workload: Workload, task: TaskKey, now: float
+    ) -> _Check:
+        """Return a check for a valid ticket; it is always true if none is required."""
         if self._declarations.get_advice(workload.queue) is None:
-            return candidates
+            return _allow_any
         name = name_step(task.job, task.occurrence, task.step)
-        return {
-            life: item
-            for life, item in candidates.items()
-            if self._advice.find_ticket(name, life, now)
-        }
+
+        def has_ticket(item: Candidate) -> bool:
+            life = item.view.registered.life
+            return bool(self._advice.find_ticket(name, life, now))
+
+        return has_ticket
 
     def _request_advice(
-        self,
-        workload: Workload,
-        task: TaskKey,
-        candidates: dict[str, Candidate],
-        now: float,
+        self, workload: Workload, task: TaskKey, pool: CandidatePool, now: float
     ) -> None:
         """Ask for advice on the instances with capacity if the queue requires it."""
         policy = self._declarations.get_advice(workload.queue)
@@ -294,7 +333,7 @@
             return
         step = workload.steps[task.step]
         name = name_step(task.job, task.occurrence, task.step)
-        fitting = [item for item in candidates.values() if item.can_take(step)]
+        fitting = pool.list_fitting(step)
         fitting.sort(
             key=lambda item: (
                 step.data_rack not in item.view.registered.labels,
@@ -309,70 +348,69 @@
     def _plan_tasks(
         self,
         workload: Workload,
-        step: Step,
         tasks: list[TaskKey],
-        candidates: dict[str, Candidate],
+        pool: CandidatePool,
         lease_table: LeaseTable,
+        is_allowed: _Check,
+        rack: str = "",
     ) -> list[PlannedRun]:
         planned: list[PlannedRun] = []
-        counts = _count_by_instance(tasks[0], lease_table)
-        for task, number in zip(
-            tasks, _number_runs(workload, step, tasks), strict=True
-        ):
+        step = workload.steps[tasks[0].step]
+        limit = _SpreadLimit(step, tasks[0], lease_table)
+        gang_run = _number_gang_run(workload, tasks) if step.gang else 0
+        for task in tasks:
             if not self._has_quota(workload.team, step, lease_table):
                 break
-            chosen = choose_instance(
-                step, candidates, lambda item: counts[item.view.registered.life]
+            chosen = pool.choose(
+                step, lambda item: limit.allows(item) and is_allowed(item), rack
             )
             if chosen is None:
                 break
-            counts[chosen.view.registered.life] += 1
-            life = chosen.view.registered.life
-            placement = Placement(task, number, life)
+            limit.count(chosen)
+            number = gang_run or _number_run(workload, task)
+            placement = Placement(task, number, chosen.view.registered.life)
             run = _make_run(workload, placement, RunState.PLANNED)
             lease_table.add(run)
-            chosen.free -= run.need
+            pool.take(chosen, run.need)
             planned.append(PlannedRun(run, placement))
         return planned
 
     def _plan_gang(
         self,
         workload: Workload,
-        step: Step,
         tasks: list[TaskKey],
-        candidates: dict[str, Candidate],
+        pool: CandidatePool,
         lease_table: LeaseTable,
+        is_allowed: _Check,
     ) -> list[PlannedRun]:
-        if len(tasks) < step.count:
+        if len(tasks) < workload.steps[tasks[0].step].count:
             return []
-        racks = {item.view.registered.rack for item in candidates.values()}
-        for rack in sorted(racks):
-            in_rack = {
-                life: item
-                for life, item in candidates.items()
-                if item.view.registered.rack == rack
-            }
+
+        def is_in_rack(item: Candidate) -> bool:
+            return item.view.registered.rack == rack and is_allowed(item)
+
+        for rack in pool.list_racks():
             if planned := self._plan_gang_on(
-                workload, step, tasks, in_rack, lease_table
+                workload, tasks, pool, lease_table, is_in_rack, rack
             ):
                 return planned
-        return self._plan_gang_on(workload, step, tasks, candidates, lease_table)
+        return self._plan_gang_on(workload, tasks, pool, lease_table, is_allowed, "")
 
     def _plan_gang_on(
         self,
         workload: Workload,
-        step: Step,
         tasks: list[TaskKey],
-        candidates: dict[str, Candidate],
+        pool: CandidatePool,
         lease_table: LeaseTable,
+        is_allowed: _Check,
+        rack: str,
     ) -> list[PlannedRun]:
-        planned = self._plan_tasks(workload, step, tasks, candidates, lease_table)
+        planned = self._plan_tasks(workload, tasks, pool, lease_table, is_allowed, rack)
         if len(planned) == len(tasks):
             return planned
         for item in planned:
             lease_table.remove(item.run)
-            candidate = candidates[item.run.life]
-            candidate.free += item.run.need
+            pool.give_back(item.run.life, item.run.need)
         return []
 
     def _has_quota(self, team: str, step: Step, lease_table: LeaseTable) -> bool:
@@ -425,21 +463,56 @@
         team=workload.team,
         quota_charge=step.need,
         state=state,
+        has_latency_target=step.has_latency_target,
     )
 
 
-def _count_by_instance(task: TaskKey, lease_table: LeaseTable) -> Counter[str]:
-    counts: Counter[str] = Counter()
-    for key, runs in lease_table.runs_by_task.items():
-        if key[:3] == task[:3]:
-            counts.update(run.life for run in runs.values())
-    return counts
+class _SpreadLimit:
+    """Limit of the tasks of a step and occurrence on one instance."""
+
+    def __init__(self, step: Step, task: TaskKey, lease_table: LeaseTable) -> None:
+        self._most = step.max_per_instance
+        self._counts: Counter[str] = Counter()
+        if self._most:
+            for run in lease_table.list_runs_of_job(task.job):
+                if run.task[:3] == task[:3]:
+                    self._counts[run.life] += 1
+
+    def allows(self, item: Candidate) -> bool:
+        """Tell whether an instance may take one more task."""
+        return not self._most or self._counts[item.view.registered.life] < self._most
+
+    def count(self, item: Candidate) -> None:
+        """Count one more task on an instance."""
+        if self._most:
+            self._counts[item.view.registered.life] += 1
+
+
+def _number_gang_run(workload: Workload, tasks: list[TaskKey]) -> int:
+    """Return the number of the next run that all members of a gang share."""
+    return max(_number_run(workload, task) for task in tasks)
+
+
+def _number_run(workload: Workload, task: TaskKey) -> int:
+    record = workload.tasks.get((task.occurrence, task.step, task.number))
+    return (record.run if record else 0) + 1
+
+
+def _allow_any(_: Candidate) -> bool:
+    return True
 
 
-def _number_runs(workload: Workload, step: Step, tasks: list[TaskKey]) -> list[int]:
-    numbers = []
-    for task in tasks:
-        record = workload.tasks.get((task.occurrence, task.step, task.number))
-        numbers.append((record.run if record else 0) + 1)
-    # All members of a gang share one run number.
-    return [max(numbers)] * len(numbers) if step.gang else numbers
+def _count_within_quota(
+    used: Resources, need: Resources, quota: Resources, count: int
+) -> int:
+    """Return how many tasks can be added one by one within a quota."""
+    for in_use, added, limit in (
+        (used.cpu, need.cpu, quota.cpu),
+        (used.memory, need.memory, quota.memory),
+        (used.accelerators, need.accelerators, quota.accelerators),
+    ):
+        if limit and in_use + added > limit:
+            return 0
+        if limit and added:
+            count = min(count, (limit - in_use) // added)
+    return count
--- a/src/gypsumwalk/urgency.py
+++ b/src/gypsumwalk/urgency.py
@@ -8,13 +8,14 @@
 the capacity of jobs that can be on time.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from gypsumwalk.declaration_records import DeclaredQueue
 from gypsumwalk.task_durations import DurationTable
 from gypsumwalk.workload_records import Workload, WorkloadState
 
-__all__ = ["Urgency", "UrgencyEstimator"]
+__all__ = ["CriticalPath", "Urgency", "UrgencyEstimator", "find_critical_path"]
 
 START_OVERHEAD_SECONDS = 0.1
 """Longest overhead of a task, from the decision to start it until its end is known."""
@@ -49,6 +50,38 @@
     sort_key: float
 
 
+@dataclass(frozen=True, slots=True)
+class CriticalPath:
+    """What the rating of a job needs to know of its steps.
+
+    It depends only on the steps and on which of them are done, so it is valid until a
+    task of the job ends.
+
+    Attributes
+    ----------
+    is_open_ended : bool
+        Whether the job is lasting or recurring, so that it has no end to be late.
+    work : int
+        Sum of the processors that its tasks need, in thousandths of a core.
+    total_steps : int
+        Largest number of steps that must run one after the other.
+    remaining_steps : int
+        The same for the steps that are not done.
+    total_estimate : float or None
+        Largest sum of estimates of steps that must run one after the other, in seconds;
+        None if some steps have estimates and others have none.
+    remaining_estimate : float
+        The same for the steps that are not done.
+    """
+
+    is_open_ended: bool
+    work: int
+    total_steps: int
+    remaining_steps: int
+    total_estimate: float | None
+    remaining_estimate: float
+
+
 class UrgencyEstimator:
     """Rates jobs by their slack, using task durations learned per queue."""
 
@@ -75,7 +108,13 @@
         """Return the mean task duration of a queue in seconds, None if unknown."""
         return self._durations.find_mean(queue)
 
-    def rate(self, workload: Workload, queue: DeclaredQueue, now: float) -> Urgency:
+    def rate(
+        self,
+        workload: Workload,
+        queue: DeclaredQueue,
+        now: float,
+        path: CriticalPath | None = None,
+    ) -> Urgency:
         """Return the priority of a job.
 
         Parameters
@@ -86,15 +125,18 @@
             Its queue.
         now : float
             Time in seconds.
+        path : CriticalPath, optional
+            Its critical path, if no task of the job has ended since it was found.
 
         Returns
         -------
         Urgency
             Tier, and order within it.
         """
-        if workload.occurrences > 1 or any(step.lasting for step in workload.steps):
+        path = path or find_critical_path(workload)
+        if path.is_open_ended:
             return Urgency(STARTED, workload.accepted)
-        total, remaining = self._find_critical_path(workload)
+        total, remaining = self._predict(workload, path)
         allowed = queue.stretch * total + queue.objective
         waited = now - max(workload.accepted, workload.first_run)
         slack = allowed - waited - remaining
@@ -104,23 +146,67 @@
             margin = START_OVERHEAD_SECONDS + self._durations.find_error(workload.queue)
             return Urgency(ON_TIME if slack >= margin else AT_RISK, now + slack)
         is_expired = waited + remaining > LATE_FACTOR * allowed
-        work = sum(step.count * step.need.cpu for step in workload.steps)
-        return Urgency(EXPIRED if is_expired else LATE, work)
+        return Urgency(EXPIRED if is_expired else LATE, path.work)
 
     def find_slack(self, workload: Workload, queue: DeclaredQueue) -> float:
         """Return the seconds that a job can wait and still meet its objective."""
-        total, _ = self._find_critical_path(workload)
+        total, _ = self._predict(workload, find_critical_path(workload))
         return (queue.stretch - 1) * total + queue.objective
 
-    def _find_critical_path(self, workload: Workload) -> tuple[float, float]:
+    def _predict(self, workload: Workload, path: CriticalPath) -> tuple[float, float]:
         """Return the duration of the critical path in seconds, total and remaining."""
-        totals: list[float] = []
-        remainders: list[float] = []
-        for number, step in enumerate(workload.steps):
-            duration = self._durations.predict(workload.queue, step.estimate)
-            done = workload.is_step_done(0, number)
-            total = max((totals[item] for item in step.after), default=0.0)
-            unfinished = max((remainders[item] for item in step.after), default=0.0)
-            totals.append(total + duration)
-            remainders.append(unfinished + (0.0 if done else duration))
-        return max(totals, default=0.0), max(remainders, default=0.0)
+        if path.total_estimate is None:
+            return self._predict_mixed(workload)
+        ratio, mean = self._durations.find_factors(workload.queue)
+        if ratio is None or not path.total_estimate:
+            return mean * path.total_steps, mean * path.remaining_steps
+        return ratio * path.total_estimate, ratio * path.remaining_estimate
+
+    def _predict_mixed(self, workload: Workload) -> tuple[float, float]:
+        durations = [
+            self._durations.predict(workload.queue, step.estimate)
+            for step in workload.steps
+        ]
+        return _sum_longest(workload, durations)
+
+
+def find_critical_path(workload: Workload) -> CriticalPath:
+    """Find the critical path of a job, without the durations learned of its queue.
+
+    Parameters
+    ----------
+    workload : Workload
+        The job.
+
+    Returns
+    -------
+    CriticalPath
+        Its critical path.
+    """
+    steps = workload.steps
+    total_steps, remaining_steps = _sum_longest(workload, [1] * len(steps))
+    estimates = [step.estimate for step in steps]
+    total, remaining = _sum_longest(workload, estimates)
+    is_mixed = any(estimates) and not all(estimates)
+    return CriticalPath(
+        is_open_ended=workload.occurrences > 1 or any(step.lasting for step in steps),
+        work=sum(step.count * step.need.cpu for step in steps),
+        total_steps=int(total_steps),
+        remaining_steps=int(remaining_steps),
+        total_estimate=None if is_mixed else total,
+        remaining_estimate=remaining,
+    )
+
+
+def _sum_longest(workload: Workload, durations: Sequence[float]) -> tuple[float, float]:
+    """Return the longest sum over dependent steps, of all and of those not done."""
+    totals: list[float] = []
+    remainders: list[float] = []
+    for number, step in enumerate(workload.steps):
+        duration = durations[number]
+        done = workload.is_step_done(0, number)
+        total = max((totals[item] for item in step.after), default=0.0)
+        unfinished = max((remainders[item] for item in step.after), default=0.0)
+        totals.append(total + duration)
+        remainders.append(unfinished + (0.0 if done else duration))
+    return max(totals, default=0.0), max(remainders, default=0.0)
