Follow a placement of an earlier leader that is committed in this term

Callers saw an accepted job whose task never ran: a deposed leader's placement, sent again to the new leader and committed there before that one had placed anything, left the task marked as placed on an instance where no leader starts or ends it.

The new leader adds such a run as unconfirmed, so that the lists of its instance end it and the task is placed again. Where the instance is not registered, it ends like other runs of an ended instance.

A run that moves to the next life of its instance moves in the lease table's sums too, and the lease that a late start may have set there counts for that life's expiry.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -286,8 +286,11 @@
             case CancelWorkload(job=job):
                 return self._stop_job(job, now)
             case PlaceRuns(term=term) as command:
-                if term == self._term and isinstance(item.result, Accepted):
+                if not isinstance(item.result, Accepted):
+                    return []
+                if term == self._term:
                     return self._start_placed(command, now)
+                return self._adopt_placed(command, now)
             case EndRuns(ends=ends):
                 return self._remove_ended(ends, now)
             case RemoveInstance(life=life, reason=reason):
@@ -351,6 +354,24 @@
             )
         return effects + self._end_as_lost(unsent, "its start was not sent")
 
+    def _adopt_placed(self, command: PlaceRuns, now: float) -> list[Effect]:
+        """Add runs that an earlier leader placed, committed after this term began."""
+        without_instance = []
+        for placement in command.placements:
+            task = placement.task
+            if task.job not in self._workloads.jobs:
+                continue
+            if self.lease_table.find(task, placement.run) is not None:
+                continue
+            self._scheduler.restore_run(placement, self.lease_table)
+            run = self.lease_table.find(task, placement.run)
+            assert run is not None
+            run.unanswered_starts, run.start_sent_at = 1, now
+            self._watch_orders(run)
+            if run.life not in self.lease_table.instances:
+                without_instance.append(run)
+        return self._end_with_instance(without_instance, now)
+
     def _can_start(self, run: RunView, now: float) -> bool:
         view = self.lease_table.instances.get(run.life)
         workload = self._workloads.jobs.get(run.task.job)
--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -241,6 +241,14 @@
             self.usage_by_team.get(run.team, Resources()) + run.quota_charge
         )
 
+    def move(self, run: RunView, life: str) -> None:
+        """Move a run to another life of its instance, which may carry it out."""
+        previous = self.instances.get(run.life)
+        if previous is not None:
+            previous.remove_run(run)
+        run.life = life
+        self.instances[life].add_run(run)
+
     def remove(self, run: RunView) -> None:
         """Remove a run that can no longer be going on."""
         runs = self.runs_by_task.get(run.task, {})
--- a/src/gypsumwalk/orphaned_runs.py
+++ b/src/gypsumwalk/orphaned_runs.py
@@ -77,10 +77,13 @@
             if successor is None or split_life(successor) <= split_life(run.life):
                 continue
             self._runs.remove(run)
-            run.life = successor
+            lease_table.move(run, successor)
+            # The start named no time on the clock of this life.
+            view = lease_table.instances[successor]
+            expiry = run.start_sent_at + self._lifetime
+            view.min_lease_expiry = max(view.min_lease_expiry, expiry)
             run.state = RunState.STARTING
             run.stopped_at = run.missing_since = 0.0
-            lease_table.instances[successor].runs[run.key] = run
             adopted.append(run)
         return adopted
 
