--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -19,7 +19,7 @@
 from gypsumwalk.instance_actions import InstanceReport, OrderReport
 from gypsumwalk.instance_orders import OpenOrder, OrderKind
 from gypsumwalk.leases import InstanceView, LeaseTable, RunState, RunView
-from gypsumwalk.orphaned_runs import OrphanedRuns
+from gypsumwalk.orphaned_runs import LATE_ORDER_SECONDS, OrphanedRuns
 from gypsumwalk.part import NEVER
 from gypsumwalk.run_lists import reconcile_runs
 from gypsumwalk.run_orders import CALL_SECONDS, LEASE_MARGIN_SECONDS, RunOrders
@@ -326,7 +326,7 @@
 
     def _end_with_instance(self, runs: Iterable[RunView], now: float) -> list[Effect]:
         """End runs of ended instances, unless the next life may carry them out."""
-        ended = self._orphans.separate(runs)
+        ended = self._orphans.separate(runs, now)
         effects = self._end_as_lost(ended, "its instance has ended")
         return effects + self._check_orphans(now)
 
@@ -334,7 +334,7 @@
         effects: list[Effect] = []
         for run in self._orphans.adopt(self.lease_table):
             effects += self.stop(run, now)
-        ended = self._orphans.take_ended(now)
+        ended = self._orphans.take_ended(self.lease_table, now)
         return effects + self._end_as_lost(ended, "its instance has ended")
 
     def _start_placed(self, command: PlaceRuns, now: float) -> list[Effect]:
@@ -478,7 +478,13 @@
         if not view.silent_since:
             return []
         if view.runs and now >= view.find_lease_expiry() + LEASE_MARGIN_SECONDS:
-            return self._end_as_lost(view.runs.values(), "its lease has expired")
+            # The lease that a start sets on another life does not depend on this one.
+            lost = [
+                run
+                for run in view.runs.values()
+                if not self._orphans.may_have_begun(run, now)
+            ]
+            return self._end_as_lost(lost, "its lease has expired")
         if not view.runs and now - view.silent_since > REMOVE_SILENT_SECONDS:
             view.silent_since = now
             reason = "it has not answered for long"
@@ -803,12 +809,14 @@
     if order.kind is not OrderKind.START:
         return
     report = item.report
-    if not isinstance(report, OrderReport):
-        run.unanswered_starts -= 0 if item.unknown else 1
+    if item.unknown:
+        run.late_start_until = order.sent_at + LATE_ORDER_SECONDS
         return
-    is_other_life = report.born not in (0, split_life(order.life)[1])
-    if report.refused or not is_other_life:
-        run.unanswered_starts = 0
+    is_other_life = False
+    if isinstance(report, OrderReport) and not report.refused:
+        is_other_life = report.born not in (0, split_life(order.life)[1])
+    if not is_other_life:
+        run.unanswered_starts = max(0, run.unanswered_starts - 1)
 
 
 def _has_open_order(run: RunView) -> bool:
--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -69,6 +69,9 @@
         Number of start orders that may be carried out by a later life of the instance.
     start_sent_at : float
         Time in seconds at which a start was last sent.
+    late_start_until : float
+        Time in seconds until which a start that was not answered may be carried out,
+        also if a later one was answered.
     percent : int
         Share of full speed in percent, as listed.
     load : int
@@ -98,6 +101,7 @@
     attempts: int = 0
     unanswered_starts: int = 0
     start_sent_at: float = 0.0
+    late_start_until: float = 0.0
     percent: int = 100
     load: int = 0
     requested_percent: int = 100
--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -139,7 +139,7 @@
             return []
         match item:
             case Committed(command=BeginMaintenance() as command):
-                return self._send_first_order(command, now)
+                return self._send_first_order(command, item.at, now)
             case PlatformOutcome():
                 return self._handle_outcome(item, now)
             case ProposalOutcome(token=token, status=status):
@@ -368,7 +368,14 @@
                 effects += self._order(wave.wave, machine, now)
         return effects
 
-    def _send_first_order(self, command: BeginMaintenance, now: float) -> list[Effect]:
+    def _send_first_order(
+        self, command: BeginMaintenance, at: float, now: float
+    ) -> list[Effect]:
+        wave = self._upkeep.waves.get(command.wave)
+        begun = wave.begun.get(command.machine) if wave else None
+        if begun is None or begun.at != at:
+            # A repetition: the machine may be back, with another life.
+            return []
         instance = self._directory.find_instance(command.machine)
         self._lives[command.machine] = instance.life if instance else ""
         return self._order(command.wave, command.machine, now)
--- a/src/gypsumwalk/orphaned_runs.py
+++ b/src/gypsumwalk/orphaned_runs.py
@@ -10,7 +10,10 @@
 from gypsumwalk.leases import CLOCK_RATE_ERROR, LeaseTable, RunState, RunView
 from gypsumwalk.workload_records import split_life
 
-__all__ = ["OrphanedRuns"]
+__all__ = ["LATE_ORDER_SECONDS", "OrphanedRuns"]
+
+LATE_ORDER_SECONDS = 12.0
+"""Longest time after which an instance carries out an order that it did not answer."""
 
 
 class OrphanedRuns:
@@ -21,24 +24,45 @@
     max_lease : float
         Longest lease that an instance grants, in seconds.
     transit : float
-        Longest time in seconds for which an order may be on its way.
+        Time in seconds for which an order is usually on its way at most.
     """
 
     def __init__(self, *, max_lease: float, transit: float) -> None:
-        self._lifetime = transit + max_lease / (1 - CLOCK_RATE_ERROR)
+        self.lifetime = transit + max_lease / (1 - CLOCK_RATE_ERROR)
+        """Time in seconds after which the lease of an order just sent has expired."""
         self._runs: list[RunView] = []
 
     def clear(self) -> None:
         """Forget all runs, at the end of a term."""
         self._runs.clear()
 
-    def separate(self, ended: Iterable[RunView]) -> list[RunView]:
+    def may_have_begun(self, run: RunView, now: float) -> bool:
+        """Tell whether an unanswered start may have begun the run unnoticed.
+
+        Parameters
+        ----------
+        run : RunView
+            The run.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        bool
+            False once the longest lease after the last start has expired.
+        """
+        is_over = now >= run.start_sent_at + self.lifetime
+        return run.unanswered_starts > 0 and not is_over
+
+    def separate(self, ended: Iterable[RunView], now: float) -> list[RunView]:
         """Keep the runs that may go on in the next life, and return the others.
 
         Parameters
         ----------
         ended : Iterable of RunView
             Runs of instances that have ended.
+        now : float
+            Time in seconds.
 
         Returns
         -------
@@ -47,7 +71,10 @@
         """
         certain = []
         for run in ended:
-            if run.unanswered_starts and run.state is not RunState.ENDING:
+            is_late = now < run.late_start_until
+            if run.state is RunState.ENDING:
+                continue
+            if is_late or self.may_have_begun(run, now):
                 self._runs.append(run)
             else:
                 certain.append(run)
@@ -66,6 +93,7 @@
         list of RunView
             Runs to stop there, whether or not they have begun.
         """
+        self._drop_ended(lease_table)
         if not self._runs:
             return []
         latest: dict[str, str] = {}
@@ -80,18 +108,26 @@
             lease_table.move(run, successor)
             # The start named no time on the clock of this life.
             view = lease_table.instances[successor]
-            expiry = run.start_sent_at + self._lifetime
+            expiry = run.start_sent_at + self.lifetime
             view.min_lease_expiry = max(view.min_lease_expiry, expiry)
             run.state = RunState.STARTING
             run.stopped_at = run.missing_since = 0.0
             adopted.append(run)
         return adopted
 
-    def take_ended(self, now: float) -> list[RunView]:
+    def _drop_ended(self, lease_table: LeaseTable) -> None:
+        # The former life may have listed the end before it ended itself.
+        self._runs = [
+            run for run in self._runs if lease_table.find(run.task, run.run) is run
+        ]
+
+    def take_ended(self, lease_table: LeaseTable, now: float) -> list[RunView]:
         """Return the runs that can't go on any more, and forget them.
 
         Parameters
         ----------
+        lease_table : LeaseTable
+            Lease table of the leader.
         now : float
             Time in seconds.
 
@@ -101,11 +137,10 @@
             Runs whose start turned out not to be sent, or whose lease has expired
             wherever they began.
         """
+        self._drop_ended(lease_table)
         ended: list[RunView] = []
         remaining: list[RunView] = []
         for run in self._runs:
-            is_over = now >= run.start_sent_at + self._lifetime
-            is_ended = is_over or not run.unanswered_starts
-            (ended if is_ended else remaining).append(run)
+            (remaining if self.may_have_begun(run, now) else ended).append(run)
         self._runs = remaining
         return ended
--- a/src/gypsumwalk/run_lists.py
+++ b/src/gypsumwalk/run_lists.py
@@ -104,8 +104,6 @@
     if run.state is not RunState.RUNNING:
         run.state = RunState.RUNNING
         run.confirmed_at = now
-    if not run.is_order_pending:
-        run.unanswered_starts = 0
     run.first_listed_at = run.first_listed_at or now
     run.missing_since = 0.0
     run.percent, run.load = item.percent, item.load
--- a/src/gypsumwalk/upkeep.py
+++ b/src/gypsumwalk/upkeep.py
@@ -144,7 +144,7 @@
             case BeginMaintenance(wave=wave, machine=machine, life=life):
                 if (known := self.waves.get(wave)) and machine not in known.begun:
                     known.begun[machine] = BegunMaintenance(life, at)
-                self.ordered_at[machine] = at
+                    self.ordered_at[machine] = at
             case OrderMoves(services=services):
                 self.ordered_at.update(dict.fromkeys(services, at))
             case NoteMaintained(wave=wave, machines=machines):
--- a/tests/test_fleet_doubled_runs.py
+++ b/tests/test_fleet_doubled_runs.py
@@ -5,7 +5,7 @@
 
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.dispatcher import Dispatcher
-from gypsumwalk.effects import CallPlatform
+from gypsumwalk.effects import CallPlatform, Propose
 from gypsumwalk.fleet_calls import LeaveInstanceCall
 from gypsumwalk.inputs import Committed, PlatformOutcome
 from gypsumwalk.instance_actions import (
@@ -15,7 +15,7 @@
     StartRun,
 )
 from gypsumwalk.state import Accepted
-from gypsumwalk.upkeep import OrderMoves
+from gypsumwalk.upkeep import BeginMaintenance, OrderMoves
 from gypsumwalk.workload_records import Step
 from tests._fleet_work import FleetWorld
 from tests._fleet_work_checks import find_duplicate_runs
@@ -59,6 +59,35 @@
         assert find_duplicate_runs(world.model.history) == []
         assert world.model.history[0].ended is None
 
+    # The beginning of a maintenance is committed after its proposal has timed out, and
+    # its repetition is committed once the machine has returned.
+    def test_a_repeated_beginning_does_not_remove_the_returned_instance(self):
+        world = FleetWorld(task_seconds=60.0, instances=1)
+        world.begin()
+        assert world.start_wave(1, ["m-0"], duration=6.0).status == 200
+        world.run_until(lambda: world.model.maintenance_orders, within=10.0)
+        world.run(6.0)
+        world.submit(JOB, [Step(1, NEED)])
+        world.run_until(lambda: world.model.history, within=5.0)
+        world.start_instance(1)
+        world.run(2.0)
+        leader = world.get_leader()
+        begun = leader.upkeep.waves[1].begun["m-0"]
+        repeated = BeginMaintenance(1, "m-0", begun.life, world.find_leader())
+        effect = Propose("nobody/1", repeated, 2.0)
+        place = leader.dispatcher._place_ready_tasks
+        proposals = [effect]
+
+        def propose(now):
+            return [proposals.pop(), *place(now)] if proposals else place(now)
+
+        with patch.object(leader.dispatcher, "_place_ready_tasks", propose):
+            leader.dispatcher.request_scheduling_pass(world.now)
+            world.run(5.0)
+        assert not proposals
+        assert find_duplicate_runs(world.model.history) == []
+        assert len(world.model.history) == 1
+
     # A list of machines that was read before a move makes the leader repeat the move.
     def test_a_move_that_is_already_done_does_not_remove_the_moved_instance(self):
         world = FleetWorld(instances=1)
@@ -121,6 +150,57 @@
         assert find_duplicate_runs(world.model.history) == []
         assert world.get_state(JOB) == "completed"
 
+    # The next life carries the start out and is then cut off from the leader.
+    def test_a_start_on_a_silent_next_life_counts_for_the_longest_lease(self):
+        world = FleetWorld(task_seconds=60.0, instances=1)
+        world.begin()
+        world.run(20.0)
+        reborn = []
+        call = world.model.call
+
+        def restart_before_the_start(effect, now):
+            if isinstance(effect.action, StartRun) and not reborn:
+                reborn.append(world.start_instance(0, life=2))
+                world.start_instance(1)
+                call(effect, now)
+                reborn[0].is_silent = True
+                lost = PlatformOutcome(effect.token, succeeded=False, unknown=True)
+                return effect.timeout, lambda at: lost
+            return call(effect, now)
+
+        with patch.object(world.model, "call", restart_before_the_start):
+            world.submit(JOB, [Step(1, NEED)])
+            world.run(14.0)
+        assert find_duplicate_runs(world.model.history) == []
+        assert len(world.model.history) == 2
+
+    # The first copy of a start arrives after the life that answered the second ended.
+    def test_a_late_copy_of_a_start_is_stopped_on_the_next_life(self):
+        world = FleetWorld(task_seconds=20.0, instances=1)
+        world.begin()
+        world.run(20.0)
+        late = []
+        call = world.model.call
+
+        def delay_the_first_start(effect, now):
+            if isinstance(effect.action, StartRun) and not late:
+                late.append(effect)
+                lost = PlatformOutcome(effect.token, succeeded=False, unknown=True)
+                return effect.timeout, lambda at: lost
+            return call(effect, now)
+
+        with patch.object(world.model, "call", delay_the_first_start):
+            world.submit(JOB, [Step(1, NEED)])
+            world.run_until(lambda: world.model.history, within=6.0)
+            world.run(0.5)
+            world.start_instance(1)
+            world.start_instance(0, life=2)
+            world.run(0.05)
+            call(late[0], world.now)
+            world.run(8.0)
+        assert find_duplicate_runs(world.model.history) == []
+        assert len(world.model.history) == 3
+
     # The instance never returns, so no later life can carry the start out.
     def test_an_unanswered_start_is_repeated_once_its_lease_must_have_expired(self):
         world = FleetWorld(task_seconds=1.0, instances=1)
--- a/tests/test_fleet_work.py
+++ b/tests/test_fleet_work.py
@@ -533,6 +533,8 @@
         ]
         assert min(intervals) >= 2.0
         assert find_duplicate_runs(world.model.history) == []
+        ordered = sorted(machine for _, machine, _, _ in world.model.machine_orders)
+        assert ordered == machines
         holders = {holder for _, _, holder, _ in world.model.machine_orders}
         assert len(holders) == 1
 
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -53,7 +53,9 @@
 
     def serve(self, environ, start_response):
         length = int(environ.get("CONTENT_LENGTH") or 0)
-        body = json.loads(environ["wsgi.input"].read(length) or "null")
+        content = environ["wsgi.input"].read(length)
+        is_read = environ["REQUEST_METHOD"] == "GET"
+        body = None if is_read and not content else json.loads(content)
         expected = environ.get("HTTP_EXPECT_INSTANCE")
         self.calls.append((environ["PATH_INFO"], body, expected))
         self.environ = environ
--- a/tests/test_stale_placements.py
+++ b/tests/test_stale_placements.py
@@ -9,6 +9,10 @@
 JOB = "00000000000000aa"
 
 
+def record_of(leader):
+    return leader.workloads.jobs[JOB].tasks.get((0, 0, 0))
+
+
 class TestStalePlacement(unittest.TestCase):
     def test_a_run_that_no_leader_starts_is_ended(self):
         world = FleetWorld()
@@ -28,11 +32,11 @@
 
         with patch.object(dispatcher, "_place_ready_tasks", place):
             dispatcher.request_scheduling_pass(world.now)
-            world.run(1.0)
+            world.run_until(lambda: record_of(leader), within=1.0)
         assert not proposals
+        assert record_of(leader).placed == {1: life}
         world.run(10.0)
-        record = leader.workloads.jobs[JOB].tasks.get((0, 0, 0))
-        assert record is None or not record.placed
+        assert not record_of(leader).placed
 
 
 if __name__ == "__main__":
