Share the restarted instance between three tests of doubled runs

Three tests had the same closure with small variations: it restarts an instance just before its first start arrives, and may lose the answer or cut the new life off. One class does it now.

--- a/tests/test_fleet_doubled_runs.py
+++ b/tests/test_fleet_doubled_runs.py
@@ -24,6 +24,11 @@
 NEED = Resources(2000, 1000)
 
 
+def lose_answer(effect):
+    lost = PlatformOutcome(effect.token, succeeded=False, unknown=True)
+    return effect.timeout, lambda at: lost
+
+
 class DroppedAnswers:
     """Carries out the platform's calls, and drops the answers of some actions."""
 
@@ -34,11 +39,33 @@
     def __call__(self, effect, now):
         delay, find_outcome = self._call(effect, now)
         if isinstance(effect.action, self.kinds):
-            lost = PlatformOutcome(effect.token, succeeded=False, unknown=True)
-            return effect.timeout, lambda at: lost
+            return lose_answer(effect)
         return delay, find_outcome
 
 
+class RestartedInstance:
+    """Restarts instance 0, and adds instance 1, just before the first start arrives.
+
+    ``silent_after`` cuts the new life off from the leader once it has begun the run.
+    """
+
+    def __init__(self, world, *, is_answer_lost=False, silent_after=False):
+        self.world = world
+        self.is_answer_lost = is_answer_lost
+        self.silent_after = silent_after
+        self.reborn = None
+        self._call = world.model.call
+
+    def __call__(self, effect, now):
+        if self.reborn is not None or not isinstance(effect.action, StartRun):
+            return self._call(effect, now)
+        self.reborn = self.world.start_instance(0, life=2)
+        self.world.start_instance(1)
+        answer = self._call(effect, now)
+        self.reborn.is_silent = self.silent_after
+        return lose_answer(effect) if self.is_answer_lost else answer
+
+
 class TestRepeatedMachineOrders(unittest.TestCase):
     # A new leader repeats a wave's order after the machine has returned.
     def test_maintenance_that_is_already_done_ends_no_run_of_the_returned_machine(self):
@@ -114,16 +141,7 @@
     def test_a_start_that_reaches_the_next_life_is_not_repeated_elsewhere(self):
         world = FleetWorld(task_seconds=3.0, instances=1)
         world.begin()
-        reborn = []
-        call = world.model.call
-
-        def restart_before_the_start(effect, now):
-            if isinstance(effect.action, StartRun) and not reborn:
-                reborn.append(world.start_instance(0, life=2))
-                world.start_instance(1)
-            return call(effect, now)
-
-        with patch.object(world.model, "call", restart_before_the_start):
+        with patch.object(world.model, "call", RestartedInstance(world)):
             world.submit(JOB, [Step(1, NEED)])
             world.run(12.0)
         assert find_duplicate_runs(world.model.history) == []
@@ -133,18 +151,8 @@
     def test_an_unanswered_start_to_the_next_life_is_not_repeated_elsewhere(self):
         world = FleetWorld(task_seconds=3.0, instances=1)
         world.begin()
-        reborn = []
-        dropped = DroppedAnswers(world, StartRun)
-
-        def restart_before_the_start(effect, now):
-            if isinstance(effect.action, StartRun) and not reborn:
-                reborn.append(world.start_instance(0, life=2))
-                world.start_instance(1)
-                return dropped(effect, now)
-            return call(effect, now)
-
-        call = world.model.call
-        with patch.object(world.model, "call", restart_before_the_start):
+        restarted = RestartedInstance(world, is_answer_lost=True)
+        with patch.object(world.model, "call", restarted):
             world.submit(JOB, [Step(1, NEED)])
             world.run(12.0)
         assert find_duplicate_runs(world.model.history) == []
@@ -155,20 +163,8 @@
         world = FleetWorld(task_seconds=60.0, instances=1)
         world.begin()
         world.run(20.0)
-        reborn = []
-        call = world.model.call
-
-        def restart_before_the_start(effect, now):
-            if isinstance(effect.action, StartRun) and not reborn:
-                reborn.append(world.start_instance(0, life=2))
-                world.start_instance(1)
-                call(effect, now)
-                reborn[0].is_silent = True
-                lost = PlatformOutcome(effect.token, succeeded=False, unknown=True)
-                return effect.timeout, lambda at: lost
-            return call(effect, now)
-
-        with patch.object(world.model, "call", restart_before_the_start):
+        restarted = RestartedInstance(world, is_answer_lost=True, silent_after=True)
+        with patch.object(world.model, "call", restarted):
             world.submit(JOB, [Step(1, NEED)])
             world.run(14.0)
         assert find_duplicate_runs(world.model.history) == []
@@ -185,8 +181,7 @@
         def delay_the_first_start(effect, now):
             if isinstance(effect.action, StartRun) and not late:
                 late.append(effect)
-                lost = PlatformOutcome(effect.token, succeeded=False, unknown=True)
-                return effect.timeout, lambda at: lost
+                return lose_answer(effect)
             return call(effect, now)
 
         with patch.object(world.model, "call", delay_the_first_start):
