Restore an earlier leader's runs, and find a next life, in one place

Found when the whole change was read again; behaviour stays as it is.

- Taking over and following a late placement each had a loop that restores runs, counts their starts as unanswered and ends those without an instance: one method does both, and restore_run returns the run that it adds.
- Stopping a job walked its task records; LeaseTable.list_runs_of_job lists its runs.
- Orphaned runs sorted all lives at each check to find the next one of an instance; WorkloadSection.find_latest_life has it by an index.
- OrphanedRuns.lifetime was public without a user.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -31,6 +31,7 @@
     AcceptWorkload,
     CancelWorkload,
     EndRuns,
+    Placement,
     PlaceRuns,
     RegisterInstance,
     RemoveInstance,
@@ -229,25 +230,29 @@
             view = InstanceView(registered, renewal_due=now)
             view.min_lease_expiry = now + self._orders.lease_validity_bound
             self.lease_table.instances[registered.life] = view
-        for placement in self._workloads.list_placements():
-            self._scheduler.restore_run(placement, self.lease_table)
-        effects = self._take_over_runs(now)
+        effects = self._restore_runs(self._workloads.list_placements(), now)
         self.request_scheduling_pass(now)
-        restored = self.lease_table.list_runs()
-        for run in restored:
-            self._watch_orders(run)
         attributes: dict[str, Scalar] = {
             "instances": len(self.lease_table.instances),
-            "runs": len(restored),
+            "runs": len(self.lease_table.list_runs()),
         }
         taken_over = Record(Event.FLEET_TAKEN_OVER, f"term {self._term}", attributes)
         return [taken_over, *effects]
 
-    def _take_over_runs(self, now: float) -> list[Effect]:
-        """Take over runs whose starts the earlier leader may have sent just now."""
+    def _restore_runs(
+        self, placements: Iterable[Placement], now: float
+    ) -> list[Effect]:
+        """Add runs of an earlier leader, which may have sent their starts just now."""
         without_instance = []
-        for run in self.lease_table.list_runs():
+        for placement in placements:
+            task = placement.task
+            if task.job not in self._workloads.jobs:
+                continue
+            if self.lease_table.find(task, placement.run) is not None:
+                continue
+            run = self._scheduler.restore_run(placement, self.lease_table)
             run.unanswered_starts, run.start_sent_at = 1, now
+            self._watch_orders(run)
             if run.life not in self.lease_table.instances:
                 without_instance.append(run)
         return self._end_with_instance(without_instance, now)
@@ -290,7 +295,8 @@
                     return []
                 if term == self._term:
                     return self._start_placed(command, now)
-                return self._adopt_placed(command, now)
+                # An earlier leader placed them, and the command was committed late.
+                return self._restore_runs(command.placements, now)
             case EndRuns(ends=ends):
                 return self._remove_ended(ends, now)
             case RemoveInstance(life=life, reason=reason):
@@ -332,7 +338,8 @@
 
     def _check_orphans(self, now: float) -> list[Effect]:
         effects: list[Effect] = []
-        for run in self._orphans.adopt(self.lease_table):
+        find_latest_life = self._workloads.find_latest_life
+        for run in self._orphans.adopt(self.lease_table, find_latest_life):
             effects += self.stop(run, now)
         ended = self._orphans.take_ended(self.lease_table, now)
         return effects + self._end_as_lost(ended, "its instance has ended")
@@ -354,24 +361,6 @@
             )
         return effects + self._end_as_lost(unsent, "its start was not sent")
 
-    def _adopt_placed(self, command: PlaceRuns, now: float) -> list[Effect]:
-        """Add runs that an earlier leader placed, committed after this term began."""
-        without_instance = []
-        for placement in command.placements:
-            task = placement.task
-            if task.job not in self._workloads.jobs:
-                continue
-            if self.lease_table.find(task, placement.run) is not None:
-                continue
-            self._scheduler.restore_run(placement, self.lease_table)
-            run = self.lease_table.find(task, placement.run)
-            assert run is not None
-            run.unanswered_starts, run.start_sent_at = 1, now
-            self._watch_orders(run)
-            if run.life not in self.lease_table.instances:
-                without_instance.append(run)
-        return self._end_with_instance(without_instance, now)
-
     def _can_start(self, run: RunView, now: float) -> bool:
         view = self.lease_table.instances.get(run.life)
         workload = self._workloads.jobs.get(run.task.job)
@@ -428,16 +417,10 @@
 
     def _stop_job(self, job: str, now: float) -> list[Effect]:
         self._scheduler.invalidate(job)
-        workload = self._workloads.jobs.get(job)
-        if workload is None:
-            return []
         effects: list[Effect] = []
-        # A planned run has no task record yet; it is not started, as its job has ended.
-        for numbers in workload.tasks:
-            runs = self.lease_table.runs_by_task.get(TaskKey(job, *numbers), {})
-            for run in runs.values():
-                if not run.is_stopping:
-                    effects += self.stop(run, now)
+        for run in self.lease_table.list_runs_of_job(job):
+            if not run.is_stopping:
+                effects += self.stop(run, now)
         return effects
 
     def stop(self, run: RunView, now: float) -> list[Effect]:
--- a/src/gypsumwalk/orphaned_runs.py
+++ b/src/gypsumwalk/orphaned_runs.py
@@ -5,10 +5,10 @@
 task must not start elsewhere before the run is stopped there, or its lease has expired.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from gypsumwalk.leases import CLOCK_RATE_ERROR, LeaseTable, RunState, RunView
-from gypsumwalk.workload_records import split_life
+from gypsumwalk.workload_records import RegisteredInstance, split_life
 
 __all__ = ["LATE_ORDER_SECONDS", "OrphanedRuns"]
 
@@ -28,8 +28,7 @@
     """
 
     def __init__(self, *, max_lease: float, transit: float) -> None:
-        self.lifetime = transit + max_lease / (1 - CLOCK_RATE_ERROR)
-        """Time in seconds after which the lease of an order just sent has expired."""
+        self._lifetime = transit + max_lease / (1 - CLOCK_RATE_ERROR)
         self._runs: list[RunView] = []
 
     def clear(self) -> None:
@@ -51,7 +50,7 @@
         bool
             False once the longest lease after the last start has expired.
         """
-        is_over = now >= run.start_sent_at + self.lifetime
+        is_over = now >= run.start_sent_at + self._lifetime
         return run.unanswered_starts > 0 and not is_over
 
     def separate(self, ended: Iterable[RunView], now: float) -> list[RunView]:
@@ -80,13 +79,19 @@
                 certain.append(run)
         return certain
 
-    def adopt(self, lease_table: LeaseTable) -> list[RunView]:
+    def adopt(
+        self,
+        lease_table: LeaseTable,
+        find_latest_life: Callable[[str], RegisteredInstance | None],
+    ) -> list[RunView]:
         """Move runs to the next life of their instance, and return them.
 
         Parameters
         ----------
         lease_table : LeaseTable
             Lease table of the leader.
+        find_latest_life : Callable
+            Returns the latest registered life of an instance by its identifier.
 
         Returns
         -------
@@ -94,25 +99,23 @@
             Runs to stop there, whether or not they have begun.
         """
         self._drop_ended(lease_table)
-        if not self._runs:
-            return []
-        latest: dict[str, str] = {}
-        for life in sorted(lease_table.instances, key=split_life):
-            latest[split_life(life)[0]] = life
-        adopted = []
-        for run in list(self._runs):
-            successor = latest.get(split_life(run.life)[0])
-            if successor is None or split_life(successor) <= split_life(run.life):
+        adopted: list[RunView] = []
+        remaining: list[RunView] = []
+        for run in self._runs:
+            instance, born = split_life(run.life)
+            successor = find_latest_life(instance)
+            view = lease_table.instances.get(successor.life) if successor else None
+            if view is None or view.registered.born <= born:
+                remaining.append(run)
                 continue
-            self._runs.remove(run)
-            lease_table.move(run, successor)
+            lease_table.move(run, view.registered.life)
             # The start named no time on the clock of this life.
-            view = lease_table.instances[successor]
-            expiry = run.start_sent_at + self.lifetime
+            expiry = run.start_sent_at + self._lifetime
             view.min_lease_expiry = max(view.min_lease_expiry, expiry)
             run.state = RunState.STARTING
             run.stopped_at = run.missing_since = 0.0
             adopted.append(run)
+        self._runs = remaining
         return adopted
 
     def _drop_ended(self, lease_table: LeaseTable) -> None:
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -87,7 +87,7 @@
         self._stale |= set(self._workloads.open_jobs)
         return True
 
-    def restore_run(self, placement: Placement, lease_table: LeaseTable) -> None:
+    def restore_run(self, placement: Placement, lease_table: LeaseTable) -> RunView:
         """Add a run that an earlier leader placed, as unconfirmed.
 
         Parameters
@@ -96,11 +96,17 @@
             Its placement.
         lease_table : LeaseTable
             Lease table of the current leader.
+
+        Returns
+        -------
+        RunView
+            The run.
         """
         workload = self._workloads.jobs[placement.task.job]
         run = _make_run(workload, placement, RunState.UNCONFIRMED)
         run.is_stopping = workload.has_ended
         lease_table.add(run)
+        return run
 
     def plan_runs(self, lease_table: LeaseTable, now: float) -> list[PlannedRun]:
         """Choose the runs to start now, and add them to the lease table as planned.
