Tell callers when to come back, also where the leader's server is full

Callers got 503 without Retry-After where the leader's server had no free thread: cheroot answers by itself then, with neither a document nor headers, and the entry passed that on.

An entry adds the header to a 503 or 429 that has none. One that the leader sent stays as it is, and a 504, after which the request may have run, gets none.

test_a_refusal_without_a_time_to_return_gets_one failed on the code before with KeyError 'Retry-After'.

--- a/src/gypsumwalk/drivers/relay.py
+++ b/src/gypsumwalk/drivers/relay.py
@@ -77,6 +77,9 @@
 HOP_BY_HOP_HEADERS = ("connection", "keep-alive", "transfer-encoding", "content-length")
 IDEMPOTENT_METHODS = ("GET", "HEAD")
 
+REFUSALS = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
+"""Status codes that say that a request has not run."""
+
 
 @dataclass(frozen=True, slots=True)
 class RelayAnswer:
@@ -492,6 +495,8 @@
                 self.in_progress -= 1
         headers = {"Content-Type": "application/json", **answer.headers}
         headers["Content-Length"] = str(len(answer.body))
+        if answer.status in REFUSALS:
+            headers.setdefault("Retry-After", RETRY_AFTER)
         if self.is_draining:
             headers["Connection"] = "close"
         phrase = HTTPStatus(answer.status).phrase
@@ -558,7 +563,6 @@
 
 def _mask_refusal(answer: RelayAnswer) -> RelayAnswer:
     # An earlier attempt may have run, so the caller must not be told "not run".
-    refusals = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
-    if answer.status in refusals:
+    if answer.status in REFUSALS:
         return RelayAnswer(HTTPStatus.GATEWAY_TIMEOUT)
     return answer
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -3,11 +3,12 @@
 import socket
 import threading
 import unittest
+from unittest import mock
 
 from cheroot.wsgi import Server
 
 from gypsumwalk.drivers import relay as relay_module
-from gypsumwalk.drivers.relay import Relay
+from gypsumwalk.drivers.relay import Relay, RelayAnswer, RelayApplication
 from gypsumwalk.fleet_call_handler import LEADER_HEADER
 from tests._real_daemon import find_ports
 
@@ -224,5 +225,28 @@
         assert self.post(self.make_relay([leader.address])).status == 504
 
 
+class TestRelayApplication(unittest.TestCase):
+    def relay(self, answer):
+        """Return the record of one relayed call, and the headers of its answer."""
+        records, started = [], []
+        relay = mock.Mock(leader="daemon:1")
+        relay.send.return_value = answer
+        application = RelayApplication(
+            relay, lambda _: 3.0, record=records.append, metrics=mock.Mock()
+        )
+        environ = {"REQUEST_METHOD": "POST", "PATH_INFO": "/a/b"}
+        application(environ, lambda status, headers: started.append(headers))
+        return records[0], dict(started[0])
+
+    # A leader's server without a free thread answers without headers.
+    def test_a_refusal_without_a_time_to_return_gets_one(self):
+        _, headers = self.relay(RelayAnswer(503, b""))
+        assert headers["Retry-After"] == "1"
+        _, headers = self.relay(RelayAnswer(503, b"", {"Retry-After": "4"}))
+        assert headers["Retry-After"] == "4"
+        _, headers = self.relay(RelayAnswer(504))
+        assert "Retry-After" not in headers
+
+
 if __name__ == "__main__":
     unittest.main()
