Log why the leader refused a relayed call

Most of the 565 refusals of the incident came from the leader within 0.1 s.

Event 1009 has the attribute `reason` where the status is 400 or above: the type of the refusal's document, `server-full` for a refusal without a document, `timeout` for a document without a type.

test_the_record_of_a_refusal_has_its_reason failed on the code before with KeyError 'reason' for each of its three answers.

--- a/src/gypsumwalk/drivers/relay.py
+++ b/src/gypsumwalk/drivers/relay.py
@@ -14,6 +14,7 @@
 from http import HTTPStatus
 from typing import Any
 
+import msgspec
 import urllib3
 from urllib3.exceptions import (
     ConnectTimeoutError,
@@ -80,6 +81,9 @@
 REFUSALS = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
 """Status codes that say that a request has not run."""
 
+UNEXPLAINED = "server-full"
+"""Reason of a refusal without a document: no thread was free to make one."""
+
 
 @dataclass(frozen=True, slots=True)
 class RelayAnswer:
@@ -90,6 +94,12 @@
     headers: Mapping[str, str] = field(default_factory=dict)
 
 
+class _Refusal(msgspec.Struct):
+    """The part of a refusal's document that is logged."""
+
+    type: str = ""
+
+
 class _Leader:
     """A daemon that is known to lead, with an event for its loss.
 
@@ -533,6 +543,8 @@
                 "seconds": round(duration, 3),
                 "leader": self._relay.leader,
             }
+            if answer.status >= HTTPStatus.BAD_REQUEST:
+                attributes["reason"] = _find_reason(answer)
             subject = path.rpartition("/")[2]
             self._record(Record(Event.REQUEST_RELAYED, subject, attributes))
         return answer
@@ -566,3 +578,12 @@
     if answer.status in REFUSALS:
         return RelayAnswer(HTTPStatus.GATEWAY_TIMEOUT)
     return answer
+
+
+def _find_reason(answer: RelayAnswer) -> str:
+    """Return the type of a refusal for the log."""
+    try:
+        refusal = msgspec.json.decode(answer.body, type=_Refusal)
+    except msgspec.DecodeError:
+        return UNEXPLAINED
+    return refusal.type.rpartition("/")[2] or "timeout"
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -238,6 +238,20 @@
         application(environ, lambda status, headers: started.append(headers))
         return records[0], dict(started[0])
 
+    # Logs did not tell a full server from a leader without a lease.
+    def test_the_record_of_a_refusal_has_its_reason(self):
+        document = b'{"type":"/problems/overloaded","title":"overloaded"}'
+        for body, reason in (
+            (document, "overloaded"),
+            (b"", "server-full"),
+            (b"{}", "timeout"),
+        ):
+            with self.subTest(reason=reason):
+                record, _ = self.relay(RelayAnswer(503, body))
+                assert record.attributes["reason"] == reason
+        record, _ = self.relay(RelayAnswer(200))
+        assert "reason" not in record.attributes
+
     # A leader's server without a free thread answers without headers.
     def test_a_refusal_without_a_time_to_return_gets_one(self):
         _, headers = self.relay(RelayAnswer(503, b""))
