Handle outcomes and messages before calls

The node took its inputs in the order of their arrival, from one bounded channel. On a busy leader the answers to renewals, the ends of runs and the acknowledgements of voters waited behind up to 4,096 calls, while leases and the leader lease ran on; and a task that had an outcome to deliver blocked while calls filled the channel.

InputQueue keeps two groups. Everything but calls comes first, except for eight calls of each turn, so that calls go on under any load. Each group keeps the order of its arrival. Outcomes are accepted even if the queue is full, as their number is bounded by the effects in progress; calls and messages are refused as before, each by its own limit, so that calls cannot cause messages of other daemons to be dropped.

--- a/src/gypsumwalk/drivers/bridge.py
+++ b/src/gypsumwalk/drivers/bridge.py
@@ -8,8 +8,9 @@
 import msgspec
 import trio
 
+from gypsumwalk.drivers.input_queue import InputSink
 from gypsumwalk.effects import Answer, Respond
-from gypsumwalk.inputs import CallInput, Input
+from gypsumwalk.inputs import CallInput
 from gypsumwalk.problems import Outcome, ProblemType, refuse
 
 __all__ = ["CallBridge"]
@@ -24,14 +25,14 @@
     ----------
     token : trio.lowlevel.TrioToken
         Token of the event loop that runs the node.
-    inputs : trio.MemorySendChannel
-        Bounded channel of the node's inputs.
+    inputs : InputSink
+        Bounded queue of the node's inputs.
     """
 
     def __init__(
         self,
         token: trio.lowlevel.TrioToken,
-        inputs: trio.MemorySendChannel[Input],
+        inputs: InputSink,
     ) -> None:
         self._token = token
         self._inputs = inputs
--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -14,6 +14,7 @@
 from gypsumwalk.drivers.connections import ReceiveWatchdog
 from gypsumwalk.drivers.disk import FolderDisk
 from gypsumwalk.drivers.factory import DaemonAssembly, DaemonFactory, ServerContext
+from gypsumwalk.drivers.input_queue import InputQueue, QueuedInput
 from gypsumwalk.drivers.journal import EventJournal
 from gypsumwalk.drivers.metrics import Metrics
 from gypsumwalk.drivers.peers import PeerAddress, PeerNetwork
@@ -34,7 +35,7 @@
 from gypsumwalk.errors import DiskFailure
 from gypsumwalk.events import Event
 from gypsumwalk.incarnations import choose_incarnation, encode_incarnation
-from gypsumwalk.inputs import DiskOutcome, Input, ShutdownRequested
+from gypsumwalk.inputs import DiskOutcome, ShutdownRequested
 from gypsumwalk.interfaces import Disk
 from gypsumwalk.recovery import Recovered
 from gypsumwalk.settings import Settings
@@ -43,7 +44,6 @@
 
 __all__ = ["Daemon", "run_daemon"]
 
-MAX_QUEUED_INPUTS = 4096
 MAX_QUEUED_WRITES = 1024
 MAX_BATCH_INPUTS = 64
 DISPATCH_THREADS = 128
@@ -78,13 +78,11 @@
         self._metrics = Metrics()
         self._assembly = self._recover_and_assemble()
         self._node = self._assembly.node
-        self._send_input, self._inputs = trio.open_memory_channel[Input](
-            MAX_QUEUED_INPUTS
-        )
+        self._inputs = InputQueue(self._clock)
         self._send_write, self._writes = trio.open_memory_channel[WriteDisk](
             MAX_QUEUED_WRITES
         )
-        self._bridge = CallBridge(trio.lowlevel.current_trio_token(), self._send_input)
+        self._bridge = CallBridge(trio.lowlevel.current_trio_token(), self._inputs)
         self._targets = TargetHttpClient(
             concurrency=DISPATCH_THREADS, max_body_bytes=settings.max_body_bytes
         )
@@ -138,8 +136,8 @@
     async def _run_event_loop(self) -> None:
         wakeup = self._advance(self._clock.now())
         while self._stop is None:
-            for item in await self._receive_inputs(wakeup):
-                self._execute(self._node.handle(item, self._clock.now()))
+            for queued in await self._receive_inputs(wakeup):
+                self._execute(self._node.handle(queued.item, self._clock.now()))
             wakeup = self._advance(self._clock.now())
 
     def _advance(self, now: float) -> float:
@@ -151,15 +149,11 @@
         self._journal.flush()
         return wakeup
 
-    async def _receive_inputs(self, wakeup: float) -> Sequence[Input]:
+    async def _receive_inputs(self, wakeup: float) -> Sequence[QueuedInput]:
         wait = min(max(wakeup - self._clock.now(), 0.0), MAX_IDLE_SECONDS)
         with trio.move_on_after(wait):
-            batch = [await self._inputs.receive()]
-            with contextlib.suppress(trio.WouldBlock):
-                while len(batch) < MAX_BATCH_INPUTS:
-                    batch.append(self._inputs.receive_nowait())
-            return batch
-        return ()
+            await self._inputs.wait()
+        return self._inputs.take(MAX_BATCH_INPUTS)
 
     def _execute(self, effects: Sequence[Effect]) -> None:
         for effect in effects:
@@ -178,7 +172,7 @@
             outcome = await self._targets.dispatch(effect)
             self._metrics.count("dispatches", status=outcome.status)
             self._metrics.observe_latency("dispatch", self._clock.now() - started)
-            await self._send_input.send(outcome)
+            self._inputs.put(outcome)
         self._dispatches.pop(effect.dispatch_id, None)
 
     def _cancel_dispatch(self, effect: CancelDispatch) -> None:
@@ -194,7 +188,7 @@
         outcome = await self._platform.call(effect)
         self._metrics.count("platform_calls", outcome=_name_outcome(outcome.succeeded))
         self._metrics.observe_latency("platform", self._clock.now() - started)
-        await self._send_input.send(outcome)
+        self._inputs.put(outcome)
 
     async def _write_disk(self) -> None:
         async for write in self._writes:
@@ -202,7 +196,7 @@
             succeeded = await trio.to_thread.run_sync(self._write_blocking, write)
             self._metrics.count("disk_writes", outcome=_name_outcome(succeeded))
             self._metrics.observe_latency("disk_write", self._clock.now() - started)
-            await self._send_input.send(DiskOutcome(write.token, succeeded))
+            self._inputs.put(DiskOutcome(write.token, succeeded))
 
     def _write_blocking(self, write: WriteDisk) -> bool:
         if self._disk is None:
@@ -231,7 +225,7 @@
                 timeout = 0.0 if self._shutting_down else SHUTDOWN_TIMEOUT_SECONDS
                 self._shutting_down = True
                 deadline = self._clock.now() + timeout
-                await self._send_input.send(ShutdownRequested(deadline))
+                self._inputs.put(ShutdownRequested(deadline))
 
     def _reload(self) -> None:
         changed = self._factory.reload()
@@ -278,7 +272,7 @@
             hybrid=self._hybrid_clock,
             find=self._factory.find_peer,
             accept=self._assembly.accept,
-            inputs=self._send_input,
+            inputs=self._inputs,
             record=self._record,
             metrics=self._metrics,
         )
--- a/src/gypsumwalk/drivers/peers.py
+++ b/src/gypsumwalk/drivers/peers.py
@@ -9,11 +9,12 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from gypsumwalk.drivers.input_queue import InputSink
 from gypsumwalk.drivers.metrics import Metrics
 from gypsumwalk.effects import Record
 from gypsumwalk.errors import MalformedMessage
 from gypsumwalk.events import Event
-from gypsumwalk.inputs import Input, PeerInput
+from gypsumwalk.inputs import PeerInput
 from gypsumwalk.interfaces import Clock
 from gypsumwalk.timestamps import HybridClock
 from gypsumwalk.wire import Envelope, PeerCodec
@@ -57,8 +58,8 @@
         Returns the address of a daemon by name, or None.
     accept : Callable
         Returns whether an envelope is new, and adds it to the replay window.
-    inputs : trio.MemorySendChannel
-        Channel of the node's inputs.
+    inputs : InputSink
+        Queue of the node's inputs.
     record : Callable
         Writes an event.
     metrics : Metrics
@@ -75,7 +76,7 @@
         hybrid: HybridClock,
         find: Callable[[str], PeerAddress | None],
         accept: Callable[[Envelope], bool],
-        inputs: trio.MemorySendChannel[Input],
+        inputs: InputSink,
         record: Callable[[Record], None],
         metrics: Metrics,
     ) -> None:
