Measure how late the event loop is, and what takes its time

Whether the leader stalls since its event loop is late, its link is full or its calls wait could not be told from metrics: `inputs` and the latency `decision` were declared, and nothing recorded them.

- `loop_lateness`: the longest delay of an input or a timer, per turn of the loop.
- `inputs` and the new counter `decision_seconds`, by the kind of input.
The latency `decision` is gone.
- `platform_wait`: the time that a call of an instance or machine waits before it is sent; `platform_calls_in_progress`.
- Event 1010, at most once a second, if the loop was 0.1 s late or more.

Sums are kept in dictionaries and passed on once a second, as updating a metric for each input would take longer than handling many of them. A timer that an input has set to a time in the past is not late, or each change of the leader would report half a minute.

--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -16,6 +16,7 @@
 from gypsumwalk.drivers.factory import DaemonAssembly, DaemonFactory, ServerContext
 from gypsumwalk.drivers.input_queue import InputQueue, QueuedInput
 from gypsumwalk.drivers.journal import EventJournal
+from gypsumwalk.drivers.loop_monitor import LoopMonitor
 from gypsumwalk.drivers.metrics import Metrics
 from gypsumwalk.drivers.peers import PeerAddress, PeerNetwork
 from gypsumwalk.drivers.server import HttpServer
@@ -76,6 +77,7 @@
         self._log = self._factory.open_log()
         self._journal = EventJournal(settings, self._hybrid_clock, stream=self._log)
         self._metrics = Metrics()
+        self._monitor = LoopMonitor(self._metrics, self._record)
         self._assembly = self._recover_and_assemble()
         self._node = self._assembly.node
         self._inputs = InputQueue(self._clock)
@@ -86,7 +88,7 @@
         self._targets = TargetHttpClient(
             concurrency=DISPATCH_THREADS, max_body_bytes=settings.max_body_bytes
         )
-        self._platform = self._factory.make_platform()
+        self._platform = self._factory.make_platform(self._record_platform_wait)
         self._watchdog = ReceiveWatchdog()
         self._peers = self._make_peer_network()
         self._dispatches: dict[str, trio.CancelScope] = {}
@@ -136,14 +138,15 @@
     async def _run_event_loop(self) -> None:
         wakeup = self._advance(self._clock.now())
         while self._stop is None:
-            for queued in await self._receive_inputs(wakeup):
-                self._execute(self._node.handle(queued.item, self._clock.now()))
+            self._handle_inputs(await self._receive_inputs(wakeup))
             wakeup = self._advance(self._clock.now())
+            self._monitor.end_turn(self._clock.now(), len(self._inputs))
 
     def _advance(self, now: float) -> float:
         wakeup = self._node.wakeup
         if wakeup <= now:
             self._execute(self._node.advance(now))
+            self._monitor.count_timers(wakeup, now, self._clock.now())
             wakeup = self._node.wakeup
         self._ready = self._assembly.is_ready(now)
         self._journal.flush()
@@ -155,6 +158,14 @@
             await self._inputs.wait()
         return self._inputs.take(MAX_BATCH_INPUTS)
 
+    def _handle_inputs(self, batch: Sequence[QueuedInput]) -> None:
+        began = self._clock.now()
+        for queued in batch:
+            self._execute(self._node.handle(queued.item, began))
+            ended = self._clock.now()
+            self._monitor.count_input(queued, began, ended)
+            began = ended
+
     def _execute(self, effects: Sequence[Effect]) -> None:
         for effect in effects:
             self._actions[type(effect)](effect)
@@ -185,11 +196,18 @@
 
     async def _call_platform(self, effect: CallPlatform) -> None:
         started = self._clock.now()
-        outcome = await self._platform.call(effect)
+        self._monitor.begin_call()
+        try:
+            outcome = await self._platform.call(effect)
+        finally:
+            self._monitor.end_call()
         self._metrics.count("platform_calls", outcome=_name_outcome(outcome.succeeded))
         self._metrics.observe_latency("platform", self._clock.now() - started)
         self._inputs.put(outcome)
 
+    def _record_platform_wait(self, seconds: float) -> None:
+        self._metrics.observe_latency("platform_wait", seconds)
+
     async def _write_disk(self) -> None:
         async for write in self._writes:
             started = self._clock.now()
--- a/src/gypsumwalk/drivers/factory.py
+++ b/src/gypsumwalk/drivers/factory.py
@@ -104,8 +104,12 @@
         """Return the address of a daemon, or None if unknown."""
         ...
 
-    def make_platform(self) -> PlatformClient:
-        """Create the platform client."""
+    def make_platform(self, record_wait: Callable[[float], None]) -> PlatformClient:
+        """Create the platform client.
+
+        It calls ``record_wait`` once per request with the seconds that the request
+        waited before it was sent, if it knows them.
+        """
         ...
 
     def make_servers(self, context: ServerContext) -> list[HttpServer]:
--- a/src/gypsumwalk/drivers/metriccatalogue.py
+++ b/src/gypsumwalk/drivers/metriccatalogue.py
@@ -42,6 +42,9 @@
 
 _ENTRIES = [
     MetricEntry("inputs", _COUNTER, "Inputs that decisions took in.", ("kind",)),
+    MetricEntry(
+        "decision_seconds", _COUNTER, "Seconds spent deciding on inputs.", ("kind",)
+    ),
     MetricEntry("effects", _COUNTER, "Effects that decisions asked for.", ("kind",)),
     MetricEntry("events", _COUNTER, "Events recorded.", ("number",)),
     MetricEntry("event_lines_lost", _GAUGE, "Event lines that could not be written."),
@@ -69,6 +72,9 @@
     MetricEntry("platform_calls", _COUNTER, "Calls of the platform.", ("outcome",)),
     MetricEntry("disk_writes", _COUNTER, "Synced writes.", ("outcome",)),
     MetricEntry("waiting_calls", _GAUGE, "HTTP calls that wait for an answer."),
+    MetricEntry(
+        "platform_calls_in_progress", _GAUGE, "Calls of the platform not yet answered."
+    ),
     MetricEntry("requests_in_progress", _GAUGE, "Requests sent and not answered."),
     MetricEntry("ready", _GAUGE, "Whether the daemon is ready, 1 or 0."),
     MetricEntry("leader", _GAUGE, "Whether the daemon leads the log, 1 or 0."),
@@ -79,8 +85,15 @@
     MetricEntry("http", _LATENCY, "Time to answer an HTTP call.", ("audience",)),
     MetricEntry("dispatch", _LATENCY, "Time until a target's answer."),
     MetricEntry("platform", _LATENCY, "Time until the platform's answer."),
+    MetricEntry(
+        "platform_wait", _LATENCY, "Time until a call of the platform was sent."
+    ),
     MetricEntry("disk_write", _LATENCY, "Time of a synced write."),
-    MetricEntry("decision", _LATENCY, "Time to decide on one input."),
+    MetricEntry(
+        "loop_lateness",
+        _LATENCY,
+        "Longest delay of an input or a timer in one turn of the event loop.",
+    ),
 ]
 
 METRICS = {entry.name: entry for entry in _ENTRIES}
--- a/src/gypsumwalk/drivers/standard_factory.py
+++ b/src/gypsumwalk/drivers/standard_factory.py
@@ -1,5 +1,6 @@
 """Factory of the standard daemon, whose platform is reached by URL."""
 
+from collections.abc import Callable
 from random import Random, SystemRandom
 
 from gypsumwalk.assembly import ENDPOINTS, PEER_MESSAGES, Assembly
@@ -57,7 +58,7 @@
                 return PeerAddress(peer.address, peer.peer_port)
         return None
 
-    def make_platform(self) -> PlatformHttpClient:
+    def make_platform(self, record_wait: Callable[[float], None]) -> PlatformHttpClient:
         """Create the platform client."""
         return PlatformHttpClient(self._settings.platform_url)
 
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -66,6 +66,12 @@
         Level.INFO,
         "{method} {path} was answered {status} after {seconds} s, leader {leader}",
     )
+    LOOP_LATE = EventEntry(
+        1010,
+        Level.WARNING,
+        "handled inputs or timers {late} s late; {deciding} s for {inputs} inputs,"
+        " {queued} queued, {calls} calls in progress",
+    )
     # Agreement, membership, configuration, keys and portions: 2000 to 2999.
     LEADER_ELECTED = EventEntry(
         2001, Level.INFO, "became leader of the replicated log in term {term}"
