Compress large commands of the replicated log

A declaration stands in the log twice, as records and as the operator's text, and large entries go to each daemon in base64 inside JSON.

Commands of 2 KB and more are compressed by zlib at its fastest level. A declaration of 1,400 queues takes 22,868 bytes instead of 459,043 (that of the test). Small commands stay as they are: they fit into a datagram and are most of the log.

An expanded command is limited to 32 MiB, and a damaged or truncated one is refused by type.

Each appended entry was decoded to see whether it changes the voters. Its tag is compared instead, so that a large command is not expanded for this; a change of voters is never large enough to be compressed.

The tests import the new module and can't run on the code before.

--- a/src/gypsumwalk/proposals.py
+++ b/src/gypsumwalk/proposals.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from gypsumwalk.command_codec import encode_command
 from gypsumwalk.effects import Effect, Propose, Raise
 from gypsumwalk.inputs import ProposalOutcome, ProposalStatus
 from gypsumwalk.part import NEVER
@@ -75,7 +76,7 @@
         if len(self._pending) >= MAX_PENDING or spread >= MAX_SEQUENCE_SPREAD:
             return False
         self._sequence += 1
-        command = msgspec.msgpack.encode(proposal.command)
+        command = encode_command(proposal.command)
         forward = Forward(self._incarnation, self._sequence, command)
         deadline = now + proposal.timeout
         self._pending[self._sequence] = _Pending(proposal.token, forward, deadline, now)
--- a/src/gypsumwalk/replica.py
+++ b/src/gypsumwalk/replica.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from gypsumwalk.command_codec import expand_command, is_encoded_as
 from gypsumwalk.effects import (
     AppendRecords,
     DiskOperation,
@@ -172,7 +173,8 @@
             If the command is malformed or no section applies commands of its type.
         """
         try:
-            decoded: msgspec.Struct = self._decoder.decode(command)
+            expanded = expand_command(command)
+            decoded: msgspec.Struct = self._decoder.decode(expanded)
         except (msgspec.MsgspecError, RecursionError) as error:
             raise UnknownMessage(str(error)) from error
         return decoded
@@ -294,7 +296,9 @@
 
     def _record_voter_changes(self, entries: Sequence[Entry]) -> None:
         for entry in entries:
-            if not entry.command or entry.index <= self.snapshot_index:
+            if entry.index <= self.snapshot_index:
+                continue
+            if not is_encoded_as(ChangeVoters, entry.command):
                 continue
             command = self.decode(entry.command)
             if isinstance(command, ChangeVoters):
--- a/src/gypsumwalk/replication.py
+++ b/src/gypsumwalk/replication.py
@@ -40,7 +40,7 @@
     sequence : int
         Sequence number of the command within the incarnation.
     command : bytes
-        The command in MessagePack; empty in a no-op entry.
+        The command as encoded by ``encode_command``; empty in a no-op entry.
     """
 
     index: int
