Send a large entry once, and nothing past it

Large entries go over a connection, heartbeats and small entries in datagrams, which overtake them. The answer to a later heartbeat lacked the entry, so that the leader took the entry for lost and sent it again, at each heartbeat for as long as the transfer took. Small entries sent meanwhile were rejected for the gap before them, with the same result. This is congestion by repetition: the timeout is shorter than the transfer it watches, and the repetitions make the transfer longer.

The leader notes the last entry that it sent over a connection. Until the daemon has it, for 1 s at most, the entry is not taken for lost, and no further entries are sent to this daemon; heartbeats go on. A rejected message ends the wait at once, and a connection that fails costs the second.

The simulated network gets a bandwidth that the reliable messages of a sender share, since without one no heartbeat can overtake anything.

A longer timeout alone would not do, as no fixed one fits both a lost datagram and a large transfer. Sending everything over the connection would cost much more processor time.

--- a/src/gypsumwalk/leadership.py
+++ b/src/gypsumwalk/leadership.py
@@ -201,7 +201,7 @@
         peer.identity = answer.identity
         self._record_contact(peer, answer.sent, answer.stamp, now)
         if answer.accepted:
-            peer.accept(answer.match, answer.received, answer.sent)
+            peer.accept(answer.match, answer.received, answer.sent, now)
         else:
             peer.reject(answer.received)
 
@@ -256,7 +256,12 @@
             return self._send_chunk(peer, now)
         effects: list[Effect] = []
         last_index = self._replica.log.last_index
-        while peer.next_index <= last_index and peer.can_send:
+        # Datagrams would overtake entries sent over a connection and be rejected.
+        while (
+            peer.next_index <= last_index
+            and peer.can_send
+            and not peer.is_streaming(now)
+        ):
             effects.append(self._send_entries(peer, now))
         if effects:
             return effects
@@ -276,11 +281,13 @@
         size = sum(
             len(entry.command) + DATAGRAM_ENTRY_OVERHEAD_BYTES for entry in entries
         )
-        return SendPeer(peer.name, message, reliable=size > MAX_DATAGRAM_BYTES)
+        if is_large := size > MAX_DATAGRAM_BYTES:
+            peer.streamed_index, peer.streamed_at = entries[-1].index, now
+        return SendPeer(peer.name, message, reliable=is_large)
 
     def _send_heartbeat(self, peer: Progress, now: float) -> Effect:
         previous = peer.next_index - 1 if peer.probing else peer.received
-        if peer.probing:
+        if peer.probing and not peer.is_streaming(now):
             peer.in_flight = 0
         return SendPeer(peer.name, self._make_message(peer, previous, [], now))
 
--- a/src/gypsumwalk/progress.py
+++ b/src/gypsumwalk/progress.py
@@ -15,6 +15,9 @@
 MAX_IN_FLIGHT = 4
 """Messages with entries that may be unanswered at a time, per daemon."""
 
+STREAM_TIMEOUT_SECONDS = 1.0
+"""Time for which entries sent over a connection are not taken for lost."""
+
 
 @dataclass(frozen=True, slots=True)
 class ElectionTiming:
@@ -64,6 +67,10 @@
         Unanswered messages with entries.
     entries_sent : float
         Time in seconds at which entries were last sent.
+    streamed_index : int
+        Last entry sent over a connection, which datagrams sent later may overtake.
+    streamed_at : float
+        Time in seconds at which it was sent.
     due : float
         Time in seconds of the next heartbeat.
     acknowledged : float
@@ -90,6 +97,8 @@
     probing: bool = True
     in_flight: int = 0
     entries_sent: float = 0.0
+    streamed_index: int = 0
+    streamed_at: float = 0.0
     due: float = 0.0
     acknowledged: float = 0.0
     stamp: float = -1.0
@@ -105,7 +114,12 @@
         limit = 1 if self.probing else MAX_IN_FLIGHT
         return self.in_flight < limit and not self.snapshot_index
 
-    def accept(self, match: int, received: int, sent: float) -> None:
+    def is_streaming(self, now: float) -> bool:
+        """Tell whether entries sent over a connection may still be on their way."""
+        is_pending = self.received < self.streamed_index
+        return is_pending and now < self.streamed_at + STREAM_TIMEOUT_SECONDS
+
+    def accept(self, match: int, received: int, sent: float, now: float) -> None:
         """Advance on an answer that the logs match.
 
         Parameters
@@ -116,10 +130,16 @@
             Last entry received by the daemon.
         sent : float
             Send time in seconds of the answered message.
+        now : float
+            Time in seconds.
         """
         self.match = max(self.match, match)
         self.received = max(self.received, received)
         self.snapshot_index = 0
+        if self.is_streaming(now):
+            self.probing = False
+            self.next_index = max(self.next_index, self.streamed_index + 1)
+            return
         is_entry_lost = sent > self.entries_sent and received < self.next_index - 1
         if self.probing or is_entry_lost:
             self.next_index = self.received + 1
@@ -142,6 +162,7 @@
         self.probing = True
         self.in_flight = 0
         self.received = 0
+        self.streamed_index = 0
         self.next_index = max(1, min(hint + 1, self.next_index))
 
 
--- a/tests/_fake_network.py
+++ b/tests/_fake_network.py
@@ -46,7 +46,9 @@
     of a partition hold names of both kinds, or ``rest``. ``delay`` is in seconds,
     ``jitter`` its largest relative deviation, ``drop`` and ``duplicate`` are
     probabilities. ``oversized`` holds sender, message type and size in bytes of the
-    datagrams that were too large to send.
+    datagrams that were too large to send. ``link_bytes_per_second`` is the bandwidth
+    that the reliable messages of one sender share, 0 for no limit; datagrams are small
+    and do not wait for them.
     """
 
     random: Random
@@ -58,6 +60,8 @@
     sent_bytes: dict[str, int] = field(default_factory=dict)
     sent_messages: dict[str, int] = field(default_factory=dict)
     oversized: list[tuple[str, str, int]] = field(default_factory=list)
+    link_bytes_per_second: float = 0.0
+    _link_busy_until: dict[str, float] = field(default_factory=dict)
 
     def partition(self, sources, sinks=(REST,), *, one_way=False):
         """Block traffic between two groups of names."""
@@ -87,6 +91,15 @@
             return None
         return codec.decode(content, type=type(body))
 
+    def find_transfer_delay(self, sender, body, reliable, now):
+        """Return the time in seconds until the sender's link has sent a message."""
+        if not reliable or not self.link_bytes_per_second:
+            return 0.0
+        duration = len(msgspec.json.encode(body)) / self.link_bytes_per_second
+        end = max(now, self._link_busy_until.get(sender, 0.0)) + duration
+        self._link_busy_until[sender] = end
+        return end - now
+
     def draw_copies(self):
         """Return the delays in seconds of the copies of a message that arrive."""
         if self.random.random() < self.drop:
--- a/tests/_world.py
+++ b/tests/_world.py
@@ -373,9 +373,12 @@
         item = PeerInput(daemon.name, body)
         self._count += 1
         message_id = (daemon.name, daemon.incarnation, self._count)
+        transfer = self.network.find_transfer_delay(
+            daemon.name, effect.body, effect.reliable, self.now
+        )
         for delay in self.network.draw_copies():
             self.schedule(
-                delay,
+                transfer + delay,
                 lambda: self._receive_peer_message(daemon, recipient, item, message_id),
             )
 
