Send entries of up to 6 KB in datagrams

Above 900 bytes, commands and entries went over HTTP, which costs the leader a signature, an exchange and a thread for each batch, and lets heartbeats overtake them. Under load most batches of placements and ends are larger than that.

The limit is 6,000 bytes, in one place for commands and entries. With the envelope they stay below the 8 KB of the largest datagram that the transport sends.

--- a/src/gypsumwalk/consensus.py
+++ b/src/gypsumwalk/consensus.py
@@ -24,6 +24,7 @@
 from gypsumwalk.replica import Replica
 from gypsumwalk.replication import (
     COMMANDS,
+    MAX_DATAGRAM_BYTES,
     PEER_MESSAGES,
     AppendAnswer,
     AppendEntries,
@@ -49,9 +50,6 @@
 FOLLOW_RETRY_SECONDS = 0.5
 """Interval at which a daemon without a leader asks to be sent the log."""
 
-MAX_DATAGRAM_BYTES = 900
-"""Commands above this size are forwarded over a reliable connection."""
-
 IDENTITY_BITS = 64
 """Size of a random disk identity."""
 
--- a/src/gypsumwalk/leadership.py
+++ b/src/gypsumwalk/leadership.py
@@ -8,6 +8,7 @@
 from gypsumwalk.progress import ElectionTiming, Progress, find_quorum_value
 from gypsumwalk.replica import Replica
 from gypsumwalk.replication import (
+    MAX_DATAGRAM_BYTES,
     AppendAnswer,
     AppendEntries,
     ChangeVoters,
@@ -36,8 +37,6 @@
 SNAPSHOT_RESEND_SECONDS = 1.0
 MAX_BATCH_BYTES = 256 * 1024
 MAX_BATCH_ENTRIES = 512
-MAX_DATAGRAM_BYTES = 900
-"""Entries above this size are sent over a reliable connection."""
 MAX_UNCOMMITTED_ENTRIES = 4096
 SNAPSHOT_CHUNK_BYTES = 128 * 1024
 DATAGRAM_ENTRY_OVERHEAD_BYTES = 48
--- a/src/gypsumwalk/replication.py
+++ b/src/gypsumwalk/replication.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "COMMANDS",
+    "MAX_DATAGRAM_BYTES",
     "PEER_MESSAGES",
     "AppendAnswer",
     "AppendEntries",
@@ -21,6 +22,10 @@
     "VoteRequest",
 ]
 
+MAX_DATAGRAM_BYTES = 6000
+"""Commands and entries above this size are sent over a connection, which costs much
+more processor time; with their envelope they fit into the largest datagram sent."""
+
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
     """One entry of the replicated log.
