Take a new disk of a daemon for an empty one

A voter that lost its disk returned with an empty one, and the leader proposed to let it vote before it held any entry: the leader kept what the lost disk had acknowledged, and counted these entries as held by the new disk. If a majority had counted on them, an acknowledged command could have been lost.

Progress.register_identity resets what is known of a daemon's log if its disk changes. A daemon is probed from the start then, and becomes a voter once it holds every committed entry.

test_a_new_disk_votes_only_once_it_holds_every_committed_entry failed on the code before: the durable index of the new disk was not the commit index when the change was planned.

--- a/src/gypsumwalk/leadership.py
+++ b/src/gypsumwalk/leadership.py
@@ -197,7 +197,7 @@
         peer = self._progress.get(source)
         if peer is None:
             return
-        peer.identity = answer.identity
+        peer.register_identity(answer.identity)
         self._record_contact(peer, answer.sent, answer.stamp, now)
         if answer.accepted:
             peer.accept(answer.match, answer.received, answer.sent, now)
--- a/src/gypsumwalk/progress.py
+++ b/src/gypsumwalk/progress.py
@@ -119,6 +119,25 @@
         is_pending = self.received < self.streamed_index
         return is_pending and now < self.streamed_at + STREAM_TIMEOUT_SECONDS
 
+    def register_identity(self, identity: str) -> None:
+        """Record the disk that answers; another one than before holds no entries.
+
+        Parameters
+        ----------
+        identity : str
+            Disk identity that the daemon reports.
+        """
+        if identity == self.identity:
+            return
+        if self.identity:
+            self.streamed_index = 0
+        self.identity = identity
+        self.match = 0
+        self.received = 0
+        self.probing = True
+        self.in_flight = 0
+        self.snapshot_index = 0
+
     def accept(self, match: int, received: int, sent: float, now: float) -> None:
         """Advance on an answer that the logs match.
 
--- a/tests/test_fleet_work.py
+++ b/tests/test_fleet_work.py
@@ -479,6 +479,22 @@
         world.run(3.0)
         assert world.declare(make_declaration(5)).status == 200
 
+    # A leader counted the entries on a lost disk as entries on the new one.
+    def test_a_new_disk_votes_only_once_it_holds_every_committed_entry(self):
+        world = FleetWorld(instances=0)
+        world.begin()
+        leader = world.find_leader()
+        other = next(name for name in world.names if name != leader)
+        consensus = world.get_leader().consensus
+        world.lose_disk(other)
+        world.run(0.5)
+        world.restart(other)
+        assert world.run_until(
+            lambda: consensus.plan_voter_change(world.now), within=5.0
+        )
+        storage = world.assemblies[other].consensus.replica.storage
+        assert storage.durable == consensus.commit
+
     def test_a_paused_leader_sends_no_stale_orders_after_it_resumes(self):
         world = FleetWorld(task_seconds=2.0)
         world.begin()
