Extend the voters to the losses that the deployment declares

Three seeds voted whatever the deployment has, while the grown ones declare that they bear the loss of two of eight machines. Two lost disks of three left no majority for good.

- `tolerated_disk_losses` (n) in the settings; the platform's adapter sets it to the greatest of the machines, zones and regions in `fault_tolerance`.
- The leader extends the voters to 2n + 1 daemons with a disk, from the data centre with the fewest voters first, and moves voters between data centres until their numbers differ by at most one.
`plan_voters` chooses one single-step change at a time.
- A lost voter is removed before its replacement is added, so that the majority does not grow while voters are away.
Several lost voters are replaced one by one; before, nothing was done unless exactly one was unreachable.
- A voter is lost after 4 s instead of 8 s without an answer from its registered disk.
A voter that answered without a working disk was never replaced.

More seeds in the settings were ruled out, as the platform names the seeds.

Voters are not spread over regions.

--- a/src/gypsumwalk/consensus.py
+++ b/src/gypsumwalk/consensus.py
@@ -41,6 +41,7 @@
 )
 from gypsumwalk.settings import Settings
 from gypsumwalk.state import ReplicatedState
+from gypsumwalk.voter_planning import KnownDaemon, find_voter_count, plan_voters
 
 __all__ = ["COMMANDS", "PEER_MESSAGES", "Consensus"]
 
@@ -89,6 +90,10 @@
         first_start: bool | None = None,
     ) -> None:
         self._daemon = settings.name
+        self._data_centre = settings.data_centre
+        self._voter_count = find_voter_count(
+            len(settings.voters), settings.tolerated_disk_losses
+        )
         self._random = random
         self._timing = ElectionTiming(settings.election_seconds)
         self._seeds = [voter for voter in settings.voters if voter != settings.name]
@@ -103,7 +108,7 @@
                 identity = voters.get(settings.name, identity)
         self._replica = Replica(state, recovered, identity, voters, self._proposals)
         self._admission = Admission(settings.name, self._replica, settings.voters)
-        self._follower = Follower(self._replica)
+        self._follower = Follower(self._replica, settings.data_centre)
         self._elections = Elections(settings.name, self._replica, random, self._timing)
         self._leadership: Leadership | None = None
         self._elections.cancel_candidacy()
@@ -190,7 +195,13 @@
             Disk identity of each voter, by name. It differs from the current voters
             by one replaced disk, one added voter or one removed voter.
         """
-        return self._leadership.plan_voter_change(now) if self._leadership else None
+        leadership = self._leadership
+        if leadership is None or self._replica.voters_index > leadership.known_commit:
+            return None
+        own = KnownDaemon(self._daemon, self._data_centre, self._replica.identity)
+        daemons = [own, *leadership.list_daemons(now)]
+        voters = self._replica.voters
+        return plan_voters(voters, daemons, self._daemon, self._voter_count)
 
     def propose(self, proposal: Propose, now: float) -> Sequence[Effect]:
         """Start replicating a command; a ``ProposalOutcome`` is raised later.
--- a/src/gypsumwalk/follower.py
+++ b/src/gypsumwalk/follower.py
@@ -33,11 +33,14 @@
     ----------
     replica : Replica
         Replica of the daemon.
+    data_centre : str
+        Data centre of the daemon.
     """
 
-    def __init__(self, replica: Replica) -> None:
+    def __init__(self, replica: Replica, data_centre: str) -> None:
         self.fresh_as_of = float("-inf")
         self._replica = replica
+        self._data_centre = data_centre
         self._matched = 0
         self._stamps: deque[_Stamp] = deque(maxlen=MAX_PENDING_STAMPS)
         self._first_contact: float | None = None
@@ -191,6 +194,7 @@
             sent=sent,
             stamp=now,
             identity=replica.identity,
+            data_centre=self._data_centre,
         )
 
     def _reject(
@@ -205,5 +209,6 @@
             sent=body.sent,
             stamp=now,
             identity=replica.identity,
+            data_centre=self._data_centre,
         )
         return SendPeer(source, answer)
--- a/src/gypsumwalk/leadership.py
+++ b/src/gypsumwalk/leadership.py
@@ -17,6 +17,7 @@
     SnapshotAnswer,
     SnapshotChunk,
 )
+from gypsumwalk.voter_planning import KnownDaemon
 
 __all__ = ["Leadership"]
 
@@ -30,9 +31,9 @@
 MAX_PROMOTION_LAG_ENTRIES = 0
 """A new disk becomes a voter only once it holds every committed entry."""
 
-VOTER_REPLACEMENT_SECONDS = 8.0
-"""Time without an answer after which a voter is replaced; longer than most network
-partitions."""
+VOTER_REPLACEMENT_SECONDS = 4.0
+"""Time without an answer from its disk after which a voter is replaced; longer than
+the restart of a process."""
 
 SNAPSHOT_RESEND_SECONDS = 1.0
 MAX_BATCH_BYTES = 256 * 1024
@@ -120,12 +121,8 @@
         target = max(caught_up, key=lambda peer: peer.acknowledged, default=None)
         return target.name if target else ""
 
-    def plan_voter_change(self, now: float) -> dict[str, str] | None:
-        """Return the next voters of a single-step change, or None if none is needed.
-
-        A voter with a new disk that has caught up is listed with that disk. If
-        exactly one voter is unreachable, it is removed from an even number of
-        voters; for an odd number, a caught-up learner with a disk is added.
+    def list_daemons(self, now: float) -> list[KnownDaemon]:
+        """Return what is known of each daemon that follows this leader.
 
         Parameters
         ----------
@@ -134,46 +131,32 @@
 
         Returns
         -------
-        dict of str to str or None
-            Disk identity of each voter, by name.
+        list of KnownDaemon
+            The daemons, in the order in which they were first heard.
         """
-        voters = self._replica.voters
-        if self._replica.voters_index > self.known_commit:
-            return None
-        caught_up = {
-            peer.name: peer.identity
-            for peer in self._progress.values()
-            if peer.identity and self._has_caught_up(peer, now)
-        }
-        for name, identity in caught_up.items():
-            if voters.get(name, identity) != identity:
-                return {**voters, name: identity}
-        unreachable = [name for name in voters if self._is_unreachable(name, now)]
-        if len(unreachable) != 1:
-            return None
-        if len(voters) % 2 == 0:
-            return {name: voters[name] for name in voters if name not in unreachable}
-        learners = sorted(name for name in caught_up if name not in voters)
-        return {**voters, learners[0]: caught_up[learners[0]]} if learners else None
-
-    def _has_caught_up(self, peer: Progress, now: float) -> bool:
+        return [self._describe(peer, now) for peer in self._progress.values()]
+
+    def _describe(self, peer: Progress, now: float) -> KnownDaemon:
+        is_answering = now - peer.answered_at < REACHABLE_SECONDS
         missing = self._replica.commit - peer.match
-        return (
-            missing <= MAX_PROMOTION_LAG_ENTRIES
-            and now - peer.answered_at < REACHABLE_SECONDS
+        return KnownDaemon(
+            peer.name,
+            peer.data_centre,
+            peer.identity,
+            is_answering=is_answering,
+            is_caught_up=is_answering and missing <= MAX_PROMOTION_LAG_ENTRIES,
+            is_lost=now - peer.valid_at > VOTER_REPLACEMENT_SECONDS,
         )
 
-    def _is_unreachable(self, voter: str, now: float) -> bool:
-        peer = self._progress.get(voter)
-        if voter == self._name or peer is None:
-            return False
-        return now - peer.answered_at > VOTER_REPLACEMENT_SECONDS
-
     def add_peer(self, name: str, now: float) -> None:
         """Start replicating the log to a daemon, unless that has started."""
         if name not in self._progress:
             peer = Progress(
-                name, self._replica.log.last_index + 1, due=now, answered_at=now
+                name,
+                self._replica.log.last_index + 1,
+                due=now,
+                answered_at=now,
+                valid_at=now,
             )
             self._progress[name] = peer
 
@@ -198,6 +181,7 @@
         if peer is None:
             return
         peer.register_identity(answer.identity)
+        peer.data_centre = answer.data_centre
         self._record_contact(peer, answer.sent, answer.stamp, now)
         if answer.accepted:
             peer.accept(answer.match, answer.received, answer.sent, now)
@@ -333,6 +317,8 @@
         self, peer: Progress, sent: float, stamp: float, now: float
     ) -> None:
         peer.answered_at = now
+        if peer.name not in self._replica.voters or self._has_registered_disk(peer):
+            peer.valid_at = now
         peer.acknowledged = max(peer.acknowledged, sent)
         self._quorum_contact = None
         if not self.holds_lease(now):
--- a/src/gypsumwalk/progress.py
+++ b/src/gypsumwalk/progress.py
@@ -80,6 +80,9 @@
         lease; -1 before the first.
     answered_at : float
         Time in seconds of its last answer.
+    valid_at : float
+        Time in seconds of its last answer that did not come from an unregistered disk
+        of a voter.
     snapshot_index : int
         Index of the snapshot being sent, or 0.
     snapshot_offset : int
@@ -88,6 +91,8 @@
         Commit index last sent to the daemon.
     identity : str
         Disk identity that the daemon reports, empty if it has no working disk.
+    data_centre : str
+        Data centre that the daemon reports, empty if unknown.
     """
 
     name: str
@@ -103,10 +108,12 @@
     acknowledged: float = 0.0
     stamp: float = -1.0
     answered_at: float = 0.0
+    valid_at: float = 0.0
     snapshot_index: int = 0
     snapshot_offset: int = 0
     commit_sent: int = 0
     identity: str = ""
+    data_centre: str = ""
 
     @property
     def can_send(self) -> bool:
--- a/src/gypsumwalk/replication.py
+++ b/src/gypsumwalk/replication.py
@@ -151,6 +151,8 @@
         Clock of the answering daemon in seconds.
     identity : str
         Identity of its disk, empty if there is none or it has failed.
+    data_centre : str
+        Data centre of the answering daemon, empty if unknown.
     """
 
     term: int
@@ -160,6 +162,7 @@
     sent: float
     stamp: float
     identity: str
+    data_centre: str = ""
 
 
 class SnapshotChunk(msgspec.Struct, frozen=True, tag=True):
--- a/src/gypsumwalk/settings.py
+++ b/src/gypsumwalk/settings.py
@@ -73,6 +73,10 @@
         Election timeout in seconds: time without a leader after which a voter may
         become a candidate. Must be the same on all daemons; the heartbeat rate rises
         as it falls.
+    tolerated_disk_losses : int
+        Number of daemons with a disk that may be lost at the same time. A leader that
+        replaces lost voters by itself extends the voters to twice this number and one,
+        as far as there are so many daemons with a disk.
     seed : int
         Seed of the random number generator; 0 uses a seed from the operating system.
     """
@@ -92,6 +96,7 @@
     caller_threads: int = 256
     max_body_bytes: int = 8 * 1024 * 1024
     election_seconds: float = 1.0
+    tolerated_disk_losses: int = 0
     seed: int = 0
 
     @property
@@ -200,6 +205,12 @@
             settings.caller_threads >= 1,
             settings.caller_threads,
         ),
+        _Rule(
+            "tolerated_disk_losses",
+            "at least 0",
+            settings.tolerated_disk_losses >= 0,
+            settings.tolerated_disk_losses,
+        ),
         _Rule(
             "max_body_bytes",
             "at least 1",
--- a/src/gypsumwalk/voter_controller.py
+++ b/src/gypsumwalk/voter_controller.py
@@ -1,4 +1,4 @@
-"""Control loop of the leader that replaces lost or silent voters."""
+"""Control loop of the leader that adds, replaces and spreads voters."""
 
 from collections.abc import Sequence
 
@@ -22,7 +22,8 @@
 
     A voter that lost its disk returns with a new identity. It replicates the log as a
     learner, and becomes a voter under the new identity once it has caught up. A voter
-    that is silent for long is replaced by another daemon with a disk.
+    that is silent for long is replaced by another daemon with a disk. Daemons with a
+    disk are added until as many vote as the losses to be borne require.
 
     Parameters
     ----------
@@ -50,6 +51,7 @@
         """Record a committed change of the voters."""
         match item:
             case Committed(command=ChangeVoters(voters=voters)):
+                self._due = now
                 detail = {"voters": ", ".join(sorted(voters))}
                 return [Record(Event.VOTERS_CHANGED, self._daemon, detail)]
         return []
--- a/tests/_fleet_work.py
+++ b/tests/_fleet_work.py
@@ -56,21 +56,37 @@
     """Voting daemons, an emulated platform with a few instances, and callers.
 
     ``task_seconds`` is the duration of a task run; ``run_results`` overrides it by task
-    and run number with a pair of duration in seconds and result.
+    and run number with a pair of duration in seconds and result. Daemons are spread
+    over ``data_centres``, by default one for each daemon, and are to bear
+    ``disk_losses`` at the same time.
     """
 
-    def __init__(self, seed=0, *, instances=3, task_seconds=0.5, daemons=3):
+    def __init__(
+        self,
+        seed=0,
+        *,
+        instances=3,
+        task_seconds=0.5,
+        daemons=3,
+        data_centres=None,
+        disk_losses=0,
+    ):
         self.seed = seed
+        self.disk_losses = disk_losses
         self.task_seconds = task_seconds
         self.run_results = {}
         self.assemblies = {}
         self.first_start = True
         self.names = [f"v{number}" for number in range(daemons)]
+        self.data_centres = {
+            name: f"dc-v{number % (data_centres or daemons)}"
+            for number, name in enumerate(self.names)
+        }
         self.model = EmulatedPlatform(Random(f"platform {seed}"), self._find_run_result)
         self.model.on_maintenance = self._schedule_restart
         super().__init__(self._build_node, seed=seed, platform=self.model)
         for name in self.names:
-            self.add(name, data_centre=f"dc-{name}")
+            self.add(name, data_centre=self.data_centres[name])
         for number in range(instances):
             self.start_instance(number)
         self.schedule(0.1, self._send_announcements)
@@ -83,7 +99,7 @@
         voters = self.names[:3]
         settings = Settings(
             name=name,
-            data_centre="dc",
+            data_centre=self.data_centres[name],
             caller_port=1,
             peer_port=2,
             peers=[
@@ -98,6 +114,7 @@
             ],
             cluster_secret="0123456789abcdef",
             data_folder="data",
+            tolerated_disk_losses=self.disk_losses,
         )
         assembly = FleetAssembly(
             settings,
@@ -110,6 +127,12 @@
         self.assemblies[name] = assembly
         return assembly.node
 
+    def add_daemon(self, name, data_centre):
+        """Start a further daemon with an empty disk."""
+        self.names.append(name)
+        self.data_centres[name] = data_centre
+        self.add(name, data_centre=data_centre)
+
     # Instances
 
     def start_instance(self, number, *, life=1, service="service-a"):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -231,6 +231,17 @@
         product = make_daemon_settings(settings)
         assert product.voters == ["10.0.0.1", "10.0.0.2"]
         assert product.data_folder == "/data"
+        assert product.tolerated_disk_losses == 0
+
+    def test_losses_to_bear_are_passed_on(self):
+        for table, expected in (
+            ("machines = 2\nzones = 1\nregions = 0", 2),
+            ("machines = 0\nzones = 1", 1),
+        ):
+            text = f'ip = "10.0.0.1"\nzone = "z"\n[fault_tolerance]\n{table}\n'
+            settings = msgspec.toml.decode(text, type=PlatformSettings)
+            product = make_daemon_settings(settings)
+            assert product.tolerated_disk_losses == expected
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_voter_planning.py
@@ -0,0 +1,110 @@
+"""Tests of the choice of voters, one single-step change at a time."""
+
+import unittest
+from dataclasses import replace
+
+import msgspec
+
+from gypsumwalk.replication import AppendAnswer
+from gypsumwalk.voter_planning import KnownDaemon, find_voter_count, plan_voters
+
+
+def make_daemons(*data_centres):
+    return [
+        KnownDaemon(f"d{number}", data_centre, f"disk-{number}")
+        for number, data_centre in enumerate(data_centres)
+    ]
+
+
+def list_disks(daemons):
+    return {daemon.name: daemon.identity for daemon in daemons}
+
+
+def settle(voters, daemons, count):
+    """Apply changes until none is planned; return the voters after each of them."""
+    steps = []
+    while changed := plan_voters(voters, daemons, "d0", count):
+        assert len(set(voters.items()) ^ set(changed.items())) <= 2
+        voters = changed
+        steps.append(sorted(voters))
+        assert len(steps) < 20
+    return steps
+
+
+class TestPlanVoters(unittest.TestCase):
+    def test_numbers_of_voters(self):
+        assert find_voter_count(3, 0) == 3
+        assert find_voter_count(3, 1) == 3
+        assert find_voter_count(3, 2) == 5
+        assert find_voter_count(1, 0) == 1
+
+    def test_voters_are_added_where_there_are_the_fewest(self):
+        daemons = make_daemons("a", "b", "b", "a", "b", "c", "d")
+        voters = list_disks(daemons[:3])
+        steps = settle(voters, daemons, 5)
+        assert steps == [["d0", "d1", "d2", "d5"], ["d0", "d1", "d2", "d5", "d6"]]
+
+    def test_learners_that_lag_or_have_no_disk_are_not_added(self):
+        daemons = make_daemons("a", "b", "c", "d", "e")
+        voters = list_disks(daemons[:3])
+        daemons[3] = replace(daemons[3], identity="")
+        daemons[4] = replace(daemons[4], is_caught_up=False)
+        assert plan_voters(voters, daemons, "d0", 5) is None
+
+    def test_a_new_disk_replaces_the_old_one_first(self):
+        daemons = make_daemons("a", "b", "c", "d", "e")
+        voters = list_disks(daemons[:3]) | {"d1": "lost", "d2": "lost"}
+        changed = plan_voters(voters, daemons, "d0", 5)
+        assert changed == voters | {"d1": "disk-1"}
+
+    def test_lost_voters_are_replaced_one_by_one(self):
+        daemons = make_daemons(*"abcdabcd")
+        voters = list_disks(daemons[:5])
+        for number in (1, 2):
+            lost = replace(
+                daemons[number], is_lost=True, is_answering=False, is_caught_up=False
+            )
+            daemons[number] = lost
+        steps = settle(voters, daemons, 5)
+        assert [len(step) for step in steps] == [4, 5, 4, 5]
+        assert steps[-1] == ["d0", "d3", "d4", "d5", "d6"]
+
+    def test_a_lost_voter_stays_while_no_learner_can_replace_it(self):
+        daemons = make_daemons("a", "b", "c")
+        daemons[1] = replace(daemons[1], is_lost=True, is_caught_up=False)
+        assert plan_voters(list_disks(daemons), daemons, "d0", 3) is None
+
+    def test_voters_move_to_a_data_centre_without_any(self):
+        daemons = make_daemons("a", "a", "b", "b", "c", "d", "d")
+        voters = list_disks(daemons[:5])
+        steps = settle(voters, daemons, 5)
+        assert [len(step) for step in steps] == [6, 5]
+        assert steps[-1] == ["d0", "d1", "d2", "d4", "d5"]
+
+    def test_the_leader_stays_and_no_voter_moves_while_another_is_away(self):
+        daemons = make_daemons("a", "a", "a", "b")
+        voters = list_disks(daemons[:3])
+        assert settle(voters, daemons, 3)[-1] == ["d0", "d1", "d3"]
+        daemons[2] = replace(daemons[2], is_answering=False, is_caught_up=False)
+        assert plan_voters(voters, daemons, "d0", 3) is None
+
+    def test_a_voter_that_is_away_is_removed_before_one_that_answers(self):
+        daemons = make_daemons("a", "a", "b", "c")
+        daemons[3] = replace(daemons[3], is_answering=False, is_caught_up=False)
+        voters = list_disks(daemons)
+        assert sorted(plan_voters(voters, daemons, "d0", 3)) == ["d0", "d1", "d2"]
+
+
+class TestPreviousVersion(unittest.TestCase):
+    def test_an_answer_without_a_data_centre_is_decoded(self):
+        answer = AppendAnswer(1, True, 2, 3, 4.0, 5.0, "disk", "a")
+        fields = msgspec.to_builtins(answer)
+        del fields["data_centre"]
+        decoded = msgspec.msgpack.decode(
+            msgspec.msgpack.encode(fields), type=AppendAnswer
+        )
+        assert decoded.data_centre == ""
+
+
+if __name__ == "__main__":
+    unittest.main()
