Let the leader's probe go by the end of its lease

An entry took a daemon for the leader that had stood still past its lease: the third port answered from a flag that only the event loop clears, and a loop that does not run clears nothing.

The end of the lease is computed with each input and timer and kept as a plain value. The server's thread compares it with the present time. EpochClock keeps trio's clock, so that it can be read outside of the loop's thread.

Asking the event loop from the server's thread was ruled out: that is what stands still.

On the code before, test_other_threads_read_the_clock failed with RuntimeError "must be called from async context". The two tests of the lease end, test_a_leader_that_stands_still_leads_until_its_lease_ends and test_the_lease_end_agrees_with_the_lease, failed with AttributeError, as is_leading and lease_end did not exist: this shows no more than their absence. The second one holds the value against `holds_lease` every 10 ms of two seconds.

--- a/src/gypsumwalk/consensus.py
+++ b/src/gypsumwalk/consensus.py
@@ -18,7 +18,7 @@
 )
 from gypsumwalk.leadership import Leadership
 from gypsumwalk.part import NEVER
-from gypsumwalk.progress import ElectionTiming
+from gypsumwalk.progress import NO_LEASE, ElectionTiming
 from gypsumwalk.proposals import Proposals
 from gypsumwalk.recovery import Recovered
 from gypsumwalk.replica import Replica
@@ -117,6 +117,7 @@
         self._is_shutting_down = False
         self._last_leader_contact = 0.0
         self._follow_due = 0.0
+        self._lease_end = NO_LEASE
 
     @property
     def leader(self) -> str:
@@ -159,6 +160,15 @@
             return False
         return leadership.holds_lease(now)
 
+    @property
+    def lease_end(self) -> float:
+        """Time in seconds at which the leader lease ends, ``-inf`` without a lease.
+
+        It is a plain value, computed with each input and timer, so that other threads
+        may read it.
+        """
+        return self._lease_end
+
     def find_freshness(self, now: float) -> float:
         """Return the time as of which the applied state is known to be complete.
 
@@ -295,6 +305,7 @@
         self._follower.update_freshness()
         if self.holds_lease(now):
             self._follower.fresh_as_of = now
+        self._lease_end = self._find_lease_end()
         return effects + self._replica.storage.flush()
 
     def _handle_disk_outcome(self, item: DiskOutcome) -> list[Effect]:
@@ -325,6 +336,11 @@
                 return self._handle_follow(source, body, now)
         return []
 
+    def _find_lease_end(self) -> float:
+        if self._leadership is None or not self._replica.storage.enabled:
+            return NO_LEASE
+        return self._leadership.find_lease_end()
+
     # Log replication, as a follower
 
     def _handle_append(
--- a/src/gypsumwalk/drivers/clock.py
+++ b/src/gypsumwalk/drivers/clock.py
@@ -30,7 +30,7 @@
     """Clock that returns seconds since the epoch, derived from trio's clock.
 
     The wall clock is read once, at the start. After that the time follows trio's clock,
-    which is monotonic and which tests can pause and advance.
+    which is monotonic and which tests can pause and advance. Any thread may read it.
 
     Parameters
     ----------
@@ -40,11 +40,12 @@
 
     def __init__(self, started_at: float | None = None) -> None:
         wall = time.time() if started_at is None else started_at
-        self._offset = wall - trio.current_time()
+        self._clock = trio.lowlevel.current_clock()
+        self._offset = wall - self._clock.current_time()
 
     def now(self) -> float:
         """Return the time in seconds since the epoch."""
-        return trio.current_time() + self._offset
+        return self._clock.current_time() + self._offset
 
     def convert_to_trio(self, at: float) -> float:
         """Convert a time in seconds since the epoch to the time of trio's clock."""
--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -277,6 +277,7 @@
             metrics=self._metrics,
             receive_peer=self._peers.receive_batch,
             is_ready=lambda: self._ready and not self._shutting_down,
+            now=self._clock.now,
         )
 
     def _make_peer_network(self) -> PeerNetwork:
--- a/src/gypsumwalk/drivers/factory.py
+++ b/src/gypsumwalk/drivers/factory.py
@@ -79,6 +79,8 @@
         Processes a signed batch of another daemon's messages.
     is_ready : Callable
         Returns whether the daemon is ready for work.
+    now : Callable
+        Returns the time in seconds on the node's clock, from any thread.
     """
 
     bridge: CallBridge
@@ -86,6 +88,7 @@
     metrics: Metrics
     receive_peer: Callable[[bytes, str], None]
     is_ready: Callable[[], bool]
+    now: Callable[[], float]
 
 
 class DaemonFactory(Protocol):
--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -172,6 +172,24 @@
             envelope.source, envelope.incarnation, envelope.sequence
         )
 
+    def is_leading(self, now: float) -> bool:
+        """Return whether the daemon leads; may be called from any thread.
+
+        The lease is compared with the time of the call, as a node that does not run
+        cannot notice that it has expired.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds on the node's clock.
+
+        Returns
+        -------
+        bool
+            Whether it is active as the leader and its lease is valid.
+        """
+        return self.dispatcher.is_active and now < self.consensus.lease_end
+
     def is_ready(self, now: float) -> bool:
         """Return whether the daemon knows a leader."""
         return bool(self.consensus.leader) or self.consensus.holds_lease(now)
--- a/src/gypsumwalk/leadership.py
+++ b/src/gypsumwalk/leadership.py
@@ -5,7 +5,12 @@
 from gypsumwalk.effects import Effect, SendPeer
 from gypsumwalk.errors import UnknownMessage
 from gypsumwalk.part import NEVER
-from gypsumwalk.progress import ElectionTiming, Progress, find_quorum_value
+from gypsumwalk.progress import (
+    NO_LEASE,
+    ElectionTiming,
+    Progress,
+    find_quorum_value,
+)
 from gypsumwalk.replica import Replica
 from gypsumwalk.replication import (
     MAX_DATAGRAM_BYTES,
@@ -94,12 +99,21 @@
             return False
         return now < self.find_quorum_contact(now) + self._timing.lease
 
+    def find_lease_end(self) -> float:
+        """Return the time in seconds at which the lease ends, ``-inf`` without one."""
+        if not self.known_commit:
+            return NO_LEASE
+        return self._find_last_contact() + self._timing.lease
+
     def find_quorum_contact(self, now: float) -> float:
         """Return the latest send time in seconds acknowledged by a quorum."""
+        return min(self._find_last_contact(), now)
+
+    def _find_last_contact(self) -> float:
         known = (self._replica.voters, dict(self._replica.vote.registered))
         if self._quorum_contact is None or self._quorum_contact[0] != known:
             self._quorum_contact = known, self._compute_quorum_contact()
-        return min(self._quorum_contact[1], now)
+        return self._quorum_contact[1]
 
     def _compute_quorum_contact(self) -> float:
         times = [
--- a/src/gypsumwalk/progress.py
+++ b/src/gypsumwalk/progress.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-__all__ = ["ElectionTiming", "Progress", "find_quorum_value"]
+__all__ = ["NO_LEASE", "ElectionTiming", "Progress", "find_quorum_value"]
 
 CLOCK_DRIFT = 0.1
 """Fraction by which the rates of two clocks may differ."""
@@ -12,6 +12,9 @@
 """Heartbeat interval as a fraction of the minimum election timeout, so that two
 heartbeats in a row may be lost."""
 
+NO_LEASE = float("-inf")
+"""End of a lease that does not exist, in seconds."""
+
 MAX_IN_FLIGHT = 4
 """Messages with entries that may be unanswered at a time, per daemon."""
 
--- a/tests/test_bridge.py
+++ b/tests/test_bridge.py
@@ -99,6 +99,15 @@
         mock = trio.testing.MockClock(autojump_threshold=0)
         assert trio.run(run, clock=mock) == [1000.0, 1002.5]
 
+    def test_other_threads_read_the_clock(self):
+        async def run():
+            clock = EpochClock(1000.0)
+            await trio.sleep(2.5)
+            return await trio.to_thread.run_sync(clock.now)
+
+        mock = trio.testing.MockClock(autojump_threshold=0)
+        assert trio.run(run, clock=mock) == 1002.5
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_fleet_work.py
+++ b/tests/test_fleet_work.py
@@ -293,6 +293,30 @@
         world.run(1.2)
         assert not world.assemblies[isolated].dispatcher.is_active
 
+    # A leader whose event loop stood still was taken for the leader after its lease.
+    def test_a_leader_that_stands_still_leads_until_its_lease_ends(self):
+        world = FleetWorld()
+        world.begin()
+        paused = world.find_leader()
+        assembly = world.assemblies[paused]
+        assert assembly.is_leading(world.now)
+        world.pause(paused)
+        world.run(1.2)
+        assert not assembly.is_leading(world.now)
+        world.resume(paused)
+        world.run(5.0)
+        assert world.get_leader().is_leading(world.now)
+
+    def test_the_lease_end_agrees_with_the_lease(self):
+        world = FleetWorld()
+        world.begin()
+        for _ in range(200):
+            world.run(0.01)
+            for name in world.names:
+                consensus = world.assemblies[name].consensus
+                holds = world.now < consensus.lease_end
+                assert holds == consensus.holds_lease(world.now)
+
     def test_an_invalid_declaration_is_refused_as_a_whole(self):
         world = FleetWorld()
         world.begin()
