Read responses of instances by httptools

httptools, the parser of Node in C, reads responses; h11 still writes requests, since it refuses malformed ones. What httptools leaves to its user is done by ResponseReader: bodies by method and status, the end of a body with the connection, responses before the final one, a limit of the head and the framing, and bytes after the response, which end the connection's use.

A response that is in the socket is read to its end before the deadline is looked at. Before, each part of it was awaited, so that a late loop took its own delay for a silent server: test_an_answer_that_arrived_before_the_loop_saw_the_deadline_counts failed there with a timeout. test_http_exchange imports the new module and can't run there. The other tests of the client are unchanged and pass on both.

Decision modules may use neither library; the test of layers lists both now.

--- a/src/gypsumwalk/drivers/http_client.py
+++ b/src/gypsumwalk/drivers/http_client.py
@@ -1,6 +1,5 @@
 """HTTP client on the runtime's sockets, with kept connections for each address."""
 
-import contextlib
 import errno
 import os
 import socket
@@ -12,9 +11,17 @@
 import h11
 import trio
 
+from gypsumwalk.drivers.http_exchange import (
+    MAX_BODY_BYTES,
+    EncodedRequest,
+    InvalidResponse,
+    ResponseReader,
+    encode_request,
+)
 from gypsumwalk.errors import GypsumwalkError
 
 __all__ = [
+    "MAX_BODY_BYTES",
     "HttpClient",
     "HttpResponse",
     "Lane",
@@ -30,7 +37,6 @@
 MAX_CONNECTIONS = 2000
 """Leaves half of a process's descriptors to servers and files."""
 
-MAX_BODY_BYTES = 8 * 1024 * 1024
 RECEIVE_BYTES = 64 * 1024
 MAX_IDLE_SECONDS = 300.0
 SWEEP_INTERVAL_SECONDS = 10.0
@@ -109,14 +115,11 @@
 class _Call:
     """One request and the progress of sending it."""
 
-    __slots__ = ("address", "body", "deadline", "request", "sent_at", "started")
+    __slots__ = ("address", "deadline", "request", "sent_at", "started")
 
-    def __init__(
-        self, address: str, request: h11.Request, body: bytes, timeout: float
-    ) -> None:
+    def __init__(self, address: str, request: EncodedRequest, timeout: float) -> None:
         self.address = address
         self.request = request
-        self.body = body
         self.started = trio.current_time()
         self.deadline = self.started + timeout
         self.sent_at: float | None = None
@@ -136,7 +139,7 @@
 class _Connection:
     """One connection, which carries one request at a time."""
 
-    __slots__ = ("_http", "_socket", "idle_since", "is_reusable", "is_used", "pool")
+    __slots__ = ("_socket", "idle_since", "is_reusable", "is_used", "pool")
 
     def __init__(self, pool: "_Pool", connected: socket.socket) -> None:
         self.pool = pool
@@ -144,7 +147,6 @@
         self.is_used = False
         self.is_reusable = False
         self._socket = connected
-        self._http = h11.Connection(h11.CLIENT)
 
     def close(self) -> None:
         self._socket.close()
@@ -162,7 +164,7 @@
     async def send(self, call: _Call) -> None:
         self.is_reusable = False
         self.is_used = True
-        remaining = memoryview(self._encode(call))
+        remaining = memoryview(call.request.content)
         while remaining:
             if call.sent_at is None and trio.current_time() >= call.deadline:
                 raise trio.TooSlowError
@@ -175,43 +177,19 @@
                 call.sent_at = trio.current_time()
             remaining = remaining[size:]
 
-    def _encode(self, call: _Call) -> bytes:
-        parts = [self._http.send(call.request)]
-        if call.body:
-            parts.append(self._http.send(h11.Data(call.body)))
-        parts.append(self._http.send(h11.EndOfMessage()))
-        return b"".join(part for part in parts if part)
-
-    async def receive(self) -> tuple[int, bytes]:
-        status = 0
-        body = bytearray()
-        while True:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA:
-                await self._receive_bytes()
-            elif isinstance(event, h11.Response):
-                status = event.status_code
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > MAX_BODY_BYTES:
-                    raise h11.RemoteProtocolError("the body is too large")
-            elif isinstance(event, h11.EndOfMessage):
-                self._finish_exchange()
-                return status, bytes(body)
-            elif not isinstance(event, h11.InformationalResponse):
-                raise h11.RemoteProtocolError("the response is incomplete")
-
-    async def _receive_bytes(self) -> None:
+    async def receive(self, request: EncodedRequest) -> tuple[int, bytes]:
+        reader = ResponseReader(request)
         await trio.lowlevel.wait_readable(self._socket)
-        with contextlib.suppress(BlockingIOError):
-            self._http.receive_data(self._socket.recv(RECEIVE_BYTES))
-
-    def _finish_exchange(self) -> None:
-        http = self._http
-        is_done = http.our_state is h11.DONE and http.their_state is h11.DONE
-        if is_done and not http.trailing_data[0]:
-            http.start_next_cycle()
-            self.is_reusable = True
+        while True:
+            try:
+                content = self._socket.recv(RECEIVE_BYTES)
+            except BlockingIOError:
+                await trio.lowlevel.wait_readable(self._socket)
+                continue
+            response = reader.feed(content)
+            if response is not None:
+                self.is_reusable = reader.is_reusable
+                return response
 
 
 class _Pool:
@@ -325,14 +303,14 @@
             If a byte was sent, but no valid response was received in time.
         """
         try:
-            request = _make_request(method, address, path, headers or {}, len(body))
-        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            request = encode_request(method, address, path, headers or {}, body)
+        except h11.LocalProtocolError as error:
             raise RequestNotSent(address, 0.0, f"malformed: {error}") from error
-        call = _Call(address, request, body, timeout)
+        call = _Call(address, request, timeout)
         try:
             with trio.fail_at(call.deadline):
                 status, content = await self._exchange(call, lane)
-        except (trio.TooSlowError, OSError, h11.ProtocolError) as error:
+        except (trio.TooSlowError, OSError, InvalidResponse) as error:
             raise call.make_failure(error) from error
         finally:
             if self._record_wait is not None:
@@ -351,7 +329,7 @@
         try:
             connection = await self._send_in_turn(pool, call)
             try:
-                return await connection.receive()
+                return await connection.receive(call.request)
             finally:
                 self._release(connection)
                 pool.slots.release()
@@ -461,15 +439,6 @@
             del self._pools[pool.key]
 
 
-def _make_request(
-    method: str, address: str, path: str, headers: Mapping[str, str], size: int
-) -> h11.Request:
-    fields = [("Host", address), *headers.items()]
-    if size or method != "GET":
-        fields.append(("Content-Length", str(size)))
-    return h11.Request(method=method, target=path, headers=fields)
-
-
 async def _acquire(lock: trio.StrictFIFOLock | trio.Semaphore) -> None:
     # An uncontended ``acquire`` would yield to the scheduler.
     try:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -34,6 +34,7 @@
         self.bodies = []
         self.connections = 0
         self.ended = 0
+        self.after_answer = lambda: None
         self._changed = trio.Condition()
 
     async def start(self, nursery):
@@ -65,6 +66,7 @@
                 return
             content, is_last = answer
             await stream.send_all(content)
+            self.after_answer()
             if is_last:
                 return
             http = h11.Connection(h11.SERVER)
@@ -103,7 +105,7 @@
 
 
 class TestHttpClient(unittest.TestCase):
-    def run_with(self, answer, scenario, **options):
+    def run_with(self, answer, scenario, *, clock=None, **options):
         async def main():
             client = HttpClient(**options)
             server = ScriptedServer(answer)
@@ -117,7 +119,7 @@
                 client.close()
             assert client.opened == 0
 
-        trio.run(main)
+        trio.run(main, clock=clock)
 
     def test_a_connection_is_reused(self):
         async def scenario(client, server, nursery):
@@ -200,6 +202,23 @@
 
         self.run_with(lambda path: None, scenario)
 
+    # Guards against a late event loop that takes its own delay for a silent server.
+    def test_an_answer_that_arrived_before_the_loop_saw_the_deadline_counts(self):
+        clock = trio.testing.MockClock()
+
+        async def scenario(client, server, nursery):
+            # The answer is in the client's socket when the time jumps.
+            server.after_answer = lambda: clock.jump(2 * LONG_SECONDS)
+            response = await client.request(
+                "GET", server.address, "/", timeout=LONG_SECONDS
+            )
+            assert (response.status, response.body) == (200, b"ok")
+
+        original = http_client.RECEIVE_BYTES
+        self.addCleanup(setattr, http_client, "RECEIVE_BYTES", original)
+        http_client.RECEIVE_BYTES = 10
+        self.run_with(lambda path: (OK, False), scenario, clock=clock)
+
     def test_a_cancelled_request_closes_its_connection(self):
         async def scenario(client, server, nursery):
             with trio.CancelScope() as scope:
--- a/tests/test_layering.py
+++ b/tests/test_layering.py
@@ -10,6 +10,8 @@
     "asyncio",
     "cheroot",
     "datetime",
+    "h11",
+    "httptools",
     "io",
     "logbook",
     "os",
