Send batches to daemons without threads

Batches of messages to other daemons went through urllib3 in up to 16 threads. On a leader with large or many entries these compete with the event loop for the interpreter.

They use the client that calls instances, on the runtime's sockets. One connection for each daemon is enough, as there is one sender, and keeps the order of the batches. The record of an unreachable daemon tells the reason in full rather than the name of a class of urllib3.

On the code before, test_batches_take_no_thread_and_keep_their_order failed, as no batch arrives without a thread, and test_a_daemon_that_is_not_reached_is_recorded failed for the reason, which did not name the refused connection.

--- a/src/gypsumwalk/drivers/peers.py
+++ b/src/gypsumwalk/drivers/peers.py
@@ -6,9 +6,8 @@
 
 import msgspec
 import trio
-import urllib3
-from urllib3.exceptions import HTTPError
 
+from gypsumwalk.drivers.http_client import HttpClient, RequestFailed
 from gypsumwalk.drivers.input_queue import InputSink
 from gypsumwalk.drivers.metrics import Metrics
 from gypsumwalk.effects import Record
@@ -27,7 +26,6 @@
 MAX_BATCH_MESSAGES = 64
 MAX_BATCH_DATAGRAMS = 64
 SEND_TIMEOUT_SECONDS = 2.0
-SENDER_THREADS = 16
 REPORT_INTERVAL_SECONDS = 5.0
 PEER_PATH = "/peer/v1/messages"
 
@@ -96,8 +94,8 @@
         self._nonblocking_socket = self._socket._sock  # type: ignore[attr-defined]
         self._queues: dict[str, trio.MemorySendChannel[Envelope]] = {}
         self._nursery: trio.Nursery | None = None
-        self._limiter = trio.CapacityLimiter(SENDER_THREADS)
-        self._http_pool = urllib3.PoolManager(num_pools=64, maxsize=2, retries=False)
+        # One sender per recipient, so that batches keep their order.
+        self._http = HttpClient(connections_per_lane=1)
         self._last_recorded: dict[str, float] = {}
 
     async def bind(self, address: PeerAddress) -> None:
@@ -129,7 +127,7 @@
     def close(self) -> None:
         """Close the socket and the idle connections."""
         self._socket.close()
-        self._http_pool.clear()
+        self._http.close()
 
     def send(self, recipient: str, body: msgspec.Struct, *, reliable: bool) -> None:
         """Send or enqueue one message without blocking; delivery is not guaranteed.
@@ -226,29 +224,18 @@
     ) -> None:
         content = self._codec.encode_stream(batch)
         self._count_messages("sent", "http", len(batch), len(content))
-        url = f"http://{address.host}:{address.port}{PEER_PATH}"
+        headers = {"Gypsumwalk-Signature": self._codec.sign(content)}
         try:
-            await trio.to_thread.run_sync(
-                self._post_blocking,
-                url,
-                content,
-                limiter=self._limiter,
-                abandon_on_cancel=True,
+            await self._http.request(
+                "POST",
+                f"{address.host}:{address.port}",
+                PEER_PATH,
+                timeout=SEND_TIMEOUT_SECONDS,
+                headers=headers,
+                body=content,
             )
-        except (HTTPError, OSError) as error:
-            self._record_failure(recipient, type(error).__name__)
-
-    def _post_blocking(self, url: str, content: bytes) -> None:
-        headers = {"Gypsumwalk-Signature": self._codec.sign(content)}
-        self._http_pool.request(
-            "POST",
-            url,
-            body=content,
-            headers=headers,
-            timeout=SEND_TIMEOUT_SECONDS,
-            retries=False,
-            redirect=False,
-        )
+        except RequestFailed as error:
+            self._record_failure(recipient, str(error))
 
     def _handle_batch(
         self, batch: Sequence[tuple[Envelope, msgspec.Struct]], size: int
