Let the log say which starts are settled

A new leader does not know which starts of the leader before were answered. It took every run for one whose start may still be carried out by a later life of the instance, and if the instance ended, it waited for the longest lease before the task might run elsewhere. It is a safe assumption about the past that nothing ever retired.

A run whose start was not answered is confirmed once each copy must have expired. A new leader restores such a run as settled, so that it ends with its instance.

Waiting less is ruled out, as a start that is on its way would run the task twice. Lists of the instances don't help either: a start that has not arrived is in none.

The emulator's longest lease can be set; with 6 s, the default, the wait just fitted into the bound, which is why no test had found this.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -21,6 +21,7 @@
 from gypsumwalk.leases import InstanceView, LeaseTable, RunState, RunView
 from gypsumwalk.orphaned_runs import LATE_ORDER_SECONDS, OrphanedRuns
 from gypsumwalk.part import NEVER
+from gypsumwalk.run_confirmations import RunConfirmations
 from gypsumwalk.run_lists import reconcile_runs
 from gypsumwalk.run_orders import CALL_SECONDS, LEASE_MARGIN_SECONDS, RunOrders
 from gypsumwalk.state import Accepted
@@ -30,6 +31,7 @@
 from gypsumwalk.workload_records import (
     AcceptWorkload,
     CancelWorkload,
+    ConfirmRuns,
     EndRuns,
     Placement,
     PlaceRuns,
@@ -143,6 +145,8 @@
         self._orphans = OrphanedRuns(
             max_lease=max_lease, transit=CALL_SECONDS + LEASE_MARGIN_SECONDS
         )
+        self._confirmations = RunConfirmations(self._orphans)
+        self._confirmation_proposals: dict[str, list[RunView]] = {}
         self._placement_proposals: dict[str, list[RunView]] = {}
         self._listed_ends: list[RunEnd] = []
         self._listed_numbers: dict[str, int] = {}
@@ -242,7 +246,7 @@
     def _restore_runs(
         self, placements: Iterable[Placement], now: float
     ) -> list[Effect]:
-        """Add runs of an earlier leader, which may have sent their starts just now."""
+        """Add runs of an earlier leader, which may have sent some starts just now."""
         without_instance = []
         for placement in placements:
             task = placement.task
@@ -251,8 +255,11 @@
             if self.lease_table.find(task, placement.run) is not None:
                 continue
             run = self._scheduler.restore_run(placement, self.lease_table)
-            run.unanswered_starts, run.start_sent_at = 1, now
             self._watch_orders(run)
+            run.is_settled = self._workloads.is_settled(placement)
+            if not run.is_settled:
+                run.unanswered_starts, run.start_sent_at = 1, now
+                self._watch_start(run, now)
             if run.life not in self.lease_table.instances:
                 without_instance.append(run)
         return self._end_with_instance(without_instance, now)
@@ -262,6 +269,8 @@
         self.lease_table = LeaseTable()
         self._orders.begin_term(0)
         self._orphans.clear()
+        self._confirmations.clear()
+        self._confirmation_proposals.clear()
         self._placement_proposals.clear()
         self._listed_ends, self._listed_numbers = [], {}
         self._ends_due = NEVER
@@ -356,9 +365,9 @@
             if not self._can_start(run, now):
                 unsent.append(run)
                 continue
-            effects += self._orders.start(
-                run, self.lease_table.instances[run.life], now
-            )
+            view = self.lease_table.instances[run.life]
+            effects += self._orders.start(run, view, now)
+            self._watch_start(run, now)
         return effects + self._end_as_lost(unsent, "its start was not sent")
 
     def _can_start(self, run: RunView, now: float) -> bool:
@@ -453,6 +462,7 @@
         effects += self._resend_orders(now)
         effects += self._stop_lasting_on_draining(now)
         effects += self._check_orphans(now)
+        effects += self._confirm_runs(now)
         if self._scheduler.invalidate_if_due(now):
             self.request_scheduling_pass(now)
         return effects
@@ -475,6 +485,20 @@
             return [self._propose(command)]
         return []
 
+    def _watch_start(self, run: RunView, now: float) -> None:
+        step = self._workloads.find_step(run.task)
+        is_lasting = step is not None and step.lasting
+        self._confirmations.watch(run, now, is_lasting=is_lasting)
+
+    def _confirm_runs(self, now: float) -> list[Effect]:
+        runs = self._confirmations.take_settled(self.lease_table, now)
+        if not runs:
+            return []
+        placements = [Placement(run.task, run.run, run.life) for run in runs]
+        proposal = self._propose(ConfirmRuns(placements))
+        self._confirmation_proposals[proposal.token] = runs
+        return [proposal]
+
     def _watch_orders(self, run: RunView) -> None:
         self._ordered_runs[run.task, run.run] = run
 
@@ -647,6 +671,11 @@
     def _handle_proposal_outcome(
         self, item: ProposalOutcome, now: float
     ) -> list[Effect]:
+        if confirmed := self._confirmation_proposals.pop(item.token, None):
+            if item.status is not ProposalStatus.COMMITTED:
+                for run in confirmed:
+                    self._watch_start(run, now)
+            return []
         self.request_scheduling_pass(now)
         if batch := self._placement_proposals.pop(item.token, None):
             self._handle_placement_outcome(batch, item.status, now)
--- a/src/gypsumwalk/emulator.py
+++ b/src/gypsumwalk/emulator.py
@@ -47,7 +47,7 @@
 """Default time that a task takes to stop; the platform allows 200 to 400 ms."""
 
 MAX_LEASE_SECONDS = 6.0
-"""Longest lease that an instance grants, whatever expiry an order names."""
+"""Default of the longest lease that an instance grants."""
 
 STARTUP_SECONDS = 0.3
 """Time from the start of a long-running task until it reports 100 percent."""
@@ -198,6 +198,8 @@
         """Name of the calling daemon, for instances that some daemons cannot reach."""
         self.find_load: Callable[[EmulatedInstance, Execution], int] = lambda *_: 0
         """Returns the load that an instance reports for a run."""
+        self.max_lease = MAX_LEASE_SECONDS
+        """Longest lease in seconds that an instance grants, whatever an order names."""
         self.stop_durations: list[float] = [STOP_SECONDS]
         """Times in seconds that a stop may take, chosen at random."""
         self.advice: EmulatedAdvice | None = None
@@ -358,7 +360,7 @@
         if until is None:
             return
         seconds = (until - instance.read_clock(now)) / 1000
-        end = now + min(seconds, MAX_LEASE_SECONDS)
+        end = now + min(seconds, self.max_lease)
         instance.lease_until = max(instance.lease_until, end)
 
     def _acknowledge(self, instance: EmulatedInstance, number: int) -> None:
--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -72,6 +72,8 @@
     late_start_until : float
         Time in seconds until which a start that was not answered may be carried out,
         also if a later one was answered.
+    is_settled : bool
+        Whether no start of it can be carried out any more.
     percent : int
         Share of full speed in percent, as listed.
     load : int
@@ -102,6 +104,7 @@
     unanswered_starts: int = 0
     start_sent_at: float = 0.0
     late_start_until: float = 0.0
+    is_settled: bool = False
     percent: int = 100
     load: int = 0
     requested_percent: int = 100
--- a/src/gypsumwalk/orphaned_runs.py
+++ b/src/gypsumwalk/orphaned_runs.py
@@ -50,9 +50,29 @@
         bool
             False once the longest lease after the last start has expired.
         """
-        is_over = now >= run.start_sent_at + self._lifetime
+        is_over = run.is_settled or now >= run.start_sent_at + self._lifetime
         return run.unanswered_starts > 0 and not is_over
 
+    def find_settled_at(self, run: RunView) -> float:
+        """Return the time from which the start of a run can't be carried out again.
+
+        Parameters
+        ----------
+        run : RunView
+            A run that its instance has confirmed.
+
+        Returns
+        -------
+        float
+            Time in seconds; in the past if every start was answered or carried out.
+        """
+        if run.is_settled:
+            return 0.0
+        if not run.unanswered_starts:
+            return run.late_start_until
+        longest = max(self._lifetime, LATE_ORDER_SECONDS)
+        return max(run.late_start_until, run.start_sent_at + longest)
+
     def separate(self, ended: Iterable[RunView], now: float) -> list[RunView]:
         """Keep the runs that may go on in the next life, and return the others.
 
@@ -70,7 +90,7 @@
         """
         certain = []
         for run in ended:
-            is_late = now < run.late_start_until
+            is_late = now < run.late_start_until and not run.is_settled
             if run.state is RunState.ENDING:
                 continue
             if is_late or self.may_have_begun(run, now):
--- a/src/gypsumwalk/workload_records.py
+++ b/src/gypsumwalk/workload_records.py
@@ -153,6 +153,8 @@
         Latest checkpoint; empty for none.
     placed : dict of int to str
         Life (incarnation) of the instance of each run that may be going on.
+    settled : int
+        Number of the latest run whose start is settled; see ``ConfirmRuns``.
     """
 
     run: int = 0
@@ -160,6 +162,7 @@
     done: bool = False
     checkpoint: str = ""
     placed: dict[int, str] = {}
+    settled: int = 0
 
 
 class Workload(msgspec.Struct):
@@ -273,6 +276,20 @@
     placements: list[Placement]
 
 
+class ConfirmRuns(msgspec.Struct, frozen=True, tag=True):
+    """Command: record runs that go on and whose start is settled.
+
+    No copy of the start is on its way any more, so such a run ends with its instance.
+
+    Attributes
+    ----------
+    placements : list of Placement
+        Placements of the runs.
+    """
+
+    placements: list[Placement]
+
+
 class RunEnd(msgspec.Struct, frozen=True, array_like=True):
     """End of one run."""
 
--- a/src/gypsumwalk/workloads.py
+++ b/src/gypsumwalk/workloads.py
@@ -10,6 +10,7 @@
 from gypsumwalk.workload_records import (
     AcceptWorkload,
     CancelWorkload,
+    ConfirmRuns,
     EndRuns,
     Placement,
     PlaceRuns,
@@ -78,6 +79,7 @@
         AcceptWorkload,
         CancelWorkload,
         PlaceRuns,
+        ConfirmRuns,
         EndRuns,
         RegisterInstance,
         RemoveInstance,
@@ -105,6 +107,9 @@
                 return self._cancel(job, index, at)
             case PlaceRuns():
                 return self._record_placements(command, index)
+            case ConfirmRuns(placements=placements):
+                for placement in placements:
+                    self._record_settled(placement)
             case EndRuns(ends=ends):
                 for end in ends:
                     self._end_run(end, at)
@@ -139,6 +144,11 @@
                 for run, life in record.placed.items():
                     yield Placement(key, run, life)
 
+    def is_settled(self, placement: Placement) -> bool:
+        """Tell whether no copy of the start of a placed run is on its way any more."""
+        record = self._find_record(placement.task)
+        return record is not None and record.settled == placement.run
+
     def count_waiting(self, queue: str) -> int:
         """Count the open jobs of a queue without a placed task."""
         return self._waiting[queue]
@@ -210,6 +220,17 @@
         if workload.state is WorkloadState.QUEUED:
             self._set_state(workload, WorkloadState.RUNNING)
 
+    def _record_settled(self, placement: Placement) -> None:
+        record = self._find_record(placement.task)
+        if record and record.placed.get(placement.run) == placement.life:
+            record.settled = placement.run
+
+    def _find_record(self, task: TaskKey) -> TaskRecord | None:
+        workload = self.jobs.get(task.job)
+        if workload is None:
+            return None
+        return workload.tasks.get((task.occurrence, task.step, task.number))
+
     def _end_run(self, end: RunEnd, at: float) -> None:
         workload = self.jobs.get(end.task.job)
         if workload is None:
--- a/tests/_fleet_work.py
+++ b/tests/_fleet_work.py
@@ -68,10 +68,12 @@
         instances=3,
         task_seconds=0.5,
         daemons=3,
+        max_lease=6.0,
         data_centres=None,
         disk_losses=0,
     ):
         self.seed = seed
+        self.max_lease = max_lease
         self.disk_losses = disk_losses
         self.task_seconds = task_seconds
         self.run_results = {}
@@ -83,6 +85,7 @@
             for number, name in enumerate(self.names)
         }
         self.model = EmulatedPlatform(Random(f"platform {seed}"), self._find_run_result)
+        self.model.max_lease = max_lease
         self.model.on_maintenance = self._schedule_restart
         super().__init__(self._build_node, seed=seed, platform=self.model)
         for name in self.names:
@@ -118,7 +121,7 @@
         )
         assembly = FleetAssembly(
             settings,
-            FleetLimits(max_lease=6.0),
+            FleetLimits(max_lease=self.max_lease),
             incarnation=incarnation,
             recovered=recovered or Recovered(),
             random=Random(f"{self.seed}/{name}/{incarnation}"),
--- a/tests/test_fleet_doubled_runs.py
+++ b/tests/test_fleet_doubled_runs.py
@@ -196,6 +196,38 @@
         assert find_duplicate_runs(world.model.history) == []
         assert len(world.model.history) == 3
 
+    # As before, after a change of leader: the log must not call such a run settled.
+    def test_a_late_copy_of_a_start_is_stopped_by_a_new_leader(self):
+        for seed, delay in enumerate((0.4, 1.0, 3.0, 6.0, 9.0)):
+            with self.subTest(seed=seed, delay=delay):
+                history = self.change_leader_before_a_late_start(seed, delay)
+                assert find_duplicate_runs(history) == []
+                assert len(history) == 3
+
+    def change_leader_before_a_late_start(self, seed, delay):
+        world = FleetWorld(seed, task_seconds=600.0, instances=1)
+        world.begin()
+        late = []
+        call = world.model.call
+
+        def delay_the_first_start(effect, now):
+            if isinstance(effect.action, StartRun) and not late:
+                late.append(effect)
+                return lose_answer(effect)
+            return call(effect, now)
+
+        with patch.object(world.model, "call", delay_the_first_start):
+            world.submit(JOB, [Step(1, NEED, lasting=True)])
+            world.run_until(lambda: world.model.history, within=6.0)
+            world.run(delay)
+            world.kill(world.find_leader())
+            world.run_until(world.find_leader, within=10.0)
+            world.start_instance(1)
+            world.start_instance(0, life=2)
+            call(late[0], world.now)
+            world.run(20.0)
+        return world.model.history
+
     # The instance never returns, so no later life can carry the start out.
     def test_an_unanswered_start_is_repeated_once_its_lease_must_have_expired(self):
         world = FleetWorld(task_seconds=1.0, instances=1)
--- /dev/null
+++ b/tests/test_lasting_tasks.py
@@ -0,0 +1,385 @@
+"""Tests that a lasting task runs again within seconds of the end of its last run."""
+
+import unittest
+from random import Random
+from unittest.mock import patch
+
+import msgspec
+
+from gypsumwalk.declaration_records import Resources
+from gypsumwalk.fleet_calls import AnnounceInstanceCall, LeaveInstanceCall
+from gypsumwalk.inputs import PlatformOutcome
+from gypsumwalk.instance_actions import OrderReport, StartRun, StopRun
+from gypsumwalk.workload_records import Step
+from tests._fleet_work import FleetWorld
+from tests._fleet_work_checks import find_duplicate_runs
+
+JOB = "00000000000000aa"
+TASK = f"{JOB}.0.0.0"
+NEED = Resources(2000, 1000)
+SMALL = Resources(1000, 1000)
+LASTING_TASKS = 4
+RESTART_SECONDS = 6.0
+"""Time after its last run from which a lasting task has to run again."""
+ALLOWED_SECONDS = 3.0
+"""Time within which it has to run then, where the end of its last run was unnoticed."""
+
+
+def make_world(seed=0, **fields):
+    """Return a world in which one lasting task runs, on the longest lease in use."""
+    world = FleetWorld(seed, task_seconds=600.0, max_lease=10.0, **fields)
+    world.begin()
+    world.submit(JOB, [Step(1, NEED, lasting=True)])
+    world.run(10.0)
+    return world
+
+
+def list_runs(world, task=TASK):
+    return [run for run in world.model.history if run.task == task]
+
+
+def list_running(world):
+    return [run for run in world.model.history if run.ended is None]
+
+
+def list_gaps(world, task):
+    """Return the seconds for which a task did not run, after each of its runs."""
+    runs = list_runs(world, task)
+    starts = [run.started for run in runs[1:]] + [world.now]
+    ends = [world.now if run.ended is None else run.ended for run in runs]
+    return [start - end for end, start in zip(ends, starts, strict=True)]
+
+
+def find_instance(world, run):
+    return next(
+        instance
+        for instance in world.model.instances.values()
+        if instance.registered.life == run.life
+    )
+
+
+def end_instance(world, run):
+    """End the instance of a run, which deregisters without delay."""
+    instance = find_instance(world, run)
+    world.model.crash(instance, world.now)
+    call = LeaveInstanceCall(instance.registered.instance)
+    return world.call(call, to=world.find_leader())
+
+
+def change_leader(world):
+    world.kill(world.find_leader())
+    assert world.run_until(world.find_leader, within=10.0)
+
+
+def measure_restart(world, task=TASK, *, within=20.0):
+    """Return the time from the end of the last run of a task until its next start."""
+    last = list_runs(world, task)[-1]
+    has_started = world.run_until(
+        lambda: list_runs(world, task)[-1] is not last, within=within
+    )
+    assert has_started
+    assert find_duplicate_runs(world.model.history) == []
+    return list_runs(world, task)[-1].started - last.ended
+
+
+class TestChangeOfLeader(unittest.TestCase):
+    # A new leader took every run for one whose start may still be on its way.
+    def test_a_task_runs_again_if_its_instance_ends_after_a_change_of_leader(self):
+        for delay in (0.2, 1.0, 3.0):
+            with self.subTest(delay=delay):
+                world = make_world()
+                change_leader(world)
+                world.run(delay)
+                end_instance(world, list_runs(world)[-1])
+                seconds = measure_restart(world)
+                assert seconds < RESTART_SECONDS, seconds
+
+    # As before, with the run started just before the change of leader.
+    def test_a_task_that_has_just_started_again_survives_a_change_of_leader(self):
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                world = make_world(seed)
+                end_instance(world, list_runs(world)[-1])
+                measure_restart(world)
+                world.run(0.5)
+                change_leader(world)
+                world.run(0.2)
+                end_instance(world, list_runs(world)[-1])
+                seconds = measure_restart(world)
+                assert seconds < RESTART_SECONDS, seconds
+
+    # The leader is lost before it has committed the end of the run.
+    def test_a_task_runs_again_if_its_instance_ends_before_a_change_of_leader(self):
+        for delay in (0.002, 0.004, 0.006, 0.008):
+            with self.subTest(delay=delay):
+                world = make_world()
+                end_instance(world, list_runs(world)[-1])
+                world.run(delay)
+                change_leader(world)
+                seconds = measure_restart(world)
+                assert seconds < RESTART_SECONDS, seconds
+
+    # The leader is lost together with the deregistration, which is then repeated.
+    def test_a_task_runs_again_if_the_end_of_its_instance_is_reported_twice(self):
+        world = make_world()
+        end_instance(world, list_runs(world)[-1])
+        change_leader(world)
+        end_instance(world, list_runs(world)[-1])
+        seconds = measure_restart(world)
+        assert seconds < RESTART_SECONDS, seconds
+
+    # The instance and the leader are lost at once, and nobody reports the former.
+    def test_a_task_of_a_silent_instance_runs_again_after_a_change_of_leader(self):
+        world = make_world()
+        world.model.crash(find_instance(world, list_runs(world)[-1]), world.now)
+        change_leader(world)
+        seconds = measure_restart(world)
+        assert seconds < RESTART_SECONDS + ALLOWED_SECONDS, seconds
+
+
+class LostAnswers:
+    """Carries out the platform's calls, and loses the answers to some actions."""
+
+    def __init__(self, world, kind, *, count=1, silence=False):
+        self.world = world
+        self.kind = kind
+        self.count = count
+        self.silence = silence
+        self._call = world.model.call
+
+    def __call__(self, effect, now):
+        answer = self._call(effect, now)
+        if not self.count or not isinstance(effect.action, self.kind):
+            return answer
+        self.count -= 1
+        if self.silence:
+            self.world.model.instances[effect.action.address].is_silent = True
+        lost = PlatformOutcome(effect.token, succeeded=False, unknown=True)
+        return effect.timeout, lambda at: lost
+
+
+def drain_instance(world, run):
+    registered = find_instance(world, run).registered
+    draining = msgspec.structs.replace(registered, draining=True)
+    return world.call(AnnounceInstanceCall(draining), to=world.find_leader())
+
+
+def assert_runs_again(world, bound):
+    """Assert that the task that is being stopped ends and runs again in time."""
+    last = list_runs(world)[-1]
+    assert world.run_until(lambda: last.ended is not None, within=15.0)
+    seconds = measure_restart(world)
+    assert seconds < bound, seconds
+
+
+class TestLostInstance(unittest.TestCase):
+    def test_a_task_of_an_instance_that_leaves_runs_again(self):
+        world = make_world()
+        end_instance(world, list_runs(world)[-1])
+        assert_runs_again(world, 1.0)
+
+    def test_a_task_of_a_crashed_instance_runs_again(self):
+        world = make_world()
+        world.model.crash(find_instance(world, list_runs(world)[-1]), world.now)
+        assert_runs_again(world, RESTART_SECONDS)
+
+    # The run goes on until its lease expires.
+    def test_a_task_of_a_silent_instance_runs_again(self):
+        world = make_world()
+        find_instance(world, list_runs(world)[-1]).is_silent = True
+        assert_runs_again(world, RESTART_SECONDS)
+
+    def test_a_task_of_a_restarted_instance_runs_again(self):
+        world = make_world()
+        run = list_runs(world)[-1]
+        number = int(run.life.partition("@")[0].removeprefix("i-"))
+        world.start_instance(number, life=2)
+        assert_runs_again(world, RESTART_SECONDS)
+
+
+class TestStop(unittest.TestCase):
+    def test_a_task_runs_again_if_its_instance_drains(self):
+        world = make_world()
+        drain_instance(world, list_runs(world)[-1])
+        assert_runs_again(world, RESTART_SECONDS)
+
+    def test_a_task_runs_again_if_the_answer_to_its_stop_is_lost(self):
+        for silence in (False, True):
+            with self.subTest(silence=silence):
+                world = make_world()
+                lost = LostAnswers(world, StopRun, silence=silence)
+                with patch.object(world.model, "call", lost):
+                    drain_instance(world, list_runs(world)[-1])
+                    assert_runs_again(world, RESTART_SECONDS)
+
+    def test_a_task_runs_again_if_the_leader_is_lost_after_its_stop(self):
+        for silence in (False, True):
+            for delay in (0.0, 0.02, 0.2):
+                with self.subTest(silence=silence, delay=delay):
+                    world = make_world()
+                    lost = LostAnswers(world, StopRun, silence=silence)
+                    with patch.object(world.model, "call", lost):
+                        drain_instance(world, list_runs(world)[-1])
+                        world.run_until(lambda lost=lost: not lost.count, within=2.0)
+                        world.run(delay)
+                        change_leader(world)
+                        bound = RESTART_SECONDS + ALLOWED_SECONDS
+                        assert_runs_again(world, bound if silence else RESTART_SECONDS)
+
+    def test_a_task_runs_again_if_a_wave_takes_its_machine_down(self):
+        for lose_leader in (False, True):
+            with self.subTest(lose_leader=lose_leader):
+                world = make_world()
+                run = list_runs(world)[-1]
+                machine = find_instance(world, run).registered.machine
+                world.start_wave(1, [machine])
+                world.run_until(lambda run=run: run.end_kind == "stopped", within=20.0)
+                if lose_leader:
+                    change_leader(world)
+                assert_runs_again(world, RESTART_SECONDS)
+
+
+class TestStart(unittest.TestCase):
+    def test_a_task_runs_again_if_the_answer_to_its_start_is_lost(self):
+        world = make_world()
+        with patch.object(world.model, "call", LostAnswers(world, StartRun)):
+            end_instance(world, list_runs(world)[-1])
+            assert_runs_again(world, 1.0)
+
+    def test_a_task_runs_again_if_the_leader_is_lost_while_it_is_placed(self):
+        for delay in (0.003, 0.006, 0.01, 0.02):
+            with self.subTest(delay=delay):
+                world = make_world()
+                last = list_runs(world)[-1]
+                end_instance(world, last)
+                world.run(delay)
+                change_leader(world)
+                world.run(RESTART_SECONDS)
+                assert list_runs(world)[-1].started - last.ended < RESTART_SECONDS
+                assert len(list_running(world)) == 1
+                assert find_duplicate_runs(world.model.history) == []
+
+    def test_a_task_runs_again_if_the_leader_is_cut_off_while_it_is_placed(self):
+        for delay in (0.003, 0.006, 0.01):
+            with self.subTest(delay=delay):
+                world = make_world()
+                leader = world.find_leader()
+                last = list_runs(world)[-1]
+                end_instance(world, last)
+                world.run(delay)
+                others = [name for name in world.names if name != leader]
+                world.partition([leader], others)
+                world.run(RESTART_SECONDS)
+                assert list_runs(world)[-1].started - last.ended < RESTART_SECONDS
+                assert len(list_running(world)) == 1
+                assert find_duplicate_runs(world.model.history) == []
+
+
+class TestRandomFaults(unittest.TestCase):
+    """Faults strike one after the other while transient tasks fill the service."""
+
+    def test_no_task_stays_away_after_random_faults(self):
+        for seed in range(12):
+            with self.subTest(seed=seed):
+                world = self.run_random_faults(seed)
+                assert find_duplicate_runs(world.model.history) == []
+                gaps = [
+                    gap
+                    for number in range(LASTING_TASKS)
+                    for gap in list_gaps(world, f"{JOB}.0.0.{number}")
+                ]
+                assert max(gaps) < RESTART_SECONDS + ALLOWED_SECONDS, max(gaps)
+
+    def run_random_faults(self, seed):
+        world = FleetWorld(seed, instances=5, max_lease=10.0)
+        random = Random(f"faults {seed}")
+        for number in range(LASTING_TASKS):
+            for run in range(1, 30):
+                task = f"{JOB}.0.0.{number}"
+                world.run_results[task, run] = (600.0, "done")
+        world.begin()
+        world.model.stop_durations = [0.05, 0.2, 0.4]
+        step = Step(LASTING_TASKS, NEED, lasting=True, max_per_instance=2)
+        world.submit(JOB, [step])
+        for number in range(8):
+            world.submit(f"{number:016x}", [Step(200, SMALL)])
+        world.run(5.0)
+        faults = ["crash", "leave", "drain", "silence", "leader"]
+        for _ in range(6):
+            for fault in random.sample(faults, random.choice((1, 2))):
+                self.inject(world, fault, random)
+                world.run(random.choice((0.0, 0.01, 0.3, 1.0)))
+            world.run(11.0)
+        return world
+
+    def inject(self, world, fault, random):
+        if fault == "leader":
+            name = world.find_leader()
+            if name:
+                world.kill(name)
+                world.schedule(3.0, lambda: world.restart(name))
+            return
+        candidates = [
+            item
+            for item in world.model.instances.values()
+            if not item.is_dead and not item.is_silent
+        ]
+        instance = random.choice(candidates)
+        number = int(instance.registered.instance.removeprefix("i-"))
+        call = LeaveInstanceCall(instance.registered.instance)
+        leader = world.find_leader()
+        if fault == "silence":
+            instance.is_silent = True
+        elif fault == "drain" and leader:
+            draining = msgspec.structs.replace(instance.registered, draining=True)
+            world.call(AnnounceInstanceCall(draining), to=leader)
+        else:
+            world.model.crash(instance, world.now)
+            if fault == "leave" and leader:
+                world.call(call, to=leader)
+        life = int(world.now) % 100000
+        world.schedule(7.0, lambda: world.start_instance(number, life=life))
+
+
+class TestStalledLeader(unittest.TestCase):
+    # The leader stays elected but may not act, so that every lease expires.
+    def test_tasks_run_again_once_a_stalled_leader_may_act(self):
+        for seconds in (3.0, 5.0, 6.0):
+            with self.subTest(seconds=seconds):
+                world = make_world()
+                consensus = world.get_leader().consensus
+                with patch.object(consensus, "holds_lease", lambda now: False):
+                    world.run(seconds)
+                resumed = world.now
+                world.run(RESTART_SECONDS)
+                assert len(list_running(world)) == 1
+                assert list_running(world)[0].started < resumed + 1.0
+                assert find_duplicate_runs(world.model.history) == []
+
+
+class TestRefusedStart(unittest.TestCase):
+    def test_a_task_runs_again_if_some_instances_refuse_every_start(self):
+        world = make_world(instances=4)
+        call = world.model.call
+        life = list_runs(world)[-1].life
+        healthy = next(
+            item.registered.address
+            for item in world.model.instances.values()
+            if item.registered.life != life
+        )
+
+        def refuse(effect, now):
+            action = effect.action
+            if not isinstance(action, StartRun) or action.address == healthy:
+                return call(effect, now)
+            report = OrderReport(refused="room")
+            done = PlatformOutcome(effect.token, succeeded=True, report=report)
+            return 0.002, lambda at: done
+
+        with patch.object(world.model, "call", refuse):
+            end_instance(world, list_runs(world)[-1])
+            assert_runs_again(world, RESTART_SECONDS)
+
+
+if __name__ == "__main__":
+    unittest.main()
