Settle a run that the life of its only start lists

If the answer to a start was lost, the run counted as one whose start may be carried out again, although the instance listed it. When the instance ended, the task waited for the longest lease.

A run that was sent once and is listed by the life that it was sent to is settled: the only copy of its start has been carried out.

Without the count of attempts two tests of doubled runs fail. That the life has to be the same is not covered by a test: the tests of doubled runs and of lasting tasks pass without it.

--- a/src/gypsumwalk/run_lists.py
+++ b/src/gypsumwalk/run_lists.py
@@ -76,12 +76,15 @@
         if item.number > view.acknowledged
     }
     ends: list[RunEnd] = []
+    is_same_life = report.born == view.registered.born
     complete = len(report.ended) < MAX_LISTED_ENDS
     for key, run in view.runs.items():
         if key in ended:
             ends.append(_describe_end(run, ended[key]))
         elif key in listed:
             _update_running(run, listed[key], now)
+            # The only copy of its start was carried out by the life that lists it.
+            run.is_settled |= run.attempts == 1 and is_same_life
         elif complete and _is_gone(run, sent_at, now, stop_grace):
             ends.append(RunEnd(run.task, run.run, RunEndKind.LOST, run.checkpoint))
     last_end = max((item.number for item in ended.values()), default=0)
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -246,6 +246,26 @@
             end_instance(world, list_runs(world)[-1])
             assert_runs_again(world, 1.0)
 
+    # The answer to the start was lost, but the instance has listed the run since.
+    def test_a_listed_run_whose_start_was_not_answered_ends_with_its_instance(self):
+        for delay in (1.0, 1.5, 4.0):
+            with self.subTest(delay=delay):
+                self.end_instance_after_an_unanswered_start(delay)
+
+    # As before, but no list of the instance has shown the run.
+    @unittest.expectedFailure
+    def test_an_unlisted_run_whose_start_was_not_answered_ends_with_its_instance(self):
+        self.end_instance_after_an_unanswered_start(0.1)
+
+    def end_instance_after_an_unanswered_start(self, delay):
+        world = make_world()
+        with patch.object(world.model, "call", LostAnswers(world, StartRun)):
+            end_instance(world, list_runs(world)[-1])
+            assert_runs_again(world, 1.0)
+            world.run(delay)
+            end_instance(world, list_runs(world)[-1])
+            assert_runs_again(world, RESTART_SECONDS)
+
     def test_a_task_runs_again_if_the_leader_is_lost_while_it_is_placed(self):
         for delay in (0.003, 0.006, 0.01, 0.02):
             with self.subTest(delay=delay):
