Place lasting tasks first, and keep room and quota for them

A lasting task that had lost its instance did not run again within 15 s in a full service. Queues of a higher priority came first. A lasting task that needs more than any hole never got one, as small tasks took each part that became free; the same holds for the quota of its team.

- Jobs with lasting tasks come first in a pass, whatever the priority of their queue: they owe an answer within seconds, and transient tasks end by themselves.
- Where a lasting task fits on no instance, the instances that lack least, and could hold it without their transient runs, are withheld from the rest of the pass.
What they lack can only shrink then.
As many are withheld as the waiting tasks need.
- Where quota is lacking, transient tasks of its team wait, if the task fits into the quota beside the other lasting ones.
- Nothing is kept for a task that could not run even without the transient ones, or whose queue requires advice.

Nothing is preempted: that would lose work, and the rule allows for seconds.

On the code before these failed, as the task did not run again within 15 s (6 s for the quota): test_a_task_gets_room_before_transient_tasks_of_a_higher_priority, test_a_large_task_gets_room_before_small_tasks_that_fit_at_once, test_a_task_gets_the_quota_that_small_tasks_of_its_team_would_use (3 seeds each), test_a_task_gets_the_memory_that_small_tasks_would_take and test_a_task_with_a_label_gets_room_on_the_instances_that_have_it. The two tests of tasks that keep nothing, test_a_task_beyond_the_quota_of_its_team_reserves_no_quota and test_a_task_larger_than_every_instance_reserves_nothing, passed there already.

--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -84,6 +84,8 @@
         Latest checkpoint, as listed.
     has_latency_target : bool
         Whether its step has a latency target.
+    is_lasting : bool
+        Whether it goes on until it is stopped.
     """
 
     task: TaskKey
@@ -110,6 +112,7 @@
     requested_percent: int = 100
     checkpoint: str = ""
     has_latency_target: bool = False
+    is_lasting: bool = False
 
     @property
     def key(self) -> tuple[str, int]:
@@ -231,6 +234,8 @@
         self.instances: dict[str, InstanceView] = {}
         self.runs_by_task: dict[TaskKey, dict[int, RunView]] = {}
         self.usage_by_team: dict[str, Resources] = {}
+        self.lasting_usage_by_team: dict[str, Resources] = {}
+        """What the lasting runs of each team use of its quota."""
         self._tasks_by_job: dict[str, dict[TaskKey, dict[int, RunView]]] = {}
 
     def add(self, run: RunView) -> None:
@@ -244,9 +249,8 @@
         runs = self.runs_by_task.setdefault(run.task, {})
         runs[run.run] = run
         self._tasks_by_job.setdefault(run.task.job, {})[run.task] = runs
-        self.usage_by_team[run.team] = (
-            self.usage_by_team.get(run.team, Resources()) + run.quota_charge
-        )
+        for usage in self._list_usages(run):
+            usage[run.team] = usage.get(run.team, Resources()) + run.quota_charge
 
     def move(self, run: RunView, life: str) -> None:
         """Move a run to another life of its instance, which may carry it out."""
@@ -266,7 +270,13 @@
         view = self.instances.get(run.life)
         if view is not None:
             view.remove_run(run)
-        self.usage_by_team[run.team] -= run.quota_charge
+        for usage in self._list_usages(run):
+            usage[run.team] -= run.quota_charge
+
+    def _list_usages(self, run: RunView) -> list[dict[str, Resources]]:
+        if run.is_lasting:
+            return [self.usage_by_team, self.lasting_usage_by_team]
+        return [self.usage_by_team]
 
     def _remove_task(self, task: TaskKey) -> None:
         del self.runs_by_task[task]
--- a/src/gypsumwalk/ready_tasks.py
+++ b/src/gypsumwalk/ready_tasks.py
@@ -25,12 +25,15 @@
         Lower bounds of what one of its ready tasks reserves.
     path : CriticalPath
         Its critical path; valid until a task of the job ends.
+    is_lasting : bool
+        Whether some of its ready tasks are lasting.
     """
 
     workload: Workload
     tasks: dict[tuple[int, int], list[TaskKey]]
     least: Resources
     path: CriticalPath
+    is_lasting: bool
 
 
 @dataclass(slots=True)
@@ -43,10 +46,13 @@
         Lower bounds of what one of their ready tasks reserves.
     jobs : dict of str to ReadyJob
         The jobs by identifier.
+    is_lasting : bool
+        Whether a lasting task has been among their ready tasks.
     """
 
     least: Resources
     jobs: dict[str, ReadyJob] = field(default_factory=dict)
+    is_lasting: bool = False
 
 
 class ReadyJobs:
@@ -70,6 +76,7 @@
         self._jobs[name] = job
         group = self._groups.setdefault(_find_key(job.workload), JobGroup(job.least))
         group.least = find_least([group.least, job.least])
+        group.is_lasting |= job.is_lasting
         group.jobs[name] = job
 
     def remove(self, name: str) -> None:
@@ -109,7 +116,8 @@
     if not tasks:
         return None
     least = find_least(find_need(workload.steps[step]) for _, step in tasks)
-    return ReadyJob(workload, tasks, least, find_critical_path(workload))
+    is_lasting = any(workload.steps[step].lasting for _, step in tasks)
+    return ReadyJob(workload, tasks, least, find_critical_path(workload), is_lasting)
 
 
 def find_least(needs: Iterable[Resources]) -> Resources:
--- a/src/gypsumwalk/task_placement.py
+++ b/src/gypsumwalk/task_placement.py
@@ -210,6 +210,62 @@
         self._change(candidate, candidate.free + need)
         self._refused.clear()
 
+    def reserve(
+        self, step: Step, count: int, is_allowed: Callable[[Candidate], bool]
+    ) -> None:
+        """Withhold candidates from the rest of the pass until tasks of a step fit.
+
+        The candidates that lack least come first. What a candidate lacks never grows
+        while it is withheld, so that its tasks end and make room.
+
+        Parameters
+        ----------
+        step : Step
+            Step of tasks that fit on no candidate.
+        count : int
+            Number of the tasks.
+        is_allowed : Callable
+            Tells whether a task may run on an instance that has the resources.
+        """
+        need = find_need(step)
+        candidates = self._list_holding(step, is_allowed)
+        candidates.sort(key=lambda item: _find_share(need, item.free), reverse=True)
+        for candidate in candidates:
+            if count <= 0:
+                return
+            fitting = _count_fitting(need, _find_transient_room(candidate))
+            count -= min(fitting, step.max_per_instance or fitting)
+            self._change(candidate, Resources())
+
+    def can_hold(self, step: Step, is_allowed: Callable[[Candidate], bool]) -> bool:
+        """Tell whether a task fits on some candidate without its transient runs.
+
+        Parameters
+        ----------
+        step : Step
+            Step of the task.
+        is_allowed : Callable
+            Tells whether the task may run on an instance that has the resources.
+
+        Returns
+        -------
+        bool
+            Whether some candidate can hold the task.
+        """
+        return bool(self._list_holding(step, is_allowed))
+
+    def _list_holding(
+        self, step: Step, is_allowed: Callable[[Candidate], bool]
+    ) -> list[Candidate]:
+        need = find_need(step)
+        return [
+            item
+            for item in self._candidates
+            if need.fits(_find_transient_room(item))
+            and _has_label(item, step.label)
+            and is_allowed(item)
+        ]
+
     def _iterate(self, step: Step, need: Resources, label: str) -> Iterator[Candidate]:
         """Iterate over the candidates that can take a task, best first."""
         entries = self._sort(label, filler=step.filler)
@@ -251,5 +307,42 @@
     return latency_sensitive_runs, candidate.free.cpu, position
 
 
+def _find_transient_room(candidate: Candidate) -> Resources:
+    """Return what an instance has free once its transient runs have ended."""
+    room = candidate.view.registered.capacity
+    for run in candidate.view.runs.values():
+        if run.is_lasting:
+            room -= run.need
+    return room
+
+
+def _find_share(need: Resources, free: Resources) -> float:
+    """Return the share of a need that is free, of the resource that lacks most."""
+    shares = [
+        have / wanted
+        for have, wanted in (
+            (free.cpu, need.cpu),
+            (free.memory, need.memory),
+            (free.accelerators, need.accelerators),
+        )
+        if wanted
+    ]
+    return min(shares, default=0.0)
+
+
+def _count_fitting(need: Resources, free: Resources) -> int:
+    """Return how many tasks of a need fit into free resources."""
+    counts = [
+        have // wanted
+        for have, wanted in (
+            (free.cpu, need.cpu),
+            (free.memory, need.memory),
+            (free.accelerators, need.accelerators),
+        )
+        if wanted
+    ]
+    return min(counts, default=1)
+
+
 def _has_label(candidate: Candidate, label: str) -> bool:
     return not label or label in candidate.view.registered.labels
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -1,7 +1,7 @@
 """Scheduler of a fleet: which ready tasks start now, and on which instances."""
 
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from gypsumwalk.advice import MAX_ASKED, AdviceCache, AdviceQuery, name_step
@@ -24,6 +24,9 @@
 __all__ = ["PlannedRun", "TaskScheduler", "is_within_quota"]
 
 
+_Rank = tuple[bool, int, int, float, str]
+"""Whether only transient tasks of a job wait, then its priority and urgency."""
+
 _Check = Callable[[Candidate], bool]
 """Tells whether a task may run on an instance that has the resources."""
 
@@ -39,6 +42,8 @@
 class TaskScheduler:
     """Schedules tasks by priority and urgency, within capacity, quotas and spread.
 
+    Lasting tasks come first, whatever the priority of their queue.
+
     Parameters
     ----------
     declarations : DeclarationSection
@@ -126,12 +131,59 @@
         self._update_ready(lease_table, now)
         self.wanted_advice.clear()
         pools = self._list_pools(lease_table, now)
+        waiting = self._sort_waiting(pools, now)
+        lasting = [item for item in waiting if item[0].is_lasting]
+        planned = self._plan_jobs(lasting, lease_table, now)
+        held_teams: set[str] = set()
+        for job, pool in lasting:
+            if self._reserve(job, pool, lease_table):
+                held_teams.add(job.workload.team)
+        transient = [
+            item
+            for item in waiting[len(lasting) :]
+            if item[0].workload.team not in held_teams
+        ]
+        return planned + self._plan_jobs(transient, lease_table, now)
+
+    def _plan_jobs(
+        self,
+        waiting: Iterable[tuple[ReadyJob, CandidatePool]],
+        lease_table: LeaseTable,
+        now: float,
+    ) -> list[PlannedRun]:
         planned: list[PlannedRun] = []
-        for job, pool in self._sort_waiting(pools, now):
+        for job, pool in waiting:
             if pool.has_room(job.least):
                 planned += self._plan_job(job, pool, lease_table, now)
         return planned
 
+    def _reserve(
+        self, job: ReadyJob, pool: CandidatePool, lease_table: LeaseTable
+    ) -> bool:
+        """Keep room for the lasting tasks of a job that fit on no instance yet.
+
+        Without this, smaller tasks would take each part of the room as it becomes free.
+        Returns whether a task waits for quota that transient tasks of its team use.
+        """
+        workload = job.workload
+        waits_for_quota = False
+        if self._declarations.get_advice(workload.queue) is not None:
+            return False
+        for tasks in job.tasks.values():
+            step = workload.steps[tasks[0].step]
+            if not step.lasting:
+                continue
+            used = dict(lease_table.usage_by_team)
+            count = self._reserve_quota(workload.team, step, len(tasks), used)
+            limit = _SpreadLimit(step, tasks[0], lease_table)
+            if count:
+                pool.reserve(step, count, limit.allows)
+            elif self._has_quota(
+                workload.team, step, lease_table.lasting_usage_by_team
+            ):
+                waits_for_quota |= pool.can_hold(step, limit.allows)
+        return waits_for_quota
+
     def add_demand(
         self, demands: Mapping[str, PoolDemand], lease_table: LeaseTable
     ) -> None:
@@ -211,26 +263,35 @@
         self, pools: Mapping[str, CandidatePool], now: float
     ) -> list[tuple[ReadyJob, CandidatePool]]:
         """List the jobs that may get room, most urgent first, with their pools."""
-        listed: list[tuple[tuple[int, int, float, str], ReadyJob, CandidatePool]] = []
+        listed: list[tuple[_Rank, ReadyJob, CandidatePool]] = []
         for group in self._waiting.list_groups():
             any_job = next(iter(group.jobs.values()))
             pool = pools.get(self.find_service(any_job.workload))
-            if pool is None or not pool.has_room(group.least):
+            if pool is None:
+                continue
+            has_room = pool.has_room(group.least)
+            if not has_room and not group.is_lasting:
                 continue
             queue = self._declarations.get_queue(any_job.workload.queue)
             for job in group.jobs.values():
-                listed.append((self._rank(job, queue, now), job, pool))
+                if has_room or job.is_lasting:
+                    listed.append((self._rank(job, queue, now), job, pool))
         listed.sort(key=lambda item: item[0])
         return [(job, pool) for _, job, pool in listed]
 
-    def _rank(
-        self, job: ReadyJob, queue: DeclaredQueue | None, now: float
-    ) -> tuple[int, int, float, str]:
+    def _rank(self, job: ReadyJob, queue: DeclaredQueue | None, now: float) -> _Rank:
         workload = job.workload
+        is_transient = not job.is_lasting
         if queue is None:
-            return 0, 0, workload.accepted, workload.job
+            return is_transient, 0, 0, workload.accepted, workload.job
         urgency = self._urgency.rate(workload, queue, now, job.path)
-        return queue.priority, urgency.tier, urgency.sort_key, workload.job
+        return (
+            is_transient,
+            queue.priority,
+            urgency.tier,
+            urgency.sort_key,
+            workload.job,
+        )
 
     def find_slack(self, workload: Workload) -> float:
         """Return the seconds that a job can wait and still meet its objective."""
@@ -365,7 +426,7 @@
         limit = _SpreadLimit(step, tasks[0], lease_table)
         gang_run = _number_gang_run(workload, tasks) if step.gang else 0
         for task in tasks:
-            if not self._has_quota(workload.team, step, lease_table):
+            if not self._has_quota(workload.team, step, lease_table.usage_by_team):
                 break
             chosen = pool.choose(
                 step, lambda item: limit.allows(item) and is_allowed(item), rack
@@ -419,11 +480,13 @@
             pool.give_back(item.run.life, item.run.need)
         return []
 
-    def _has_quota(self, team: str, step: Step, lease_table: LeaseTable) -> bool:
+    def _has_quota(
+        self, team: str, step: Step, usage_by_team: Mapping[str, Resources]
+    ) -> bool:
         declared = self._declarations.get_team(team)
         if declared is None:
             return True
-        used = lease_table.usage_by_team.get(team, Resources()) + step.need
+        used = usage_by_team.get(team, Resources()) + step.need
         return is_within_quota(used, declared.quota)
 
 
@@ -470,6 +533,7 @@
         quota_charge=step.need,
         state=state,
         has_latency_target=step.has_latency_target,
+        is_lasting=step.lasting,
     )
 
 
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -6,18 +6,26 @@
 
 import msgspec
 
-from gypsumwalk.declaration_records import Resources
+from gypsumwalk.declaration_records import (
+    Declaration,
+    DeclaredQueue,
+    DeclaredService,
+    DeclaredTeam,
+    Resources,
+)
 from gypsumwalk.fleet_calls import AnnounceInstanceCall, LeaveInstanceCall
 from gypsumwalk.inputs import PlatformOutcome
 from gypsumwalk.instance_actions import OrderReport, StartRun, StopRun
 from gypsumwalk.workload_records import Step
-from tests._fleet_work import FleetWorld
+from tests._fleet_work import CAPACITY, HOST, KEY, NO_QUOTA, FleetWorld
 from tests._fleet_work_checks import find_duplicate_runs
 
 JOB = "00000000000000aa"
+OTHER_JOB = "00000000000000bb"
 TASK = f"{JOB}.0.0.0"
 NEED = Resources(2000, 1000)
 SMALL = Resources(1000, 1000)
+TRANSIENT_TASKS = 400
 LASTING_TASKS = 4
 RESTART_SECONDS = 6.0
 """Time after its last run from which a lasting task has to run again."""
@@ -34,6 +42,17 @@
     return world
 
 
+def make_transient_world(seed):
+    """Return a world in which the tasks of the other job end after a random time."""
+    world = FleetWorld(seed, task_seconds=600.0)
+    random = Random(seed)
+    for number in range(TRANSIENT_TASKS):
+        length = random.uniform(0.6, 1.7)
+        world.run_results[f"{OTHER_JOB}.0.0.{number}", 1] = (length, "done")
+    world.begin()
+    return world
+
+
 def list_runs(world, task=TASK):
     return [run for run in world.model.history if run.task == task]
 
@@ -42,6 +61,20 @@
     return [run for run in world.model.history if run.ended is None]
 
 
+def declare_priorities(world, *, lasting=0, transient=0, quota=NO_QUOTA):
+    """Declare a queue of lasting and one of transient tasks of the same service."""
+    priorities = {"lasting": lasting, "transient": transient}
+    queues = [
+        DeclaredQueue(
+            name, HOST, f"/{name}/", "service-a", timeout=3.0, priority=priority
+        )
+        for name, priority in priorities.items()
+    ]
+    services = [DeclaredService("service-a")]
+    teams = [DeclaredTeam("team", [KEY], 1.0, quota)]
+    world.declare(Declaration(2, queues, services, teams, "source 2"))
+
+
 def list_gaps(world, task):
     """Return the seconds for which a task did not run, after each of its runs."""
     runs = list_runs(world, task)
@@ -401,5 +434,80 @@
             assert_runs_again(world, RESTART_SECONDS)
 
 
+class TestFullService(unittest.TestCase):
+    """Transient tasks wait for every hole while a lasting task is away."""
+
+    def run_beside_transient_tasks(self, seed, step, *, transient=SMALL, **queues):
+        """Return the seconds until a lasting task runs again in a full service."""
+        world = make_transient_world(seed)
+        declare_priorities(world, **queues)
+        world.submit(JOB, [step], queue="lasting")
+        world.run(2.0)
+        world.submit(OTHER_JOB, [Step(TRANSIENT_TASKS, transient)], queue="transient")
+        world.run(3.0)
+        end_instance(world, list_runs(world)[-1])
+        return measure_restart(world, within=15.0)
+
+    # Small tasks took each hole that was too small for the lasting task.
+    def test_a_large_task_gets_room_before_small_tasks_that_fit_at_once(self):
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                step = Step(1, Resources(4000, 1000), lasting=True)
+                assert self.run_beside_transient_tasks(seed, step) < RESTART_SECONDS
+
+    # As before, short of memory instead of processors.
+    def test_a_task_gets_the_memory_that_small_tasks_would_take(self):
+        step = Step(1, Resources(500, 8000), lasting=True)
+        small = Resources(500, 2000)
+        seconds = self.run_beside_transient_tasks(0, step, transient=small)
+        assert seconds < RESTART_SECONDS
+
+    # Only some instances have the label, and the others' holes are of no use.
+    def test_a_task_with_a_label_gets_room_on_the_instances_that_have_it(self):
+        step = Step(1, Resources(4000, 1000), lasting=True, label="rack-0")
+        assert self.run_beside_transient_tasks(0, step) < RESTART_SECONDS
+
+    # Tasks of a queue with a higher priority took every hole.
+    def test_a_task_gets_room_before_transient_tasks_of_a_higher_priority(self):
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                step = Step(1, SMALL, lasting=True)
+                seconds = self.run_beside_transient_tasks(seed, step, lasting=5)
+                assert seconds < RESTART_SECONDS
+
+    # Transient tasks of its team used up the quota as soon as a part became free.
+    def test_a_task_gets_the_quota_that_small_tasks_of_its_team_would_use(self):
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                world = make_transient_world(seed)
+                declare_priorities(world, quota=Resources(8000))
+                steps = [Step(TRANSIENT_TASKS, SMALL)]
+                world.submit(OTHER_JOB, steps, queue="transient")
+                world.run(3.0)
+                step = Step(1, Resources(4000, 1000), lasting=True)
+                world.submit(JOB, [step], queue="lasting")
+                world.run(RESTART_SECONDS)
+                assert len(list_runs(world)) == 1
+
+    # A lasting task that no end of a transient one makes room for keeps no quota.
+    def test_a_task_beyond_the_quota_of_its_team_reserves_no_quota(self):
+        world = FleetWorld(task_seconds=600.0)
+        world.begin(quota=Resources(8000))
+        world.submit(JOB, [Step(2, Resources(5000, 1000), lasting=True)])
+        world.submit(OTHER_JOB, [Step(24, SMALL)])
+        world.run(1.0)
+        assert len(list_running(world)) == 1 + 3
+
+    # A lasting task that fits nowhere must not keep the room that others can use.
+    def test_a_task_larger_than_every_instance_reserves_nothing(self):
+        world = FleetWorld(task_seconds=1.0)
+        world.begin()
+        large = Resources(CAPACITY.cpu + 1, 1000)
+        world.submit(JOB, [Step(3, large, lasting=True)])
+        world.submit(OTHER_JOB, [Step(24, SMALL)])
+        world.run(1.0)
+        assert len(list_running(world)) == 24
+
+
 if __name__ == "__main__":
     unittest.main()
