Move machines first to pools without the room for their lasting tasks

Machines that are free went to the pool with the largest shortage. A queue of transient tasks is easily larger than one lasting task, which then waits for a machine until the queue has been served.

Pools whose machines can't hold their lasting tasks, or are fewer than declared, get machines first, and only as many as that takes. The others follow by shortage as before.

test_a_pool_without_room_for_its_lasting_tasks_gets_machines_first failed on the code before. test_a_pool_with_room_for_its_lasting_tasks_comes_after_larger_shortages passed there already and guards the order of the rest.

--- a/src/gypsumwalk/pooling.py
+++ b/src/gypsumwalk/pooling.py
@@ -115,6 +115,9 @@
 ) -> list[MachineMove]:
     """Plan the moves of idle machines between pools.
 
+    Pools without the room for their lasting tasks come first, then those with the
+    largest shortage.
+
     Parameters
     ----------
     machines : Sequence of PoolMachine
@@ -133,6 +136,12 @@
     """
     pools = size_pools(machines, demands, standby)
     moves: list[MachineMove] = []
+    for name, demand in demands.items():
+        while _lacks_lasting_room(pools[name], demand):
+            donor = _find_donor(pools, name, standby, now)
+            if donor is None:
+                break
+            moves.append(_move(pools, donor, name, "lasting"))
     undersized = sorted(
         (name for name in demands if pools[name].surplus < 0),
         key=lambda name: pools[name].surplus,
@@ -181,6 +190,13 @@
     return pools
 
 
+def _lacks_lasting_room(pool: Pool, demand: PoolDemand) -> bool:
+    if pool.surplus >= 0:
+        return False
+    capacity = sum(machine.cpu for machine in pool.machines)
+    return capacity < demand.lasting or len(pool.machines) < demand.min_machines
+
+
 def _find_donor(
     pools: Mapping[str, Pool], name: str, standby: str, now: float
 ) -> PoolMachine | None:
--- a/tests/test_pooling.py
+++ b/tests/test_pooling.py
@@ -38,6 +38,35 @@
         )
         assert sources == ["b", "b", "off", "off"]
 
+    # The pool with the largest shortage took every machine that was free.
+    def test_a_pool_without_room_for_its_lasting_tasks_gets_machines_first(self):
+        machines = [
+            *make_pool("a", 1),
+            *make_pool("b", 1),
+            *make_pool("c", 1),
+            *make_pool("off", 2, idle_since=0.0),
+        ]
+        demands = {
+            "a": PoolDemand(transient=9 * MACHINE_CPU),
+            "b": PoolDemand(lasting=MACHINE_CPU + 1),
+            "c": PoolDemand(lasting=1000, min_machines=2),
+        }
+        moves = plan_moves(machines, demands, "off", 10.0)
+        assert [move.service for move in moves] == ["b", "c"]
+
+    def test_a_pool_with_room_for_its_lasting_tasks_comes_after_larger_shortages(self):
+        machines = [
+            *make_pool("a", 1),
+            *make_pool("b", 1),
+            *make_pool("off", 1, idle_since=0.0),
+        ]
+        demands = {
+            "a": PoolDemand(transient=9 * MACHINE_CPU),
+            "b": PoolDemand(lasting=MACHINE_CPU),
+        }
+        moves = plan_moves(machines, demands, "off", 10.0)
+        assert [move.service for move in moves] == ["a"]
+
     def test_a_busy_machine_never_moves(self):
         machines = [*make_pool("a", 1), *make_pool("b", 6)]
         demands = {"a": PoolDemand(transient=5 * MACHINE_CPU), "b": PoolDemand()}
