Schedule again once a leader has its lease back

A leader whose lease lapses and returns in the same term placed nothing that had become ready meanwhile, until some other event asked for a scheduling pass: the pass that fell into the lapse was counted as done. A lasting task whose run ended just then stayed away.

A pass without a lease is due again at the next tick.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -749,6 +749,9 @@
 
     def _place_ready_tasks(self, now: float) -> list[Effect]:
         if not self.is_leading(now):
+            # The lease may return in the same term, without an event that asks for a
+            # pass.
+            self._pass_due = now + TICK_SECONDS
             return []
         runs = self._scheduler.plan_runs(self.lease_table, now)
         if not runs:
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -409,6 +409,21 @@
                 assert list_running(world)[0].started < resumed + 1.0
                 assert find_duplicate_runs(world.model.history) == []
 
+    # The scheduling pass fell into the stall, and no later one was scheduled.
+    def test_a_task_runs_again_if_the_leader_stalls_when_its_last_run_ends(self):
+        for delay in (0.003, 0.006, 0.009, 0.012):
+            for seconds in (0.5, 2.0):
+                with self.subTest(delay=delay, seconds=seconds):
+                    world = make_world()
+                    end_instance(world, list_runs(world)[-1])
+                    world.run(delay)
+                    consensus = world.get_leader().consensus
+                    with patch.object(consensus, "holds_lease", lambda now: False):
+                        world.run(seconds)
+                    world.run(1.0)
+                    assert len(list_running(world)) == 1
+                    assert find_duplicate_runs(world.model.history) == []
+
 
 class TestRefusedStart(unittest.TestCase):
     def test_a_task_runs_again_if_some_instances_refuse_every_start(self):
