Count a standby machine as down until a list shows it in service

A machine that is in standby has no instance that registers again, so the controller took it for back 1 s after the time that a maintenance takes. A rack without power, or a slow machine, keeps it down for longer, and the next machine was taken down beside it. Now the machine counts as down until a list that was requested after the maintenance could have ended shows it as up or moving.

Test: a standby machine that no list shows in service stays down. It failed before with an assertion error.

--- a/src/gypsumwalk/machine_directory.py
+++ b/src/gypsumwalk/machine_directory.py
@@ -21,6 +21,8 @@
 PROPOSAL_SECONDS = 2.0
 """Timeout of a proposal; the next list leads to a new one."""
 
+STATES_IN_SERVICE = ("up", "moving")
+
 CHECK_SECONDS = 0.1
 """Interval at which it is checked whether a poll is due."""
 
@@ -95,6 +97,25 @@
                 effects.append(Propose(token, command, PROPOSAL_SECONDS))
         return effects
 
+    def is_in_service(self, machine: str, since: float) -> bool:
+        """Tell whether a machine is listed and neither down nor in maintenance.
+
+        Parameters
+        ----------
+        machine : str
+            Identifier of the machine.
+        since : float
+            Time in seconds after which the list must have been requested.
+
+        Returns
+        -------
+        bool
+            False also if there is no such list yet.
+        """
+        info = self.machines.get(machine)
+        is_listed = info is not None and info.state in STATES_IN_SERVICE
+        return is_listed and self.read_at > since
+
     def find_instance(self, machine: str) -> RegisteredInstance | None:
         """Return the latest incarnation of the instance on a machine."""
         return self._workloads.find_latest_on_machine(machine)
--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -260,7 +260,7 @@
             return True
         if not life:
             # A machine in the standby pool returns without an instance.
-            return now <= since + self._maintenance + REGISTRATION_SECONDS
+            return not self._directory.is_in_service(machine, since + self._maintenance)
         instance = self._directory.find_instance(machine)
         return instance is None or instance.life == life
 
--- a/tests/test_maintenance_controller.py
+++ b/tests/test_maintenance_controller.py
@@ -5,18 +5,24 @@
 from unittest import mock
 
 from gypsumwalk.inputs import ProposalOutcome, ProposalStatus
+from gypsumwalk.machine_directory import LIST_SECONDS
 from gypsumwalk.maintenance_controller import MaintenanceController
 from gypsumwalk.order_cooldown import OrderCooldown
 from gypsumwalk.upkeep import BegunMaintenance, UpkeepWave
 
 
 class Directory:
-    """Directory of at most one instance."""
+    """Directory of one machine with at most one instance."""
 
     machines = {}
 
     def __init__(self, life):
         self.life = life
+        self.is_dark = False
+        self.read_at = 0.0
+
+    def is_in_service(self, machine, since):
+        return not self.is_dark and self.read_at > since
 
     def find_instance(self, machine):
         return SimpleNamespace(life=self.life) if self.life else None
@@ -41,9 +47,15 @@
     return UpkeepWave(1, ["m"], 99.0, 20.0, 1, ["m"] if maintained else [], begun)
 
 
+def is_down(controller, wave, now):
+    """Tell whether the machine counts as down, by a list that was just received."""
+    controller._directory.read_at = now - LIST_SECONDS
+    return controller._is_down(wave, "m", now)
+
+
 class TestDownMachines(unittest.TestCase):
     def is_down(self, wave, life, now=101.0):
-        return make_controller(life)._is_down(wave, "m", now)
+        return is_down(make_controller(life), wave, now)
 
     def test_a_machine_with_an_unanswered_order_is_down(self):
         """A machine that moved to another pool as its wave began had a new incarnation
@@ -61,20 +73,29 @@
         assert self.is_down(wave, None, now=102.5)
         assert not self.is_down(wave, None, now=103.5)
 
+    # A rack without power keeps a machine from returning after its maintenance.
+    def test_a_standby_machine_is_down_until_it_is_listed_in_service(self):
+        controller = make_controller(None)
+        wave = make_wave(maintained=True, life="")
+        controller._directory.is_dark = True
+        assert is_down(controller, wave, 106.0)
+        controller._directory.is_dark = False
+        assert not is_down(controller, wave, 106.0)
+
     def test_a_late_order_takes_a_standby_machine_down_late(self):
         """An order that is answered late is carried out late, and the machine is down
         from then on (LIMIT in bench, Batedores trouble-1, seed 1073466885445)."""
         controller = make_controller(None)
         controller._answered_at["m"] = 104.0
         wave = make_wave(maintained=True, life="")
-        assert controller._is_down(wave, "m", 105.5)
-        assert not controller._is_down(wave, "m", 107.5)
+        assert is_down(controller, wave, 105.5)
+        assert not is_down(controller, wave, 107.5)
 
     def test_a_new_leader_counts_from_the_start_of_its_term(self):
         controller = make_controller(None)
         controller._term_began = 104.0
         wave = make_wave(maintained=True, life="")
-        assert controller._is_down(wave, "m", 105.5)
+        assert is_down(controller, wave, 105.5)
 
     def test_a_machine_that_never_returns_stops_counting_as_down(self):
         assert not self.is_down(make_wave(maintained=True), None, now=113.0)
@@ -84,8 +105,8 @@
         wave = make_wave(maintained=True)
         controller = make_controller("i@2")
         controller._answered_at["m"] = 104.0
-        assert controller._is_down(wave, "m", 105.5)
-        assert not controller._is_down(wave, "m", 107.5)
+        assert is_down(controller, wave, 105.5)
+        assert not is_down(controller, wave, 107.5)
 
 
 class TestProposals(unittest.TestCase):
