Sync the entries of one write of the log together

Cause: the leader's own disk was seconds behind. Writes are batched so that they share a sync, but each operation of a batch was synced by itself, and the leader stages one append for each entry. A sync takes 6 ms there, so at more than 160 entries a second the batches grow without bound. Followers append the entries of a message together and keep up, so the majority was made without the leader, until two voters were away.

Now successive appends to one file become one operation before they are written: one frame, one checksum, one sync, so that a torn write is still only the last frame.

The simulated disk took the same time for a write of any size, which hid the fault; it now takes its time for each operation.

Ruled out: replication of large entries (nothing was being sent over a connection), the lease, the followers' disks.

--- a/src/gypsumwalk/storage.py
+++ b/src/gypsumwalk/storage.py
@@ -1,9 +1,10 @@
 """Group commit: disk writes of one daemon, batched so that they share one sync."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
+from itertools import chain, groupby
 
-from gypsumwalk.effects import DiskOperation, Effect, WriteDisk
+from gypsumwalk.effects import AppendRecords, DiskOperation, Effect, WriteDisk
 
 __all__ = ["Storage"]
 
@@ -93,7 +94,8 @@
             return []
         self._token += 1
         self._in_flight, self._staged = self._staged, _Batch()
-        return [WriteDisk(self._token, tuple(self._in_flight.operations))]
+        operations = tuple(_merge_appends(self._in_flight.operations))
+        return [WriteDisk(self._token, operations)]
 
     def complete(self, token: int, succeeded: bool) -> list[Effect]:
         """Handle the outcome of a write; a failure disables the storage for good.
@@ -119,3 +121,18 @@
             return []
         self.durable = max(self.durable, batch.durable_index)
         return batch.deferred
+
+
+def _merge_appends(operations: Iterable[DiskOperation]) -> Iterator[DiskOperation]:
+    """Merge successive appends to one file, as each operation is synced by itself."""
+    for file, group in groupby(operations, _find_append_file):
+        if not file:
+            yield from group
+            continue
+        appends = (item for item in group if isinstance(item, AppendRecords))
+        records = chain.from_iterable(item.records for item in appends)
+        yield AppendRecords(file, tuple(records))
+
+
+def _find_append_file(operation: DiskOperation) -> str:
+    return operation.file if isinstance(operation, AppendRecords) else ""
--- a/tests/_fake_disk.py
+++ b/tests/_fake_disk.py
@@ -10,7 +10,7 @@
 class FakeDisk:
     """In-memory data folder with the semantics of ``DiskOperation``.
 
-    A write takes ``write_seconds``.
+    Each operation takes ``write_seconds``, as it is synced.
     """
 
     def __init__(self, random: Random, *, write_seconds: float = 0.0005) -> None:
@@ -26,7 +26,8 @@
     def begin(self, operations, now):
         """Queue a write and return the time at which it completes."""
         self._pending.append(tuple(operations))
-        self._busy_until = max(self._busy_until, now) + self.write_seconds
+        duration = self.write_seconds * len(operations)
+        self._busy_until = max(self._busy_until, now) + duration
         return self._busy_until
 
     def finish(self):
