Fence the orders to an instance by its life, not only by the leader's term

A start that got no answer can be carried out up to 12 s later. If its run had ended by then (the repeated start was answered), and the instance had come back under its identifier, its next life carried the copy out: a task that was done ran again, and a lasting task ran twice until the next list. The next life has seen no fence of the former one, and the copy carries the fence of the term, like the leader's own calls.

A refusal of an order that was sent before an instance was removed and registered again says nothing about the leadership, and is ignored.

What remains is a copy that is carried out between the start of the next life and the first call to it.

test_a_late_copy_of_the_start_of_an_ended_run_is_refused_by_the_next_life failed before for both kinds of tasks with a duplicate run.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -231,7 +231,7 @@
         self._orders.begin_term(self._term)
         self._scheduler.reset()
         for registered in self._workloads.instances.values():
-            view = InstanceView(registered, renewal_due=now)
+            view = self._orders.add_life(registered, now)
             view.min_lease_expiry = now + self._orders.lease_validity_bound
             self.lease_table.instances[registered.life] = view
         effects = self._restore_runs(self._workloads.list_placements(), now)
@@ -335,7 +335,7 @@
             del self.lease_table.instances[life]
         for life, registered in known.items():
             if life not in self.lease_table.instances:
-                view = InstanceView(registered, renewal_due=now)
+                view = self._orders.add_life(registered, now)
                 self.lease_table.instances[life] = view
         return self._end_with_instance(ended, now)
 
@@ -569,8 +569,7 @@
             if self._is_other_life(view, report.born, report.refused):
                 return self._remove_life(view)
             if report.refused == "fence":
-                self._fenced_term = self._term
-                return [Record(Event.FLEET_FENCED, view.registered.life, {})]
+                return self._handle_fenced(view, order)
             if report.clock:
                 view.update_clock(report.clock, now)
         if order.kind is OrderKind.RENEW:
@@ -580,6 +579,13 @@
             return []
         return self._handle_order_answer(view, order, report, now)
 
+    def _handle_fenced(self, view: InstanceView, order: OpenOrder) -> list[Effect]:
+        if order.fence != view.fence:
+            # It was sent before the instance was removed and registered again.
+            return []
+        self._fenced_term = self._term
+        return [Record(Event.FLEET_FENCED, view.registered.life, {})]
+
     def _is_other_life(self, view: InstanceView, born: int, refused: str) -> bool:
         return refused == "identity" or born not in (0, view.registered.born)
 
--- a/src/gypsumwalk/instance_actions.py
+++ b/src/gypsumwalk/instance_actions.py
@@ -35,7 +35,8 @@
     address : str
         ``host:port`` of the instance.
     fence : int
-        Term of the leader.
+        Number that is higher for each later term of the leader, and within a term for
+        each later life of an instance.
     acknowledged : int
         Number of the latest end that is committed.
     lease_until : int or None
--- a/src/gypsumwalk/instance_orders.py
+++ b/src/gypsumwalk/instance_orders.py
@@ -37,6 +37,8 @@
         Incarnation of the instance.
     sent_at : float
         Time in seconds at which it was sent.
+    fence : int
+        Fence that it carried.
     run : RunView or None
         Run that the order concerns.
     """
@@ -44,6 +46,7 @@
     kind: OrderKind
     life: str
     sent_at: float
+    fence: int
     run: RunView | None = None
 
 
--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -131,6 +131,8 @@
     ----------
     registered : RegisteredInstance
         Registration that the instance announced.
+    fence : int
+        Fence of the orders to this life.
     runs : dict
         Runs that may be going on there, by ``RunView.key``. Only ``add_run`` and
         ``remove_run`` change it.
@@ -165,6 +167,7 @@
     """
 
     registered: RegisteredInstance
+    fence: int = 0
     runs: dict[tuple[str, int], RunView] = field(default_factory=dict)
     clock: int = 0
     clock_at: float = 0.0
--- a/src/gypsumwalk/pace_controller.py
+++ b/src/gypsumwalk/pace_controller.py
@@ -117,7 +117,7 @@
         action = PaceRun(
             instance=registered.instance,
             address=registered.address,
-            fence=self._term,
+            fence=view.fence,
             task=str(run.task),
             run=run.run,
             percent=percent,
--- a/src/gypsumwalk/run_orders.py
+++ b/src/gypsumwalk/run_orders.py
@@ -9,6 +9,7 @@
 from gypsumwalk.instance_actions import RenewLease, StartRun, StopRun
 from gypsumwalk.instance_orders import OpenOrder, OrderKind, OrderTable
 from gypsumwalk.leases import CLOCK_RATE_ERROR, InstanceView, RunView
+from gypsumwalk.workload_records import RegisteredInstance
 from gypsumwalk.workloads import WorkloadSection
 
 __all__ = ["LEASE_MARGIN_SECONDS", "RunOrders"]
@@ -35,6 +36,9 @@
 LEASE_MARGIN_SECONDS = 0.3
 """Safety margin; covers late timers and a process suspended while it sent an order."""
 
+LIVES_PER_TERM = 1 << 32
+"""Lives of instances that have a fence of their own within one term."""
+
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -72,6 +76,7 @@
         self._lease_seconds = min(LEASE_SECONDS, max_lease)
         self._table = OrderTable(part)
         self._term = 0
+        self._life_count = 0
 
     @property
     def lease_validity_bound(self) -> float:
@@ -79,10 +84,21 @@
         return self._lease_seconds / (1 - CLOCK_RATE_ERROR) + LEASE_MARGIN_SECONDS
 
     def begin_term(self, term: int) -> None:
-        """Discard the pending orders and use a new term as the fence."""
+        """Discard the pending orders and use the fences of a new term."""
         self._term = term
+        self._life_count = 0
         self._table.clear()
 
+    def add_life(self, registered: RegisteredInstance, now: float) -> InstanceView:
+        """Return the view of a life of an instance.
+
+        Its fence is above those of all earlier lives, so that the instance refuses
+        orders meant for a former life as soon as it has been called.
+        """
+        self._life_count += 1
+        fence = self._term * LIVES_PER_TERM + self._life_count
+        return InstanceView(registered, fence=fence, renewal_due=now)
+
     def close(self, token: str) -> OpenOrder | None:
         """Remove and return the order that an outcome belongs to."""
         return self._table.close(token)
@@ -111,7 +127,7 @@
         action = StartRun(
             instance=view.registered.instance,
             address=view.registered.address,
-            fence=self._term,
+            fence=view.fence,
             task=str(run.task),
             run=run.run,
             spec=workload.spec,
@@ -125,7 +141,7 @@
         run.probes = 0
         run.unanswered_starts += 1
         run.start_sent_at = now
-        order = OpenOrder(OrderKind.START, run.life, now, run)
+        order = OpenOrder(OrderKind.START, run.life, now, view.fence, run)
         attributes: dict[str, Scalar] = {
             "run": run.run,
             "life": run.life,
@@ -144,25 +160,25 @@
         action = RenewLease(
             view.registered.instance,
             view.registered.address,
-            self._term,
+            view.fence,
             view.acknowledged,
             lease_until=None,
             wait=0.0,
         )
-        order = OpenOrder(OrderKind.LIST, run.life, now)
+        order = OpenOrder(OrderKind.LIST, run.life, now, view.fence)
         return [self._call(order, action, CALL_SECONDS)]
 
     def stop(self, run: RunView, view: InstanceView, now: float) -> list[Effect]:
         """Order an instance to stop a run, and to refuse a start that arrives later."""
         run.ordered_at = now
         run.is_order_pending = True
-        order = OpenOrder(OrderKind.STOP, run.life, now, run)
+        order = OpenOrder(OrderKind.STOP, run.life, now, view.fence, run)
         action = self._make_stop(view, str(run.task), run.run)
         return [self._call(order, action, CALL_SECONDS)]
 
     def stop_unknown(self, view: InstanceView, task: str, run: int) -> list[Effect]:
         """Order an instance to stop a run that has no placement."""
-        order = OpenOrder(OrderKind.ORPHAN, view.registered.life, 0.0)
+        order = OpenOrder(OrderKind.ORPHAN, view.registered.life, 0.0, view.fence)
         return [self._call(order, self._make_stop(view, task, run), CALL_SECONDS)]
 
     def renew(self, view: InstanceView, now: float) -> list[Effect]:
@@ -181,12 +197,12 @@
         action = RenewLease(
             view.registered.instance,
             view.registered.address,
-            self._term,
+            view.fence,
             view.acknowledged,
             lease_until,
             wait,
         )
-        order = OpenOrder(OrderKind.RENEW, view.registered.life, now)
+        order = OpenOrder(OrderKind.RENEW, view.registered.life, now, view.fence)
         return [self._call(order, action, wait + CALL_SECONDS)]
 
     def _extend_lease(self, view: InstanceView, now: float) -> int:
@@ -198,7 +214,7 @@
 
     def _make_stop(self, view: InstanceView, task: str, run: int) -> StopRun:
         registered = view.registered
-        return StopRun(registered.instance, registered.address, self._term, task, run)
+        return StopRun(registered.instance, registered.address, view.fence, task, run)
 
     def _call(self, order: OpenOrder, action: msgspec.Struct, timeout: float) -> Effect:
         return CallPlatform(self._table.open(order), action, timeout)
--- a/tests/test_fleet_doubled_runs.py
+++ b/tests/test_fleet_doubled_runs.py
@@ -3,10 +3,12 @@
 import unittest
 from unittest.mock import patch
 
+from msgspec.structs import replace
+
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.dispatcher import Dispatcher
 from gypsumwalk.effects import CallPlatform, Propose
-from gypsumwalk.fleet_calls import LeaveInstanceCall
+from gypsumwalk.fleet_calls import AnnounceInstanceCall, LeaveInstanceCall
 from gypsumwalk.inputs import Committed, PlatformOutcome
 from gypsumwalk.instance_actions import (
     ListMachines,
@@ -228,6 +230,40 @@
             world.run(20.0)
         return world.model.history
 
+    # The run that a late copy would start has ended, so that nothing is to be stopped.
+    def test_a_late_copy_of_the_start_of_an_ended_run_is_refused_by_the_next_life(self):
+        for is_lasting in (False, True):
+            with self.subTest(is_lasting=is_lasting):
+                history = self.end_run_before_a_late_start(is_lasting=is_lasting)
+                assert find_duplicate_runs(history) == []
+                assert len(history) == 1 + is_lasting
+
+    def end_run_before_a_late_start(self, *, is_lasting):
+        world = FleetWorld(task_seconds=600.0 if is_lasting else 1.0, instances=1)
+        world.begin()
+        late = []
+        call = world.model.call
+
+        def delay_the_first_start(effect, now):
+            if isinstance(effect.action, StartRun) and not late:
+                late.append(effect)
+                return lose_answer(effect)
+            return call(effect, now)
+
+        with patch.object(world.model, "call", delay_the_first_start):
+            world.submit(JOB, [Step(1, NEED, lasting=is_lasting)])
+            world.run_until(lambda: world.model.history, within=6.0)
+            world.start_instance(1)
+            world.run(2.0)
+            draining = replace(world.get_instance(0).registered, draining=True)
+            world.ask(AnnounceInstanceCall(draining))
+            world.run(1.0)
+            world.start_instance(0, life=2)
+            world.run(2.0)
+            call(late[0], world.now)
+            world.run(8.0)
+        return world.model.history
+
     # The instance never returns, so no later life can carry the start out.
     def test_an_unanswered_start_is_repeated_once_its_lease_must_have_expired(self):
         world = FleetWorld(task_seconds=1.0, instances=1)
