Test lasting tasks when every daemon loses power, two of them with their disks

Eight daemons in four data centres lose power for 0.8 s while lasting tasks run, with and without two wiped disks of voters, and with an instance that ends in the meantime or is just being replaced.

--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -410,6 +410,89 @@
         world.schedule(7.0, lambda: world.start_instance(number, life=life))
 
 
+class TestFinalFault(unittest.TestCase):
+    """Every daemon loses power at once, and some of them their disks, too."""
+
+    def make_world(self, seed):
+        world = FleetWorld(
+            seed,
+            instances=5,
+            task_seconds=600.0,
+            daemons=8,
+            max_lease=10.0,
+            data_centres=4,
+            disk_losses=2,
+        )
+        world.begin()
+        world.run(6.0)
+        world.submit(JOB, [Step(LASTING_TASKS, NEED, lasting=True)])
+        world.run(3.0)
+        return world
+
+    def lose_power(self, world, *, wiped=(), down=0.8):
+        for name in world.names:
+            if name in wiped:
+                world.lose_disk(name)
+            else:
+                world.kill(name)
+        world.run(down)
+        for name in world.names:
+            world.restart(name)
+
+    def assert_all_run(self, world):
+        """Assert that every task runs, although nobody noticed the end of a run."""
+        bound = RESTART_SECONDS + ALLOWED_SECONDS
+        world.run(bound)
+        assert len(list_running(world)) == LASTING_TASKS
+        assert find_duplicate_runs(world.model.history) == []
+        for number in range(LASTING_TASKS):
+            gaps = list_gaps(world, f"{JOB}.0.0.{number}")[:-1]
+            assert max(gaps, default=0.0) < bound, gaps
+
+    def test_tasks_run_on_if_every_daemon_loses_power(self):
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                world = self.make_world(seed)
+                self.lose_power(world)
+                self.assert_all_run(world)
+                assert len(world.model.history) == LASTING_TASKS
+
+    def test_tasks_run_on_if_two_disks_are_lost_as_well(self):
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                world = self.make_world(seed)
+                voters = sorted(world.get_leader().consensus.replica.voters)
+                wiped = Random(f"disks {seed}").sample(voters, 2)
+                self.lose_power(world, wiped=wiped)
+                self.assert_all_run(world)
+                assert len(world.model.history) == LASTING_TASKS
+
+    # An instance ends while nobody is there to notice it.
+    def test_tasks_of_an_instance_that_ends_meanwhile_run_again(self):
+        for seed in range(3):
+            for wipe in (False, True):
+                with self.subTest(seed=seed, wipe=wipe):
+                    world = self.make_world(seed)
+                    voters = sorted(world.get_leader().consensus.replica.voters)
+                    wiped = Random(f"disks {seed}").sample(voters, 2) if wipe else ()
+                    ended = find_instance(world, list_running(world)[0])
+                    world.schedule(
+                        0.4, lambda w=world, e=ended: w.model.crash(e, w.now)
+                    )
+                    self.lose_power(world, wiped=wiped)
+                    self.assert_all_run(world)
+
+    # Tasks are being placed when the power fails.
+    def test_tasks_that_are_being_started_run_after_the_fault(self):
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                world = self.make_world(seed)
+                end_instance(world, list_running(world)[0])
+                world.run((0.0, 0.004, 0.008, 0.02)[seed])
+                self.lose_power(world)
+                self.assert_all_run(world)
+
+
 class TestStalledLeader(unittest.TestCase):
     # The leader stays elected but may not act, so that every lease expires.
     def test_tasks_run_again_once_a_stalled_leader_may_act(self):
