Date a list of machines by its own request

A list of machines is requested each second, and its answer may take two. An answer that came after the next request counted from that one, so that a machine that was down before the earlier list looked down after its next instance had started and fallen silent: the instance was removed, although its runs went on, and their tasks ran twice. A list that a later one had overtaken replaced it.

Each request now has a token and a time of its own, and overtaken lists are ignored.

test_a_list_counts_from_its_own_request and test_a_list_that_a_later_one_has_overtaken_is_ignored failed before.

--- a/src/gypsumwalk/machine_directory.py
+++ b/src/gypsumwalk/machine_directory.py
@@ -49,6 +49,9 @@
         self._dispatcher = dispatcher
         self._term = 0
         self._requested_at = float("-inf")
+        self._open_requests: dict[str, float] = {}
+        """Time in seconds of each request without an outcome, by its token."""
+        self._request_count = 0
         self._due = 0.0
 
     @property
@@ -58,12 +61,18 @@
 
     def handle(self, item: Input, now: float) -> Sequence[Effect]:
         """Store a list, and remove the instances whose machines are down."""
-        if isinstance(item, PlatformOutcome) and isinstance(item.report, MachineList):
-            self.machines = {info.machine: info for info in item.report.machines}
-            # The list may be as old as the request for it.
-            self.read_at = self._requested_at
-            return self._remove_dead_instances(now)
-        return []
+        if not isinstance(item, PlatformOutcome):
+            return []
+        requested_at = self._open_requests.pop(item.token, None)
+        if requested_at is None or not isinstance(item.report, MachineList):
+            return []
+        if requested_at < self.read_at:
+            # The answer to a later request has overtaken it.
+            return []
+        self.machines = {info.machine: info for info in item.report.machines}
+        # The list may be as old as the request for it.
+        self.read_at = requested_at
+        return self._remove_dead_instances(now)
 
     def advance(self, now: float) -> Sequence[Effect]:
         """Request the list if a poll is due."""
@@ -74,10 +83,14 @@
             self._term = self._dispatcher.term
             self.machines = {}
             self._requested_at = float("-inf")
+            self._open_requests.clear()
         if now - self._requested_at < LIST_SECONDS:
             return []
         self._requested_at = now
-        return [CallPlatform(f"{self.name}/list", ListMachines(), CALL_SECONDS)]
+        self._request_count += 1
+        token = f"{self.name}/list/{self._request_count}"
+        self._open_requests[token] = now
+        return [CallPlatform(token, ListMachines(), CALL_SECONDS)]
 
     def _remove_dead_instances(self, now: float) -> list[Effect]:
         """Propose to remove silent instances whose machines are down."""
