Let a wave wait for a machine that is missing from the lists for seconds

The machine had no order in the logs at all: a list without it was taken for its departure, for good. A machine is not listed while it is replaced, or if it joined after the list had been requested.

A machine now counts as gone once the lists have been without it for 10 s, and event 5023 says so.

test_a_wave_waits_for_a_machine_that_is_missing_from_the_list_for_seconds and test_a_wave_is_completed_without_a_machine_that_has_left_the_fleet failed before: the wave was completed within 6 s.

--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -219,6 +219,9 @@
     INSTANCE_REMOVED = EventEntry(
         5019, Level.INFO, "the instance is removed with {runs} runs: {reason}"
     )
+    MACHINE_GONE = EventEntry(
+        5023, Level.INFO, "the machine has left the fleet; wave {wave} waits no longer"
+    )
     WAVE_STARTED = EventEntry(4201, Level.INFO, "run {run} of the wave started")
     WAVE_PAUSED = EventEntry(4202, Level.WARNING, "the wave is paused: {reason}")
 
--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -46,6 +46,10 @@
 RETURN_TIMEOUT_SECONDS = 10.0
 """Time after which a machine that has not returned counts as failed, not as down."""
 
+GONE_SECONDS = 10.0
+"""Time for which a machine is missing from the lists before it counts as gone; one that
+is replaced, or was added after the list was made, is listed within seconds."""
+
 REGISTRATION_SECONDS = 1.0
 """Time after a maintenance until the new instance registers."""
 
@@ -118,6 +122,8 @@
         self._ordered_at: dict[str, float] = {}
         self._lives: dict[str, str] = {}
         self._answered_at: dict[str, float] = {}
+        self._missing_since: dict[str, float] = {}
+        """Time in seconds of the first list without a machine that a wave waits for."""
         self._term_began = float("-inf")
         self._open_orders: dict[str, tuple[int, str]] = {}
         self._pending_proposals: dict[str, Propose] = {}
@@ -182,6 +188,7 @@
         self._ordered_at.clear()
         self._lives.clear()
         self._answered_at.clear()
+        self._missing_since.clear()
         self._term_began = now
         self._open_orders.clear()
         self._pending_proposals.clear()
@@ -341,8 +348,25 @@
         )
 
     def _complete_missing(self, wave: UpkeepWave) -> list[Effect]:
-        gone = [item for item in wave.remaining if item not in self._directory.machines]
-        return self._propose_maintained(wave.wave, gone) if gone else []
+        """Do not wait any longer for machines that have left the fleet."""
+        gone = [item for item in wave.remaining if self._is_gone(item)]
+        if not gone:
+            return []
+        attributes: dict[str, Scalar] = {"wave": wave.wave}
+        proposed = self._propose_maintained(wave.wave, gone)
+        if not proposed:
+            return []
+        records = [Record(Event.MACHINE_GONE, item, attributes) for item in gone]
+        return [*records, *proposed]
+
+    def _is_gone(self, machine: str) -> bool:
+        if machine in self._directory.machines:
+            self._missing_since.pop(machine, None)
+            return False
+        read_at = self._directory.read_at
+        return (
+            read_at - self._missing_since.setdefault(machine, read_at) >= GONE_SECONDS
+        )
 
     def _propose_maintained(self, wave: int, machines: list[str]) -> list[Effect]:
         token = f"{self.name}/note/{wave}/{','.join(machines)}"
--- a/tests/test_fleet_work.py
+++ b/tests/test_fleet_work.py
@@ -8,7 +8,11 @@
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.dispatcher import Dispatcher
 from gypsumwalk.effects import CallPlatform
-from gypsumwalk.fleet_calls import AnnounceInstanceCall, SubmitWorkloadCall
+from gypsumwalk.fleet_calls import (
+    AnnounceInstanceCall,
+    DescribeUpkeepCall,
+    SubmitWorkloadCall,
+)
 from gypsumwalk.instance_actions import StopRun
 from gypsumwalk.workload_records import Step, TaskKey, TaskRecord, Workload
 from tests._fleet_work import HOST, KEY, FleetWorld, make_declaration
@@ -578,6 +582,33 @@
         holders = {holder for _, _, holder, _ in world.model.machine_orders}
         assert len(holders) == 1
 
+    # A wave was completed without a machine that no list had shown for a moment.
+    def test_a_wave_waits_for_a_machine_that_is_missing_from_the_list_for_seconds(self):
+        world = FleetWorld(task_seconds=1000.0)
+        world.begin()
+        missing = world.model.machines.pop("m-2")
+        world.run(2.0)
+        machines = ["m-0", "m-1", "m-2"]
+        world.start_wave(1, machines, duration=30.0, max_down=3)
+        world.run(5.0)
+        assert not world.ask(DescribeUpkeepCall(1)).body.completed
+        world.model.machines["m-2"] = missing
+        world.run(30.0)
+        ordered = {machine for _, _, machine in world.model.maintenance_orders}
+        assert ordered == set(machines)
+        assert world.ask(DescribeUpkeepCall(1)).body.completed
+
+    def test_a_wave_is_completed_without_a_machine_that_has_left_the_fleet(self):
+        world = FleetWorld(task_seconds=1000.0)
+        world.begin()
+        del world.model.machines["m-2"]
+        world.run(2.0)
+        world.start_wave(1, ["m-0", "m-2"], duration=20.0)
+        world.run(6.0)
+        assert not world.ask(DescribeUpkeepCall(1)).body.completed
+        world.run(12.0)
+        assert world.ask(DescribeUpkeepCall(1)).body.completed
+
 
 if __name__ == "__main__":
     unittest.main()
