Stop the runs of an instance that deregisters before repeating them

A task ran twice if an instance deregistered and the acknowledgement was lost: the leader took the committed deregistration for the end of all its runs and started their tasks elsewhere within 10 ms, while the instance ends only once it is acknowledged, or else some seconds later. The same happened if the leader was lost between the commit and the acknowledgement: the next leader started the tasks elsewhere while the instance was still about to deregister again.

The leader now stops the runs of such an instance. If the stop is answered, they have ended after the longest stop; otherwise the instance has ended, and its tasks are repeated 0.5 s after the deregistration. A new leader waits for 2 s before it repeats a run whose instance is not registered, in which the instance deregisters again, and is answered. Other removals (a machine that has moved, is maintained or down, another instance at the address) are certain, and end the runs at once as before.

A refused connection was ruled out as evidence of an end: a partition may refuse connections to instances that go on. Waiting for the lease (4.9 s) would be safe also if neither the acknowledgement nor the stop arrives, for seconds, but would delay every task of an instance that leaves; this case remains.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -7,6 +7,7 @@
 from gypsumwalk.advice import AdviceCache
 from gypsumwalk.declaration_records import PutDeclaration
 from gypsumwalk.declarations import DeclarationSection
+from gypsumwalk.departures import DEPARTURE_SECONDS, TAKEOVER_SECONDS, Departures
 from gypsumwalk.effects import Effect, Propose, Record, Scalar
 from gypsumwalk.events import Event
 from gypsumwalk.inputs import (
@@ -145,6 +146,7 @@
         self._orphans = OrphanedRuns(
             max_lease=max_lease, transit=CALL_SECONDS + LEASE_MARGIN_SECONDS
         )
+        self._departures = Departures()
         self._confirmations = RunConfirmations(self._orphans)
         self._confirmation_proposals: dict[str, list[RunView]] = {}
         self._placement_proposals: dict[str, list[RunView]] = {}
@@ -234,18 +236,16 @@
             view = self._orders.add_life(registered, now)
             view.min_lease_expiry = now + self._orders.lease_validity_bound
             self.lease_table.instances[registered.life] = view
-        effects = self._restore_runs(self._workloads.list_placements(), now)
+        self._restore_runs(self._workloads.list_placements(), now)
         self.request_scheduling_pass(now)
         attributes: dict[str, Scalar] = {
             "instances": len(self.lease_table.instances),
             "runs": len(self.lease_table.list_runs()),
         }
         taken_over = Record(Event.FLEET_TAKEN_OVER, f"term {self._term}", attributes)
-        return [taken_over, *effects]
+        return [taken_over]
 
-    def _restore_runs(
-        self, placements: Iterable[Placement], now: float
-    ) -> list[Effect]:
+    def _restore_runs(self, placements: Iterable[Placement], now: float) -> None:
         """Add runs of an earlier leader, which may have sent some starts just now."""
         without_instance = []
         for placement in placements:
@@ -262,12 +262,13 @@
                 self._watch_start(run, now)
             if run.life not in self.lease_table.instances:
                 without_instance.append(run)
-        return self._end_with_instance(without_instance, now)
+        self._departures.add(without_instance, now + TAKEOVER_SECONDS)
 
     def _step_down(self) -> None:
         self._term = 0
         self.lease_table = LeaseTable()
         self._orders.begin_term(0)
+        self._departures.clear()
         self._orphans.clear()
         self._confirmations.clear()
         self._confirmation_proposals.clear()
@@ -305,14 +306,14 @@
                 if term == self._term:
                     return self._start_placed(command, now)
                 # An earlier leader placed them, and the command was committed late.
-                return self._restore_runs(command.placements, now)
+                self._restore_runs(command.placements, now)
             case EndRuns(ends=ends):
                 return self._remove_ended(ends, now)
-            case RemoveInstance(life=life, reason=reason):
-                return [
-                    *self._describe_removal(life, reason),
-                    *self._sync_instances(now),
-                ]
+            case RemoveInstance(life=life, reason=reason) as command:
+                effects = self._describe_removal(life, reason)
+                if command.is_departing:
+                    effects += self._stop_departing(life, now)
+                return effects + self._sync_instances(now)
             case RegisterInstance():
                 return self._sync_instances(now)
         return []
@@ -339,6 +340,19 @@
                 self.lease_table.instances[life] = view
         return self._end_with_instance(ended, now)
 
+    def _stop_departing(self, life: str, now: float) -> list[Effect]:
+        """Stop the runs of an instance that has deregistered before repeating them."""
+        view = self.lease_table.instances.get(life)
+        if view is None:
+            return []
+        runs = list(view.runs.values())
+        effects: list[Effect] = []
+        for run in runs:
+            effects += self.stop(run, now)
+            view.remove_run(run)
+        self._departures.add(runs, now + DEPARTURE_SECONDS)
+        return effects
+
     def _end_with_instance(self, runs: Iterable[RunView], now: float) -> list[Effect]:
         """End runs of ended instances, unless the next life may carry them out."""
         ended = self._orphans.separate(runs, now)
@@ -353,6 +367,10 @@
         ended = self._orphans.take_ended(self.lease_table, now)
         return effects + self._end_as_lost(ended, "its instance has ended")
 
+    def _check_departures(self, now: float) -> list[Effect]:
+        ended = self._departures.take_ended(self.lease_table, now)
+        return self._end_with_instance(ended, now) if ended else []
+
     def _start_placed(self, command: PlaceRuns, now: float) -> list[Effect]:
         effects: list[Effect] = []
         unsent: list[RunView] = []
@@ -461,6 +479,7 @@
             effects += self._check_unresponsive(view, now)
         effects += self._resend_orders(now)
         effects += self._stop_lasting_on_draining(now)
+        effects += self._check_departures(now)
         effects += self._check_orphans(now)
         effects += self._confirm_runs(now)
         if self._scheduler.invalidate_if_due(now):
@@ -560,8 +579,7 @@
             return []
         view = self.lease_table.instances.get(order.life)
         if order.run is not None:
-            order.run.is_order_pending = False
-            _note_start_outcome(order, order.run, item)
+            self._note_outcome(order, order.run, item, now)
         if view is None:
             return []
         report = item.report
@@ -579,6 +597,14 @@
             return []
         return self._handle_order_answer(view, order, report, now)
 
+    def _note_outcome(
+        self, order: OpenOrder, run: RunView, item: PlatformOutcome, now: float
+    ) -> None:
+        run.is_order_pending = False
+        _note_start_outcome(order, run, item)
+        if order.kind is OrderKind.STOP and isinstance(item.report, OrderReport):
+            self._departures.delay(run, now + self._stop_grace)
+
     def _handle_fenced(self, view: InstanceView, order: OpenOrder) -> list[Effect]:
         if order.fence != view.fence:
             # It was sent before the instance was removed and registered again.
--- a/src/gypsumwalk/fleet_call_handler.py
+++ b/src/gypsumwalk/fleet_call_handler.py
@@ -338,7 +338,8 @@
         life = self._workloads.find_latest_life(call.instance)
         if life is None or (call.born and life.born != call.born):
             return [Respond(item.call_id, Answer(200))]
-        command = RemoveInstance(life.life, reason="it has deregistered")
+        reason = "it has deregistered"
+        command = RemoveInstance(life.life, reason=reason, is_departing=True)
         return self._propose(item, command, life.life)
 
     def _propose(
--- a/src/gypsumwalk/workload_records.py
+++ b/src/gypsumwalk/workload_records.py
@@ -385,8 +385,11 @@
         Whether it has ended for good; False if it does not answer and may return.
     reason: str
         How its end is known, for the log.
+    is_departing : bool
+        Whether it ends only now, as it is told that it is removed.
     """
 
     life: str
     left: bool = True
     reason: str = ""
+    is_departing: bool = False
