--- a/tests/_fleet_work.py
+++ b/tests/_fleet_work.py
@@ -169,6 +169,17 @@
 
     # Daemons
 
+    def lose_power(self, *, wiped=(), down=0.8):
+        """Take all daemons down for some seconds; some return with an empty disk."""
+        for name in self.names:
+            if name in wiped:
+                self.lose_disk(name)
+            else:
+                self.kill(name)
+        self.run(down)
+        for name in self.names:
+            self.restart(name)
+
     def find_leader(self):
         for name, daemon in self.daemons.items():
             own = daemon.read_clock(self.now)
--- a/tests/test_fleet_doubled_runs.py
+++ b/tests/test_fleet_doubled_runs.py
@@ -68,6 +68,24 @@
         return lose_answer(effect) if self.is_answer_lost else answer
 
 
+class DelayedStart:
+    """Carries out the first start only when it is delivered, and never answers it."""
+
+    def __init__(self, world):
+        self.world = world
+        self.effect = None
+        self._call = world.model.call
+
+    def __call__(self, effect, now):
+        if self.effect is not None or not isinstance(effect.action, StartRun):
+            return self._call(effect, now)
+        self.effect = effect
+        return lose_answer(effect)
+
+    def deliver(self):
+        self._call(self.effect, self.world.now)
+
+
 class TestRepeatedMachineOrders(unittest.TestCase):
     # A new leader repeats a wave's order after the machine has returned.
     def test_maintenance_that_is_already_done_ends_no_run_of_the_returned_machine(self):
@@ -177,23 +195,15 @@
         world = FleetWorld(task_seconds=20.0, instances=1)
         world.begin()
         world.run(20.0)
-        late = []
-        call = world.model.call
-
-        def delay_the_first_start(effect, now):
-            if isinstance(effect.action, StartRun) and not late:
-                late.append(effect)
-                return lose_answer(effect)
-            return call(effect, now)
-
-        with patch.object(world.model, "call", delay_the_first_start):
+        delayed = DelayedStart(world)
+        with patch.object(world.model, "call", delayed):
             world.submit(JOB, [Step(1, NEED)])
             world.run_until(lambda: world.model.history, within=6.0)
             world.run(0.5)
             world.start_instance(1)
             world.start_instance(0, life=2)
             world.run(0.05)
-            call(late[0], world.now)
+            delayed.deliver()
             world.run(8.0)
         assert find_duplicate_runs(world.model.history) == []
         assert len(world.model.history) == 3
@@ -209,16 +219,8 @@
     def change_leader_before_a_late_start(self, seed, delay):
         world = FleetWorld(seed, task_seconds=600.0, instances=1)
         world.begin()
-        late = []
-        call = world.model.call
-
-        def delay_the_first_start(effect, now):
-            if isinstance(effect.action, StartRun) and not late:
-                late.append(effect)
-                return lose_answer(effect)
-            return call(effect, now)
-
-        with patch.object(world.model, "call", delay_the_first_start):
+        delayed = DelayedStart(world)
+        with patch.object(world.model, "call", delayed):
             world.submit(JOB, [Step(1, NEED, lasting=True)])
             world.run_until(lambda: world.model.history, within=6.0)
             world.run(delay)
@@ -226,7 +228,7 @@
             world.run_until(world.find_leader, within=10.0)
             world.start_instance(1)
             world.start_instance(0, life=2)
-            call(late[0], world.now)
+            delayed.deliver()
             world.run(20.0)
         return world.model.history
 
@@ -241,16 +243,8 @@
     def end_run_before_a_late_start(self, *, is_lasting):
         world = FleetWorld(task_seconds=600.0 if is_lasting else 1.0, instances=1)
         world.begin()
-        late = []
-        call = world.model.call
-
-        def delay_the_first_start(effect, now):
-            if isinstance(effect.action, StartRun) and not late:
-                late.append(effect)
-                return lose_answer(effect)
-            return call(effect, now)
-
-        with patch.object(world.model, "call", delay_the_first_start):
+        delayed = DelayedStart(world)
+        with patch.object(world.model, "call", delayed):
             world.submit(JOB, [Step(1, NEED, lasting=is_lasting)])
             world.run_until(lambda: world.model.history, within=6.0)
             world.start_instance(1)
@@ -260,7 +254,7 @@
             world.run(1.0)
             world.start_instance(0, life=2)
             world.run(2.0)
-            call(late[0], world.now)
+            delayed.deliver()
             world.run(8.0)
         return world.model.history
 
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -429,16 +429,6 @@
         world.run(3.0)
         return world
 
-    def lose_power(self, world, *, wiped=(), down=0.8):
-        for name in world.names:
-            if name in wiped:
-                world.lose_disk(name)
-            else:
-                world.kill(name)
-        world.run(down)
-        for name in world.names:
-            world.restart(name)
-
     def assert_all_run(self, world):
         """Assert that every task runs, although nobody noticed the end of a run."""
         bound = RESTART_SECONDS + ALLOWED_SECONDS
@@ -453,7 +443,7 @@
         for seed in range(3):
             with self.subTest(seed=seed):
                 world = self.make_world(seed)
-                self.lose_power(world)
+                world.lose_power()
                 self.assert_all_run(world)
                 assert len(world.model.history) == LASTING_TASKS
 
@@ -463,7 +453,7 @@
                 world = self.make_world(seed)
                 voters = sorted(world.get_leader().consensus.replica.voters)
                 wiped = Random(f"disks {seed}").sample(voters, 2)
-                self.lose_power(world, wiped=wiped)
+                world.lose_power(wiped=wiped)
                 self.assert_all_run(world)
                 assert len(world.model.history) == LASTING_TASKS
 
@@ -479,7 +469,7 @@
                     world.schedule(
                         0.4, lambda w=world, e=ended: w.model.crash(e, w.now)
                     )
-                    self.lose_power(world, wiped=wiped)
+                    world.lose_power(wiped=wiped)
                     self.assert_all_run(world)
 
     # Tasks are being placed when the power fails.
@@ -489,7 +479,7 @@
                 world = self.make_world(seed)
                 end_instance(world, list_running(world)[0])
                 world.run((0.0, 0.004, 0.008, 0.02)[seed])
-                self.lose_power(world)
+                world.lose_power()
                 self.assert_all_run(world)
 
 
--- a/tests/test_voter_losses.py
+++ b/tests/test_voter_losses.py
@@ -98,14 +98,7 @@
                 world = make_world(seed)
                 lost = draw_voters(world, seed)
                 acknowledge(world, 5)
-                for name in world.names:
-                    if name in lost:
-                        world.lose_disk(name)
-                    else:
-                        world.kill(name)
-                world.run(DOWN_SECONDS)
-                for name in world.names:
-                    world.restart(name)
+                world.lose_power(wiped=lost, down=DOWN_SECONDS)
                 check_acknowledged(world, 5)
                 assert world.run_until(
                     lambda world=world: has_five_intact_voters(world),
