Search for another leader while the known one is probed

Cause: an entry probed the silent leader for 0.5 s and asked the seeds only then; a seed that still referred to the lost leader cost a query to it of 0.3 s. Now the seeds are asked as soon as a probe is unanswered for 0.1 s, and every 0.1 s until it ends, and the lost leader isn't asked again through a referral. A leader that is slow but leads is still kept: only a daemon that confirms that it holds the lease replaces it.

Ruled out: to probe at shorter timeouts, since a busy process is no lost one; to ask the seeds with every probe, which would cost each of the daemons with a disk a few hundred queries a second in quiet times.

Tests: a new leader is found before the probe of the lost one ends; seeds are asked until one of them leads, at a bounded rate; a leader that answers is kept. The first two failed before (it took longer than one probe; the leader elected between two searches was not found). The third passed before as well.

--- a/src/gypsumwalk/drivers/relay.py
+++ b/src/gypsumwalk/drivers/relay.py
@@ -42,6 +42,10 @@
 PROBE_ATTEMPTS = 2
 """Unanswered probes after which the known leader is lost."""
 
+SILENT_SEARCH_SECONDS = 0.1
+"""Time for which a probe is unanswered before another leader is searched for, and
+interval of the searches; a leader that is not lost answers earlier."""
+
 LEADER_WAIT_SECONDS = 1.5
 """Time that a request waits for a leader; an election takes 0.7 s. After that a retry,
 at another entry instance or later, serves the caller better."""
@@ -354,28 +358,34 @@
     def _check(self, known: _Leader) -> None:
         """Probe the leader if it was silent, and forget it if it does not lead.
 
-        Between the probes, the seeds are searched for another leader, as a daemon whose
-        machine was lost gives no answer at all.
+        While a probe is unanswered, the seeds are searched for another leader, as a
+        daemon whose machine was lost gives no answer at all.
         """
         with self._check_lock:
-            if self._known is not known or self._has_answered_lately():
-                return
             for _ in range(PROBE_ATTEMPTS):
-                answer = self._query(known.address, PROBE_TIMEOUT_SECONDS)
-                if answer is not None:
-                    break
-                if self._has_answered_lately():
+                if self._known is not known or self._has_answered_lately():
                     return
-                found = self._find_leader(excluded=known.address)
-                if found:
-                    self._replace_leader(known, found)
+                probe = self._search_pool.submit(
+                    self._query, known.address, PROBE_TIMEOUT_SECONDS
+                )
+                if successor := self._find_successor(known, probe):
+                    self._replace_leader(known, successor)
                     return
+                if (answer := probe.result()) is not None:
+                    break
             if answer is not None and answer.status == HTTPStatus.OK:
                 self._last_answer_at = time.monotonic()
                 return
             self._forget_leader(known)
             self._search()
 
+    def _find_successor(self, known: _Leader, probe: Future[RelayAnswer | None]) -> str:
+        """Return the address of another leader, or empty if the probe ends earlier."""
+        while not wait([probe], SILENT_SEARCH_SECONDS).done:
+            if found := self._find_leader(excluded=known.address):
+                return found
+        return ""
+
     def _has_answered_lately(self) -> bool:
         return time.monotonic() - self._last_answer_at < PROBE_INTERVAL_SECONDS
 
@@ -412,23 +422,23 @@
     def _find_leader(self, excluded: str = "") -> str:
         """Return the address of the first daemon found to lead, or empty."""
         queries = [
-            self._search_pool.submit(self._resolve_leader, seed)
+            self._search_pool.submit(self._resolve_leader, seed, excluded)
             for seed in self._unique_seeds()
             if seed != excluded
         ]
         for query in as_completed(queries):
-            found = query.result()
-            if found and found != excluded:
+            if found := query.result():
                 return found
         return ""
 
     def _unique_seeds(self) -> Sequence[str]:
         return list(dict.fromkeys(self._list_seeds()))
 
-    def _resolve_leader(self, address: str) -> str:
+    def _resolve_leader(self, address: str, excluded: str) -> str:
         """Return the leader's address as resolved through one daemon, or empty.
 
-        A leader named in a referral is returned only if it confirms that it leads.
+        A leader named in a referral is returned only if it confirms that it leads; the
+        excluded daemon is not asked.
         """
         answer = self._query(address, LEADER_QUERY_TIMEOUT_SECONDS)
         if answer is None:
@@ -437,7 +447,7 @@
             return address if answer.status == HTTPStatus.OK else ""
         name = answer.headers[LEADER_HEADER]
         named = self._find_address(name) if name else ""
-        if not named or named == address:
+        if not named or named in (address, excluded):
             return ""
         confirmation = self._query(named, LEADER_QUERY_TIMEOUT_SECONDS)
         leads = confirmation is not None and confirmation.status == HTTPStatus.OK
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -200,6 +200,45 @@
         assert elapsed < REQUEST_TIMEOUT_SECONDS / 2
         assert relay.leader == new.address
 
+    # The seeds were asked only after a probe of the lost leader had timed out.
+    def test_a_new_leader_is_found_while_the_lost_one_is_probed(self):
+        new = self.make_backend((200, []))
+        relay = self.make_relay([new.address])
+        lost = relay_module._Leader(self.open_unresponsive_listener())
+        relay._known = lost
+        started = relay_module.time.monotonic()
+        relay.probe()
+        elapsed = relay_module.time.monotonic() - started
+        assert relay.leader == new.address
+        assert lost.lost.done()
+        assert elapsed < relay_module.PROBE_TIMEOUT_SECONDS
+
+    # An election takes longer than one query of the seeds.
+    def test_seeds_are_queried_until_one_of_them_leads(self):
+        new = self.make_backend((200, []), leader="")
+        relay = self.make_relay([new.address])
+        relay._known = relay_module._Leader(self.open_unresponsive_listener())
+        checking = threading.Thread(target=relay.probe)
+        checking.start()
+        while new.leader_queries < 2:
+            assert checking.is_alive()
+            checking.join(0.01)
+        new.leader = None
+        checking.join()
+        assert relay.leader == new.address
+        longest = relay_module.PROBE_ATTEMPTS * relay_module.PROBE_TIMEOUT_SECONDS
+        assert new.leader_queries < longest / relay_module.RETRY_DELAY_SECONDS
+
+    def test_a_leader_that_answers_is_kept_while_seeds_refer_to_another(self):
+        leader = self.make_backend((200, []))
+        former = self.open_unresponsive_listener()
+        seed = self.make_backend((503, []), leader="former")
+        relay = self.make_relay([seed.address], {"former": former})
+        known = relay._known = relay_module._Leader(leader.address)
+        relay.probe()
+        assert relay.leader == leader.address
+        assert not known.lost.done()
+
     def test_probes_use_the_address_for_probes(self):
         leader = self.make_backend((200, []))
         calls = self.make_backend((200, []))
