End the present life by a maintenance order that was refused before

An order on a machine that moves or has no power is refused as busy and repeated. Its instance may have been replaced meanwhile, but the controller went on with the life that it had recorded for the first order: when the order was carried out, that former life was removed once more, the present one kept its runs until its lease ended, and the machine counted as back at once, so that another one was taken down beside it.

The life is now recorded again with each order, as long as all earlier orders to the machine were refused. After one without an answer it stays as it was, since that order may have been carried out and the present life may be the next one.

Tests: an order that was refused first ends the present life (failed before: it ended the former one, and the machine counted as back); after an order without an answer the former life is ended, as before.

--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -1,5 +1,6 @@
 """Control loop of the leader that takes machines down for maintenance waves."""
 
+from collections import Counter
 from collections.abc import Sequence
 
 import msgspec
@@ -126,6 +127,8 @@
         """Time in seconds of the first list without a machine that a wave waits for."""
         self._term_began = float("-inf")
         self._open_orders: dict[str, tuple[int, str]] = {}
+        self._effective_orders: Counter[str] = Counter()
+        """Number of orders to each machine that were carried out or may be."""
         self._pending_proposals: dict[str, Propose] = {}
         self._count = 0
         self._due = 0.0
@@ -191,6 +194,7 @@
         self._missing_since.clear()
         self._term_began = now
         self._open_orders.clear()
+        self._effective_orders.clear()
         self._pending_proposals.clear()
 
     # Waves
@@ -400,15 +404,22 @@
         if begun is None or begun.at != at:
             # A repetition: the machine may be back, with another life.
             return []
-        instance = self._directory.find_instance(command.machine)
-        self._lives[command.machine] = instance.life if instance else ""
+        self._record_life(command.machine)
         return self._order(command.wave, command.machine, now)
 
+    def _record_life(self, machine: str) -> None:
+        """Record the life that the next order to a machine ends."""
+        instance = self._directory.find_instance(machine)
+        self._lives[machine] = instance.life if instance else ""
+
     def _order(self, wave: int, machine: str, now: float) -> list[Effect]:
         if not self._dispatcher.is_leading(now):
             return []
         if not self._cooldown.can_order(machine, now):
             return []
+        if machine in self._lives and not self._effective_orders[machine]:
+            self._record_life(machine)
+        self._effective_orders[machine] += 1
         self._ordered_at[machine] = now
         self._count += 1
         token = f"{self.name}/order/{self._count}"
@@ -421,7 +432,9 @@
         order = self._open_orders.pop(item.token, None)
         if order is None or not isinstance(item.report, MachineReport):
             return []
-        if not item.report.refused:
+        if item.report.refused:
+            self._effective_orders[order[1]] -= 1
+        else:
             self._answered_at[order[1]] = now
         return self._handle_report(*order, item.report)
 
--- a/tests/test_maintenance_controller.py
+++ b/tests/test_maintenance_controller.py
@@ -4,11 +4,14 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from gypsumwalk.inputs import ProposalOutcome, ProposalStatus
+from gypsumwalk.effects import Propose
+from gypsumwalk.inputs import PlatformOutcome, ProposalOutcome, ProposalStatus
+from gypsumwalk.instance_actions import MachineReport
 from gypsumwalk.machine_directory import LIST_SECONDS
 from gypsumwalk.maintenance_controller import MaintenanceController
 from gypsumwalk.order_cooldown import OrderCooldown
 from gypsumwalk.upkeep import BegunMaintenance, UpkeepWave
+from gypsumwalk.workload_records import RemoveInstance
 
 
 class Directory:
@@ -109,6 +112,50 @@
         assert not is_down(controller, wave, 107.5)
 
 
+class TestOrders(unittest.TestCase):
+    def order(self, controller, refused=None, *, now):
+        """Send an order, and return the effects of its answer, if there is one."""
+        *_, call = controller._order(1, "m", now)
+        if refused is None:
+            return []
+        report = MachineReport(refused)
+        return controller.handle(
+            PlatformOutcome(call.token, succeeded=True, report=report), now
+        )
+
+    def begin(self):
+        controller = make_controller("i@1")
+        controller._dispatcher.term = controller._term = 1
+        controller._upkeep.waves = {1: make_wave(maintained=False)}
+        controller._lives["m"] = "i@1"
+        return controller
+
+    def list_removed(self, effects):
+        commands = [item.command for item in effects if isinstance(item, Propose)]
+        return [item.life for item in commands if isinstance(item, RemoveInstance)]
+
+    # A machine counted as back at once if its instance had changed since a refusal.
+    def test_an_order_that_was_refused_first_ends_the_present_life(self):
+        controller = self.begin()
+        self.order(controller, "busy", now=100.0)
+        controller._directory.life = "i@2"
+        effects = self.order(controller, "", now=101.0)
+        assert self.list_removed(effects) == ["i@2"]
+        wave = make_wave(maintained=True)
+        assert is_down(controller, wave, 101.5)
+        controller._directory.life = "i@3"
+        assert not is_down(controller, wave, 104.0)
+
+    # The first of the orders may have been carried out, and another life have begun.
+    def test_an_order_after_one_without_an_answer_ends_the_former_life(self):
+        controller = self.begin()
+        self.order(controller, now=100.0)
+        self.order(controller, "busy", now=101.0)
+        controller._directory.life = "i@2"
+        effects = self.order(controller, "", now=103.0)
+        assert self.list_removed(effects) == ["i@1"]
+
+
 class TestProposals(unittest.TestCase):
     # A wave was never completed once a note had timed out on an overloaded leader.
     def test_a_proposal_of_unknown_outcome_is_repeated(self):
