Size pools for the rate that a growing burst has when machines arrive

In the second quick queue's turn (20 s to 30 s) arrivals grow from 18 to 133 jobs a second within 4 s. The pool works on 13 machines at 22.8 s, 28 at 23.8 s, 66 at 24.8 s and 137 at 28.1 s; its events 5015 want 64, 115, 175 and 254. New jobs wait 0.5 s to 1.1 s for their first start (median) throughout, and the tasks of later steps of the same jobs hardly at all (0.1 s), so they wait for capacity. 180 of the 614 requests of 22 s to 28 s are in time, 413 late.

Cause: the forecast expects the present rate, averaged over up to 1.4 s, while a machine takes 2.4 s to get to work in another pool, and a burst doubles in that time.

Change: a rate that has grown between the two halves of the window by more than the standard error of the difference is extrapolated to the time at which a machine that moves now is there, to three times the present rate at most. A burst that has only begun and a steady rate are not extrapolated.

--- a/src/gypsumwalk/demand_forecast.py
+++ b/src/gypsumwalk/demand_forecast.py
@@ -2,12 +2,15 @@
 
 Queues have bursts in turn: each demands several times its mean for some seconds. As a
 machine takes time to move to another pool, the move has to start as soon as the arrival
-rate shows the burst, not when tasks are waiting. After two bursts of a queue, the third
-is predicted from the time between them.
+rate shows the burst, not when tasks are waiting. A burst takes seconds to reach its
+highest rate, so that a growing rate is extrapolated to the time at which a machine that
+moves now is there. After two bursts of a queue, the third is predicted from the time
+between them.
 """
 
 from collections import deque
 from dataclasses import dataclass, field
+from math import sqrt
 
 __all__ = ["DemandForecast"]
 
@@ -29,6 +32,9 @@
 LEAD_SECONDS = 2.4
 """Time in which a machine moves (1.5 s), registers and is listed."""
 
+MAX_GROWTH_FACTOR = 3.0
+"""Largest ratio of the extrapolated to the present rate, as bursts level off."""
+
 LATE_SECONDS = 1.2
 """Time for which capacity is held for a predicted burst that is late."""
 
@@ -108,7 +114,7 @@
         if queue is None:
             return 0.0
         self._update(queue, now)
-        expected = _find_rate(queue, now)
+        expected = max(_find_rate(queue, now), _extrapolate_rate(queue, now))
         if _is_burst_near(queue, now):
             expected = max(expected, queue.peak)
         return expected
@@ -175,6 +181,25 @@
     )
 
 
+def _extrapolate_rate(queue: _Queue, now: float) -> float:
+    """Return the rate in ``LEAD_SECONDS`` if it grows as between the window's halves.
+
+    Differences that are usual between samples of a steady rate count as no growth, and
+    so does a rate that has only just become more than zero.
+    """
+    half = WINDOW_SECONDS / 2
+    recent = [work for at, work in queue.arrivals if at >= now - half]
+    earlier = [work for at, work in queue.arrivals if at < now - half]
+    if len(recent) < 2 * MIN_ARRIVALS or len(earlier) < MIN_ARRIVALS:
+        return 0.0
+    rate = sum(recent) / half
+    # Standard error of the difference if jobs arrive independently of each other.
+    noise = sqrt(sum(work * work for work in recent + earlier)) / half
+    growth = max(0.0, rate - sum(earlier) / half - noise) / half
+    extrapolated = rate + growth * (LEAD_SECONDS + half / 2)
+    return min(extrapolated, MAX_GROWTH_FACTOR * rate)
+
+
 def _compute_rate(
     arrivals: list[tuple[float, float]], now: float, min_arrivals: int
 ) -> float:
--- a/tests/test_demand_forecast.py
+++ b/tests/test_demand_forecast.py
@@ -1,8 +1,9 @@
 """Tests of the demand forecast: bursts of short jobs, and jobs that can wait."""
 
 import unittest
+from random import Random
 
-from gypsumwalk.demand_forecast import DemandForecast
+from gypsumwalk.demand_forecast import LEAD_SECONDS, DemandForecast
 
 LOW_SLACK_SECONDS = 1.0
 HIGH_SLACK_SECONDS = 4.0
@@ -70,5 +71,70 @@
         forecast.find_expected(service, start + 8.0)
 
 
+class TestGrowth(unittest.TestCase):
+    """A burst whose rate grows evenly for some seconds to several times the mean."""
+
+    RAMP_SECONDS = 5.0
+    PEAK = 120.0  # jobs per second
+
+    def find_rate(self, at):
+        return self.PEAK * min(at, self.RAMP_SECONDS) / self.RAMP_SECONDS
+
+    def record_arrivals(self, forecast, begin, end, find_rate, random=None):
+        """Record jobs at a rate, evenly or at random, and return the time of the end.
+
+        Each job is recorded in the step of 10 ms in which it arrives.
+        """
+        at, due = begin, 0.0
+        while at < end:
+            due += find_rate(at) * 0.01 if random is None else 0.0
+            if random is not None and random.random() < find_rate(at) * 0.01:
+                due += 1.0
+            while due >= 1.0:
+                forecast.record_job("a", WORK, LOW_SLACK_SECONDS, at)
+                due -= 1.0
+            at += 0.01
+        return at
+
+    # Pools followed the present rate, and were short by the growth during a move.
+    def test_a_growing_rate_is_expected_as_it_is_when_a_machine_has_moved(self):
+        forecast = DemandForecast()
+        now = 0.0
+        for check in (1.5, 2.0, 2.5, 3.0):
+            now = self.record_arrivals(forecast, now, check, self.find_rate)
+            actual = self.find_rate(now + LEAD_SECONDS) * WORK
+            ratio = forecast.find_expected("a", now) / actual
+            assert 0.5 <= ratio <= 1.1, (check, ratio)
+
+    def test_a_rate_that_no_longer_grows_is_not_extrapolated(self):
+        forecast = DemandForecast()
+        now = self.record_arrivals(
+            forecast, 0.0, self.RAMP_SECONDS + 1.5, self.find_rate
+        )
+        expected = forecast.find_expected("a", now)
+        assert 0.9 * self.PEAK * WORK <= expected <= 1.1 * self.PEAK * WORK
+
+    def test_a_steady_rate_is_expected_to_stay_about_the_same(self):
+        for rate in (12.0, 60.0):
+            ratios = []
+            for seed in range(40):
+                forecast = DemandForecast()
+                now = self.record_arrivals(
+                    forecast, 0.0, 6.0, lambda _, rate=rate: rate, Random(seed)
+                )
+                ratios.append(forecast.find_expected("a", now) / (rate * WORK))
+            with self.subTest(rate=rate):
+                mean = sum(ratios) / len(ratios)
+                assert 0.9 <= mean <= 1.35, mean
+
+    def test_a_falling_rate_is_not_extrapolated(self):
+        forecast = DemandForecast()
+        now = self.record_arrivals(
+            forecast, 0.0, 4.0, lambda at: self.PEAK * (1 - at / 5.0)
+        )
+        expected = forecast.find_expected("a", now)
+        assert expected <= 0.5 * self.PEAK * WORK
+
+
 if __name__ == "__main__":
     unittest.main()
