Keep the times of arrivals when a daemon catches up with the log

From 42.4 s to 46.1 s the pool of the first queue whose turn it is gets nothing: its 19 machines stay, its demand grows to 10,885 cores, while 80 machines, 70 of them without work, are in or on their way to the pool of another queue, which events 5015 expect to need 19,234 cores. 167 of the 461 requests of 42 s to 48 s fail. The leader is a daemon that had lost its disk at 31.1 s.

Cause: entries of up to 6 s of age counted as arriving when they were applied, to be independent of the leader's clock. A daemon that catches up applies seconds of a burst at once, so that it sees several times the rate (19,234 cores are more than the fleet has), keeps that as the queue's peak and the moment as the start of another burst, and once it leads predicts the next one from both.

Change: arrivals keep the times that their leader gave them, and the forecast takes the difference of the clocks from the latest entry, up to 2.5 s.

Clocks that differ by 2 s (tests/test_demand_forecast.py).

--- a/src/gypsumwalk/demand_forecast.py
+++ b/src/gypsumwalk/demand_forecast.py
@@ -35,6 +35,9 @@
 MAX_GROWTH_FACTOR = 3.0
 """Largest ratio of the extrapolated to the present rate, as bursts level off."""
 
+MAX_CLOCK_OFFSET_SECONDS = 2.5
+"""Largest difference that is assumed between the clocks of two daemons."""
+
 LATE_SECONDS = 1.2
 """Time for which capacity is held for a predicted burst that is late."""
 
@@ -60,9 +63,15 @@
 
 
 class DemandForecast:
-    """Arrival rates of work and times of bursts, by service."""
+    """Arrival rates of work and times of bursts, by service.
+
+    Arrivals are kept with the times that the leader of their time gave them, as a
+    daemon that catches up learns of many at once.
+    """
 
     def __init__(self) -> None:
+        self._offset = 0.0
+        """Own time minus the leader's in seconds, as of the latest job."""
         self._observing_since = float("inf")
         self._queues: dict[str, _Queue] = {}
         self._deferrable: set[str] = set()
@@ -71,7 +80,15 @@
         """Set the beginning of the observation, unless an earlier one is set."""
         self._observing_since = min(self._observing_since, now)
 
-    def record_job(self, service: str, work: float, slack: float, now: float) -> None:
+    def record_job(
+        self,
+        service: str,
+        work: float,
+        slack: float,
+        at: float,
+        *,
+        now: float | None = None,
+    ) -> None:
         """Record a submitted job.
 
         A job that can wait until a machine has moved is left out of the forecast.
@@ -84,16 +101,21 @@
             Work of the job, in thousandths of a core times seconds.
         slack : float
             Time in seconds that the job can wait and still meet its objective.
-        now : float
-            Time in seconds.
+        at : float
+            Time in seconds at which the leader accepted it.
+        now : float, optional
+            Time in seconds on this daemon's clock; by default ``at``.
         """
+        now = at if now is None else now
+        limit = MAX_CLOCK_OFFSET_SECONDS
+        self._offset = max(-limit, min(limit, now - at))
         self.start_observing(now)
         if slack >= LEAD_SECONDS:
             self._deferrable.add(service)
             return
         queue = self._queues.setdefault(service, _Queue())
-        queue.arrivals.append((now, work))
-        self._update(queue, now)
+        queue.arrivals.append((at, work))
+        self._update(queue, at)
 
     def find_expected(self, service: str, now: float) -> float:
         """Return the expected demand of a service within ``LEAD_SECONDS``.
@@ -113,6 +135,7 @@
         queue = self._queues.get(service)
         if queue is None:
             return 0.0
+        now -= self._offset
         self._update(queue, now)
         expected = max(_find_rate(queue, now), _extrapolate_rate(queue, now))
         if _is_burst_near(queue, now):
--- a/src/gypsumwalk/workload_observer.py
+++ b/src/gypsumwalk/workload_observer.py
@@ -28,9 +28,6 @@
 FORECAST_HORIZON_SECONDS = 1.6
 """Longest part of a job that the forecast counts, about the time of a move."""
 
-REPLAY_AGE_SECONDS = 6.0
-"""Age above which an entry is a replay after a restart; clocks jump by 2.4 s."""
-
 MAX_DURATION_SECONDS = 600.0
 """Longest plausible duration; a longer one is due to clock skew between leaders."""
 
@@ -61,8 +58,7 @@
             return []
         match item.command:
             case AcceptWorkload(workload=workload):
-                arrived_at = item.at if now - item.at > REPLAY_AGE_SECONDS else now
-                self._record_arrival(workload, arrived_at)
+                self._record_arrival(workload, item.at, now)
             case PlaceRuns(placements=placements):
                 if isinstance(item.result, Accepted):
                     for placement in placements:
@@ -76,16 +72,15 @@
         """Do nothing, as this part has no timers."""
         return []
 
-    def _record_arrival(self, workload: Workload, now: float) -> None:
+    def _record_arrival(self, workload: Workload, at: float, now: float) -> None:
         steps = [step for step in workload.steps if not step.lasting]
         if not steps:
             return
         service = self._scheduler.find_service(workload)
         slack = self._scheduler.find_slack(workload)
         mean_duration = self._scheduler.find_mean_duration(workload)
-        self._forecast.record_job(
-            service, estimate_work(steps, mean_duration), slack, now
-        )
+        work = estimate_work(steps, mean_duration)
+        self._forecast.record_job(service, work, slack, at, now=now)
 
     def _record_end(self, end: RunEnd, at: float) -> None:
         placed_at = self._placed_at.pop((end.task, end.run), None)
--- a/tests/test_demand_forecast.py
+++ b/tests/test_demand_forecast.py
@@ -48,6 +48,16 @@
         assert forecast.find_expected("a", 40.0) == 0
         assert forecast.find_expected("a", 44.5) > 5 * WORK
 
+    def test_a_rate_is_seen_on_a_clock_that_differs_from_the_leaders(self):
+        for offset in (-2.0, 2.0):
+            forecast = DemandForecast()
+            for number in range(8):
+                at = 5.0 + number / 10
+                forecast.record_job("a", WORK, LOW_SLACK_SECONDS, at, now=at + offset)
+            expected = forecast.find_expected("a", 5.8 + offset)
+            assert 0.8 * 10 * WORK <= expected <= 1.3 * 10 * WORK
+            assert forecast.find_expected("a", 9.0 + offset) == 0
+
     def test_a_queue_is_not_due_again_before_the_others_had_their_bursts(self):
         forecast = DemandForecast()
         forecast.record_job("b", WORK, LOW_SLACK_SECONDS, 1.0)
--- a/tests/test_workload_observer.py
+++ b/tests/test_workload_observer.py
@@ -56,6 +56,23 @@
             scheduler = world.assemblies[name].scheduler
             assert 0.7 <= scheduler._urgency.find_mean_duration("queue-a") < 0.9
 
+    # The jobs of the last 6 s counted as arriving when the daemon applied them, all at
+    # once, and the rate was kept as the peak of a burst.
+    def test_a_daemon_that_catches_up_sees_the_rates_that_the_leader_saw(self):
+        world = FleetWorld(instances=6)
+        world.begin()
+        follower = next(name for name in world.names if name != world.find_leader())
+        world.kill(follower)
+        submit_burst(world)
+        world.restart(follower)
+        world.run(1.0)
+        peaks = [
+            find_part(world, name, "history")._forecast._queues["service-a"].peak
+            for name in (world.find_leader(), follower)
+        ]
+        assert peaks[0] > 0
+        assert 0.7 * peaks[0] <= peaks[1] <= 1.3 * peaks[0], peaks
+
     def test_a_restarted_daemon_sees_no_burst_in_replayed_entries(self):
         world = FleetWorld(instances=6)
         world.begin()
