Add the replacement of a lost voter before removing it

A voter stopped answering; the leader removed it, so that 4 of 5 (2 of 3) voters were left, and a configuration was acknowledged; then the disks of two of these (one) were lost while all others lost power, and everything came back, the removed voter too. 2 of 4 (1 of 2) intact disks are no majority.

Cause: `plan_voters` removed a lost voter before it added its replacement, to need no more voters than answer. That isn't needed: of 5 voters with 2 lost, the 3 that answer and the added one, which has caught up, are a majority of 6. The replacement is now added first. There are never fewer voters than the losses require, and each change is committed by the voters that answer and the new one.

With one voter too many for longer, three states matter more:

- A new leader has not heard of each voter yet.
- A voter returns with a new disk while there is one too many.
It is listed with this disk if it has caught up; otherwise it is removed before one that is away, whose disk may be intact.
- The replacement is lost as well.
With one lost voter the others go on; with two lost of five, the replacement is the third loss, and the change waits for one of the three.
The former order waited for the same after its first step.

Tests: the disks are lost after the first or the second change, with 3 and with 5 voters.

--- a/src/gypsumwalk/voter_planning.py
+++ b/src/gypsumwalk/voter_planning.py
@@ -59,9 +59,10 @@
 ) -> dict[str, str] | None:
     """Return the next voters of a single-step change, or None if none is needed.
 
-    A voter with a new disk that has caught up is listed with that disk. A lost voter is
-    removed once a learner can replace it. Learners with a disk are added up to the
-    number of voters, from the data centre with the fewest voters first. Voters move
+    A voter with a new disk that has caught up is listed with that disk. Learners with a
+    disk are added up to the number of voters, from the data centre with the fewest
+    voters first. A lost voter is removed once a learner that replaces it votes: with
+    fewer voters meanwhile, the tolerated losses would leave no majority. Voters move
     between data centres until their numbers there differ by at most one.
 
     Parameters
@@ -90,35 +91,41 @@
         daemon for daemon in daemons if daemon.name not in voters and _can_vote(daemon)
     ]
     if len(voters) > count:
-        return _remove(voters, _choose_removed(current, leader))
+        if any(_is_unheard(daemon) for daemon in current):
+            return None
+        return _remove(voters, _choose_removed(voters, current, leader))
     if not learners:
         return None
     chosen = _choose_added(current, learners)
-    if len(voters) < count:
-        return {**voters, chosen.name: chosen.identity}
-    lost = [daemon for daemon in current if daemon.is_lost]
-    if lost:
-        # Removed before its replacement is added: the majority does not grow, so the
-        # change needs no more voters than answer now.
-        return _remove(voters, lost[0].name)
-    if _is_intact(voters, current) and _improves_spread(current, chosen):
-        return {**voters, chosen.name: chosen.identity}
-    return None
+    is_needed = (
+        len(voters) < count
+        or any(daemon.is_lost for daemon in current)
+        or (_is_intact(voters, current) and _improves_spread(current, chosen))
+    )
+    return {**voters, chosen.name: chosen.identity} if is_needed else None
 
 
 def _can_vote(daemon: KnownDaemon) -> bool:
     return bool(daemon.identity) and daemon.is_caught_up
 
 
+def _is_unheard(daemon: KnownDaemon) -> bool:
+    """Tell whether the disk of a voter is unknown, but not silent for long yet."""
+    return daemon.is_answering and not daemon.identity and not daemon.is_lost
+
+
 def _remove(voters: Mapping[str, str], name: str) -> dict[str, str]:
     return {voter: voters[voter] for voter in voters if voter != name}
 
 
-def _choose_removed(current: Sequence[KnownDaemon], leader: str) -> str:
+def _choose_removed(
+    voters: Mapping[str, str], current: Sequence[KnownDaemon], leader: str
+) -> str:
     counts = _count_by_data_centre(current)
     removed = max(
         (daemon for daemon in current if daemon.name != leader),
         key=lambda daemon: (
+            daemon.identity not in ("", voters[daemon.name]),
             daemon.is_lost,
             not daemon.is_answering,
             counts[daemon.data_centre],
--- a/tests/test_voter_losses.py
+++ b/tests/test_voter_losses.py
@@ -6,6 +6,7 @@
 import os
 import unittest
 from collections import Counter
+from itertools import product
 from random import Random
 
 from gypsumwalk.fleet_calls import PutDeclarationCall
@@ -65,6 +66,24 @@
     )
 
 
+def await_changes(world, replica, count):
+    """Run until as many changes of the voters are committed."""
+    for _ in range(count):
+        old = replica.voters
+        assert world.run_until(
+            lambda old=old: (
+                replica.voters != old and replica.voters_index <= replica.commit
+            ),
+            within=REPLACEMENT_SECONDS,
+        ), f"{sorted(old)} still vote"
+
+
+def lose_disks_and_power(world, lost):
+    """Lose a few disks while all other daemons lose power, and start all again."""
+    world.heal()
+    world.lose_power(wiped=lost, down=DOWN_SECONDS)
+
+
 def acknowledge(world, version):
     assert world.submit(JOB).status == 200
     assert world.declare(make_declaration(version)).status == 200
@@ -98,7 +117,7 @@
                 world = make_world(seed)
                 lost = draw_voters(world, seed)
                 acknowledge(world, 5)
-                world.lose_power(wiped=lost, down=DOWN_SECONDS)
+                lose_disks_and_power(world, lost)
                 check_acknowledged(world, 5)
                 assert world.run_until(
                     lambda world=world: has_five_intact_voters(world),
@@ -178,6 +197,78 @@
         assert len(list_voters(world)) == 5
 
 
+class TestFaultDuringReplacement(unittest.TestCase):
+    """Guards against too few intact disks while a lost voter is replaced (issue 25).
+
+    The links to all daemons without a vote are cut after a change of the voters, so
+    that the next one is delayed if it needs one of them.
+    """
+
+    def check_disks_lost_after_change(self, seed, changes, *, daemons, cut, wiped):
+        world = FleetWorld(
+            seed, task_seconds=60.0, daemons=daemons, data_centres=4, disk_losses=wiped
+        )
+        world.begin()
+        world.run(GROWTH_SECONDS)
+        leader = world.find_leader()
+        replica = world.assemblies[leader].consensus.replica
+        others = [name for name in list_voters(world) if name != leader]
+        silent = Random(f"silent {seed}").sample(others, cut)
+        world.partition(silent)
+        await_changes(world, replica, changes)
+        learners = [name for name in world.names if name not in replica.voters]
+        world.partition({*silent, *learners})
+        acknowledge(world, 5)
+        reachable = sorted(set(replica.voters) - {leader, *silent})
+        lose_disks_and_power(world, Random(f"lost {seed}").sample(reachable, wiped))
+        check_acknowledged(world, 5)
+
+    def test_a_disk_is_lost_while_one_of_three_voters_is_replaced(self):
+        for seed, changes in product(range(SEEDS), (1, 2)):
+            with self.subTest(seed=seed, changes=changes):
+                self.check_disks_lost_after_change(
+                    seed, changes, daemons=4, cut=1, wiped=1
+                )
+
+    def test_two_disks_are_lost_while_one_of_five_voters_is_replaced(self):
+        for seed, changes in product(range(SEEDS), (1, 2)):
+            with self.subTest(seed=seed, changes=changes):
+                self.check_disks_lost_after_change(
+                    seed, changes, daemons=8, cut=1, wiped=2
+                )
+
+    def test_the_leader_is_lost_while_a_voter_is_replaced(self):
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                world = make_world(seed)
+                leader = world.find_leader()
+                replica = world.assemblies[leader].consensus.replica
+                silent = next(name for name in replica.voters if name != leader)
+                world.partition([silent])
+                await_changes(world, replica, 1)
+                acknowledge(world, 5)
+                world.kill(leader)
+                check_acknowledged(world, 5, within=ELECTION_LIMIT_SECONDS)
+                world.run(REPLACEMENT_SECONDS)
+                assert not {leader, silent} & set(list_voters(world))
+                assert has_five_intact_voters(world)
+
+    def test_a_wiped_voter_returns_while_it_is_replaced(self):
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                world = make_world(seed)
+                leader = world.find_leader()
+                replica = world.assemblies[leader].consensus.replica
+                lost = next(name for name in replica.voters if name != leader)
+                world.lose_disk(lost)
+                await_changes(world, replica, 1)
+                world.restart(lost)
+                acknowledge(world, 5)
+                world.run(CATCH_UP_SECONDS)
+                assert has_five_intact_voters(world)
+                check_acknowledged(world, 5)
+
+
 class TestNumberOfVoters(unittest.TestCase):
     def test_voters_are_extended_within_seconds_of_the_first_election(self):
         for seed in range(SEEDS):
