Let a daemon grant votes before its own log lists it

A daemon that had become a voter, but had not received this change yet, refused its vote to any candidate.

Cause: a daemon granted votes only if the last voters in its own log listed its disk. The candidate checks this already, by its own log, and counts a vote only from the disk that its log lists; so the refusal added nothing. A daemon with a working disk now grants votes whatever its log says, except before its disk is registered at the first start. It still stands for election only if its log lists it. Which entries a candidate must hold is unchanged.

--- a/src/gypsumwalk/admission.py
+++ b/src/gypsumwalk/admission.py
@@ -56,6 +56,15 @@
             return self._replica.vote.admitted
         return listed_identity == identity
 
+    def can_grant_votes(self) -> bool:
+        """Tell whether this daemon may grant votes to the candidates that list it.
+
+        Its own log need not list it yet: a candidate counts the vote only if its log
+        lists this disk.
+        """
+        is_unregistered = self._replica.voters.get(self._name) == ""
+        return self.can_vote() or (bool(self._replica.identity) and not is_unregistered)
+
     def advance(self, now: float) -> list[Effect]:
         """Ask the other initial voters to register this disk, if that is due.
 
--- a/src/gypsumwalk/consensus.py
+++ b/src/gypsumwalk/consensus.py
@@ -481,7 +481,7 @@
         self, source: str, body: VoteRequest, now: float
     ) -> list[Effect]:
         has_contact = self._has_leader_contact(now) and not body.handed_over
-        if not self._admission.can_vote() or has_contact:
+        if not self._admission.can_grant_votes() or has_contact:
             return []
         effects: list[Effect] = []
         if not body.pre_vote:
--- a/tests/test_voter_losses.py
+++ b/tests/test_voter_losses.py
@@ -237,6 +237,33 @@
                     seed, changes, daemons=8, cut=1, wiped=2
                 )
 
+    def test_two_disks_are_lost_while_two_of_five_voters_are_replaced(self):
+        for seed, changes in product(range(SEEDS), (1, 2, 3, 4)):
+            with self.subTest(seed=seed, changes=changes):
+                self.check_disks_lost_after_change(
+                    seed, changes, daemons=8, cut=2, wiped=2
+                )
+
+    # A daemon refused its vote until its own log listed it.
+    def test_two_disks_are_lost_before_a_new_voter_hears_that_it_votes(self):
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                world = make_world(seed)
+                leader = world.find_leader()
+                replica = world.assemblies[leader].consensus.replica
+                old = set(replica.voters)
+                others = sorted(old - {leader})
+                Random(f"order {seed}").shuffle(others)
+                world.partition(others[:1])
+                assert world.run_until(
+                    lambda replica=replica, old=old: set(replica.voters) > old,
+                    within=REPLACEMENT_SECONDS,
+                )
+                world.partition({others[0], *world.names} - {leader, *others[1:]})
+                acknowledge(world, 5)
+                lose_disks_and_power(world, others[1:3])
+                check_acknowledged(world, 5)
+
     def test_the_leader_is_lost_while_a_voter_is_replaced(self):
         for seed in range(SEEDS):
             with self.subTest(seed=seed):
