Keep no room for a lasting gang that the service can't hold

All transient tasks of a service starved behind a lasting gang that it can't hold: with three instances and a gang of 7 tasks of 4 cores, or of 4 tasks with one on an instance at most, 0 of 20 transient jobs completed within 30 s.

Candidates were withheld for each member that fits on one of them; nothing asked whether the whole gang fits. Now all candidates together have to hold it without their transient runs, with the limit of tasks on one instance counted. Full instances count as candidates where a lasting task waits: otherwise a gang that needs every instance would find room only in a pass in which none of them is full.

A queue whose lasting tasks have all been placed counts as transient again, so that its pool lists no full instances then.

--- a/src/gypsumwalk/ready_tasks.py
+++ b/src/gypsumwalk/ready_tasks.py
@@ -46,13 +46,18 @@
         Lower bounds of what one of their ready tasks reserves.
     jobs : dict of str to ReadyJob
         The jobs by identifier.
-    is_lasting : bool
-        Whether a lasting task has been among their ready tasks.
+    lasting_jobs : set of str
+        Identifiers of those with lasting tasks.
     """
 
     least: Resources
     jobs: dict[str, ReadyJob] = field(default_factory=dict)
-    is_lasting: bool = False
+    lasting_jobs: set[str] = field(default_factory=set)
+
+    @property
+    def is_lasting(self) -> bool:
+        """Whether some of the ready tasks are lasting."""
+        return bool(self.lasting_jobs)
 
 
 class ReadyJobs:
@@ -76,8 +81,11 @@
         self._jobs[name] = job
         group = self._groups.setdefault(_find_key(job.workload), JobGroup(job.least))
         group.least = find_least([group.least, job.least])
-        group.is_lasting |= job.is_lasting
         group.jobs[name] = job
+        if job.is_lasting:
+            group.lasting_jobs.add(name)
+        else:
+            group.lasting_jobs.discard(name)
 
     def remove(self, name: str) -> None:
         """Remove a job if it is there."""
@@ -87,6 +95,7 @@
         key = _find_key(job.workload)
         group = self._groups[key]
         del group.jobs[name]
+        group.lasting_jobs.discard(name)
         if not group.jobs:
             del self._groups[key]
 
--- a/src/gypsumwalk/task_placement.py
+++ b/src/gypsumwalk/task_placement.py
@@ -3,6 +3,7 @@
 from bisect import bisect_left, insort
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
+from sys import maxsize
 
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.leases import InstanceView, LeaseTable
@@ -211,12 +212,13 @@
         self._refused.clear()
 
     def reserve(
-        self, step: Step, count: int, is_allowed: Callable[[Candidate], bool]
+        self, step: Step, count: int, count_allowed: Callable[[Candidate], int]
     ) -> None:
         """Withhold candidates from the rest of the pass until tasks of a step fit.
 
         The candidates that lack least come first. What a candidate lacks never grows
-        while it is withheld, so that its tasks end and make room.
+        while it is withheld, so that its tasks end and make room. Nothing is withheld
+        for a gang that the candidates can't hold together.
 
         Parameters
         ----------
@@ -224,47 +226,55 @@
             Step of tasks that fit on no candidate.
         count : int
             Number of the tasks.
-        is_allowed : Callable
-            Tells whether a task may run on an instance that has the resources.
+        count_allowed : Callable
+            Tells how many of the tasks may run on an instance with the resources.
         """
         need = find_need(step)
-        candidates = self._list_holding(step, is_allowed)
-        candidates.sort(key=lambda item: _find_share(need, item.free), reverse=True)
-        for candidate in candidates:
+        holding = self._list_holding(step, count_allowed)
+        if step.gang and sum(fitting for _, fitting in holding) < count:
+            return
+        holding.sort(key=lambda item: _find_share(need, item[0].free), reverse=True)
+        for candidate, fitting in holding:
             if count <= 0:
                 return
-            fitting = _count_fitting(need, _find_transient_room(candidate))
-            count -= min(fitting, step.max_per_instance or fitting)
+            count -= fitting
             self._change(candidate, Resources())
 
-    def can_hold(self, step: Step, is_allowed: Callable[[Candidate], bool]) -> bool:
-        """Tell whether a task fits on some candidate without its transient runs.
+    def can_hold(
+        self, step: Step, count: int, count_allowed: Callable[[Candidate], int]
+    ) -> bool:
+        """Tell whether tasks of a step fit without the transient runs.
 
         Parameters
         ----------
         step : Step
-            Step of the task.
-        is_allowed : Callable
-            Tells whether the task may run on an instance that has the resources.
+            Step of the tasks.
+        count : int
+            Number of the tasks; all of a gang have to fit, and one of others.
+        count_allowed : Callable
+            Tells how many of the tasks may run on an instance with the resources.
 
         Returns
         -------
         bool
-            Whether some candidate can hold the task.
+            Whether the candidates can hold them.
         """
-        return bool(self._list_holding(step, is_allowed))
+        holding = self._list_holding(step, count_allowed)
+        return sum(fitting for _, fitting in holding) >= (count if step.gang else 1)
 
     def _list_holding(
-        self, step: Step, is_allowed: Callable[[Candidate], bool]
-    ) -> list[Candidate]:
+        self, step: Step, count_allowed: Callable[[Candidate], int]
+    ) -> list[tuple[Candidate, int]]:
+        """List candidates and how many tasks each holds without its transient runs."""
         need = find_need(step)
-        return [
-            item
-            for item in self._candidates
-            if need.fits(_find_transient_room(item))
-            and _has_label(item, step.label)
-            and is_allowed(item)
-        ]
+        listed = []
+        for item in self._candidates:
+            room = _find_transient_room(item)
+            if need.fits(room) and _has_label(item, step.label):
+                fitting = min(count_allowed(item), _count_fitting(need, room))
+                if fitting > 0:
+                    listed.append((item, fitting))
+        return listed
 
     def _iterate(self, step: Step, need: Resources, label: str) -> Iterator[Candidate]:
         """Iterate over the candidates that can take a task, best first."""
@@ -341,7 +351,7 @@
         )
         if wanted
     ]
-    return min(counts, default=1)
+    return min(counts, default=maxsize)
 
 
 def _has_label(candidate: Candidate, label: str) -> bool:
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
+from sys import maxsize
 
 from gypsumwalk.advice import MAX_ASKED, AdviceCache, AdviceQuery, name_step
 from gypsumwalk.declaration_records import DeclaredQueue, Resources
@@ -177,11 +178,11 @@
             count = self._reserve_quota(workload.team, step, len(tasks), used)
             limit = _SpreadLimit(step, tasks[0], lease_table)
             if count:
-                pool.reserve(step, count, limit.allows)
+                pool.reserve(step, count, limit.count_allowed)
             elif self._has_quota(
                 workload.team, step, lease_table.lasting_usage_by_team
             ):
-                waits_for_quota |= pool.can_hold(step, limit.allows)
+                waits_for_quota |= pool.can_hold(step, len(tasks), limit.count_allowed)
         return waits_for_quota
 
     def add_demand(
@@ -322,6 +323,12 @@
     ) -> dict[str, CandidatePool]:
         """Return the instances that may take a waiting task, by service."""
         least_needs = self._find_least_needs()
+        # Full instances count as well where transient runs may have to make room.
+        reserving = {
+            self.find_service(next(iter(group.jobs.values())).workload)
+            for group in self._waiting.list_groups()
+            if group.is_lasting
+        }
         listed: dict[str, list[Candidate]] = {}
         if not least_needs:
             return {}
@@ -331,7 +338,7 @@
             if least is None or not self._can_schedule_on(view, now):
                 continue
             free = registered.capacity - view.used
-            if least.fits(free):
+            if least.fits(free) or registered.service in reserving:
                 candidate = Candidate(view, free, view.latency_sensitive_runs)
                 listed.setdefault(registered.service, []).append(candidate)
         return {service: CandidatePool(items) for service, items in listed.items()}
@@ -554,7 +561,13 @@
 
     def allows(self, item: Candidate) -> bool:
         """Tell whether an instance may take one more task."""
-        return not self._most or self._counts[item.view.registered.life] < self._most
+        return self.count_allowed(item) > 0
+
+    def count_allowed(self, item: Candidate) -> int:
+        """Return how many more tasks an instance may take."""
+        if not self._most:
+            return maxsize
+        return self._most - self._counts[item.view.registered.life]
 
     def count(self, item: Candidate) -> None:
         """Count one more task on an instance."""
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -612,6 +612,34 @@
         world.run(1.0)
         assert len(list_running(world)) == 24
 
+    # Transient tasks of the service starved, as one member of the gang would fit.
+    def test_a_gang_that_does_not_fit_as_a_whole_reserves_nothing(self):
+        for count, limit in ((7, 0), (4, 1)):
+            with self.subTest(count=count, limit=limit):
+                world = make_transient_world(0)
+                need = Resources(4000, 1000)
+                step = Step(
+                    count, need, lasting=True, gang=True, max_per_instance=limit
+                )
+                world.submit(JOB, [step])
+                world.submit(OTHER_JOB, [Step(24, SMALL)])
+                world.run(1.0)
+                assert len(list_runs(world, f"{OTHER_JOB}.0.0.23")) == 1
+                world.run(5.0)
+                assert world.get_state(OTHER_JOB) == "completed"
+
+    # The gang needs all instances, while only some of them have room at a time.
+    def test_a_gang_that_needs_the_whole_service_gets_room(self):
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                world = make_transient_world(seed)
+                world.submit(OTHER_JOB, [Step(TRANSIENT_TASKS, SMALL)])
+                world.run(3.0)
+                step = Step(6, Resources(4000, 1000), lasting=True, gang=True)
+                world.submit(JOB, [step])
+                world.run(RESTART_SECONDS)
+                assert len(list_runs(world)) == 1
+
 
 if __name__ == "__main__":
     unittest.main()
