Keep room and quota at once for lasting tasks that wait

A lasting task that waits for both quota and room did not run within 60 s: another team fills its service, and transient tasks of its own team in another service use its quota.

While the quota was full, transient tasks of the team were held back, but no room was kept; once the quota was free, room was kept, but the team's transient tasks took the quota again in the same pass. A gang whose quota is there for some of its members only was the same.

While such a task waits its room is withheld, and its need is charged to the quota of its team before transient tasks of the team are planned. As much is charged as fits beside the other lasting tasks of the team and as the candidates can hold. Transient tasks of the team go on with what is left of the quota, where before all of them were held back. Nothing is kept for a gang that exceeds the quota even without transient runs.

--- a/src/gypsumwalk/task_placement.py
+++ b/src/gypsumwalk/task_placement.py
@@ -213,7 +213,7 @@
 
     def reserve(
         self, step: Step, count: int, count_allowed: Callable[[Candidate], int]
-    ) -> None:
+    ) -> int:
         """Withhold candidates from the rest of the pass until tasks of a step fit.
 
         The candidates that lack least come first. What a candidate lacks never grows
@@ -223,44 +223,29 @@
         Parameters
         ----------
         step : Step
-            Step of tasks that fit on no candidate.
+            Step of tasks that can't start in this pass.
         count : int
             Number of the tasks.
         count_allowed : Callable
             Tells how many of the tasks may run on an instance with the resources.
+
+        Returns
+        -------
+        int
+            Number of the tasks that the withheld candidates can hold.
         """
         need = find_need(step)
         holding = self._list_holding(step, count_allowed)
         if step.gang and sum(fitting for _, fitting in holding) < count:
-            return
+            return 0
         holding.sort(key=lambda item: _find_share(need, item[0].free), reverse=True)
+        remaining = count
         for candidate, fitting in holding:
-            if count <= 0:
-                return
-            count -= fitting
+            if not remaining:
+                break
+            remaining -= min(fitting, remaining)
             self._change(candidate, Resources())
-
-    def can_hold(
-        self, step: Step, count: int, count_allowed: Callable[[Candidate], int]
-    ) -> bool:
-        """Tell whether tasks of a step fit without the transient runs.
-
-        Parameters
-        ----------
-        step : Step
-            Step of the tasks.
-        count : int
-            Number of the tasks; all of a gang have to fit, and one of others.
-        count_allowed : Callable
-            Tells how many of the tasks may run on an instance with the resources.
-
-        Returns
-        -------
-        bool
-            Whether the candidates can hold them.
-        """
-        holding = self._list_holding(step, count_allowed)
-        return sum(fitting for _, fitting in holding) >= (count if step.gang else 1)
+        return count - remaining
 
     def _list_holding(
         self, step: Step, count_allowed: Callable[[Candidate], int]
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -74,6 +74,8 @@
         self._waiting = ReadyJobs()
         self._stale: set[str] = set()
         self._next_due = NEVER
+        self._kept_quota: dict[str, Resources] = {}
+        """What the pass keeps of the quota of each team for lasting tasks."""
 
     def reset(self) -> None:
         """Discard cached state at the start of a term and mark all open jobs stale."""
@@ -131,19 +133,14 @@
         """
         self._update_ready(lease_table, now)
         self.wanted_advice.clear()
+        self._kept_quota.clear()
         pools = self._list_pools(lease_table, now)
         waiting = self._sort_waiting(pools, now)
         lasting = [item for item in waiting if item[0].is_lasting]
         planned = self._plan_jobs(lasting, lease_table, now)
-        held_teams: set[str] = set()
         for job, pool in lasting:
-            if self._reserve(job, pool, lease_table):
-                held_teams.add(job.workload.team)
-        transient = [
-            item
-            for item in waiting[len(lasting) :]
-            if item[0].workload.team not in held_teams
-        ]
+            self._reserve(job, pool, lease_table)
+        transient = waiting[len(lasting) :]
         return planned + self._plan_jobs(transient, lease_table, now)
 
     def _plan_jobs(
@@ -160,30 +157,33 @@
 
     def _reserve(
         self, job: ReadyJob, pool: CandidatePool, lease_table: LeaseTable
-    ) -> bool:
-        """Keep room for the lasting tasks of a job that fit on no instance yet.
+    ) -> None:
+        """Keep room and quota for the lasting tasks of a job that can't start yet.
 
-        Without this, smaller tasks would take each part of the room as it becomes free.
-        Returns whether a task waits for quota that transient tasks of its team use.
+        Without this, smaller tasks would take each part as it becomes free. Both are
+        kept at once: a task that waits for one of them would lose the other.
         """
         workload = job.workload
-        waits_for_quota = False
         if self._declarations.get_advice(workload.queue) is not None:
-            return False
+            return
         for tasks in job.tasks.values():
             step = workload.steps[tasks[0].step]
             if not step.lasting:
                 continue
-            used = dict(lease_table.usage_by_team)
-            count = self._reserve_quota(workload.team, step, len(tasks), used)
+            in_use = dict(lease_table.lasting_usage_by_team)
+            in_use[workload.team] = self._add_kept(workload.team, in_use)
+            count = self._reserve_quota(workload.team, step, len(tasks), in_use)
+            if step.gang and count < len(tasks):
+                continue
             limit = _SpreadLimit(step, tasks[0], lease_table)
-            if count:
-                pool.reserve(step, count, limit.count_allowed)
-            elif self._has_quota(
-                workload.team, step, lease_table.lasting_usage_by_team
-            ):
-                waits_for_quota |= pool.can_hold(step, len(tasks), limit.count_allowed)
-        return waits_for_quota
+            count = pool.reserve(step, count, limit.count_allowed)
+            kept = self._kept_quota.get(workload.team, Resources())
+            self._kept_quota[workload.team] = kept + _multiply(step.need, count)
+
+    def _add_kept(self, team: str, usage_by_team: Mapping[str, Resources]) -> Resources:
+        """Return the usage of a team with the quota that is kept for lasting tasks."""
+        kept = self._kept_quota.get(team, Resources())
+        return usage_by_team.get(team, Resources()) + kept
 
     def add_demand(
         self, demands: Mapping[str, PoolDemand], lease_table: LeaseTable
@@ -232,10 +232,7 @@
         in_use = used.get(team, Resources())
         if declared is not None:
             count = _count_within_quota(in_use, step.need, declared.quota, count)
-        need = step.need
-        used[team] = in_use + Resources(
-            need.cpu * count, need.memory * count, need.accelerators * count
-        )
+        used[team] = in_use + _multiply(step.need, count)
         return count
 
     def _update_ready(self, lease_table: LeaseTable, now: float) -> None:
@@ -497,7 +494,7 @@
         declared = self._declarations.get_team(team)
         if declared is None:
             return True
-        used = usage_by_team.get(team, Resources()) + step.need
+        used = self._add_kept(team, usage_by_team) + step.need
         return is_within_quota(used, declared.quota)
 
 
@@ -585,6 +582,10 @@
     return (record.run if record else 0) + 1
 
 
+def _multiply(need: Resources, count: int) -> Resources:
+    return Resources(need.cpu * count, need.memory * count, need.accelerators * count)
+
+
 def _allow_any(_: Candidate) -> bool:
     return True
 
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -22,6 +22,8 @@
 
 JOB = "00000000000000aa"
 OTHER_JOB = "00000000000000bb"
+THIRD_JOB = "00000000000000cc"
+OTHER_KEY = "key-of-another-team"
 TASK = f"{JOB}.0.0.0"
 NEED = Resources(2000, 1000)
 SMALL = Resources(1000, 1000)
@@ -53,6 +55,37 @@
     return world
 
 
+def make_two_service_world(seed, *, quota):
+    """Return a world in which a team without quota limit fills the first service.
+
+    Tasks of the other team fill the second one up to the quota.
+    """
+    world = FleetWorld(seed, instances=2, task_seconds=600.0)
+    for number in (2, 3):
+        world.start_instance(number, service="service-b")
+    random = Random(seed)
+    jobs = {"a": OTHER_JOB, "b": THIRD_JOB}
+    for number in range(TRANSIENT_TASKS):
+        for job in jobs.values():
+            length = random.uniform(0.5, 1.5)
+            world.run_results[f"{job}.0.0.{number}", 1] = (length, "done")
+    world.begin()
+    queues = [
+        DeclaredQueue(name, HOST, f"/{name}/", f"service-{name}", timeout=3.0)
+        for name in jobs
+    ]
+    services = [DeclaredService("service-a"), DeclaredService("service-b")]
+    teams = [
+        DeclaredTeam("team", [KEY], 1.0, quota),
+        DeclaredTeam("other", [OTHER_KEY], 1.0, NO_QUOTA),
+    ]
+    world.declare(Declaration(2, queues, services, teams, "source 2"))
+    steps = [Step(TRANSIENT_TASKS, SMALL)]
+    world.submit(OTHER_JOB, steps, queue="a", key=OTHER_KEY)
+    world.submit(THIRD_JOB, steps, queue="b")
+    return world
+
+
 def list_runs(world, task=TASK):
     return [run for run in world.model.history if run.task == task]
 
@@ -593,6 +626,40 @@
                 world.run(RESTART_SECONDS)
                 assert len(list_runs(world)) == 1
 
+    # Another team uses its service, and transient tasks of its team in another service
+    # use its quota. Room was kept only while there was quota, and quota while there was
+    # none.
+    def test_a_task_gets_room_and_quota_that_it_waits_for_at_once(self):
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                world = make_two_service_world(seed, quota=Resources(8000))
+                world.run(3.0)
+                step = Step(1, Resources(6000, 1000), lasting=True)
+                world.submit(JOB, [step], queue="a")
+                world.run(RESTART_SECONDS)
+                assert len(list_runs(world)) == 1
+
+    # As before, with tasks of which the quota holds one at a time.
+    def test_a_gang_gets_the_quota_that_it_waits_for_as_a_whole(self):
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                world = make_two_service_world(seed, quota=Resources(8000))
+                world.run(3.0)
+                step = Step(2, Resources(3000, 1000), lasting=True, gang=True)
+                world.submit(JOB, [step], queue="a")
+                world.run(RESTART_SECONDS)
+                assert len(list_runs(world)) == 1
+
+    # A gang that its team has no quota for keeps neither room nor quota.
+    def test_a_gang_beyond_the_quota_of_its_team_reserves_nothing(self):
+        world = FleetWorld(task_seconds=1.0)
+        world.begin(quota=Resources(24000))
+        step = Step(4, Resources(7000, 1000), lasting=True, gang=True)
+        world.submit(JOB, [step])
+        world.submit(OTHER_JOB, [Step(24, SMALL)])
+        world.run(1.0)
+        assert len(list_running(world)) == 24
+
     # A lasting task that no end of a transient one makes room for keeps no quota.
     def test_a_task_beyond_the_quota_of_its_team_reserves_no_quota(self):
         world = FleetWorld(task_seconds=600.0)
