Find the room for lasting tasks that wait once in a pass

An instance's view keeps what its lasting runs use, as it keeps what all runs use; the pool computes the room without transient runs once per candidate and pass. The order of the candidates is a heap for each need and label, since free resources only shrink while room is reserved: an entry whose share has shrunk goes back into the heap.

test_reservations_look_once_at_each_instance failed on the code before: 150,000 runs walked over and 7,500 shares computed, where none and 450 are allowed. The recomputation of the lease table's sums covers the new one.

--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -208,6 +208,7 @@
     start_backoff_until: float = 0.0
     is_contended: bool = False
     _used: Resources = field(default=Resources(), init=False)
+    _lasting_used: Resources = field(default=Resources(), init=False)
     _latency_sensitive_runs: int = field(default=0, init=False)
 
     @property
@@ -215,6 +216,11 @@
         """Resources that the runs on the instance reserve."""
         return self._used
 
+    @property
+    def lasting_used(self) -> Resources:
+        """Resources that the lasting runs on the instance reserve."""
+        return self._lasting_used
+
     @property
     def latency_sensitive_runs(self) -> int:
         """Number of runs on the instance that have a latency target."""
@@ -225,6 +231,8 @@
         self.remove_run(run)
         self.runs[run.key] = run
         self._used += run.need
+        if run.is_lasting:
+            self._lasting_used += run.need
         self._latency_sensitive_runs += run.has_latency_target
 
     def remove_run(self, run: RunView) -> None:
@@ -232,6 +240,8 @@
         known = self.runs.pop(run.key, None)
         if known is not None:
             self._used -= known.need
+            if known.is_lasting:
+                self._lasting_used -= known.need
             self._latency_sensitive_runs -= known.has_latency_target
 
     @property
--- a/src/gypsumwalk/task_placement.py
+++ b/src/gypsumwalk/task_placement.py
@@ -3,6 +3,7 @@
 from bisect import bisect_left, insort
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
+from heapq import heapify, heappop, heappush
 from sys import maxsize
 
 from gypsumwalk.declaration_records import Resources
@@ -14,6 +15,9 @@
 _Entry = tuple[int, int, int]
 """Latency-sensitive runs if they count, free processors, and position in the pool."""
 
+_Share = tuple[float, int]
+"""Negative of the share of a need that is free, and position in the pool."""
+
 
 def find_need(step: Step) -> Resources:
     """Return the resources that a task reserves; a filler reserves no processors.
@@ -122,6 +126,8 @@
         )
         self._sorted: dict[tuple[str, bool], list[_Entry]] = {}
         self._refused: set[tuple[Resources, str]] = set()
+        self._rooms: list[Resources] | None = None
+        self._by_share: dict[tuple[Resources, str], list[_Share]] = {}
 
     def has_room(self, need: Resources) -> bool:
         """Tell whether some candidate may have the resources.
@@ -218,7 +224,8 @@
 
         The candidates that lack least come first. What a candidate lacks never grows
         while it is withheld, so that its tasks end and make room. Nothing is withheld
-        for a gang that the candidates can't hold together.
+        for a gang that the candidates can't hold together. From the first call of a
+        pass on, no lasting run may be added.
 
         Parameters
         ----------
@@ -235,31 +242,67 @@
             Number of the tasks that the withheld candidates can hold.
         """
         need = find_need(step)
-        holding = self._list_holding(step, count_allowed)
-        if step.gang and sum(fitting for _, fitting in holding) < count:
+        if step.gang and self._count_held(step, count_allowed) < count:
             return 0
-        holding.sort(key=lambda item: _find_share(need, item[0].free), reverse=True)
+        queue = self._list_by_share(need, step.label)
+        examined: list[int] = []
         remaining = count
-        for candidate, fitting in holding:
-            if not remaining:
-                break
-            remaining -= min(fitting, remaining)
-            self._change(candidate, Resources())
+        while remaining and (position := self._pop(queue, need)) is not None:
+            examined.append(position)
+            candidate = self._candidates[position]
+            fitting = _count_fitting(need, self._list_rooms()[position])
+            taken = min(remaining, fitting, count_allowed(candidate))
+            if taken > 0:
+                remaining -= taken
+                self._change(candidate, Resources())
+        for position in examined:
+            share = -_find_share(need, self._candidates[position].free)
+            heappush(queue, (share, position))
         return count - remaining
 
-    def _list_holding(
-        self, step: Step, count_allowed: Callable[[Candidate], int]
-    ) -> list[tuple[Candidate, int]]:
-        """List candidates and how many tasks each holds without its transient runs."""
+    def _pop(self, queue: list[_Share], need: Resources) -> int | None:
+        """Return the position of the candidate that lacks least, None if none is left.
+
+        The shares in the queue are upper bounds: reservations reduce what is free.
+        """
+        while queue:
+            bound, position = heappop(queue)
+            share = -_find_share(need, self._candidates[position].free)
+            if share <= bound:
+                return position
+            heappush(queue, (share, position))
+        return None
+
+    def _count_held(self, step: Step, count_allowed: Callable[[Candidate], int]) -> int:
+        """Return how many tasks the candidates hold without their transient runs."""
         need = find_need(step)
-        listed = []
-        for item in self._candidates:
-            room = _find_transient_room(item)
-            if need.fits(room) and _has_label(item, step.label):
-                fitting = min(count_allowed(item), _count_fitting(need, room))
-                if fitting > 0:
-                    listed.append((item, fitting))
-        return listed
+        return sum(
+            max(0, min(count_allowed(item), _count_fitting(need, room)))
+            for item, room in zip(self._candidates, self._list_rooms(), strict=True)
+            if _has_label(item, step.label)
+        )
+
+    def _list_rooms(self) -> list[Resources]:
+        """Return what each candidate has free once its transient runs have ended."""
+        if self._rooms is None:
+            self._rooms = [
+                item.view.registered.capacity - item.view.lasting_used
+                for item in self._candidates
+            ]
+        return self._rooms
+
+    def _list_by_share(self, need: Resources, label: str) -> list[_Share]:
+        """Return a heap of the candidates that can hold a task, least lacking first."""
+        queue = self._by_share.get((need, label))
+        if queue is None:
+            queue = [
+                (-_find_share(need, item.free), position)
+                for position, item in enumerate(self._candidates)
+                if need.fits(self._list_rooms()[position]) and _has_label(item, label)
+            ]
+            heapify(queue)
+            self._by_share[need, label] = queue
+        return queue
 
     def _iterate(self, step: Step, need: Resources, label: str) -> Iterator[Candidate]:
         """Iterate over the candidates that can take a task, best first."""
@@ -302,15 +345,6 @@
     return latency_sensitive_runs, candidate.free.cpu, position
 
 
-def _find_transient_room(candidate: Candidate) -> Resources:
-    """Return what an instance has free once its transient runs have ended."""
-    room = candidate.view.registered.capacity
-    for run in candidate.view.runs.values():
-        if run.is_lasting:
-            room -= run.need
-    return room
-
-
 def _find_share(need: Resources, free: Resources) -> float:
     """Return the share of a need that is free, of the resource that lacks most."""
     shares = [
@@ -327,6 +361,8 @@
 
 def _count_fitting(need: Resources, free: Resources) -> int:
     """Return how many tasks of a need fit into free resources."""
+    if not need.fits(free):
+        return 0
     counts = [
         have // wanted
         for have, wanted in (
--- a/tests/test_scheduler_cost.py
+++ b/tests/test_scheduler_cost.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from gypsumwalk import task_placement
 from gypsumwalk.advice import AdviceCache
 from gypsumwalk.declaration_records import PutDeclaration, Resources
 from gypsumwalk.declarations import DeclarationSection
@@ -35,6 +36,7 @@
 
 INSTANCES = 150
 JOBS = 400
+LASTING_JOBS = 100
 TASKS = 13
 NOW = 1000.0
 CAPACITY = Resources(64000, 128000)
@@ -168,6 +170,46 @@
         assert counts.total() <= 2 * TASKS_PER_INSTANCE, counts
 
 
+def make_reserving_fleet():
+    """Return a fleet whose instances are all full while lasting tasks wait."""
+    fleet = Fleet()
+    for number in range(INSTANCES):
+        fleet.add_instance(make_instance(number))
+    for view in fleet.table.instances.values():
+        view.runs = CountingDict()
+    for lasting in (True, False):
+        steps = [Step(INSTANCES * TASKS_PER_INSTANCE // 2, NEED, lasting=lasting)]
+        fleet.submit(make_job(f"running-{lasting}", steps=steps))
+        fleet.plan()
+    need = Resources(NEED.cpu * 2, NEED.memory)
+    for number in range(LASTING_JOBS):
+        steps = [Step(1, need, lasting=True)]
+        fleet.submit(make_job(f"job-{number:04d}", steps=steps))
+    fleet.plan()
+    return fleet
+
+
+class TestCostOfReservations(unittest.TestCase):
+    # All runs of all instances were walked over for each task that waits.
+    def test_reservations_look_once_at_each_instance(self):
+        fleet = make_reserving_fleet()
+        views = fleet.table.instances.values()
+        for view in views:
+            view.runs.walked = 0
+        counts = Counter()
+        find_share = task_placement._find_share
+
+        def counting_find_share(need, free):
+            counts["shares computed"] += 1
+            return find_share(need, free)
+
+        with patch.object(task_placement, "_find_share", counting_find_share):
+            assert fleet.plan() == []
+        counts["runs walked over"] = sum(view.runs.walked for view in views)
+        assert counts["runs walked over"] == 0, counts
+        assert counts["shares computed"] <= INSTANCES + 3 * LASTING_JOBS, counts
+
+
 def choose_by_scan(fleet, step, counts):
     """Return the life that a scan of all instances finds best, empty if none fits."""
     best, best_rank = "", None
@@ -233,6 +275,7 @@
     )
     run.life = f"i-{random.randrange(4)}@1"
     run.has_latency_target = random.random() < 0.5
+    run.is_lasting = random.random() < 0.3
     return run
 
 
@@ -244,6 +287,8 @@
             assert view.used == sum((run.need for run in listed), Resources())
             latency = sum(run.has_latency_target for run in listed)
             assert view.latency_sensitive_runs == latency
+            lasting = sum((run.need for run in listed if run.is_lasting), Resources())
+            assert view.lasting_used == lasting
         charged = sum((run.quota_charge for run in runs), Resources())
         assert table.usage_by_team.get("team", Resources()) == charged
         assert set(table.list_jobs()) == {run.task.job for run in runs}
