Let only the lasting tasks of a job come first

A job may have lasting and transient steps. While one of its lasting tasks was ready, its transient tasks came before those of every priority, too, and even before the lasting one if their step comes first: they took the room that it waits for.

The lasting tasks of all jobs are planned first, in the order of their jobs; room and quota are reserved for those that remain; then the transient tasks of all jobs follow, in the same order. That only transient tasks of a job wait is no part of its rank any more.

--- a/src/gypsumwalk/ready_tasks.py
+++ b/src/gypsumwalk/ready_tasks.py
@@ -27,6 +27,8 @@
         Its critical path; valid until a task of the job ends.
     is_lasting : bool
         Whether some of its ready tasks are lasting.
+    is_transient : bool
+        Whether some of its ready tasks are transient.
     """
 
     workload: Workload
@@ -34,6 +36,7 @@
     least: Resources
     path: CriticalPath
     is_lasting: bool
+    is_transient: bool
 
 
 @dataclass(slots=True)
@@ -125,8 +128,15 @@
     if not tasks:
         return None
     least = find_least(find_need(workload.steps[step]) for _, step in tasks)
-    is_lasting = any(workload.steps[step].lasting for _, step in tasks)
-    return ReadyJob(workload, tasks, least, find_critical_path(workload), is_lasting)
+    kinds = {workload.steps[step].lasting for _, step in tasks}
+    return ReadyJob(
+        workload,
+        tasks,
+        least,
+        find_critical_path(workload),
+        is_lasting=True in kinds,
+        is_transient=False in kinds,
+    )
 
 
 def find_least(needs: Iterable[Resources]) -> Resources:
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -25,8 +25,8 @@
 __all__ = ["PlannedRun", "TaskScheduler", "is_within_quota"]
 
 
-_Rank = tuple[bool, int, int, float, str]
-"""Whether only transient tasks of a job wait, then its priority and urgency."""
+_Rank = tuple[int, int, float, str]
+"""Priority and urgency of a job."""
 
 _Check = Callable[[Candidate], bool]
 """Tells whether a task may run on an instance that has the resources."""
@@ -137,22 +137,25 @@
         pools = self._list_pools(lease_table, now)
         waiting = self._sort_waiting(pools, now)
         lasting = [item for item in waiting if item[0].is_lasting]
-        planned = self._plan_jobs(lasting, lease_table, now)
+        planned = self._plan_jobs(lasting, lease_table, now, lasting=True)
         for job, pool in lasting:
             self._reserve(job, pool, lease_table)
-        transient = waiting[len(lasting) :]
-        return planned + self._plan_jobs(transient, lease_table, now)
+        transient = [item for item in waiting if item[0].is_transient]
+        return planned + self._plan_jobs(transient, lease_table, now, lasting=False)
 
     def _plan_jobs(
         self,
         waiting: Iterable[tuple[ReadyJob, CandidatePool]],
         lease_table: LeaseTable,
         now: float,
+        *,
+        lasting: bool,
     ) -> list[PlannedRun]:
+        """Plan either the lasting or the transient tasks of jobs."""
         planned: list[PlannedRun] = []
         for job, pool in waiting:
             if pool.has_room(job.least):
-                planned += self._plan_job(job, pool, lease_table, now)
+                planned += self._plan_job(job, pool, lease_table, now, lasting=lasting)
         return planned
 
     def _reserve(
@@ -279,17 +282,10 @@
 
     def _rank(self, job: ReadyJob, queue: DeclaredQueue | None, now: float) -> _Rank:
         workload = job.workload
-        is_transient = not job.is_lasting
         if queue is None:
-            return is_transient, 0, 0, workload.accepted, workload.job
+            return 0, 0, workload.accepted, workload.job
         urgency = self._urgency.rate(workload, queue, now, job.path)
-        return (
-            is_transient,
-            queue.priority,
-            urgency.tier,
-            urgency.sort_key,
-            workload.job,
-        )
+        return queue.priority, urgency.tier, urgency.sort_key, workload.job
 
     def find_slack(self, workload: Workload) -> float:
         """Return the seconds that a job can wait and still meet its objective."""
@@ -365,12 +361,14 @@
         pool: CandidatePool,
         lease_table: LeaseTable,
         now: float,
+        *,
+        lasting: bool,
     ) -> list[PlannedRun]:
         workload = job.workload
         planned: list[PlannedRun] = []
         for key, tasks in list(job.tasks.items()):
             step = workload.steps[tasks[0].step]
-            if not pool.has_room(find_need(step)):
+            if step.lasting is not lasting or not pool.has_room(find_need(step)):
                 continue
             is_allowed = self._make_advice_check(workload, tasks[0], now)
             plan = self._plan_gang if step.gang else self._plan_tasks
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -1,6 +1,7 @@
 """Tests that a lasting task runs again within seconds of the end of its last run."""
 
 import unittest
+from collections import Counter
 from random import Random
 from unittest.mock import patch
 
@@ -612,6 +613,24 @@
                 seconds = self.run_beside_transient_tasks(seed, step, lasting=5)
                 assert seconds < RESTART_SECONDS
 
+    # The transient tasks of the job came before all others, too.
+    def test_only_the_lasting_tasks_of_a_job_come_before_a_higher_priority(self):
+        world = FleetWorld(task_seconds=600.0)
+        world.begin()
+        declare_priorities(world, lasting=5)
+        steps = [Step(30, SMALL), Step(1, SMALL, lasting=True)]
+        full = [Step(3, CAPACITY)]
+        world.submit(THIRD_JOB, full, queue="transient")
+        world.run(1.0)
+        world.submit(JOB, steps, queue="lasting")
+        world.submit(OTHER_JOB, [Step(30, SMALL)], queue="transient")
+        world.run(1.0)
+        assert len(list_running(world)) == 3
+        world.cancel(THIRD_JOB, queue="transient")
+        world.run(2.0)
+        jobs = Counter(run.task.rpartition(".")[0] for run in list_running(world))
+        assert jobs == {f"{JOB}.0.1": 1, f"{OTHER_JOB}.0.0": 23}, jobs
+
     # Transient tasks of its team used up the quota as soon as a part became free.
     def test_a_task_gets_the_quota_that_small_tasks_of_its_team_would_use(self):
         for seed in range(3):
