Withhold no more than what the lasting tasks that wait need

A lasting task that waited for room or quota withheld all that its instances had free: one that lacked processors kept fillers from the memory that it did not need, and one that only waited for quota kept an empty instance empty. Room that was withheld for one task counted for the next one, too, so that more quota was kept than tasks had room.

Of a candidate just what a task needs is withheld, as far as it is free, and the room is reduced by it. A candidate never lacks more than before, as no other task takes what the need covers.

--- a/src/gypsumwalk/declaration_records.py
+++ b/src/gypsumwalk/declaration_records.py
@@ -47,6 +47,11 @@
             self.accelerators - other.accelerators,
         )
 
+    def __mul__(self, count: int) -> "Resources":
+        return Resources(
+            self.cpu * count, self.memory * count, self.accelerators * count
+        )
+
     def fits(self, free: "Resources") -> bool:
         """Return whether these resources fit into the free ones."""
         return (
--- a/src/gypsumwalk/task_placement.py
+++ b/src/gypsumwalk/task_placement.py
@@ -220,12 +220,12 @@
     def reserve(
         self, step: Step, count: int, count_allowed: Callable[[Candidate], int]
     ) -> int:
-        """Withhold candidates from the rest of the pass until tasks of a step fit.
+        """Withhold room for tasks of a step from the rest of the pass.
 
-        The candidates that lack least come first. What a candidate lacks never grows
-        while it is withheld, so that its tasks end and make room. Nothing is withheld
-        for a gang that the candidates can't hold together. From the first call of a
-        pass on, no lasting run may be added.
+        The candidates that lack least come first. What they have free of a task's need
+        is withheld, so that they never lack more, while their transient runs end and
+        make room. Nothing is withheld for a gang that the candidates can't hold
+        together. From the first call of a pass on, no lasting run may be added.
 
         Parameters
         ----------
@@ -239,7 +239,8 @@
         Returns
         -------
         int
-            Number of the tasks that the withheld candidates can hold.
+            Number of the tasks that the candidates can hold, beside those of earlier
+            calls.
         """
         need = find_need(step)
         if step.gang and self._count_held(step, count_allowed) < count:
@@ -254,19 +255,27 @@
             taken = min(remaining, fitting, count_allowed(candidate))
             if taken > 0:
                 remaining -= taken
-                self._change(candidate, Resources())
+                self._withhold(position, need * taken)
         for position in examined:
             share = -_find_share(need, self._candidates[position].free)
             heappush(queue, (share, position))
         return count - remaining
 
+    def _withhold(self, position: int, need: Resources) -> None:
+        candidate = self._candidates[position]
+        self._list_rooms()[position] -= need
+        self._change(candidate, _subtract_free(candidate.free, need))
+
     def _pop(self, queue: list[_Share], need: Resources) -> int | None:
         """Return the position of the candidate that lacks least, None if none is left.
 
-        The shares in the queue are upper bounds: reservations reduce what is free.
+        The shares in the queue are upper bounds: reservations reduce what is free, and
+        the room, so that a candidate without room is dropped.
         """
         while queue:
             bound, position = heappop(queue)
+            if not need.fits(self._list_rooms()[position]):
+                continue
             share = -_find_share(need, self._candidates[position].free)
             if share <= bound:
                 return position
@@ -283,7 +292,10 @@
         )
 
     def _list_rooms(self) -> list[Resources]:
-        """Return what each candidate has free once its transient runs have ended."""
+        """Return what each candidate has once its transient runs have ended.
+
+        Room that is withheld is left out.
+        """
         if self._rooms is None:
             self._rooms = [
                 item.view.registered.capacity - item.view.lasting_used
@@ -345,6 +357,15 @@
     return latency_sensitive_runs, candidate.free.cpu, position
 
 
+def _subtract_free(free: Resources, need: Resources) -> Resources:
+    """Return what is left of free resources, where 0 is left of those that lack."""
+    return Resources(
+        max(0, free.cpu - need.cpu),
+        max(0, free.memory - need.memory),
+        max(0, free.accelerators - need.accelerators),
+    )
+
+
 def _find_share(need: Resources, free: Resources) -> float:
     """Return the share of a need that is free, of the resource that lacks most."""
     shares = [
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -181,7 +181,7 @@
             limit = _SpreadLimit(step, tasks[0], lease_table)
             count = pool.reserve(step, count, limit.count_allowed)
             kept = self._kept_quota.get(workload.team, Resources())
-            self._kept_quota[workload.team] = kept + _multiply(step.need, count)
+            self._kept_quota[workload.team] = kept + step.need * count
 
     def _add_kept(self, team: str, usage_by_team: Mapping[str, Resources]) -> Resources:
         """Return the usage of a team with the quota that is kept for lasting tasks."""
@@ -235,7 +235,7 @@
         in_use = used.get(team, Resources())
         if declared is not None:
             count = _count_within_quota(in_use, step.need, declared.quota, count)
-        used[team] = in_use + _multiply(step.need, count)
+        used[team] = in_use + step.need * count
         return count
 
     def _update_ready(self, lease_table: LeaseTable, now: float) -> None:
@@ -580,10 +580,6 @@
     return (record.run if record else 0) + 1
 
 
-def _multiply(need: Resources, count: int) -> Resources:
-    return Resources(need.cpu * count, need.memory * count, need.accelerators * count)
-
-
 def _allow_any(_: Candidate) -> bool:
     return True
 
