--- a/src/gypsumwalk/departures.py
+++ b/src/gypsumwalk/departures.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 
 from gypsumwalk.leases import LeaseTable, RunView
+from gypsumwalk.workload_records import TaskKey
 
 __all__ = ["DEPARTURE_SECONDS", "TAKEOVER_SECONDS", "Departures"]
 
@@ -22,21 +23,24 @@
     """Runs that are not to be repeated before their instance has certainly ended."""
 
     def __init__(self) -> None:
-        self._runs: list[tuple[float, RunView]] = []
+        self._runs: dict[tuple[TaskKey, int], RunView] = {}
+        self._due: dict[tuple[TaskKey, int], float] = {}
 
     def clear(self) -> None:
         """Forget all runs, at the end of a term."""
         self._runs.clear()
+        self._due.clear()
 
     def add(self, runs: Iterable[RunView], due: float) -> None:
-        """Add runs that have ended at a time in seconds, unless a stop is answered."""
-        self._runs += [(due, run) for run in runs]
+        """Add runs that end by a time in seconds, unless a stop of them is answered."""
+        for run in runs:
+            self._runs[run.task, run.run] = run
+            self._due[run.task, run.run] = due
 
-    def delay(self, run: RunView, due: float) -> None:
-        """Wait for a run until a time in seconds, as its instance goes on."""
-        self._runs = [
-            (due, item) if item is run else (at, item) for at, item in self._runs
-        ]
+    def note_stop(self, run: RunView, due: float) -> None:
+        """Note that a run goes on until a time in seconds, as its stop was answered."""
+        if (run.task, run.run) in self._due:
+            self._due[run.task, run.run] = due
 
     def take_ended(self, lease_table: LeaseTable, now: float) -> list[RunView]:
         """Return the runs that have ended with their instance, and forget them.
@@ -53,10 +57,10 @@
         list of RunView
             Runs whose end is not recorded yet.
         """
-        known = [
-            (due, run)
-            for due, run in self._runs
-            if lease_table.find(run.task, run.run) is run
-        ]
-        self._runs = [(due, run) for due, run in known if due > now]
-        return [run for due, run in known if due <= now]
+        ended: list[RunView] = []
+        for key in [key for key, due in self._due.items() if due <= now]:
+            del self._due[key]
+            run = self._runs.pop(key)
+            if lease_table.find(*key) is run:
+                ended.append(run)
+        return ended
--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -614,7 +614,7 @@
         run.is_order_pending = False
         _note_start_outcome(order, run, item)
         if order.kind is OrderKind.STOP and isinstance(item.report, OrderReport):
-            self._departures.delay(run, now + self._stop_grace)
+            self._departures.note_stop(run, now + self._stop_grace)
 
     def _handle_fenced(self, view: InstanceView, order: OpenOrder) -> list[Effect]:
         if order.fence != view.fence:
