Start entries and control daemons without modules that they never use

Cause: an entry imported the event loop, the replicated log and all parts of a fleet's node, for a content type, a limit and the name of a class in an annotation. A control daemon imported the standard program's assembly for a default argument.

The second way to start the standard daemon, as `python -m gypsumwalk.drivers.daemon`, had no user and is gone.

--- a/src/gypsumwalk/drivers/commands_service.py
+++ b/src/gypsumwalk/drivers/commands_service.py
@@ -149,7 +149,9 @@
 def _run_daemon(settings: Settings) -> Report:
     # Imported here because no other command needs the runtime.
     daemon = import_module("gypsumwalk.drivers.daemon")
-    return Report(None, exit_code=daemon.run_daemon(settings))
+    standard = import_module("gypsumwalk.drivers.standard_factory")
+    factory = standard.StandardFactory(settings)
+    return Report(None, exit_code=daemon.run_daemon(settings, factory))
 
 
 def _show_timeline(folder: Path, selection: Selection, page: str) -> Report:
--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import signal
-import sys
 import time
 from collections.abc import Callable, Sequence
 
@@ -20,7 +19,6 @@
 from gypsumwalk.drivers.metrics import Metrics
 from gypsumwalk.drivers.peers import PeerAddress, PeerNetwork
 from gypsumwalk.drivers.server import HttpServer
-from gypsumwalk.drivers.standard_factory import StandardFactory
 from gypsumwalk.drivers.targets import TargetHttpClient
 from gypsumwalk.effects import (
     CallPlatform,
@@ -59,16 +57,13 @@
     ----------
     settings : Settings
         Settings of the daemon.
-    factory : DaemonFactory, optional
-        Builds the components that depend on the type of daemon; ``StandardFactory``
-        by default.
+    factory : DaemonFactory
+        Builds the components that depend on the type of daemon.
     """
 
-    def __init__(
-        self, settings: Settings, factory: DaemonFactory | None = None
-    ) -> None:
+    def __init__(self, settings: Settings, factory: DaemonFactory) -> None:
         self._settings = settings
-        self._factory = factory or StandardFactory(settings)
+        self._factory = factory
         self._disk: Disk | None = None
         if settings.data_folder:
             self._disk = FolderDisk(settings.data_folder)
@@ -307,20 +302,19 @@
     )
 
 
-async def _run(settings: Settings, factory: DaemonFactory | None) -> int:
+async def _run(settings: Settings, factory: DaemonFactory) -> int:
     return await Daemon(settings, factory).run()
 
 
-def run_daemon(settings: Settings, factory: DaemonFactory | None = None) -> int:
+def run_daemon(settings: Settings, factory: DaemonFactory) -> int:
     """Run a daemon until it has shut down.
 
     Parameters
     ----------
     settings : Settings
         Settings of the daemon.
-    factory : DaemonFactory, optional
-        Builds the components that depend on the type of daemon; ``StandardFactory``
-        by default.
+    factory : DaemonFactory
+        Builds the components that depend on the type of daemon.
 
     Returns
     -------
@@ -330,12 +324,3 @@
     with contextlib.suppress(KeyboardInterrupt):
         return trio.run(_run, settings, factory, clock=BoottimeClock())
     return 1
-
-
-if __name__ == "__main__":
-    from pathlib import Path
-
-    from gypsumwalk.settings import decode_settings
-
-    path = Path(sys.argv[1])
-    sys.exit(run_daemon(decode_settings(path.read_text(), file=str(path))))
--- a/src/gypsumwalk/drivers/factory.py
+++ b/src/gypsumwalk/drivers/factory.py
@@ -7,7 +7,7 @@
 from gypsumwalk.drivers.bridge import CallBridge
 from gypsumwalk.drivers.connections import ReceiveWatchdog
 from gypsumwalk.drivers.logstream import LogStream
-from gypsumwalk.drivers.metrics import Metrics
+from gypsumwalk.drivers.metrics import METRICS_TEXT, Metrics
 from gypsumwalk.drivers.peers import PeerAddress
 from gypsumwalk.drivers.server import HttpServer
 from gypsumwalk.effects import Answer, CallPlatform
@@ -17,7 +17,6 @@
 from gypsumwalk.wire import Envelope
 
 __all__ = [
-    "METRICS_TEXT",
     "DaemonAssembly",
     "DaemonFactory",
     "PlatformClient",
@@ -26,7 +25,6 @@
 ]
 
 PLAIN_TEXT = "text/plain; charset=utf-8"
-METRICS_TEXT = "text/plain; version=0.0.4; charset=utf-8"
 
 
 class DaemonAssembly(Protocol):
--- a/src/gypsumwalk/drivers/metrics.py
+++ b/src/gypsumwalk/drivers/metrics.py
@@ -18,7 +18,10 @@
 from gypsumwalk.drivers.metriccatalogue import METRICS, MetricEntry, MetricKind
 from gypsumwalk.errors import UnknownMetric
 
-__all__ = ["Metrics"]
+__all__ = ["METRICS_TEXT", "Metrics"]
+
+METRICS_TEXT = "text/plain; version=0.0.4; charset=utf-8"
+"""Content type of ``Metrics.render``."""
 
 NAMESPACE = "gypsumwalk"
 MAX_LABEL_SETS = 256
--- a/src/gypsumwalk/drivers/standard_factory.py
+++ b/src/gypsumwalk/drivers/standard_factory.py
@@ -8,7 +8,8 @@
 from gypsumwalk.drivers.logstream import LogStream
 from gypsumwalk.drivers.peers import PeerAddress
 from gypsumwalk.drivers.platform import PlatformHttpClient
-from gypsumwalk.drivers.server import HttpServer, ServerLimits, WebApplication
+from gypsumwalk.drivers.server import HttpServer, ServerLimits
+from gypsumwalk.drivers.web_application import WebApplication
 from gypsumwalk.endpoints import Audience, EndpointTable
 from gypsumwalk.recovery import Recovered
 from gypsumwalk.settings import Settings
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -10,8 +10,9 @@
 
 from gypsumwalk.drivers.connections import ReceiveWatchdog
 from gypsumwalk.drivers.metrics import Metrics
-from gypsumwalk.drivers.server import HttpServer, ServerLimits, WebApplication
+from gypsumwalk.drivers.server import HttpServer, ServerLimits
 from gypsumwalk.drivers.standard_factory import make_caller_limits
+from gypsumwalk.drivers.web_application import WebApplication
 from gypsumwalk.effects import Answer
 from gypsumwalk.endpoints import Audience, BodyKind, Endpoint, EndpointTable
 from gypsumwalk.settings import Settings
