Count a machine as back from maintenance only with a later life

Cause: a machine counted as back when the latest life registered for it was another than the one that the maintenance ended. The log does not tell which machine of which life, so that this is the likely cause, not a shown one.

Change: only a life that began later than the one that ended counts.

Test: tests/test_maintenance_controller.py; it failed before the change.

--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -27,7 +27,7 @@
     UpkeepSection,
     UpkeepWave,
 )
-from gypsumwalk.workload_records import RemoveInstance, TaskKey
+from gypsumwalk.workload_records import RemoveInstance, TaskKey, split_life
 from gypsumwalk.workloads import WorkloadSection
 
 __all__ = ["MaintenanceController", "find_concurrency"]
@@ -273,7 +273,10 @@
             # A machine in the standby pool returns without an instance.
             return not self._directory.is_in_service(machine, since + self._maintenance)
         instance = self._directory.find_instance(machine)
-        return instance is None or instance.life == life
+        if instance is None:
+            return True
+        # A life that began earlier may be listed until it is known to have ended.
+        return split_life(instance.life)[1] <= split_life(life)[1]
 
     def _list_runs(self, machine: str) -> list[RunView]:
         instance = self._directory.find_instance(machine)
--- a/tests/test_maintenance_controller.py
+++ b/tests/test_maintenance_controller.py
@@ -71,6 +71,12 @@
         assert self.is_down(make_wave(maintained=True), "i@1")
         assert not self.is_down(make_wave(maintained=True), "i@2")
 
+    # A leader that froze while it moved a machine did not remove the incarnation that
+    # ended by the move, and this one was found once the next one had ended.
+    def test_an_earlier_incarnation_that_is_still_listed_does_not_count_as_back(self):
+        assert self.is_down(make_wave(maintained=True, life="i@2"), "h@1")
+        assert not self.is_down(make_wave(maintained=True, life="i@2"), "h@3")
+
     def test_a_standby_machine_is_down_for_its_maintenance(self):
         wave = make_wave(maintained=True, life="")
         assert self.is_down(wave, None, now=102.5)
