Count a daemon as caught up without a pause of the commands

Cause: a disk had to hold every entry that was committed when its answer arrived, and the entries committed in the meantime were still on their way. The leader now notes its commit index at the start of a round, as in Raft's catch-up; a daemon has caught up if it holds what was committed at a time at most 1 s ago. In quiet times that is what it was before.

A new disk in place of an old one must hold all that the old one may have counted for. Its first round starts when the leader first hears of the disk, with the commit index of then (at least the first entry of the term), so it can't vote on what the old disk confirmed. A late answer of the old disk starts that again.

Ruled out: to allow a fixed number of missing entries, which depends on rate and distance, and says nothing on what the old disk counted for.

--- a/src/gypsumwalk/leadership.py
+++ b/src/gypsumwalk/leadership.py
@@ -32,8 +32,9 @@
 REACHABLE_SECONDS = 1.0
 """A daemon is reachable if its last answer is more recent than this."""
 
-MAX_PROMOTION_LAG_ENTRIES = 0
-"""A new disk becomes a voter only once it holds every committed entry."""
+MAX_PROMOTION_LAG_SECONDS = 1.0
+"""A new disk becomes a voter only if it holds every entry that was committed at a time
+more recent than this, and after the leader first heard of the disk."""
 
 VOTER_REPLACEMENT_SECONDS = 4.0
 """Time without an answer from its disk after which a voter is replaced; longer than
@@ -161,13 +162,13 @@
 
     def _describe(self, peer: Progress, now: float) -> KnownDaemon:
         is_answering = now - peer.answered_at < REACHABLE_SECONDS
-        missing = self._replica.commit - peer.match
+        lag = now - peer.caught_up_at
         return KnownDaemon(
             peer.name,
             peer.data_centre,
             peer.identity,
             is_answering=is_answering,
-            is_caught_up=is_answering and missing <= MAX_PROMOTION_LAG_ENTRIES,
+            is_caught_up=is_answering and lag < MAX_PROMOTION_LAG_SECONDS,
             is_lost=now - peer.valid_at > VOTER_REPLACEMENT_SECONDS,
         )
 
@@ -210,6 +211,7 @@
             peer.accept(answer.match, answer.received, answer.sent, now)
         else:
             peer.reject(answer.received)
+        peer.update_round(max(self._replica.commit, self._term_start_index), now)
 
     def handle_snapshot_answer(
         self, source: str, answer: SnapshotAnswer, now: float
--- a/src/gypsumwalk/progress.py
+++ b/src/gypsumwalk/progress.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-__all__ = ["NO_LEASE", "ElectionTiming", "Progress", "find_quorum_value"]
+__all__ = ["NOT_YET", "NO_LEASE", "ElectionTiming", "Progress", "find_quorum_value"]
 
 CLOCK_DRIFT = 0.1
 """Fraction by which the rates of two clocks may differ."""
@@ -19,6 +19,9 @@
 NO_LEASE = float("-inf")
 """End of a lease that does not exist, in seconds."""
 
+NOT_YET = float("-inf")
+"""Time of what has not happened yet, in seconds."""
+
 MAX_IN_FLIGHT = 4
 """Messages with entries that may be unanswered at a time, per daemon."""
 
@@ -101,6 +104,13 @@
         Bytes of the snapshot that the daemon has received.
     commit_sent : int
         Commit index last sent to the daemon.
+    round_index : int
+        Commit index of the leader at the start of the current round of catch-up.
+    round_started_at : float
+        Time in seconds at which the round started.
+    caught_up_at : float
+        Latest time in seconds for which the daemon is known to hold every entry that
+        was committed then.
     identity : str
         Disk identity that the daemon reports, empty if it has no working disk.
     data_centre : str
@@ -124,6 +134,9 @@
     snapshot_index: int = 0
     snapshot_offset: int = 0
     commit_sent: int = 0
+    round_index: int = 0
+    round_started_at: float = NOT_YET
+    caught_up_at: float = NOT_YET
     identity: str = ""
     data_centre: str = ""
 
@@ -156,6 +169,26 @@
         self.probing = True
         self.in_flight = 0
         self.snapshot_index = 0
+        self.round_index = 0
+        self.round_started_at = self.caught_up_at = NOT_YET
+
+    def update_round(self, commit: int, now: float) -> None:
+        """Start the next round of catch-up, if the daemon has ended this one.
+
+        A round lasts until the daemon holds what was committed at its start, so that
+        entries committed meanwhile don't matter.
+
+        Parameters
+        ----------
+        commit : int
+            Commit index of the leader.
+        now : float
+            Time in seconds.
+        """
+        if self.match < self.round_index:
+            return
+        self.caught_up_at = now if self.match >= commit else self.round_started_at
+        self.round_index, self.round_started_at = commit, now
 
     def accept(self, match: int, received: int, sent: float, now: float) -> None:
         """Advance on an answer that the logs match.
--- a/src/gypsumwalk/voter_planning.py
+++ b/src/gypsumwalk/voter_planning.py
@@ -22,7 +22,8 @@
     is_answering : bool
         Whether its last answer is recent.
     is_caught_up : bool
-        Whether its disk holds every committed entry, as of a recent answer.
+        Whether its disk holds every entry that was committed a short time ago, and
+        when it was first heard of.
     is_lost : bool
         Whether it has not answered with a disk that may vote for so long that another
         daemon is to vote instead.
--- a/tests/_fake_network.py
+++ b/tests/_fake_network.py
@@ -48,7 +48,8 @@
     probabilities. ``oversized`` holds sender, message type and size in bytes of the
     datagrams that were too large to send. ``link_bytes_per_second`` is the bandwidth
     that the reliable messages of one sender share, 0 for no limit; datagrams are small
-    and do not wait for them.
+    and do not wait for them. ``distances`` holds the further delay in seconds of each
+    message from or to an endpoint.
     """
 
     random: Random
@@ -61,6 +62,7 @@
     sent_messages: dict[str, int] = field(default_factory=dict)
     oversized: list[tuple[str, str, int]] = field(default_factory=list)
     link_bytes_per_second: float = 0.0
+    distances: dict[str, float] = field(default_factory=dict)
     _link_busy_until: dict[str, float] = field(default_factory=dict)
 
     def partition(self, sources, sinks=(REST,), *, one_way=False):
@@ -100,6 +102,10 @@
         self._link_busy_until[sender] = end
         return end - now
 
+    def find_distance(self, source, sink):
+        """Return the delay in seconds that a message has besides the random one."""
+        return self.distances.get(source, 0.0) + self.distances.get(sink, 0.0)
+
     def draw_copies(self):
         """Return the delays in seconds of the copies of a message that arrive."""
         if self.random.random() < self.drop:
--- a/tests/_world.py
+++ b/tests/_world.py
@@ -376,6 +376,7 @@
         transfer = self.network.find_transfer_delay(
             daemon.name, effect.body, effect.reliable, self.now
         )
+        transfer += self.network.find_distance(daemon.name, effect.recipient)
         for delay in self.network.draw_copies():
             self.schedule(
                 transfer + delay,
--- a/tests/test_voter_losses.py
+++ b/tests/test_voter_losses.py
@@ -6,11 +6,13 @@
 import os
 import unittest
 from collections import Counter
-from itertools import product
+from itertools import count, product
 from random import Random
 
-from gypsumwalk.fleet_calls import PutDeclarationCall
-from tests._fleet_work import KEY, FleetWorld, make_declaration
+from gypsumwalk.declaration_records import Resources
+from gypsumwalk.fleet_calls import PutDeclarationCall, SubmitWorkloadCall
+from gypsumwalk.workload_records import Step
+from tests._fleet_work import HOST, KEY, FleetWorld, make_declaration
 
 JOB = "0123456789abcdef"
 RECOVERY_SECONDS = 15.0
@@ -24,6 +26,10 @@
 SUCCESSOR_SECONDS = 6.0
 """Time in seconds after which the successor of a removed machine is counted."""
 
+COMMANDS_PER_SECOND = 200
+DISTANCE_SECONDS = 0.005
+"""Time in seconds that messages from or to a far daemon take longer."""
+
 SEEDS = 6
 SCHEDULES = int(os.environ.get("GYPSUMWALK_SCHEDULES", "6"))
 ROUNDS = 5
@@ -66,9 +72,9 @@
     )
 
 
-def await_changes(world, replica, count):
+def await_changes(world, replica, changes):
     """Run until as many changes of the voters are committed."""
-    for _ in range(count):
+    for _ in range(changes):
         old = replica.voters
         assert world.run_until(
             lambda old=old: (
@@ -319,6 +325,70 @@
         assert list_voters(world) == world.names
 
 
+class TestCommandsMeanwhile(unittest.TestCase):
+    """Guards against changes of the voters that wait for a pause of the commands.
+
+    A daemon farther away always lacks the entries that are on their way to it.
+    """
+
+    def make_world(self, seed):
+        return FleetWorld(
+            seed, task_seconds=600.0, daemons=8, data_centres=4, disk_losses=2
+        )
+
+    def send_commands(self, world):
+        """Hand in jobs at a fixed rate, from now on."""
+        numbers = count()
+
+        def send():
+            if leader := world.find_leader():
+                number = next(numbers)
+                steps = [Step(1, Resources(9000, 99000))]
+                body = SubmitWorkloadCall(HOST, f"/a/{number:016x}", "spec", steps)
+                world.call(body, to=leader, credential=KEY)
+            world.schedule(1 / COMMANDS_PER_SECOND, send)
+
+        send()
+
+    def test_far_daemons_are_added_while_commands_are_committed(self):
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                world = self.make_world(seed)
+                world.partition(world.names[3:])
+                world.begin()
+                for name in world.names[3:]:
+                    world.network.distances[name] = DISTANCE_SECONDS
+                self.send_commands(world)
+                world.run(2.0)
+                assert list_voters(world) == world.names[:3]
+                world.heal()
+                assert world.run_until(
+                    lambda world=world: has_five_intact_voters(world),
+                    within=CATCH_UP_SECONDS,
+                ), f"only {list_voters(world)} vote"
+
+    def test_a_far_voter_with_a_new_disk_votes_again_while_commands_are_committed(self):
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                world = self.make_world(seed)
+                world.begin()
+                world.run(GROWTH_SECONDS)
+                self.send_commands(world)
+                world.run(1.0)
+                lost = next(
+                    name for name in list_voters(world) if name != world.find_leader()
+                )
+                world.network.distances[lost] = DISTANCE_SECONDS
+                world.lose_disk(lost)
+                world.run(DOWN_SECONDS)
+                world.restart(lost)
+                assert world.run_until(
+                    lambda world=world: has_five_intact_voters(world),
+                    within=CATCH_UP_SECONDS,
+                ), f"{lost} does not vote"
+                assert lost in list_voters(world), f"{lost} was replaced"
+
+
 class RandomLosses:
     """Losses within the tolerance, drawn from a seed, each followed by a recovery."""
 
--- a/tests/test_voter_planning.py
+++ b/tests/test_voter_planning.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from gypsumwalk.progress import NOT_YET, Progress
 from gypsumwalk.replication import AppendAnswer
 from gypsumwalk.voter_planning import KnownDaemon, find_voter_count, plan_voters
 
@@ -125,6 +126,33 @@
         assert sorted(plan_voters(voters, daemons, "d0", 3)) == ["d0", "d1", "d3"]
 
 
+class TestCatchUp(unittest.TestCase):
+    def answer(self, peer, match, commit, now):
+        peer.accept(match, match, now, now)
+        peer.update_round(commit, now)
+        return peer.caught_up_at
+
+    def test_a_daemon_catches_up_with_the_entries_of_the_round(self):
+        peer = Progress("d1", 1)
+        peer.register_identity("disk")
+        assert self.answer(peer, 0, 100, 1.0) == NOT_YET
+        assert self.answer(peer, 99, 110, 2.0) == NOT_YET
+        assert self.answer(peer, 100, 120, 3.0) == 1.0
+        assert self.answer(peer, 119, 130, 3.1) == 1.0
+        assert self.answer(peer, 121, 140, 3.2) == 3.0
+        assert self.answer(peer, 140, 140, 3.3) == 3.3
+
+    def test_a_new_disk_has_to_catch_up_with_what_the_old_one_may_have_held(self):
+        peer = Progress("d1", 1)
+        peer.register_identity("old")
+        assert self.answer(peer, 100, 100, 1.0) == 1.0
+        peer.register_identity("new")
+        assert peer.caught_up_at == NOT_YET
+        assert self.answer(peer, 0, 105, 1.1) == NOT_YET
+        assert self.answer(peer, 104, 110, 1.2) == NOT_YET
+        assert self.answer(peer, 105, 110, 1.3) == 1.1
+
+
 class TestPreviousVersion(unittest.TestCase):
     def test_an_answer_without_a_data_centre_is_decoded(self):
         answer = AppendAnswer(1, True, 2, 3, 4.0, 5.0, "disk", "a")
