Keep room for lasting tasks before later ones are placed

A large lasting task never ran where small lasting tasks waited behind it: all lasting tasks that fit were placed first, and room was reserved for the others only against transient tasks. Small lasting tasks took each part of the room for good. It is no fault of the reservations alone: without them it was the same.

Room and quota are reserved for what remains of a job before the next job in the order is planned. Lasting tasks behind it use what is left, as transient ones do. The room without transient runs is computed from the sums of an instance's view where it is needed, since lasting runs may now be added between reservations.

The price is that a small lasting task may wait for an end of a transient task where it would have started at once, if a large one before it waits for the same room.

--- a/src/gypsumwalk/task_placement.py
+++ b/src/gypsumwalk/task_placement.py
@@ -91,11 +91,20 @@
         Resources not reserved yet.
     latency_sensitive_runs : int
         Number of runs there that have a latency target.
+    withheld : Resources
+        Needs of the lasting tasks that room is kept for.
     """
 
     view: InstanceView
     free: Resources
     latency_sensitive_runs: int = 0
+    withheld: Resources = Resources()
+
+    @property
+    def room(self) -> Resources:
+        """Resources for further lasting tasks once the transient runs have ended."""
+        used = self.view.lasting_used + self.withheld
+        return self.view.registered.capacity - used
 
     def can_take(self, step: Step) -> bool:
         """Tell whether the instance has the resources and label that a task needs."""
@@ -126,7 +135,6 @@
         )
         self._sorted: dict[tuple[str, bool], list[_Entry]] = {}
         self._refused: set[tuple[Resources, str]] = set()
-        self._rooms: list[Resources] | None = None
         self._by_share: dict[tuple[Resources, str], list[_Share]] = {}
 
     def has_room(self, need: Resources) -> bool:
@@ -225,7 +233,7 @@
         The candidates that lack least come first. What they have free of a task's need
         is withheld, so that they never lack more, while their transient runs end and
         make room. Nothing is withheld for a gang that the candidates can't hold
-        together. From the first call of a pass on, no lasting run may be added.
+        together.
 
         Parameters
         ----------
@@ -251,7 +259,7 @@
         while remaining and (position := self._pop(queue, need)) is not None:
             examined.append(position)
             candidate = self._candidates[position]
-            fitting = _count_fitting(need, self._list_rooms()[position])
+            fitting = _count_fitting(need, candidate.room)
             taken = min(remaining, fitting, count_allowed(candidate))
             if taken > 0:
                 remaining -= taken
@@ -263,7 +271,7 @@
 
     def _withhold(self, position: int, need: Resources) -> None:
         candidate = self._candidates[position]
-        self._list_rooms()[position] -= need
+        candidate.withheld += need
         self._change(candidate, _subtract_free(candidate.free, need))
 
     def _pop(self, queue: list[_Share], need: Resources) -> int | None:
@@ -274,9 +282,10 @@
         """
         while queue:
             bound, position = heappop(queue)
-            if not need.fits(self._list_rooms()[position]):
+            candidate = self._candidates[position]
+            if not need.fits(candidate.room):
                 continue
-            share = -_find_share(need, self._candidates[position].free)
+            share = -_find_share(need, candidate.free)
             if share <= bound:
                 return position
             heappush(queue, (share, position))
@@ -286,23 +295,11 @@
         """Return how many tasks the candidates hold without their transient runs."""
         need = find_need(step)
         return sum(
-            max(0, min(count_allowed(item), _count_fitting(need, room)))
-            for item, room in zip(self._candidates, self._list_rooms(), strict=True)
+            max(0, min(count_allowed(item), _count_fitting(need, item.room)))
+            for item in self._candidates
             if _has_label(item, step.label)
         )
 
-    def _list_rooms(self) -> list[Resources]:
-        """Return what each candidate has once its transient runs have ended.
-
-        Room that is withheld is left out.
-        """
-        if self._rooms is None:
-            self._rooms = [
-                item.view.registered.capacity - item.view.lasting_used
-                for item in self._candidates
-            ]
-        return self._rooms
-
     def _list_by_share(self, need: Resources, label: str) -> list[_Share]:
         """Return a heap of the candidates that can hold a task, least lacking first."""
         queue = self._by_share.get((need, label))
@@ -310,7 +307,7 @@
             queue = [
                 (-_find_share(need, item.free), position)
                 for position, item in enumerate(self._candidates)
-                if need.fits(self._list_rooms()[position]) and _has_label(item, label)
+                if _has_label(item, label) and need.fits(item.room)
             ]
             heapify(queue)
             self._by_share[need, label] = queue
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -137,9 +137,10 @@
         pools = self._list_pools(lease_table, now)
         waiting = self._sort_waiting(pools, now)
         lasting = [item for item in waiting if item[0].is_lasting]
-        planned = self._plan_jobs(lasting, lease_table, now, lasting=True)
-        for job, pool in lasting:
-            self._reserve(job, pool, lease_table)
+        planned: list[PlannedRun] = []
+        for item in lasting:
+            planned += self._plan_jobs([item], lease_table, now, lasting=True)
+            self._reserve(*item, lease_table)
         transient = [item for item in waiting if item[0].is_transient]
         return planned + self._plan_jobs(transient, lease_table, now, lasting=False)
 
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -714,6 +714,22 @@
                 world.run(5.0)
                 assert world.get_state(OTHER_JOB) == "completed"
 
+    # Lasting tasks that came after it took each part of the room for good.
+    def test_a_large_task_gets_room_before_later_lasting_tasks(self):
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                world = make_transient_world(seed)
+                world.submit(OTHER_JOB, [Step(TRANSIENT_TASKS, SMALL)])
+                world.run(3.0)
+                step = Step(1, Resources(6000, 1000), lasting=True)
+                world.submit(JOB, [step])
+                for number in range(12):
+                    world.submit(f"{number:016x}", [Step(1, SMALL, lasting=True)])
+                world.run(RESTART_SECONDS)
+                assert len(list_runs(world)) == 1
+                for number in range(12):
+                    assert len(list_runs(world, f"{number:016x}.0.0.0")) == 1
+
     # The gang needs all instances, while only some of them have room at a time.
     def test_a_gang_that_needs_the_whole_service_gets_room(self):
         for seed in range(3):
