--- a/src/gypsumwalk/demand_forecast.py
+++ b/src/gypsumwalk/demand_forecast.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from math import sqrt
 
-__all__ = ["DemandForecast", "DemandTrend"]
+__all__ = ["DemandForecast"]
 
 WINDOW_SECONDS = 1.4
 """Window over which arriving work is averaged; a burst lasts some seconds."""
@@ -35,10 +35,6 @@
 MAX_GROWTH_FACTOR = 3.0
 """Largest ratio of the extrapolated to the present rate, as bursts level off."""
 
-TREND_SECONDS = 0.6
-"""Time between the demands that a trend compares; each of two such times must show
-growth, as the demand of a single job comes at once."""
-
 MAX_CLOCK_OFFSET_SECONDS = 2.5
 """Largest difference that is assumed between the clocks of two daemons."""
 
@@ -52,54 +48,6 @@
 """Arrival rate in thousandths of a core up to which arrivals are no burst."""
 
 
-class DemandTrend:
-    """Demand of ready and running tasks, extrapolated to when a moved machine arrives.
-
-    Jobs that can wait for a machine are not part of the forecast of arrivals. While
-    more of them arrive than end, the pool has to grow ahead of them.
-    """
-
-    def __init__(self) -> None:
-        self._samples: dict[str, deque[tuple[float, float]]] = {}
-
-    def clear(self) -> None:
-        """Discard all samples."""
-        self._samples.clear()
-
-    def extrapolate(self, service: str, demand: float, now: float) -> float:
-        """Record the present demand, and return the demand in ``LEAD_SECONDS``.
-
-        Parameters
-        ----------
-        service : str
-            The service.
-        demand : float
-            Processors of its ready and running tasks, in thousandths of a core.
-        now : float
-            Time in seconds.
-
-        Returns
-        -------
-        float
-            Processors, in thousandths of a core, at least ``demand``.
-        """
-        samples = self._samples.setdefault(service, deque())
-        samples.append((now, demand))
-        while len(samples) > 1 and samples[1][0] <= now - 2 * TREND_SECONDS:
-            samples.popleft()
-        if samples[0][0] > now - 2 * TREND_SECONDS:
-            return demand
-        middle = next(item for item in samples if item[0] >= now - TREND_SECONDS)
-        growth = min(_find_slope(samples[0], middle), _find_slope(middle, samples[-1]))
-        extrapolated = demand + max(0.0, growth) * LEAD_SECONDS
-        return min(extrapolated, MAX_GROWTH_FACTOR * demand)
-
-
-def _find_slope(first: tuple[float, float], last: tuple[float, float]) -> float:
-    span = last[0] - first[0]
-    return (last[1] - first[1]) / span if span > 0 else 0.0
-
-
 @dataclass(slots=True)
 class _Queue:
     arrivals: deque[tuple[float, float]] = field(default_factory=deque)
--- a/src/gypsumwalk/pool_scaling_controller.py
+++ b/src/gypsumwalk/pool_scaling_controller.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 
 from gypsumwalk.declarations import DeclarationSection
-from gypsumwalk.demand_forecast import DemandForecast, DemandTrend
+from gypsumwalk.demand_forecast import DemandForecast
 from gypsumwalk.dispatcher import Dispatcher
 from gypsumwalk.effects import CallPlatform, Effect, Propose, Record, Scalar
 from gypsumwalk.events import Event
@@ -106,7 +106,6 @@
         self._blocked_until: dict[str, float] = {}
         self._open_orders: dict[str, tuple[str, str]] = {}
         self._forecast = forecast
-        self._trend = DemandTrend()
         self._count = 0
         self._sizes_reported_at = float("-inf")
         self._due = 0.0
@@ -172,7 +171,6 @@
     def _begin_term(self, now: float) -> None:
         self._term = self._dispatcher.term
         self._forecast.start_observing(now)
-        self._trend.clear()
         self._idle_since.clear()
         self._moving.clear()
         self._open_orders.clear()
@@ -244,9 +242,7 @@
         demands = {item.name: PoolDemand() for item in services if item.name != standby}
         self._scheduler.add_demand(demands, self._dispatcher.lease_table)
         for service, demand in demands.items():
-            arriving = self._forecast.find_expected(service, now)
-            growing = self._trend.extrapolate(service, demand.transient, now)
-            demand.expected = int(max(arriving, growing))
+            demand.expected = int(self._forecast.find_expected(service, now))
             demand.can_shrink = self._forecast.can_shrink(service, now)
             if self._forecast.is_burst_due(service):
                 demand.reserve = BURST_RESERVE_MACHINES
--- a/tests/test_demand_forecast.py
+++ b/tests/test_demand_forecast.py
@@ -3,7 +3,7 @@
 import unittest
 from random import Random
 
-from gypsumwalk.demand_forecast import LEAD_SECONDS, DemandForecast, DemandTrend
+from gypsumwalk.demand_forecast import LEAD_SECONDS, DemandForecast
 
 LOW_SLACK_SECONDS = 1.0
 HIGH_SLACK_SECONDS = 4.0
@@ -146,46 +146,5 @@
         assert expected <= 0.5 * self.PEAK * WORK
 
 
-class TestTrend(unittest.TestCase):
-    """Jobs of seconds arrive faster and faster, while the other pools are idle."""
-
-    CHECK_SECONDS = 0.2
-    JOB = 104_000.0  # thousandths of a core, of a step of 8 tasks
-
-    def extrapolate(self, find_demand, end):
-        """Return the extrapolation at a time, with one sample each 0.2 s before."""
-        trend = DemandTrend()
-        result, at = 0.0, 0.0
-        while at <= end:
-            result = trend.extrapolate("a", find_demand(at), at)
-            at += self.CHECK_SECONDS
-        return result
-
-    # The pool was sized for the demand of the moment, and short by what came in the
-    # time of a move.
-    def test_a_growing_demand_is_extrapolated_to_the_arrival_of_a_machine(self):
-        def find_demand(at):
-            return self.JOB * int(9 * at)
-
-        expected = self.extrapolate(find_demand, 2.0)
-        actual = find_demand(2.0 + LEAD_SECONDS)
-        assert 0.8 * actual <= expected <= 1.2 * actual
-
-    def test_the_demand_of_a_single_job_is_not_extrapolated(self):
-        expected = self.extrapolate(lambda at: self.JOB * (1 + (at > 1.5)), 2.0)
-        assert expected == 2 * self.JOB
-
-    def test_a_steady_or_falling_demand_is_not_extrapolated(self):
-        for slope in (0.0, -1.0):
-            expected = self.extrapolate(
-                lambda at, slope=slope: self.JOB * (9 + slope * at), 2.0
-            )
-            assert expected <= self.JOB * (9 + slope * 1.8)
-
-    def test_a_demand_that_no_longer_grows_is_not_extrapolated(self):
-        expected = self.extrapolate(lambda at: self.JOB * min(9 * at, 18.0), 3.0)
-        assert expected == 18 * self.JOB
-
-
 if __name__ == "__main__":
     unittest.main()
