Refuse calls without delay at an entry that is not ready

A caller that is refused at once tries again elsewhere sooner.

Cause: an entry stopped waiting for a leader only after a silence of 3 s. By its readiness it tells the balancer after 1.8 s that it can serve nobody, and an election takes 0.7 s. It now stops waiting when it is not ready any more.

Test: an entry whose last answer is older than that refuses within half the time for which it waits for a leader, with Retry-After.

--- a/src/gypsumwalk/drivers/relay.py
+++ b/src/gypsumwalk/drivers/relay.py
@@ -58,10 +58,8 @@
 
 READINESS_WINDOW_SECONDS = 1.8
 """Time since the leader's last answer after which the relay is not ready; longer than
-the interval between two probes and ``PROBE_ATTEMPTS`` unanswered ones."""
-
-PARTITION_SECONDS = 3.0
-"""Time without an answer that is too long for an election and implies a partition."""
+the interval between two probes and ``PROBE_ATTEMPTS`` unanswered ones, and than an
+election, so that it implies a partition."""
 
 PROBE_INTERVAL_SECONDS = 0.3
 """Interval at which the leader is probed while it answers no request."""
@@ -185,8 +183,7 @@
 
     @property
     def _leader_wait(self) -> float:
-        silence = time.monotonic() - self._last_answer_at
-        if self._known or silence <= PARTITION_SECONDS:
+        if self._known or self.is_ready:
             return LEADER_WAIT_SECONDS
         # In a partition, refuse after one attempt instead of waiting for a leader.
         return 0.0
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -125,6 +125,18 @@
         elapsed = relay_module.time.monotonic() - started
         assert elapsed < 2 * relay_module.LEADER_WAIT_SECONDS
 
+    # Callers waited at entries that knew that they were cut off from the leader.
+    def test_a_relay_that_is_not_ready_refuses_without_waiting_for_a_leader(self):
+        other = self.make_backend((503, []), leader="")
+        relay = self.make_relay([other.address])
+        silence = relay_module.READINESS_WINDOW_SECONDS + 0.1
+        relay._last_answer_at = relay_module.time.monotonic() - silence
+        started = relay_module.time.monotonic()
+        answer = self.post(relay)
+        elapsed = relay_module.time.monotonic() - started
+        assert (answer.status, answer.headers["Retry-After"]) == (503, "1")
+        assert elapsed < relay_module.LEADER_WAIT_SECONDS / 2
+
     def test_a_stale_leader_hint_is_ignored_when_the_named_daemon_is_silent(self):
         unresponsive = self.open_unresponsive_listener()
         other = self.make_backend((503, []), leader="old")
