Send learners entries at once while a voter is missing

Cause: a learner becomes a voter only once it holds every committed entry. With a batch each 25 ms it seldom does while entries are committed every few ms. The leader now knows how many daemons should vote, and learners get each entry at once while there are fewer.

Test: after the removal of a voter the learners get an entry in a message each, not in batches. Without the change it failed (less than half a message an entry).

--- a/src/gypsumwalk/consensus.py
+++ b/src/gypsumwalk/consensus.py
@@ -526,7 +526,9 @@
         self._elections.cancel_candidacy()
         self._leader = self._daemon
         self._last_leader_contact = now
-        self._leadership = Leadership(self._daemon, self._replica, self._timing, now)
+        self._leadership = Leadership(
+            self._daemon, self._replica, self._timing, now, self._voter_count
+        )
         self._proposals.resend_all(now)
         detail = {"term": self.term}
         event = Record(Event.LEADER_ELECTED, self._daemon, detail)
--- a/src/gypsumwalk/leadership.py
+++ b/src/gypsumwalk/leadership.py
@@ -68,12 +68,20 @@
         Times of elections and heartbeats.
     now : float
         Time in seconds.
+    voter_count : int
+        Number of daemons that should vote.
     """
 
     def __init__(
-        self, name: str, replica: Replica, timing: ElectionTiming, now: float
+        self,
+        name: str,
+        replica: Replica,
+        timing: ElectionTiming,
+        now: float,
+        voter_count: int,
     ) -> None:
         self._name = name
+        self._voter_count = voter_count
         self._replica = replica
         self._timing = timing
         self._progress: dict[str, Progress] = {}
@@ -274,7 +282,7 @@
         if not peer.awaits_outcome and not is_rested:
             if behind or has_entries:
                 peer.due = min(peer.due, peer.sent_at + NEWS_INTERVAL_SECONDS)
-            has_entries = has_entries and peer.name in self._replica.voters
+            has_entries = has_entries and not self._may_lag(peer)
             behind = False
         if has_entries:
             return self._send_all_entries(peer, now)
@@ -282,6 +290,11 @@
             return [self._send_heartbeat(peer, now)]
         return []
 
+    def _may_lag(self, peer: Progress) -> bool:
+        # While voters are missing, learners have to hold every entry to become one.
+        voters = self._replica.voters
+        return peer.name not in voters and len(voters) >= self._voter_count
+
     def _can_send_entries(self, peer: Progress, now: float) -> bool:
         # Datagrams would overtake entries sent over a connection and be rejected.
         return (
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -306,6 +306,18 @@
         assert len(first) == self.SECONDS / self.INTERVAL_SECONDS
         assert all(items == first for items in others)
 
+    # A learner that is behind by the latest entries can't replace a lost voter.
+    def test_learners_get_entries_at_once_while_a_voter_is_missing(self):
+        cluster = Cluster(4, voters=3, followers=2)
+        leader = cluster.elect()
+        cluster.run(2)
+        removed = next(name for name in cluster.voters if name != leader)
+        assert cluster.ask(RemoveVoterCall(removed)).status == 200
+        cluster.run(2)
+        counts = self.count_messages(cluster, leader)
+        for name in cluster.followers:
+            assert counts[name] > 0.9, f"{name} got {counts[name]} messages an entry"
+
     def test_a_daemon_hears_at_once_of_the_commit_of_its_proposal(self):
         cluster = Cluster(4, voters=3, followers=2)
         leader = cluster.elect()
