Give each run of the path test addresses of its own

Its three addresses and ports were fixed, so that runs beside each other met.

The addresses are derived from the process number now; assertions and times are as before.

--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -16,7 +16,9 @@
 ROOT = Path(__file__).parent.parent
 JOB = "5c0e7a21d94b36f8"
 DEADLINE_SECONDS = 30.0
-CONTROL, ENTRY = "127.0.0.71", "127.0.0.72"
+# The addresses differ between processes, as parallel runs use the same ports.
+_HOST = f"{os.getpid() // 250 % 250 + 1}.{os.getpid() % 250 + 1}"
+CONTROL, ENTRY, INSTANCE = (f"127.{number}.{_HOST}" for number in (71, 72, 73))
 PORTS = (28_710, 28_725)
 CONTROL_PORT, FRONTEND_PORT, READY_PORT = 28_731, 28_732, 28_733
 SETTINGS = """
@@ -51,10 +53,10 @@
     def __init__(self):
         self.started = []
         self.ended = []
-        self._server = Server(("127.0.0.73", 0), self._serve, numthreads=8)
+        self._server = Server((INSTANCE, 0), self._serve, numthreads=8)
         self._server.shutdown_timeout = 0
         self._server.prepare()
-        self.address = f"127.0.0.73:{self._server.bind_addr[1]}"
+        self.address = f"{INSTANCE}:{self._server.bind_addr[1]}"
         threading.Thread(target=self._server.serve, daemon=True).start()
 
     def _serve(self, environ, start_response):
