Start the daemons of the examples by their command, and name one that ends

`make demo` ended after 20 s with "timed out waiting for all daemons to be ready".

Cause: the examples started `python -m gypsumwalk.drivers.daemon`, which left without an entry point, so that each daemon ended at once with exit code 0 and no output. Ruled out: ports in use and slow starts, as the processes had ended.

Change: daemons start as `gypsumwalk serve`, the only command that starts them. A daemon that ends before it is ready is reported at once by name, exit code and the end of its log, in the demo and in the benchmarks. Ports are taken below the range of outgoing connections, by one function for examples, benchmarks and tests.

--- a/bench/idle.py
+++ b/bench/idle.py
@@ -12,8 +12,6 @@
     LocalCluster,
     allocate_daemon,
     find_free_port,
-    is_ready,
-    wait_until,
 )
 
 RESULT = Path(__file__).parent.parent / "docs" / "measurements" / "idle.json"
@@ -69,9 +67,7 @@
         try:
             for daemon in daemons:
                 cluster.start_daemon(daemon)
-            wait_until(
-                lambda: all(map(is_ready, daemons)), "all daemons to be ready", 30.0
-            )
+            cluster.await_daemons(30.0)
             time.sleep(SETTLE_SECONDS)
             return _measure(cluster)
         finally:
--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -15,7 +15,6 @@
     allocate_daemon,
     apply_folder,
     find_free_port,
-    is_ready,
     wait_until,
 )
 from gypsumwalk.drivers.client import OperatorClient
@@ -55,7 +54,7 @@
     """Measure requests sent directly to a target and through a daemon."""
     daemon = cluster.daemons[0]
     cluster.start_daemon(daemon)
-    wait_until(lambda: is_ready(daemon), "the daemon to be ready", 20.0)
+    cluster.await_daemons()
     apply_folder(OperatorClient([daemon.peer_address], key=OPERATOR_KEY), FOLDER)
     cluster.start_target("t0", "seoul", "seat-holds")
     pool = urllib3.PoolManager(retries=False)
--- a/bench/real_load.py
+++ b/bench/real_load.py
@@ -29,8 +29,6 @@
     allocate_daemon,
     apply_folder,
     find_free_port,
-    is_ready,
-    wait_until,
 )
 from gypsumwalk.drivers.client import OperatorClient
 
@@ -211,9 +209,7 @@
     """Start every process, apply the folder and issue a key to each team."""
     for daemon in cluster.daemons:
         cluster.start_daemon(daemon)
-    wait_until(
-        lambda: all(map(is_ready, cluster.daemons)), "all daemons to be ready", 40.0
-    )
+    cluster.await_daemons(40.0)
     operator = OperatorClient(
         [daemon.peer_address for daemon in cluster.daemons], key=OPERATOR_KEY
     )
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -23,7 +23,6 @@
     allocate_daemon,
     apply_folder,
     find_free_port,
-    is_ready,
     wait_until,
 )
 from gypsumwalk.drivers.client import OperatorClient
@@ -78,7 +77,7 @@
 
 def _start(cluster: LocalCluster, daemon: DaemonEndpoint, targets: int) -> None:
     cluster.start_daemon(daemon)
-    wait_until(lambda: is_ready(daemon), "the daemon to be ready", 20.0)
+    cluster.await_daemons()
     source = cluster.folder / "folder"
     source.mkdir()
     for name, text in FOLDER.items():
--- a/examples/_local_cluster.py
+++ b/examples/_local_cluster.py
@@ -2,11 +2,13 @@
 
 import json
 import os
+import random
 import socket
 import subprocess
 import sys
 import time
 from collections.abc import Callable
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from pathlib import Path
@@ -23,6 +25,11 @@
 START_SECONDS = 20.0
 STOP_SECONDS = 15.0
 POLL_SECONDS = 0.05
+LOG_CHARACTERS = 1500
+PORTS = range(16_000, 32_000)
+"""Ports of listeners; below the kernel's range of ephemeral ports, so that no outgoing
+connection uses the port of a process that does not listen yet."""
+
 ROOT = Path(__file__).parent.parent
 
 
@@ -91,7 +98,42 @@
         """Write the settings of one daemon and start it."""
         path = self.folder / f"{daemon.name}.toml"
         path.write_text(self._write_settings(daemon))
-        self._start(daemon.name, "-m", "gypsumwalk.drivers.daemon", str(path))
+        self._start(daemon.name, "-m", "gypsumwalk", "serve", str(path))
+
+    def await_daemons(self, seconds: float = START_SECONDS) -> float:
+        """Wait until every daemon reports that it is ready.
+
+        Parameters
+        ----------
+        seconds : float
+            Timeout.
+
+        Returns
+        -------
+        float
+            Seconds until all were ready.
+
+        Raises
+        ------
+        LocalClusterError
+            If a daemon ends, or if one is not ready within the timeout.
+        """
+        return wait_until(self._are_daemons_ready, "all daemons to be ready", seconds)
+
+    def _are_daemons_ready(self) -> bool:
+        for daemon in self.daemons:
+            self._check_process(daemon.name)
+        return all(map(is_ready, self.daemons))
+
+    def _check_process(self, name: str) -> None:
+        code = self.processes[name].poll()
+        if code is None:
+            return
+        log = (self.folder / f"{name}.log").read_text(errors="replace")
+        raise LocalClusterError(
+            f"{name} ended with exit code {code} before it was ready; its log ends:\n"
+            f"{log[-LOG_CHARACTERS:]}"
+        )
 
     def start_platform(self) -> None:
         """Start the fake platform."""
@@ -230,17 +272,36 @@
     return generation
 
 
+def find_free_ports(count: int) -> list[int]:
+    """Return different ports on loopback that are free for TCP and UDP."""
+    ports: list[int] = []
+    with ExitStack() as stack:
+        while len(ports) < count:
+            port = random.choice(PORTS)
+            if _reserve(stack, port):
+                ports.append(port)
+    return ports
+
+
 def find_free_port() -> int:
-    """Return a free TCP port on loopback."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        port: int = probe.getsockname()[1]
-    return port
+    """Return a port on loopback that is free for TCP and UDP."""
+    return find_free_ports(1)[0]
+
+
+def _reserve(stack: ExitStack, port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        probe = stack.enter_context(socket.socket(socket.AF_INET, kind))
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 def allocate_daemon(name: str, data_centre: str) -> DaemonEndpoint:
     """Allocate free ports for a daemon."""
-    return DaemonEndpoint(name, data_centre, find_free_port(), find_free_port())
+    caller_port, peer_port = find_free_ports(2)
+    return DaemonEndpoint(name, data_centre, caller_port, peer_port)
 
 
 def is_ready(daemon: DaemonEndpoint) -> bool:
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -22,7 +22,6 @@
     allocate_daemon,
     apply_folder,
     find_free_port,
-    is_ready,
     wait_until,
 )
 from examples._report import (
@@ -96,9 +95,7 @@
         for data_centre in ("seoul", "busan"):
             for service in ("seat-holds", "rebuilds"):
                 cluster.start_target(f"{service}-{data_centre}", data_centre, service)
-        seconds = wait_until(
-            lambda: all(map(is_ready, cluster.daemons)), "all daemons to be ready", 20.0
-        )
+        seconds = cluster.await_daemons()
         self.report.measure("three daemons ready", f"{seconds:.2f} s")
 
     def _configure(self) -> None:
--- a/tests/_real_cluster.py
+++ b/tests/_real_cluster.py
@@ -13,7 +13,8 @@
 import urllib3
 
 import gypsumwalk
-from tests._real_daemon import OPERATOR_KEY, find_ports
+from examples._local_cluster import find_free_ports
+from tests._real_daemon import OPERATOR_KEY
 
 POLL_SECONDS = 0.02
 STOP_SECONDS = 40
@@ -49,7 +50,7 @@
         self.voters = [f"v{number}" for number in range(voters)]
         self.followers = [f"f{number}" for number in range(followers)]
         self.names = self.voters + self.followers
-        ports = find_ports(2 * len(self.names))
+        ports = find_free_ports(2 * len(self.names))
         self.ports = dict(zip(self.names, ports[::2], strict=True))
         self.caller_ports = dict(zip(self.names, ports[1::2], strict=True))
         self.processes = {}
--- a/tests/_real_daemon.py
+++ b/tests/_real_daemon.py
@@ -1,23 +1,21 @@
 """One real daemon process on loopback, and a target that echoes requests."""
 
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
-from contextlib import ExitStack, contextmanager
+from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 
 import urllib3
 
 import gypsumwalk
+from examples._local_cluster import find_free_ports
 from tests._stub_daemon import StubDaemon
 
 START_SECONDS = 20
 STOP_SECONDS = 20
-PORTS = range(16_000, 32_000)
 OPERATOR_KEY = "first-operator-key"
 SETTINGS = """\
 name = "entry1"
@@ -66,7 +64,7 @@
 @contextmanager
 def run_daemon(folder):
     """Start a daemon, wait until it is ready, and stop it on exit."""
-    caller_port, peer_port = find_ports(2)
+    caller_port, peer_port = find_free_ports(2)
     settings = Path(folder) / "entry1.toml"
     settings.write_text(
         SETTINGS.format(
@@ -113,31 +111,6 @@
     assert response.status == 200, (daemon.folder / "log").read_text()
 
 
-def find_ports(count):
-    """Return ports that are free for TCP and UDP.
-
-    They lie below the kernel's range of ephemeral ports: otherwise an outgoing
-    connection of one daemon could use the port of a peer that does not listen yet.
-    """
-    ports = []
-    with ExitStack() as stack:
-        while len(ports) < count:
-            port = random.choice(PORTS)
-            if _reserve(stack, port):
-                ports.append(port)
-    return ports
-
-
-def _reserve(stack, port):
-    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-        item = stack.enter_context(socket.socket(socket.AF_INET, kind))
-        try:
-            item.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
-
-
 class EchoTarget(StubDaemon):
     """Target that answers with the body of the request."""
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,10 +7,10 @@
 
 from cheroot.wsgi import Server
 
+from examples._local_cluster import find_free_port
 from gypsumwalk.drivers import relay as relay_module
 from gypsumwalk.drivers.relay import Relay, RelayAnswer, RelayApplication
 from gypsumwalk.fleet_call_handler import LEADER_HEADER
-from tests._real_daemon import find_ports
 
 REQUEST_TIMEOUT_SECONDS = 3.0
 
@@ -145,7 +145,7 @@
         assert relay.leader == ""
 
     def test_a_refused_connection_is_answered_as_not_run(self):
-        relay = self.make_relay([f"127.0.0.1:{find_ports(1)[0]}"])
+        relay = self.make_relay([f"127.0.0.1:{find_free_port()}"])
         answer = self.post(relay)
         assert answer.status == 503
         assert answer.headers["Retry-After"] == "1"
