Read each entry of an outside list by itself, and let no odd one end a daemon

Cause: rows of `/hold` were taken as any list and unpacked into records without a check. A row nested 50,000 deep raised RecursionError and one of too few fields TypeError; both reached the daemon's nursery, so that one odd instance ended the leader and each next one. Shown on the code before by calling its client: both raise; a row [7, 1], a `clock_ms` of -1 and a `born` of 30 digits are taken as valid; one bad machine makes the whole list of machines unreadable; addresses "10.0.0.1:99999" and "x" register an instance; a wave number of 5,000 digits raises ValueError; a settings file that is cut short raises DecodeError, which ended a daemon on reload.

Change: rows are typed records with bounds. A valid answer is decoded at once as before; otherwise its entries are decoded one by one in a worker thread, and those that are not valid are left out, counted by kind and logged once a source and minute (events 1011 to 1013). Of a running task whose task and run are valid, these are kept, so that it is not taken for ended. An end whose number exceeds the milliseconds of the instance's life is not acknowledged. The HTTP client and the border check addresses by the same function. An unexpected error of a call leaves its outcome unknown. Invalid settings on reload are refused and those in force stay.

--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -16,8 +16,10 @@
 from gypsumwalk.drivers.input_queue import InputQueue, QueuedInput
 from gypsumwalk.drivers.journal import EventJournal
 from gypsumwalk.drivers.loop_monitor import LoopMonitor
+from gypsumwalk.drivers.malformed_answers import MalformedAnswers
 from gypsumwalk.drivers.metrics import Metrics
 from gypsumwalk.drivers.peers import PeerAddress, PeerNetwork
+from gypsumwalk.drivers.platform_calls import PlatformCalls
 from gypsumwalk.drivers.server import HttpServer
 from gypsumwalk.drivers.targets import TargetHttpClient
 from gypsumwalk.effects import (
@@ -31,7 +33,7 @@
     Stop,
     WriteDisk,
 )
-from gypsumwalk.errors import DiskFailure
+from gypsumwalk.errors import BadBoundary, DiskFailure
 from gypsumwalk.events import Event
 from gypsumwalk.incarnations import choose_incarnation, encode_incarnation
 from gypsumwalk.inputs import DiskOutcome, ShutdownRequested
@@ -83,7 +85,18 @@
         self._targets = TargetHttpClient(
             concurrency=DISPATCH_THREADS, max_body_bytes=settings.max_body_bytes
         )
-        self._platform = self._factory.make_platform(self._record_platform_wait)
+        malformed = MalformedAnswers(self._clock, self._metrics, self._record)
+        self._platform = self._factory.make_platform(
+            self._record_platform_wait, malformed.record
+        )
+        self._platform_calls = PlatformCalls(
+            self._platform,
+            self._inputs,
+            clock=self._clock,
+            monitor=self._monitor,
+            metrics=self._metrics,
+            record=self._record,
+        )
         self._watchdog = ReceiveWatchdog()
         self._peers = self._make_peer_network()
         self._dispatches: dict[str, trio.CancelScope] = {}
@@ -187,18 +200,7 @@
             scope.cancel()
 
     def _start_platform_call(self, effect: CallPlatform) -> None:
-        self._nursery.start_soon(self._call_platform, effect)
-
-    async def _call_platform(self, effect: CallPlatform) -> None:
-        started = self._clock.now()
-        self._monitor.begin_call()
-        try:
-            outcome = await self._platform.call(effect)
-        finally:
-            self._monitor.end_call()
-        self._metrics.count("platform_calls", outcome=_name_outcome(outcome.succeeded))
-        self._metrics.observe_latency("platform", self._clock.now() - started)
-        self._inputs.put(outcome)
+        self._nursery.start_soon(self._platform_calls.run, effect)
 
     def _record_platform_wait(self, seconds: float) -> None:
         self._metrics.observe_latency("platform_wait", seconds)
@@ -241,7 +243,11 @@
                 self._inputs.put(ShutdownRequested(deadline))
 
     def _reload(self) -> None:
-        changed = self._factory.reload()
+        try:
+            changed = self._factory.reload()
+        except BadBoundary as error:
+            self._record(Record(Event.RELOAD_REFUSED, "", {"reason": str(error)}))
+            return
         attributes = {"changed": ", ".join(changed) or "nothing"}
         self._record(Record(Event.DAEMON_RELOADED, "", attributes))
 
--- a/src/gypsumwalk/drivers/factory.py
+++ b/src/gypsumwalk/drivers/factory.py
@@ -105,11 +105,17 @@
         """Return the address of a daemon, or None if unknown."""
         ...
 
-    def make_platform(self, record_wait: Callable[[float], None]) -> PlatformClient:
+    def make_platform(
+        self,
+        record_wait: Callable[[float], None],
+        record_malformed: Callable[[str, str, int], None],
+    ) -> PlatformClient:
         """Create the platform client.
 
         It calls ``record_wait`` once per request with the seconds that the request
-        waited before it was sent, if it knows them.
+        waited before it was sent, if it knows them, and ``record_malformed`` with the
+        source and the kind of a malformed answer and the number of its entries that it
+        left out, 0 if it could not use the answer at all.
         """
         ...
 
@@ -122,7 +128,13 @@
         ...
 
     def reload(self) -> list[str]:
-        """Reload the settings and return the names of those that changed."""
+        """Reload the settings and return the names of those that changed.
+
+        Raises
+        ------
+        BadBoundary
+            If they can't be read; those in force stay.
+        """
         ...
 
 
--- a/src/gypsumwalk/drivers/http_client.py
+++ b/src/gypsumwalk/drivers/http_client.py
@@ -11,6 +11,7 @@
 import h11
 import trio
 
+from gypsumwalk.addresses import split_address
 from gypsumwalk.drivers.http_exchange import (
     MAX_BODY_BYTES,
     EncodedRequest,
@@ -18,7 +19,7 @@
     ResponseReader,
     encode_request,
 )
-from gypsumwalk.errors import GypsumwalkError
+from gypsumwalk.errors import BadBoundary, GypsumwalkError
 
 __all__ = [
     "MAX_BODY_BYTES",
@@ -40,7 +41,6 @@
 RECEIVE_BYTES = 64 * 1024
 MAX_IDLE_SECONDS = 300.0
 SWEEP_INTERVAL_SECONDS = 10.0
-MAX_PORT = 65_535
 
 UNACKNOWLEDGED_MILLISECONDS = 5000
 KEEPALIVE_IDLE_SECONDS = 15
@@ -448,7 +448,10 @@
 
 
 async def _open_socket(address: str) -> socket.socket:
-    host, port = _split_address(address)
+    try:
+        host, port = split_address(address)
+    except BadBoundary as error:
+        raise ConnectionError(str(error)) from error
     try:
         found = await trio.socket.getaddrinfo(host, port, type=socket.SOCK_STREAM)
     except UnicodeError as error:
@@ -479,11 +482,3 @@
         connecting.close()
         raise
     return connecting
-
-
-def _split_address(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    host = host.removeprefix("[").removesuffix("]")
-    if not host or not port.isdecimal() or not 1 <= int(port) <= MAX_PORT:
-        raise ConnectionError(f"expected host:port, found {address!r}")
-    return host, int(port)
--- a/src/gypsumwalk/drivers/metriccatalogue.py
+++ b/src/gypsumwalk/drivers/metriccatalogue.py
@@ -70,6 +70,9 @@
     ),
     MetricEntry("dispatches", _COUNTER, "Requests sent to targets.", ("status",)),
     MetricEntry("platform_calls", _COUNTER, "Calls of the platform.", ("outcome",)),
+    MetricEntry(
+        "malformed_answers", _COUNTER, "Answers with malformed entries.", ("kind",)
+    ),
     MetricEntry("disk_writes", _COUNTER, "Synced writes.", ("outcome",)),
     MetricEntry("waiting_calls", _GAUGE, "HTTP calls that wait for an answer."),
     MetricEntry(
--- a/src/gypsumwalk/drivers/standard_factory.py
+++ b/src/gypsumwalk/drivers/standard_factory.py
@@ -59,7 +59,11 @@
                 return PeerAddress(peer.address, peer.peer_port)
         return None
 
-    def make_platform(self, record_wait: Callable[[float], None]) -> PlatformHttpClient:
+    def make_platform(
+        self,
+        record_wait: Callable[[float], None],
+        record_malformed: Callable[[str, str, int], None],
+    ) -> PlatformHttpClient:
         """Create the platform client."""
         return PlatformHttpClient(self._settings.platform_url)
 
--- a/src/gypsumwalk/emulator.py
+++ b/src/gypsumwalk/emulator.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
+from typing import cast
 
 import msgspec
 
@@ -22,6 +23,7 @@
     AdviceReport,
     AskAdvice,
     EndedRun,
+    EndKind,
     InstanceReport,
     ListMachines,
     MachineInfo,
@@ -323,7 +325,7 @@
             row = RunningTask(execution.task, execution.run, percent=percent, load=load)
             running.append(row)
         ended = [
-            EndedRun(number, item.task, item.run, item.end_kind)
+            EndedRun(number, item.task, item.run, cast(EndKind, item.end_kind))
             for number, item in instance.ends[:MAX_LISTED_ENDS]
         ]
         born = instance.registered.born
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -72,6 +72,18 @@
         "handled inputs or timers {late} s late; {deciding} s for {inputs} inputs,"
         " {queued} queued, {calls} calls in progress",
     )
+    ANSWER_MALFORMED = EventEntry(
+        1011,
+        Level.WARNING,
+        "left out {entries} malformed entries of its answer about {kind}, 0 for the"
+        " whole answer; {unreported} more such answers since the last report",
+    )
+    CALL_FAILED = EventEntry(
+        1012, Level.ERROR, "the call {action} failed unexpectedly: {error}"
+    )
+    RELOAD_REFUSED = EventEntry(
+        1013, Level.WARNING, "kept the settings in force; the file is invalid: {reason}"
+    )
     # Agreement, membership, configuration, keys and portions: 2000 to 2999.
     LEADER_ELECTED = EventEntry(
         2001, Level.INFO, "became leader of the replicated log in term {term}"
--- a/src/gypsumwalk/instance_actions.py
+++ b/src/gypsumwalk/instance_actions.py
@@ -1,13 +1,17 @@
 """Actions that the fleet logic requests from the platform, and their reports."""
 
+from typing import Literal
+
 import msgspec
 
+from gypsumwalk.bounds import Count, RunNumber, TaskName
 from gypsumwalk.declaration_records import Resources
 
 __all__ = [
     "ACTIONS",
     "AdviceReport",
     "AskAdvice",
+    "EndKind",
     "EndedRun",
     "InstanceReport",
     "ListMachines",
@@ -135,20 +139,24 @@
         processors in use, in thousandths of a core.
     """
 
-    task: str
-    run: int
+    task: TaskName
+    run: RunNumber
     checkpoint: str = ""
-    percent: int = 100
-    load: int = 0
+    percent: Count = 100
+    load: Count = 0
+
+
+EndKind = Literal["done", "failed", "stopped", "lapsed", "broken", "alone"]
+"""How a run ended, in the words of the instances."""
 
 
 class EndedRun(msgspec.Struct, frozen=True, array_like=True):
     """An ended run that an instance lists until its end is acknowledged."""
 
-    number: int
-    task: str
-    run: int
-    kind: str
+    number: Count
+    task: TaskName
+    run: RunNumber
+    kind: EndKind
     checkpoint: str = ""
 
 
--- a/src/gypsumwalk/instance_orders.py
+++ b/src/gypsumwalk/instance_orders.py
@@ -11,6 +11,8 @@
 TASK_NAME_PARTS = 4
 """Job, occurrence, step and number of the task."""
 
+MAX_INDEX_DIGITS = 9
+
 
 class OrderKind(Enum):
     """Kind of an order to an instance."""
@@ -94,6 +96,10 @@
         Key of the task, None if the name is not one of a task.
     """
     parts = name.split(".")
-    if len(parts) != TASK_NAME_PARTS or not all(part.isdecimal() for part in parts[1:]):
+    if len(parts) != TASK_NAME_PARTS or not all(map(_is_index, parts[1:])):
         return None
     return TaskKey(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
+
+
+def _is_index(part: str) -> bool:
+    return part.isascii() and part.isdecimal() and len(part) <= MAX_INDEX_DIGITS
--- a/src/gypsumwalk/run_lists.py
+++ b/src/gypsumwalk/run_lists.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from gypsumwalk.instance_actions import EndedRun, InstanceReport, RunningTask
+from gypsumwalk.instance_actions import EndedRun, EndKind, InstanceReport, RunningTask
 from gypsumwalk.instance_orders import parse_task
 from gypsumwalk.leases import InstanceView, RunState, RunView
 from gypsumwalk.workload_records import RunEnd, RunEndKind
@@ -12,7 +12,7 @@
 MAX_LISTED_ENDS = 500
 """Maximum number of ends in one run list."""
 
-END_KINDS = {
+END_KINDS: dict[EndKind, RunEndKind] = {
     "done": RunEndKind.DONE,
     "failed": RunEndKind.FAILED,
     "stopped": RunEndKind.STOPPED,
@@ -73,7 +73,7 @@
     ended = {
         (item.task, item.run): item
         for item in report.ended
-        if item.number > view.acknowledged
+        if item.number > view.acknowledged and _is_plausible(item, report)
     }
     ends: list[RunEnd] = []
     is_same_life = report.born == view.registered.born
@@ -121,9 +121,18 @@
     run.is_settled |= run.attempts == 1 and is_same_life
 
 
+def _is_plausible(end: EndedRun, report: InstanceReport) -> bool:
+    """Tell whether an instance can have ended that many runs since it began.
+
+    Its clock begins with it, in milliseconds. The acknowledgement of a number that is
+    too high would drop later ends unseen.
+    """
+    return not report.clock or end.number <= report.clock
+
+
 def _describe_end(run: RunView, end: EndedRun) -> RunEnd:
-    kind = END_KINDS.get(end.kind, RunEndKind.LOST)
-    return RunEnd(run.task, run.run, kind, end.checkpoint or run.checkpoint)
+    checkpoint = end.checkpoint or run.checkpoint
+    return RunEnd(run.task, run.run, END_KINDS[end.kind], checkpoint)
 
 
 def _update_running(run: RunView, item: RunningTask, now: float) -> None:
@@ -135,7 +144,7 @@
     run.first_listed_at = run.first_listed_at or now
     run.missing_since = 0.0
     run.percent, run.load = item.percent, item.load
-    run.checkpoint = item.checkpoint
+    run.checkpoint = item.checkpoint or run.checkpoint
 
 
 def _is_gone(run: RunView, sent_at: float, now: float, stop_grace: float) -> bool:
