Start a server's threads as calls wait for one

Each entry started 64 threads for callers, and each core daemon 84 for its listeners, with the process; of 97 entries that are 8,000 threads, most of which never served a call.

Change: a server starts with two threads and adds one whenever a connection finds none free, up to the same limit as before. The accepting thread starts them without `grow`, which sleeps until the thread runs.

Ruled out: counting the pool's idle threads, as a thread that has just taken a connection still counts as idle, so that the next connection would wait for a call to end.

Tests: a server without calls has at most two threads (it had all of them before), every call that waits gets one up to the limit, and calls in a row need no further one.

--- a/src/gypsumwalk/drivers/server.py
+++ b/src/gypsumwalk/drivers/server.py
@@ -1,9 +1,11 @@
 """HTTP server with a bounded thread pool, for any WSGI application."""
 
+import threading
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
+from cheroot.workers.threadpool import ThreadPool
 from cheroot.wsgi import Server
 
 from gypsumwalk.drivers.connections import (
@@ -17,6 +19,9 @@
 SOCKET_TIMEOUT_SECONDS = 10
 SHUTDOWN_TIMEOUT_SECONDS = 5
 LISTEN_BACKLOG = 256
+FIRST_THREADS = 2
+"""Threads started with the server; the others start as calls wait for one."""
+
 SERVER_BODY_LIMIT_FACTOR = 2
 """The server's own limit is a backstop above the limit that the application checks."""
 
@@ -32,7 +37,7 @@
     Attributes
     ----------
     threads : int
-        Calls served concurrently.
+        Maximum number of calls served concurrently, each by a thread.
     queued : int
         Accepted connections that may wait for a thread; further ones get a 503.
     max_body_bytes : int
@@ -73,11 +78,14 @@
         self._server = Server(
             (address, port),
             application,
-            numthreads=limits.threads,
-            max=limits.threads,
             request_queue_size=LISTEN_BACKLOG,
             timeout=SOCKET_TIMEOUT_SECONDS,
             shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS,
+        )
+        self._server.requests = _GrowingThreadPool(
+            self._server,
+            min=min(FIRST_THREADS, limits.threads),
+            max=limits.threads,
             accepted_queue_size=limits.queued,
             accepted_queue_timeout=0,
         )
@@ -87,8 +95,19 @@
         )
         self._server.ConnectionClass = make_watched_connection_class(watchdog)
 
+    @property
+    def port(self) -> int:
+        """Port that the server listens on, once it is prepared."""
+        port: int = self._server.bind_addr[1]
+        return port
+
+    @property
+    def threads(self) -> int:
+        """Number of threads that have been started to serve calls."""
+        return len(self._server.requests._threads)
+
     def prepare(self) -> None:
-        """Bind the socket and start the worker threads."""
+        """Bind the socket and start the first worker threads."""
         self._server.prepare()
 
     def serve(self) -> None:
@@ -98,3 +117,33 @@
     def stop(self) -> None:
         """Stop accepting connections and complete the calls in progress."""
         self._server.stop()
+
+
+class _GrowingThreadPool(ThreadPool):
+    """Pool that starts a thread whenever a connection finds none free."""
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self._lock = threading.Lock()
+        self._free = 0
+        """Threads that wait for a connection, less the connections that wait."""
+        self.get = self._take
+
+    def put(self, obj: Any) -> None:
+        """Queue a connection, and start a thread for it if none is free.
+
+        Only the thread that accepts connections calls this.
+        """
+        super().put(obj)
+        with self._lock:
+            self._free -= 1
+            is_short = self._free < 0
+        if is_short and len(self._threads) < self.max:  # type: ignore[attr-defined]
+            # `grow` would sleep until the thread runs, and delay the next connection.
+            worker = self._spawn_worker()  # type: ignore[attr-defined]
+            self._threads.append(worker)  # type: ignore[attr-defined]
+
+    def _take(self) -> Any:
+        with self._lock:
+            self._free += 1
+        return self._queue.get()  # type: ignore[attr-defined]
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -196,6 +196,64 @@
             assert make_caller_limits(settings).queued <= max(1, threads // 4)
 
 
+class TestThreads(unittest.TestCase):
+    """Dozens of entries on one machine, each with threads for its busiest second."""
+
+    CALLS = 6
+    REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+
+    def setUp(self):
+        self.gate = threading.Event()
+        self.entered = threading.Semaphore(0)
+        limits = ServerLimits(threads=self.CALLS, queued=4, max_body_bytes=1024)
+        watchdog = ReceiveWatchdog(limit=1000.0)
+        self.server = HttpServer(
+            "127.0.0.1", 0, self.serve, watchdog=watchdog, limits=limits
+        )
+        self.server.prepare()
+        self.thread = threading.Thread(target=self.server.serve)
+        self.thread.start()
+
+    def tearDown(self):
+        self.gate.set()
+        self.server.stop()
+        self.thread.join()
+
+    def serve(self, environ, start_response):
+        self.entered.release()
+        self.gate.wait(TIMEOUT_SECONDS)
+        start_response("200 OK", [("Content-Length", "0")])
+        return [b""]
+
+    def start_call(self):
+        connection = socket.create_connection(
+            ("127.0.0.1", self.server.port), TIMEOUT_SECONDS
+        )
+        self.addCleanup(connection.close)
+        connection.sendall(self.REQUEST)
+        return connection
+
+    # All threads were started with the server, 83 in each of 97 entries.
+    def test_a_server_without_calls_has_few_threads(self):
+        assert self.server.threads <= 2
+
+    def test_each_call_that_waits_gets_a_thread_up_to_the_limit(self):
+        calls = [self.start_call() for _ in range(self.CALLS)]
+        for _ in calls:
+            assert self.entered.acquire(timeout=TIMEOUT_SECONDS)
+        queued = self.start_call()
+        self.gate.set()
+        for connection in [*calls, queued]:
+            assert read_all(connection).startswith(b"HTTP/1.1 200 ")
+        assert self.server.threads == self.CALLS
+
+    def test_calls_one_after_the_other_need_no_further_thread(self):
+        self.gate.set()
+        for _ in range(3 * self.CALLS):
+            assert read_all(self.start_call()).startswith(b"HTTP/1.1 200 ")
+        assert self.server.threads <= 3
+
+
 def read_all(connection):
     chunks = []
     with contextlib.suppress(OSError):
