Move lasting tasks off the machines of a wave from its start, within one budget

Ruled out: the limit of machines down at once (47; 22 at most were) and the speed of orders (answered within a second).

Change: lasting tasks leave due machines from the start of the wave where another machine that stays has room; transient tasks still start there. New lasting tasks avoid due machines. A pool gets up to four machines beyond its demand for the tasks of due ones. Tasks on a silent instance count as away.

--- /dev/null
+++ b/src/gypsumwalk/availability.py
@@ -0,0 +1,66 @@
+"""Budget of the tasks of a lasting step that may be unavailable at the same time."""
+
+from gypsumwalk.leases import LeaseTable, RunState, RunView
+from gypsumwalk.workload_records import TaskKey
+from gypsumwalk.workloads import WorkloadSection
+
+__all__ = ["AvailabilityBudget"]
+
+FULL_PERCENT = 100
+
+
+class AvailabilityBudget:
+    """Tells which lasting tasks may be interrupted within ``max_unavailable``.
+
+    Every task that is not known to be at work counts as unavailable, whatever the
+    cause: a new leader counts a task again once its instance has listed it.
+
+    Parameters
+    ----------
+    workloads : WorkloadSection
+        Jobs and instances.
+    """
+
+    def __init__(self, workloads: WorkloadSection) -> None:
+        self._workloads = workloads
+
+    def may_interrupt(self, run: RunView, lease_table: LeaseTable) -> bool:
+        """Tell whether a run may be stopped, although its task has to go on.
+
+        Parameters
+        ----------
+        run : RunView
+            A run of a lasting task.
+        lease_table : LeaseTable
+            Runs that may be going on.
+
+        Returns
+        -------
+        bool
+            True if fewer than ``max_unavailable`` other tasks of its step are
+            unavailable, or the step has no such limit.
+        """
+        step = self._workloads.find_step(run.task)
+        if step is None or step.max_unavailable < 0:
+            return True
+        unavailable = 0
+        for number in range(step.count):
+            task = run.task._replace(number=number)
+            if number != run.task.number and not _is_available(task, lease_table):
+                unavailable += 1
+                if unavailable >= step.max_unavailable:
+                    return False
+        return unavailable < step.max_unavailable
+
+
+def _is_available(task: TaskKey, lease_table: LeaseTable) -> bool:
+    runs = lease_table.runs_by_task.get(task, {})
+    return any(_is_at_work(run, lease_table) for run in runs.values())
+
+
+def _is_at_work(run: RunView, lease_table: LeaseTable) -> bool:
+    if run.state is not RunState.RUNNING or run.is_stopping:
+        return False
+    view = lease_table.instances.get(run.life)
+    is_listed = run.first_listed_at > 0 and run.percent >= FULL_PERCENT
+    return is_listed and view is not None and view.is_responsive
--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from gypsumwalk.advice import AdviceCache
+from gypsumwalk.availability import AvailabilityBudget
 from gypsumwalk.declaration_records import PutDeclaration
 from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.departures import DEPARTURE_SECONDS, TAKEOVER_SECONDS, Departures
@@ -133,6 +134,7 @@
         self._declarations = declarations
         self._workloads = workloads
         self._scheduler = scheduler
+        self._availability = AvailabilityBudget(workloads)
         self._stop_grace = stop_grace + STOP_MARGIN_SECONDS
         self._term = 0
         self._restored_index = 0
@@ -467,6 +469,10 @@
         self._watch_orders(run)
         return self._send_stop(run, now)
 
+    def may_interrupt(self, run: RunView) -> bool:
+        """Tell whether the budget of a lasting step allows to stop one of its runs."""
+        return self._availability.may_interrupt(run, self.lease_table)
+
     # Orders
 
     def _send_stop(self, run: RunView, now: float) -> list[Effect]:
@@ -575,8 +581,9 @@
             if not view.registered.draining:
                 continue
             for run in list(view.runs.values()):
-                step = self._workloads.find_step(run.task)
-                if step is not None and step.lasting and not run.is_stopping:
+                if not run.is_lasting or run.is_stopping:
+                    continue
+                if self.may_interrupt(run):
                     effects += self.stop(run, now)
         return effects
 
--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -27,7 +27,7 @@
     UpkeepSection,
     UpkeepWave,
 )
-from gypsumwalk.workload_records import RemoveInstance, TaskKey, split_life
+from gypsumwalk.workload_records import RemoveInstance, split_life
 from gypsumwalk.workloads import WorkloadSection
 
 __all__ = ["MaintenanceController", "find_concurrency"]
@@ -63,8 +63,6 @@
 DEADLINE_RESERVE_SECONDS = 4.0
 """Time before a wave's deadline from which running tasks are not waited for."""
 
-FULL_PERCENT = 100
-
 
 class MaintenanceController:
     """Part that drains machines and takes them down while this daemon leads.
@@ -174,6 +172,7 @@
         if self._dispatcher.term != self._term:
             self._begin_term(now)
         waves = self._upkeep.list_open()
+        self._scheduler.due_for_maintenance.clear()
         if not waves:
             self._scheduler.cordoned.clear()
             return []
@@ -240,7 +239,9 @@
                 continue
             down += 1
             effects += self._propose_begin(wave, machine)
-        return effects
+        self._scheduler.due_for_maintenance.update(due)
+        later = [item for item in active if item not in chosen]
+        return effects + self._drain_ahead(later, now)
 
     def _is_on_standby(self, machine: str) -> bool:
         return (
@@ -297,38 +298,40 @@
         for run in self._list_runs(machine):
             if run.is_stopping or run.state is not RunState.RUNNING:
                 continue
-            if self._is_lasting(run) and self._may_interrupt(run):
-                attributes: dict[str, Scalar] = {"run": run.run, "machine": machine}
-                effects.append(Record(Event.RUN_EVACUATED, str(run.task), attributes))
-                effects += self._dispatcher.stop(run, now)
+            if self._is_lasting(run) and self._dispatcher.may_interrupt(run):
+                effects += self._evacuate(run, machine, now)
+        return effects
+
+    def _drain_ahead(self, machines: Sequence[str], now: float) -> list[Effect]:
+        """Evacuate lasting tasks of machines that are taken down later.
+
+        The budgets of their steps allow only a few evacuations at a time, too few for
+        the end of a wave. Transient tasks still start on these machines.
+        """
+        effects: list[Effect] = []
+        exhausted: set[tuple[str, int, int]] = set()
+        for machine in machines:
+            for run in self._list_runs(machine):
+                step = run.task[:3]
+                if run.is_stopping or run.state is not RunState.RUNNING:
+                    continue
+                if not run.is_lasting or step in exhausted:
+                    continue
+                if not self._dispatcher.may_interrupt(run):
+                    exhausted.add(step)
+                elif self._scheduler.can_move(run, self._dispatcher.lease_table, now):
+                    effects += self._evacuate(run, machine, now)
         return effects
 
+    def _evacuate(self, run: RunView, machine: str, now: float) -> list[Effect]:
+        attributes: dict[str, Scalar] = {"run": run.run, "machine": machine}
+        record = Record(Event.RUN_EVACUATED, str(run.task), attributes)
+        return [record, *self._dispatcher.stop(run, now)]
+
     def _is_lasting(self, run: RunView) -> bool:
         step = self._workloads.find_step(run.task)
         return step is not None and step.lasting
 
-    def _may_interrupt(self, run: RunView) -> bool:
-        workload = self._workloads.jobs[run.task.job]
-        step = workload.steps[run.task.step]
-        if step.max_unavailable < 0:
-            return True
-        available = 0
-        for number in range(step.count):
-            task = run.task._replace(number=number)
-            if number != run.task.number and self._is_available(task):
-                available += 1
-        return step.count - 1 - available < step.max_unavailable
-
-    def _is_available(self, task: TaskKey) -> bool:
-        runs = self._dispatcher.lease_table.runs_by_task.get(task, {})
-        return any(
-            run.state is RunState.RUNNING
-            and run.first_listed_at > 0
-            and run.percent >= FULL_PERCENT
-            and not run.is_stopping
-            for run in runs.values()
-        )
-
     def _may_take_down(self, machine: str, is_urgent: bool) -> bool:
         info = self._directory.machines[machine]
         if info.state != "up":
--- a/src/gypsumwalk/pool_scaling_controller.py
+++ b/src/gypsumwalk/pool_scaling_controller.py
@@ -9,6 +9,7 @@
 from gypsumwalk.events import Event
 from gypsumwalk.inputs import Committed, Input, PlatformOutcome
 from gypsumwalk.instance_actions import MachineReport, MoveMachine
+from gypsumwalk.leases import InstanceView
 from gypsumwalk.machine_directory import MachineDirectory
 from gypsumwalk.order_cooldown import OrderCooldown
 from gypsumwalk.part import NEVER
@@ -210,12 +211,30 @@
                 is_movable = False
             if not self._cooldown.can_order(machine, now):
                 is_movable = False
-            idle_since = self._update_idle_since(machine, now)
             described.append(
-                PoolMachine(machine, service, info.capacity.cpu, is_movable, idle_since)
+                PoolMachine(
+                    machine,
+                    service,
+                    info.capacity.cpu,
+                    is_movable,
+                    self._update_idle_since(machine, now),
+                    self._must_pass_on(machine),
+                )
             )
         return described
 
+    def _must_pass_on(self, machine: str) -> bool:
+        if machine not in self._scheduler.due_for_maintenance:
+            return False
+        view = self._find_view(machine)
+        return view is not None and any(run.is_lasting for run in view.runs.values())
+
+    def _find_view(self, machine: str) -> InstanceView | None:
+        instance = self._directory.find_instance(machine)
+        if instance is None:
+            return None
+        return self._dispatcher.lease_table.instances.get(instance.life)
+
     def _list_returned(self, now: float) -> set[str]:
         return {
             machine
@@ -225,12 +244,7 @@
         }
 
     def _update_idle_since(self, machine: str, now: float) -> float:
-        instance = self._directory.find_instance(machine)
-        view = (
-            self._dispatcher.lease_table.instances.get(instance.life)
-            if instance
-            else None
-        )
+        view = self._find_view(machine)
         if view is not None and (view.runs or not view.is_responsive):
             self._idle_since.pop(machine, None)
             return NEVER
--- a/src/gypsumwalk/pooling.py
+++ b/src/gypsumwalk/pooling.py
@@ -24,6 +24,10 @@
 SPARE_MACHINES = 1
 """Machines beyond the demand, for the first second of a burst or a lost machine."""
 
+MAX_SUCCESSORS = 4
+"""Machines that a pool gets at once beyond its demand for the lasting tasks of those
+that a wave takes down; more would be missed by the pool that has a burst."""
+
 STANDBY_IDLE_SECONDS = 1.2
 """Idle time before a move to standby; a move costs as much as 1.15 s in a pool."""
 
@@ -47,6 +51,9 @@
         Whether it may be moved.
     idle_since : float
         Time in seconds since which it has no runs; infinite while it has runs.
+    must_pass_on : bool
+        Whether it has lasting tasks that have to move to another machine of its pool,
+        as a wave takes it down later.
     """
 
     machine: str
@@ -54,6 +61,7 @@
     cpu: int
     is_movable: bool
     idle_since: float
+    must_pass_on: bool = False
 
 
 @dataclass(slots=True)
@@ -185,7 +193,9 @@
     for name, demand in demands.items():
         transient = max(demand.transient, demand.expected) * HEADROOM_FACTOR
         count = ceil((demand.lasting + transient) / typical) + SPARE_MACHINES
-        least = demand.min_machines + SPARE_MACHINES
+        leaving = sum(item.must_pass_on for item in pools[name].machines)
+        successors = min(leaving, MAX_SUCCESSORS)
+        least = demand.min_machines + SPARE_MACHINES + successors
         pools[name].desired = max(count + demand.reserve, least)
     return pools
 
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -63,6 +63,9 @@
     ) -> None:
         self.cordoned: set[str] = set()
         """Machines that get no new work because a wave takes them down next."""
+        self.due_for_maintenance: set[str] = set()
+        """Machines that get no lasting task if another one has room, as a wave takes
+        them down later."""
         self.changing_pool: set[str] = set()
         """Machines that get no new work because they are moving to another pool."""
         self.wanted_advice: list[AdviceQuery] = []
@@ -435,9 +438,7 @@
         for task in tasks:
             if not self._has_quota(workload.team, step, lease_table.usage_by_team):
                 break
-            chosen = pool.choose(
-                step, lambda item: limit.allows(item) and is_allowed(item), rack
-            )
+            chosen = self._choose(step, pool, limit, is_allowed, rack)
             if chosen is None:
                 break
             limit.count(chosen)
@@ -449,6 +450,63 @@
             planned.append(PlannedRun(run, placement))
         return planned
 
+    def _choose(
+        self,
+        step: Step,
+        pool: CandidatePool,
+        limit: "_SpreadLimit",
+        is_allowed: _Check,
+        rack: str,
+    ) -> Candidate | None:
+        """Choose an instance for a task; a lasting one avoids machines of a wave."""
+
+        def allows(item: Candidate) -> bool:
+            return limit.allows(item) and is_allowed(item)
+
+        if step.lasting and self.due_for_maintenance:
+            due = self.due_for_maintenance
+            chosen = pool.choose(
+                step,
+                lambda item: item.view.registered.machine not in due and allows(item),
+                rack,
+            )
+            if chosen is not None:
+                return chosen
+        return pool.choose(step, allows, rack)
+
+    def can_move(self, run: RunView, lease_table: LeaseTable, now: float) -> bool:
+        """Tell whether an instance that stays has room for the task of a run.
+
+        Parameters
+        ----------
+        run : RunView
+            Run of a lasting task.
+        lease_table : LeaseTable
+            Runs that may be going on.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the task can start there once the run is stopped.
+        """
+        workload = self._workloads.jobs.get(run.task.job)
+        if workload is None:
+            return False
+        service, step = self.find_service(workload), workload.steps[run.task.step]
+        limit = _SpreadLimit(step, run.task, lease_table)
+        for view in lease_table.instances.values():
+            registered = view.registered
+            if registered.service != service or not self._can_schedule_on(view, now):
+                continue
+            if registered.machine in self.due_for_maintenance:
+                continue
+            candidate = Candidate(view, registered.capacity - view.used)
+            if candidate.can_take(step) and limit.allows(candidate):
+                return True
+        return False
+
     def _plan_gang(
         self,
         workload: Workload,
--- a/tests/test_pooling.py
+++ b/tests/test_pooling.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from gypsumwalk.pooling import PoolDemand, PoolMachine, plan_moves
+from gypsumwalk.pooling import MAX_SUCCESSORS, PoolDemand, PoolMachine, plan_moves
 
 MACHINE_CPU = 32_000
 NEVER = float("inf")
@@ -100,5 +100,47 @@
         assert count_moves(plan_moves(machines, demands, "off", 1.0), "a") == 4
 
 
+class TestWaves(unittest.TestCase):
+    """Machines of a pool without a burst are due, and their lasting tasks have to move.
+
+    A pool that had shrunk to what its lasting tasks need had no machine to move them
+    to, so that its wave ended late.
+    """
+
+    def make_machines(self, *, due):
+        pool = make_pool("a", 9)
+        for machine in pool[:due]:
+            machine.must_pass_on = True
+        return [*pool, *make_pool("off", 6, idle_since=0.0)]
+
+    def test_the_pool_gets_a_machine_for_each_that_has_to_pass_on_its_tasks(self):
+        demands = {"a": PoolDemand(lasting=MACHINE_CPU, min_machines=8)}
+        for due in (0, 2, 4):
+            moves = plan_moves(self.make_machines(due=due), demands, "off", 10.0)
+            with self.subTest(due=due):
+                assert count_moves(moves, "a") == due
+
+    # The pool with the burst needs them more than the wave, which has time.
+    def test_it_gets_a_few_of_them_at_a_time(self):
+        demands = {"a": PoolDemand(lasting=MACHINE_CPU, min_machines=8)}
+        moves = plan_moves(self.make_machines(due=9), demands, "off", 10.0)
+        assert count_moves(moves, "a") == MAX_SUCCESSORS
+
+    def test_a_burst_in_another_pool_comes_first(self):
+        machines = [*self.make_machines(due=4), *make_pool("b", 1)]
+        demands = {
+            "a": PoolDemand(lasting=MACHINE_CPU, min_machines=8),
+            "b": PoolDemand(transient=20 * MACHINE_CPU),
+        }
+        moves = plan_moves(machines, demands, "off", 10.0)
+        assert [move.service for move in moves] == ["b"] * 6
+
+    def test_the_machines_go_once_the_tasks_have_moved(self):
+        machines = make_pool("a", 5) + make_pool("a", 3, idle_since=0.0, first=5)
+        demands = {"a": PoolDemand(lasting=MACHINE_CPU, min_machines=4)}
+        moves = plan_moves(machines, demands, "off", 10.0)
+        assert count_moves(moves, "off") == 3
+
+
 if __name__ == "__main__":
     unittest.main()
