Predict no burst from two bursts of one queue without a turn of another between

Change: the time between two bursts of a queue counts as its period only if another queue had a burst between them; a queue without others is predicted as before.

Test: test_an_interrupted_burst_is_no_turn fails before.

--- a/src/gypsumwalk/demand_forecast.py
+++ b/src/gypsumwalk/demand_forecast.py
@@ -138,10 +138,22 @@
         now -= self._offset
         self._update(queue, now)
         expected = max(_find_rate(queue, now), _extrapolate_rate(queue, now))
-        if _is_burst_near(queue, now):
+        if _is_burst_near(queue, now) and self._has_alternated(queue):
             expected = max(expected, queue.peak)
         return expected
 
+    def _has_alternated(self, queue: _Queue) -> bool:
+        """Return whether another queue had a burst between the last two of a queue.
+
+        Otherwise the two are one burst with an interruption, and the time between them
+        is not the time until the next one. A queue without others has no turns.
+        """
+        others = [item for item in self._queues.values() if item is not queue]
+        first, last = queue.starts
+        return not others or any(
+            first < start < last for item in others for start in item.starts
+        )
+
     def is_burst_due(self, service: str) -> bool:
         """Return whether a service is in a burst, or may have the next one.
 
--- a/tests/test_demand_forecast.py
+++ b/tests/test_demand_forecast.py
@@ -48,6 +48,21 @@
         assert forecast.find_expected("a", 40.0) == 0
         assert forecast.find_expected("a", 44.5) > 5 * WORK
 
+    # An interrupted burst held its machines for a third one, while the next queue had
+    # its burst and none of them.
+    def test_an_interrupted_burst_is_no_turn(self):
+        forecast = DemandForecast()
+        forecast.record_job("b", WORK, LOW_SLACK_SECONDS, 1.0)
+        for start in (10.0, 28.0):
+            self.record_burst(forecast, "a", start)
+        assert forecast.find_expected("a", 44.5) == 0
+
+    def test_a_turn_of_another_queue_between_two_bursts_shows_the_period(self):
+        forecast = DemandForecast()
+        for service, start in (("a", 10.0), ("b", 19.0), ("a", 28.0)):
+            self.record_burst(forecast, service, start)
+        assert forecast.find_expected("a", 44.5) > 5 * WORK
+
     def test_a_rate_is_seen_on_a_clock_that_differs_from_the_leaders(self):
         for offset in (-2.0, 2.0):
             forecast = DemandForecast()
