Withhold calls that a paused leader decided on, and bound what heartbeats bring

Here a call was sent as decided on, without a second look: a leader paused for 20 s between the decision and the sending sent a move of a machine or a stop of a run afterwards, which a machine that the next leader had not called yet would carry out, as it knew no higher fence. Starts and renewals were safe, as they name a time on the instance's clock. A call is now made only while this daemon still leads; otherwise it was certainly not carried out.

Names, addresses and labels of a heartbeat have bounds, as the replicated log holds them.

--- a/src/gypsumwalk/assembly.py
+++ b/src/gypsumwalk/assembly.py
@@ -166,6 +166,10 @@
             envelope.source, envelope.incarnation, envelope.sequence
         )
 
+    def may_call(self, now: float) -> bool:
+        """Return True, as these calls are guarded where they are decided on only."""
+        return True
+
     def is_ready(self, now: float) -> bool:
         """Return whether the daemon has caught up with the quorum since its start.
 
--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -96,6 +96,7 @@
             monitor=self._monitor,
             metrics=self._metrics,
             record=self._record,
+            may_call=self._assembly.may_call,
         )
         self._watchdog = ReceiveWatchdog()
         self._peers = self._make_peer_network()
--- a/src/gypsumwalk/drivers/factory.py
+++ b/src/gypsumwalk/drivers/factory.py
@@ -48,6 +48,10 @@
         """Return whether the daemon is ready for work."""
         ...
 
+    def may_call(self, now: float) -> bool:
+        """Return whether calls of the platform decided on before may still be made."""
+        ...
+
 
 class PlatformClient(Protocol):
     """Client of the platform's API."""
--- a/src/gypsumwalk/drivers/platform_calls.py
+++ b/src/gypsumwalk/drivers/platform_calls.py
@@ -33,6 +33,9 @@
         Metrics of the daemon.
     record : Callable
         Writes an event.
+    may_call : Callable
+        Tells, by the time in seconds, whether a call that was decided on before may
+        still be made.
     """
 
     def __init__(
@@ -44,6 +47,7 @@
         monitor: LoopMonitor,
         metrics: Metrics,
         record: Callable[[Record], None],
+        may_call: Callable[[float], bool],
     ) -> None:
         self._client = client
         self._inputs = inputs
@@ -51,16 +55,24 @@
         self._monitor = monitor
         self._metrics = metrics
         self._record = record
+        self._may_call = may_call
 
     async def run(self, effect: CallPlatform) -> None:
         """Execute one call; an unexpected error leaves its outcome unknown.
 
+        The process may have been paused since the call was decided on, and another
+        daemon may lead by now: the call is not made then.
+
         Parameters
         ----------
         effect : CallPlatform
             The call.
         """
         started = self._clock.now()
+        if not self._may_call(started):
+            self._metrics.count("platform_calls", outcome="withheld")
+            self._inputs.put(PlatformOutcome(effect.token, succeeded=False))
+            return
         self._monitor.begin_call()
         try:
             outcome = await self._client.call(effect)
--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -195,6 +195,10 @@
         """
         return self.dispatcher.is_active and now < self.consensus.lease_end
 
+    def may_call(self, now: float) -> bool:
+        """Return whether this daemon leads, as only the leader calls the platform."""
+        return self.dispatcher.is_leading(now)
+
     def is_ready(self, now: float) -> bool:
         """Return whether the daemon knows a leader."""
         return bool(self.consensus.leader) or self.consensus.holds_lease(now)
--- a/tests/test_availability.py
+++ b/tests/test_availability.py
@@ -1,9 +1,11 @@
 """Tests that lasting tasks are interrupted only within the budget of their step."""
 
 import unittest
+from unittest.mock import patch
 
 import msgspec
 
+from gypsumwalk.availability import AvailabilityBudget
 from gypsumwalk.declaration_records import (
     Declaration,
     DeclaredQueue,
@@ -111,6 +113,17 @@
             assert draining in list_used(world)
 
 
+class TestCheck(unittest.TestCase):
+    """A deliberate fault turns the checks above red."""
+
+    def test_a_budget_that_is_not_asked_is_seen(self):
+        world = make_world(tasks=3, instances=6)
+        with patch.object(AvailabilityBudget, "may_interrupt", return_value=True):
+            for number in list_used(world)[:2]:
+                drain(world, number)
+            assert find_least_running(world, 6.0) < 2
+
+
 class TestWaveOfManyLastingTasks(unittest.TestCase):
     """Half of a pool is due, and each budget allows one evacuation at a time."""
 
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -277,6 +277,15 @@
         content = msgspec.json.encode(body)
         return decode_control_call("POST", "/instances/i-1/heartbeat", content)
 
+    def test_a_heartbeat_too_large_for_the_log_registers_no_instance(self):
+        body = {"service": "s", "address": "10.0.0.1:80", "state": "ready", "born": 7}
+        for odd in ({"labels": ["x"] * 1000}, {"labels": ["x" * 10_000]}):
+            with self.subTest(odd=str(odd)[:20]), self.assertRaises(BadBoundary):
+                content = msgspec.json.encode(body | odd)
+                decode_control_call("POST", "/instances/i-1/heartbeat", content)
+        path = f"/instances/{'i' * 1000}/heartbeat"
+        assert decode_control_call("POST", path, msgspec.json.encode(body)) is None
+
     def test_numbers_with_thousands_of_digits_are_not_read(self):
         assert decode_control_call("GET", f"/wave-get/{LONG_NUMBER}", b"") is None
         assert parse_task(f"5c0e7a21d94b36f8.0.1.{LONG_NUMBER}") is None
@@ -325,6 +334,7 @@
             monitor=LoopMonitor(metrics, records.append),
             metrics=metrics,
             record=records.append,
+            may_call=lambda now: True,
         )
         trio.run(calls.run, CallPlatform("token", ListMachines(), 1.0))
         assert inputs == [PlatformOutcome("token", succeeded=False, unknown=True)]
