--- a/src/gypsumwalk/orphaned_runs.py
+++ b/src/gypsumwalk/orphaned_runs.py
@@ -17,8 +17,8 @@
 
 
 ANNOUNCEMENT_SECONDS = 4.0
-"""Time in which an instance is announced: it sends a heartbeat every 1.5 s, which goes to
-the next daemon if it is not acknowledged within a second."""
+"""Time in which an instance is announced: it sends a heartbeat every 1.5 s, which goes
+to the next daemon if it is not acknowledged within a second."""
 
 
 class OrphanedRuns:
