Look up a machine's runs in one place, and ask one way whether a run is lasting

`MachineDirectory.find_view` serves both controllers, and `RunView.is_lasting` both drains. Neither controller needs the workloads any more, so that argument goes, in the test's fixture too.

No change of behaviour is meant: a run carries `is_lasting` from its step when it is made.

--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -126,7 +126,6 @@
         maintenance_controller = MaintenanceController(
             daemon=settings.name,
             declarations=self.declarations,
-            workloads=self.workloads,
             upkeep=self.upkeep,
             dispatcher=self.dispatcher,
             scheduler=self.scheduler,
@@ -138,7 +137,6 @@
         pool_scaling_controller = PoolScalingController(
             daemon=settings.name,
             declarations=self.declarations,
-            workloads=self.workloads,
             upkeep=self.upkeep,
             dispatcher=self.dispatcher,
             scheduler=self.scheduler,
--- a/src/gypsumwalk/machine_directory.py
+++ b/src/gypsumwalk/machine_directory.py
@@ -7,6 +7,7 @@
 from gypsumwalk.events import Event
 from gypsumwalk.inputs import Input, PlatformOutcome
 from gypsumwalk.instance_actions import ListMachines, MachineInfo, MachineList
+from gypsumwalk.leases import InstanceView
 from gypsumwalk.workload_records import RegisteredInstance, RemoveInstance
 from gypsumwalk.workloads import WorkloadSection
 
@@ -132,3 +133,10 @@
     def find_instance(self, machine: str) -> RegisteredInstance | None:
         """Return the latest incarnation of the instance on a machine."""
         return self._workloads.find_latest_on_machine(machine)
+
+    def find_view(self, machine: str) -> InstanceView | None:
+        """Return what the leader knows of that incarnation and its runs."""
+        instance = self.find_instance(machine)
+        if instance is None:
+            return None
+        return self._dispatcher.lease_table.instances.get(instance.life)
--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -28,7 +28,6 @@
     UpkeepWave,
 )
 from gypsumwalk.workload_records import RemoveInstance, split_life
-from gypsumwalk.workloads import WorkloadSection
 
 __all__ = ["MaintenanceController", "find_concurrency"]
 
@@ -76,8 +75,6 @@
         Name of the daemon, which is the holder in its orders.
     declarations : DeclarationSection
         Declaration in force.
-    workloads : WorkloadSection
-        Jobs and instances.
     upkeep : UpkeepSection
         Maintenance waves.
     dispatcher : Dispatcher
@@ -100,7 +97,6 @@
         *,
         daemon: str,
         declarations: DeclarationSection,
-        workloads: WorkloadSection,
         upkeep: UpkeepSection,
         dispatcher: Dispatcher,
         scheduler: TaskScheduler,
@@ -110,7 +106,6 @@
     ) -> None:
         self._daemon = daemon
         self._declarations = declarations
-        self._workloads = workloads
         self._upkeep = upkeep
         self._dispatcher = dispatcher
         self._scheduler = scheduler
@@ -280,12 +275,7 @@
         return split_life(instance.life)[1] <= split_life(life)[1]
 
     def _list_runs(self, machine: str) -> list[RunView]:
-        instance = self._directory.find_instance(machine)
-        view = (
-            self._dispatcher.lease_table.instances.get(instance.life)
-            if instance
-            else None
-        )
+        view = self._directory.find_view(machine)
         return list(view.runs.values()) if view else []
 
     def _find_drain_cost(self, machine: str) -> tuple[bool, int]:
@@ -298,7 +288,7 @@
         for run in self._list_runs(machine):
             if run.is_stopping or run.state is not RunState.RUNNING:
                 continue
-            if self._is_lasting(run) and self._dispatcher.may_interrupt(run):
+            if run.is_lasting and self._dispatcher.may_interrupt(run):
                 effects += self._evacuate(run, machine, now)
         return effects
 
@@ -328,16 +318,12 @@
         record = Record(Event.RUN_EVACUATED, str(run.task), attributes)
         return [record, *self._dispatcher.stop(run, now)]
 
-    def _is_lasting(self, run: RunView) -> bool:
-        step = self._workloads.find_step(run.task)
-        return step is not None and step.lasting
-
     def _may_take_down(self, machine: str, is_urgent: bool) -> bool:
         info = self._directory.machines[machine]
         if info.state != "up":
             return False
         runs = self._list_runs(machine)
-        if any(self._is_lasting(run) for run in runs):
+        if any(run.is_lasting for run in runs):
             return False
         return is_urgent or not runs
 
--- a/src/gypsumwalk/pool_scaling_controller.py
+++ b/src/gypsumwalk/pool_scaling_controller.py
@@ -9,7 +9,6 @@
 from gypsumwalk.events import Event
 from gypsumwalk.inputs import Committed, Input, PlatformOutcome
 from gypsumwalk.instance_actions import MachineReport, MoveMachine
-from gypsumwalk.leases import InstanceView
 from gypsumwalk.machine_directory import MachineDirectory
 from gypsumwalk.order_cooldown import OrderCooldown
 from gypsumwalk.part import NEVER
@@ -23,7 +22,6 @@
 from gypsumwalk.task_scheduler import TaskScheduler
 from gypsumwalk.upkeep import OrderMoves, UpkeepSection
 from gypsumwalk.workload_records import RemoveInstance
-from gypsumwalk.workloads import WorkloadSection
 
 __all__ = ["PoolScalingController"]
 
@@ -61,8 +59,6 @@
         Name of the daemon, which is the holder in its orders.
     declarations : DeclarationSection
         Declaration in force.
-    workloads : WorkloadSection
-        Jobs and instances.
     upkeep : UpkeepSection
         Maintenance waves; machines that are down for one are not moved.
     dispatcher : Dispatcher
@@ -85,7 +81,6 @@
         *,
         daemon: str,
         declarations: DeclarationSection,
-        workloads: WorkloadSection,
         upkeep: UpkeepSection,
         dispatcher: Dispatcher,
         scheduler: TaskScheduler,
@@ -95,7 +90,6 @@
     ) -> None:
         self._daemon = daemon
         self._declarations = declarations
-        self._workloads = workloads
         self._upkeep = upkeep
         self._dispatcher = dispatcher
         self._scheduler = scheduler
@@ -226,15 +220,9 @@
     def _must_pass_on(self, machine: str) -> bool:
         if machine not in self._scheduler.due_for_maintenance:
             return False
-        view = self._find_view(machine)
+        view = self._directory.find_view(machine)
         return view is not None and any(run.is_lasting for run in view.runs.values())
 
-    def _find_view(self, machine: str) -> InstanceView | None:
-        instance = self._directory.find_instance(machine)
-        if instance is None:
-            return None
-        return self._dispatcher.lease_table.instances.get(instance.life)
-
     def _list_returned(self, now: float) -> set[str]:
         return {
             machine
@@ -244,7 +232,7 @@
         }
 
     def _update_idle_since(self, machine: str, now: float) -> float:
-        view = self._find_view(machine)
+        view = self._directory.find_view(machine)
         if view is not None and (view.runs or not view.is_responsive):
             self._idle_since.pop(machine, None)
             return NEVER
--- a/tests/test_maintenance_controller.py
+++ b/tests/test_maintenance_controller.py
@@ -35,7 +35,6 @@
     return MaintenanceController(
         daemon="a",
         declarations=mock.Mock(),
-        workloads=mock.Mock(),
         upkeep=mock.Mock(),
         dispatcher=mock.Mock(),
         scheduler=mock.Mock(),
