--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -230,6 +230,10 @@
                 return str(body.get("state", ""))
         return ""
 
+    def describe(self, job: str) -> Reply:
+        """Ask one entry for the state of a job."""
+        return self._call_entry(self.entries[0], "GET", job)
+
     def close(self) -> None:
         """End all processes and remove their files."""
         for process in self._processes.values():
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -93,6 +93,9 @@
         self.history: list[Run] = []
         self.acknowledged_at = float("-inf")
         """Seconds of the record of the last heartbeat that was acknowledged."""
+        self.crashes_at_start = False
+        """Whether it crashes for good as it receives an order to start a task."""
+        self.received_starts = 0
         self._host, self._port = host, 0
         self._service = service
         self._daemons = daemons
@@ -141,6 +144,7 @@
         """Report that the runner drains; return whether that was acknowledged."""
         with self._changed:
             self._state = "draining"
+        self._record.write(f"runner {self.name} drains")
         return self.send_heartbeat()
 
     def deregister(self) -> None:
@@ -239,6 +243,7 @@
                 self._extend_lease(life, body["deadline_ms"])
             match path:
                 case "/run-start":
+                    self._crash_if_due(body["task"])
                     return self._start(life, body)
                 case "/run-stop":
                     return self._stop(life, body)
@@ -253,6 +258,13 @@
         limit = self._read_clock() + MAX_HOLD_MS
         life.lease_until = max(life.lease_until, min(deadline, limit))
 
+    def _crash_if_due(self, task: str) -> None:
+        self.received_starts += 1
+        if self.crashes_at_start:
+            self._record.write(f"runner {self.name} crashes at the start of {task}")
+            threading.Thread(target=self.close, daemon=True).start()
+            raise ConnectionAbortedError
+
     def _start(self, life: _Life, body: dict[str, Any]) -> Reply:
         task, number = body["task"], body["run"]
         known = life.running.get(task)
