--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -216,7 +216,6 @@
         for number in range(6):
             entry = self.entries[number % len(self.entries)]
             status, _ = self._call_entry(entry, "POST", job, body)
-            self._record.write(f"client: POST {job} at {entry} answered {status}")
             if 200 <= status < 300:
                 break
             time.sleep(0.5)
@@ -230,10 +229,6 @@
                 return str(body.get("state", ""))
         return ""
 
-    def describe(self, job: str) -> Reply:
-        """Ask one entry for the state of a job."""
-        return self._call_entry(self.entries[0], "GET", job)
-
     def close(self) -> None:
         """End all processes and remove their files."""
         for process in self._processes.values():
@@ -259,7 +254,9 @@
         }
         path = f"{PREFIX}{job}"
         address = f"{host}:{self._port + 17}"
-        return call(address, method, path, body, headers=headers, timeout=3.5)
+        reply = call(address, method, path, body, headers=headers, timeout=3.5)
+        self._record.write(f"client: {method} {path} at {host} answered {reply}")
+        return reply
 
     def _read_command(self, role: str) -> list[str]:
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -199,11 +199,11 @@
             status, _ = call(
                 daemon, "POST", path, body, timeout=ACKNOWLEDGEMENT_SECONDS
             )
+            text = f"runner {self.name}: heartbeat ({body['state']}) at {daemon}"
+            self._record.write(f"{text} answered {status or 'nothing'}")
             if 200 <= status < 300:
                 self.acknowledged_at = self._record.now()
                 return True
-            text = f"runner {self.name}: no acknowledgement by {daemon} ({status})"
-            self._record.write(text)
             self._preferred = (self._preferred + 1) % len(self._daemons)
         return False
 
@@ -267,6 +267,7 @@
 
     def _start(self, life: _Life, body: dict[str, Any]) -> Reply:
         task, number = body["task"], body["run"]
+        self._record.write(f"runner {self.name} is told to start {task} run {number}")
         known = life.running.get(task)
         if known is not None and known.run == number:
             return self._answer(200, life)
@@ -278,11 +279,12 @@
         run = Run(task, number, self.name, now, now + float(body["spec"]))
         life.running[task] = run
         self.history.append(run)
-        self._record.write(f"runner {self.name} starts {task} run {number}")
+        self._record.write(f"runner {self.name} began {task} run {number}")
         return self._answer(200, life)
 
     def _stop(self, life: _Life, body: dict[str, Any]) -> Reply:
         task, number = body["task"], body["run"]
+        self._record.write(f"runner {self.name} is told to stop {task} run {number}")
         life.closed[task] = max(life.closed.get(task, 0), number)
         run = life.running.get(task)
         if run is not None and run.run <= number:
