Log ignored announcements and what a deregistration concerns

Cause: a heartbeat that is acknowledged without effect, because its life counts as ended, left no trace, and neither did a deregistration that concerned no life. So the logs could not tell whether a runner without work was removed, by whose call, or only got no work.

Change: events 5024 (an announcement is ignored) and 5025 (what a deregistration names and which life it concerns). No decision changes.

Measured: mypy and ruff pass; the tests of restarts, events and departing instances pass (14).

--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -234,6 +234,14 @@
     MACHINE_GONE = EventEntry(
         5023, Level.INFO, "the machine has left the fleet; wave {wave} waits no longer"
     )
+    ANNOUNCEMENT_IGNORED = EventEntry(
+        5024, Level.INFO, "the life announces itself, which changes nothing: {reason}"
+    )
+    INSTANCE_DEREGISTERED = EventEntry(
+        5025,
+        Level.INFO,
+        "the instance deregisters life {born} (0: none named), which concerns {life}",
+    )
     WAVE_STARTED = EventEntry(4201, Level.INFO, "run {run} of the wave started")
     WAVE_PAUSED = EventEntry(4202, Level.WARNING, "the wave is paused: {reason}")
 
--- a/src/gypsumwalk/fleet_call_handler.py
+++ b/src/gypsumwalk/fleet_call_handler.py
@@ -12,7 +12,7 @@
     find_errors,
 )
 from gypsumwalk.declarations import DeclarationSection
-from gypsumwalk.effects import Answer, Effect, Propose, Record, Respond
+from gypsumwalk.effects import Answer, Effect, Propose, Record, Respond, Scalar
 from gypsumwalk.events import Event
 from gypsumwalk.fleet_calls import (
     AnnounceInstanceCall,
@@ -145,7 +145,7 @@
         if isinstance(item.body, SubmitWorkloadCall) and self._join(item, item.body):
             return []
         if isinstance(item.body, AnnounceInstanceCall) and self._is_known(item.body):
-            return [Respond(item.call_id, Answer(200))]
+            return self._acknowledge_known(item, item.body)
         if not self._leadership.holds_lease(now):
             return [Respond(item.call_id, self._redirect_to_leader())]
         match item.body:
@@ -325,6 +325,16 @@
         known = self._workloads.instances.get(call.registered.life)
         return known is not None and known == self._merge_draining(call.registered)
 
+    def _acknowledge_known(
+        self, item: CallInput, call: AnnounceInstanceCall
+    ) -> list[Effect]:
+        acknowledgement = Respond(item.call_id, Answer(200))
+        if not self._workloads.is_superseded(call.registered):
+            return [acknowledgement]
+        attributes: dict[str, Scalar] = {"reason": "it has ended or was replaced"}
+        record = Record(Event.ANNOUNCEMENT_IGNORED, call.registered.life, attributes)
+        return [acknowledgement, record]
+
     def _merge_draining(self, registered: RegisteredInstance) -> RegisteredInstance:
         """Return an announcement that keeps the instance draining if it already is."""
         known = self._workloads.instances.get(registered.life)
@@ -337,10 +347,16 @@
     ) -> list[Effect]:
         life = self._workloads.find_latest_life(call.instance)
         if life is None or (call.born and life.born != call.born):
-            return [Respond(item.call_id, Answer(200))]
+            return [
+                Respond(item.call_id, Answer(200)),
+                _describe_deregistration(call, "none"),
+            ]
         reason = "it has deregistered"
         command = RemoveInstance(life.life, reason=reason, is_departing=True)
-        return self._propose(item, command, life.life)
+        return [
+            _describe_deregistration(call, life.life),
+            *self._propose(item, command, life.life),
+        ]
 
     def _propose(
         self,
@@ -427,6 +443,11 @@
         return Record(Event.FLEET_CALL_DECIDED, subject, attributes)
 
 
+def _describe_deregistration(call: LeaveInstanceCall, life: str) -> Effect:
+    attributes: dict[str, Scalar] = {"born": call.born, "life": life}
+    return Record(Event.INSTANCE_DEREGISTERED, call.instance, attributes)
+
+
 def _make_unknown_answer() -> Answer:
     detail = "the command may have been committed; repeat the same call"
     return refuse(ProblemType.OUTCOME_UNKNOWN, Outcome.UNKNOWN, detail)
