Apply a deregistration that names no life only to a life that can have sent it

Cause: a deregistration has no body and names an instance, not a life. One that a paused daemon passed on late was applied to the latest life, which had begun meanwhile.

Evidence: with the logs of all daemons kept, 5025 names no life and concerns the life that had begun 2.5 s before, and 5019 removes it. Ruled out: a late heartbeat that replaces the life (5024 shows that these are ignored), and a life that is registered but not used (no such event). That a removed life can't return is a fault of its own and stays as it is here.

Change: it is applied to a life that drains, as each does before it deregisters, and to the first life of an instance, as nobody else can have sent it. The log remembers first lives, so that every later leader decides alike. Otherwise it is acknowledged and the life gets no starts for 2 s; if it has left, it does not answer its next renewal. A deregistration that names its life concerns exactly that one.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -75,6 +75,10 @@
 START_BACKOFF_SECONDS = 1.0
 """Time for which an instance gets no starts after it refused one."""
 
+DEREGISTRATION_SECONDS = 2.0
+"""Time after a doubtful deregistration until an instance that has ended counts as
+silent; a renewal takes 1.8 s at most."""
+
 PROPOSAL_SECONDS = 2.0
 """Proposal timeout; a command not committed by then waits for a new leader."""
 
@@ -474,6 +478,12 @@
         """Tell whether the budget of a lasting step allows to stop one of its runs."""
         return self._availability.may_interrupt(run, self.lease_table)
 
+    def hold_starts(self, life: str, now: float) -> None:
+        """Send no starts to an instance for a time in which its end would show."""
+        view = self.lease_table.instances.get(life)
+        if view is not None:
+            view.start_backoff_until = now + DEREGISTRATION_SECONDS
+
     # Orders
 
     def _send_stop(self, run: RunView, now: float) -> list[Effect]:
--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -120,6 +120,7 @@
             declarations=self.declarations,
             workloads=self.workloads,
             upkeep=self.upkeep,
+            dispatcher=self.dispatcher,
         )
         directory = MachineDirectory(self.workloads, self.dispatcher)
         cooldown = OrderCooldown(settings.name)
--- a/src/gypsumwalk/fleet_call_handler.py
+++ b/src/gypsumwalk/fleet_call_handler.py
@@ -12,6 +12,7 @@
     find_errors,
 )
 from gypsumwalk.declarations import DeclarationSection
+from gypsumwalk.dispatcher import Dispatcher
 from gypsumwalk.effects import Answer, Effect, Propose, Record, Respond, Scalar
 from gypsumwalk.events import Event
 from gypsumwalk.fleet_calls import (
@@ -42,6 +43,7 @@
     RegisterInstance,
     RemoveInstance,
     Workload,
+    name_life,
 )
 from gypsumwalk.workloads import WorkloadSection
 
@@ -106,6 +108,8 @@
         Jobs and instances.
     upkeep : UpkeepSection
         Maintenance waves.
+    dispatcher : Dispatcher
+        Starts of runs on instances.
     """
 
     name = "desk"
@@ -119,11 +123,13 @@
         declarations: DeclarationSection,
         workloads: WorkloadSection,
         upkeep: UpkeepSection,
+        dispatcher: Dispatcher,
     ) -> None:
         self._leadership = leadership
         self._declarations = declarations
         self._workloads = workloads
         self._upkeep = upkeep
+        self._dispatcher = dispatcher
         self._pending: dict[str, _Pending] = {}
         self._submissions: dict[str, _Pending] = {}
         self._unsettled: dict[str, float] = {}
@@ -158,7 +164,7 @@
             case AnnounceInstanceCall() as announcement:
                 return self._register_instance(item, announcement)
             case LeaveInstanceCall() as leaving:
-                return self._remove_instance(item, leaving)
+                return self._remove_instance(item, leaving, now)
         return self._handle_operator_call(item)
 
     def _handle_operator_call(self, item: CallInput) -> list[Effect]:
@@ -343,21 +349,34 @@
         return msgspec.structs.replace(registered, draining=True)
 
     def _remove_instance(
-        self, item: CallInput, call: LeaveInstanceCall
+        self, item: CallInput, call: LeaveInstanceCall, now: float
     ) -> list[Effect]:
-        life = self._workloads.find_latest_life(call.instance)
-        if life is None or (call.born and life.born != call.born):
+        leaving = self._find_leaving(call)
+        if leaving is None:
             return [
                 Respond(item.call_id, Answer(200)),
                 _describe_deregistration(call, "none"),
             ]
+        if not call.born and not self._workloads.may_have_left(leaving):
+            # If this life is the one that left, it ends with the acknowledgement and
+            # counts as silent.
+            self._dispatcher.hold_starts(leaving.life, now)
+            return [
+                Respond(item.call_id, Answer(200)),
+                _describe_deregistration(call, f"{leaving.life} or an earlier one"),
+            ]
         reason = "it has deregistered"
-        command = RemoveInstance(life.life, reason=reason, is_departing=True)
+        command = RemoveInstance(leaving.life, reason=reason, is_departing=True)
         return [
-            _describe_deregistration(call, life.life),
-            *self._propose(item, command, life.life),
+            _describe_deregistration(call, leaving.life),
+            *self._propose(item, command, leaving.life),
         ]
 
+    def _find_leaving(self, call: LeaveInstanceCall) -> RegisteredInstance | None:
+        if call.born:
+            return self._workloads.instances.get(name_life(call.instance, call.born))
+        return self._workloads.find_latest_life(call.instance)
+
     def _propose(
         self,
         item: CallInput,
--- /dev/null
+++ b/src/gypsumwalk/life_history.py
@@ -0,0 +1,50 @@
+"""What the log says of the lives (incarnations) of an instance, also of ended ones."""
+
+import msgspec
+
+__all__ = ["LifeHistory", "PastLives"]
+
+MAX_INSTANCES = 20_000
+"""Instances that are remembered, three times those of the largest fleet planned for."""
+
+
+class PastLives(msgspec.Struct, frozen=True, array_like=True):
+    """Lives of one instance, as their starts in milliseconds since the epoch.
+
+    Attributes
+    ----------
+    first : int
+        The life that was registered first.
+    """
+
+    first: int
+
+
+class LifeHistory:
+    """Lives of the instances that were registered last."""
+
+    def __init__(self) -> None:
+        self._past: dict[str, PastLives] = {}
+
+    def note_registration(self, instance: str, born: int) -> None:
+        """Note a life that is registered."""
+        self._store(instance, self._past.get(instance, PastLives(born)))
+
+    def is_first(self, instance: str, born: int) -> bool:
+        """Tell whether a life is known to be the first one of its instance."""
+        past = self._past.get(instance)
+        return past is not None and past.first == born
+
+    def dump(self) -> dict[str, PastLives]:
+        """Return the content, the latest registration last."""
+        return self._past
+
+    def load(self, content: dict[str, PastLives]) -> None:
+        """Replace the content by a dump."""
+        self._past = content
+
+    def _store(self, instance: str, past: PastLives) -> None:
+        self._past.pop(instance, None)
+        self._past[instance] = past
+        if len(self._past) > MAX_INSTANCES:
+            del self._past[next(iter(self._past))]
--- a/src/gypsumwalk/workload_records.py
+++ b/src/gypsumwalk/workload_records.py
@@ -23,6 +23,7 @@
     "TaskRecord",
     "Workload",
     "WorkloadState",
+    "name_life",
     "split_life",
 ]
 
@@ -343,7 +344,7 @@
     @property
     def life(self) -> str:
         """Identifier of this life."""
-        return f"{self.instance}@{self.born}"
+        return name_life(self.instance, self.born)
 
     @property
     def rack(self) -> str:
@@ -351,6 +352,11 @@
         return self.labels[-1] if self.labels else ""
 
 
+def name_life(instance: str, born: int) -> str:
+    """Return the identifier of a life of an instance, as ``split_life`` reads it."""
+    return f"{instance}@{born}"
+
+
 def split_life(life: str) -> tuple[str, int]:
     """Return the identifier of an instance and the start of one of its lives.
 
--- a/src/gypsumwalk/workloads.py
+++ b/src/gypsumwalk/workloads.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from gypsumwalk.life_history import LifeHistory, PastLives
 from gypsumwalk.state import Accepted, Rejected
 from gypsumwalk.workload_records import (
     AcceptWorkload,
@@ -39,6 +40,7 @@
     instances: list[RegisteredInstance]
     term: int
     last_born: dict[str, int]
+    past: dict[str, PastLives] = {}
 
 
 class _LifeIndex:
@@ -92,6 +94,7 @@
         self._ended_at: dict[str, float] = {}
         self._term = 0
         self._last_born: dict[str, int] = {}
+        self._history = LifeHistory()
         self._waiting: Counter[str] = Counter()
         self._by_instance = _LifeIndex()
         self._by_address = _LifeIndex()
@@ -136,6 +139,15 @@
         """Tell whether a later life has taken the address or this life has ended."""
         return instance.born < self._last_born.get(instance.address, 0)
 
+    def may_have_left(self, instance: RegisteredInstance) -> bool:
+        """Tell whether a deregistration that names no life may only be this life's.
+
+        An instance drains before it deregisters, and the deregistration of an earlier
+        life may arrive late.
+        """
+        is_first = self._history.is_first(instance.instance, instance.born)
+        return instance.draining or is_first
+
     def list_placements(self) -> Iterable[Placement]:
         """Return the placement of every run that may be going on."""
         for workload in self.jobs.values():
@@ -158,7 +170,7 @@
         jobs = [self.jobs[job] for job in sorted(self.jobs)]
         instances = [self.instances[life] for life in sorted(self.instances)]
         return msgspec.msgpack.encode(
-            _Dump(jobs, instances, self._term, self._last_born)
+            _Dump(jobs, instances, self._term, self._last_born, self._history.dump())
         )
 
     def load(self, content: bytes) -> None:
@@ -181,6 +193,11 @@
             index.clear()
         for instance in dump.instances:
             self._store(instance)
+        self._history.load(dump.past)
+        if not dump.past:
+            # Snapshots of earlier versions have no history.
+            for instance in dump.instances:
+                self._history.note_registration(instance.instance, instance.born)
         self._term = dump.term
         self._last_born = dump.last_born
 
@@ -301,6 +318,7 @@
             if _is_superseded_by(other, instance):
                 self._discard(other.life)
         self._store(instance)
+        self._history.note_registration(instance.instance, instance.born)
         self._last_born[instance.address] = instance.born
 
     def _remove(self, life: str, *, left: bool) -> None:
