Plan tasks again once an instance takes starts after a refusal

An accepted job with two tasks left waited for more than 90 s beside an idle instance.

Cause: an instance gets no starts for 1 s after it refused one, and for 2 s after a doubtful deregistration. The pass over the ready tasks that ran in that time found no room, and the end of that time asked for no other one. The next pass came with the next event, if there was one.

Ruled out: an instance that does not answer, and runs that hold its room (none in the lease table).

Change: the tick that ends such a time asks for a pass.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -505,6 +505,7 @@
             if now >= view.renewal_due:
                 effects += self._renew(view, now)
             effects += self._check_unresponsive(view, now)
+            self._end_start_backoff(view, now)
         effects += self._resend_orders(now)
         effects += self._stop_lasting_on_draining(now)
         effects += self._check_departures(now)
@@ -514,6 +515,11 @@
             self.request_scheduling_pass(now)
         return effects
 
+    def _end_start_backoff(self, view: InstanceView, now: float) -> None:
+        if view.start_backoff_until and now >= view.start_backoff_until:
+            view.start_backoff_until = 0.0
+            self.request_scheduling_pass(now)
+
     def _check_unresponsive(self, view: InstanceView, now: float) -> list[Effect]:
         if not view.silent_since:
             return []
--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -188,7 +188,8 @@
     has_pending_ends : bool
         Whether listed ends wait to be committed.
     start_backoff_until : float
-        Time in seconds until which no start is sent, after the instance refused one.
+        Time in seconds until which no start is sent, after the instance refused one or
+        may have left; 0 without such a time.
     is_contended : bool
         Whether fillers share the instance with tasks that have a latency target, so
         that run lists are requested more often.
