Let a life that was removed by mistake return once it answers

Cause: a removal bars the life, so that a late heartbeat can't register an ended one again, and nothing ever lifted the bar. So every wrong removal was for good: by a late deregistration, by another writer's heartbeat with a later start, by an order on a machine or a list that was out of date, or where a machine's clock was set back.

Evidence: 5019 once and then 5024 from the leader itself for each heartbeat of the life. Ruled out: heartbeats that reach only a daemon without the removal (5024 comes from the leader), and repeated removals (one 5019 for each life).

Change: the leader asks a barred life that it hears from for its runs, if no life is registered at its address, at most once a second and without a lease. If it answers with its own start, it is registered again. A heartbeat alone still brings nothing back, and a life that drained as it was removed never returns, which the log remembers.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -188,6 +188,11 @@
         """Term in which this daemon is the leader, 0 if it is not."""
         return self._term
 
+    @property
+    def latest_fence(self) -> int:
+        """The highest fence of an instance's life in the term of this leader."""
+        return self._orders.latest_fence
+
     def is_leading(self, now: float) -> bool:
         """Tell whether this daemon holds the leader lease of a term not fenced off."""
         leads = self._leadership.holds_lease(now)
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -242,6 +242,9 @@
         Level.INFO,
         "the instance deregisters life {born} (0: none named), which concerns {life}",
     )
+    INSTANCE_RETURNED = EventEntry(
+        5026, Level.WARNING, "the removed life answers at {address} and is registered"
+    )
     WAVE_STARTED = EventEntry(4201, Level.INFO, "run {run} of the wave started")
     WAVE_PAUSED = EventEntry(4202, Level.WARNING, "the wave is paused: {reason}")
 
--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -11,6 +11,7 @@
 from gypsumwalk.demand_forecast import DemandForecast
 from gypsumwalk.dispatcher import Dispatcher
 from gypsumwalk.fleet_call_handler import FleetCallHandler
+from gypsumwalk.life_checks import LifeChecks
 from gypsumwalk.machine_directory import MachineDirectory
 from gypsumwalk.maintenance_controller import MaintenanceController
 from gypsumwalk.node import Node
@@ -115,12 +116,14 @@
             max_lease=limits.max_lease,
             stop_grace=limits.stop_grace,
         )
+        life_checks = LifeChecks(self.dispatcher)
         self.call_handler = FleetCallHandler(
             leadership=self.consensus,
             declarations=self.declarations,
             workloads=self.workloads,
             upkeep=self.upkeep,
             dispatcher=self.dispatcher,
+            life_checks=life_checks,
         )
         directory = MachineDirectory(self.workloads, self.dispatcher)
         cooldown = OrderCooldown(settings.name)
@@ -159,6 +162,7 @@
             self.consensus,
             WorkloadObserver(self.scheduler, forecast),
             self.call_handler,
+            life_checks,
             self.dispatcher,
             directory,
             maintenance_controller,
--- a/src/gypsumwalk/fleet_call_handler.py
+++ b/src/gypsumwalk/fleet_call_handler.py
@@ -32,6 +32,7 @@
     WorkloadAnswer,
 )
 from gypsumwalk.inputs import CallInput, Input, ProposalOutcome, ProposalStatus
+from gypsumwalk.life_checks import LifeChecks
 from gypsumwalk.part import NEVER
 from gypsumwalk.problems import Outcome, ProblemType, refuse
 from gypsumwalk.upkeep import StartUpkeep, UpkeepSection
@@ -110,6 +111,8 @@
         Maintenance waves.
     dispatcher : Dispatcher
         Starts of runs on instances.
+    life_checks : LifeChecks
+        Calls to lives that were removed and are heard from.
     """
 
     name = "desk"
@@ -124,12 +127,14 @@
         workloads: WorkloadSection,
         upkeep: UpkeepSection,
         dispatcher: Dispatcher,
+        life_checks: LifeChecks,
     ) -> None:
         self._leadership = leadership
         self._declarations = declarations
         self._workloads = workloads
         self._upkeep = upkeep
         self._dispatcher = dispatcher
+        self._life_checks = life_checks
         self._pending: dict[str, _Pending] = {}
         self._submissions: dict[str, _Pending] = {}
         self._unsettled: dict[str, float] = {}
@@ -162,7 +167,7 @@
             case CountWaitingCall() as count:
                 return [Respond(item.call_id, self._count_waiting(item, count))]
             case AnnounceInstanceCall() as announcement:
-                return self._register_instance(item, announcement)
+                return self._register_instance(item, announcement, now)
             case LeaveInstanceCall() as leaving:
                 return self._remove_instance(item, leaving, now)
         return self._handle_operator_call(item)
@@ -315,8 +320,13 @@
         return Answer(200, UpkeepAnswer(self._upkeep.is_completed(wave)))
 
     def _register_instance(
-        self, item: CallInput, call: AnnounceInstanceCall
+        self, item: CallInput, call: AnnounceInstanceCall, now: float
     ) -> list[Effect]:
+        if self._workloads.is_superseded(call.registered):
+            return [
+                *self._ignore_announcement(item, call),
+                *self._life_checks.check(call.registered, now),
+            ]
         registered = self._merge_draining(call.registered)
         return self._propose(item, RegisterInstance(registered), registered.life)
 
@@ -327,19 +337,25 @@
         committed, so such an announcement needs no leader.
         """
         if self._workloads.is_superseded(call.registered):
-            return True
+            return not self._workloads.may_return(call.registered)
         known = self._workloads.instances.get(call.registered.life)
         return known is not None and known == self._merge_draining(call.registered)
 
     def _acknowledge_known(
         self, item: CallInput, call: AnnounceInstanceCall
     ) -> list[Effect]:
-        acknowledgement = Respond(item.call_id, Answer(200))
-        if not self._workloads.is_superseded(call.registered):
-            return [acknowledgement]
+        if self._workloads.is_superseded(call.registered):
+            return self._ignore_announcement(item, call)
+        return [Respond(item.call_id, Answer(200))]
+
+    def _ignore_announcement(
+        self, item: CallInput, call: AnnounceInstanceCall
+    ) -> list[Effect]:
         attributes: dict[str, Scalar] = {"reason": "it has ended or was replaced"}
-        record = Record(Event.ANNOUNCEMENT_IGNORED, call.registered.life, attributes)
-        return [acknowledgement, record]
+        return [
+            Respond(item.call_id, Answer(200)),
+            Record(Event.ANNOUNCEMENT_IGNORED, call.registered.life, attributes),
+        ]
 
     def _merge_draining(self, registered: RegisteredInstance) -> RegisteredInstance:
         """Return an announcement that keeps the instance draining if it already is."""
--- a/src/gypsumwalk/life_history.py
+++ b/src/gypsumwalk/life_history.py
@@ -15,9 +15,12 @@
     ----------
     first : int
         The life that was registered first.
+    departed : int
+        The latest one that was removed while it drained, 0 before.
     """
 
     first: int
+    departed: int = 0
 
 
 class LifeHistory:
@@ -30,6 +33,16 @@
         """Note a life that is registered."""
         self._store(instance, self._past.get(instance, PastLives(born)))
 
+    def note_departure(self, instance: str, born: int) -> None:
+        """Note a life that was removed while it drained."""
+        first = self._past[instance].first if instance in self._past else born
+        self._store(instance, PastLives(first, departed=born))
+
+    def has_departed(self, instance: str, born: int) -> bool:
+        """Tell whether a life was the latest to be removed while it drained."""
+        past = self._past.get(instance)
+        return past is not None and past.departed == born
+
     def is_first(self, instance: str, born: int) -> bool:
         """Tell whether a life is known to be the first one of its instance."""
         past = self._past.get(instance)
--- a/src/gypsumwalk/run_orders.py
+++ b/src/gypsumwalk/run_orders.py
@@ -83,6 +83,11 @@
         """Upper bound in seconds of the time until a lease granted now has expired."""
         return self._lease_seconds / (1 - CLOCK_RATE_ERROR) + LEASE_MARGIN_SECONDS
 
+    @property
+    def latest_fence(self) -> int:
+        """The highest fence given to a life in this term."""
+        return self._term * LIVES_PER_TERM + self._life_count
+
     def begin_term(self, term: int) -> None:
         """Discard the pending orders and use the fences of a new term."""
         self._term = term
@@ -96,8 +101,7 @@
         orders meant for a former life as soon as it has been called.
         """
         self._life_count += 1
-        fence = self._term * LIVES_PER_TERM + self._life_count
-        return InstanceView(registered, fence=fence, renewal_due=now)
+        return InstanceView(registered, fence=self.latest_fence, renewal_due=now)
 
     def close(self, token: str) -> OpenOrder | None:
         """Remove and return the order that an outcome belongs to."""
--- a/src/gypsumwalk/workload_records.py
+++ b/src/gypsumwalk/workload_records.py
@@ -375,9 +375,18 @@
 
 
 class RegisterInstance(msgspec.Struct, frozen=True, tag=True):
-    """Command: register a life of an instance, or update its registration."""
+    """Command: register a life of an instance, or update its registration.
+
+    Attributes
+    ----------
+    instance : RegisteredInstance
+        The life.
+    has_answered : bool
+        Whether the life has answered since it was heard from, so that it has not ended.
+    """
 
     instance: RegisteredInstance
+    has_answered: bool = False
 
 
 class RemoveInstance(msgspec.Struct, frozen=True, tag=True):
--- a/src/gypsumwalk/workloads.py
+++ b/src/gypsumwalk/workloads.py
@@ -116,8 +116,8 @@
             case EndRuns(ends=ends):
                 for end in ends:
                     self._end_run(end, at)
-            case RegisterInstance(instance=instance):
-                self._register(instance)
+            case RegisterInstance(instance=instance, has_answered=has_answered):
+                self._register(instance, has_answered=has_answered)
             case RemoveInstance(life=life, left=left):
                 self._remove(life, left=left)
         return Accepted(index)
@@ -136,9 +136,24 @@
         return workload.steps[task.step] if workload else None
 
     def is_superseded(self, instance: RegisteredInstance) -> bool:
-        """Tell whether a later life has taken the address or this life has ended."""
+        """Tell whether a life was removed, or another one has taken its address."""
+        known = self.instances.get(instance.life)
+        if known is not None and known.address == instance.address:
+            return False
+        if self._history.has_departed(instance.instance, instance.born):
+            return True
         return instance.born < self._last_born.get(instance.address, 0)
 
+    def may_return(self, instance: RegisteredInstance) -> bool:
+        """Tell whether a superseded life may go on, so that it has to be asked.
+
+        It may have been removed by mistake. A life that drained gets no work any more,
+        and an address with a registered life is called anyway.
+        """
+        if self._history.has_departed(instance.instance, instance.born):
+            return False
+        return not self._by_address.list_lives(instance.address)
+
     def may_have_left(self, instance: RegisteredInstance) -> bool:
         """Tell whether a deregistration that names no life may only be this life's.
 
@@ -304,8 +319,9 @@
         self._waiting[workload.queue] -= workload.state is WorkloadState.QUEUED
         workload.state = state
 
-    def _register(self, instance: RegisteredInstance) -> None:
-        if self.is_superseded(instance):
+    def _register(self, instance: RegisteredInstance, *, has_answered: bool) -> None:
+        may_return = has_answered and self.may_return(instance)
+        if self.is_superseded(instance) and not may_return:
             return
         known = self.instances.get(instance.life)
         if known is not None and known.draining and not instance.draining:
@@ -319,15 +335,20 @@
                 self._discard(other.life)
         self._store(instance)
         self._history.note_registration(instance.instance, instance.born)
-        self._last_born[instance.address] = instance.born
+        self._bar_lives_before(instance.address, instance.born)
 
     def _remove(self, life: str, *, left: bool) -> None:
         instance = self._discard(life)
-        if instance is None or not left:
+        if instance is None:
             return
-        # A delayed announcement of a life that has ended must not register it again.
-        born = max(instance.born + 1, self._last_born.get(instance.address, 0))
-        self._last_born[instance.address] = born
+        if instance.draining:
+            self._history.note_departure(instance.instance, instance.born)
+        if left:
+            # A delayed announcement must not register a life that has ended again.
+            self._bar_lives_before(instance.address, instance.born + 1)
+
+    def _bar_lives_before(self, address: str, born: int) -> None:
+        self._last_born[address] = max(born, self._last_born.get(address, 0))
 
     def _store(self, instance: RegisteredInstance) -> None:
         known = self.instances.get(instance.life)
