--- a/src/gypsumwalk/workloads.py
+++ b/src/gypsumwalk/workloads.py
@@ -116,8 +116,8 @@
             case EndRuns(ends=ends):
                 for end in ends:
                     self._end_run(end, at)
-            case RegisterInstance(instance=instance, has_answered=has_answered):
-                self._register(instance, has_answered=has_answered)
+            case RegisterInstance():
+                self._apply_registration(command)
             case RemoveInstance(life=life, left=left):
                 self._remove(life, left=left)
         return Accepted(index)
@@ -319,10 +319,12 @@
         self._waiting[workload.queue] -= workload.state is WorkloadState.QUEUED
         workload.state = state
 
-    def _register(self, instance: RegisteredInstance, *, has_answered: bool) -> None:
-        may_return = has_answered and self.may_return(instance)
-        if self.is_superseded(instance) and not may_return:
-            return
+    def _apply_registration(self, command: RegisterInstance) -> None:
+        may_return = command.has_answered and self.may_return(command.instance)
+        if may_return or not self.is_superseded(command.instance):
+            self._register(command.instance)
+
+    def _register(self, instance: RegisteredInstance) -> None:
         known = self.instances.get(instance.life)
         if known is not None and known.draining and not instance.draining:
             instance = msgspec.structs.replace(instance, draining=True)
