--- a/tests/_fleet_work.py
+++ b/tests/_fleet_work.py
@@ -192,6 +192,10 @@
     def get_leader(self):
         return self.assemblies[self.find_leader()]
 
+    def list_lives(self):
+        """Return the lives of instances that are registered with the leader."""
+        return set(self.get_leader().workloads.instances)
+
     def begin(self, **declared):
         assert self.run_until(self.find_leader, within=10.0)
         self.declare(make_declaration(**declared))
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -31,8 +31,6 @@
 CALM_SECONDS = 10.0
 """Shorter than a silent life stays registered, so that one that was revived shows."""
 
-JOB_SECONDS = 30.0
-
 
 class Schedule:
     """World whose instances restart while calls of their ended lives arrive."""
@@ -177,7 +175,7 @@
     def find_violations(self):
         world = self.world
         world.model.advance(world.now)
-        registered = set(world.get_leader().workloads.instances)
+        registered = world.list_lives()
         live = {
             item.registered.life
             for item in world.model.instances.values()
--- a/tests/test_late_deregistrations.py
+++ b/tests/test_late_deregistrations.py
@@ -22,26 +22,20 @@
 """Time after which an instance that has ended gets no starts."""
 
 
-def list_lives(world):
-    return set(world.get_leader().workloads.instances)
-
-
 def drain(world, number):
-    """Announce that an instance drains, and return its registration."""
+    """Announce that an instance drains."""
     registered = world.get_instance(number).registered
     draining = msgspec.structs.replace(registered, draining=True)
     assert world.ask(AnnounceInstanceCall(draining)).status == 200
-    return draining
 
 
 def restart(world, number, life=2):
     """Restart an instance as planned; nobody hears its deregistration."""
-    ended = drain(world, number)
+    drain(world, number)
     world.model.crash(world.get_instance(number), world.now)
     world.run(SHORT_SECONDS)
     world.start_instance(number, life=life)
     world.run(2.0)
-    return ended
 
 
 def deregister(world, number, born=0):
@@ -68,7 +62,7 @@
         for number in range(2):
             deregister(world, number)
         world.run(3.0)
-        assert list_lives(world) == {"i-0@1002", "i-1@1002"}
+        assert world.list_lives() == {"i-0@1002", "i-1@1002"}
         world.submit(JOB)
         assert world.await_state(JOB, "completed", within=3.0)
 
@@ -91,7 +85,7 @@
             deregister(world, 0)
             deregister(world, 0)
         world.run(3.0)
-        assert list_lives(world) == {"i-0@1004"}
+        assert world.list_lives() == {"i-0@1004"}
         world.submit(JOB)
         assert world.await_state(JOB, "completed", within=3.0)
 
@@ -113,20 +107,20 @@
         restart(world, 0)
         drain(world, 0)
         deregister(world, 0)
-        assert list_lives(world) == {"i-1@1001"}
+        assert world.list_lives() == {"i-1@1001"}
 
     def test_a_life_that_names_itself_leaves_with_its_deregistration(self):
         world = FleetWorld(instances=2)
         world.begin()
         restart(world, 0)
         deregister(world, 0, born=1002)
-        assert list_lives(world) == {"i-1@1001"}
+        assert world.list_lives() == {"i-1@1001"}
 
     def test_the_first_life_of_an_instance_leaves_without_a_drain(self):
         world = FleetWorld(instances=2)
         world.begin()
         deregister(world, 0)
-        assert list_lives(world) == {"i-1@1001"}
+        assert world.list_lives() == {"i-1@1001"}
 
     # The drain was not heard, so that the departure of a second life is in doubt.
     def test_a_doubtful_departure_leaves_no_task_on_an_ended_life(self):
--- a/tests/test_life_checks.py
+++ b/tests/test_life_checks.py
@@ -37,14 +37,10 @@
 )
 
 
-def list_lives(world):
-    return set(world.get_leader().workloads.instances)
-
-
 def remove(world, life, **fields):
     """Commit the removal of a life, as a leader with wrong information does."""
     world.propose(world.find_leader(), RemoveInstance(life, **fields))
-    assert world.run_until(lambda: life not in list_lives(world), within=1.0)
+    assert world.run_until(lambda: life not in world.list_lives(), within=1.0)
 
 
 def count_returns(world):
@@ -65,7 +61,7 @@
                 world.begin()
                 remove(world, "i-0@1001", reason=reason)
                 world.run(RETURN_SECONDS)
-                assert list_lives(world) == {"i-0@1001"}
+                assert world.list_lives() == {"i-0@1001"}
                 world.submit(JOB)
                 assert world.await_state(JOB, "completed", within=3.0)
                 assert count_returns(world) == 1
@@ -105,10 +101,10 @@
                 )
                 world.ask(AnnounceInstanceCall(odd, 1))
                 world.run(RETURN_SECONDS)
-                assert registered.life in list_lives(world)
+                assert registered.life in world.list_lives()
                 world.ask(AnnounceInstanceCall(odd, 2))
                 world.run(RETURN_SECONDS)
-                assert registered.life in list_lives(world)
+                assert registered.life in world.list_lives()
                 world.submit(JOB)
                 assert world.await_state(JOB, "completed", within=3.0)
 
@@ -121,7 +117,7 @@
         world.run(RETURN_SECONDS)
         world.start_instance(0, life=50)
         world.run(2 * RETURN_SECONDS)
-        assert list_lives(world) == {"i-0@1050"}
+        assert world.list_lives() == {"i-0@1050"}
         world.submit(JOB)
         assert world.await_state(JOB, "completed", within=3.0)
 
@@ -131,7 +127,7 @@
         for _ in range(3):
             remove(world, "i-0@1001")
             world.run(RETURN_SECONDS)
-            assert list_lives(world) == {"i-0@1001"}
+            assert world.list_lives() == {"i-0@1001"}
         leader = world.get_leader()
         copy = WorkloadSection()
         copy.load(leader.workloads.dump())
@@ -145,7 +141,7 @@
         life = world.model.history[0].life
         remove(world, life, is_departing=True)
         world.run(2 * RETURN_SECONDS)
-        assert life in list_lives(world)
+        assert life in world.list_lives()
         assert len(world.model.history) == 2
         assert find_duplicate_runs(world.model.history) == []
 
@@ -165,7 +161,7 @@
                 world.model.crash(world.get_instance(0), world.now)
                 remove(world, registered.life, reason=reason)
                 self.announce(world, registered)
-                assert list_lives(world) == {"i-1@1001"}
+                assert world.list_lives() == {"i-1@1001"}
 
     def test_late_heartbeats_revive_nothing_while_the_next_life_answers(self):
         world = FleetWorld(instances=1)
@@ -177,7 +173,7 @@
         self.announce(world, registered)
         world.get_instance(0).is_silent = False
         self.announce(world, registered)
-        assert list_lives(world) == {"i-0@1002"}
+        assert world.list_lives() == {"i-0@1002"}
 
     # It deregistered, and answers until it has ended.
     def test_a_life_that_drained_does_not_return_even_if_it_answers(self):
@@ -189,10 +185,10 @@
         world.ask(LeaveInstanceCall("i-0"))
         self.announce(world, registered)
         self.announce(world, draining)
-        assert list_lives(world) == {"i-1@1001"}
+        assert world.list_lives() == {"i-1@1001"}
         world.lose_power()
         self.announce(world, registered)
-        assert list_lives(world) == {"i-1@1001"}
+        assert world.list_lives() == {"i-1@1001"}
 
     def test_one_call_a_second_goes_to_a_life_however_often_it_is_heard_from(self):
         world = FleetWorld(instances=1)
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -12,16 +12,12 @@
 UNAUTHORIZED = 401
 
 
-def list_instances(world):
-    return set(world.get_leader().workloads.instances)
-
-
 class TestDepartedInstance(unittest.TestCase):
     def leave(self, world, number):
         """Deregister an instance, which ends, and return its last heartbeat."""
         instance = world.get_instance(number)
         registered = instance.registered
-        assert registered.life in list_instances(world)
+        assert registered.life in world.list_lives()
         world.model.crash(instance, world.now)
         answer = world.ask(LeaveInstanceCall(registered.instance, registered.born))
         assert answer.status == 200
@@ -33,7 +29,7 @@
         registered = self.leave(world, 2)
         world.ask(AnnounceInstanceCall(registered, 1))
         world.run(1.0)
-        assert registered.life not in list_instances(world)
+        assert registered.life not in world.list_lives()
 
     def test_a_delayed_heartbeat_does_not_bring_it_back_after_a_restart_of_all(self):
         for seed in range(3):
@@ -45,7 +41,7 @@
                 assert world.run_until(world.find_leader, within=10.0)
                 world.ask(AnnounceInstanceCall(registered, 1))
                 world.run(1.0)
-                assert registered.life not in list_instances(world)
+                assert registered.life not in world.list_lives()
 
     def test_no_task_is_started_on_it_after_a_change_of_leader(self):
         world = FleetWorld(instances=2)
