Log why a write to the disk failed

Event 2004 said that a write failed, not how.

Change: the outcome of a write carries the reason of its failure, and event 2004 names it.

--- a/src/gypsumwalk/consensus.py
+++ b/src/gypsumwalk/consensus.py
@@ -339,7 +339,8 @@
         effects = self._replica.storage.complete(item.token, item.succeeded)
         if item.succeeded:
             return effects + self._follower.report_synced(self._leader)
-        effects.append(Record(Event.DISK_FAILED, self._daemon))
+        detail: dict[str, Scalar] = {"reason": item.reason or "unknown"}
+        effects.append(Record(Event.DISK_FAILED, self._daemon, detail))
         return effects + self._step_down("disk write failed")
 
     def _handle_message(self, item: PeerInput, now: float) -> list[Effect]:
--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -209,19 +209,20 @@
     async def _write_disk(self) -> None:
         async for write in self._writes:
             started = self._clock.now()
-            succeeded = await trio.to_thread.run_sync(self._write_blocking, write)
-            self._metrics.count("disk_writes", outcome=_name_outcome(succeeded))
+            outcome = await trio.to_thread.run_sync(self._write_blocking, write)
+            name = _name_outcome(outcome.succeeded)
+            self._metrics.count("disk_writes", outcome=name)
             self._metrics.observe_latency("disk_write", self._clock.now() - started)
-            self._inputs.put(DiskOutcome(write.token, succeeded))
+            self._inputs.put(outcome)
 
-    def _write_blocking(self, write: WriteDisk) -> bool:
+    def _write_blocking(self, write: WriteDisk) -> DiskOutcome:
         if self._disk is None:
-            return False
+            return DiskOutcome(write.token, False, "there is no data folder")
         try:
             self._disk.write(write.operations)
-        except DiskFailure:
-            return False
-        return True
+        except DiskFailure as failure:
+            return DiskOutcome(write.token, False, str(failure))
+        return DiskOutcome(write.token, True)
 
     def _record(self, record: Record) -> None:
         self._journal.write(record, self._clock.now())
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -95,7 +95,7 @@
         2003, Level.INFO, "follows leader {leader} in term {term}"
     )
     DISK_FAILED = EventEntry(
-        2004, Level.ERROR, "disk refused a write; the daemon no longer votes"
+        2004, Level.ERROR, "disk write failed; the daemon no longer votes: {reason}"
     )
     VOTER_REFUSED = EventEntry(
         2005,
--- a/src/gypsumwalk/inputs.py
+++ b/src/gypsumwalk/inputs.py
@@ -107,10 +107,21 @@
 
 @dataclass(frozen=True, slots=True)
 class DiskOutcome:
-    """Result of one ``WriteDisk``; a failed write is not acknowledged."""
+    """Result of one ``WriteDisk``; a failed write is not acknowledged.
+
+    Attributes
+    ----------
+    token : int
+        Token of the write.
+    succeeded : bool
+        Whether every operation is synced.
+    reason : str
+        Why the write failed, else empty.
+    """
 
     token: int
     succeeded: bool
+    reason: str = ""
 
 
 @dataclass(frozen=True, slots=True)
