Write the whole state anew after a failed write, so that the disk votes again

Cause: a failed write disabled the daemon's storage and its folder until the process started again, and nothing started it again. Each full disk took one vote for good.

Change: what a disk holds after a failed write is unknown, and a second sync may succeed without what the first one dropped, so no file is written on. While the disk refuses, the daemon follows like one without a disk, and drops writes. Records go on in a file whose number was never used. The disk backs votes and answers again once all of that is synced.

The same at a start: what is read back may not be synced. Recovery only reads, and the daemon votes after it has written the state anew, so a full disk at a start neither ends the process nor backs anything. Data written by the version before is read as it was.

A failed replacement of a file removes its temporary, and a failed open closes its descriptor. Events 2010 and 1014 and the gauge disk_working are new.

--- a/src/gypsumwalk/admission.py
+++ b/src/gypsumwalk/admission.py
@@ -38,7 +38,7 @@
         self._other_voters = [voter for voter in voters if voter != name]
         self._accepted: set[str] = set()
         self._is_refused = False
-        self._is_initial_voter = bool(replica.identity) and name in voters
+        self._is_initial_voter = bool(replica.vote.identity) and name in voters
         self._due = 0.0
 
     @property
@@ -161,6 +161,7 @@
         listed_identity = replica.voters.get(self._name)
         return (
             self._is_initial_voter
+            and bool(replica.identity)
             and not replica.vote.admitted
             and listed_identity == ""
         )
--- a/src/gypsumwalk/consensus.py
+++ b/src/gypsumwalk/consensus.py
@@ -8,6 +8,7 @@
 from gypsumwalk.elections import CandidateState, Elections
 from gypsumwalk.events import Event
 from gypsumwalk.follower import Follower
+from gypsumwalk.incarnations import encode_incarnation
 from gypsumwalk.inputs import (
     DiskOutcome,
     Input,
@@ -113,7 +114,14 @@
             identity = f"{random.getrandbits(IDENTITY_BITS):016x}"
             if first_start:
                 identity = voters.get(settings.name, identity)
-        self._replica = Replica(state, recovered, identity, voters, self._proposals)
+        self._replica = Replica(
+            state,
+            recovered,
+            identity,
+            voters,
+            self._proposals,
+            kept_files=[encode_incarnation(incarnation)],
+        )
         if max_replayed_entries is not None:
             # What is known to be committed is applied while voters wait to be elected.
             self._replica.set_apply_barrier(self._replica.commit)
@@ -128,6 +136,7 @@
         self._last_leader_contact = 0.0
         self._follow_due = 0.0
         self._lease_end = NO_LEASE
+        self._disk_failed_at: float | None = None
 
     @property
     def leader(self) -> str:
@@ -154,7 +163,11 @@
         """Time in seconds at which ``advance`` is due next."""
         if not self._is_started or self._replica.has_backlog:
             return 0.0
-        times = [self._proposals.wakeup, self._admission.wakeup]
+        times = [
+            self._proposals.wakeup,
+            self._admission.wakeup,
+            self._replica.storage.wakeup,
+        ]
         if self._leadership:
             times.append(self._leadership.wakeup)
         elif self._admission.can_vote():
@@ -267,7 +280,7 @@
         self._start(now)
         effects: list[Effect] = []
         if isinstance(item, DiskOutcome):
-            effects = self._handle_disk_outcome(item)
+            effects = self._handle_disk_outcome(item, now)
         elif isinstance(item, PeerInput):
             effects = self._handle_message(item, now)
         elif isinstance(item, ShutdownRequested):
@@ -321,7 +334,13 @@
         if self.holds_lease(now):
             self._follower.fresh_as_of = now
         self._lease_end = self._find_lease_end()
-        return effects + self._replica.storage.flush()
+        return effects + self._write_disk(now)
+
+    def _write_disk(self, now: float) -> list[Effect]:
+        storage = self._replica.storage
+        if storage.is_rewrite_due(now):
+            return self._replica.rewrite()
+        return storage.flush()
 
     def _apply_committed(self) -> list[Effect]:
         effects: list[Effect] = []
@@ -335,13 +354,33 @@
     def _is_caught_up(self) -> bool:
         return self._leadership is not None and self._leadership.is_caught_up
 
-    def _handle_disk_outcome(self, item: DiskOutcome) -> list[Effect]:
-        effects = self._replica.storage.complete(item.token, item.succeeded)
-        if item.succeeded:
-            return effects + self._follower.report_synced(self._leader)
-        detail: dict[str, Scalar] = {"reason": item.reason or "unknown"}
-        effects.append(Record(Event.DISK_FAILED, self._daemon, detail))
-        return effects + self._step_down("disk write failed")
+    def _handle_disk_outcome(self, item: DiskOutcome, now: float) -> list[Effect]:
+        storage = self._replica.storage
+        was_enabled = storage.enabled
+        effects = storage.complete(item.token, item.succeeded, now)
+        if not item.succeeded:
+            return effects + self._record_disk_failure(item.reason, now)
+        if storage.enabled and not was_enabled:
+            effects += self._record_disk_return(now)
+        return effects + self._follower.report_synced(self._leader)
+
+    def _record_disk_failure(self, reason: str, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        if self._disk_failed_at is None:
+            self._disk_failed_at = now
+            detail: dict[str, Scalar] = {"reason": reason or "unknown"}
+            effects.append(Record(Event.DISK_FAILED, self._daemon, detail))
+        self._elections.cancel_candidacy()
+        if self._leadership:
+            effects += self._step_down("disk write failed")
+        return effects
+
+    def _record_disk_return(self, now: float) -> list[Effect]:
+        failed_at, self._disk_failed_at = self._disk_failed_at, None
+        if failed_at is None:
+            return []
+        seconds = round(now - failed_at, 3)
+        return [Record(Event.DISK_RETURNED, self._daemon, {"seconds": seconds})]
 
     def _handle_message(self, item: PeerInput, now: float) -> list[Effect]:
         source = item.source
--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -4,6 +4,7 @@
 import signal
 import time
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 import trio
 
@@ -50,6 +51,8 @@
 DISPATCH_THREADS = 128
 SHUTDOWN_TIMEOUT_SECONDS = 30.0
 MAX_IDLE_SECONDS = 1.0
+DISK_STATES = {Event.DISK_FAILED: 0, Event.DISK_RETURNED: 1}
+"""Value of the gauge ``disk_working`` after an event."""
 
 
 class Daemon:
@@ -74,6 +77,7 @@
         self._log = self._factory.open_log()
         self._journal = EventJournal(settings, self._hybrid_clock, stream=self._log)
         self._metrics = Metrics()
+        self._metrics.set_gauge("disk_working", int(self._disk is not None))
         self._monitor = LoopMonitor(self._metrics, self._record)
         self._assembly = self._recover_and_assemble()
         self._node = self._assembly.node
@@ -227,6 +231,8 @@
     def _record(self, record: Record) -> None:
         self._journal.write(record, self._clock.now())
         self._metrics.count("events", number=record.event.number)
+        if record.event in DISK_STATES:
+            self._metrics.set_gauge("disk_working", DISK_STATES[record.event])
 
     def _request_stop(self, effect: Stop) -> None:
         self._stop = effect
@@ -269,10 +275,23 @@
     def _recover_and_assemble(self) -> DaemonAssembly:
         recovered = self._disk.recover() if self._disk else Recovered()
         incarnation = choose_incarnation(time.time(), recovered)
-        if self._disk:
-            self._disk.write([encode_incarnation(incarnation)])
+        if self._disk and not self._store_incarnation(self._disk, incarnation):
+            recovered = replace(recovered, is_synced=False)
         return self._factory.assemble(recovered, incarnation)
 
+    def _store_incarnation(self, disk: Disk, incarnation: int) -> bool:
+        """Store the incarnation, and return whether it is synced.
+
+        If the disk is full, the daemon starts without a vote, as one without a disk.
+        """
+        try:
+            disk.write([encode_incarnation(incarnation)])
+        except DiskFailure as failure:
+            detail = {"reason": str(failure)}
+            self._record(Record(Event.INCARNATION_NOT_STORED, "", detail))
+            return False
+        return True
+
     def _make_server_context(self) -> ServerContext:
         return ServerContext(
             bridge=self._bridge,
--- a/src/gypsumwalk/drivers/disk.py
+++ b/src/gypsumwalk/drivers/disk.py
@@ -1,12 +1,14 @@
 """Durable storage in a data folder on a local disk."""
 
 import os
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
 from pathlib import Path
 
 from gypsumwalk.effects import (
     AppendRecords,
     DiskOperation,
+    KeepRecords,
     TruncateRecords,
     WriteFile,
 )
@@ -26,8 +28,9 @@
 class FolderDisk:
     """Files of one data folder; every write is synced before it is acknowledged.
 
-    After one failed write all further writes fail, because the content of the disk
-    after a failed sync is unknown until the next recovery.
+    A file of records is not written again after a failed write, nor after a restart,
+    because what it holds after the last good sync is unknown: a later sync may succeed
+    without what a failed one dropped. Whoever writes goes on in a new file.
 
     Parameters
     ----------
@@ -39,10 +42,13 @@
         self._folder = Path(folder)
         self._frame_ends: dict[str, list[tuple[int, int]]] = {}
         self._descriptors: dict[str, int] = {}
-        self._failed = False
+        self._closed_files: set[str] = set()
+        self._is_prepared = False
 
     def recover(self) -> Recovered:
-        """Read all files and truncate torn writes at the end of record files.
+        """Read all files, without the torn writes at the end of record files.
+
+        Nothing is written, so that a process can start while its disk is full.
 
         Returns
         -------
@@ -55,25 +61,20 @@
             If a record before the end of a record file, or a single-frame file, is
             corrupt.
         DiskFailure
-            If the folder can't be read or written.
+            If the folder can't be read.
         """
         try:
-            self._folder.mkdir(FOLDER_MODE, parents=True, exist_ok=True)
-            _sync_folder(self._folder.parent)
-            for path in self._folder.glob(f"*{TEMPORARY_SUFFIX}"):
-                path.unlink()
             records = {
                 path.name.removesuffix(RECORDS_SUFFIX): self._recover_records(path)
-                for path in sorted(self._folder.glob(f"*{RECORDS_SUFFIX}"))
+                for path in self._list(RECORDS_SUFFIX)
             }
             files = {
                 path.name.removesuffix(FILE_SUFFIX): _recover_file(path)
-                for path in sorted(self._folder.glob(f"*{FILE_SUFFIX}"))
+                for path in self._list(FILE_SUFFIX)
             }
-            _sync_folder(self._folder)
         except OSError as error:
             raise DiskFailure(str(error)) from error
-        return Recovered(records, files)
+        return Recovered(records, files, is_synced=not records and not files)
 
     def write(self, operations: Sequence[DiskOperation]) -> None:
         """Apply operations in order and sync each.
@@ -86,15 +87,13 @@
         Raises
         ------
         DiskFailure
-            If an operation failed, or an earlier write did.
+            If an operation failed, or a file of records may not be synced.
         """
-        if self._failed:
-            raise DiskFailure("refused: an earlier write to the data folder failed")
         try:
+            self._prepare()
             for operation in operations:
                 self._apply(operation)
         except OSError as error:
-            self._failed = True
             raise DiskFailure(str(error)) from error
 
     def close(self) -> None:
@@ -103,15 +102,63 @@
             os.close(descriptor)
         self._descriptors.clear()
 
+    def _prepare(self) -> None:
+        """Create the folder and remove temporaries of an earlier process, once."""
+        if self._is_prepared:
+            return
+        self._folder.mkdir(FOLDER_MODE, parents=True, exist_ok=True)
+        _sync_folder(self._folder.parent)
+        for path in self._list(TEMPORARY_SUFFIX):
+            path.unlink()
+        _sync_folder(self._folder)
+        self._is_prepared = True
+
+    def _list(self, suffix: str) -> list[Path]:
+        try:
+            names = sorted(os.listdir(self._folder))
+        except FileNotFoundError:
+            return []
+        return [self._folder / name for name in names if name.endswith(suffix)]
+
     def _apply(self, operation: DiskOperation) -> None:
         match operation:
             case AppendRecords(file=file, records=records):
-                self._append(file, records)
+                with self._guard(file):
+                    self._append(file, records)
             case TruncateRecords(file=file, keep=keep):
-                self._truncate(file, keep)
+                with self._guard(file):
+                    self._truncate(file, keep)
             case WriteFile(file=file, content=content):
                 path = self._folder / f"{file}{FILE_SUFFIX}"
                 self._replace(path, encode_frame([content]))
+            case KeepRecords(file=file):
+                self._remove_others(file)
+
+    @contextmanager
+    def _guard(self, file: str) -> Iterator[None]:
+        """Write to a file of records, unless its content may not be synced."""
+        if file in self._closed_files:
+            raise DiskFailure(f"refused: the records in {file!r} may not be synced")
+        try:
+            yield
+        except OSError:
+            self._closed_files.add(file)
+            self._forget(file)
+            raise
+
+    def _forget(self, file: str) -> None:
+        self._frame_ends.pop(file, None)
+        descriptor = self._descriptors.pop(file, None)
+        if descriptor is not None:
+            os.close(descriptor)
+
+    def _remove_others(self, kept: str) -> None:
+        for path in self._list(RECORDS_SUFFIX):
+            file = path.name.removesuffix(RECORDS_SUFFIX)
+            if file != kept:
+                self._forget(file)
+                path.unlink()
+        _sync_folder(self._folder)
 
     def _append(self, file: str, records: tuple[bytes, ...]) -> None:
         if not records:
@@ -146,13 +193,18 @@
     def _replace(self, path: Path, content: bytes) -> None:
         temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
         flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
-        descriptor = os.open(temporary, flags, FILE_MODE)
         try:
-            _write_all(descriptor, content, 0)
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
-        os.replace(temporary, path)
+            descriptor = os.open(temporary, flags, FILE_MODE)
+            try:
+                _write_all(descriptor, content, 0)
+                os.fsync(descriptor)
+            finally:
+                os.close(descriptor)
+            os.replace(temporary, path)
+        except OSError:
+            # Part of the content would take the space that is missing.
+            temporary.unlink(missing_ok=True)
+            raise
         _sync_folder(self._folder)
 
     def _open(self, file: str) -> int:
@@ -160,8 +212,8 @@
             return self._descriptors[file]
         path = self._folder / f"{file}{RECORDS_SUFFIX}"
         descriptor = os.open(path, os.O_RDWR | os.O_CREAT, FILE_MODE)
-        _sync_folder(self._folder)
         self._descriptors[file] = descriptor
+        _sync_folder(self._folder)
         self._frame_ends.setdefault(file, [])
         return descriptor
 
@@ -170,21 +222,8 @@
         return ends[-1] if ends else (0, 0)
 
     def _recover_records(self, path: Path) -> tuple[bytes, ...]:
-        content = path.read_bytes()
-        scan = scan_frames(content, path.name)
-        if scan.length < len(content):
-            descriptor = os.open(path, os.O_RDWR)
-            try:
-                os.ftruncate(descriptor, scan.length)
-                os.fsync(descriptor)
-            finally:
-                os.close(descriptor)
-        count = 0
-        ends = []
-        for frame in scan.frames:
-            count += len(frame.records)
-            ends.append((count, frame.end))
-        self._frame_ends[path.name.removesuffix(RECORDS_SUFFIX)] = ends
+        self._closed_files.add(path.name.removesuffix(RECORDS_SUFFIX))
+        scan = scan_frames(path.read_bytes(), path.name)
         return tuple(record for frame in scan.frames for record in frame.records)
 
 
--- a/src/gypsumwalk/drivers/metriccatalogue.py
+++ b/src/gypsumwalk/drivers/metriccatalogue.py
@@ -73,6 +73,7 @@
     MetricEntry(
         "malformed_answers", _COUNTER, "Answers with malformed entries.", ("kind",)
     ),
+    MetricEntry("disk_working", _GAUGE, "Whether there is a disk that works, 1 or 0."),
     MetricEntry("disk_writes", _COUNTER, "Synced writes.", ("outcome",)),
     MetricEntry("waiting_calls", _GAUGE, "HTTP calls that wait for an answer."),
     MetricEntry(
--- a/src/gypsumwalk/effects.py
+++ b/src/gypsumwalk/effects.py
@@ -16,6 +16,7 @@
     "DiskOperation",
     "Dispatch",
     "Effect",
+    "KeepRecords",
     "Propose",
     "Raise",
     "Record",
@@ -166,7 +167,14 @@
     content: bytes
 
 
-DiskOperation = AppendRecords | TruncateRecords | WriteFile
+@dataclass(frozen=True, slots=True)
+class KeepRecords:
+    """Remove every file of records but one, and sync the folder."""
+
+    file: str
+
+
+DiskOperation = AppendRecords | TruncateRecords | WriteFile | KeepRecords
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -84,6 +84,9 @@
     RELOAD_REFUSED = EventEntry(
         1013, Level.WARNING, "kept the settings in force; the file is invalid: {reason}"
     )
+    INCARNATION_NOT_STORED = EventEntry(
+        1014, Level.WARNING, "incarnation not stored yet, disk write failed: {reason}"
+    )
     # Agreement, membership, configuration, keys and portions: 2000 to 2999.
     LEADER_ELECTED = EventEntry(
         2001, Level.INFO, "became leader of the replicated log in term {term}"
@@ -110,6 +113,11 @@
     SNAPSHOT_INSTALLED = EventEntry(
         2009, Level.INFO, "installed a snapshot at index {index}, {bytes} bytes"
     )
+    DISK_RETURNED = EventEntry(
+        2010,
+        Level.INFO,
+        "disk holds the whole state again after {seconds} s; the daemon may vote",
+    )
     MEMBER_CHANGED = EventEntry(
         2101, Level.INFO, "member is {change}, incarnation {incarnation}"
     )
--- a/src/gypsumwalk/job_history.py
+++ b/src/gypsumwalk/job_history.py
@@ -37,6 +37,7 @@
         Event.LEADER_STEPPED_DOWN,
         Event.FLEET_TAKEN_OVER,
         Event.DISK_FAILED,
+        Event.DISK_RETURNED,
     )
 )
 """Events that may delay every job."""
--- a/src/gypsumwalk/recovery.py
+++ b/src/gypsumwalk/recovery.py
@@ -16,7 +16,11 @@
         Records of each file written by ``AppendRecords``, in order.
     files : Mapping[str, bytes]
         Content of each file written by ``WriteFile``.
+    is_synced : bool
+        Whether all of this is known to be synced. What an earlier process wrote may be
+        read back although its sync failed or never came.
     """
 
     records: Mapping[str, tuple[bytes, ...]] = field(default_factory=dict)
     files: Mapping[str, bytes] = field(default_factory=dict)
+    is_synced: bool = True
--- a/src/gypsumwalk/replica.py
+++ b/src/gypsumwalk/replica.py
@@ -12,6 +12,7 @@
     AppendRecords,
     DiskOperation,
     Effect,
+    KeepRecords,
     Raise,
     Record,
     TruncateRecords,
@@ -28,11 +29,11 @@
 from gypsumwalk.state import Accepted, ReplicatedState
 from gypsumwalk.storage import Storage
 
-__all__ = ["Replica", "SnapshotContent", "Vote"]
+__all__ = ["Replica", "SnapshotContent", "Vote", "name_log_file"]
 
 VOTE_FILE = "vote"
 SNAPSHOT_FILE = "snapshot"
-LOG_FILES = ("log-0", "log-1")
+LOG_FILE_PREFIX = "log-"
 
 _Stored = TypeVar("_Stored")
 SNAPSHOT_ENTRIES = 8192
@@ -84,10 +85,28 @@
 
 
 class _SnapshotFile(msgspec.Struct, frozen=True):
-    log_file: Annotated[int, msgspec.Meta(ge=0, lt=len(LOG_FILES))]
+    """A snapshot with the log up to the time of the write.
+
+    Attributes
+    ----------
+    log_file : int
+        Number of the file with the records that follow on ``tail``. No file had this
+        number before, so it holds nothing older than this write.
+    base_index : int
+        Index of the last entry that was dropped from the log.
+    base_term : int
+        Term of that entry.
+    content : bytes
+        An encoded ``SnapshotContent``, or empty if no snapshot was taken yet.
+    tail : list of bytes
+        Encoded entries after ``base_index``.
+    """
+
+    log_file: Annotated[int, msgspec.Meta(ge=0)]
     base_index: int
     base_term: int
     content: bytes
+    tail: list[bytes] = []
 
 
 class Replica:
@@ -106,6 +125,8 @@
         or an empty string.
     proposals : Proposals
         Proposals of this daemon, settled when their commands are applied.
+    kept_files : Sequence of WriteFile
+        Further files that belong to the whole state on the disk.
     """
 
     def __init__(
@@ -115,6 +136,7 @@
         identity: str,
         voters: Mapping[str, str],
         proposals: Proposals,
+        kept_files: Sequence[WriteFile] = (),
     ) -> None:
         self.state = state
         self.commit = 0
@@ -126,18 +148,22 @@
         self._proposals = proposals
         self._decoder = _make_decoder(state)
         self._is_snapshot_loaded = False
+        self._kept_files = kept_files
         self._log_file = 0
+        self._last_log_file = 0
         self._file_base_index = 0
-        self._log_file_bytes = 0
+        self._bytes_since_snapshot = 0
         self.vote = _recover_vote(recovered, Vote(identity, first_voters=dict(voters)))
         self._voter_changes = [(0, self.vote.first_voters or dict(voters))]
         self._recover(recovered)
         durable = self.log.last_index
-        self.storage = Storage(enabled=bool(identity), durable=durable)
+        self.storage = Storage(
+            enabled=bool(identity), durable=durable, is_synced=recovered.is_synced
+        )
 
     @property
     def identity(self) -> str:
-        """Identity of the disk, empty if there is none or it has failed."""
+        """Identity of the disk, empty if there is none or while it does not work."""
         return self.vote.identity if self.storage.enabled else ""
 
     @property
@@ -156,7 +182,7 @@
 
     def save_vote(self) -> None:
         """Stage a write of the term, the vote and the disk identities."""
-        self.storage.stage(WriteFile(VOTE_FILE, msgspec.msgpack.encode(self.vote)))
+        self.storage.stage(self._encode_vote())
 
     def enter_term(self, term: int, voted_for: str = "") -> None:
         """Enter a later term, or record the vote in the current one."""
@@ -189,8 +215,8 @@
             return
         self.log.append(entries)
         records = tuple(msgspec.msgpack.encode(entry) for entry in entries)
-        self._log_file_bytes += sum(len(record) for record in records)
-        operation = AppendRecords(LOG_FILES[self._log_file], records)
+        self._bytes_since_snapshot += sum(len(record) for record in records)
+        operation = AppendRecords(name_log_file(self._log_file), records)
         self.storage.stage(operation, durable_index=self.log.last_index)
         self._record_voter_changes(entries)
 
@@ -198,10 +224,24 @@
         """Drop every entry after an index, in memory and on the disk."""
         self.log.truncate(last_index)
         self.storage.lower_durable_index(last_index)
-        keep = max(0, last_index - self._file_base_index)
-        self.storage.stage(TruncateRecords(LOG_FILES[self._log_file], keep))
         while self._voter_changes[-1][0] > last_index:
             self._voter_changes.pop()
+        keep = last_index - self._file_base_index
+        if keep < 0:
+            self._stage_state()
+            return
+        self.storage.stage(TruncateRecords(name_log_file(self._log_file), keep))
+
+    def rewrite(self) -> list[Effect]:
+        """Write the whole state anew, as it is unknown what the disk holds.
+
+        Returns
+        -------
+        list of Effect
+            The write.
+        """
+        operations = [*self._kept_files, self._encode_vote(), *self._encode_state()]
+        return self.storage.begin_rewrite(operations, self.log.last_index)
 
     def set_apply_barrier(self, commit: int) -> None:
         """Set the index that covers every entry committed before this start, once."""
@@ -277,7 +317,8 @@
         self._record_voter_changes(tail)
         self.commit = snapshot.index
         self._is_snapshot_loaded = False
-        self._stage_snapshot()
+        self._bytes_since_snapshot = 0
+        self._stage_state()
         detail = {"index": snapshot.index, "bytes": len(content)}
         return [Record(Event.SNAPSHOT_INSTALLED, "", detail)]
 
@@ -326,7 +367,7 @@
     def _is_snapshot_due(self) -> bool:
         covered = self.state.applied - self.snapshot_index
         return covered > SNAPSHOT_ENTRIES or (
-            self._log_file_bytes > SNAPSHOT_BYTES and covered > 0
+            self._bytes_since_snapshot > SNAPSHOT_BYTES and covered > 0
         )
 
     def _take_snapshot(self) -> list[Effect]:
@@ -340,7 +381,8 @@
         self.snapshot_index = index
         self.log.compact(self._find_compaction_index(index))
         self._voter_changes = self._voter_changes[len(changes) - 1 :]
-        self._stage_snapshot()
+        self._bytes_since_snapshot = 0
+        self._stage_state()
         detail = {"index": index, "bytes": len(self.snapshot)}
         return [Record(Event.SNAPSHOT_TAKEN, "", detail)]
 
@@ -354,45 +396,73 @@
             position -= 1
         return position
 
-    def _stage_snapshot(self) -> None:
-        old, new = self._log_file, 1 - self._log_file
-        tail = self.log.tail(self.log.base_index)
-        records = tuple(msgspec.msgpack.encode(entry) for entry in tail)
-        base = (self.log.base_index, self.log.base_term)
-        file = msgspec.msgpack.encode(_SnapshotFile(new, *base, self.snapshot))
-        operations: list[DiskOperation] = [
-            TruncateRecords(LOG_FILES[new], 0),
-            AppendRecords(LOG_FILES[new], records),
-            WriteFile(SNAPSHOT_FILE, file),
-            TruncateRecords(LOG_FILES[old], 0),
+    def _stage_state(self) -> None:
+        self.storage.stage(*self._encode_state(), durable_index=self.log.last_index)
+
+    def _encode_vote(self) -> WriteFile:
+        return WriteFile(VOTE_FILE, msgspec.msgpack.encode(self.vote))
+
+    def _encode_state(self) -> list[DiskOperation]:
+        """Return the writes of the snapshot and the log, and begin a new log file.
+
+        The snapshot file is replaced as a whole and holds the log, so until then the
+        disk holds the state as it was before, with the file that its log was in.
+        """
+        self._last_log_file += 1
+        self._log_file = self._last_log_file
+        self._file_base_index = self.log.last_index
+        stored = _SnapshotFile(
+            self._log_file,
+            self.log.base_index,
+            self.log.base_term,
+            self.snapshot,
+            [msgspec.msgpack.encode(entry) for entry in self.log.tail(0)],
+        )
+        return [
+            WriteFile(SNAPSHOT_FILE, msgspec.msgpack.encode(stored)),
+            KeepRecords(name_log_file(self._log_file)),
         ]
-        self.storage.stage(*operations, durable_index=self.log.last_index)
-        self._log_file = new
-        self._file_base_index = self.log.base_index
-        self._log_file_bytes = 0
 
     def _recover(self, recovered: Recovered) -> None:
+        tail: list[bytes] = []
         if file := recovered.files.get(SNAPSHOT_FILE):
             stored = _decode(file, _SnapshotFile, SNAPSHOT_FILE)
-            content = _decode(stored.content, SnapshotContent, SNAPSHOT_FILE)
-            self.snapshot, self.snapshot_index = stored.content, content.index
-            self._log_file = stored.log_file
+            self._log_file, tail = stored.log_file, stored.tail
             self.log.reset(stored.base_index, stored.base_term)
-            self.commit = content.index
-            self._voter_changes = [(content.index, content.voters)]
-        log_file = LOG_FILES[self._log_file]
-        records = recovered.records.get(log_file, ())
+            self._recover_snapshot(stored.content)
+        numbers = [_read_number(name) for name in recovered.records]
+        self._last_log_file = max([self._log_file, *numbers])
+        log_file = name_log_file(self._log_file)
+        records = [*tail, *recovered.records.get(log_file, ())]
         entries = [_decode(record, Entry, log_file) for record in records]
-        self._file_base_index = self.log.base_index
+        self._file_base_index = self.log.base_index + len(tail)
         for position, entry in enumerate(entries, self.log.base_index + 1):
             if entry.index != position:
                 detail = f"entry {entry.index}, expected entry {position}"
                 raise CorruptRecord(f"{log_file}: {detail}")
         self.log.append(entries)
         self.commit = max([self.commit, *(entry.commit for entry in entries)])
-        self._log_file_bytes = sum(len(record) for record in records)
+        self._bytes_since_snapshot = sum(len(record) for record in records)
         self._record_voter_changes(entries)
 
+    def _recover_snapshot(self, encoded: bytes) -> None:
+        if not encoded:
+            return
+        content = _decode(encoded, SnapshotContent, SNAPSHOT_FILE)
+        self.snapshot, self.snapshot_index = encoded, content.index
+        self.commit = content.index
+        self._voter_changes = [(content.index, content.voters)]
+
+
+def name_log_file(number: int) -> str:
+    """Return the name of the file of records with a number."""
+    return f"{LOG_FILE_PREFIX}{number}"
+
+
+def _read_number(name: str) -> int:
+    number = name.removeprefix(LOG_FILE_PREFIX)
+    return int(number) if number.isdecimal() else 0
+
 
 def _recover_vote(recovered: Recovered, new: Vote) -> Vote:
     if content := recovered.files.get(VOTE_FILE):
--- a/src/gypsumwalk/storage.py
+++ b/src/gypsumwalk/storage.py
@@ -2,11 +2,37 @@
 
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
+from enum import Enum
 from itertools import chain, groupby
 
 from gypsumwalk.effects import AppendRecords, DiskOperation, Effect, WriteDisk
+from gypsumwalk.part import NEVER
+from gypsumwalk.statecharts import load_chart
 
-__all__ = ["Storage"]
+__all__ = ["DiskEvent", "DiskState", "Storage"]
+
+MIN_RETRY_SECONDS = 0.1
+MAX_RETRY_SECONDS = 1.0
+"""Pauses before the whole state is written, doubled after each failure."""
+
+STABLE_SECONDS = 5.0
+"""Time that a disk has to work for the next failure to have the shortest pause."""
+
+
+class DiskState(Enum):
+    """State of the disk of one daemon."""
+
+    WORKING = "working"
+    FAILED = "failed"
+    REWRITING = "rewriting"
+
+
+class DiskEvent(Enum):
+    """Event in the life cycle of the disk of one daemon."""
+
+    FAIL = "fail"
+    BEGIN_REWRITE = "begin_rewrite"
+    FINISH_REWRITE = "finish_rewrite"
 
 
 @dataclass(slots=True)
@@ -19,26 +45,43 @@
 class Storage:
     """Orders disk writes, and defers effects until the writes are synced.
 
+    After a failed write it is unknown what the disk holds after the last good sync. The
+    disk then backs nothing until the whole state was written anew and synced; until
+    then operations are dropped, as the rewrite covers them.
+
     Parameters
     ----------
     enabled : bool
         Whether the daemon has a disk; without one no effect is deferred.
     durable : int
         Index of the last log entry on the disk.
+    is_synced : bool
+        Whether everything on the disk is known to be synced. If not, the whole state
+        is written before the disk backs anything.
     """
 
-    def __init__(self, *, enabled: bool, durable: int) -> None:
+    def __init__(self, *, enabled: bool, durable: int, is_synced: bool = True) -> None:
         self.durable = durable
-        self.failed = False
-        self._enabled = enabled
+        self._has_disk = enabled
+        self._state = DiskState.WORKING if is_synced else DiskState.FAILED
         self._token = 0
         self._staged = _Batch()
         self._in_flight: _Batch | None = None
+        self._retry_at = 0.0
+        self._retry_pause = MIN_RETRY_SECONDS
+        self._working_since = float("-inf")
 
     @property
     def enabled(self) -> bool:
-        """Whether there is a disk that has not failed."""
-        return self._enabled and not self.failed
+        """Whether there is a disk that works, so that it may back votes and answers."""
+        return self._has_disk and self._state is DiskState.WORKING
+
+    @property
+    def wakeup(self) -> float:
+        """Time in seconds at which to begin a rewrite."""
+        if self._has_disk and self._state is DiskState.FAILED:
+            return self._retry_at
+        return NEVER
 
     def stage(self, *operations: DiskOperation, durable_index: int = 0) -> None:
         """Add operations to the next batch.
@@ -52,9 +95,9 @@
         """
         if not self.enabled:
             self.durable = max(self.durable, durable_index)
-            return
-        self._staged.operations += operations
-        self._staged.durable_index = max(self._staged.durable_index, durable_index)
+        if self._has_disk and self._state is not DiskState.FAILED:
+            self._staged.operations += operations
+            self._staged.durable_index = max(self._staged.durable_index, durable_index)
 
     def lower_durable_index(self, last_index: int) -> None:
         """Lower the durable indexes, as the log was truncated after an index."""
@@ -92,13 +135,37 @@
         """Return the write of the staged batch, unless a write is in flight."""
         if self._in_flight or not self._staged.operations:
             return []
-        self._token += 1
-        self._in_flight, self._staged = self._staged, _Batch()
-        operations = tuple(_merge_appends(self._in_flight.operations))
-        return [WriteDisk(self._token, operations)]
+        batch, self._staged = self._staged, _Batch()
+        batch.operations = list(_merge_appends(batch.operations))
+        return self._start(batch)
+
+    def is_rewrite_due(self, now: float) -> bool:
+        """Tell whether the whole state is to be written now."""
+        is_failed = self._has_disk and self._state is DiskState.FAILED
+        return is_failed and now >= self._retry_at
 
-    def complete(self, token: int, succeeded: bool) -> list[Effect]:
-        """Handle the outcome of a write; a failure disables the storage for good.
+    def begin_rewrite(
+        self, operations: Sequence[DiskOperation], durable_index: int
+    ) -> list[Effect]:
+        """Return the write of the whole state.
+
+        Parameters
+        ----------
+        operations : Sequence[DiskOperation]
+            Operations after which the disk holds the state, whatever it held before.
+        durable_index : int
+            Index of the last log entry among them.
+
+        Returns
+        -------
+        list of Effect
+            The write.
+        """
+        self._trigger(DiskEvent.BEGIN_REWRITE)
+        return self._start(_Batch(list(operations), [], durable_index))
+
+    def complete(self, token: int, succeeded: bool, now: float = 0.0) -> list[Effect]:
+        """Handle the outcome of a write; after a failure the disk backs nothing.
 
         Parameters
         ----------
@@ -106,6 +173,8 @@
             Token of the write.
         succeeded : bool
             Whether every operation of it is synced.
+        now : float
+            Time in seconds.
 
         Returns
         -------
@@ -116,12 +185,33 @@
             return []
         batch, self._in_flight = self._in_flight, None
         if not succeeded:
-            self.failed = True
-            self._staged = _Batch()
+            self._fail(now)
             return []
+        if self._state is DiskState.REWRITING:
+            self._trigger(DiskEvent.FINISH_REWRITE)
+            self._working_since = now
+            self.durable = batch.durable_index
         self.durable = max(self.durable, batch.durable_index)
         return batch.deferred
 
+    def _start(self, batch: _Batch) -> list[Effect]:
+        self._token += 1
+        self._in_flight = batch
+        return [WriteDisk(self._token, tuple(batch.operations))]
+
+    def _fail(self, now: float) -> None:
+        is_stable = now - self._working_since > STABLE_SECONDS
+        if self._state is DiskState.WORKING and is_stable:
+            self._retry_pause = MIN_RETRY_SECONDS
+        self._trigger(DiskEvent.FAIL)
+        self._staged = _Batch()
+        self._retry_at = now + self._retry_pause
+        self._retry_pause = min(2 * self._retry_pause, MAX_RETRY_SECONDS)
+
+    def _trigger(self, event: DiskEvent) -> None:
+        after = load_chart("disk").follow(self._state.value, event.value)
+        self._state = DiskState(after)
+
 
 def _merge_appends(operations: Iterable[DiskOperation]) -> Iterator[DiskOperation]:
     """Merge successive appends to one file, as each operation is synced by itself."""
--- a/tests/_world.py
+++ b/tests/_world.py
@@ -103,6 +103,8 @@
     stopped: bool = False
     exit_code: int | None = None
     queue: list = field(default_factory=list)
+    stalled_writes: list = field(default_factory=list)
+    """Writes that a stalled disk has not ended, each with the process that began it."""
     wakeup_token: int = 0
     wakeups: int = 0
     last_wakeup: float = 0.0
@@ -242,10 +244,27 @@
         self.kill(name)
         self.daemons[name].disk.lose()
 
+    def cut_power(self, name):
+        """Kill a process and lose what its disk has not synced."""
+        self.kill(name)
+        self.daemons[name].disk.lose_power()
+
     def fill_disk(self, name, full=True):
         """Make every write fail, or succeed again with ``full=False``."""
         self.daemons[name].disk.full = full
 
+    def stall_disk(self, name):
+        """Let no write of a disk end until ``resume_disk``."""
+        self.daemons[name].disk.stalled = True
+
+    def resume_disk(self, name):
+        """Let the writes of a stalled disk end."""
+        daemon = self.daemons[name]
+        daemon.disk.stalled = False
+        waiting, daemon.stalled_writes = daemon.stalled_writes, []
+        for effect, epoch in waiting:
+            self._finish_write(daemon, effect, epoch)
+
     def partition(self, sources, sinks=(REST,), *, one_way=False):
         """Partition the network between two groups."""
         self.network.partition(sources, sinks, one_way=one_way)
@@ -399,7 +418,12 @@
     def _finish_write(self, daemon, effect, epoch):
         if epoch != daemon.epoch:
             return
-        outcome = DiskOutcome(effect.token, daemon.disk.finish())
+        if daemon.disk.stalled:
+            daemon.stalled_writes.append((effect, epoch))
+            return
+        succeeded = daemon.disk.finish()
+        reason = "" if succeeded else "no space left"
+        outcome = DiskOutcome(effect.token, succeeded, reason)
         self.deliver(daemon, outcome, epoch=epoch)
 
     def _respond(self, daemon, effect):
--- a/tests/test_charts.py
+++ b/tests/test_charts.py
@@ -6,10 +6,12 @@
 from gypsumwalk.instances import InstanceEvent, InstanceState
 from gypsumwalk.job_records import JobEvent, JobState
 from gypsumwalk.statecharts import Chart, ChartFile, ChartTransition, load_chart
+from gypsumwalk.storage import DiskEvent, DiskState
 from gypsumwalk.wave_records import WaveState
 from tests._catalogues import list_charts
 
 ENUMS = {
+    "disk": (DiskState, DiskEvent),
     "instance": (InstanceState, InstanceEvent),
     "job": (JobState, JobEvent),
     "wave": (WaveState, None),
--- a/tests/test_fuzz_files.py
+++ b/tests/test_fuzz_files.py
@@ -22,7 +22,7 @@
 from gypsumwalk.folder_merging import merge_files, parse_file
 from gypsumwalk.frames import HEADER, MAGIC, encode_frame, scan_frames
 from gypsumwalk.recovery import Recovered
-from gypsumwalk.replica import LOG_FILES, SNAPSHOT_FILE, VOTE_FILE
+from gypsumwalk.replica import SNAPSHOT_FILE, VOTE_FILE, name_log_file
 from gypsumwalk.settings import decode_settings
 from tests import _fuzz
 from tests._facts import Facts
@@ -112,7 +112,7 @@
 
     @given(st.lists(st.binary(max_size=40), max_size=4))
     def test_any_records_of_the_log(self, records):
-        self.recover(Recovered(records={LOG_FILES[0]: tuple(records)}))
+        self.recover(Recovered(records={name_log_file(0): tuple(records)}))
 
     @given(st.sampled_from([VOTE_FILE, SNAPSHOT_FILE]), st.binary(max_size=80))
     def test_any_file(self, name, content):
