Step down from the lead when a write to the disk hangs

Callers saw nothing committed by a leader whose disk answers nothing, while the other voters had to wait for it: a write without an outcome was awaited for any time, and what was staged behind it grew without a bound.

Change: a write without an outcome after 2 s (10 s for the whole state) counts as failed. Its later outcome backs nothing, and nothing is written beside it, so that a late rename can't bring back an old vote; once it has ended the whole state is written anew.

--- a/src/gypsumwalk/consensus.py
+++ b/src/gypsumwalk/consensus.py
@@ -301,7 +301,8 @@
             Effects to carry out, in this order.
         """
         self._start(now)
-        effects = self._admission.advance(now)
+        effects = self._give_up_write(now)
+        effects += self._admission.advance(now)
         effects += self._proposals.expire(now)
         effects += self._send_proposals(now)
         if self._leadership:
@@ -339,8 +340,8 @@
     def _write_disk(self, now: float) -> list[Effect]:
         storage = self._replica.storage
         if storage.is_rewrite_due(now):
-            return self._replica.rewrite()
-        return storage.flush()
+            return self._replica.rewrite(now)
+        return storage.flush(now)
 
     def _apply_committed(self) -> list[Effect]:
         effects: list[Effect] = []
@@ -364,6 +365,11 @@
             effects += self._record_disk_return(now)
         return effects + self._follower.report_synced(self._leader)
 
+    def _give_up_write(self, now: float) -> list[Effect]:
+        if not self._replica.storage.give_up(now):
+            return []
+        return self._record_disk_failure("a write has no outcome in time", now)
+
     def _record_disk_failure(self, reason: str, now: float) -> list[Effect]:
         effects: list[Effect] = []
         if self._disk_failed_at is None:
--- a/src/gypsumwalk/replica.py
+++ b/src/gypsumwalk/replica.py
@@ -232,16 +232,21 @@
             return
         self.storage.stage(TruncateRecords(name_log_file(self._log_file), keep))
 
-    def rewrite(self) -> list[Effect]:
+    def rewrite(self, now: float) -> list[Effect]:
         """Write the whole state anew, as it is unknown what the disk holds.
 
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+
         Returns
         -------
         list of Effect
             The write.
         """
         operations = [*self._kept_files, self._encode_vote(), *self._encode_state()]
-        return self.storage.begin_rewrite(operations, self.log.last_index)
+        return self.storage.begin_rewrite(operations, self.log.last_index, now)
 
     def set_apply_barrier(self, commit: int) -> None:
         """Set the index that covers every entry committed before this start, once."""
--- a/src/gypsumwalk/storage.py
+++ b/src/gypsumwalk/storage.py
@@ -11,6 +11,12 @@
 
 __all__ = ["DiskEvent", "DiskState", "Storage"]
 
+WRITE_TIMEOUT_SECONDS = 2.0
+"""Time without an outcome after which a write counts as failed."""
+
+REWRITE_TIMEOUT_SECONDS = 10.0
+"""The same for a write of the whole state, which takes several syncs."""
+
 MIN_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 1.0
 """Pauses before the whole state is written, doubled after each failure."""
@@ -40,6 +46,8 @@
     operations: list[DiskOperation] = field(default_factory=list)
     deferred: list[Effect] = field(default_factory=list)
     durable_index: int = 0
+    started_at: float = 0.0
+    is_given_up: bool = False
 
 
 class Storage:
@@ -78,7 +86,9 @@
 
     @property
     def wakeup(self) -> float:
-        """Time in seconds at which to begin a rewrite."""
+        """Time in seconds at which to call ``give_up`` or to begin a rewrite."""
+        if self._in_flight:
+            return self._find_deadline(self._in_flight)
         if self._has_disk and self._state is DiskState.FAILED:
             return self._retry_at
         return NEVER
@@ -131,21 +141,35 @@
             return []
         return list(effects)
 
-    def flush(self) -> list[Effect]:
-        """Return the write of the staged batch, unless a write is in flight."""
+    def flush(self, now: float = 0.0) -> list[Effect]:
+        """Return the write of the staged batch, unless a write is in flight.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        list of Effect
+            The write.
+        """
         if self._in_flight or not self._staged.operations:
             return []
         batch, self._staged = self._staged, _Batch()
         batch.operations = list(_merge_appends(batch.operations))
-        return self._start(batch)
+        return self._start(batch, now)
 
     def is_rewrite_due(self, now: float) -> bool:
-        """Tell whether the whole state is to be written now."""
+        """Tell whether the whole state is to be written now.
+
+        A write that was given up may still change the disk, so its outcome is awaited.
+        """
         is_failed = self._has_disk and self._state is DiskState.FAILED
-        return is_failed and now >= self._retry_at
+        return is_failed and self._in_flight is None and now >= self._retry_at
 
     def begin_rewrite(
-        self, operations: Sequence[DiskOperation], durable_index: int
+        self, operations: Sequence[DiskOperation], durable_index: int, now: float
     ) -> list[Effect]:
         """Return the write of the whole state.
 
@@ -155,6 +179,8 @@
             Operations after which the disk holds the state, whatever it held before.
         durable_index : int
             Index of the last log entry among them.
+        now : float
+            Time in seconds.
 
         Returns
         -------
@@ -162,7 +188,27 @@
             The write.
         """
         self._trigger(DiskEvent.BEGIN_REWRITE)
-        return self._start(_Batch(list(operations), [], durable_index))
+        return self._start(_Batch(list(operations), [], durable_index), now)
+
+    def give_up(self, now: float) -> bool:
+        """Count a write without an outcome as failed; return whether there was one.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether a write was given up.
+        """
+        batch = self._in_flight
+        if batch is None or now < self._find_deadline(batch):
+            return False
+        batch.is_given_up = True
+        self._fail(now)
+        return True
 
     def complete(self, token: int, succeeded: bool, now: float = 0.0) -> list[Effect]:
         """Handle the outcome of a write; after a failure the disk backs nothing.
@@ -184,6 +230,8 @@
         if token != self._token or self._in_flight is None:
             return []
         batch, self._in_flight = self._in_flight, None
+        if batch.is_given_up:
+            return []
         if not succeeded:
             self._fail(now)
             return []
@@ -194,11 +242,19 @@
         self.durable = max(self.durable, batch.durable_index)
         return batch.deferred
 
-    def _start(self, batch: _Batch) -> list[Effect]:
+    def _start(self, batch: _Batch, now: float) -> list[Effect]:
         self._token += 1
+        batch.started_at = now
         self._in_flight = batch
         return [WriteDisk(self._token, tuple(batch.operations))]
 
+    def _find_deadline(self, batch: _Batch) -> float:
+        if batch.is_given_up:
+            return NEVER
+        if self._state is DiskState.REWRITING:
+            return batch.started_at + REWRITE_TIMEOUT_SECONDS
+        return batch.started_at + WRITE_TIMEOUT_SECONDS
+
     def _fail(self, now: float) -> None:
         is_stable = now - self._working_since > STABLE_SECONDS
         if self._state is DiskState.WORKING and is_stable:
--- a/tests/test_disk_outages.py
+++ b/tests/test_disk_outages.py
@@ -258,6 +258,70 @@
             assert all(items == first for items in others)
 
 
+class TestStall(OutageTest):
+    """Guards against a leader that waits for its disk, and writes that end late."""
+
+    def stall_leader(self):
+        leader = self.cluster.find_leader()
+        self.cluster.stall_disk(leader)
+        self.cluster.propose(leader, "stalled")
+        return leader
+
+    def test_a_leader_whose_disk_stalls_gives_way(self):
+        cluster = self.begin()
+        leader = self.stall_leader()
+        assert cluster.run_until(
+            lambda: cluster.find_leader() not in ("", leader), within=ELECTION_SECONDS
+        ), "the leader waits for its disk"
+        self.commit()
+
+    def test_a_disk_that_stalled_votes_again(self):
+        cluster = self.begin()
+        leader = self.stall_leader()
+        cluster.run(6.0)
+        assert not self.get_identity(leader)
+        cluster.resume_disk(leader)
+        self.await_votes(leader)
+        cluster.kill(cluster.find_leader())
+        self.commit(within=ELECTION_SECONDS)
+
+    def test_nothing_is_written_beside_a_write_that_hangs(self):
+        cluster = self.begin()
+        leader = self.stall_leader()
+        start = len(cluster.trace)
+        cluster.run(20.0)
+        writes = [
+            entry
+            for entry in cluster.trace[start:]
+            if isinstance(entry.effect, WriteDisk) and entry.node == leader
+        ]
+        assert len(writes) <= 1, writes
+
+    def test_the_late_success_of_a_write_backs_nothing(self):
+        cluster = self.begin()
+        follower = self.find_follower()
+        cluster.stall_disk(follower)
+        self.commit()
+        cluster.run(3.0)
+        replica = cluster.daemons[follower].node.consensus.replica
+        cluster.fill_disk(follower)
+        daemon = cluster.daemons[follower]
+        daemon.disk.full = False
+        cluster.resume_disk(follower)
+        assert not replica.identity, "the outcome came after the write was given up"
+        self.await_votes(follower)
+
+    def test_a_stall_ends_after_a_kill(self):
+        cluster = self.begin()
+        leader = self.stall_leader()
+        cluster.run(3.0)
+        cluster.kill(leader)
+        cluster.resume_disk(leader)
+        cluster.restart(leader)
+        self.await_votes(leader)
+        self.commit()
+
+
 class TestReplacement(unittest.TestCase):
     """Guards against lists of voters that differ after a voter returned."""
 
