Open the event file again after a write to it failed

A daemon with a record folder ended if its disk was full at a start, and wrote no event file any more if the disk was full at a rotation: the handler was opened once, and stayed closed.

Change: the file is opened with the first event and again a second after a failure; event 1015 in the log names the reason, and a line that was cut off gets an end.

--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -87,6 +87,9 @@
     INCARNATION_NOT_STORED = EventEntry(
         1014, Level.WARNING, "incarnation not stored yet, disk write failed: {reason}"
     )
+    EVENT_FILE_LOST = EventEntry(
+        1015, Level.WARNING, "event file can't be written, lines are lost: {reason}"
+    )
     # Agreement, membership, configuration, keys and portions: 2000 to 2999.
     LEADER_ELECTED = EventEntry(
         2001, Level.INFO, "became leader of the replicated log in term {term}"
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,10 +1,13 @@
 """Tests of the event journal: its files, its log and their lines."""
 
+import errno
 import io
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
+from gypsumwalk.drivers import journal as journal_module
 from gypsumwalk.drivers.journal import EventJournal, LogStyle
 from gypsumwalk.effects import Record
 from gypsumwalk.errors import MalformedMessage
@@ -107,6 +110,34 @@
         assert journal.lost_lines == 1
         assert len(self.read()) == 1
 
+    # A rotation or a start on a full disk left the journal without a file for good.
+    def test_a_file_that_could_not_be_opened_is_written_once_it_can_be(self):
+        full = OSError(errno.ENOSPC, "No space left on device")
+        with mock.patch.object(journal_module, "_make_file_handler", side_effect=full):
+            journal = self.open()
+            journal.write(make_started_record("0"), 1.0)
+            journal.write(make_started_record("1"), 1.1)
+        assert journal.lost_lines == 2
+        assert self.stream.getvalue().count("EVENT_FILE_LOST") == 1
+        journal.write(make_started_record("2"), 3.0)
+        (line,) = self.read()
+        assert line.attributes["version"] == "2"
+
+    def test_lines_follow_a_line_that_was_cut_off_on_lines_of_their_own(self):
+        journal = self.open()
+        journal.write(make_started_record("0"), 1.0)
+        journal.flush()
+        with (self.folder / "d1.jsonl").open("ab") as stream:
+            stream.write(b'{"timest')
+        full = OSError(errno.ENOSPC, "No space left on device")
+        with mock.patch.object(journal._file, "flush_pending", side_effect=full):
+            journal.flush()
+        journal.write(make_started_record("1"), 3.0)
+        journal.flush()
+        lines = (self.folder / "d1.jsonl").read_bytes().splitlines()
+        assert lines[1] == b'{"timest'
+        assert decode_line(lines[2]).attributes["version"] == "1"
+
     def test_no_key_reaches_file_or_log(self):
         journal = self.open()
         values = {
