Test the data folder under refused writes, at a start and with former data

Real files with failing system calls: new files are written after a failure, a file of records is refused after a failed sync and after a restart, no temporary file and no open descriptor stays behind, a lack of descriptors costs that write only, recovery writes nothing, and data of the version before is read and written anew.

--- a/src/gypsumwalk/storage.py
+++ b/src/gypsumwalk/storage.py
@@ -11,8 +11,9 @@
 
 __all__ = ["DiskEvent", "DiskState", "Storage"]
 
-WRITE_TIMEOUT_SECONDS = 2.0
-"""Time without an outcome after which a write counts as failed."""
+WRITE_TIMEOUT_SECONDS = 3.0
+"""Time without an outcome after which a write counts as failed; ten syncs of a slow
+disk, with 0.2 s each, end before."""
 
 REWRITE_TIMEOUT_SECONDS = 10.0
 """The same for a write of the whole state, which takes several syncs."""
--- /dev/null
+++ b/tests/test_disk.py
@@ -0,0 +1,175 @@
+"""Tests of the data folder while its disk refuses writes, and after."""
+
+import errno
+import os
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+import msgspec
+
+from gypsumwalk.drivers.disk import FolderDisk
+from gypsumwalk.effects import (
+    AppendRecords,
+    KeepRecords,
+    TruncateRecords,
+    WriteFile,
+)
+from gypsumwalk.errors import DiskFailure
+from gypsumwalk.frames import encode_frame
+from gypsumwalk.proposals import Proposals
+from gypsumwalk.recovery import Recovered
+from gypsumwalk.replica import Replica
+from gypsumwalk.replication import Entry
+from gypsumwalk.state import ReplicatedState
+
+FULL = OSError(errno.ENOSPC, "No space left on device")
+NO_DESCRIPTORS = OSError(errno.EMFILE, "Too many open files")
+WRITES = ("pwrite", "ftruncate", "fsync", "fdatasync", "unlink", "replace", "mkdir")
+
+
+def fail(name, error=FULL):
+    return mock.patch.object(os, name, side_effect=error)
+
+
+class DiskTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name) / "data"
+        self.disk = self.open()
+
+    def open(self):
+        disk = FolderDisk(str(self.folder))
+        self.addCleanup(disk.close)
+        return disk
+
+    def recover(self):
+        return self.open().recover()
+
+
+class TestFailedWrites(DiskTest):
+    """Guards against a folder that was closed for good by one refused write."""
+
+    def test_a_file_and_new_records_are_written_after_a_failure(self):
+        self.disk.write([AppendRecords("log-0", (b"a",))])
+        with fail("fdatasync"), self.assertRaises(DiskFailure):
+            self.disk.write([AppendRecords("log-0", (b"b",))])
+        self.disk.write([WriteFile("state", b"all"), KeepRecords("log-1")])
+        self.disk.write([AppendRecords("log-1", (b"c",))])
+        recovered = self.recover()
+        assert recovered.files == {"state": b"all"}
+        assert recovered.records == {"log-1": (b"c",)}
+
+    def test_records_are_refused_after_a_failed_sync_and_after_a_restart(self):
+        self.disk.write([AppendRecords("log-0", (b"a",))])
+        with fail("fdatasync"), self.assertRaises(DiskFailure):
+            self.disk.write([AppendRecords("log-0", (b"b",))])
+        other = self.open()
+        other.recover()
+        for disk in (self.disk, other):
+            for operation in (
+                AppendRecords("log-0", (b"c",)),
+                TruncateRecords("log-0", 0),
+            ):
+                with self.assertRaisesRegex(DiskFailure, "log-0"):
+                    disk.write([operation])
+
+    def test_a_failed_replacement_leaves_no_temporary_file(self):
+        self.disk.write([WriteFile("vote", b"old")])
+        for name in ("pwrite", "fsync", "replace"):
+            with fail(name), self.assertRaises(DiskFailure):
+                self.disk.write([WriteFile("vote", b"new")])
+            assert [path.name for path in self.folder.iterdir()] == ["vote.file"]
+        assert self.recover().files == {"vote": b"old"}
+
+    def test_failures_leave_no_descriptor_open(self):
+        self.disk.write([WriteFile("vote", b"x")])
+        before = len(os.listdir("/proc/self/fd"))
+        for number in range(5):
+            for name in ("pwrite", "fsync", "fdatasync"):
+                with fail(name), self.assertRaises(DiskFailure):
+                    self.disk.write([AppendRecords(f"log-{number}-{name}", (b"a",))])
+        assert len(os.listdir("/proc/self/fd")) == before
+
+    def test_a_write_without_free_descriptors_fails_for_that_time_only(self):
+        with fail("open", NO_DESCRIPTORS), self.assertRaises(DiskFailure):
+            self.disk.write([AppendRecords("log-0", (b"a",))])
+        self.disk.write([WriteFile("state", b"x"), AppendRecords("log-1", (b"a",))])
+        assert self.recover().records == {"log-1": (b"a",)}
+
+
+class TestFullAtStart(DiskTest):
+    """Guards against a process that ends again and again on a full disk."""
+
+    def test_recovery_writes_nothing(self):
+        self.disk.write([AppendRecords("log-0", (b"a",)), WriteFile("vote", b"x")])
+        path = self.folder / "log-0.records"
+        torn = path.read_bytes() + encode_frame([b"torn"])[:-1]
+        path.write_bytes(torn)
+        (self.folder / "vote.file.temporary").write_bytes(b"part")
+        with mock.patch.multiple(
+            os, **{name: mock.Mock(side_effect=FULL) for name in WRITES}
+        ):
+            recovered = self.recover()
+        assert recovered.records == {"log-0": (b"a",)}
+        assert recovered.files == {"vote": b"x"}
+        assert not recovered.is_synced
+        assert path.read_bytes() == torn
+
+    def test_a_folder_that_could_not_be_created_is_created_by_a_later_write(self):
+        with fail("mkdir"), self.assertRaises(DiskFailure):
+            self.disk.write([WriteFile("vote", b"x")])
+        assert self.recover() == Recovered(is_synced=True)
+        self.disk.write([WriteFile("vote", b"x")])
+        assert self.recover().files == {"vote": b"x"}
+
+    def test_the_first_write_removes_temporaries(self):
+        self.disk.write([WriteFile("vote", b"x")])
+        left = self.folder / "snapshot.file.temporary"
+        left.write_bytes(b"part of a snapshot")
+        disk = self.open()
+        disk.recover()
+        assert left.exists()
+        disk.write([WriteFile("vote", b"y")])
+        assert not left.exists()
+
+
+class TestFormerData(DiskTest):
+    """Guards against data of the version before that can't be read."""
+
+    def make_entries(self, *indexes):
+        return [
+            msgspec.msgpack.encode(Entry(index, 1, float(index), commit=index - 1))
+            for index in indexes
+        ]
+
+    def test_a_log_beside_its_snapshot_is_recovered(self):
+        stored = {"log_file": 1, "base_index": 4, "base_term": 1, "content": b""}
+        entries = self.make_entries(5, 6, 7)
+        self.disk.write(
+            [
+                WriteFile("snapshot", msgspec.msgpack.encode(stored)),
+                AppendRecords("log-0", ()),
+                AppendRecords("log-1", tuple(entries)),
+            ]
+        )
+        replica = self.make_replica()
+        assert (replica.log.base_index, replica.log.last_index) == (4, 7)
+        assert replica.commit == 6
+        assert not replica.identity
+        (write,) = replica.rewrite(0.0)
+        self.open().write(write.operations)
+        again = self.make_replica()
+        assert (again.log.base_index, again.log.last_index) == (4, 7)
+        assert "log-1" not in self.recover().records
+
+    def make_replica(self):
+        proposals = Proposals("v0", 1)
+        state = ReplicatedState([])
+        return Replica(state, self.recover(), "identity", {"v0": ""}, proposals)
+
+
+if __name__ == "__main__":
+    unittest.main()
