--- /dev/null
+++ b/tests/test_real_disks.py
@@ -0,0 +1,101 @@
+"""Tests that daemon processes whose disks refuse writes for a time vote again.
+
+A limit on the size of the files that a process may write stands in for a full disk:
+each write of the process fails while it is zero.
+"""
+
+import resource
+import tempfile
+import time
+import unittest
+
+import urllib3
+
+from tests._real_cluster import POLL_SECONDS, RealCluster
+
+RETURN_SECONDS = 20.0
+"""Limit for the tests' machine, which may be busy; the daemon tries once a second."""
+
+
+class TestRealDisks(unittest.TestCase):
+    """Guards against a vote lost for good with one refused write (issue 40)."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.cluster = RealCluster(folder.name, voters=3, followers=1)
+        self.addCleanup(self.cluster.close)
+        self.accepted = {}
+
+    def apply(self):
+        """Have a configuration accepted through the daemon without a disk.
+
+        It refuses while it has no contact to a leader; the same is accepted once only.
+        """
+        generation = len(self.accepted)
+        file = f"{generation:03}.toml"
+        text = f"[teams.t{generation}]\nlimit = 1\n"
+        end = time.monotonic() + RETURN_SECONDS
+        answer = None
+        while time.monotonic() < end:
+            answer = self.cluster.apply("f0", generation, {file: text})
+            if answer and answer[0] == 200:
+                self.accepted[file] = text
+                return
+            time.sleep(POLL_SECONDS)
+        raise AssertionError(f"generation {generation} is not accepted: {answer}")
+
+    def limit_files(self, name, size):
+        process = self.cluster.processes[name]
+        _, most = resource.prlimit(process.pid, resource.RLIMIT_FSIZE)
+        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (size, most))
+
+    def fill(self, name):
+        self.limit_files(name, 0)
+
+    def empty(self, name):
+        self.limit_files(name, resource.RLIM_INFINITY)
+
+    def await_gauge(self, name, value):
+        """Wait until the metrics of a daemon tell whether its disk works."""
+        url = f"http://127.0.0.1:{self.cluster.ports[name]}/metrics"
+        end = time.monotonic() + RETURN_SECONDS
+        text = ""
+        while time.monotonic() < end:
+            try:
+                text = self.cluster.http.request("GET", url, timeout=1.0).data.decode()
+            except urllib3.exceptions.HTTPError as error:
+                text = str(error)
+            if f"gypsumwalk_disk_working {value}" in text:
+                return
+            time.sleep(POLL_SECONDS)
+        raise AssertionError(f"the disk of {name} is not reported as {value}: {text}")
+
+    def test_disks_in_turn_and_a_restart_on_a_full_disk(self):
+        leader = self.cluster.await_leader()
+        self.apply()
+        others = [name for name in self.cluster.voters if name != leader]
+        for name in (others[0], leader):
+            self.fill(name)
+            self.apply()
+            self.await_gauge(name, 0.0)
+            self.apply()
+            self.empty(name)
+            self.await_gauge(name, 1.0)
+        # Both voters whose disks were full are needed now.
+        self.cluster.kill(others[1])
+        self.cluster.await_leader()
+        self.apply()
+        for name in (others[0], leader):
+            assert self.cluster.processes[name].poll() is None
+            self.cluster.kill(name)
+        for name in self.cluster.voters:
+            self.cluster.start(name)
+        self.cluster.await_leader()
+        self.apply()
+        for name in self.cluster.names:
+            self.cluster.await_files(name, self.accepted)
+
+
+if __name__ == "__main__":
+    unittest.main()
