Don't wait for a write that hangs when a daemon shuts down

A daemon that was asked to stop while its disk answered nothing stayed until the disk did: the task that writes could not be cancelled.

Change: the task has a module of its own, and its thread is abandoned when it is cancelled; what the write leaves behind is what a kill leaves behind.

--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -13,6 +13,7 @@
 from gypsumwalk.drivers.clock import BoottimeClock, EpochClock
 from gypsumwalk.drivers.connections import ReceiveWatchdog
 from gypsumwalk.drivers.disk import FolderDisk
+from gypsumwalk.drivers.disk_writer import DiskWriter
 from gypsumwalk.drivers.factory import DaemonAssembly, DaemonFactory, ServerContext
 from gypsumwalk.drivers.input_queue import InputQueue, QueuedInput
 from gypsumwalk.drivers.journal import EventJournal
@@ -37,7 +38,7 @@
 from gypsumwalk.errors import BadBoundary, DiskFailure
 from gypsumwalk.events import Event
 from gypsumwalk.incarnations import choose_incarnation, encode_incarnation
-from gypsumwalk.inputs import DiskOutcome, ShutdownRequested
+from gypsumwalk.inputs import ShutdownRequested
 from gypsumwalk.interfaces import Disk
 from gypsumwalk.recovery import Recovered
 from gypsumwalk.settings import Settings
@@ -46,7 +47,6 @@
 
 __all__ = ["Daemon", "run_daemon"]
 
-MAX_QUEUED_WRITES = 1024
 MAX_BATCH_INPUTS = 64
 DISPATCH_THREADS = 128
 SHUTDOWN_TIMEOUT_SECONDS = 30.0
@@ -82,8 +82,11 @@
         self._assembly = self._recover_and_assemble()
         self._node = self._assembly.node
         self._inputs = InputQueue(self._clock)
-        self._send_write, self._writes = trio.open_memory_channel[WriteDisk](
-            MAX_QUEUED_WRITES
+        self._disk_writer = DiskWriter(
+            self._disk,
+            clock=self._clock,
+            metrics=self._metrics,
+            report=self._inputs.put,
         )
         self._bridge = CallBridge(trio.lowlevel.current_trio_token(), self._inputs)
         self._targets = TargetHttpClient(
@@ -114,7 +117,7 @@
             Dispatch: self._start_dispatch,
             CancelDispatch: self._cancel_dispatch,
             CallPlatform: self._start_platform_call,
-            WriteDisk: self._send_write.send_nowait,
+            WriteDisk: self._disk_writer.submit,
             Record: self._record,
             Stop: self._request_stop,
         }
@@ -137,7 +140,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             self._peers.start(nursery)
-            nursery.start_soon(self._write_disk)
+            nursery.start_soon(self._disk_writer.run)
             nursery.start_soon(self._await_signals)
             for server in servers:
                 nursery.start_soon(_run_server, server)
@@ -210,24 +213,6 @@
     def _record_platform_wait(self, seconds: float) -> None:
         self._metrics.observe_latency("platform_wait", seconds)
 
-    async def _write_disk(self) -> None:
-        async for write in self._writes:
-            started = self._clock.now()
-            outcome = await trio.to_thread.run_sync(self._write_blocking, write)
-            name = _name_outcome(outcome.succeeded)
-            self._metrics.count("disk_writes", outcome=name)
-            self._metrics.observe_latency("disk_write", self._clock.now() - started)
-            self._inputs.put(outcome)
-
-    def _write_blocking(self, write: WriteDisk) -> DiskOutcome:
-        if self._disk is None:
-            return DiskOutcome(write.token, False, "there is no data folder")
-        try:
-            self._disk.write(write.operations)
-        except DiskFailure as failure:
-            return DiskOutcome(write.token, False, str(failure))
-        return DiskOutcome(write.token, True)
-
     def _record(self, record: Record) -> None:
         self._journal.write(record, self._clock.now())
         self._metrics.count("events", number=record.event.number)
@@ -319,10 +304,6 @@
         )
 
 
-def _name_outcome(succeeded: bool) -> str:
-    return "succeeded" if succeeded else "failed"
-
-
 async def _run_server(server: HttpServer) -> None:
     await trio.to_thread.run_sync(
         server.serve, abandon_on_cancel=True, limiter=trio.CapacityLimiter(1)
--- /dev/null
+++ b/src/gypsumwalk/drivers/disk_writer.py
@@ -0,0 +1,72 @@
+"""Task that writes to the disk of one daemon, off the event loop."""
+
+from collections.abc import Callable
+
+import trio
+
+from gypsumwalk.drivers.metrics import Metrics
+from gypsumwalk.effects import WriteDisk
+from gypsumwalk.errors import DiskFailure
+from gypsumwalk.inputs import DiskOutcome
+from gypsumwalk.interfaces import Clock, Disk
+
+__all__ = ["DiskWriter"]
+
+MAX_QUEUED_WRITES = 1024
+
+
+class DiskWriter:
+    """Carries out writes one after the other, each in a worker thread.
+
+    Parameters
+    ----------
+    disk : Disk or None
+        The disk; without one every write fails.
+    clock : Clock
+        Clock for the latency of writes.
+    metrics : Metrics
+        Counts and latencies of writes.
+    report : Callable
+        Takes the outcome of each write.
+    """
+
+    def __init__(
+        self,
+        disk: Disk | None,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        report: Callable[[DiskOutcome], None],
+    ) -> None:
+        self._disk = disk
+        self._clock = clock
+        self._metrics = metrics
+        self._report = report
+        self._send, self._writes = trio.open_memory_channel[WriteDisk](
+            MAX_QUEUED_WRITES
+        )
+
+    def submit(self, write: WriteDisk) -> None:
+        """Queue a write."""
+        self._send.send_nowait(write)
+
+    async def run(self) -> None:
+        """Write until cancelled; a write that hangs then is abandoned."""
+        async for write in self._writes:
+            started = self._clock.now()
+            outcome = await trio.to_thread.run_sync(
+                self._write, write, abandon_on_cancel=True
+            )
+            name = "succeeded" if outcome.succeeded else "failed"
+            self._metrics.count("disk_writes", outcome=name)
+            self._metrics.observe_latency("disk_write", self._clock.now() - started)
+            self._report(outcome)
+
+    def _write(self, write: WriteDisk) -> DiskOutcome:
+        if self._disk is None:
+            return DiskOutcome(write.token, False, "there is no data folder")
+        try:
+            self._disk.write(write.operations)
+        except DiskFailure as failure:
+            return DiskOutcome(write.token, False, str(failure))
+        return DiskOutcome(write.token, True)
