Ask for the time wherever the disk's writes are timed

A default of zero would have made a write time out at once; all callers but one test gave the time. Event 2004 says until when there is no vote.

Measured: mypy passes; the tests of storage, outages and consensus pass.

--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -101,7 +101,7 @@
         2003, Level.INFO, "follows leader {leader} in term {term}"
     )
     DISK_FAILED = EventEntry(
-        2004, Level.ERROR, "disk write failed; the daemon no longer votes: {reason}"
+        2004, Level.ERROR, "disk write failed; no vote until the disk works: {reason}"
     )
     VOTER_REFUSED = EventEntry(
         2005,
--- a/src/gypsumwalk/storage.py
+++ b/src/gypsumwalk/storage.py
@@ -142,7 +142,7 @@
             return []
         return list(effects)
 
-    def flush(self, now: float = 0.0) -> list[Effect]:
+    def flush(self, now: float) -> list[Effect]:
         """Return the write of the staged batch, unless a write is in flight.
 
         Parameters
@@ -211,7 +211,7 @@
         self._fail(now)
         return True
 
-    def complete(self, token: int, succeeded: bool, now: float = 0.0) -> list[Effect]:
+    def complete(self, token: int, succeeded: bool, now: float) -> list[Effect]:
         """Handle the outcome of a write; after a failure the disk backs nothing.
 
         Parameters
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -24,7 +24,7 @@
         """Return the operations of the write that follows on these."""
         storage = Storage(enabled=True, durable=0)
         storage.stage(*operations)
-        (write,) = storage.flush()
+        (write,) = storage.flush(0.0)
         return write.operations
 
     def test_appends_to_one_file_are_one_operation(self):
