--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -33,6 +33,23 @@
     return mock.patch.object(os, name, side_effect=error)
 
 
+def fail_later(name, calls):
+    """Let a system call fail after it has succeeded a number of times."""
+    original, left = getattr(os, name), iter(range(calls))
+
+    def call(*args):
+        if next(left, None) is None:
+            raise FULL
+        return original(*args)
+
+    return mock.patch.object(os, name, call)
+
+
+def make_replica(recovered):
+    proposals = Proposals("v0", 1)
+    return Replica(ReplicatedState([]), recovered, "identity", {"v0": ""}, proposals)
+
+
 class DiskTest(unittest.TestCase):
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -100,6 +117,30 @@
         assert self.recover().records == {"log-1": (b"a",)}
 
 
+class TestRewrites(DiskTest):
+    """Guards against attempts that take up the room that is missing."""
+
+    def test_failed_attempts_leave_nothing_behind(self):
+        self.disk.write([])
+        replica = make_replica(Recovered(is_synced=False))
+        replica.append([Entry(index, 1, float(index)) for index in range(1, 50)])
+        now = 0.0
+        for number in range(30):
+            now = replica.storage.wakeup
+            (write,) = replica.rewrite(now)
+            name = ("pwrite", "fsync", "replace")[number % 3]
+            # The vote is written first, and the snapshot after it.
+            with fail_later(name, number % 2), self.assertRaises(DiskFailure):
+                self.disk.write(write.operations)
+            replica.storage.complete(write.token, False, now)
+            assert set(os.listdir(self.folder)) <= {"vote.file"}
+        (write,) = replica.rewrite(now + 1.0)
+        self.disk.write(write.operations)
+        replica.storage.complete(write.token, True, now + 1.0)
+        assert sorted(os.listdir(self.folder)) == ["snapshot.file", "vote.file"]
+        assert make_replica(self.recover()).log.last_index == 49
+
+
 class TestFullAtStart(DiskTest):
     """Guards against a process that ends again and again on a full disk."""
 
@@ -155,21 +196,16 @@
                 AppendRecords("log-1", tuple(entries)),
             ]
         )
-        replica = self.make_replica()
+        replica = make_replica(self.recover())
         assert (replica.log.base_index, replica.log.last_index) == (4, 7)
         assert replica.commit == 6
         assert not replica.identity
         (write,) = replica.rewrite(0.0)
         self.open().write(write.operations)
-        again = self.make_replica()
+        again = make_replica(self.recover())
         assert (again.log.base_index, again.log.last_index) == (4, 7)
         assert "log-1" not in self.recover().records
 
-    def make_replica(self):
-        proposals = Proposals("v0", 1)
-        state = ReplicatedState([])
-        return Replica(state, self.recover(), "identity", {"v0": ""}, proposals)
-
 
 if __name__ == "__main__":
     unittest.main()
