--- a/tests/_real_cluster.py
+++ b/tests/_real_cluster.py
@@ -162,6 +162,15 @@
         answer = self.call(name, "GET", "/v1/configuration", timeout=2.0)
         return answer[1] if answer and answer[0] == 200 else None
 
+    def poll(self, condition, within):
+        """Return whether a condition came true within a number of seconds."""
+        end = time.monotonic() + within
+        while time.monotonic() < end:
+            if condition():
+                return True
+            time.sleep(POLL_SECONDS)
+        return False
+
     def await_files(self, name, files, within=10.0):
         """Wait until the configuration of a daemon consists of exactly these files."""
         end = time.monotonic() + within
--- a/tests/test_real_disks.py
+++ b/tests/test_real_disks.py
@@ -6,12 +6,11 @@
 
 import resource
 import tempfile
-import time
 import unittest
 
 import urllib3
 
-from tests._real_cluster import POLL_SECONDS, RealCluster
+from tests._real_cluster import RealCluster
 
 RETURN_SECONDS = 20.0
 """Limit for the tests' machine, which may be busy; the daemon tries once a second."""
@@ -35,15 +34,15 @@
         generation = len(self.accepted)
         file = f"{generation:03}.toml"
         text = f"[teams.t{generation}]\nlimit = 1\n"
-        end = time.monotonic() + RETURN_SECONDS
-        answer = None
-        while time.monotonic() < end:
-            answer = self.cluster.apply("f0", generation, {file: text})
-            if answer and answer[0] == 200:
-                self.accepted[file] = text
-                return
-            time.sleep(POLL_SECONDS)
-        raise AssertionError(f"generation {generation} is not accepted: {answer}")
+        is_accepted = self.cluster.poll(
+            lambda: self.is_accepted(generation, {file: text}), RETURN_SECONDS
+        )
+        assert is_accepted, f"generation {generation} is not accepted"
+        self.accepted[file] = text
+
+    def is_accepted(self, generation, files):
+        answer = self.cluster.apply("f0", generation, files)
+        return answer and answer[0] == 200
 
     def limit_files(self, name, size):
         process = self.cluster.processes[name]
@@ -58,18 +57,17 @@
 
     def await_gauge(self, name, value):
         """Wait until the metrics of a daemon tell whether its disk works."""
+        line = f"gypsumwalk_disk_working {value}"
+        assert self.cluster.poll(
+            lambda: line in self.read_metrics(name), RETURN_SECONDS
+        ), f"{name} does not report: {line}"
+
+    def read_metrics(self, name):
         url = f"http://127.0.0.1:{self.cluster.ports[name]}/metrics"
-        end = time.monotonic() + RETURN_SECONDS
-        text = ""
-        while time.monotonic() < end:
-            try:
-                text = self.cluster.http.request("GET", url, timeout=1.0).data.decode()
-            except urllib3.exceptions.HTTPError as error:
-                text = str(error)
-            if f"gypsumwalk_disk_working {value}" in text:
-                return
-            time.sleep(POLL_SECONDS)
-        raise AssertionError(f"the disk of {name} is not reported as {value}: {text}")
+        try:
+            return self.cluster.http.request("GET", url, timeout=1.0).data.decode()
+        except urllib3.exceptions.HTTPError as error:
+            return str(error)
 
     def test_disks_are_full_in_turn(self):
         leader = self.cluster.await_leader()
