Use one waiting loop for real clusters in tests

poll, added for the tests of full disks, was a third copy of the loops in await_leader and await_files; both use it now. Conditions, bounds and messages are as they were.

--- a/tests/_real_cluster.py
+++ b/tests/_real_cluster.py
@@ -132,13 +132,13 @@
 
     def await_leader(self, within=20.0, other_than=""):
         """Wait until a majority reports the same leader, and return it."""
-        end = time.monotonic() + within
-        while time.monotonic() < end:
-            leader = self.find_leader()
-            if leader not in ("", other_than):
-                return leader
-            time.sleep(POLL_SECONDS)
-        raise AssertionError(f"no leader in {within} s: {self._describe()}")
+        leader = self.poll(lambda: self._find_other_leader(other_than), within)
+        assert leader, f"no leader in {within} s: {self._describe()}"
+        return leader
+
+    def _find_other_leader(self, former):
+        leader = self.find_leader()
+        return "" if leader == former else leader
 
     def _describe(self):
         """Return the exit code and the last log lines of each daemon."""
@@ -163,26 +163,24 @@
         return answer[1] if answer and answer[0] == 200 else None
 
     def poll(self, condition, within):
-        """Return whether a condition came true within a number of seconds."""
+        """Return the first true result of a condition within seconds, else None."""
         end = time.monotonic() + within
         while time.monotonic() < end:
-            if condition():
-                return True
+            if result := condition():
+                return result
             time.sleep(POLL_SECONDS)
-        return False
+        return None
 
     def await_files(self, name, files, within=10.0):
         """Wait until the configuration of a daemon consists of exactly these files."""
-        end = time.monotonic() + within
-        while time.monotonic() < end:
-            found = self.read(name)
-            if found and found["files"] == files:
-                return
-            time.sleep(POLL_SECONDS)
-        raise AssertionError(
-            f"{name} has configuration {found}, expected files {files}"
+        assert self.poll(lambda: self._has_files(name, files), within), (
+            f"{name} has configuration {self.read(name)}, expected files {files}"
         )
 
+    def _has_files(self, name, files):
+        found = self.read(name)
+        return found is not None and found["files"] == files
+
     def measure_cpu(self, name):
         """Return the processor time used by a process in seconds."""
         pid = self.processes[name].pid
