Log the size of the data folder with the reason of a refused write

A full disk may be full of the daemon's own files or of others'; event 2004 named only the system's error, which is the same for both. The failure now carries the size of the data folder, measured in the thread that writes, and only after a failure.

Measured: two tests in tests/test_disk.py, which failed before (the size was not named); its 12 tests pass.

--- a/src/gypsumwalk/drivers/disk.py
+++ b/src/gypsumwalk/drivers/disk.py
@@ -94,7 +94,7 @@
             for operation in operations:
                 self._apply(operation)
         except OSError as error:
-            raise DiskFailure(str(error)) from error
+            raise DiskFailure(f"{error}; {self._describe_size()}") from error
 
     def close(self) -> None:
         """Close the open record files."""
@@ -113,6 +113,14 @@
         _sync_folder(self._folder)
         self._is_prepared = True
 
+    def _describe_size(self) -> str:
+        """Tell how much of a full disk this folder takes."""
+        try:
+            size = sum(entry.stat().st_size for entry in os.scandir(self._folder))
+        except OSError as error:
+            return f"the size of the folder is unknown: {error}"
+        return f"the folder holds {size} bytes"
+
     def _list(self, suffix: str) -> list[Path]:
         try:
             names = sorted(os.listdir(self._folder))
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -69,6 +69,19 @@
 class TestFailedWrites(DiskTest):
     """Guards against a folder that was closed for good by one refused write."""
 
+    def test_a_failure_names_its_reason_and_the_size_of_the_folder(self):
+        self.disk.write([WriteFile("state", bytes(1000))])
+        size = sum(path.stat().st_size for path in self.folder.iterdir())
+        with fail("pwrite"), self.assertRaises(DiskFailure) as caught:
+            self.disk.write([AppendRecords("log-0", (b"a",))])
+        assert str(FULL) in str(caught.exception)
+        assert f"the folder holds {size} bytes" in str(caught.exception)
+
+    def test_a_failure_of_a_folder_that_is_not_there_has_no_size(self):
+        with fail("mkdir"), self.assertRaises(DiskFailure) as caught:
+            self.disk.write([WriteFile("state", b"all")])
+        assert "the size of the folder is unknown" in str(caught.exception)
+
     def test_a_file_and_new_records_are_written_after_a_failure(self):
         self.disk.write([AppendRecords("log-0", (b"a",))])
         with fail("fdatasync"), self.assertRaises(DiskFailure):
