Drop the clock readings of an earlier process of a daemon

A daemon that started again after its clock was set back took its view of the keys for fresh although it was cut off, for as long as the step of the clock: a key that was withdrawn meanwhile was accepted there.

Cause: the leader echoes each daemon's own clock, and kept the highest reading of a daemon. After a step back the highest one was of the process before, and lay in the future of the new process, which kept it as well.

The leader now echoes the reading of the latest answer, and a daemon drops a reading later than its own clock: its process can't have sent it. Both are needed. The heartbeats before the first answer still carry the old reading, and without the first change the daemon would not be fresh until its clock has caught up.

--- a/src/gypsumwalk/follower.py
+++ b/src/gypsumwalk/follower.py
@@ -85,7 +85,7 @@
         end = body.previous_index + len(body.entries)
         self._matched = max(self._matched, end)
         replica.commit = max(replica.commit, min(body.commit, self._matched))
-        self._record_stamp(body)
+        self._record_stamp(body, now)
         answer = self._answer(body.sent, now)
         if body.entries and answer.match < end:
             self._unreported = answer
@@ -175,9 +175,12 @@
             replica.append(entries[position:])
             return
 
-    def _record_stamp(self, body: AppendEntries) -> None:
+    def _record_stamp(self, body: AppendEntries, now: float) -> None:
         if self._first_contact is None or body.stamp < self._first_contact:
             return
+        if body.stamp > now:
+            # An earlier process sent it, before the clock was set back.
+            return
         if not body.commit:
             return
         self._replica.set_apply_barrier(body.commit)
--- a/src/gypsumwalk/leadership.py
+++ b/src/gypsumwalk/leadership.py
@@ -395,13 +395,15 @@
         peer.answered_at = now
         if peer.name not in self._replica.voters or self._has_registered_disk(peer):
             peer.valid_at = now
+        is_overtaken = sent < peer.acknowledged
         peer.acknowledged = max(peer.acknowledged, sent)
         self._quorum_contact = None
-        if not self.holds_lease(now):
+        if is_overtaken or not self.holds_lease(now):
             return
         if peer.stamp < 0:
             peer.due = now
-        peer.stamp = max(peer.stamp, stamp)
+        # It is lower than before if the daemon started again with an earlier clock.
+        peer.stamp = stamp
 
     def _find_acknowledged(self, voter: str) -> float:
         peer = self._progress.get(voter)
