Ask the seeds that come later for the log

A daemon that started, or lost its leader, while its settings named no other daemon asked nobody for the log for the rest of its life. Seeds that came with a later change of the settings were taken over and never used, so it neither followed a leader nor could become a voter until a restart.

Cause: without a candidate the next request was put off for ever, and replacing the seeds did not bring it back.

The request is now due again after the usual 0.5 s, whether or not there is somebody to ask.

--- a/src/gypsumwalk/consensus.py
+++ b/src/gypsumwalk/consensus.py
@@ -18,7 +18,6 @@
     ShutdownRequested,
 )
 from gypsumwalk.leadership import Leadership
-from gypsumwalk.part import NEVER
 from gypsumwalk.progress import NO_LEASE, ElectionTiming
 from gypsumwalk.proposals import Proposals
 from gypsumwalk.recovery import Recovered
@@ -468,7 +467,6 @@
         known = set(self._seeds) | set(self._replica.voters)
         candidates = sorted(known - {self._daemon})
         if not candidates:
-            self._follow_due = NEVER
             return []
         recipient = self._random.choice(candidates)
         return [SendPeer(recipient, Follow(self._replica.log.last_index))]
