End the connections that a busy server refused

A caller whose connection was refused with 503, as all threads were busy, could keep the connection and send its next request there. Nobody read it, so it waited until its deadline, long after the server was free again.

Cause: the server leaves the socket of a refused connection open, so that the answer is not lost, until the object is collected. The thread that refuses keeps the last one until the next refusal, which may never come.

The connection now ends its own direction after the answer, so a client finds it closed before it sends again. The answer is still delivered, as nothing is reset.

Evidence: a stricter check in tests/test_server.py, which reads the refused connection to its end.

--- a/src/gypsumwalk/drivers/connections.py
+++ b/src/gypsumwalk/drivers/connections.py
@@ -104,4 +104,15 @@
             finally:
                 watchdog.finish()
 
+        def close(self) -> None:
+            """Close the connection; the sender of a refused one hears of its end.
+
+            The server leaves the socket of such a connection open, so that the sender
+            can read the refusal, and reads no further request from it.
+            """
+            super().close()
+            if self.linger:
+                with contextlib.suppress(OSError):
+                    self.socket.shutdown(socket.SHUT_WR)
+
     return WatchedConnection
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -18,6 +18,7 @@
 from gypsumwalk.settings import Settings
 
 TIMEOUT_SECONDS = 10.0
+CLOSE_SECONDS = 3.0
 WORKER_THREADS = 2
 MAX_QUEUED_CALLS = 4
 
@@ -168,8 +169,11 @@
             threading.Event().wait(0.001)
         queued = [self.start_call() for _ in range(MAX_QUEUED_CALLS)]
         refused = self.start_call()
+        refused.settimeout(CLOSE_SECONDS)
         try:
             answer = refused.recv(1024)
+            # Guards against an open connection from which nobody reads (issue 43).
+            assert refused.recv(1024) == b""
         finally:
             gate.set()
             for connection in [*running, *queued, refused]:
