Keep the threads of a server after errors

A server stopped to serve, for the rest of the process, after errors of a moment. On an entry, whose servers run beside the loop that reports it ready, that went unnoticed.

- When the standard error could not be written, as its reader had ended, each failed call ended a thread.
The pool still counted it, so after as many errors as threads no call was served.
- When no further thread could be started, a connection whose next request had arrived already ended the thread that put it back, and the server.

The log of the server now drops what it can't write, as the log of the daemon does. A connection for which no thread can be started stays queued, and one of the threads in use takes it; the next connection tries again.

Evidence: TestThreadsAfterErrors in tests/test_server.py.

--- a/src/gypsumwalk/drivers/server.py
+++ b/src/gypsumwalk/drivers/server.py
@@ -1,5 +1,6 @@
 """HTTP server with a bounded thread pool, for any WSGI application."""
 
+import contextlib
 import threading
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -75,7 +76,7 @@
         watchdog: ReceiveWatchdog,
         limits: ServerLimits,
     ) -> None:
-        self._server = Server(
+        self._server = _LoggingServer(
             (address, port),
             application,
             request_queue_size=LISTEN_BACKLOG,
@@ -119,6 +120,15 @@
         self._server.stop()
 
 
+class _LoggingServer(Server):
+    """Server that goes on if its log can't be written."""
+
+    def error_log(self, *arguments: Any, **options: Any) -> None:
+        """Write to the standard error; an error there would end a worker thread."""
+        with contextlib.suppress(OSError, ValueError):
+            super().error_log(*arguments, **options)
+
+
 class _GrowingThreadPool(ThreadPool):
     """Pool that starts a thread whenever a connection finds none free."""
 
@@ -132,7 +142,9 @@
     def put(self, obj: Any) -> None:
         """Queue a connection, and start a thread for it if none is free.
 
-        Only the thread that accepts connections calls this.
+        The thread that accepts connections calls this, and those that serve one whose
+        next request has arrived already. An error would end such a thread, and the
+        server with it; without a further thread the connection waits for one in use.
         """
         super().put(obj)
         with self._lock:
@@ -140,8 +152,9 @@
             is_short = self._free < 0
         if is_short and len(self._threads) < self.max:  # type: ignore[attr-defined]
             # `grow` would sleep until the thread runs, and delay the next connection.
-            worker = self._spawn_worker()  # type: ignore[attr-defined]
-            self._threads.append(worker)  # type: ignore[attr-defined]
+            with contextlib.suppress(RuntimeError, MemoryError):
+                worker = self._spawn_worker()  # type: ignore[attr-defined]
+                self._threads.append(worker)  # type: ignore[attr-defined]
 
     def _take(self) -> Any:
         with self._lock:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -5,6 +5,7 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -258,6 +259,92 @@
         assert self.server.threads <= 3
 
 
+class ClosedStream:
+    """Standard error whose reader has ended."""
+
+    def write(self, text):
+        raise BrokenPipeError
+
+    def flush(self):
+        raise BrokenPipeError
+
+
+class TestThreadsAfterErrors(unittest.TestCase):
+    """Guards against a server that serves nothing after an error (issue 43)."""
+
+    THREADS = 3
+    REQUEST = b"GET /%s HTTP/1.1\r\nHost: a\r\n\r\n"
+    LAST = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+
+    def setUp(self):
+        self.gate = threading.Event()
+        self.entered = threading.Semaphore(0)
+        limits = ServerLimits(threads=self.THREADS, queued=16, max_body_bytes=1024)
+        watchdog = ReceiveWatchdog(limit=1000.0)
+        self.server = HttpServer(
+            "127.0.0.1", 0, self.serve, watchdog=watchdog, limits=limits
+        )
+        self.server.prepare()
+        self.thread = threading.Thread(target=self.serve_until_stopped)
+        self.thread.start()
+
+    def tearDown(self):
+        self.gate.set()
+        self.server.stop()
+        self.thread.join()
+
+    def serve_until_stopped(self):
+        with contextlib.suppress(RuntimeError):
+            self.server.serve()
+
+    def serve(self, environ, start_response):
+        if environ["PATH_INFO"] == "/fail":
+            raise ArithmeticError
+        if environ["PATH_INFO"] == "/wait":
+            self.entered.release()
+            self.gate.wait(TIMEOUT_SECONDS)
+        start_response("200 OK", [("Content-Length", "0")])
+        return [b""]
+
+    def send(self, content):
+        address = ("127.0.0.1", self.server.port)
+        connection = socket.create_connection(address, CLOSE_SECONDS)
+        self.addCleanup(connection.close)
+        connection.sendall(content)
+        return connection
+
+    def check(self):
+        """Check that as many calls as threads are served at the same time."""
+        waiting = [self.send(self.REQUEST % b"wait") for _ in range(self.THREADS)]
+        for _ in waiting:
+            assert self.entered.acquire(timeout=CLOSE_SECONDS)
+        self.gate.set()
+        for connection in waiting:
+            assert connection.recv(1024).startswith(b"HTTP/1.1 200 ")
+
+    def test_errors_that_can_not_be_logged(self):
+        with mock.patch("sys.stderr", ClosedStream()):
+            for _ in range(2 * self.THREADS):
+                read_all(self.send(self.REQUEST % b"fail"))
+        self.check()
+
+    def test_no_further_thread_can_be_started(self):
+        with mock.patch.object(
+            self.server._server.requests,
+            "_spawn_worker",
+            side_effect=RuntimeError("can't start new thread"),
+        ):
+            busy = self.send(self.REQUEST % b"wait")
+            assert self.entered.acquire(timeout=CLOSE_SECONDS)
+            # The thread that serves the first request puts the second one back.
+            answers = read_all(self.send(self.REQUEST % b"" + self.LAST))
+        self.gate.set()
+        assert answers.count(b"HTTP/1.1 200 ") == 2, answers
+        assert busy.recv(1024).startswith(b"HTTP/1.1 200 ")
+        self.gate.clear()
+        self.check()
+
+
 def read_all(connection):
     chunks = []
     with contextlib.suppress(OSError):
