Hear new daemons after many others are gone

A daemon that had heard 1,024 others refused every message of a further one until its own restart. Where machines are replaced under new names, a new daemon could at last not reach any that had run for long.

Cause: the window of sequence numbers kept each name for ever, and admitted no further one once it was full.

It now drops the daemon that was silent for the longest time. A message of that one could be replayed once; it needs the cluster's secret to be made, and as many other daemons to be heard since.

Evidence: tests/test_replay_protection.py. Without the change the message of the daemon after 1,024 others was refused.

--- a/src/gypsumwalk/replay_protection.py
+++ b/src/gypsumwalk/replay_protection.py
@@ -17,7 +17,8 @@
     """Sliding window of the sequence numbers received from each peer.
 
     A sequence number is admitted once, and only if it belongs to the newest incarnation
-    of the peer and is among its latest ``WINDOW_MESSAGES`` numbers.
+    of the peer and is among its latest ``WINDOW_MESSAGES`` numbers. Of more than
+    ``MAX_SOURCES`` peers, those that were heard most recently are known.
     """
 
     def __init__(self) -> None:
@@ -44,11 +45,14 @@
             return False
         window = self._sources.get(source)
         if window is None or incarnation > window.incarnation:
-            if window is None and len(self._sources) >= MAX_SOURCES:
-                return False
-            window = self._sources[source] = _SourceWindow(incarnation)
+            window = _SourceWindow(incarnation)
         if incarnation < window.incarnation:
             return False
+        # The last one in the order is the one heard most recently.
+        self._sources.pop(source, None)
+        self._sources[source] = window
+        if len(self._sources) > MAX_SOURCES:
+            del self._sources[next(iter(self._sources))]
         return _mark_seen(window, sequence)
 
 
