Start again with a higher incarnation than an earlier process

A control daemon that lost its disk and started with a clock that was set back since its last start was refused by all others until its next start: it followed nobody and never voted. After a restart of the others it could lead, and then no call of the whole fleet was carried out, as none of its commands was taken.

Cause: the incarnation of a process is a reading of the clock, and rises only as long as the disk holds the one before. Other daemons refuse messages of a lower incarnation for their lifetime, and the sessions in the log refuse its commands for good. Nobody told the daemon.

A daemon that refuses a message now answers with the incarnation that it knows, and a daemon that has the log finds it in its own session. Whoever learns of a higher incarnation of its own stores it, hands the lead over and ends, so that its next process starts above it. While its disk refuses the write it stays, and tries again. Event 2011 tells it. A daemon without a disk is started again until its clock is past the step.

Evidence: TestIncarnation in tests/test_clock_steps.py, with a step of 60 s in a simulated fleet with the replay protection of real processes.

--- a/src/gypsumwalk/assembly.py
+++ b/src/gypsumwalk/assembly.py
@@ -166,6 +166,10 @@
             envelope.source, envelope.incarnation, envelope.sequence
         )
 
+    def find_newer_incarnation(self, envelope: Envelope) -> int:
+        """Return a known incarnation above that of a message's sender, or 0."""
+        return self._replay_window.find_newer(envelope.source, envelope.incarnation)
+
     def may_call(self, now: float) -> bool:
         """Return True, as these calls are guarded where they are decided on only."""
         return True
--- a/src/gypsumwalk/consensus.py
+++ b/src/gypsumwalk/consensus.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from gypsumwalk.admission import Admission
-from gypsumwalk.effects import Effect, Propose, Raise, Record, Scalar, SendPeer
+from gypsumwalk.effects import Effect, Propose, Raise, Record, Scalar, SendPeer, Stop
 from gypsumwalk.elections import CandidateState, Elections
 from gypsumwalk.events import Event
 from gypsumwalk.follower import Follower
@@ -33,6 +33,7 @@
     Introduce,
     Introduced,
     LeaderHint,
+    OutdatedIncarnation,
     SnapshotAnswer,
     SnapshotChunk,
     TakeOver,
@@ -51,6 +52,10 @@
 FOLLOW_RETRY_SECONDS = 0.5
 """Interval at which a daemon without a leader asks to be sent the log."""
 
+RESTART_RETRY_SECONDS = 1.0
+"""Interval at which a daemon whose incarnation is outdated tries to store a higher one,
+and to start again."""
+
 IDENTITY_BITS = 64
 """Size of a random disk identity."""
 
@@ -104,6 +109,7 @@
         self._random = random
         self._timing = ElectionTiming(settings.election_seconds)
         self._seeds = [voter for voter in settings.voters if voter != settings.name]
+        self._incarnation = incarnation
         self._proposals = Proposals(settings.name, incarnation)
         identity = ""
         voters = list_initial_voters(
@@ -133,6 +139,8 @@
         self._is_started = False
         self._is_first_start = bool(first_start)
         self._is_shutting_down = False
+        self._has_disk = bool(settings.data_folder)
+        self._restart_due = 0.0
         self._last_leader_contact = 0.0
         self._follow_due = 0.0
         self._lease_end = NO_LEASE
@@ -335,6 +343,9 @@
         if self._is_shutting_down:
             effects += self._transfer_leadership(now)
         effects += self._apply_committed()
+        effects += self._restart_above(
+            self._replica.find_incarnation(self._daemon), now
+        )
         self._follower.update_freshness()
         if self.holds_lease(now):
             self._follower.fresh_as_of = now
@@ -381,13 +392,40 @@
             detail: dict[str, Scalar] = {"reason": reason or "unknown"}
             effects.append(Record(Event.DISK_FAILED, self._daemon, detail))
         self._elections.cancel_candidacy()
-        if self._leadership is None:
-            return effects
-        successor = self._leadership.find_successor()
-        effects += self._step_down("disk write failed")
-        if successor:
-            effects.append(SendPeer(successor, TakeOver(self.term)))
-        return effects
+        return effects + self._hand_over("disk write failed")
+
+    def _restart_above(self, incarnation: int, now: float) -> list[Effect]:
+        """Start again if an earlier process of this daemon had a higher incarnation.
+
+        The clock was set back meanwhile, and the disk was lost or there is none. Other
+        daemons refuse all messages and commands of a lower incarnation.
+
+        Parameters
+        ----------
+        incarnation : int
+            Incarnation of this daemon that is known.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        list of Effect
+            The stop of the process, deferred until the incarnation is stored.
+        """
+        if incarnation <= self._incarnation or now < self._restart_due:
+            return []
+        self._restart_due = now + RESTART_RETRY_SECONDS
+        storage = self._replica.storage
+        self._replica.save_incarnation(incarnation)
+        if self._has_disk and not storage.enabled:
+            return []
+        detail: dict[str, Scalar] = {"incarnation": incarnation}
+        stop: list[Effect] = [
+            Record(Event.INCARNATION_OUTDATED, self._daemon, detail),
+            Stop(exit_code=1),
+        ]
+        effects = self._hand_over("the incarnation is outdated")
+        return effects + storage.defer_until_synced(stop)
 
     def _record_disk_return(self, now: float) -> list[Effect]:
         failed_at, self._disk_failed_at = self._disk_failed_at, None
@@ -415,6 +453,8 @@
                 return self._handle_forward(source, body, now)
             case Follow() | LeaderHint() as body:
                 return self._handle_follow(source, body, now)
+            case OutdatedIncarnation(incarnation=incarnation):
+                return self._restart_above(incarnation, now)
         return []
 
     def _find_lease_end(self) -> float:
@@ -620,6 +660,16 @@
         self._elections.reset_timeout(now)
         return [*effects, SendPeer(successor, TakeOver(self.term))]
 
+    def _hand_over(self, reason: str) -> list[Effect]:
+        """Step down, and let the voter that was sent most of the log stand at once."""
+        if self._leadership is None:
+            return []
+        successor = self._leadership.find_successor()
+        effects = self._step_down(reason)
+        if successor:
+            effects.append(SendPeer(successor, TakeOver(self.term)))
+        return effects
+
     def _step_down(self, reason: str) -> list[Effect]:
         was_leader = self._leadership is not None
         self._leadership = None
--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -298,6 +298,7 @@
             hybrid=self._hybrid_clock,
             find=self._factory.find_peer,
             accept=self._assembly.accept,
+            find_newer=self._assembly.find_newer_incarnation,
             inputs=self._inputs,
             record=self._record,
             metrics=self._metrics,
--- a/src/gypsumwalk/drivers/factory.py
+++ b/src/gypsumwalk/drivers/factory.py
@@ -44,6 +44,10 @@
         """Add a peer's message to the replay window; return whether it is new."""
         ...
 
+    def find_newer_incarnation(self, envelope: Envelope) -> int:
+        """Return a known incarnation above that of a message's sender, or 0."""
+        ...
+
     def is_ready(self, now: float) -> bool:
         """Return whether the daemon is ready for work."""
         ...
--- a/src/gypsumwalk/drivers/peers.py
+++ b/src/gypsumwalk/drivers/peers.py
@@ -15,6 +15,7 @@
 from gypsumwalk.events import Event
 from gypsumwalk.inputs import PeerInput
 from gypsumwalk.interfaces import Clock
+from gypsumwalk.replication import OutdatedIncarnation
 from gypsumwalk.timestamps import HybridClock
 from gypsumwalk.wire import Envelope, PeerCodec
 
@@ -56,6 +57,8 @@
         Returns the address of a daemon by name, or None.
     accept : Callable
         Returns whether an envelope is new, and adds it to the replay window.
+    find_newer : Callable
+        Returns a known incarnation above that of an envelope's sender, or 0.
     inputs : InputSink
         Queue of the node's inputs.
     record : Callable
@@ -74,6 +77,7 @@
         hybrid: HybridClock,
         find: Callable[[str], PeerAddress | None],
         accept: Callable[[Envelope], bool],
+        find_newer: Callable[[Envelope], int],
         inputs: InputSink,
         record: Callable[[Record], None],
         metrics: Metrics,
@@ -85,6 +89,7 @@
         self._hybrid_clock = hybrid
         self._find_address = find
         self._accept = accept
+        self._find_newer = find_newer
         self._inputs = inputs
         self._record = record
         self._metrics = metrics
@@ -255,7 +260,12 @@
         self._deliver(envelope, body)
 
     def _deliver(self, envelope: Envelope, body: msgspec.Struct) -> None:
-        if envelope.recipient != self._name or not self._accept(envelope):
+        if envelope.recipient != self._name:
+            return
+        if not self._accept(envelope):
+            if newer := self._find_newer(envelope):
+                refusal = OutdatedIncarnation(newer)
+                self.send(envelope.source, refusal, reliable=False)
             return
         self._hybrid_clock.merge(envelope.timestamp, self._clock.now())
         with contextlib.suppress(trio.WouldBlock, trio.BrokenResourceError):
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -121,6 +121,12 @@
         Level.INFO,
         "disk holds the whole state again after {seconds} s; the daemon may vote",
     )
+    INCARNATION_OUTDATED = EventEntry(
+        2011,
+        Level.ERROR,
+        "incarnation {incarnation} of this daemon is known, as its clock was set back;"
+        " it starts again with a higher one",
+    )
     MEMBER_CHANGED = EventEntry(
         2101, Level.INFO, "member is {change}, incarnation {incarnation}"
     )
--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -180,6 +180,10 @@
             envelope.source, envelope.incarnation, envelope.sequence
         )
 
+    def find_newer_incarnation(self, envelope: Envelope) -> int:
+        """Return a known incarnation above that of a message's sender, or 0."""
+        return self._window.find_newer(envelope.source, envelope.incarnation)
+
     def is_leading(self, now: float) -> bool:
         """Return whether the daemon leads; may be called from any thread.
 
--- a/src/gypsumwalk/replay_protection.py
+++ b/src/gypsumwalk/replay_protection.py
@@ -55,6 +55,11 @@
             del self._sources[next(iter(self._sources))]
         return _mark_seen(window, sequence)
 
+    def find_newer(self, source: str, incarnation: int) -> int:
+        """Return a known incarnation of a peer above the given one, or 0."""
+        window = self._sources.get(source)
+        return window.incarnation if window and window.incarnation > incarnation else 0
+
 
 def _mark_seen(window: _SourceWindow, sequence: int) -> bool:
     if sequence > window.highest:
--- a/src/gypsumwalk/replica.py
+++ b/src/gypsumwalk/replica.py
@@ -20,6 +20,7 @@
 )
 from gypsumwalk.errors import CorruptRecord, UnknownMessage
 from gypsumwalk.events import Event
+from gypsumwalk.incarnations import encode_incarnation
 from gypsumwalk.inputs import Committed
 from gypsumwalk.proposals import Proposals
 from gypsumwalk.recovery import Recovered
@@ -184,6 +185,17 @@
         """Stage a write of the term, the vote and the disk identities."""
         self.storage.stage(self._encode_vote())
 
+    def find_incarnation(self, origin: str) -> int:
+        """Return the latest incarnation of a daemon with an applied command, or 0."""
+        return self._sessions.find_incarnation(origin)
+
+    def save_incarnation(self, incarnation: int) -> None:
+        """Stage a write of an incarnation, above which the next process starts."""
+        operation = encode_incarnation(incarnation)
+        others = [item for item in self._kept_files if item.file != operation.file]
+        self._kept_files = [*others, operation]
+        self.storage.stage(operation)
+
     def enter_term(self, term: int, voted_for: str = "") -> None:
         """Enter a later term, or record the vote in the current one."""
         self.vote.term = term
--- a/src/gypsumwalk/replication.py
+++ b/src/gypsumwalk/replication.py
@@ -15,6 +15,7 @@
     "Introduce",
     "Introduced",
     "LeaderHint",
+    "OutdatedIncarnation",
     "SnapshotAnswer",
     "SnapshotChunk",
     "TakeOver",
@@ -202,6 +203,12 @@
     last_index: int
 
 
+class OutdatedIncarnation(msgspec.Struct, frozen=True, tag=True):
+    """Refusal of a message, as a higher incarnation of its sender is known."""
+
+    incarnation: int
+
+
 class LeaderHint(msgspec.Struct, frozen=True, tag=True):
     """Leader known to the sender."""
 
@@ -244,5 +251,6 @@
     Forward,
     Introduce,
     Introduced,
+    OutdatedIncarnation,
 )
 COMMANDS = (ChangeVoters,)
--- a/src/gypsumwalk/sessions.py
+++ b/src/gypsumwalk/sessions.py
@@ -76,6 +76,11 @@
             return DuplicateCheck(False, done.index, done.result)
         return DuplicateCheck(sequence > session.highest - DEDUPLICATION_WINDOW)
 
+    def find_incarnation(self, origin: str) -> int:
+        """Return the latest incarnation of a daemon with an applied command, or 0."""
+        session = self._sessions.get(origin)
+        return session.incarnation if session else 0
+
     def record(
         self, origin: str, incarnation: int, sequence: int, index: int, result: bytes
     ) -> None:
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -2,11 +2,22 @@
 
 import unittest
 
+from gypsumwalk.effects import SendPeer
+from gypsumwalk.events import Event
+from gypsumwalk.incarnations import choose_incarnation
 from gypsumwalk.keys import FRESH_SECONDS
+from gypsumwalk.recovery import Recovered
+from gypsumwalk.replication import OutdatedIncarnation
+from gypsumwalk.wire import Envelope
 from tests._agreement import Cluster
+from tests._fleet_work import FleetWorld, make_declaration
 
 STEP_SECONDS = 60.0
 CATCH_UP_SECONDS = 3.0
+RESTART_SECONDS = 0.8
+REPLACEMENT_SECONDS = 12.0
+ELECTION_SECONDS = 10.0
+MAX_LEADERS = 20
 
 
 class TestFreshness(unittest.TestCase):
@@ -48,5 +59,114 @@
         self.check(name)
 
 
+class ClockWorld(FleetWorld):
+    """Daemons with the incarnations and the replay protection of real processes.
+
+    A daemon that ends by itself is started again after a short time.
+    """
+
+    def restart(self, name):
+        daemon = self.daemons[name]
+        if daemon.alive:
+            self.kill(name)
+        recovered = daemon.disk.recover() if daemon.disk else Recovered()
+        local_time = daemon.read_clock(self.now)
+        daemon.incarnation = choose_incarnation(local_time, recovered) - 1
+        super().restart(name)
+
+    def _carry_out_one(self, daemon, effect):
+        super()._carry_out_one(daemon, effect)
+        if daemon.stopped:
+            daemon.stopped = False
+            self.schedule(RESTART_SECONDS, lambda: self.restart(daemon.name))
+
+    def _receive_peer_message(self, daemon, recipient, item, message_id):
+        if self.network.blocks(daemon.place, recipient.place) or not recipient.alive:
+            return
+        source, incarnation, sequence = message_id
+        envelope = Envelope(source, incarnation, recipient.name, sequence, None, None)
+        assembly = self.assemblies[recipient.name]
+        if assembly.accept(envelope):
+            self.deliver(recipient, item)
+        elif newer := assembly.find_newer_incarnation(envelope):
+            self._send(recipient, SendPeer(source, OutdatedIncarnation(newer)))
+
+
+class TestIncarnation(unittest.TestCase):
+    """Guards against a daemon that nobody hears until its next start (issue 43)."""
+
+    def begin(self, seed=1):
+        self.world = ClockWorld(seed)
+        self.world.begin()
+        self.world.run(CATCH_UP_SECONDS)
+
+    def lose_disk_and_set_clock_back(self, name):
+        self.world.lose_disk(name)
+        self.world.daemons[name].clock_offset -= STEP_SECONDS
+        self.world.run(RESTART_SECONDS)
+        self.world.restart(name)
+
+    def may_vote(self, name):
+        consensus = self.world.assemblies[name].consensus
+        identity = consensus.replica.identity
+        return bool(identity) and consensus.replica.voters.get(name) == identity
+
+    def make_leader(self, name):
+        """Restart every other leader until a daemon leads."""
+        for _ in range(MAX_LEADERS):
+            assert self.world.run_until(self.world.find_leader, within=ELECTION_SECONDS)
+            leader = self.world.find_leader()
+            if leader == name:
+                return
+            self.world.kill(leader)
+            self.world.run(RESTART_SECONDS)
+            self.world.restart(leader)
+        raise AssertionError(f"{name} does not lead")
+
+    def count_restarts(self):
+        events = [getattr(entry.effect, "event", None) for entry in self.world.trace]
+        return events.count(Event.INCARNATION_OUTDATED)
+
+    def test_a_voter_with_a_new_disk_votes_again(self):
+        self.begin()
+        leader = self.world.find_leader()
+        name = next(name for name in self.world.names if name != leader)
+        self.lose_disk_and_set_clock_back(name)
+        assert self.world.run_until(
+            lambda: self.may_vote(name), within=REPLACEMENT_SECONDS
+        )
+        assert self.count_restarts() == 1
+
+    def test_a_leader_with_a_new_disk_votes_again(self):
+        self.begin(seed=2)
+        name = self.world.find_leader()
+        self.lose_disk_and_set_clock_back(name)
+        assert self.world.run_until(
+            lambda: self.may_vote(name), within=REPLACEMENT_SECONDS
+        )
+        assert self.world.declare(make_declaration(2)).status == 200
+
+    def test_commands_of_a_leader_are_committed_after_a_restart_of_all(self):
+        # The other daemons have forgotten the higher incarnation, the log has not.
+        self.begin(seed=3)
+        name = self.world.find_leader()
+        self.world.run(CATCH_UP_SECONDS)
+        self.lose_disk_and_set_clock_back(name)
+        for other in self.world.names:
+            self.world.restart(other)
+        assert self.world.run_until(
+            lambda: self.may_vote(name), within=REPLACEMENT_SECONDS
+        )
+        self.make_leader(name)
+        assert self.world.declare(make_declaration(2)).status == 200
+
+    def test_messages_of_an_earlier_process_start_nothing_again(self):
+        self.begin(seed=4)
+        for name in self.world.names:
+            self.world.restart(name)
+            self.world.run(CATCH_UP_SECONDS)
+        assert self.count_restarts() == 0
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,9 +12,9 @@
 from gypsumwalk.drivers.metrics import Metrics
 from gypsumwalk.drivers.peers import PEER_PATH, PeerAddress, PeerNetwork
 from gypsumwalk.events import Event
-from gypsumwalk.replication import PEER_MESSAGES, Follow
-from gypsumwalk.timestamps import HybridClock
-from gypsumwalk.wire import PeerCodec
+from gypsumwalk.replication import PEER_MESSAGES, Follow, OutdatedIncarnation
+from gypsumwalk.timestamps import HybridClock, Timestamp
+from gypsumwalk.wire import Envelope, PeerCodec
 
 SECRET = b"0123456789abcdef"
 NO_CONTENT = b"HTTP/1.1 204 No Content\r\n\r\n"
@@ -47,6 +47,10 @@
 
 
 class TestReliableMessages(unittest.TestCase):
+    def setUp(self):
+        self.is_accepted = True
+        self.newer = 0
+
     def run_with(self, scenario):
         async def main():
             server = RecordingServer()
@@ -54,7 +58,8 @@
                 listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
                 port = listeners[0].socket.getsockname()[1]
                 nursery.start_soon(trio.serve_listeners, server.serve, listeners)
-                self.network = self.make_network(PeerAddress("127.0.0.1", port))
+                self.address = PeerAddress("127.0.0.1", port)
+                self.network = self.make_network(self.address)
                 await self.network.bind(PeerAddress("127.0.0.1", 0))
                 self.network.start(nursery)
                 with trio.fail_after(TIMEOUT_SECONDS):
@@ -76,7 +81,8 @@
             clock=clock,
             hybrid=HybridClock(),
             find=addresses.get,
-            accept=lambda envelope: True,
+            accept=lambda envelope: self.is_accepted,
+            find_newer=lambda envelope: self.newer,
             inputs=InputQueue(clock),
             record=self.records.append,
             metrics=Metrics(),
@@ -122,6 +128,29 @@
 
         self.run_with(scenario)
 
+    def receive(self, number):
+        """Have a message of another daemon received."""
+        body = self.codec.encode_body(Follow(1), stream=False)
+        envelope = Envelope("v1", 1, "v0", number, Timestamp(0, 0), body)
+        self.network._handle_datagram(self.codec.encode_datagram(envelope))
+
+    # Guards against a daemon that is not told why nobody hears it (issue 43).
+    def test_a_daemon_with_an_outdated_incarnation_is_told_the_newer_one(self):
+        async def scenario(server):
+            with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as receiver:
+                await receiver.bind(tuple(self.address))
+                self.receive(1)
+                self.is_accepted = False
+                self.receive(1)
+                self.newer = 7
+                self.receive(2)
+                content, _ = await receiver.recvfrom(1024)
+            envelope, body = self.codec.decode_datagram(content)
+            assert envelope.recipient == "v1"
+            assert body == OutdatedIncarnation(7)
+
+        self.run_with(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
