Order the pace of fillers again after a change of leader

Callers saw a filler that made no progress any more: a former leader had suspended it beside a task with a latency target, and its successor never let it go on.

Cause: the successor restores each run with a pace of 100 percent as last ordered, and orders a pace only where the level differs. Without a tail over its target the level is 100 percent as well, so it ordered nothing until the run ended.

A restored run now has no known pace, so the first pass of a new leader orders one for each filler.

--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -6,13 +6,23 @@
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.workload_records import RegisteredInstance, TaskKey
 
-__all__ = ["CLOCK_RATE_ERROR", "InstanceView", "LeaseTable", "RunState", "RunView"]
+__all__ = [
+    "CLOCK_RATE_ERROR",
+    "UNKNOWN_PERCENT",
+    "InstanceView",
+    "LeaseTable",
+    "RunState",
+    "RunView",
+]
 
 CLOCK_RATE_ERROR = 0.02
 """Largest relative rate error of an instance's clock, as the platform states."""
 
 MILLISECONDS_PER_SECOND = 1000
 
+UNKNOWN_PERCENT = -1
+"""Share of full speed of a run whose latest order is not known."""
+
 
 class RunState(StrEnum):
     """State of a run as the leader knows it."""
@@ -90,7 +100,8 @@
     load : int
         Load as listed, in the unit of ``RunningTask.load``.
     requested_percent : int
-        Share of full speed in percent that was last ordered.
+        Share of full speed in percent that was last ordered, ``UNKNOWN_PERCENT`` if an
+        earlier leader may have ordered one.
     checkpoint : str
         Latest checkpoint, as listed.
     has_latency_target : bool
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -8,7 +8,13 @@
 from gypsumwalk.advice import MAX_ASKED, AdviceCache, AdviceQuery, name_step
 from gypsumwalk.declaration_records import DeclaredQueue, Resources
 from gypsumwalk.declarations import DeclarationSection
-from gypsumwalk.leases import InstanceView, LeaseTable, RunState, RunView
+from gypsumwalk.leases import (
+    UNKNOWN_PERCENT,
+    InstanceView,
+    LeaseTable,
+    RunState,
+    RunView,
+)
 from gypsumwalk.part import NEVER
 from gypsumwalk.pooling import PoolDemand
 from gypsumwalk.ready_tasks import (
@@ -116,6 +122,7 @@
         workload = self._workloads.jobs[placement.task.job]
         run = _make_run(workload, placement, RunState.UNCONFIRMED)
         run.is_stopping = workload.has_ended
+        run.requested_percent = UNKNOWN_PERCENT
         lease_table.add(run)
         return run
 
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -135,6 +135,17 @@
         world.run(15.0)
         assert world.degraded_at[-1] < world.now - 5.0
 
+    # Guards against fillers that a former leader had suspended, and that its successor
+    # took for running at full pace, so that they never went on (issue 43).
+    def test_fillers_return_to_full_pace_under_a_new_leader(self):
+        world = self.make_world(latency_per_pace=2.0)
+        world.run(5.0)
+        assert max(self.list_paces(world)) < 30
+        world.kill(world.find_leader())
+        world.cancel(SERVING)
+        world.run(5.0)
+        assert self.list_paces(world) == [100, 100]
+
 
 if __name__ == "__main__":
     unittest.main()
