Order a pace again whose order was not answered

Callers saw a filler that stayed slowed down or suspended, although no task with a latency target ran beside it any more.

Cause: an order without an answer may have been carried out, but the run kept the pace of the order before as the one last ordered. Where the level returned to that pace before the next check, no order followed until the run ended.

Evidence: the new test, with an unanswered order to slow down and the serving task cancelled within its timeout, found paces below 30 percent after 3 s before this change.

The pace is unknown after an order without an answer, so the next check orders one.

--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -101,7 +101,7 @@
         Load as listed, in the unit of ``RunningTask.load``.
     requested_percent : int
         Share of full speed in percent that was last ordered, ``UNKNOWN_PERCENT`` if an
-        earlier leader may have ordered one.
+        earlier leader may have ordered one, or the latest order was not answered.
     checkpoint : str
         Latest checkpoint, as listed.
     has_latency_target : bool
--- a/src/gypsumwalk/pace_controller.py
+++ b/src/gypsumwalk/pace_controller.py
@@ -7,7 +7,7 @@
 from gypsumwalk.events import Event
 from gypsumwalk.inputs import Input, PlatformOutcome
 from gypsumwalk.instance_actions import OrderReport, PaceRun
-from gypsumwalk.leases import InstanceView, RunState, RunView
+from gypsumwalk.leases import UNKNOWN_PERCENT, InstanceView, RunState, RunView
 from gypsumwalk.pacing import InstanceLoad, PaceLevels, TailLatency
 from gypsumwalk.workload_records import Step
 from gypsumwalk.workloads import WorkloadSection
@@ -59,6 +59,8 @@
             has_succeeded = isinstance(report, OrderReport) and not report.refused
             if run is not None and has_succeeded:
                 run.requested_percent = percent
+            elif run is not None and item.unknown:
+                run.requested_percent = UNKNOWN_PERCENT
         return []
 
     def advance(self, now: float) -> Sequence[Effect]:
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -1,8 +1,11 @@
 """Tests of pacing: fillers slow down for serving tasks and recover gradually."""
 
 import unittest
+from unittest.mock import patch
 
 from gypsumwalk.declaration_records import Resources
+from gypsumwalk.inputs import PlatformOutcome
+from gypsumwalk.instance_actions import PaceRun
 from gypsumwalk.pacing import InstanceLoad, PaceLevels, TailLatency
 from gypsumwalk.workload_records import Step
 from tests._fleet_work import FleetWorld
@@ -70,6 +73,7 @@
     def make_world(self, latency_per_pace):
         world = FleetWorld(instances=1, task_seconds=600.0)
         world.degraded_at = []
+        world.latency_per_pace = latency_per_pace
 
         def find_load(instance, execution):
             if not execution.task.startswith(SERVING):
@@ -79,7 +83,7 @@
                 for item in instance.running.values()
                 if item.task.startswith(FILLER)
             )
-            latency_ms = 40 + latency_per_pace * total_pace
+            latency_ms = 40 + world.latency_per_pace * total_pace
             if latency_ms > TARGET_MS and total_pace:
                 world.degraded_at.append(world.now)
             return int(latency_ms)
@@ -146,6 +150,27 @@
         world.run(5.0)
         assert self.list_paces(world) == [100, 100]
 
+    # Guards against fillers that an unanswered order had slowed down, and that counted
+    # as running at the pace of the order before (issue 43).
+    def test_fillers_return_to_full_pace_after_an_unanswered_order(self):
+        world = self.make_world(latency_per_pace=0.0)
+        call = world.model.call
+
+        def lose_answer(effect, now):
+            answer = call(effect, now)
+            if not isinstance(effect.action, PaceRun):
+                return answer
+            unknown = PlatformOutcome(effect.token, succeeded=False, unknown=True)
+            return effect.timeout, lambda at: unknown
+
+        with patch.object(world.model, "call", lose_answer):
+            world.latency_per_pace = 2.0
+            assert world.run_until(lambda: max(self.list_paces(world)) < 30, within=3.0)
+            world.cancel(SERVING)
+            world.run(0.3)
+        world.run(3.0)
+        assert self.list_paces(world) == [100, 100]
+
 
 if __name__ == "__main__":
     unittest.main()
