Follow moves of machines also without a standby pool

Operators saw a machine that got no work any more, and that no wave took down.

Cause: a machine that is ordered into another pool is barred from new work until its move has ended, and the end was looked for only while a standby pool was declared. A declaration without one, accepted during a move, left the machine barred until a new leader came.

--- a/src/gypsumwalk/pool_scaling_controller.py
+++ b/src/gypsumwalk/pool_scaling_controller.py
@@ -128,10 +128,10 @@
             return []
         if self._dispatcher.term != self._term:
             self._begin_term(now)
+        self._complete_moves(now)
         standby = self._declarations.find_standby()
         if not standby or not self._directory.machines:
             return []
-        self._complete_moves(now)
         machines = self._describe_machines(now)
         demands = self._find_demands(standby, now)
         effects = self._report_sizes(machines, demands, standby, now)
