Withdraw unanswered starts from instances that drain

Callers saw a job of which nothing ran, although other instances were idle: it went on only once a draining instance had left, which takes many seconds at times.

Cause: a start that was not answered is sent again, but not to an instance that drains meanwhile. Nothing else ended the run, as no list shows a run that never began.

A run whose answer alone was lost still goes on.

The run is now stopped after 2 s, in which the instance would have listed it. The stop also shuts out a late copy of the start, so the task can start elsewhere.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -72,6 +72,10 @@
 STOP_MARGIN_SECONDS = 0.1
 """Added to the stop grace; covers the latency of a run list and 2% clock drift."""
 
+WITHDRAWAL_SECONDS = 2.0
+"""Time after an unanswered start until a draining instance is ordered to stop the run;
+it lists its runs every 0.8 s, so a run that has begun is known by then."""
+
 START_BACKOFF_SECONDS = 1.0
 """Time for which an instance gets no starts after it refused one."""
 
@@ -579,11 +583,14 @@
             return []
         if run.is_stopping:
             return self._send_stop(run, now)
-        if run.state is RunState.STARTING and not view.registered.draining:
-            if not self._orders.has_advice(run, now):
-                return self.stop(run, now)
-            return self._orders.start(run, view, now)
-        return []
+        if run.state is not RunState.STARTING:
+            return []
+        if view.registered.draining:
+            is_overdue = now - run.ordered_at >= WITHDRAWAL_SECONDS
+            return self.stop(run, now) if is_overdue else []
+        if not self._orders.has_advice(run, now):
+            return self.stop(run, now)
+        return self._orders.start(run, view, now)
 
     def _probe_start(
         self, run: RunView, view: InstanceView, now: float
