Keep queries for advice while the leader's lease has lapsed

Callers saw a job that stayed queued, although instances were idle and the advice service answered again.

Cause: the leader discarded the queries that wait as soon as its lease lapsed. If the lease returned in the same term, no scheduling pass followed, so that nothing asked for these queries again until another task started or ended.

Evidence: in the new test, with an unanswered query and a lease that lapses for 0.5 s, the job was not completed within 5 s of the service's return before this change.

The queries are kept while the term lasts, and sent once the lease has returned. What an answer has covered meanwhile is left out as before.

--- a/src/gypsumwalk/advice_client.py
+++ b/src/gypsumwalk/advice_client.py
@@ -99,9 +99,13 @@
 
     def advance(self, now: float) -> Sequence[Effect]:
         """Send the first pending query unless one is in flight."""
-        if not self._dispatcher.term or not self._dispatcher.is_leading(now):
+        if not self._dispatcher.term:
             self._scheduler.wanted_advice.clear()
             return []
+        if not self._dispatcher.is_leading(now):
+            # The lease may return in the same term, and no pass follows then.
+            self._retry_at = now + RETRY_SECONDS
+            return []
         if self._dispatcher.term != self._term:
             self._term = self._dispatcher.term
             self._open_queries.clear()
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -2,6 +2,7 @@
 
 import itertools
 import unittest
+from unittest.mock import patch
 
 from gypsumwalk.advice import MAX_STEPS, AdviceCache
 from gypsumwalk.declaration_records import AdvicePolicy, Resources
@@ -94,6 +95,19 @@
         world.model.advice = service
         assert world.await_state(JOB, "completed", within=5.0)
 
+    # Guards against a task that waited for good: the leader forgot its query as its
+    # lease lapsed for a moment, and nothing asked for another one (issue 43).
+    def test_a_query_outlives_a_lapse_of_the_lease(self):
+        world = self.make_world(lambda *_: True)
+        service, world.model.advice = world.model.advice, None
+        world.submit(JOB)
+        leader = world.get_leader()
+        assert world.run_until(lambda: leader.scheduler.wanted_advice, within=3.0)
+        with patch.object(leader.consensus, "holds_lease", return_value=False):
+            world.run(0.5)
+        world.model.advice = service
+        assert world.await_state(JOB, "completed", within=5.0)
+
     def test_a_new_leader_queries_again(self):
         world = self.make_world(lambda *_: True, task_seconds=4.0)
         world.submit(JOB, [Step(1, NEED), Step(1, NEED, after=[0])])
