Give orders again after a refused fence if the lease goes on

Callers saw every entry answer 503, and no task start, until the leader's process ended: one instance had refused the leader's fence, while the leader kept its lease.

Cause: a refused fence was taken for proof of a later leader for the rest of the term. The daemon gave no orders and was not ready any more, but went on as the leader of the log, so that no other daemon was elected.

The emulator answered a refused renewal of a lease with a list of runs; it answers with the refusal now.

The daemon gives no orders for 3 s, several times a leader lease, which ends if there is a later leader. The life that refused is not called any more in the term, and its runs end with its lease.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -83,6 +83,10 @@
 """Time after a doubtful deregistration until an instance that has ended counts as
 silent; a renewal takes 1.8 s at most."""
 
+FENCED_SECONDS = 3.0
+"""Time without orders after an instance refused a fence; several times the lease of a
+leader, which ends if there is a later one."""
+
 PROPOSAL_SECONDS = 2.0
 """Proposal timeout; a command not committed by then waits for a new leader."""
 
@@ -147,7 +151,8 @@
         self._term = 0
         self._restored_index = 0
         """Index of the last entry that the lease table was restored from."""
-        self._fenced_term = 0
+        self._fenced_until = float("-inf")
+        """Time in seconds before which no orders are sent, after a refused fence."""
         self._orders = RunOrders(
             self.name,
             declarations=declarations,
@@ -198,9 +203,8 @@
         return self._orders.latest_fence
 
     def is_leading(self, now: float) -> bool:
-        """Tell whether this daemon holds the leader lease of a term not fenced off."""
-        leads = self._leadership.holds_lease(now)
-        return leads and self._leadership.term != self._fenced_term
+        """Tell whether this daemon holds the leader lease and may give orders."""
+        return now >= self._fenced_until and self._leadership.holds_lease(now)
 
     def handle(self, item: Input, now: float) -> Sequence[Effect]:
         """Handle a committed command, or the outcome of a call or a proposal."""
@@ -286,6 +290,7 @@
 
     def _step_down(self) -> None:
         self._term = 0
+        self._fenced_until = float("-inf")
         self.lease_table = LeaseTable()
         self._orders.begin_term(0)
         self._departures.clear()
@@ -497,12 +502,16 @@
 
     def _send_stop(self, run: RunView, now: float) -> list[Effect]:
         view = self.lease_table.instances.get(run.life)
-        if view is None or run.state in (RunState.PLANNED, RunState.ENDING):
+        if view is None or view.is_fenced_off:
+            return []
+        if run.state in (RunState.PLANNED, RunState.ENDING):
             return []
         return self._orders.stop(run, view, now) if self.is_leading(now) else []
 
     def _renew(self, view: InstanceView, now: float) -> list[Effect]:
-        if view.is_renewal_pending or view.has_pending_ends or not self.is_leading(now):
+        if view.is_renewal_pending or view.has_pending_ends or view.is_fenced_off:
+            return []
+        if not self.is_leading(now):
             return []
         return self._orders.renew(view, now)
 
@@ -634,7 +643,7 @@
             if self._is_other_life(view, report.born, report.refused):
                 return self._remove_life(view)
             if report.refused == "fence":
-                return self._handle_fenced(view, order)
+                return self._handle_fenced(view, order, now)
             if report.clock:
                 view.update_clock(report.clock, now)
         if order.kind is OrderKind.RENEW:
@@ -652,12 +661,22 @@
         if order.kind is OrderKind.STOP and isinstance(item.report, OrderReport):
             self._departures.note_stop(run, now + self._stop_grace)
 
-    def _handle_fenced(self, view: InstanceView, order: OpenOrder) -> list[Effect]:
-        if order.fence != view.fence:
-            # It was sent before the instance was removed and registered again.
+    def _handle_fenced(
+        self, view: InstanceView, order: OpenOrder, now: float
+    ) -> list[Effect]:
+        """Stop giving orders, to this life for good.
+
+        If there is a later leader, the lease of this one has ended when the others
+        might get orders again.
+        """
+        if order.fence != view.fence or view.is_fenced_off:
+            # It was sent before the instance was removed and registered again, or
+            # before the first refusal was known.
             return []
-        self._fenced_term = self._term
-        return [Record(Event.FLEET_FENCED, view.registered.life, {})]
+        view.is_fenced_off = True
+        self._fenced_until = now + FENCED_SECONDS
+        effects = self._mark_unresponsive(view, now)
+        return [Record(Event.FLEET_FENCED, view.registered.life, {}), *effects]
 
     def _is_other_life(self, view: InstanceView, born: int, refused: str) -> bool:
         return refused == "identity" or born not in (0, view.registered.born)
@@ -694,6 +713,8 @@
         return [Record(Event.INSTANCE_SILENT, view.registered.life, attributes)]
 
     def _mark_responsive(self, view: InstanceView, now: float) -> list[Effect]:
+        if view.is_fenced_off:
+            return []
         was_silent = not view.is_responsive
         view.answered_at = now
         view.silent_since = 0.0
--- a/src/gypsumwalk/emulator.py
+++ b/src/gypsumwalk/emulator.py
@@ -290,7 +290,7 @@
         report = self._carry_out(instance, action, now)
         if instance.drops_answers:
             return effect.timeout, lambda at: unknown
-        if isinstance(action, RenewLease) and not isinstance(report, OrderReport):
+        if isinstance(action, RenewLease) and not getattr(report, "refused", ""):
             return self._answer_long_poll(effect, instance, action.wait, now)
         done = PlatformOutcome(effect.token, succeeded=True, report=report)
         return 2 * ONE_WAY_LATENCY_SECONDS, lambda at: done
--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -201,6 +201,8 @@
     start_backoff_until : float
         Time in seconds until which no start is sent, after the instance refused one or
         may have left; 0 without such a time.
+    is_fenced_off : bool
+        Whether it refused the fence, so that it is not called any more.
     is_contended : bool
         Whether fillers share the instance with tasks that have a latency target, so
         that run lists are requested more often.
@@ -221,6 +223,7 @@
     answered_at: float = 0.0
     has_pending_ends: bool = False
     start_backoff_until: float = 0.0
+    is_fenced_off: bool = False
     is_contended: bool = False
     _used: Resources = field(default=Resources(), init=False)
     _lasting_used: Resources = field(default=Resources(), init=False)
--- a/src/gypsumwalk/pace_controller.py
+++ b/src/gypsumwalk/pace_controller.py
@@ -89,7 +89,7 @@
         view.is_contended = bool(fillers) and any(
             step.has_latency_target for _, step in steps
         )
-        if not fillers:
+        if not fillers or view.is_fenced_off:
             return []
         load = InstanceLoad(
             view.registered.life,
