Reload the settings of a daemon at intervals

Operators saw a control daemon that asked replaced seeds for the leader until it was restarted, although its settings file named the new ones.

Cause: the file was read only on SIGHUP. If it was being written at that moment, the daemon refused it and never read it again, and a change without a signal, which the platform's pages allow, went unnoticed.

The file is read every 2 s as well, as entry daemons do. A reload without a signal is logged only if something changed, and the reason of a refusal once.

--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -23,6 +23,7 @@
 from gypsumwalk.drivers.peers import PeerAddress, PeerNetwork
 from gypsumwalk.drivers.platform_calls import PlatformCalls
 from gypsumwalk.drivers.server import HttpServer
+from gypsumwalk.drivers.settings_watch import SettingsWatch
 from gypsumwalk.drivers.targets import TargetHttpClient
 from gypsumwalk.effects import (
     CallPlatform,
@@ -35,7 +36,7 @@
     Stop,
     WriteDisk,
 )
-from gypsumwalk.errors import BadBoundary, DiskFailure
+from gypsumwalk.errors import DiskFailure
 from gypsumwalk.events import Event
 from gypsumwalk.incarnations import choose_incarnation, encode_incarnation
 from gypsumwalk.inputs import ShutdownRequested
@@ -105,6 +106,7 @@
             record=self._record,
             may_call=self._assembly.may_call,
         )
+        self._settings_watch = SettingsWatch(self._factory.reload, self._record)
         self._watchdog = ReceiveWatchdog()
         self._peers = self._make_peer_network()
         self._dispatches: dict[str, trio.CancelScope] = {}
@@ -142,6 +144,7 @@
             self._peers.start(nursery)
             nursery.start_soon(self._disk_writer.run)
             nursery.start_soon(self._await_signals)
+            nursery.start_soon(self._settings_watch.run)
             for server in servers:
                 nursery.start_soon(_run_server, server)
             await self._run_event_loop()
@@ -227,7 +230,7 @@
         with trio.open_signal_receiver(*caught) as signals:
             async for number in signals:
                 if number == signal.SIGHUP:
-                    self._reload()
+                    self._settings_watch.reload()
                     continue
                 # A second signal ends the graceful shutdown at once.
                 timeout = 0.0 if self._shutting_down else SHUTDOWN_TIMEOUT_SECONDS
@@ -235,15 +238,6 @@
                 deadline = self._clock.now() + timeout
                 self._inputs.put(ShutdownRequested(deadline))
 
-    def _reload(self) -> None:
-        try:
-            changed = self._factory.reload()
-        except BadBoundary as error:
-            self._record(Record(Event.RELOAD_REFUSED, "", {"reason": str(error)}))
-            return
-        attributes = {"changed": ", ".join(changed) or "nothing"}
-        self._record(Record(Event.DAEMON_RELOADED, "", attributes))
-
     async def _stop_servers(self, servers: Sequence[HttpServer]) -> None:
         self._bridge.close()
         for server in servers:
