Repeat orders to throttle a task until they are answered

Callers saw a job that ran at half its speed until its end, although its instance was not overloaded any more; or an overload that lasted, where its jobs may not be stopped.

Cause: each throttle, and the order that lifts it, was sent once. If the platform did not answer, it was never repeated, as the instance counted as throttled or relieved.

The latest order for each attempt is kept until it is answered, and sent again under the same token after a second, ten orders in a pass at most.

--- a/src/gypsumwalk/job_part.py
+++ b/src/gypsumwalk/job_part.py
@@ -34,7 +34,7 @@
     SubmitJob,
 )
 from gypsumwalk.jobs import JobSection
-from gypsumwalk.overload import OverloadController
+from gypsumwalk.overload import THROTTLE_PREFIX, OverloadController
 from gypsumwalk.platform import ReportWorkers, TaskKey, TaskPhase
 from gypsumwalk.pool_commands import LoseInstance, QuarantineInstance
 from gypsumwalk.pools import PoolSection
@@ -235,6 +235,9 @@
             return []
         if outcome.token.startswith(IMMEDIATE_STEP_PREFIXES):
             self.wakeup = now
+        if outcome.token.startswith(THROTTLE_PREFIX):
+            self._overload.note_answer(outcome.token)
+            return []
         if outcome.token.startswith(PROBE_PREFIX):
             return self._quarantine.handle_probe_report(outcome.report, now)
         return self._attempts.handle_outcome(outcome, now)
--- a/src/gypsumwalk/overload.py
+++ b/src/gypsumwalk/overload.py
@@ -1,5 +1,7 @@
 """Relief of overloaded instances: throttle, then checkpoint and stop an attempt."""
 
+from dataclasses import dataclass
+
 from gypsumwalk._platform_calls import PendingCalls
 from gypsumwalk.effects import Effect
 from gypsumwalk.instances import InstanceRecord
@@ -11,7 +13,7 @@
 from gypsumwalk.pools import PoolSection
 from gypsumwalk.tasks import AttemptController
 
-__all__ = ["OverloadController"]
+__all__ = ["THROTTLE_PREFIX", "OverloadController"]
 
 HIGH_FRACTION = 0.95
 """Fraction of an instance's resources in use above which it is overloaded."""
@@ -22,6 +24,18 @@
 THROTTLE_SECONDS = 10.0
 """Seconds for a throttle to take effect before the attempt is stopped."""
 
+MAX_ORDERS_PER_PASS = 10
+
+THROTTLE_PREFIX = "jobs/throttle/"
+
+
+@dataclass(frozen=True, slots=True)
+class _Order:
+    """Throttle of an attempt, and the token of the call that orders it."""
+
+    fraction: float
+    token: str
+
 
 class OverloadController:
     """Throttles and stops attempts on overloaded instances.
@@ -58,11 +72,14 @@
         self._calls = calls
         self._overloaded: dict[str, ResourceVector] = {}
         self._throttled: dict[str, tuple[TaskKey, float]] = {}
+        self._orders: dict[TaskKey, _Order] = {}
+        """Orders that the platform has not answered."""
 
     def reset(self) -> None:
         """Discard all local state."""
         self._overloaded.clear()
         self._throttled.clear()
+        self._orders.clear()
 
     def record_report(self, report: WorkerReport, now: float) -> None:
         """Record the resource usage that a worker reported.
@@ -100,40 +117,64 @@
         list of Effect
             Calls to the platform.
         """
-        effects: list[Effect] = []
         for name in [name for name in self._throttled if name not in self._overloaded]:
             key, _ = self._throttled.pop(name)
-            effects += self._throttle(key, 1.0, now)
+            self._throttle(key, 1.0, now)
         for name in sorted(self._overloaded):
             record = self._pools.find(name)
             if record is not None:
-                effects += self._relieve(record, now)
+                self._relieve(record, now)
+        return self._send_orders(now)
+
+    def note_answer(self, token: str) -> None:
+        """Forget an order that the platform has answered, so that it is not repeated.
+
+        Parameters
+        ----------
+        token : str
+            Token of the call.
+        """
+        _, _, job_id, attempt, _ = token.split("/")
+        key = TaskKey(job_id, int(attempt))
+        order = self._orders.get(key)
+        if order is not None and order.token == token:
+            del self._orders[key]
+
+    def _send_orders(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for key, order in list(self._orders.items()):
+            if len(effects) >= MAX_ORDERS_PER_PASS:
+                break
+            job = self._jobs.find(key.job_id)
+            if job is None or not job.is_in_progress or job.attempt != key.attempt:
+                del self._orders[key]
+                continue
+            action = ThrottleTask(key, order.fraction)
+            effects += self._calls.call(order.token, action, now)
         return effects
 
-    def _relieve(self, record: InstanceRecord, now: float) -> list[Effect]:
+    def _relieve(self, record: InstanceRecord, now: float) -> None:
         throttled = self._throttled.get(record.name)
         if throttled is None:
-            return self._start_throttle(record, now)
+            self._start_throttle(record, now)
+            return
         key, since = throttled
         job = self._jobs.find(key.job_id)
         if job is None or job.instance != record.name or job.attempt != key.attempt:
             del self._throttled[record.name]
-            return []
+            return
         if now - since >= THROTTLE_SECONDS and job.spec.repeatable:
             cause = f"instance {record.name} is overloaded"
             self._attempts.request_stop(key, cause)
-        return []
 
-    def _start_throttle(self, record: InstanceRecord, now: float) -> list[Effect]:
+    def _start_throttle(self, record: InstanceRecord, now: float) -> None:
         allocation = self._choose_attempt(record)
-        if allocation is None:
-            return []
-        job = self._jobs.find(allocation.job_id)
-        if job is None:
-            return []
+        job = self._jobs.find(allocation.job_id) if allocation else None
+        if allocation is None or job is None:
+            return
         key = TaskKey(allocation.job_id, job.attempt)
         self._throttled[record.name] = (key, now)
-        return self._throttle(key, THROTTLE_FRACTION, now)
+        self._throttle(key, THROTTLE_FRACTION, now)
 
     def _choose_attempt(self, record: InstanceRecord) -> Allocation | None:
         total = get_resources(record)
@@ -153,6 +194,6 @@
         job = self._jobs.find(allocation.job_id)
         return job is not None and job.spec.repeatable
 
-    def _throttle(self, key: TaskKey, fraction: float, now: float) -> list[Effect]:
-        token = f"jobs/throttle/{key.job_id}/{key.attempt}/{now:.3f}"
-        return self._calls.call(token, ThrottleTask(key, fraction), now)
+    def _throttle(self, key: TaskKey, fraction: float, now: float) -> None:
+        token = f"{THROTTLE_PREFIX}{key.job_id}/{key.attempt}/{now:.3f}"
+        self._orders[key] = _Order(fraction, token)
