Lift throttles of an earlier leader

Callers saw a job that ran at half its speed until its end after a change of leader.

Cause: only the leader knows which attempts it has throttled, and its successor began with none, so that nobody lifted these throttles.

Evidence: in the new test, a task was still at half speed 10 s after a change of leader and the end of the overload before this change.

--- a/src/gypsumwalk/job_part.py
+++ b/src/gypsumwalk/job_part.py
@@ -193,7 +193,7 @@
             self.planner.reset()
             self._failures.reset()
             self._estimator.reset()
-            self._overload.reset()
+            self._overload.reset(now)
             self._quarantine.reset()
         effects = answers + self._attempts.advance(now)
         effects += self._quarantine.advance(now)
--- a/src/gypsumwalk/overload.py
+++ b/src/gypsumwalk/overload.py
@@ -75,11 +75,21 @@
         self._orders: dict[TaskKey, _Order] = {}
         """Orders that the platform has not answered."""
 
-    def reset(self) -> None:
-        """Discard all local state."""
+    def reset(self, now: float) -> None:
+        """Discard local state, and lift the throttles of an earlier leader.
+
+        Only that leader knew them, so every attempt in progress may be throttled.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        """
         self._overloaded.clear()
         self._throttled.clear()
         self._orders.clear()
+        for record in self._jobs.list_in_progress():
+            self._throttle(TaskKey(record.spec.job_id, record.attempt), 1.0, now)
 
     def record_report(self, report: WorkerReport, now: float) -> None:
         """Record the resource usage that a worker reported.
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -69,6 +69,16 @@
         self.world.run(10.0)
         assert sorted(self.list_throttles()) == [0.5, 1.0]
 
+    # Guards against a task that kept half of its processors until its end, as only the
+    # former leader knew of its throttle (issue 43).
+    def test_a_new_leader_lifts_a_throttle(self):
+        self.overload()
+        self.world.platform.usage_factor = CALM
+        self.world.elect("b")
+        self.world.heal()
+        self.world.run(10.0)
+        assert self.list_throttles() == [1.0, 1.0]
+
 
 if __name__ == "__main__":
     unittest.main()
