End the overload of an instance that runs nothing any more

Callers saw a job slowed down to half its speed as soon as it started on an instance that was not overloaded.

Cause: reports without any usage were left out, so that an overload outlived the tasks that had caused it. The next task was throttled until a report of its own usage, or stopped if that is between the bounds of the hysteresis.

Evidence: before this change the new test found such a throttle for a task that uses 0.9 of the instance, after four tasks that had used more.

A report without usage now counts as one of nothing in use.

--- a/src/gypsumwalk/overload.py
+++ b/src/gypsumwalk/overload.py
@@ -102,7 +102,7 @@
             Time in seconds.
         """
         record = self._pools.find(report.instance)
-        if record is None or not report.usage:
+        if record is None:
             return
         used = NO_RESOURCES
         for usage in report.usage:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -6,6 +6,7 @@
 from gypsumwalk.inputs import PlatformOutcome
 from gypsumwalk.job_calls import SubmitJobCall
 from gypsumwalk.platform import ThrottleTask
+from tests._fake_platform import CALL_DELAY
 from tests._fleet import FleetWorld, make_folder
 
 BUSY, CALM = 40.0, 1.0
@@ -79,6 +80,23 @@
         self.world.run(10.0)
         assert self.list_throttles() == [1.0, 1.0]
 
+    # Guards against a task that was slowed down for an overload that had ended with
+    # the last task on its instance (issue 43).
+    def test_an_instance_without_tasks_is_not_overloaded(self):
+        self.world.platform.usage_factor = BUSY
+        for number in range(4):
+            self.submit(f"r{number}", 4)
+        self.world.run(15.0)
+        self.world.platform.usage_factor = 0.9 * 64
+        with patch.object(self.world.platform, "call", self.refuse_throttles):
+            self.submit("n", 500)
+            self.world.run(10.0)
+
+    def refuse_throttles(self, effect, now):
+        assert not isinstance(effect.action, ThrottleTask), "a task is throttled"
+        report = self.world.platform.execute(effect.token, effect.action, now)
+        return CALL_DELAY, PlatformOutcome(effect.token, succeeded=True, report=report)
+
 
 if __name__ == "__main__":
     unittest.main()
