Wait for the last order of a former leader to a machine

A new leader sent its order 2.8 s after one of the former leader.

Cause: the log has the time of the first order to a machine. The holder repeats it every second until it is answered, which the cooldown of its successor did not count.

A new leader takes every order without an answer as repeated until its term began.

--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -19,7 +19,7 @@
 from gypsumwalk.instance_actions import MachineReport, MaintainMachine
 from gypsumwalk.leases import RunState, RunView
 from gypsumwalk.machine_directory import MachineDirectory
-from gypsumwalk.order_cooldown import OrderCooldown
+from gypsumwalk.order_cooldown import UNKNOWN_HOLDER, OrderCooldown
 from gypsumwalk.task_scheduler import TaskScheduler
 from gypsumwalk.upkeep import (
     BeginMaintenance,
@@ -190,6 +190,13 @@
         self._open_orders.clear()
         self._effective_orders.clear()
         self._pending_proposals.clear()
+        self._delay_open_orders(now)
+
+    def _delay_open_orders(self, now: float) -> None:
+        """Wait as if a former leader had repeated its open orders until just now."""
+        for wave in self._upkeep.list_open():
+            ordered = [item for item in wave.remaining if item in wave.begun]
+            self._cooldown.record(ordered, UNKNOWN_HOLDER, at=now, now=now)
 
     # Waves
 
--- a/src/gypsumwalk/order_cooldown.py
+++ b/src/gypsumwalk/order_cooldown.py
@@ -2,11 +2,14 @@
 
 from collections.abc import Iterable
 
-__all__ = ["COOLDOWN_SECONDS", "OrderCooldown"]
+__all__ = ["COOLDOWN_SECONDS", "UNKNOWN_HOLDER", "OrderCooldown"]
 
 COOLDOWN_SECONDS = 3.2
 """Time between orders of two holders to a machine; the platform forbids under 3 s."""
 
+UNKNOWN_HOLDER = ""
+"""Holder of orders that any other daemon may have sent."""
+
 CLOCK_SKEW_SECONDS = 2.5
 """Clock skew allowed for; clocks of two daemons may differ by 2.4 s after jumps."""
 
