Count the holder whose order to a machine was answered

A daemon could order a machine, by its own record, right after another holder had: it had begun the maintenance in an earlier term, and another leader had repeated the order and got the answer.

Cause: only the holder of the first order was in the log.

The note that a machine has begun its maintenance now names the holder that was answered, and starts the cooldown again. Notes in older logs name none, and change nothing.

--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -90,7 +90,7 @@
     """
 
     name = "machines"
-    accepts: tuple[type, ...] = (BeginMaintenance,)
+    accepts: tuple[type, ...] = (BeginMaintenance, NoteMaintained)
 
     def __init__(
         self,
@@ -133,10 +133,8 @@
 
     def handle(self, item: Input, now: float) -> Sequence[Effect]:
         """Process the outcome of a call or proposal, or a committed command."""
-        if isinstance(item, Committed) and isinstance(item.command, BeginMaintenance):
-            machine = item.command.machine
-            at = self._upkeep.ordered_at.get(machine, now)
-            self._cooldown.record([machine], item.command.holder, at=at, now=now)
+        if isinstance(item, Committed):
+            self._record_holder(item, now)
         if self._dispatcher.term == 0 or self._dispatcher.term != self._term:
             return []
         match item:
@@ -148,6 +146,14 @@
                 return self._handle_proposal_outcome(token, status)
         return []
 
+    def _record_holder(self, item: Committed, now: float) -> None:
+        match item.command:
+            case BeginMaintenance(machine=machine, holder=holder):
+                at = self._upkeep.ordered_at.get(machine, now)
+                self._cooldown.record([machine], holder, at=at, now=now)
+            case NoteMaintained(machines=machines, holder=holder) if holder:
+                self._cooldown.record(machines, holder, at=item.at, now=now)
+
     def _handle_proposal_outcome(
         self, token: str, status: ProposalStatus
     ) -> list[Effect]:
@@ -371,11 +377,13 @@
             read_at - self._missing_since.setdefault(machine, read_at) >= GONE_SECONDS
         )
 
-    def _propose_maintained(self, wave: int, machines: list[str]) -> list[Effect]:
+    def _propose_maintained(
+        self, wave: int, machines: list[str], holder: str = ""
+    ) -> list[Effect]:
         token = f"{self.name}/note/{wave}/{','.join(machines)}"
         if token in self._pending_proposals:
             return []
-        return self._propose(token, NoteMaintained(wave, machines))
+        return self._propose(token, NoteMaintained(wave, machines, holder))
 
     def _propose(self, token: str, command: msgspec.Struct) -> list[Effect]:
         proposal = Propose(token, command, PROPOSAL_SECONDS)
@@ -455,7 +463,7 @@
         life = self._lives.get(machine, begun.life)
         if life and not report.refused:
             effects.append(self._propose_removal(life))
-        return effects + self._propose_maintained(wave, [machine])
+        return effects + self._propose_maintained(wave, [machine], self._daemon)
 
     def _propose_removal(self, life: str) -> Propose:
         command = RemoveInstance(life, reason="its machine is maintained")
--- a/src/gypsumwalk/upkeep.py
+++ b/src/gypsumwalk/upkeep.py
@@ -63,10 +63,21 @@
 
 
 class NoteMaintained(msgspec.Struct, frozen=True, tag=True):
-    """Command: record that machines began their maintenance, or left the fleet."""
+    """Command: record that machines began their maintenance, or left the fleet.
+
+    Attributes
+    ----------
+    wave : int
+        Number of the wave.
+    machines : list of str
+        The machines.
+    holder : str
+        Daemon whose order was answered, empty if the machines left the fleet.
+    """
 
     wave: int
     machines: list[str]
+    holder: str = ""
 
 
 class BegunMaintenance(msgspec.Struct, frozen=True):
--- a/tests/test_maintenance_controller.py
+++ b/tests/test_maintenance_controller.py
@@ -5,12 +5,23 @@
 from unittest import mock
 
 from gypsumwalk.effects import Propose
-from gypsumwalk.inputs import PlatformOutcome, ProposalOutcome, ProposalStatus
+from gypsumwalk.inputs import (
+    Committed,
+    PlatformOutcome,
+    ProposalOutcome,
+    ProposalStatus,
+)
 from gypsumwalk.instance_actions import MachineReport
 from gypsumwalk.machine_directory import LIST_SECONDS
 from gypsumwalk.maintenance_controller import MaintenanceController
 from gypsumwalk.order_cooldown import OrderCooldown
-from gypsumwalk.upkeep import BegunMaintenance, UpkeepWave
+from gypsumwalk.state import Accepted
+from gypsumwalk.upkeep import (
+    BeginMaintenance,
+    BegunMaintenance,
+    NoteMaintained,
+    UpkeepWave,
+)
 from gypsumwalk.workload_records import RemoveInstance
 
 
@@ -161,6 +172,34 @@
         assert self.list_removed(effects) == ["i@1"]
 
 
+class TestAnsweredOrders(unittest.TestCase):
+    # Guards against an order right after one that another leader had repeated, as the
+    # log named only the holder of the first one (issue 43).
+    def test_the_holder_of_the_answered_order_counts(self):
+        controller = make_controller("i@1")
+        controller._dispatcher.term = 0
+        controller._upkeep.ordered_at = {"m": 100.0}
+        begin = BeginMaintenance(1, "m", "i@1", "a")
+        controller.handle(Committed(7, begin, Accepted(7), 100.0), 100.0)
+        note = NoteMaintained(1, ["m"], holder="b")
+        controller.handle(Committed(9, note, Accepted(9), 106.0), 106.0)
+        assert not controller._cooldown.can_order("m", 108.9)
+        assert controller._cooldown.can_order("m", 109.3)
+
+    def test_an_order_is_noted_with_its_holder(self):
+        controller = make_controller("i@1")
+        controller._dispatcher.term = controller._term = 1
+        controller._upkeep.waves = {1: make_wave(maintained=False)}
+        *_, call = controller._order(1, "m", 100.0)
+        answer = PlatformOutcome(call.token, succeeded=True, report=MachineReport())
+        commands = [
+            item.command
+            for item in controller.handle(answer, 100.1)
+            if isinstance(item, Propose)
+        ]
+        assert NoteMaintained(1, ["m"], holder="a") in commands
+
+
 class TestProposals(unittest.TestCase):
     # A wave was never completed once a note had timed out on an overloaded leader.
     def test_a_proposal_of_unknown_outcome_is_repeated(self):
