Uncordon the machines of an earlier term

Operators saw machines that got no work while the machine API was unavailable, although their wave had gone on without them.

Cause: which machines are cordoned is kept by the daemon, and computed again only once the list of machines has been read. A daemon that led again in a later term, while the list could not be read, kept the machines of its earlier term cordoned.

Evidence: the new test found a machine cordoned that no wave takes down next.

A new term begins without cordoned machines, as it does in a new process.

--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -196,6 +196,7 @@
         self._open_orders.clear()
         self._effective_orders.clear()
         self._pending_proposals.clear()
+        self._scheduler.cordoned.clear()
         self._delay_open_orders(now)
 
     def _delay_open_orders(self, now: float) -> None:
--- a/tests/test_maintenance_controller.py
+++ b/tests/test_maintenance_controller.py
@@ -213,6 +213,17 @@
         assert controller.handle(rejected, 101.0) == []
         assert controller._propose_maintained(1, ["m"]) == [proposal]
 
+    # Guards against machines that got no work while the machine API was unavailable, as
+    # an earlier term of the same leader had cordoned them (issue 43).
+    def test_machines_that_an_earlier_term_cordoned_get_work_in_the_next(self):
+        controller = make_controller(None)
+        controller._dispatcher.term, controller._term = 2, 1
+        controller._upkeep.list_open.return_value = [make_wave(maintained=False)]
+        controller._scheduler.cordoned = {"n"}
+        controller._directory.machines = {}
+        controller.advance(101.0)
+        assert controller._scheduler.cordoned == set()
+
     # The machines of one wave got new work while another wave was open.
     def test_machines_of_all_open_waves_are_cordoned(self):
         controller = make_controller(None)
