Notice connections of relays that have gone silent

Callers got 504 after their whole deadline from an entry whose leader answered others at once, possibly minutes after a fault of the network.

Cause: an entry keeps up to 64 idle connections to the leader. Those that go silent without being closed stayed in the pool until a burst used them; a request on such a connection waited for its deadline, as the leader's probes were answered meanwhile.

Evidence: a new test reads the options of a kept connection, which had neither keepalive probes nor a limit for unacknowledged data. Silence itself can't be made without the rights to drop packets, so no test shows the requests.

An idle connection is now closed after 4 s of silence, and one with an unacknowledged request after 1 s, so that the request is sent again in time.

--- a/src/gypsumwalk/drivers/relay.py
+++ b/src/gypsumwalk/drivers/relay.py
@@ -1,5 +1,6 @@
 """Relay that forwards callers' requests from an entry instance to the leader."""
 
+import socket
 import threading
 import time
 from collections.abc import Callable, Iterable, Mapping, Sequence
@@ -75,6 +76,23 @@
 """Threads that wait for answers; one for each caller, and as many for attempts at a
 former leader, which end when their time is over."""
 
+UNACKNOWLEDGED_MILLISECONDS = 1000
+"""Time after which a connection that acknowledges nothing is closed; a request on it is
+sent again, as its sender waits for about 3 s."""
+
+KEEPALIVE_IDLE_SECONDS = 2
+KEEPALIVE_INTERVAL_SECONDS = 1
+KEEPALIVE_PROBES = 2
+SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+)
+"""Options of kept connections, which may go silent without being closed."""
+
 POOL_SIZE = 64
 POOL_ADDRESSES = 32
 HOP_BY_HOP_HEADERS = ("connection", "keep-alive", "transfer-encoding", "content-length")
@@ -158,7 +176,10 @@
         self._record = record
         self._find_probe_address = find_probe_address
         self._http_pool = urllib3.PoolManager(
-            num_pools=POOL_ADDRESSES, maxsize=POOL_SIZE, retries=False
+            num_pools=POOL_ADDRESSES,
+            maxsize=POOL_SIZE,
+            retries=False,
+            socket_options=SOCKET_OPTIONS,
         )
         self._known: _Leader | None = None
         self._attempt_pool = ThreadPoolExecutor(ATTEMPT_THREADS, "attempt")
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -13,6 +13,8 @@
 from gypsumwalk.fleet_call_handler import LEADER_HEADER
 
 REQUEST_TIMEOUT_SECONDS = 3.0
+SILENCE_SECONDS = 4
+"""Time after which no request may use a connection that has gone silent."""
 
 
 class Backend:
@@ -251,6 +253,25 @@
         assert relay.leader == leader.address
         assert not known.lost.done()
 
+    # Guards against requests that waited for their deadline on connections that had
+    # gone silent while they were idle, long after the network worked again (issue 43).
+    def test_kept_connections_notice_that_they_went_silent(self):
+        leader = self.make_backend((200, []))
+        relay = self.make_relay([leader.address])
+        assert self.post(relay).status == 200
+        pool = relay._http_pool.connection_from_url(f"http://{leader.address}")
+        connection = pool.pool.get(block=False)
+        self.addCleanup(connection.close)
+
+        def read(option, level=socket.IPPROTO_TCP):
+            return connection.sock.getsockopt(level, option)
+
+        probes = read(socket.TCP_KEEPCNT) * read(socket.TCP_KEEPINTVL)
+        assert read(socket.SO_KEEPALIVE, socket.SOL_SOCKET)
+        assert read(socket.TCP_KEEPIDLE) + probes <= SILENCE_SECONDS
+        assert 0 < read(socket.TCP_USER_TIMEOUT) < 1000 * REQUEST_TIMEOUT_SECONDS / 2
+        assert read(socket.TCP_NODELAY)
+
     def test_probes_use_the_address_for_probes(self):
         leader = self.make_backend((200, []))
         calls = self.make_backend((200, []))
