--- a/tests/_real_cluster.py
+++ b/tests/_real_cluster.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import resource
 import shutil
 import signal
 import subprocess
@@ -13,12 +14,16 @@
 import urllib3
 
 import gypsumwalk
-from examples._local_cluster import find_free_ports
+from examples._local_cluster import ROOT, find_free_ports
 from tests._real_daemon import OPERATOR_KEY
 
 POLL_SECONDS = 0.02
 STOP_SECONDS = 40
 LOG_LINES = 30
+RETURN_SECONDS = 20.0
+"""Limit for what takes at most 12 s on the users' machines (``recovery_s``), on the
+tests' machine, which may be busy."""
+
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
@@ -43,13 +48,17 @@
 
 
 class RealCluster:
-    """Voters ``v0``... with data folders and followers ``f0``... without them."""
+    """Voters ``v0``... with data folders and followers ``f0``... without them.
+
+    Spares ``s0``... have data folders, and are no voters at the first start.
+    """
 
-    def __init__(self, folder, voters=5, followers=0):
+    def __init__(self, folder, voters=5, followers=0, spares=0):
         self.folder = Path(folder)
         self.voters = [f"v{number}" for number in range(voters)]
         self.followers = [f"f{number}" for number in range(followers)]
-        self.names = self.voters + self.followers
+        self.spares = [f"s{number}" for number in range(spares)]
+        self.names = self.voters + self.followers + self.spares
         ports = find_free_ports(2 * len(self.names))
         self.ports = dict(zip(self.names, ports[::2], strict=True))
         self.caller_ports = dict(zip(self.names, ports[1::2], strict=True))
@@ -64,15 +73,20 @@
     def start(self, name):
         path = self.folder / f"{name}.toml"
         path.write_text(self._make_settings(name))
-        source = str(Path(gypsumwalk.__file__).parent.parent)
+        sources = [Path(gypsumwalk.__file__).parent.parent, ROOT]
+        search_path = os.pathsep.join(str(folder) for folder in sources)
         with open(self.folder / f"{name}.log", "ab") as log:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "gypsumwalk", "serve", str(path)],
+                self._make_command(name, path),
                 stdout=log,
                 stderr=log,
-                env={**os.environ, "PYTHONPATH": source},
+                env={**os.environ, "PYTHONPATH": search_path},
             )
 
+    def _make_command(self, name, settings):
+        """Return the command that runs a daemon with its settings file."""
+        return [sys.executable, "-m", "gypsumwalk", "serve", str(settings)]
+
     def kill(self, name):
         """Kill one process with SIGKILL."""
         process = self.processes[name]
@@ -85,10 +99,41 @@
     def resume(self, name):
         self.processes[name].send_signal(signal.SIGCONT)
 
+    def hang_up(self, name):
+        self.processes[name].send_signal(signal.SIGHUP)
+
     def wipe(self, name):
         """Delete the data folder of a killed daemon."""
         shutil.rmtree(self.data_folder(name))
 
+    def fill(self, name):
+        """Let every write of a process to a file fail, as on a full disk."""
+        self._limit_files(name, 0)
+
+    def empty(self, name):
+        """Let writes to files succeed again."""
+        self._limit_files(name, resource.RLIM_INFINITY)
+
+    def _limit_files(self, name, size):
+        process = self.processes[name]
+        _, most = resource.prlimit(process.pid, resource.RLIMIT_FSIZE)
+        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (size, most))
+
+    def await_gauge(self, name, value):
+        """Wait until the metrics of a daemon tell whether its disk works."""
+        line = f"gypsumwalk_disk_working {value}"
+        assert self.poll(lambda: line in self.read_metrics(name), RETURN_SECONDS), (
+            f"{name} does not report: {line}"
+        )
+
+    def read_metrics(self, name):
+        """Return the metrics page of a daemon, or the error of the call."""
+        url = f"http://127.0.0.1:{self.ports[name]}/metrics"
+        try:
+            return self.http.request("GET", url, timeout=1.0).data.decode()
+        except urllib3.exceptions.HTTPError as error:
+            return str(error)
+
     def close(self):
         """Terminate every process; kill those that do not exit in ``STOP_SECONDS``."""
         for process in self.processes.values():
@@ -133,14 +178,14 @@
     def await_leader(self, within=20.0, other_than=""):
         """Wait until a majority reports the same leader, and return it."""
         leader = self.poll(lambda: self._find_other_leader(other_than), within)
-        assert leader, f"no leader in {within} s: {self._describe()}"
+        assert leader, f"no leader in {within} s: {self.describe()}"
         return leader
 
     def _find_other_leader(self, former):
         leader = self.find_leader()
         return "" if leader == former else leader
 
-    def _describe(self):
+    def describe(self):
         """Return the exit code and the last log lines of each daemon."""
         ends = []
         for name, process in self.processes.items():
@@ -194,7 +239,7 @@
 
     def _make_settings(self, name):
         data_folder = ""
-        if name in self.voters:
+        if name not in self.followers:
             data_folder = f'data_folder = "{self.data_folder(name)}"'
         head = SETTINGS_TEMPLATE.format(
             name=name,
--- a/tests/test_real_disks.py
+++ b/tests/test_real_disks.py
@@ -4,16 +4,10 @@
 each write of the process fails while it is zero.
 """
 
-import resource
 import tempfile
 import unittest
 
-import urllib3
-
-from tests._real_cluster import RealCluster
-
-RETURN_SECONDS = 20.0
-"""Limit for the tests' machine, which may be busy; the daemon tries once a second."""
+from tests._real_cluster import RETURN_SECONDS, RealCluster
 
 
 class TestRealDisks(unittest.TestCase):
@@ -44,42 +38,17 @@
         answer = self.cluster.apply("f0", generation, files)
         return answer and answer[0] == 200
 
-    def limit_files(self, name, size):
-        process = self.cluster.processes[name]
-        _, most = resource.prlimit(process.pid, resource.RLIMIT_FSIZE)
-        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (size, most))
-
-    def fill(self, name):
-        self.limit_files(name, 0)
-
-    def empty(self, name):
-        self.limit_files(name, resource.RLIM_INFINITY)
-
-    def await_gauge(self, name, value):
-        """Wait until the metrics of a daemon tell whether its disk works."""
-        line = f"gypsumwalk_disk_working {value}"
-        assert self.cluster.poll(
-            lambda: line in self.read_metrics(name), RETURN_SECONDS
-        ), f"{name} does not report: {line}"
-
-    def read_metrics(self, name):
-        url = f"http://127.0.0.1:{self.cluster.ports[name]}/metrics"
-        try:
-            return self.cluster.http.request("GET", url, timeout=1.0).data.decode()
-        except urllib3.exceptions.HTTPError as error:
-            return str(error)
-
     def test_disks_are_full_in_turn(self):
         leader = self.cluster.await_leader()
         self.apply()
         others = [name for name in self.cluster.voters if name != leader]
         for name in (others[0], leader):
-            self.fill(name)
+            self.cluster.fill(name)
             self.apply()
-            self.await_gauge(name, 0.0)
+            self.cluster.await_gauge(name, 0.0)
             self.apply()
-            self.empty(name)
-            self.await_gauge(name, 1.0)
+            self.cluster.empty(name)
+            self.cluster.await_gauge(name, 1.0)
         # Both voters whose disks were full are needed now.
         self.cluster.kill(others[1])
         self.cluster.await_leader()
@@ -91,16 +60,18 @@
         leader = self.cluster.await_leader()
         self.apply()
         name, other = [name for name in self.cluster.voters if name != leader]
-        self.fill(name)
+        self.cluster.fill(name)
         self.apply()
-        self.await_gauge(name, 0.0)
+        self.cluster.await_gauge(name, 0.0)
         self.cluster.kill(name)
         self.cluster.start(name)
-        self.fill(name)  # Before the process has imported what it needs to write.
-        self.await_gauge(name, 0.0)
+        self.cluster.fill(
+            name
+        )  # Before the process has imported what it needs to write.
+        self.cluster.await_gauge(name, 0.0)
         self.apply()
-        self.empty(name)
-        self.await_gauge(name, 1.0)
+        self.cluster.empty(name)
+        self.cluster.await_gauge(name, 1.0)
         self.cluster.kill(other)
         self.apply()
         self.restart(other)
