Add a removed voter only with the disk that it reports since

An operator who removed a voter that had lost its disk and added it again at once was answered 200 with the identity of the lost disk. The daemon never voted, and a second add changed nothing, as its name was listed.

The leader filled in the identity that the daemon had reported last, which may be older than the removal. It now takes only one from an answer to a message that was sent after it removed the daemon. Until there is one the call is retried as if no disk were known.

Evidence: test_voter_that_is_added_before_it_was_heard_again_has_its_new_disk failed before. A voter that kept its disk is added with that disk, before and after.

--- a/src/gypsumwalk/leadership.py
+++ b/src/gypsumwalk/leadership.py
@@ -222,7 +222,7 @@
         uncommitted = self._replica.log.last_index - self._replica.commit
         if uncommitted >= MAX_UNCOMMITTED_ENTRIES:
             return
-        command = self._check_command(forward.command)
+        command = self._check_command(forward.command, now)
         if command:
             self._uncommitted.add(source)
             self._append(Entry(0, 0, 0.0, *source, command), now)
@@ -444,7 +444,7 @@
         command = msgspec.msgpack.encode(ChangeVoters(identified))
         return Entry(0, 0, 0.0, command=command)
 
-    def _check_command(self, encoded: bytes) -> bytes:
+    def _check_command(self, encoded: bytes, now: float) -> bytes:
         try:
             command = self._replica.decode(encoded)
         except UnknownMessage:
@@ -454,16 +454,28 @@
         voters = self._fill_identities(command.voters)
         if not voters or not self._can_change_voters(voters):
             return b""
+        for removed in self._replica.voters.keys() - voters.keys():
+            if removed in self._progress:
+                self._progress[removed].removed_at = now
         return msgspec.msgpack.encode(ChangeVoters(voters))
 
     def _fill_identities(self, voters: dict[str, str]) -> dict[str, str]:
         filled = {}
         for voter, identity in voters.items():
-            peer = self._progress.get(voter)
             known = identity or self._replica.voters.get(voter, "")
-            filled[voter] = known or (peer.identity if peer else "")
+            filled[voter] = known or self._find_current_identity(voter)
         return filled if all(filled.values()) else {}
 
+    def _find_current_identity(self, voter: str) -> str:
+        """Return the disk that a daemon has reported since it was removed, if it has.
+
+        The one reported before may be the lost disk for which it was removed.
+        """
+        peer = self._progress.get(voter)
+        if peer is None or peer.acknowledged <= peer.removed_at:
+            return ""
+        return peer.identity
+
     def _can_change_voters(self, voters: dict[str, str]) -> bool:
         if self._replica.voters_index > self.known_commit:
             return False
--- a/src/gypsumwalk/progress.py
+++ b/src/gypsumwalk/progress.py
@@ -98,6 +98,8 @@
     valid_at : float
         Time in seconds of its last answer that did not come from an unregistered disk
         of a voter.
+    removed_at : float
+        Time in seconds at which this leader removed the daemon from the voters.
     snapshot_index : int
         Index of the snapshot being sent, or 0.
     snapshot_offset : int
@@ -135,6 +137,7 @@
     stamp: float = -1.0
     answered_at: float = 0.0
     valid_at: float = 0.0
+    removed_at: float = NOT_YET
     snapshot_index: int = 0
     snapshot_offset: int = 0
     commit_sent: int = 0
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -155,6 +155,28 @@
         cluster.run(2)
         assert cluster.get_outcome("v1", "with the new disk")
 
+    def test_voter_that_is_added_before_it_was_heard_again_has_its_new_disk(self):
+        cluster = Cluster(6, voters=3, followers=1)
+        leader = cluster.elect()
+        cluster.run(2)
+        lost = next(name for name in cluster.voters if name != leader)
+        before = cluster.ask(ListVotersCall(), to="f0").body.voters
+        cluster.lose_disk(lost)
+        cluster.schedule(1.0, lambda: cluster.restart(lost))
+        assert cluster.ask(RemoveVoterCall(lost), to="f0").status == 200
+        added = cluster.ask(AddVoterCall(lost), to="f0")
+        assert added.status == 200, added
+        assert added.body.voters[lost] not in ("", before[lost])
+
+    def test_voter_that_was_removed_and_keeps_its_disk_is_added_with_it(self):
+        cluster = Cluster(6, voters=3, followers=1)
+        leader = cluster.elect()
+        cluster.run(2)
+        removed = next(name for name in cluster.voters if name != leader)
+        before = cluster.ask(ListVotersCall(), to="f0").body.voters
+        assert cluster.ask(RemoveVoterCall(removed), to="f0").status == 200
+        assert cluster.ask(AddVoterCall(removed), to="f0").body.voters == before
+
     def test_leader_that_is_removed_hands_over(self):
         cluster = Cluster(7, voters=4)
         leader = cluster.elect()
