Let real daemons refuse writes in turn, the first leader before another voter

The test of full disks has a follower's disk fail before the leader's. The incident's record has them in the other order, and the daemon whose disk failed second follows or leads by then; a third one may have been paused at that moment. All three are played with three processes and one without a disk.

--- a/tests/test_real_disks.py
+++ b/tests/test_real_disks.py
@@ -10,8 +10,8 @@
 from tests._real_cluster import RETURN_SECONDS, RealCluster
 
 
-class TestRealDisks(unittest.TestCase):
-    """Guards against a vote lost for good with one refused write (issue 40)."""
+class RealDisksTest(unittest.TestCase):
+    """Three voters and a daemon without a disk, through which changes are made."""
 
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -38,6 +38,21 @@
         answer = self.cluster.apply("f0", generation, files)
         return answer and answer[0] == 200
 
+    def restart(self, *names):
+        for name in names:
+            self.cluster.kill(name)
+            self.cluster.start(name)
+
+    def check_configuration(self):
+        self.cluster.await_leader()
+        self.apply()
+        for name in self.cluster.names:
+            self.cluster.await_files(name, self.accepted)
+
+
+class TestRealDisks(RealDisksTest):
+    """Guards against a vote lost for good with one refused write (issue 40)."""
+
     def test_disks_are_full_in_turn(self):
         leader = self.cluster.await_leader()
         self.apply()
@@ -65,9 +80,8 @@
         self.cluster.await_gauge(name, 0.0)
         self.cluster.kill(name)
         self.cluster.start(name)
-        self.cluster.fill(
-            name
-        )  # Before the process has imported what it needs to write.
+        # Before the process has imported what it needs to write.
+        self.cluster.fill(name)
         self.cluster.await_gauge(name, 0.0)
         self.apply()
         self.cluster.empty(name)
@@ -77,16 +91,52 @@
         self.restart(other)
         self.check_configuration()
 
-    def restart(self, *names):
-        for name in names:
-            self.cluster.kill(name)
-            self.cluster.start(name)
 
-    def check_configuration(self):
-        self.cluster.await_leader()
+class TestRefusedWritesInTurn(RealDisksTest):
+    """Guards against a quorum lost for good with two refused writes (issue 43)."""
+
+    def refuse_writes_of_leader(self):
+        """Let the leader's disk refuse writes until another daemon leads.
+
+        Return the former leader, a follower and the leader.
+        """
+        first = self.cluster.await_leader()
         self.apply()
-        for name in self.cluster.names:
-            self.cluster.await_files(name, self.accepted)
+        self.cluster.fill(first)
+        self.apply()
+        leader = self.cluster.await_leader(other_than=first)
+        self.cluster.empty(first)
+        (follower,) = set(self.cluster.voters) - {first, leader}
+        return first, follower, leader
+
+    def check_return(self, name):
+        self.cluster.await_gauge(name, 0.0)
+        self.cluster.empty(name)
+        self.cluster.await_gauge(name, 1.0)
+        self.check_configuration()
+
+    def test_the_first_leader_and_then_a_follower_refuse_writes(self):
+        _, second, _ = self.refuse_writes_of_leader()
+        self.cluster.fill(second)
+        self.apply()
+        self.check_return(second)
+
+    def test_the_first_leader_and_then_the_second_refuse_writes(self):
+        _, _, second = self.refuse_writes_of_leader()
+        self.cluster.fill(second)
+        self.apply()
+        self.check_return(second)
+
+    def test_the_third_voter_is_paused_as_the_second_refuses_writes(self):
+        _, second, third = self.refuse_writes_of_leader()
+        self.cluster.fill(second)
+        self.cluster.pause(third)
+        assert self.cluster.poll(
+            lambda: not self.cluster.find_leader(), RETURN_SECONDS
+        ), "a leader without a quorum"
+        self.cluster.resume(third)
+        self.apply()
+        self.check_return(second)
 
 
 if __name__ == "__main__":
