Lose what is not synced when all daemons of a fleet lose power in tests

FleetWorld.lose_power killed the daemons, so that a restart read back what no sync had covered. A daemon that answered from such records, or counted them, passed the tests. Machines that keep their disk now lose what is not synced there, and World.cut_power also takes daemons without a disk.

--- a/tests/_fleet_work.py
+++ b/tests/_fleet_work.py
@@ -175,7 +175,7 @@
             if name in wiped:
                 self.lose_disk(name)
             else:
-                self.kill(name)
+                self.cut_power(name)
         self.run(down)
         for name in self.names:
             self.restart(name)
--- a/tests/_world.py
+++ b/tests/_world.py
@@ -245,9 +245,10 @@
         self.daemons[name].disk.lose()
 
     def cut_power(self, name):
-        """Kill a process and lose what its disk has not synced."""
+        """Kill a process and lose what its disk, if any, has not synced."""
         self.kill(name)
-        self.daemons[name].disk.lose_power()
+        if disk := self.daemons[name].disk:
+            disk.lose_power()
 
     def fill_disk(self, name, full=True):
         """Make every write fail, or succeed again with ``full=False``."""
