Load state charts with the modules that use them

A daemon that had used up its descriptors ended with its first failed write: "gypsumwalk: 1 error (ExceptionGroup, outcome unknown) [Errno 24] Too many open files: .../importlib/readers.py", exit code 1. Its calls were cut, and with two such daemons the quorum was gone until a restart, though a failed write is to cost a daemon its vote only while writes fail.

Cause: a chart was read from the package the first time that a transition needed it, which for the disk's life cycle is the first failure itself. The same holds for the first job, instance and wave of a process. Decisions must open no file, but this one was hidden behind a cache.

Now each module loads its chart when it is imported, so a process that can't read a chart doesn't start, and no transition opens a file.

Measured: three processes, one of them without free descriptors for some seconds as the leader is paused.

--- a/src/gypsumwalk/instances.py
+++ b/src/gypsumwalk/instances.py
@@ -9,6 +9,8 @@
 
 __all__ = ["InstanceEvent", "InstanceRecord", "InstanceState", "find_next_state"]
 
+INSTANCE_CHART = load_chart("instance")
+
 
 class InstanceState(StrEnum):
     """States of ``charts/instance.toml``."""
@@ -115,5 +117,5 @@
     InstanceState or None
         Next state.
     """
-    after = load_chart("instance").follow(state.value, event.value)
+    after = INSTANCE_CHART.follow(state.value, event.value)
     return None if after is None else InstanceState(after)
--- a/src/gypsumwalk/job_records.py
+++ b/src/gypsumwalk/job_records.py
@@ -22,6 +22,8 @@
     "find_next_state",
 ]
 
+JOB_CHART = load_chart("job")
+
 
 class JobState(StrEnum):
     """States of ``charts/job.toml``."""
@@ -65,7 +67,7 @@
     JobState or None
         Next state.
     """
-    after = load_chart("job").follow(state.value, event.value)
+    after = JOB_CHART.follow(state.value, event.value)
     return None if after is None else JobState(after)
 
 
--- a/src/gypsumwalk/statecharts.py
+++ b/src/gypsumwalk/statecharts.py
@@ -124,6 +124,9 @@
 def load_chart(name: str) -> Chart:
     """Load a chart from the package data, cached by name.
 
+    Modules load their charts when they are imported: while a daemon runs, a file may
+    fail to open, as when it has no descriptor left.
+
     Parameters
     ----------
     name : str
--- a/src/gypsumwalk/storage.py
+++ b/src/gypsumwalk/storage.py
@@ -11,6 +11,8 @@
 
 __all__ = ["DiskEvent", "DiskState", "Storage"]
 
+DISK_CHART = load_chart("disk")
+
 WRITE_TIMEOUT_SECONDS = 3.0
 """Time without an outcome after which a write counts as failed; ten syncs of a slow
 disk, with 0.2 s each, end before."""
@@ -266,7 +268,7 @@
         self._retry_pause = min(2 * self._retry_pause, MAX_RETRY_SECONDS)
 
     def _trigger(self, event: DiskEvent) -> None:
-        after = load_chart("disk").follow(self._state.value, event.value)
+        after = DISK_CHART.follow(self._state.value, event.value)
         self._state = DiskState(after)
 
 
--- a/src/gypsumwalk/waves.py
+++ b/src/gypsumwalk/waves.py
@@ -43,6 +43,7 @@
     ReturnWaveInstance,
 )
 
+WAVE_CHART = load_chart("wave")
 WAVE_PURPOSE = "wave/"
 CORRELATED_LOSSES = 2
 """Unplanned losses in a wave's pools that pause the wave."""
@@ -202,7 +203,7 @@
     ) -> str:
         if run != wave.run:
             return f"run {wave.run} of wave {wave.name} is the latest"
-        after = load_chart("wave").follow(wave.state.value, event)
+        after = WAVE_CHART.follow(wave.state.value, event)
         if after is None:
             unchanged = {"pause": WaveState.PAUSED, "abort": WaveState.ABORTED}
             if unchanged.get(event) is wave.state:
--- a/tests/_real_cluster.py
+++ b/tests/_real_cluster.py
@@ -114,6 +114,13 @@
         """Let writes to files succeed again."""
         self._limit_files(name, resource.RLIM_INFINITY)
 
+    def limit_descriptors(self, name, count):
+        """Let a process open no file or socket with a number from a count on."""
+        process = self.processes[name]
+        _, most = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (count, most))
+        return most
+
     def _limit_files(self, name, size):
         process = self.processes[name]
         _, most = resource.prlimit(process.pid, resource.RLIMIT_FSIZE)
--- a/tests/test_charts.py
+++ b/tests/test_charts.py
@@ -1,12 +1,18 @@
 """Tests of the state charts: reachable states and the outcome of every event."""
 
+import errno
+import subprocess
+import sys
 import unittest
+from unittest import mock
 
+from gypsumwalk import statecharts
+from gypsumwalk.effects import WriteFile
 from gypsumwalk.errors import BadChart
 from gypsumwalk.instances import InstanceEvent, InstanceState
 from gypsumwalk.job_records import JobEvent, JobState
 from gypsumwalk.statecharts import Chart, ChartFile, ChartTransition, load_chart
-from gypsumwalk.storage import DiskEvent, DiskState
+from gypsumwalk.storage import DiskEvent, DiskState, Storage
 from gypsumwalk.wave_records import WaveState
 from tests._catalogues import list_charts
 
@@ -17,6 +23,14 @@
     "wave": (WaveState, None),
 }
 
+NO_DESCRIPTORS = OSError(errno.EMFILE, "Too many open files")
+COUNT_LOADED = """\
+import gypsumwalk.assembly, gypsumwalk.fleet_assembly
+from gypsumwalk.statecharts import load_chart
+print(load_chart.cache_info().currsize)
+"""
+TIMEOUT_SECONDS = 60
+
 
 def find_unreachable(file):
     reached, pending = set(), [file.initial]
@@ -75,3 +89,25 @@
         for state, event in (("nothing", "pause"), ("running", "nothing")):
             with self.assertRaises(BadChart):
                 load_chart("wave").follow(state, event)
+
+
+class TestLoading(unittest.TestCase):
+    """Guards against a daemon that ends as it can't open a chart (issue 43)."""
+
+    def test_a_failed_write_opens_no_file(self):
+        load_chart.cache_clear()
+        storage = Storage(enabled=True, durable=0)
+        storage.stage(WriteFile("vote", b"x"))
+        (write,) = storage.flush(0.0)
+        with mock.patch.object(
+            statecharts.resources, "files", side_effect=NO_DESCRIPTORS
+        ):
+            storage.complete(write.token, False, 0.0)
+        assert not storage.enabled
+
+    def test_every_chart_is_loaded_with_the_module_that_uses_it(self):
+        command = [sys.executable, "-c", COUNT_LOADED]
+        result = subprocess.run(
+            command, capture_output=True, text=True, timeout=TIMEOUT_SECONDS, check=True
+        )
+        assert int(result.stdout) == len(list_charts())
--- a/tests/test_real_disks.py
+++ b/tests/test_real_disks.py
@@ -9,6 +9,9 @@
 
 from tests._real_cluster import RETURN_SECONDS, RealCluster
 
+FIRST_DESCRIPTOR = 3
+"""Number of the first descriptor after the standard streams."""
+
 
 class RealDisksTest(unittest.TestCase):
     """Three voters and a daemon without a disk, through which changes are made."""
@@ -139,5 +142,33 @@
         self.check_return(second)
 
 
+class TestUsedUpDescriptors(RealDisksTest):
+    """Guards against a daemon that ends with its first failed write (issue 43)."""
+
+    def test_a_voter_without_free_descriptors_votes_again(self):
+        """It stores its vote in a new file, once the leader is gone."""
+        leader = self.cluster.await_leader()
+        self.apply()
+        name = next(item for item in self.cluster.voters if item != leader)
+        most = self.cluster.limit_descriptors(name, FIRST_DESCRIPTOR)
+        self.cluster.pause(leader)
+        self.await_event(name, "DISK_FAILED")
+        self.cluster.limit_descriptors(name, most)
+        self.await_event(name, "DISK_RETURNED")
+        self.cluster.await_leader(other_than=leader)
+        self.apply()
+        self.cluster.resume(leader)
+        self.check_configuration()
+
+    def await_event(self, name, event):
+        log = self.cluster.folder / f"{name}.log"
+        process = self.cluster.processes[name]
+        assert self.cluster.poll(
+            lambda: event in log.read_text() or process.poll() is not None,
+            RETURN_SECONDS,
+        ), f"{name} does not report: {event}"
+        assert process.poll() is None, f"{name} ended:\n{log.read_text()[-1000:]}"
+
+
 if __name__ == "__main__":
     unittest.main()
