Fail every system call of a data folder, at every step and for a time

After it the voter has to vote again within one retry, and a new process has to read what the voter holds. A folder that is moved away and back is a further case; it isn't created anew meanwhile, as the former one may return with older votes.

--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -20,12 +20,32 @@
 from gypsumwalk.frames import encode_frame
 from gypsumwalk.proposals import Proposals
 from gypsumwalk.recovery import Recovered
-from gypsumwalk.replica import Replica
+from gypsumwalk.replica import Replica, SnapshotContent
 from gypsumwalk.replication import Entry
 from gypsumwalk.state import ReplicatedState
 
 FULL = OSError(errno.ENOSPC, "No space left on device")
 NO_DESCRIPTORS = OSError(errno.EMFILE, "Too many open files")
+ERRORS = [
+    OSError(number, os.strerror(number))
+    for number in (errno.EIO, errno.EMFILE, errno.EACCES, errno.EROFS)
+]
+CALLS = (
+    "open",
+    "close",
+    "fstat",
+    "pwrite",
+    "ftruncate",
+    "fsync",
+    "fdatasync",
+    "replace",
+    "unlink",
+    "listdir",
+)
+"""System calls of a data folder whose failure fails the write."""
+
+MAX_RETRY_SECONDS = 1.0
+CLOSE = os.close
 WRITES = ("pwrite", "ftruncate", "fsync", "fdatasync", "unlink", "replace", "mkdir")
 
 
@@ -45,6 +65,26 @@
     return mock.patch.object(os, name, call)
 
 
+class FailingCall:
+    """System call that fails some times, after it has succeeded a number of times."""
+
+    def __init__(self, name, error, *, after, count):
+        self.original = getattr(os, name)
+        self.error = error
+        self.failing = range(after, after + count)
+        self.calls = 0
+        self.failures = 0
+
+    def __call__(self, *args, **options):
+        self.calls += 1
+        if self.calls - 1 not in self.failing:
+            return self.original(*args, **options)
+        self.failures += 1
+        if self.original is CLOSE:
+            CLOSE(*args)
+        raise self.error
+
+
 def make_replica(recovered):
     proposals = Proposals("v0", 1)
     return Replica(ReplicatedState([]), recovered, "identity", {"v0": ""}, proposals)
@@ -154,6 +194,119 @@
         assert make_replica(self.recover()).log.last_index == 49
 
 
+class Voter:
+    """Replica that writes to a data folder, with every kind of operation."""
+
+    def __init__(self, disk):
+        self.disk = disk
+        self.disk.write([])
+        self.replica = make_replica(Recovered())
+        self.now = 0.0
+
+    def work(self):
+        replica = self.replica
+        replica.enter_term(replica.vote.term + 1, "v0")
+        self.append()
+        self.append()
+        for dropped in (3, 1):
+            replica.truncate(replica.log.last_index - dropped)
+            self.flush()
+        self.append()
+        replica.install_snapshot(self.make_snapshot())
+        self.append()
+
+    def append(self):
+        first = self.replica.log.last_index + 1
+        entries = [Entry(first + n, 1, float(first + n)) for n in range(3)]
+        self.replica.append(entries)
+        self.flush()
+
+    def make_snapshot(self):
+        index = self.replica.log.last_index - 1
+        content = SnapshotContent(index, 1, {"v0": ""}, b"", b"state")
+        return msgspec.msgpack.encode(content)
+
+    def flush(self):
+        """Write what is due until a write fails."""
+        storage = self.replica.storage
+        while True:
+            if storage.is_rewrite_due(self.now):
+                effects = self.replica.rewrite(self.now)
+            else:
+                effects = storage.flush(self.now)
+            if not effects:
+                return
+            (write,) = effects
+            try:
+                self.disk.write(write.operations)
+            except DiskFailure:
+                storage.complete(write.token, False, self.now)
+                return
+            storage.complete(write.token, True, self.now)
+
+    def retry(self):
+        self.now += MAX_RETRY_SECONDS
+        self.flush()
+
+
+class TestEveryStep(DiskTest):
+    """Guards against a vote lost for good by a failure of any kind (issue 43)."""
+
+    def setUp(self):
+        super().setUp()
+        # The syncs of a real disk would take most of the time of these tests.
+        for name in ("fsync", "fdatasync"):
+            patch = mock.patch.object(os, name, lambda descriptor: None)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    def test_a_voter_votes_again_after_a_failure_at_any_step(self):
+        for name in CALLS:
+            for count in (1, 100):
+                after = 0
+                while self.fail_and_return(name, after, count):
+                    after += 1
+                assert after, f"{name} is not called"
+
+    def fail_and_return(self, name, after, count):
+        """Let calls fail, check the return, and return whether a call was reached."""
+        self.folder = self.folder.with_name(f"{name}-{after}-{count}")
+        voter = Voter(self.open())
+        voter.work()
+        error = ERRORS[after % len(ERRORS)]
+        call = FailingCall(name, error, after=after, count=count)
+        with self.subTest(name=name, after=after, count=count, error=str(error)):
+            with mock.patch.object(os, name, call):
+                voter.work()
+            voter.retry()
+            assert voter.replica.identity, "the disk may not vote again"
+            voter.work()
+            self.check_recovered(voter.replica)
+        return call.failures
+
+    def check_recovered(self, replica):
+        recovered = make_replica(self.recover())
+        assert recovered.vote == replica.vote
+        assert recovered.log.base_index == replica.log.base_index
+        assert recovered.log.tail(0) == replica.log.tail(0)
+        assert recovered.snapshot == replica.snapshot
+        assert not [*self.folder.glob("*.temporary")]
+
+    def test_a_voter_votes_again_once_its_folder_is_back(self):
+        voter = Voter(self.disk)
+        voter.work()
+        away = self.folder.rename(self.folder.with_name("away"))
+        voter.work()
+        for _ in range(3):
+            voter.retry()
+            assert not voter.replica.identity
+        away.rename(self.folder)
+        voter.retry()
+        assert voter.replica.identity
+        voter.work()
+        self.check_recovered(voter.replica)
+
+
 class TestFullAtStart(DiskTest):
     """Guards against a process that ends again and again on a full disk."""
 
