Forget ended daemons that others still gossip

A daemon that had ended was never forgotten if some daemons heard of its end more than 30 s later than others, as after a partition. It stayed in the lists of members, each report on a key named it as unreachable, and such names filled the table of 512, after which new daemons are not taken up.

Cause: each daemon forgets an ended one 600 s after it heard of the end, and took it up again with the next exchange with a daemon that still listed it. That started another 600 s, in turns and without an end.

A daemon now keeps the last state of what it forgot, for up to 512 names, and does not take up the same end again. News that the daemon is alive is taken up as before.

--- a/src/gypsumwalk/member_table.py
+++ b/src/gypsumwalk/member_table.py
@@ -8,7 +8,7 @@
 from gypsumwalk.inputs import MemberChange, MembershipChanged
 from gypsumwalk.views import Member
 
-__all__ = ["MemberStatus", "MemberTable", "MemberUpdate"]
+__all__ = ["ENDED_STATUSES", "MemberStatus", "MemberTable", "MemberUpdate"]
 
 MAX_MEMBERS = 512
 UPDATE_TRANSMISSIONS = 6
@@ -68,6 +68,7 @@
     MemberStatus.LEAVING: MemberChange.LEFT,
     MemberStatus.LEFT: MemberChange.LEFT,
 }
+ENDED_STATUSES = (MemberStatus.DEAD, MemberStatus.LEFT)
 REACHABLE_STATUSES = (MemberStatus.ALIVE, MemberStatus.LEAVING, MemberStatus.SUSPECT)
 
 
@@ -76,6 +77,7 @@
 
     def __init__(self) -> None:
         self._updates: dict[str, MemberUpdate] = {}
+        self._forgotten: dict[str, MemberUpdate] = {}
         self._members: list[Member] | None = None
         self._pending_updates: deque[list[int | str]] = deque()
 
@@ -111,6 +113,9 @@
             return None
         if known is not None and update.order <= known.order:
             return None
+        if known is None and self._is_forgotten(update):
+            return None
+        self._forgotten.pop(update.name, None)
         self._updates[update.name] = update
         self._members = None
         self._queue_update(update.name)
@@ -125,8 +130,14 @@
         return MembershipChanged(update.name, change, update.incarnation)
 
     def forget(self, name: str) -> None:
-        """Remove a daemon."""
-        self._updates.pop(name, None)
+        """Remove a daemon that has ended.
+
+        Others remove it later, and still gossip its end until then.
+        """
+        if update := self._updates.pop(name, None):
+            self._forgotten[name] = update
+        if len(self._forgotten) > MAX_MEMBERS:
+            del self._forgotten[next(iter(self._forgotten))]
         self._members = None
 
     def take_updates(self) -> list[MemberUpdate]:
@@ -144,6 +155,12 @@
                 self._pending_updates.append([name, left - 1])
         return chosen
 
+    def _is_forgotten(self, update: MemberUpdate) -> bool:
+        """Tell whether an update repeats the end of a daemon that was removed."""
+        forgotten = self._forgotten.get(update.name)
+        is_ended = update.status in ENDED_STATUSES
+        return is_ended and forgotten is not None and update.order <= forgotten.order
+
     def _queue_update(self, name: str) -> None:
         rest = [item for item in self._pending_updates if item[0] != name]
         self._pending_updates = deque([[name, UPDATE_TRANSMISSIONS], *rest])
--- a/src/gypsumwalk/membership.py
+++ b/src/gypsumwalk/membership.py
@@ -9,7 +9,12 @@
 from gypsumwalk.effects import Effect, Raise, Record, SendPeer
 from gypsumwalk.events import Event
 from gypsumwalk.inputs import Input, PeerInput, ShutdownRequested
-from gypsumwalk.member_table import MemberStatus, MemberTable, MemberUpdate
+from gypsumwalk.member_table import (
+    ENDED_STATUSES,
+    MemberStatus,
+    MemberTable,
+    MemberUpdate,
+)
 from gypsumwalk.part import NEVER
 from gypsumwalk.settings import Settings
 from gypsumwalk.views import Member
@@ -242,8 +247,7 @@
         update = self._table.get(name)
         if update is None or name == self._daemon:
             return False
-        ended = (MemberStatus.DEAD, MemberStatus.LEFT)
-        return update.status not in ended or name in self._seeds
+        return update.status not in ENDED_STATUSES or name in self._seeds
 
     def _check_pending_probe(self, now: float) -> list[Effect]:
         pending = self._pending_probe
@@ -368,7 +372,7 @@
         self._ended.pop(update.name, None)
         if update.status is MemberStatus.SUSPECT:
             self._suspected[update.name] = now
-        if update.status in (MemberStatus.DEAD, MemberStatus.LEFT):
+        if update.status in ENDED_STATUSES:
             self._ended[update.name] = now
         detail = {"change": change.change.value, "incarnation": change.incarnation}
         return [Record(Event.MEMBER_CHANGED, update.name, detail), Raise(change)]
