Close idle connections while descriptors are used up

A server whose process had used up its descriptors could stay without them for good: connections of clients that had vanished were kept open, no new one was accepted, and a core was busy with writing tracebacks.

Cause: an error of accept ends a round of the server's loop and starts it anew, and a round closes idle connections at its end only, some time after its start. While a connection waits to be accepted, each round fails at once, so the idle connections that hold the descriptors are never closed.

The server now goes on with its round after such an error, with a pause of 20 ms, and reports the first one in 5 s in a line.

Evidence: TestDescriptors in tests/test_server.py, with an idle time of 0.2 s.

--- a/src/gypsumwalk/drivers/server.py
+++ b/src/gypsumwalk/drivers/server.py
@@ -1,7 +1,10 @@
 """HTTP server with a bounded thread pool, for any WSGI application."""
 
 import contextlib
+import functools
+import socket
 import threading
+import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
@@ -20,6 +23,12 @@
 SOCKET_TIMEOUT_SECONDS = 10
 SHUTDOWN_TIMEOUT_SECONDS = 5
 LISTEN_BACKLOG = 256
+ACCEPT_RETRY_SECONDS = 0.02
+"""Pause after a connection that could not be accepted, as descriptors are used up."""
+
+REPORT_INTERVAL_SECONDS = 5.0
+"""Shortest time between two reports of such connections."""
+
 FIRST_THREADS = 2
 """Threads started with the server; the others start as calls wait for one."""
 
@@ -76,7 +85,7 @@
         watchdog: ReceiveWatchdog,
         limits: ServerLimits,
     ) -> None:
-        self._server = _LoggingServer(
+        self._server = _RobustServer(
             (address, port),
             application,
             request_queue_size=LISTEN_BACKLOG,
@@ -120,14 +129,43 @@
         self._server.stop()
 
 
-class _LoggingServer(Server):
-    """Server that goes on if its log can't be written."""
+class _RobustServer(Server):
+    """Server that goes on after errors of its log and of its listening socket."""
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self._report_due = float("-inf")
+
+    def prepare(self) -> None:
+        """Bind the socket and start the first worker threads."""
+        super().prepare()
+        manager = self._connections  # type: ignore[attr-defined]
+        accept = manager._from_server_socket
+        manager._from_server_socket = functools.partial(self._try_accept, accept)
 
     def error_log(self, *arguments: Any, **options: Any) -> None:
         """Write to the standard error; an error there would end a worker thread."""
         with contextlib.suppress(OSError, ValueError):
             super().error_log(*arguments, **options)
 
+    def _try_accept(
+        self, accept: Callable[[socket.socket], Any], listener: socket.socket
+    ) -> Any:
+        """Accept a connection; return None if that fails.
+
+        An error would end the round of the loop that closes connections idle for long,
+        which may hold the descriptors that are missing.
+        """
+        try:
+            return accept(listener)
+        except OSError as error:
+            now = time.monotonic()
+            if now >= self._report_due:
+                self._report_due = now + REPORT_INTERVAL_SECONDS
+                self.error_log(f"A connection could not be accepted: {error}")
+            time.sleep(ACCEPT_RETRY_SECONDS)
+            return None
+
 
 class _GrowingThreadPool(ThreadPool):
     """Pool that starts a thread whenever a connection finds none free."""
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP servers against malformed and slow senders."""
 
 import contextlib
+import errno
 import socket
 import threading
 import time
@@ -345,6 +346,72 @@
         self.check()
 
 
+class UnwillingListener:
+    """Listening socket that accepts no connection while descriptors are used up."""
+
+    def __init__(self, listener):
+        self.is_exhausted = True
+        self.refusals = 0
+        self._listener = listener
+
+    def accept(self):
+        if self.is_exhausted:
+            self.refusals += 1
+            raise OSError(errno.EMFILE, "Too many open files")
+        return self._listener.accept()
+
+    def __getattr__(self, name):
+        return getattr(self._listener, name)
+
+
+class TestDescriptors(unittest.TestCase):
+    """Guards against a server that never gets descriptors back (issue 43)."""
+
+    REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+    IDLE_SECONDS = 0.2
+    MAX_REFUSALS = 1000
+
+    def setUp(self):
+        limits = ServerLimits(threads=2, queued=4, max_body_bytes=1024)
+        watchdog = ReceiveWatchdog(limit=1000.0)
+        self.server = HttpServer(
+            "127.0.0.1", 0, self.serve, watchdog=watchdog, limits=limits
+        )
+        self.server.prepare()
+        inner = self.server._server
+        inner.timeout = self.IDLE_SECONDS
+        inner.expiration_interval = self.IDLE_SECONDS / 4
+        self.listener = inner.socket = UnwillingListener(inner.socket)
+        self.thread = threading.Thread(target=self.server.serve)
+        self.thread.start()
+
+    def tearDown(self):
+        self.server.stop()
+        self.thread.join()
+
+    def serve(self, environ, start_response):
+        start_response("200 OK", [("Content-Length", "0")])
+        return [b""]
+
+    def send(self):
+        address = ("127.0.0.1", self.server.port)
+        connection = socket.create_connection(address, CLOSE_SECONDS)
+        self.addCleanup(connection.close)
+        connection.sendall(self.REQUEST)
+        return connection
+
+    def test_idle_connections_end_while_descriptors_are_used_up(self):
+        self.listener.is_exhausted = False
+        idle = self.send()
+        assert idle.recv(1024).startswith(b"HTTP/1.1 200 ")
+        self.listener.is_exhausted = True
+        waiting = self.send()
+        assert idle.recv(1024) == b""
+        assert self.listener.refusals < self.MAX_REFUSALS
+        self.listener.is_exhausted = False
+        assert waiting.recv(1024).startswith(b"HTTP/1.1 200 ")
+
+
 def read_all(connection):
     chunks = []
     with contextlib.suppress(OSError):
