Write the log anew if a truncation reads it back damaged

A damaged record in the log of a running daemon was lost without notice, or ended the process, and each process after it, until an operator wiped the folder. It was found when entries of an earlier leader were dropped, as the frame that held the last kept one was read back.

Cause: a damaged last frame reads like a torn one, so the truncation kept fewer records than asked and reported success. Before an intact frame the damage raised CorruptRecord, which no writer expects.

Both are failed writes now. The daemon has every record in memory, so it writes the whole state anew, as after any failed write.

Evidence: TestDamagedRecords in tests/test_disk.py. Without the change one test got no failure, and the other one CorruptRecord.

--- a/src/gypsumwalk/drivers/disk.py
+++ b/src/gypsumwalk/drivers/disk.py
@@ -1,5 +1,6 @@
 """Durable storage in a data folder on a local disk."""
 
+import errno
 import os
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
@@ -191,8 +192,9 @@
 
     def _rewrite(self, file: str, keep: int) -> None:
         path = self._folder / f"{file}{RECORDS_SUFFIX}"
-        scan = scan_frames(path.read_bytes(), path.name)
-        kept = [record for frame in scan.frames for record in frame.records][:keep]
+        kept = _read_records(path)[:keep]
+        if len(kept) < keep:
+            raise OSError(errno.EIO, f"{path.name}: {len(kept)} of {keep} records left")
         os.close(self._descriptors.pop(file))
         frame = encode_frame(kept)
         self._replace(path, frame)
@@ -235,6 +237,16 @@
         return tuple(record for frame in scan.frames for record in frame.records)
 
 
+def _read_records(path: Path) -> list[bytes]:
+    """Read back the records of a file that this process wrote."""
+    try:
+        scan = scan_frames(path.read_bytes(), path.name)
+    except CorruptRecord as error:
+        # Whoever wrote them still has them, and writes them anew after a failure.
+        raise OSError(errno.EIO, str(error)) from error
+    return [record for frame in scan.frames for record in frame.records]
+
+
 def _recover_file(path: Path) -> bytes:
     content = path.read_bytes()
     scan = scan_frames(content, path.name)
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -170,6 +170,37 @@
         assert self.recover().records == {"log-1": (b"a",)}
 
 
+class TestDamagedRecords(DiskTest):
+    """Guards against records that a truncation reads back damaged (issue 43)."""
+
+    def damage(self):
+        """Change a byte of the first frame."""
+        path = self.folder / "log-1.records"
+        content = bytearray(path.read_bytes())
+        content[len(encode_frame([])) + 1] ^= 0xFF
+        path.write_bytes(content)
+
+    def check(self):
+        with self.assertRaises(DiskFailure):
+            self.disk.write([TruncateRecords("log-1", 2)])
+        self.disk.write([WriteFile("snapshot", b"all"), KeepRecords("log-2")])
+        self.disk.write([AppendRecords("log-2", (b"e",))])
+        recovered = self.recover()
+        assert recovered.records == {"log-2": (b"e",)}
+        assert recovered.files == {"snapshot": b"all"}
+
+    def test_the_last_frame(self):
+        self.disk.write([AppendRecords("log-1", (b"a", b"b", b"c"))])
+        self.damage()
+        self.check()
+
+    def test_a_frame_before_an_intact_one(self):
+        self.disk.write([AppendRecords("log-1", (b"a", b"b", b"c"))])
+        self.disk.write([AppendRecords("log-1", (b"d",))])
+        self.damage()
+        self.check()
+
+
 class TestRewrites(DiskTest):
     """Guards against attempts that take up the room that is missing."""
 
