Count a lack of threads or memory at a write as a failed write

A control daemon ended when no thread could be started for a write to its disk, or the content could not be encoded for lack of memory. Its calls were cut, and the leadership was lost with it, although the lack passes.

Cause: the task that writes expected a failure of the disk only, so any other error ended the event loop.

Evidence: two tests in tests/test_disk_writer.py. Without the change the errors left the event loop in both.

--- a/src/gypsumwalk/drivers/disk_writer.py
+++ b/src/gypsumwalk/drivers/disk_writer.py
@@ -54,14 +54,22 @@
         """Write until cancelled; a write that hangs then is abandoned."""
         async for write in self._writes:
             started = self._clock.now()
-            outcome = await trio.to_thread.run_sync(
-                self._write, write, abandon_on_cancel=True
-            )
+            outcome = await self._write_in_thread(write)
             name = "succeeded" if outcome.succeeded else "failed"
             self._metrics.count("disk_writes", outcome=name)
             self._metrics.observe_latency("disk_write", self._clock.now() - started)
             self._report(outcome)
 
+    async def _write_in_thread(self, write: WriteDisk) -> DiskOutcome:
+        try:
+            return await trio.to_thread.run_sync(
+                self._write, write, abandon_on_cancel=True
+            )
+        except (RuntimeError, MemoryError) as error:
+            # No thread could be started, or there is no memory to encode the content.
+            reason = f"{type(error).__name__}: {error}"
+            return DiskOutcome(write.token, False, reason)
+
     def _write(self, write: WriteDisk) -> DiskOutcome:
         if self._disk is None:
             return DiskOutcome(write.token, False, "there is no data folder")
--- a/tests/test_disk_writer.py
+++ b/tests/test_disk_writer.py
@@ -2,6 +2,7 @@
 
 import threading
 import unittest
+from unittest import mock
 
 import trio
 
@@ -9,6 +10,7 @@
 from gypsumwalk.drivers.metrics import Metrics
 from gypsumwalk.effects import WriteDisk
 from gypsumwalk.errors import DiskFailure
+from gypsumwalk.inputs import DiskOutcome
 
 HANG_SECONDS = 5.0
 
@@ -59,6 +61,38 @@
         assert (outcome.token, outcome.succeeded) == (7, False)
         assert outcome.reason == "no space left"
 
+    def run_writes(self, disk, count):
+        async def run():
+            writer = self.make(disk)
+            for token in range(count):
+                writer.submit(WriteDisk(token, ()))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(writer.run)
+                while len(self.outcomes) < count:
+                    await trio.lowlevel.checkpoint()
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+        return [(outcome.succeeded, outcome.reason) for outcome in self.outcomes]
+
+    def test_a_lack_of_memory_is_a_failed_write(self):
+        """The process ended, as the error left its event loop (issue 43)."""
+        disk = mock.Mock()
+        disk.write.side_effect = [MemoryError("no memory"), None]
+        expected = [(False, "MemoryError: no memory"), (True, "")]
+        assert self.run_writes(disk, 2) == expected
+
+    def test_a_lack_of_threads_is_a_failed_write(self):
+        """The process ended, as the error left its event loop (issue 43)."""
+        disk = mock.Mock()
+        reason = "can't start new thread"
+        run_sync = mock.AsyncMock(
+            side_effect=[RuntimeError(reason), DiskOutcome(1, True)]
+        )
+        with mock.patch.object(trio.to_thread, "run_sync", run_sync):
+            outcomes = self.run_writes(disk, 2)
+        assert outcomes == [(False, f"RuntimeError: {reason}"), (True, "")]
+
     def test_a_shutdown_does_not_wait_for_a_write_that_hangs(self):
         """The process stayed until the disk answered, after its graceful shutdown."""
         disk = HangingDisk()
