Start waiting tasks once a machine is not cordoned any more

Callers saw a job of which nothing ran, although the instance of a maintained machine had returned and was idle, until another task ended or a job was submitted.

Cause: the instance is registered and read while its machine is still cordoned, so the scheduling passes of those moments left it out. The controller uncordoned it with its next check, 0.1 s later, and asked for no pass.

The controller asks for a pass whenever machines are not cordoned any more.

--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -175,7 +175,7 @@
         waves = self._upkeep.list_open()
         self._scheduler.due_for_maintenance.clear()
         if not waves:
-            self._scheduler.cordoned.clear()
+            self._cordon(set(), now)
             return []
         if not self._directory.machines:
             return []
@@ -183,9 +183,15 @@
         cordoned: set[str] = set()
         for wave in waves:
             effects += self._advance_wave(wave, cordoned, now)
-        self._scheduler.cordoned = cordoned
+        self._cordon(cordoned, now)
         return effects
 
+    def _cordon(self, machines: set[str], now: float) -> None:
+        """Replace the cordoned machines; tasks may wait for the others."""
+        if self._scheduler.cordoned - machines:
+            self._dispatcher.request_scheduling_pass(now)
+        self._scheduler.cordoned = machines
+
     def _begin_term(self, now: float) -> None:
         self._term = self._dispatcher.term
         self._ordered_at.clear()
@@ -196,7 +202,7 @@
         self._open_orders.clear()
         self._effective_orders.clear()
         self._pending_proposals.clear()
-        self._scheduler.cordoned.clear()
+        self._cordon(set(), now)
         self._delay_open_orders(now)
 
     def _delay_open_orders(self, now: float) -> None:
--- a/tests/test_maintenance_controller.py
+++ b/tests/test_maintenance_controller.py
@@ -48,7 +48,7 @@
         declarations=mock.Mock(),
         upkeep=mock.Mock(),
         dispatcher=mock.Mock(),
-        scheduler=mock.Mock(),
+        scheduler=mock.Mock(cordoned=set()),
         directory=Directory(life),
         cooldown=OrderCooldown("a"),
         maintenance=2.0,
