Start waiting tasks once a machine does not move after all

Callers saw a task that waited for up to 17 s beside an idle instance whose machine had been ordered into another pool, while the machine API was unavailable: among them the replacement of a lasting task that had made room for a wave.

Cause: a machine gets no work while it moves. When its move was refused, or was given up after 3.5 s without an answer, it might get work again, but no scheduling pass followed. The next attempt to move it began 0.3 s later, and barred it again.

Both new tests found a task waiting, 3 s and 6 s after the order, before this change.

The end of each move asks for a scheduling pass.

--- a/src/gypsumwalk/pool_scaling_controller.py
+++ b/src/gypsumwalk/pool_scaling_controller.py
@@ -169,7 +169,9 @@
         self._idle_since.clear()
         self._moving.clear()
         self._open_orders.clear()
-        self._scheduler.changing_pool.clear()
+        if self._scheduler.changing_pool:
+            self._scheduler.changing_pool.clear()
+            self._dispatcher.request_scheduling_pass(now)
 
     def _complete_moves(self, now: float) -> None:
         for machine, (service, since) in list(self._moving.items()):
@@ -183,10 +185,15 @@
                 and self._directory.read_at > since
             )
             if has_arrived or is_listed or now - since > ARRIVAL_SECONDS:
-                del self._moving[machine]
-                self._scheduler.changing_pool.discard(machine)
+                self._end_move(machine, now)
                 self._blocked_until[machine] = now + CHECK_SECONDS
 
+    def _end_move(self, machine: str, now: float) -> None:
+        """Let a machine take work again; tasks may wait for it."""
+        self._moving.pop(machine, None)
+        self._scheduler.changing_pool.discard(machine)
+        self._dispatcher.request_scheduling_pass(now)
+
     def _describe_machines(self, now: float) -> list[PoolMachine]:
         in_waves = {
             machine for wave in self._upkeep.waves.values() for machine in wave.begun
@@ -303,8 +310,7 @@
             # The order may have been executed; the list of machines will show it.
             return []
         if report.refused:
-            self._moving.pop(machine, None)
-            self._scheduler.changing_pool.discard(machine)
+            self._end_move(machine, now)
             self._blocked_until[machine] = now + REFUSAL_BACKOFF_SECONDS
             attributes: dict[str, Scalar] = {"reason": report.refused}
             return [Record(Event.MOVE_REFUSED, machine, attributes)]
--- a/tests/test_idle_machines.py
+++ b/tests/test_idle_machines.py
@@ -1,10 +1,15 @@
 """Tests of tasks that wait for a machine which gets no work for a while."""
 
 import unittest
+from unittest.mock import patch
 
-from gypsumwalk.declaration_records import Resources
+import msgspec
+
+from gypsumwalk.declaration_records import DeclaredService, Resources
+from gypsumwalk.inputs import PlatformOutcome
+from gypsumwalk.instance_actions import MachineReport, MoveMachine
 from gypsumwalk.workload_records import Step
-from tests._fleet_work import CAPACITY, FleetWorld
+from tests._fleet_work import CAPACITY, FleetWorld, make_declaration
 
 JOB, NEXT_JOB = (f"{number:016x}" for number in range(2))
 WHOLE = Resources(CAPACITY.cpu, 1000)
@@ -32,5 +37,51 @@
                 assert world.await_state(NEXT_JOB, "completed", within=RETURN_SECONDS)
 
 
+class TestMachineThatStays(unittest.TestCase):
+    """A machine is ordered into another pool, and does not move."""
+
+    def order_move(self, outcome, delay):
+        """Have a move ordered whose outcome arrives after some seconds."""
+        self.world = world = FleetWorld(instances=3, task_seconds=60.0)
+        world.begin()
+        call, ordered = world.model.call, []
+
+        def answer(effect, now):
+            if not isinstance(effect.action, MoveMachine):
+                return call(effect, now)
+            ordered.append(now)
+            return delay, lambda at: outcome(effect.token)
+
+        self.enterContext(patch.object(world.model, "call", answer))
+        declaration = make_declaration(2)
+        services = [*declaration.services, DeclaredService("off", standby=True)]
+        world.declare(msgspec.structs.replace(declaration, services=services))
+        assert world.run_until(lambda: ordered, within=5.0)
+
+    def use_all(self, *, within):
+        """Submit a task for each machine, and wait until all of them run."""
+        self.world.submit(JOB, [Step(3, WHOLE)])
+        return self.world.run_until(
+            lambda: len(self.world.model.history) == 3, within=within
+        )
+
+    # Guards against a task that waited beside an idle machine whose move was refused
+    # (issue 43).
+    def test_a_waiting_task_starts_once_the_move_is_refused(self):
+        report = MachineReport("busy")
+        self.order_move(
+            lambda token: PlatformOutcome(token, succeeded=True, report=report), 0.5
+        )
+        assert self.use_all(within=3.0)
+
+    # Guards against a task that waited beside an idle machine whose move was not
+    # answered (issue 43).
+    def test_a_waiting_task_starts_once_the_move_is_given_up(self):
+        self.order_move(
+            lambda token: PlatformOutcome(token, succeeded=False, unknown=True), 2.0
+        )
+        assert self.use_all(within=6.0)
+
+
 if __name__ == "__main__":
     unittest.main()
