Store the identity of a new disk before it votes

After a loss of power within the first second or two of a new system, no daemon led again: every call was refused, for good.

A voter stored the identity of its disk with its first vote. Before that, the disk held the incarnation or nothing, so the daemon took itself for one with another disk after the restart, and no majority of the listed disks was left. An empty disk now begins with a write of the whole state, as any other start does, and counts for nothing before that is synced.

--- a/src/gypsumwalk/replica.py
+++ b/src/gypsumwalk/replica.py
@@ -157,9 +157,10 @@
         self.vote = _recover_vote(recovered, Vote(identity, first_voters=dict(voters)))
         self._voter_changes = [(0, self.vote.first_voters or dict(voters))]
         self._recover(recovered)
-        durable = self.log.last_index
+        # Votes and entries count for the identity, so it is stored before them.
+        is_synced = recovered.is_synced and VOTE_FILE in recovered.files
         self.storage = Storage(
-            enabled=bool(identity), durable=durable, is_synced=recovered.is_synced
+            enabled=bool(identity), durable=self.log.last_index, is_synced=is_synced
         )
 
     @property
--- a/tests/_agreement.py
+++ b/tests/_agreement.py
@@ -17,6 +17,7 @@
 from gypsumwalk.recovery import Recovered
 from gypsumwalk.settings import PeerSettings, Settings
 from gypsumwalk.state import Accepted, ReplicatedState
+from gypsumwalk.voter_controller import VoterController
 from gypsumwalk.voters import VoterPart
 from tests._world import World
 
@@ -80,7 +81,15 @@
     """Node with consensus and its dependent parts, and a client that appends texts."""
 
     def __init__(
-        self, settings, recovered, incarnation, seed, max_replayed_entries=None
+        self,
+        settings,
+        recovered,
+        incarnation,
+        seed,
+        max_replayed_entries=None,
+        *,
+        first_start=None,
+        plans_voters=False,
     ):
         random = Random(f"{seed}/{settings.name}/{incarnation}")
         self.list = ListSection()
@@ -95,6 +104,7 @@
             recovered=recovered or Recovered(),
             random=random,
             incarnation=incarnation,
+            first_start=first_start,
             max_replayed_entries=max_replayed_entries,
         )
         self.membership = MembershipPart(
@@ -134,11 +144,18 @@
             self.voters,
             self.client,
         ]
+        if plans_voters:
+            parts.append(VoterController(settings.name, self.consensus))
         super().__init__(parts, self.consensus)
 
 
 class Cluster(World):
-    """Cluster of voters ``v0``... with disks and followers ``f0``... without disks."""
+    """Cluster of voters ``v0``... with disks and followers ``f0``... without disks.
+
+    With ``first_start`` the platform tells the first start from later ones: the
+    attribute is True until the daemons have been added. With ``plans_voters`` the
+    leader replaces voters by itself.
+    """
 
     def __init__(
         self,
@@ -149,7 +166,11 @@
         *,
         election_seconds=1.0,
         max_replayed_entries=None,
+        first_start=None,
+        plans_voters=False,
     ):
+        self.first_start = first_start
+        self.plans_voters = plans_voters
         self.seed = seed
         self.election_seconds = election_seconds
         self.max_replayed_entries = max_replayed_entries
@@ -163,6 +184,8 @@
             self.add(name, data_centre=f"dc{number % data_centres}")
         for number, name in enumerate(self.followers):
             self.add(name, data_centre=f"dc{number % data_centres}", disk=False)
+        if first_start:
+            self.first_start = False
 
     def build(self, name, recovered, incarnation):
         peers = [
@@ -187,7 +210,13 @@
             election_seconds=self.election_seconds,
         )
         return AgreementNode(
-            settings, recovered, incarnation, self.seed, self.max_replayed_entries
+            settings,
+            recovered,
+            incarnation,
+            self.seed,
+            self.max_replayed_entries,
+            first_start=self.first_start,
+            plans_voters=self.plans_voters,
         )
 
     def _carry_out(self, daemon, effects):
--- a/tests/_fake_disk.py
+++ b/tests/_fake_disk.py
@@ -45,6 +45,9 @@
         self.stalled = False
         self.synced_writes = 0
         self.failed_writes = 0
+        self.crash_after: int | None = None
+        """Operations of the oldest write that the next crash leaves whole; None draws
+        their number."""
         self._random = random
         self._records: dict[str, list[_Record]] = {}
         self._files: dict[str, bytes] = {}
@@ -75,13 +78,14 @@
         """End the process: what it wrote without a sync can still be read back."""
         if self._pending and not self.full:
             operations = self._pending[0]
-            whole = self._random.randint(0, len(operations))
+            whole = self._draw_whole_operations(operations)
             for operation in operations[:whole]:
                 self._carry_out(operation)
             if whole < len(operations):
                 self._tear(operations[whole])
         self._pending.clear()
         self._busy_until = 0.0
+        self.crash_after = None
 
     def lose_power(self):
         """Lose what is not synced, but for some of what no sync has failed on."""
@@ -119,6 +123,11 @@
         )
         return records + sum(len(content) for content in self._synced_files.values())
 
+    def _draw_whole_operations(self, operations):
+        if self.crash_after is not None:
+            return min(self.crash_after, len(operations))
+        return self._random.randint(0, len(operations))
+
     def _tear(self, operation):
         match operation:
             case AppendRecords(file, records):
