Let a disk grant votes that another voter's log lists

Where the platform does not tell the first start from later ones, no daemon led again after this: a voter's disk stalled just after its start, the two others elected a leader and committed commands, all lost power, and one of those two lost its disk. Only one disk of three was lost.

The voter whose disk had stalled had been admitted, and the admission was not synced. After the restart it asked again, and the daemon with the lost disk answered with another identity than the one registered, so the admission never came, and without it the voter granted no vote.

An answer to Introduce now says whether the log of the answering voter lists the introduced disk. A leader lists only disks that it has registered, so a listed disk was not replaced by another one since, and may grant votes. It doesn't stand for election by that: the voter with the log does.

--- a/src/gypsumwalk/admission.py
+++ b/src/gypsumwalk/admission.py
@@ -38,6 +38,7 @@
         self._other_voters = [voter for voter in voters if voter != name]
         self._accepted: set[str] = set()
         self._is_refused = False
+        self._is_listed = False
         self._is_initial_voter = bool(replica.vote.identity) and name in voters
         self._due = 0.0
 
@@ -60,10 +61,14 @@
         """Tell whether this daemon may grant votes to the candidates that list it.
 
         Its own log need not list it yet: a candidate counts the vote only if its log
-        lists this disk.
+        lists this disk. A disk that the log of another voter lists was registered by a
+        leader, so it may vote even if its own admission was not synced: a voter that
+        was lost since then could not repeat its answer.
         """
+        if not self._replica.identity:
+            return False
         is_unregistered = self._replica.voters.get(self._name) == ""
-        return self.can_vote() or (bool(self._replica.identity) and not is_unregistered)
+        return self.can_vote() or self._is_listed or not is_unregistered
 
     def advance(self, now: float) -> list[Effect]:
         """Ask the other initial voters to register this disk, if that is due.
@@ -115,7 +120,8 @@
             replica.vote.registered[source] = body.identity
             replica.save_vote()
         accepted = known in ("", body.identity)
-        answer = Introduced(body.identity, accepted, replica.identity)
+        listed = replica.voters.get(source) == body.identity
+        answer = Introduced(body.identity, accepted, replica.identity, listed)
         return replica.storage.defer_until_synced([SendPeer(source, answer)])
 
     def handle_introduced(self, source: str, body: Introduced) -> list[Effect]:
@@ -137,6 +143,7 @@
             return []
         if not body.accepted:
             return self._record_refusal(source)
+        self._is_listed = self._is_listed or body.listed
         known = self._replica.vote.registered.setdefault(source, body.identity)
         if known == body.identity:
             self._accepted.add(source)
--- a/src/gypsumwalk/replication.py
+++ b/src/gypsumwalk/replication.py
@@ -231,11 +231,24 @@
 
 
 class Introduced(msgspec.Struct, frozen=True, tag=True):
-    """Answer to ``Introduce``, with the disk identity of the answering daemon."""
+    """Answer to ``Introduce``, with the disk identity of the answering daemon.
+
+    Attributes
+    ----------
+    introduced : str
+        Identity of the disk that was introduced.
+    accepted : bool
+        Whether no other disk is known under its name.
+    identity : str
+        Identity of the disk of the answering daemon.
+    listed : bool
+        Whether the log of the answering daemon lists the introduced disk.
+    """
 
     introduced: str
     accepted: bool
     identity: str
+    listed: bool = False
 
 
 PEER_MESSAGES = (
--- a/tests/test_power_losses.py
+++ b/tests/test_power_losses.py
@@ -12,6 +12,7 @@
 from unittest import mock
 
 from tests._power_losses import (
+    RECOVERY_SECONDS,
     PowerCluster,
     check_cut,
     list_cuts,
@@ -238,6 +239,20 @@
                 cluster.recover()
                 cluster.check_recovery()
 
+    # A voter could not repeat its answer once its disk was lost.
+    def test_a_disk_is_lost_after_an_admission_that_was_not_synced(self):
+        for seed in range(3):
+            for wiped in ("v1", "v2"):
+                with self.subTest(seed=seed, wiped=wiped):
+                    cluster = PowerCluster(seed)
+                    vote = cluster.daemons["v0"].node.consensus.replica.vote
+                    assert cluster.run_until(lambda v=vote: v.admitted, within=1.0)
+                    cluster.stall_disk("v0")
+                    cluster.commit(within=RECOVERY_SECONDS)
+                    cluster.lose_power([wiped])
+                    cluster.recover()
+                    cluster.check_recovery()
+
 
 if __name__ == "__main__":
     unittest.main()
