Store the identity of a first disk in one place

Two repairs of the same fault were joined: the vote file written with the first input, and the write of the whole state with which an empty disk begins. The second covers the first, and starts without a first start as well, so the first is taken out; its tests stay.

Measured: tests.test_first_start and 96 tests of the modules around it pass.

--- a/src/gypsumwalk/consensus.py
+++ b/src/gypsumwalk/consensus.py
@@ -137,7 +137,6 @@
         self._elections.cancel_candidacy()
         self._leader = ""
         self._is_started = False
-        self._is_first_start = bool(first_start)
         self._is_shutting_down = False
         self._has_disk = bool(settings.data_folder)
         self._restart_due = 0.0
@@ -326,10 +325,6 @@
         if self._is_started:
             return
         self._is_started = True
-        if self._is_first_start:
-            # A process that ends before its first vote is not started as the first
-            # again, and has to find the identity of its disk there.
-            self._replica.save_vote()
         self._record_leader_contact(now)
 
     def _commit_and_apply(self, now: float) -> list[Effect]:
