Refuse writes to another folder in the place of the data folder

A voter whose data folder was moved away, or deleted and made again, went on to acknowledge entries. They went to files of the former folder, which were still open, while its vote and the identity of its disk were written to the folder at that path. Its next process had the identity of a voter, term 2 and an empty log in the test, so that a quorum could form without entries that callers had been told were kept. Nothing was logged until a file had to be replaced.

Cause: the folder is a path to the code that replaces files and a descriptor to the code that appends, and nothing tied the two together.

Now the folder of the first write is kept open, and each write first compares it with the folder at the path. If it is another one or there is none, the write fails with this reason: the daemon has no vote, as with any disk that refuses writes, and has it again once the folder is back. It isn't made anew by a running process, as the former one may return with older votes. A new process that finds an empty folder takes it for a new disk, as before.

--- a/src/gypsumwalk/drivers/disk.py
+++ b/src/gypsumwalk/drivers/disk.py
@@ -33,6 +33,9 @@
     because what it holds after the last good sync is unknown: a later sync may succeed
     without what a failed one dropped. Whoever writes goes on in a new file.
 
+    Once the folder was written to, another one in its place is refused. The former may
+    return, and a process that starts with it would lack what the other one holds.
+
     Parameters
     ----------
     folder : str
@@ -44,7 +47,8 @@
         self._frame_ends: dict[str, list[tuple[int, int]]] = {}
         self._descriptors: dict[str, int] = {}
         self._closed_files: set[str] = set()
-        self._is_prepared = False
+        self._folder_descriptor: int | None = None
+        """Keeps the number of the folder's inode from being used again."""
 
     def recover(self) -> Recovered:
         """Read all files, without the torn writes at the end of record files.
@@ -88,7 +92,8 @@
         Raises
         ------
         DiskFailure
-            If an operation failed, or a file of records may not be synced.
+            If an operation failed, a file of records may not be synced, or the folder
+            is not the one that was written to before.
         """
         try:
             self._prepare()
@@ -98,21 +103,29 @@
             raise DiskFailure(f"{error}; {self._describe_size()}") from error
 
     def close(self) -> None:
-        """Close the open record files."""
+        """Close the folder and the open record files."""
         for descriptor in self._descriptors.values():
             os.close(descriptor)
         self._descriptors.clear()
+        if self._folder_descriptor is not None:
+            os.close(self._folder_descriptor)
+            self._folder_descriptor = None
 
     def _prepare(self) -> None:
         """Create the folder and remove temporaries of an earlier process, once."""
-        if self._is_prepared:
+        if self._folder_descriptor is not None:
+            self._check_folder(self._folder_descriptor)
             return
         self._folder.mkdir(FOLDER_MODE, parents=True, exist_ok=True)
         _sync_folder(self._folder.parent)
         for path in self._list(TEMPORARY_SUFFIX):
             path.unlink()
         _sync_folder(self._folder)
-        self._is_prepared = True
+        self._folder_descriptor = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
+
+    def _check_folder(self, descriptor: int) -> None:
+        if not os.path.samestat(os.fstat(descriptor), os.stat(self._folder)):
+            raise DiskFailure(f"refused: another folder is now at {self._folder}")
 
     def _describe_size(self) -> str:
         """Tell how much of a full disk this folder takes."""
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -2,6 +2,7 @@
 
 import errno
 import os
+import shutil
 import tempfile
 import unittest
 from pathlib import Path
@@ -90,6 +91,15 @@
     return Replica(ReplicatedState([]), recovered, "identity", {"v0": ""}, proposals)
 
 
+def check_recovered(recovered, replica):
+    """A new process reads the state that a replica has."""
+    read = make_replica(recovered)
+    assert read.vote == replica.vote
+    assert read.log.base_index == replica.log.base_index
+    assert read.log.tail(0) == replica.log.tail(0)
+    assert read.snapshot == replica.snapshot
+
+
 class DiskTest(unittest.TestCase):
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -236,7 +246,7 @@
 
     def work(self):
         replica = self.replica
-        replica.enter_term(replica.vote.term + 1, "v0")
+        self.vote()
         self.append()
         self.append()
         for dropped in (3, 1):
@@ -246,6 +256,10 @@
         replica.install_snapshot(self.make_snapshot())
         self.append()
 
+    def vote(self):
+        self.replica.enter_term(self.replica.vote.term + 1, "v0")
+        self.flush()
+
     def append(self):
         first = self.replica.log.last_index + 1
         entries = [Entry(first + n, 1, float(first + n)) for n in range(3)]
@@ -312,30 +326,63 @@
             voter.retry()
             assert voter.replica.identity, "the disk may not vote again"
             voter.work()
-            self.check_recovered(voter.replica)
+            check_recovered(self.recover(), voter.replica)
+            assert not [*self.folder.glob("*.temporary")]
         return call.failures
 
-    def check_recovered(self, replica):
-        recovered = make_replica(self.recover())
-        assert recovered.vote == replica.vote
-        assert recovered.log.base_index == replica.log.base_index
-        assert recovered.log.tail(0) == replica.log.tail(0)
-        assert recovered.snapshot == replica.snapshot
-        assert not [*self.folder.glob("*.temporary")]
 
-    def test_a_voter_votes_again_once_its_folder_is_back(self):
-        voter = Voter(self.disk)
-        voter.work()
-        away = self.folder.rename(self.folder.with_name("away"))
-        voter.work()
+class TestReplacedFolder(DiskTest):
+    """Guards against a voter that restarts without entries it acknowledged (issue 43).
+
+    They went to files of a folder that was moved away, while its identity and its vote
+    were written to another one in its place.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.voter = Voter(self.disk)
+        self.voter.work()
+
+    def move_away(self):
+        return self.folder.rename(self.folder.with_name("away"))
+
+    def check_no_vote(self):
         for _ in range(3):
-            voter.retry()
-            assert not voter.replica.identity
+            self.voter.retry()
+            assert not self.voter.replica.identity, "what is written would be lost"
+
+    def check_vote(self):
+        self.voter.retry()
+        assert self.voter.replica.identity, "the disk may not vote again"
+        self.voter.work()
+        check_recovered(self.recover(), self.voter.replica)
+
+    def test_a_voter_has_no_vote_until_its_folder_is_back(self):
+        away = self.move_away()
+        self.voter.append()
+        self.check_no_vote()
+        assert not self.folder.exists()
         away.rename(self.folder)
-        voter.retry()
-        assert voter.replica.identity
-        voter.work()
-        self.check_recovered(voter.replica)
+        self.check_vote()
+
+    def test_nothing_is_written_to_another_folder_in_its_place(self):
+        away = self.move_away()
+        self.folder.mkdir()
+        self.voter.work()
+        self.check_no_vote()
+        assert os.listdir(self.folder) == []
+        self.folder.rmdir()
+        away.rename(self.folder)
+        self.check_vote()
+
+    def test_a_folder_that_was_deleted_and_made_again_is_another_disk(self):
+        shutil.rmtree(self.folder)
+        self.folder.mkdir()
+        self.voter.vote()
+        self.voter.append()
+        recovered = self.recover()
+        assert recovered == Recovered(), make_replica(recovered).vote
+        self.check_no_vote()
 
 
 class TestFullAtStart(DiskTest):
