--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -2,19 +2,14 @@
 
 import unittest
 
-from gypsumwalk.effects import SendPeer
 from gypsumwalk.events import Event
-from gypsumwalk.incarnations import choose_incarnation
 from gypsumwalk.keys import FRESH_SECONDS
-from gypsumwalk.recovery import Recovered
-from gypsumwalk.replication import OutdatedIncarnation
-from gypsumwalk.wire import Envelope
 from tests._agreement import Cluster
-from tests._fleet_work import FleetWorld, make_declaration
+from tests._clock_world import RESTART_SECONDS, ClockWorld
+from tests._fleet_work import make_declaration
 
 STEP_SECONDS = 60.0
 CATCH_UP_SECONDS = 3.0
-RESTART_SECONDS = 0.8
 REPLACEMENT_SECONDS = 12.0
 ELECTION_SECONDS = 10.0
 MAX_LEADERS = 20
@@ -59,39 +54,6 @@
         self.check(name)
 
 
-class ClockWorld(FleetWorld):
-    """Daemons with the incarnations and the replay protection of real processes.
-
-    A daemon that ends by itself is started again after a short time.
-    """
-
-    def restart(self, name):
-        daemon = self.daemons[name]
-        if daemon.alive:
-            self.kill(name)
-        recovered = daemon.disk.recover() if daemon.disk else Recovered()
-        local_time = daemon.read_clock(self.now)
-        daemon.incarnation = choose_incarnation(local_time, recovered) - 1
-        super().restart(name)
-
-    def _carry_out_one(self, daemon, effect):
-        super()._carry_out_one(daemon, effect)
-        if daemon.stopped:
-            daemon.stopped = False
-            self.schedule(RESTART_SECONDS, lambda: self.restart(daemon.name))
-
-    def _receive_peer_message(self, daemon, recipient, item, message_id):
-        if self.network.blocks(daemon.place, recipient.place) or not recipient.alive:
-            return
-        source, incarnation, sequence = message_id
-        envelope = Envelope(source, incarnation, recipient.name, sequence, None, None)
-        assembly = self.assemblies[recipient.name]
-        if assembly.accept(envelope):
-            self.deliver(recipient, item)
-        elif newer := assembly.find_newer_incarnation(envelope):
-            self._send(recipient, SendPeer(source, OutdatedIncarnation(newer)))
-
-
 class TestIncarnation(unittest.TestCase):
     """Guards against a daemon that nobody hears until its next start (issue 43)."""
 
