Take the machine API away in the schedules of leaders' disks

An unavailable machine API, tried by hand beside the outages of disks, found two faults that the schedules did not: orders of two holders 2.8 s apart, and a lasting task that waited beside an idle machine. Each schedule has two such outages of 1 to 6 s now.

The wave is also handed in again until it is acknowledged; a lost answer to it left one schedule without a wave.

--- a/tests/test_leader_disk_schedules.py
+++ b/tests/test_leader_disk_schedules.py
@@ -1,7 +1,8 @@
 """Tests with seeded schedules of leaders that lose their disk and lead again.
 
 The disk of whoever leads refuses writes for some seconds, again and again, so that the
-same processes lead in several terms, while work, a wave and moves of machines go on.
+same processes lead in several terms, while work, a wave and moves of machines go on and
+the machine API is unavailable at times.
 ``GYPSUMWALK_SCHEDULES`` sets the number of seeds; a seed runs alone with
 ``GYPSUMWALK_SEED``.
 """
@@ -25,7 +26,14 @@
     StartUpkeepCall,
     SubmitWorkloadCall,
 )
-from gypsumwalk.instance_actions import MachineInfo, MachineReport, MoveMachine
+from gypsumwalk.inputs import PlatformOutcome
+from gypsumwalk.instance_actions import (
+    ListMachines,
+    MachineInfo,
+    MachineReport,
+    MaintainMachine,
+    MoveMachine,
+)
 from gypsumwalk.task_scheduler import TaskScheduler
 from gypsumwalk.workload_records import Step
 from tests._fleet_work import CAPACITY, HOST, KEY, FleetWorld, make_declaration
@@ -61,6 +69,8 @@
 
 PROBE_SECONDS = 6.0
 HOLDER_SECONDS = 3.0
+MAX_API_OUTAGE_SECONDS = 6.0
+MACHINE_ACTIONS = (ListMachines, MaintainMachine, MoveMachine)
 LASTING_JOBS = {"a": "fa", "b": "fb"}
 
 
@@ -74,7 +84,8 @@
             self.start_instance(number, service=service)
         for number in range(len(POOLS), MACHINES):
             self.show_machine(f"m-{number}", STANDBY, "up")
-        handle = self.model._handle_machine_action
+        self.is_api_away = False
+        handle, call = self.model._handle_machine_action, self.model.call
 
         def handle_moves(action, now):
             if isinstance(action, MoveMachine):
@@ -84,7 +95,21 @@
                 return self.move(action.machine, action.service)
             return handle(action, now)
 
+        def lose_calls(effect, now):
+            if not self.is_api_away or not isinstance(effect.action, MACHINE_ACTIONS):
+                return call(effect, now)
+            unknown = PlatformOutcome(effect.token, succeeded=False, unknown=True)
+            return effect.timeout, lambda at: unknown
+
         self.model._handle_machine_action = handle_moves
+        self.model.call = lose_calls
+
+    def lose_machine_api(self, seconds):
+        self.is_api_away = True
+        self.schedule(seconds, self.return_machine_api)
+
+    def return_machine_api(self):
+        self.is_api_away = False
 
     def show_machine(self, machine, service, state):
         self.model.machines[machine] = MachineInfo(
@@ -151,6 +176,7 @@
         world.run(2.0)
         self.submit_later()
         self.schedule_wave()
+        self.schedule_api_outages()
         for _ in range(OUTAGES):
             self.fail_leader_disk()
         self.is_open = False
@@ -196,11 +222,7 @@
         self.jobs[job] = queue, call
 
     def list_accepted(self):
-        return [
-            job
-            for job, (_, call) in self.jobs.items()
-            if getattr(call.answer, "status", 0) == 200
-        ]
+        return [job for job, (_, call) in self.jobs.items() if is_accepted(call)]
 
     def cancel(self):
         leader = self.world.find_leader()
@@ -220,12 +242,20 @@
 
         def start():
             leader = self.world.find_leader()
-            call = leader and self.world.call(body, to=leader)
+            call = self.world.call(body, to=leader) if leader else None
             # The operator sends the order again until it is acknowledged.
-            self.world.schedule(1.0, lambda: call and call.answer or start())
+            self.world.schedule(1.0, lambda: is_accepted(call) or start())
 
         self.world.schedule(self.random.uniform(0.0, 6.0), start)
 
+    def schedule_api_outages(self):
+        for first in (4.0, 20.0):
+            seconds = self.random.uniform(1.0, MAX_API_OUTAGE_SECONDS)
+            self.world.schedule(
+                first + self.random.uniform(0.0, 8.0),
+                lambda seconds=seconds: self.world.lose_machine_api(seconds),
+            )
+
     # Checks
 
     def find_violations(self):
@@ -266,7 +296,7 @@
     def find_uncancelled(self, history):
         found = []
         for job, call in self.cancels.items():
-            if getattr(call.answer, "status", 0) == 200:
+            if is_accepted(call):
                 found += find_runs_after_cancel(
                     history, job, call.answered_at, CANCEL_SECONDS
                 )
@@ -317,6 +347,10 @@
         return found
 
 
+def is_accepted(call):
+    return getattr(call and call.answer, "status", 0) == 200
+
+
 def find_cpu(task):
     return NEED.cpu if task.startswith("0") else SMALL.cpu
 
