Keep the log after a text that can't be encoded

The log of a process ended for good, while the process went on, once a text with a lone surrogate was written to it, or memory was short as lines were joined. Later lines only counted as dropped.

Cause: the thread that writes the lines expected errors of the write itself only, and ended with any other.

Such characters are escaped now, and a lack of memory counts the lines as dropped, like a closed pipe.

Evidence: a test in tests/test_logstream.py. Without the change the thread ended with UnicodeEncodeError, and the next line was missing. No way was found by which a daemon writes such a text today.

--- a/src/gypsumwalk/drivers/logstream.py
+++ b/src/gypsumwalk/drivers/logstream.py
@@ -82,11 +82,11 @@
         if self._unreported_drops:
             count, self._unreported_drops = self._unreported_drops, 0
             batch.append(json.dumps({"event": "lines left out", "count": count}) + "\n")
-        content = "".join(batch).encode()
         try:
+            content = "".join(batch).encode(errors="backslashreplace")
             while content:
                 written = os.write(self._descriptor, content)
                 content = content[written:]
-        except OSError:
+        except (OSError, MemoryError):
             # A closed pipe must not end the daemon; count the lines as dropped.
             self.dropped_lines += len(batch)
--- a/tests/test_logstream.py
+++ b/tests/test_logstream.py
@@ -6,6 +6,8 @@
 
 from gypsumwalk.drivers.logstream import LogStream
 
+READ_SECONDS = 2.0
+
 
 class TestLogStream(unittest.TestCase):
     def test_lines_arrive_in_order(self):
@@ -53,6 +55,18 @@
         assert stream.dropped_lines == 1
         os.close(writer)
 
+    def test_lines_are_written_after_a_text_that_has_no_encoding(self):
+        # Guards against a thread that ends, and a log that ends with it (issue 43).
+        reader, writer = os.pipe()
+        stream = LogStream(writer)
+        stream.write("lone surrogate \udc80\n")
+        stream._idle.wait(READ_SECONDS)
+        stream.write("next line\n")
+        stream.close()
+        os.close(writer)
+        with os.fdopen(reader) as lines:
+            assert lines.read().splitlines() == ["lone surrogate \\udc80", "next line"]
+
 
 if __name__ == "__main__":
     unittest.main()
