--- a/tests/test_leader_disk_schedules.py
+++ b/tests/test_leader_disk_schedules.py
@@ -67,6 +67,9 @@
 """Time in which the runs of a cancelled job end across a change of leader, whose disk
 may fail as well."""
 
+GAP = 9.0
+"""Longest time in seconds that a lasting task may be idle, as users say."""
+
 PROBE_SECONDS = 6.0
 HOLDER_SECONDS = 3.0
 MAX_API_OUTAGE_SECONDS = 6.0
@@ -303,14 +306,15 @@
         return found
 
     def find_silent(self, history):
-        """Return the lasting tasks that are not at work."""
+        """Return the lasting tasks that were idle for long, or are not at work."""
         running = {run.task for run in history if run.ended is None}
         tasks = [
             f"{prefix.ljust(16, '0')}.0.0.{number}"
             for prefix in LASTING_JOBS.values()
             for number in range(2)
         ]
-        return [task for task in tasks if task not in running]
+        idle = [task for task in tasks if task not in running]
+        return idle + [task for task in tasks if find_longest_gap(history, task) > GAP]
 
     def find_wave_faults(self):
         orders = self.world.model.maintenance_orders
@@ -347,6 +351,20 @@
         return found
 
 
+def find_longest_gap(history, task):
+    """Return the longest time in seconds between two runs of a task."""
+    runs = sorted(
+        (run for run in history if run.task == task), key=lambda run: run.started
+    )
+    return max(
+        (
+            later.started - (earlier.ended or later.started)
+            for earlier, later in pairwise(runs)
+        ),
+        default=0.0,
+    )
+
+
 def is_accepted(call):
     return getattr(call and call.answer, "status", 0) == 200
 
