Do not count orders to a machine that were never sent

A machine that a wave had taken down could count as back at once, and the wave take down one more than it may.

Cause: an order without an answer was counted as one that may have been carried out, also if it was never sent, so that the next order kept the former life of the instance as the one that it ends. A life that had begun meanwhile counted as that after the maintenance.

Evidence: the new test failed before this change: the answer to the second order removed the former life, and the machine did not count as down.

Orders that were not sent are no longer counted.

--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -444,7 +444,11 @@
 
     def _handle_outcome(self, item: PlatformOutcome, now: float) -> list[Effect]:
         order = self._open_orders.pop(item.token, None)
-        if order is None or not isinstance(item.report, MachineReport):
+        if order is None:
+            return []
+        if not isinstance(item.report, MachineReport):
+            if not item.unknown:
+                self._effective_orders[order[1]] -= 1
             return []
         if item.report.refused:
             self._effective_orders[order[1]] -= 1
--- a/tests/test_maintenance_controller.py
+++ b/tests/test_maintenance_controller.py
@@ -171,6 +171,17 @@
         effects = self.order(controller, "", now=103.0)
         assert self.list_removed(effects) == ["i@1"]
 
+    # Guards against a machine that counted as back at once, as an order that was never
+    # sent had named its former instance (issue 43).
+    def test_an_order_after_one_that_was_not_sent_ends_the_present_life(self):
+        controller = self.begin()
+        *_, call = controller._order(1, "m", 100.0)
+        controller.handle(PlatformOutcome(call.token, succeeded=False), 100.1)
+        controller._directory.life = "i@2"
+        effects = self.order(controller, "", now=101.0)
+        assert self.list_removed(effects) == ["i@2"]
+        assert is_down(controller, make_wave(maintained=True), 101.5)
+
 
 class TestAnsweredOrders(unittest.TestCase):
     # Guards against an order right after one that another leader had repeated, as the
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -172,6 +172,18 @@
         assert self.calls[1] == ("/machine-upkeep", {"machine": "m", "wave": 3}, None)
         assert outcome.report == MachineReport("limit")
 
+    # Guards against a machine that counted as staying, although its order may have been
+    # carried out (issue 43).
+    def test_an_order_to_a_machine_without_a_clear_answer_is_unknown(self):
+        self.status, self.answer = 503, {}
+        for action in (
+            MoveMachine(machine="m", service="s", fence=7, holder="h"),
+            MaintainMachine(machine="m", wave=1, fence=7, holder="h"),
+        ):
+            outcome = self.call(action)
+            assert outcome.unknown
+            assert not outcome.succeeded
+
     def test_a_refused_connection_is_no_unknown_outcome(self):
         self.server.stop()
         outcome = self.call(StopRun("i-1", self.address, 7, TASK, 2))
