Let a machine take work again once its move could not be ordered

Callers saw a task that waited beside an idle instance for up to 3.5 s, each time a move of its machine was tried while the machine API could not be reached.

Cause: a move that was never sent was treated as one that may have been carried out.

Evidence: in the new test, a task waited for more than 1 s after such a failure before this change.

Such a move ends at once, like a refused one, and is tried again after 2 s at the earliest.

--- a/src/gypsumwalk/pool_scaling_controller.py
+++ b/src/gypsumwalk/pool_scaling_controller.py
@@ -43,6 +43,9 @@
 REFUSAL_BACKOFF_SECONDS = 2.0
 """Time after a refused move before the machine may be moved again."""
 
+NOT_SENT = "not sent"
+"""Reason of a move that did not reach the machine API."""
+
 BURST_RESERVE_MACHINES = 1
 """Extra machines where a burst may begin, until the first moved machine arrives."""
 
@@ -305,14 +308,16 @@
     def _handle_answer(
         self, machine: str, life: str, item: PlatformOutcome, now: float
     ) -> list[Effect]:
-        report = item.report
-        if not isinstance(report, MachineReport):
+        if item.unknown:
             # The order may have been executed; the list of machines will show it.
             return []
-        if report.refused:
+        refused = NOT_SENT
+        if isinstance(item.report, MachineReport):
+            refused = item.report.refused
+        if refused:
             self._end_move(machine, now)
             self._blocked_until[machine] = now + REFUSAL_BACKOFF_SECONDS
-            attributes: dict[str, Scalar] = {"reason": report.refused}
+            attributes: dict[str, Scalar] = {"reason": refused}
             return [Record(Event.MOVE_REFUSED, machine, attributes)]
         if not life:
             return []
--- a/tests/test_idle_machines.py
+++ b/tests/test_idle_machines.py
@@ -74,6 +74,12 @@
         )
         assert self.use_all(within=3.0)
 
+    # Guards against a task that waited beside an idle machine whose move could not be
+    # ordered (issue 43).
+    def test_a_waiting_task_starts_once_the_order_to_move_has_failed(self):
+        self.order_move(lambda token: PlatformOutcome(token, succeeded=False), 0.5)
+        assert self.use_all(within=1.0)
+
     # Guards against a task that waited beside an idle machine whose move was not
     # answered (issue 43).
     def test_a_waiting_task_starts_once_the_move_is_given_up(self):
