Forget the highest rate of a queue without a burst for a minute

Operators saw the pool of a queue shrink in its bursts, and get machines only once tasks waited, for the rest of the daemons' lives.

Cause: bursts are recognised by their share of the highest rate ever seen. Jobs that had to wait, for a leader for instance, are accepted at the same moment, and such a rate is several times that of a burst. Later bursts stayed below the share.

Evidence: in the new test, after 40 jobs within 0.1 s, the fourth regular burst was not recognised before this change.

The highest rate is forgotten once no burst has begun for 60 s. While bursts are recognised more often than that, nothing changes.

--- a/src/gypsumwalk/demand_forecast.py
+++ b/src/gypsumwalk/demand_forecast.py
@@ -44,6 +44,9 @@
 NO_BURST_SECONDS = 25.0
 """Observation time without a burst after which a queue counts as steady."""
 
+PEAK_SECONDS = 60.0
+"""Time without a burst after which the highest rate seen is forgotten."""
+
 MIN_BURST_MILLICORES = 16_000
 """Arrival rate in thousandths of a core up to which arrivals are no burst."""
 
@@ -184,6 +187,9 @@
 
     def _update(self, queue: _Queue, now: float) -> None:
         rate = _find_rate(queue, now)
+        if not queue.in_burst and now - queue.last_start > PEAK_SECONDS:
+            # It may have been due to jobs that had to wait for a leader.
+            queue.peak = 0.0
         if queue.in_burst:
             queue.peak = max(queue.peak, rate)
             if rate < BURST_END_SHARE * queue.peak:
--- a/tests/test_demand_forecast.py
+++ b/tests/test_demand_forecast.py
@@ -48,6 +48,19 @@
         assert forecast.find_expected("a", 40.0) == 0
         assert forecast.find_expected("a", 44.5) > 5 * WORK
 
+    # Guards against bursts that were not seen any more, and pools that shrank in them,
+    # once the jobs of a pause had been accepted at the same moment (issue 43).
+    def test_a_single_high_rate_is_forgotten(self):
+        forecast = DemandForecast()
+        for number in range(40):
+            forecast.record_job("a", WORK, LOW_SLACK_SECONDS, 10.0 + number / 400)
+        for start in (30.0, 50.0, 70.0):
+            self.record_burst(forecast, "a", start)
+        for number in range(40):
+            forecast.record_job("a", WORK, LOW_SLACK_SECONDS, 90.0 + number / 10)
+        assert not forecast.can_shrink("a", 94.0)
+        assert forecast.is_burst_due("a")
+
     # An interrupted burst held its machines for a third one, while the next queue had
     # its burst and none of them.
     def test_an_interrupted_burst_is_no_turn(self):
