Wait for machines that may return to the list until a wave ends

A wave could be completed without the maintenance of a machine that is still there.

Cause: a machine that the lists had left out for 10 s was noted as maintained at once and for good, while the wave had minutes to go and the machine was back soon.

Evidence: in the new test, a machine that was missing for 17 s, while the other machine of its wave was busy, was never ordered before this change.

Such machines are given up once the wave waits for no others, so a wave ends no later.

--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -364,9 +364,13 @@
         )
 
     def _complete_missing(self, wave: UpkeepWave) -> list[Effect]:
-        """Do not wait any longer for machines that have left the fleet."""
-        gone = [item for item in wave.remaining if self._is_gone(item)]
-        if not gone:
+        """Do not wait any longer for machines that have left the fleet.
+
+        They may return, so they are given up once the wave waits for no others.
+        """
+        remaining = wave.remaining
+        gone = [item for item in remaining if self._is_gone(item)]
+        if len(gone) < len(remaining):
             return []
         attributes: dict[str, Scalar] = {"wave": wave.wave}
         proposed = self._propose_maintained(wave.wave, gone)
--- a/tests/test_fleet_work.py
+++ b/tests/test_fleet_work.py
@@ -15,7 +15,7 @@
 )
 from gypsumwalk.instance_actions import StopRun
 from gypsumwalk.workload_records import Step, TaskKey, TaskRecord, Workload
-from tests._fleet_work import HOST, KEY, FleetWorld, make_declaration
+from tests._fleet_work import CAPACITY, HOST, KEY, FleetWorld, make_declaration
 from tests._fleet_work_checks import (
     find_duplicate_runs,
     find_early_starts,
@@ -598,6 +598,26 @@
         assert ordered == set(machines)
         assert world.ask(DescribeUpkeepCall(1)).body.completed
 
+    # Guards against a machine that was left out of its wave for good, as it had been
+    # missing from the lists while others of the wave were still due (issue 43).
+    def test_a_wave_takes_a_machine_that_has_returned_to_the_list(self):
+        world = FleetWorld(instances=2, task_seconds=30.0)
+        world.begin()
+        world.submit(JOB, [Step(1, CAPACITY)])
+        world.run(1.0)
+        (run,) = world.model.history
+        busy = world.model.instances[f"host-{run.life[2]}:80"].registered.machine
+        missing = {"m-0": "m-1", "m-1": "m-0"}[busy]
+        info = world.model.machines.pop(missing)
+        world.run(2.0)
+        world.start_wave(1, ["m-0", "m-1"], duration=90.0)
+        world.run(15.0)
+        world.model.machines[missing] = info
+        world.run(40.0)
+        ordered = {machine for _, _, machine in world.model.maintenance_orders}
+        assert ordered == {"m-0", "m-1"}
+        assert world.ask(DescribeUpkeepCall(1)).body.completed
+
     def test_a_wave_is_completed_without_a_machine_that_has_left_the_fleet(self):
         world = FleetWorld(task_seconds=1000.0)
         world.begin()
