Start a daemon whose disk hangs without its vote

A daemon that was started while its disk took no write answered nothing at all until the disk went on, while one on a full disk follows and serves.

A start stored the incarnation before anything else and waited for that without a bound. The write may still end later, so a data folder carries out the writes of different threads one after the other, and the rewrite of the state waits for it.

The soak asks processes whose disk hangs for an answer now. Its cluster moves to a module of its own.

--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -13,7 +13,7 @@
 from gypsumwalk.drivers.clock import BoottimeClock, EpochClock
 from gypsumwalk.drivers.connections import ReceiveWatchdog
 from gypsumwalk.drivers.disk import FolderDisk
-from gypsumwalk.drivers.disk_writer import DiskWriter
+from gypsumwalk.drivers.disk_writer import DiskWriter, write_within
 from gypsumwalk.drivers.factory import DaemonAssembly, DaemonFactory, ServerContext
 from gypsumwalk.drivers.input_queue import InputQueue, QueuedInput
 from gypsumwalk.drivers.journal import EventJournal
@@ -43,6 +43,7 @@
 from gypsumwalk.interfaces import Disk
 from gypsumwalk.recovery import Recovered
 from gypsumwalk.settings import Settings
+from gypsumwalk.storage import WRITE_TIMEOUT_SECONDS
 from gypsumwalk.timestamps import HybridClock
 from gypsumwalk.wire import PeerCodec
 
@@ -261,10 +262,11 @@
     def _store_incarnation(self, disk: Disk, incarnation: int) -> bool:
         """Store the incarnation, and return whether it is synced.
 
-        If the disk is full, the daemon starts without a vote, as one without a disk.
+        If the disk is full or hangs, the daemon starts without a vote, as one without
+        a disk.
         """
         try:
-            disk.write([encode_incarnation(incarnation)])
+            write_within(disk, [encode_incarnation(incarnation)], WRITE_TIMEOUT_SECONDS)
         except DiskFailure as failure:
             detail = {"reason": str(failure)}
             self._record(Record(Event.INCARNATION_NOT_STORED, "", detail))
--- a/src/gypsumwalk/drivers/disk.py
+++ b/src/gypsumwalk/drivers/disk.py
@@ -2,6 +2,7 @@
 
 import errno
 import os
+import threading
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
@@ -49,6 +50,7 @@
         self._closed_files: set[str] = set()
         self._folder_descriptor: int | None = None
         """Keeps the number of the folder's inode from being used again."""
+        self._lock = threading.Lock()
 
     def recover(self) -> Recovered:
         """Read all files, without the torn writes at the end of record files.
@@ -82,7 +84,7 @@
         return Recovered(records, files, is_synced=not records and not files)
 
     def write(self, operations: Sequence[DiskOperation]) -> None:
-        """Apply operations in order and sync each.
+        """Apply operations in order and sync each, after the writes of other threads.
 
         Parameters
         ----------
@@ -95,12 +97,13 @@
             If an operation failed, a file of records may not be synced, or the folder
             is not the one that was written to before.
         """
-        try:
-            self._prepare()
-            for operation in operations:
-                self._apply(operation)
-        except OSError as error:
-            raise DiskFailure(f"{error}; {self._describe_size()}") from error
+        with self._lock:
+            try:
+                self._prepare()
+                for operation in operations:
+                    self._apply(operation)
+            except OSError as error:
+                raise DiskFailure(f"{error}; {self._describe_size()}") from error
 
     def close(self) -> None:
         """Close the folder and the open record files."""
--- a/src/gypsumwalk/drivers/disk_writer.py
+++ b/src/gypsumwalk/drivers/disk_writer.py
@@ -1,16 +1,18 @@
 """Task that writes to the disk of one daemon, off the event loop."""
 
-from collections.abc import Callable
+import threading
+from collections.abc import Callable, Sequence
+from concurrent.futures import Future
 
 import trio
 
 from gypsumwalk.drivers.metrics import Metrics
-from gypsumwalk.effects import WriteDisk
+from gypsumwalk.effects import DiskOperation, WriteDisk
 from gypsumwalk.errors import DiskFailure
 from gypsumwalk.inputs import DiskOutcome
 from gypsumwalk.interfaces import Clock, Disk
 
-__all__ = ["DiskWriter"]
+__all__ = ["DiskWriter", "write_within"]
 
 MAX_QUEUED_WRITES = 1024
 
@@ -78,3 +80,42 @@
         except DiskFailure as failure:
             return DiskOutcome(write.token, False, str(failure))
         return DiskOutcome(write.token, True)
+
+
+def write_within(
+    disk: Disk, operations: Sequence[DiskOperation], seconds: float
+) -> None:
+    """Write, and stop waiting for a write that hangs.
+
+    Parameters
+    ----------
+    disk : Disk
+        The disk; later writes to it wait until this one has ended.
+    operations : Sequence of DiskOperation
+        The operations.
+    seconds : float
+        Time in seconds after which the write counts as failed; it may still succeed.
+
+    Raises
+    ------
+    DiskFailure
+        If the write failed, or had no outcome in that time.
+    """
+    outcome: Future[None] = Future()
+    arguments = (disk, operations, outcome)
+    threading.Thread(target=_write_and_report, args=arguments, daemon=True).start()
+    try:
+        outcome.result(seconds)
+    except TimeoutError:
+        raise DiskFailure(f"no outcome after {seconds:g} s") from None
+
+
+def _write_and_report(
+    disk: Disk, operations: Sequence[DiskOperation], outcome: Future[None]
+) -> None:
+    try:
+        disk.write(operations)
+    except DiskFailure as failure:
+        outcome.set_exception(failure)
+    else:
+        outcome.set_result(None)
--- a/src/gypsumwalk/interfaces.py
+++ b/src/gypsumwalk/interfaces.py
@@ -36,7 +36,10 @@
         ...
 
     def write(self, operations: Sequence[DiskOperation]) -> None:
-        """Carry out operations in order and sync; raise ``DiskFailure`` on errors."""
+        """Carry out operations in order and sync; raise ``DiskFailure`` on errors.
+
+        Writes of different threads are carried out one after the other.
+        """
         ...
 
 
--- a/tests/_disk_soak.py
+++ b/tests/_disk_soak.py
@@ -4,17 +4,12 @@
 ``tests._faulty_serve``. What is checked is what callers see.
 """
 
-import shutil
-import sys
 import threading
 import time
 from random import Random
 
-import msgspec
-
-from tests._disk_image import DiskImage
-from tests._faulty_serve import Faults, write_faults
-from tests._real_cluster import RETURN_SECONDS, STOP_SECONDS, RealCluster
+from tests._faulty_cluster import FaultyCluster
+from tests._real_cluster import RETURN_SECONDS
 
 ENTRY = "f0"
 """Daemon without a disk, which takes the calls."""
@@ -34,57 +29,8 @@
 }
 OTHER_FAULTS = ["paused", "cut off", "killed", "terminated", "restarted", "hung up"]
 FAULTS = [*DISK_FAULTS, *OTHER_FAULTS]
-SILENT = {"killed", "terminated", "paused", "stalled"}
-"""Faults with which a process answers no call, or none before it has started."""
-
-
-class FaultyCluster(RealCluster):
-    """Cluster of daemons whose disks and peers can fail."""
-
-    def _make_command(self, name, settings):
-        if not self._faults_path(name).exists():
-            write_faults(self._faults_path(name), Faults())
-        arguments = [settings, self._faults_path(name), *self._find_folders(name)]
-        program = [sys.executable, "-m", "tests._faulty_serve"]
-        return [*program, *(str(argument) for argument in arguments)]
-
-    def set_faults(self, name, **faults):
-        """Add faults of a daemon to those in force."""
-        path = self._faults_path(name)
-        current = msgspec.json.decode(path.read_bytes(), type=Faults)
-        write_faults(path, msgspec.structs.replace(current, **faults))
-
-    def end_faults(self, name):
-        write_faults(self._faults_path(name), Faults())
-
-    def wipe(self, name):
-        for folder in self._find_folders(name):
-            shutil.rmtree(folder, ignore_errors=True)
-
-    def cut_power(self, random):
-        """Kill all processes, and restore what a loss of power leaves on the disks."""
-        for process in self.processes.values():
-            process.kill()
-        for name, process in self.processes.items():
-            process.wait()
-            DiskImage(*self._find_folders(name)).restore(random)
-
-    def terminate(self, name):
-        """End a process with SIGTERM, also one that is paused; return its exit code."""
-        process = self.processes[name]
-        process.terminate()
-        self.resume(name)
-        return process.wait(STOP_SECONDS)
-
-    def answers(self, name):
-        answer = self.call(name, "GET", "/v1/voters", timeout=1.0)
-        return answer is not None and answer[0] == 200
-
-    def _faults_path(self, name):
-        return self.folder / f"{name}.faults"
-
-    def _find_folders(self, name):
-        return self.data_folder(name), self.folder / f"{name}.image"
+SILENT = {"killed", "terminated", "paused"}
+"""Faults with which a process answers no call."""
 
 
 class Writer:
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -4,6 +4,7 @@
 import os
 import shutil
 import tempfile
+import threading
 import unittest
 from pathlib import Path
 from unittest import mock
@@ -11,6 +12,7 @@
 import msgspec
 
 from gypsumwalk.drivers.disk import FolderDisk
+from gypsumwalk.drivers.disk_writer import write_within
 from gypsumwalk.effects import (
     AppendRecords,
     KeepRecords,
@@ -421,6 +423,37 @@
         assert not left.exists()
 
 
+class TestHangingWrites(DiskTest):
+    """Guards against a process that waits for a disk that hangs (issue 43)."""
+
+    def test_a_write_that_hangs_is_given_up_and_the_next_one_waits_for_it(self):
+        begun, released = threading.Event(), threading.Event()
+        pwrite = os.pwrite
+
+        def hang(*arguments):
+            begun.set()
+            released.wait()
+            return pwrite(*arguments)
+
+        later = threading.Thread(
+            target=self.disk.write, args=([WriteFile("vote", b"new")],)
+        )
+        with mock.patch.object(os, "pwrite", hang):
+            with self.assertRaisesRegex(DiskFailure, "no outcome after 0.05 s"):
+                write_within(self.disk, [WriteFile("vote", b"old")], 0.05)
+            begun.wait()
+            later.start()
+            released.set()
+            later.join()
+        assert self.recover().files == {"vote": b"new"}
+
+    def test_a_failure_of_a_write_is_raised_as_it_is(self):
+        with fail("pwrite"), self.assertRaisesRegex(DiskFailure, "No space left"):
+            write_within(self.disk, [WriteFile("vote", b"x")], 10.0)
+        write_within(self.disk, [WriteFile("vote", b"x")], 10.0)
+        assert self.recover().files == {"vote": b"x"}
+
+
 class TestFormerData(DiskTest):
     """Guards against data of the version before that can't be read."""
 
--- a/tests/test_real_disks.py
+++ b/tests/test_real_disks.py
@@ -7,11 +7,14 @@
 import tempfile
 import unittest
 
+from tests._faulty_cluster import FaultyCluster
 from tests._real_cluster import RETURN_SECONDS, RealCluster
 
 FIRST_DESCRIPTOR = 3
 """Number of the first descriptor after the standard streams."""
 
+FILES = {"000.toml": "[teams.t0]\nlimit = 1\n"}
+
 
 class RealDisksTest(unittest.TestCase):
     """Three voters and a daemon without a disk, through which changes are made."""
@@ -170,5 +173,29 @@
         assert process.poll() is None, f"{name} ended:\n{log.read_text()[-1000:]}"
 
 
+class TestStalledStart(unittest.TestCase):
+    """Guards against a process that waits for a disk that hangs (issue 43)."""
+
+    def test_a_voter_that_starts_while_its_disk_hangs_follows_until_it_votes(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        cluster = FaultyCluster(folder.name, voters=3)
+        self.addCleanup(cluster.close)
+        leader = cluster.await_leader()
+        name, other = [name for name in cluster.voters if name != leader]
+        cluster.kill(name)
+        cluster.set_faults(name, is_stalled=True)
+        cluster.start(name)
+        assert cluster.poll(
+            lambda: cluster.find_leader([name, leader]) == leader, RETURN_SECONDS
+        ), f"{name} does not follow: {cluster.describe()}"
+        cluster.end_faults(name)
+        cluster.kill(other)
+        assert cluster.poll(
+            lambda: (answer := cluster.apply(leader, 0, FILES)) and answer[0] == 200,
+            RETURN_SECONDS,
+        ), f"{name} does not vote"
+
+
 if __name__ == "__main__":
     unittest.main()
