Move the data folder of a real daemon away and back

A process of its own shows that the loss and the return are reported, and that the vote is needed and given after the return.

--- a/tests/test_real_disks.py
+++ b/tests/test_real_disks.py
@@ -145,6 +145,27 @@
         self.check_return(second)
 
 
+class TestMovedFolder(RealDisksTest):
+    """Guards against entries acknowledged though their folder is gone (issue 43)."""
+
+    def test_a_voter_votes_again_once_its_folder_is_back(self):
+        leader = self.cluster.await_leader()
+        self.apply()
+        name, other = [name for name in self.cluster.voters if name != leader]
+        folder = self.cluster.data_folder(name)
+        away = folder.rename(folder.with_name("away"))
+        self.apply()
+        self.await_gauge(name, 0.0)
+        self.apply()
+        assert not folder.exists()
+        away.rename(folder)
+        self.await_gauge(name, 1.0)
+        self.cluster.kill(other)
+        self.apply()
+        self.restart(name, other)
+        self.check_configuration()
+
+
 class TestUsedUpDescriptors(RealDisksTest):
     """Guards against a daemon that ends with its first failed write (issue 43)."""
 
