--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import errno
+import resource
 import socket
 import threading
 import time
@@ -412,6 +413,65 @@
         assert waiting.recv(1024).startswith(b"HTTP/1.1 200 ")
 
 
+class TestUsedUpDescriptors(unittest.TestCase):
+    """Guards against a log that fills a disk as no connection is accepted (issue 43).
+
+    The server tried again at once and wrote a traceback each time, 1.4 MB a second.
+    """
+
+    CALLS = 20
+    REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+    FIRST_DESCRIPTOR = 3
+
+    def setUp(self):
+        limits = ServerLimits(threads=2, queued=4, max_body_bytes=1024)
+        watchdog = ReceiveWatchdog(limit=1000.0)
+        self.server = HttpServer(
+            "127.0.0.1", 0, self.serve, watchdog=watchdog, limits=limits
+        )
+        patch = mock.patch.object(self.server._server, "error_log")
+        self.error_log = patch.start()
+        self.addCleanup(patch.stop)
+        self.server.prepare()
+        thread = threading.Thread(target=self.server.serve)
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(self.server.stop)
+        self.open, self.waiting = socket.socket(), socket.socket()
+        for connection in (self.open, self.waiting):
+            self.addCleanup(connection.close)
+            connection.settimeout(TIMEOUT_SECONDS)
+
+    def serve(self, environ, start_response):
+        start_response("200 OK", [("Content-Length", "0")])
+        return [b""]
+
+    def call(self, connection):
+        connection.sendall(self.REQUEST)
+        assert connection.recv(65536).startswith(b"HTTP/1.1 200 ")
+
+    @contextlib.contextmanager
+    def use_up_descriptors(self):
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self.FIRST_DESCRIPTOR, hard))
+        try:
+            yield
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+    def test_open_connections_are_served_and_the_reason_is_logged_once(self):
+        self.open.connect(("127.0.0.1", self.server.port))
+        self.call(self.open)
+        with self.use_up_descriptors():
+            self.waiting.connect(("127.0.0.1", self.server.port))
+            for _ in range(self.CALLS):
+                self.call(self.open)
+        self.call(self.waiting)
+        messages = [str(call.args[0]) for call in self.error_log.call_args_list]
+        assert len(messages) == 1, f"{len(messages)} messages: {messages[:2]}"
+        assert "Too many open files" in messages[0]
+
+
 def read_all(connection):
     chunks = []
     with contextlib.suppress(OSError):
