Repeat health probes that the platform did not answer

Callers saw an instance out of service for minutes after an outage of the platform.

Cause: the interval of the probes of a quarantined instance doubles with each probe, up to 10 minutes, also if the platform did not answer and so said nothing of the instance.

An unanswered probe is repeated after 10 s and does not lengthen the interval.

--- a/src/gypsumwalk/job_part.py
+++ b/src/gypsumwalk/job_part.py
@@ -230,6 +230,8 @@
         self, outcome: PlatformOutcome, now: float
     ) -> list[Effect]:
         if not self._calls.settle(outcome, now):
+            if outcome.token.startswith(PROBE_PREFIX):
+                self._quarantine.note_lost_probe(outcome.token, now)
             return []
         if not self._leadership.holds_lease(now):
             return []
--- a/src/gypsumwalk/quarantine.py
+++ b/src/gypsumwalk/quarantine.py
@@ -17,7 +17,8 @@
 FIRST_PROBE_DELAY_SECONDS = 30.0
 """Seconds before the first probe in quarantine; doubled after each probe."""
 SUSPECT_PROBE_INTERVAL_SECONDS = 10.0
-"""Seconds between probes of an instance suspected but not quarantined."""
+"""Seconds between probes of an instance suspected but not quarantined, and after a
+probe that was not answered."""
 MAX_PROBE_INTERVAL_SECONDS = 600.0
 """Upper bound in seconds of the backoff between probes in quarantine."""
 
@@ -125,6 +126,24 @@
         self._probe_at[name] = now + interval
         return self._send_probe(name, now)
 
+    def note_lost_probe(self, token: str, now: float) -> None:
+        """Repeat a probe of a quarantined instance that was not answered.
+
+        It tells nothing of the instance, so the interval does not grow.
+
+        Parameters
+        ----------
+        token : str
+            Token of the call.
+        now : float
+            Time in seconds.
+        """
+        name = token.split("/")[2]
+        interval = self._probe_interval.get(name)
+        if name in self._quarantined and interval is not None:
+            self._probe_interval[name] = interval / 2
+            self._probe_at[name] = now + SUSPECT_PROBE_INTERVAL_SECONDS
+
     def _is_serving(self, name: str, now: float) -> bool:
         record = self._pools.find(name)
         serving = record is not None and record.is_available
