Ask for the outcome of reboots of instances that a wave has skipped

Operators saw an instance that stayed lost for good, although it was up and sent its heartbeats, after an outage of the platform's API during a wave.

Cause: an instance whose reboot was not answered does not return, as the reboot may still be carried out. The wave asked for the reboot again until it skipped the instance, 900 s after the loss, and nobody did from then on.

Evidence: in the new test, with 1,800 s without an answer to reboots, the instance was still lost 120 s after the platform had returned before this change.

The controller also asks for the reboots of instances that are done or skipped, at each scan, until they are answered.

--- a/src/gypsumwalk/wave_controller.py
+++ b/src/gypsumwalk/wave_controller.py
@@ -65,6 +65,9 @@
 """Interval between two passes over all instances of a wave."""
 REBOOT_TIMEOUT_SECONDS = 600.0
 """Time after which an unfinished reboot counts as a loss."""
+ENDED_STATES = (ItemState.DONE, ItemState.SKIPPED)
+"""States of instances that a wave does not wait for any more."""
+
 WAVE_CALLS = (
     StartWaveCall,
     PauseWaveCall,
@@ -197,13 +200,24 @@
         return effects
 
     def _select_instances(self, wave: WaveRecord, now: float) -> list[str]:
-        """Return all unfinished instances once per scan, else those out of service."""
+        """Return all unfinished instances once per scan, else those out of service.
+
+        Instances with an open reboot are unfinished, even if the wave has skipped them.
+        """
         if now < self._scan_at.get(wave.name, now):
             return list(wave.away)
         self._scan_at[wave.name] = now + SCAN_INTERVAL_SECONDS
         self._drain_orders.pop(wave.name, None)
-        ended = (ItemState.DONE, ItemState.SKIPPED)
-        return [name for name, item in wave.items.items() if item.state not in ended]
+        return [
+            name
+            for name, item in wave.items.items()
+            if item.state not in ENDED_STATES or self._has_open_reboot(name)
+        ]
+
+    def _has_open_reboot(self, name: str) -> bool:
+        """Tell whether an instance can't return before its reboot is answered."""
+        record = self._pools.find(name)
+        return record is not None and record.reboot_index > 0
 
     def _find_drain_order(self, wave: WaveRecord) -> DrainOrder:
         cached = self._drain_orders.get(wave.name)
@@ -248,6 +262,8 @@
         effects: list[Effect] = []
         if record.reboot_index:
             effects += self._request_reboot(record, now)
+        if state in ENDED_STATES:
+            return effects
         if state is ItemState.PENDING:
             if self._waves.find_skip_reason(wave.name, record, now):
                 command = ReturnWaveInstance(wave.name, name)
