Replace a removed machine before it counts no longer as lost

A machine with a voter was removed for good and another one started at the same moment. Between 4 s and 5.2 s after that, when the removed one counts as lost no longer, all lost power and one of the two other disks was lost: no daemon led again, as the removed machine still was one of three voters.

A voter was replaced after 4 s without an answer, and each leader counted that from its own election, so a removed leader was replaced up to 2 s later. A new daemon also waited for an election timeout before it asked for the leader.

A voter now counts as lost after 3 s. A leader counts the silence of its predecessor from the last message that it got from it, and leaves each voter at least 1 s of its own term to answer. A daemon asks for the leader as it starts.

--- a/src/gypsumwalk/consensus.py
+++ b/src/gypsumwalk/consensus.py
@@ -140,6 +140,7 @@
         self._is_shutting_down = False
         self._has_disk = bool(settings.data_folder)
         self._restart_due = 0.0
+        self._last_leader = ""
         self._last_leader_contact = 0.0
         self._follow_due = 0.0
         self._lease_end = NO_LEASE
@@ -326,6 +327,7 @@
             return
         self._is_started = True
         self._record_leader_contact(now)
+        self._follow_due = now
 
     def _commit_and_apply(self, now: float) -> list[Effect]:
         effects: list[Effect] = []
@@ -484,7 +486,7 @@
         self._elections.cancel_candidacy()
         self._record_leader_contact(now)
         if source != self._leader:
-            self._leader = source
+            self._leader = self._last_leader = source
             self._follower.reset()
             self._proposals.resend_all(now)
             detail: dict[str, Scalar] = {"leader": source, "term": term}
@@ -612,10 +614,16 @@
 
     def _become_leader(self, now: float) -> list[Effect]:
         self._elections.cancel_candidacy()
-        self._leader = self._daemon
+        last_contacts = {self._last_leader: self._last_leader_contact}
+        self._leader = self._last_leader = self._daemon
         self._last_leader_contact = now
         self._leadership = Leadership(
-            self._daemon, self._replica, self._timing, now, self._voter_count
+            self._daemon,
+            self._replica,
+            self._timing,
+            now,
+            self._voter_count,
+            last_contacts,
         )
         self._proposals.resend_all(now)
         detail = {"term": self.term}
--- a/src/gypsumwalk/leadership.py
+++ b/src/gypsumwalk/leadership.py
@@ -1,5 +1,8 @@
 """Leader side of replication: append, replicate, commit and hold the lease."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
+
 import msgspec
 
 from gypsumwalk.effects import Effect, SendPeer
@@ -36,9 +39,10 @@
 """A new disk becomes a voter only if it holds every entry that was committed at a time
 more recent than this, and after the leader first heard of the disk."""
 
-VOTER_REPLACEMENT_SECONDS = 4.0
+VOTER_REPLACEMENT_SECONDS = 3.0
 """Time without an answer from its disk after which a voter is replaced; longer than
-the restart of a process."""
+the restart of a process. With both changes of the voters it ends before a removed
+machine counts no longer as lost, which is at least 4 s after its removal."""
 
 NEWS_INTERVAL_SECONDS = 0.025
 """Shortest time between messages to a daemon on which nothing waits for them: entries
@@ -70,6 +74,9 @@
         Time in seconds.
     voter_count : int
         Number of daemons that should vote.
+    last_contacts : Mapping of str to float, optional
+        Times in seconds at which daemons were last heard before this term; by default
+        the silence of a daemon is counted from the start of the term.
     """
 
     def __init__(
@@ -79,6 +86,7 @@
         timing: ElectionTiming,
         now: float,
         voter_count: int,
+        last_contacts: Mapping[str, float] = MappingProxyType({}),
     ) -> None:
         self._name = name
         self._voter_count = voter_count
@@ -89,6 +97,10 @@
         for entry in replica.log.tail(replica.commit):
             self._uncommitted.add((entry.origin, entry.incarnation, entry.sequence))
         self._add_voter_peers(now)
+        # A voter that is back has time to answer before it counts as lost.
+        earliest = now - VOTER_REPLACEMENT_SECONDS + REACHABLE_SECONDS
+        for peer in self._progress.values():
+            peer.valid_at = max(last_contacts.get(peer.name, now), earliest)
         self._append(self._make_term_start_entry(), now)
         self._quorum_contact: _QuorumContact | None = None
         """Disk identities and quorum contact since the last answer of a daemon."""
--- a/tests/_power_losses.py
+++ b/tests/_power_losses.py
@@ -55,7 +55,7 @@
         self.writes = []
         self.acknowledged = set()
         self.removed = set()
-        self.lost_disks = set()
+        self.lost_until = {}
         self.tolerated = voters // 2
         super().__init__(seed, voters=voters, **options)
         self.observers.append(self._observe_outcomes)
@@ -108,17 +108,27 @@
         self.removed.add(name)
         successor = f"n{len(self.removed)}"
         self.add(successor)
-        self._count_as_lost(successor)
+        self.lost_until[successor] = self.now + CATCH_UP_SECONDS
         return successor
 
     def wipe(self, name):
         self.lose_disk(name)
         self.restart_later(name, DOWN_SECONDS)
-        self._count_as_lost(name)
+        self.lost_until[name] = self.now + DOWN_SECONDS + CATCH_UP_SECONDS
 
-    def _count_as_lost(self, name):
-        self.lost_disks.add(name)
-        self.schedule(CATCH_UP_SECONDS, lambda: self.lost_disks.discard(name))
+    def restart(self, name):
+        if name not in self.removed:
+            super().restart(name)
+
+    @property
+    def lost_disks(self):
+        """Names of the daemons whose last disk counts as lost."""
+        return {name for name, until in self.lost_until.items() if until > self.now}
+
+    def extend_losses(self, until):
+        """Count disks as lost for longer, as other outages hold their return up."""
+        for name in self.lost_disks:
+            self.lost_until[name] = until
 
     def list_disks(self):
         return [
@@ -146,6 +156,7 @@
         for name in self.daemons:
             if name in wiped:
                 self.lose_disk(name)
+                self.lost_until[name] = self.now + DOWN_SECONDS + CATCH_UP_SECONDS
             else:
                 self.cut_power(name)
 
@@ -153,13 +164,17 @@
         """Bring all machines back, with disks and links that work."""
         self.heal()
         self.run(DOWN_SECONDS)
+        self.repair_disks()
+        for name in self.daemons:
+            self.restart(name)
+
+    def repair_disks(self):
+        """Let all disks work, at their usual speed."""
         for name, daemon in self.daemons.items():
             if daemon.disk:
                 daemon.disk.full = False
                 daemon.disk.write_seconds = 0.0005
                 self.resume_disk(name)
-            if name not in self.removed:
-                self.restart(name)
 
     def check_recovery(self):
         self.commit(within=RECOVERY_SECONDS)
