Lose what is not synced in further tests of losses of power

test_fleet_work and the random losses of test_voter_losses killed the processes where they meant a loss of power, so what no sync had covered was read back.

--- a/tests/test_fleet_work.py
+++ b/tests/test_fleet_work.py
@@ -481,11 +481,7 @@
         world.begin()
         world.submit(JOB)
         world.declare(make_declaration(5))
-        for name in world.names:
-            world.kill(name)
-        world.run(1.0)
-        for name in world.names:
-            world.restart(name)
+        world.lose_power(down=1.0)
         assert world.read_declaration().body.source == "source 5"
         assert world.await_state(JOB, "completed", within=20.0)
         assert find_duplicate_runs(world.model.history) == []
--- a/tests/test_voter_losses.py
+++ b/tests/test_voter_losses.py
@@ -428,7 +428,9 @@
         for name in world.names:
             if name in wipes:
                 world.lose_disk(name)
-            elif name in lost or is_power_lost:
+            elif is_power_lost:
+                world.cut_power(name)
+            elif name in lost:
                 world.kill(name)
         world.run(self.random.uniform(0.3, 1.0))
         for name in world.names:
