--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -123,6 +123,7 @@
         self._effective_orders: Counter[str] = Counter()
         """Number of orders to each machine that were carried out or may be."""
         self._pending_proposals: dict[str, Propose] = {}
+        self._known_loads = 0
         self._count = 0
         self._due = 0.0
 
@@ -133,6 +134,7 @@
 
     def handle(self, item: Input, now: float) -> Sequence[Effect]:
         """Process the outcome of a call or proposal, or a committed command."""
+        self._delay_after_snapshot(now)
         if isinstance(item, Committed):
             self._record_holder(item, now)
         if self._dispatcher.term == 0 or self._dispatcher.term != self._term:
@@ -146,6 +148,11 @@
                 return self._handle_proposal_outcome(token, status)
         return []
 
+    def _delay_after_snapshot(self, now: float) -> None:
+        if self._upkeep.loads != self._known_loads:
+            self._known_loads = self._upkeep.loads
+            self._cooldown.record_unknown_orders(now)
+
     def _record_holder(self, item: Committed, now: float) -> None:
         match item.command:
             case BeginMaintenance(machine=machine, holder=holder):
@@ -168,6 +175,7 @@
     def advance(self, now: float) -> Sequence[Effect]:
         """Advance the open waves."""
         self._due = now + CHECK_SECONDS
+        self._delay_after_snapshot(now)
         if not self._dispatcher.term or not self._dispatcher.is_leading(now):
             return []
         if self._dispatcher.term != self._term:
--- a/src/gypsumwalk/order_cooldown.py
+++ b/src/gypsumwalk/order_cooldown.py
@@ -26,6 +26,8 @@
     def __init__(self, daemon: str) -> None:
         self._daemon = daemon
         self._last_orders: dict[str, tuple[str, float]] = {}
+        self._unknown_until = float("-inf")
+        """Time in seconds until which others may have ordered any machine."""
 
     def record(
         self, machines: Iterable[str], holder: str, *, at: float, now: float
@@ -50,6 +52,16 @@
         for machine in machines:
             self._last_orders[machine] = (holder, ordered_at)
 
+    def record_unknown_orders(self, now: float) -> None:
+        """Take every machine as ordered by another holder just now.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds by this daemon's clock.
+        """
+        self._unknown_until = now
+
     def can_order(self, machine: str, now: float) -> bool:
         """Return whether this daemon may send an order to a machine.
 
@@ -67,5 +79,7 @@
         bool
             Whether it may.
         """
+        if now - self._unknown_until < COOLDOWN_SECONDS:
+            return False
         holder, at = self._last_orders.get(machine, (self._daemon, 0.0))
         return holder == self._daemon or now - at >= COOLDOWN_SECONDS
--- a/src/gypsumwalk/upkeep.py
+++ b/src/gypsumwalk/upkeep.py
@@ -137,6 +137,8 @@
         self.waves: dict[int, UpkeepWave] = {}
         self.ordered_at: dict[str, float] = {}
         """Time in seconds, by the holder's clock, of the last order to each machine."""
+        self.loads = 0
+        """Number of snapshots that were loaded; they hold no times or holders."""
 
     def apply(self, command: msgspec.Struct, index: int, at: float) -> msgspec.Struct:
         """Apply one committed command."""
@@ -184,3 +186,4 @@
         """Replace the section by a dumped one."""
         waves = msgspec.msgpack.decode(content, type=list[UpkeepWave])
         self.waves = {wave.wave: wave for wave in waves}
+        self.loads += 1
--- a/tests/test_maintenance_controller.py
+++ b/tests/test_maintenance_controller.py
@@ -46,7 +46,7 @@
     return MaintenanceController(
         daemon="a",
         declarations=mock.Mock(),
-        upkeep=mock.Mock(),
+        upkeep=mock.Mock(loads=0),
         dispatcher=mock.Mock(),
         scheduler=mock.Mock(cordoned=set()),
         directory=Directory(life),
