Refuse writes to a data folder from which files were deleted

A voter whose files were deleted while it ran, and whose folder stayed, went on to acknowledge. Its next vote brought the identity of its disk back, beside an empty log; in a simulated cluster a restart then cost entries that had been acknowledged, with one disk lost.

Cause: the open file of records goes on without a name, and whole files are written anew at their path; nothing looked for what had been there.

Each write now checks that the files that were written are still there. If not, it is refused, as with another folder in the place of the first one, until a new process takes the folder for a new disk.

Evidence: test_a_vote_after_it of tests/test_emptied_folders.py failed before with '0 of 8 entries left'; its three tests and tests.test_disk pass.

--- a/src/gypsumwalk/drivers/disk.py
+++ b/src/gypsumwalk/drivers/disk.py
@@ -34,8 +34,9 @@
     because what it holds after the last good sync is unknown: a later sync may succeed
     without what a failed one dropped. Whoever writes goes on in a new file.
 
-    Once the folder was written to, another one in its place is refused. The former may
-    return, and a process that starts with it would lack what the other one holds.
+    Once the folder was written to, another one in its place is refused, and so is one
+    from which files were deleted. The former may return, and a process that starts with
+    it would lack what the other one holds.
 
     Parameters
     ----------
@@ -50,6 +51,8 @@
         self._closed_files: set[str] = set()
         self._folder_descriptor: int | None = None
         """Keeps the number of the folder's inode from being used again."""
+        self._replaced_files: set[str] = set()
+        """Files that were written as a whole, and have to be there since."""
         self._lock = threading.Lock()
 
     def recover(self) -> Recovered:
@@ -129,6 +132,11 @@
     def _check_folder(self, descriptor: int) -> None:
         if not os.path.samestat(os.fstat(descriptor), os.stat(self._folder)):
             raise DiskFailure(f"refused: another folder is now at {self._folder}")
+        names = [f"{file}{FILE_SUFFIX}" for file in self._replaced_files]
+        names += [f"{file}{RECORDS_SUFFIX}" for file in self._descriptors]
+        for name in names:
+            if not (self._folder / name).exists():
+                raise DiskFailure(f"refused: {name} was deleted from {self._folder}")
 
     def _describe_size(self) -> str:
         """Tell how much of a full disk this folder takes."""
@@ -156,6 +164,7 @@
             case WriteFile(file=file, content=content):
                 path = self._folder / f"{file}{FILE_SUFFIX}"
                 self._replace(path, encode_frame([content]))
+                self._replaced_files.add(file)
             case KeepRecords(file=file):
                 self._remove_others(file)
 
