Start fillers of an unknown pace at a low level under a new leader

A task with a latency target was over it for 1.6 s after each change of leader: the new leader did not know the pace of the fillers beside it and ordered full speed first.

Cause: since a restored run has no known pace, the first order went to each filler, with the level at which an instance starts.

An instance with a filler of unknown pace, beside tasks with a target, now starts at the lowest level and rises from there. Without such tasks its fillers get full speed at once.

--- a/src/gypsumwalk/pace_controller.py
+++ b/src/gypsumwalk/pace_controller.py
@@ -95,6 +95,7 @@
             view.registered.life,
             tuple(_list_tail_latencies(steps)),
             frozenset(step.image for _, step in fillers),
+            any(run.requested_percent == UNKNOWN_PERCENT for run, _ in fillers),
         )
         percent = self._levels.update(load, now)
         worst = max(load.tails, key=lambda tail: tail.ratio, default=TailLatency(0, 1))
--- a/src/gypsumwalk/pacing.py
+++ b/src/gypsumwalk/pacing.py
@@ -64,11 +64,14 @@
         Tail latencies of its latency-sensitive tasks.
     images : frozenset of str
         Images of its fillers.
+    has_unknown_pace : bool
+        Whether an earlier leader may have slowed down one of its fillers.
     """
 
     life: str
     tails: tuple[TailLatency, ...]
     images: frozenset[str]
+    has_unknown_pace: bool = False
 
 
 @dataclass(slots=True)
@@ -105,7 +108,7 @@
             return FULL_LEVEL_PERCENT
         level = self._levels.get(load.life)
         if level is None:
-            level = _Level(self._find_start(load.images), now, now)
+            level = _Level(self._find_start(load), now, now)
             self._levels[load.life] = level
         worst = max(tail.ratio for tail in load.tails)
         if worst >= HEALTHY_RATIO:
@@ -126,9 +129,11 @@
         self._levels.clear()
         self._image_levels.clear()
 
-    def _find_start(self, images: frozenset[str]) -> float:
+    def _find_start(self, load: InstanceLoad) -> float:
+        if load.has_unknown_pace:
+            return MIN_LEVEL_PERCENT
         return min(
-            self._image_levels.get(image, FULL_LEVEL_PERCENT) for image in images
+            self._image_levels.get(image, FULL_LEVEL_PERCENT) for image in load.images
         )
 
     def _adjust(
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -150,6 +150,18 @@
         world.run(5.0)
         assert self.list_paces(world) == [100, 100]
 
+    # Guards against a change of leader that puts fillers back to full pace beside a task
+    # over its target: the first order of a new leader may not raise a pace (issue 43).
+    def test_fillers_stay_slow_beside_a_task_with_a_target_under_a_new_leader(self):
+        world = self.make_world(latency_per_pace=2.0)
+        world.run(5.0)
+        leader = world.find_leader()
+        world.kill(leader)
+        killed_at = world.now
+        world.run(6.0)
+        late = [at for at in world.degraded_at if at > killed_at]
+        assert not late, f"over its target at {late[0] - killed_at:.1f} s"
+
     # Guards against fillers that an unanswered order had slowed down, and that counted
     # as running at the pace of the order before (issue 43).
     def test_fillers_return_to_full_pace_after_an_unanswered_order(self):
