--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -150,8 +150,8 @@
         world.run(5.0)
         assert self.list_paces(world) == [100, 100]
 
-    # Guards against a change of leader that puts fillers back to full pace beside a task
-    # over its target: the first order of a new leader may not raise a pace (issue 43).
+    # Guards against a change of leader that puts fillers back to full pace beside a
+    # task with a target: a first order may not raise an unknown pace (issue 43).
     def test_fillers_stay_slow_beside_a_task_with_a_target_under_a_new_leader(self):
         world = self.make_world(latency_per_pace=2.0)
         world.run(5.0)
