Cut a fleet's power after further acknowledgements

A run that began, a job that was shown as completed, an accepted maintenance wave and a deregistered instance are checked as well. No fault was found; the checks fail for each of the eight with answers that don't wait for the sync.

--- a/tests/test_fleet_power_losses.py
+++ b/tests/test_fleet_power_losses.py
@@ -12,6 +12,7 @@
 from unittest import mock
 
 from gypsumwalk.errors import CorruptRecord
+from gypsumwalk.fleet_calls import DescribeUpkeepCall, LeaveInstanceCall
 from gypsumwalk.storage import Storage
 from tests._fleet_work import FleetWorld, make_declaration
 from tests._fleet_work_checks import find_duplicate_runs
@@ -175,7 +176,65 @@
     assert len(runs) == len({run.task for run in runs}), "an ended task runs again"
 
 
-ACKNOWLEDGEMENTS = (accept_declaration, accept_job, cancel_job, note_end)
+def see_start(outage):
+    """Wait until an instance begins a run."""
+    outage.await_acknowledgement(lambda: outage.world.submit(JOB))
+    assert outage.world.run_until(
+        lambda: outage.world.model.history, within=COMPLETION_SECONDS
+    )
+    return check_job
+
+
+def show_completed(outage):
+    outage.await_acknowledgement(lambda: outage.world.submit(JOB))
+    end = outage.world.now + COMPLETION_SECONDS
+    while outage.world.get_state(JOB) != "completed":
+        assert outage.world.now < end, "the job does not end"
+        outage.world.run(0.001)
+    return check_completed
+
+
+def check_completed(outage):
+    assert outage.world.get_state(JOB) == "completed"
+    outage.world.run(COMPLETION_SECONDS)
+    assert len(outage.world.model.history) == TASKS, "a completed job runs again"
+
+
+def accept_wave(outage):
+    outage.await_acknowledgement(lambda: outage.world.start_wave(1, ["m-0"]))
+    return check_wave
+
+
+def check_wave(outage):
+    assert outage.world.ask(DescribeUpkeepCall(1)).status == 200, "the wave is lost"
+    outage.world.run(COMPLETION_SECONDS)
+    assert outage.world.ask(DescribeUpkeepCall(1)).body.completed
+
+
+def accept_departure(outage):
+    """An instance deregisters, and is not heard of any more."""
+    instance = outage.world.get_instance(0)
+    registered = instance.registered
+    instance.is_silent = True
+    call = LeaveInstanceCall(registered.instance, registered.born)
+    outage.await_acknowledgement(lambda: outage.world.ask(call))
+    return partial(check_departure, registered.life)
+
+
+def check_departure(life, outage):
+    assert life not in outage.world.list_lives(), "an instance that left is back"
+
+
+ACKNOWLEDGEMENTS = (
+    accept_declaration,
+    accept_job,
+    cancel_job,
+    note_end,
+    see_start,
+    show_completed,
+    accept_wave,
+    accept_departure,
+)
 
 
 def find_failure(acknowledge, seed):
