--- a/tests/_agreement.py
+++ b/tests/_agreement.py
@@ -168,8 +168,10 @@
         max_replayed_entries=None,
         first_start=None,
         plans_voters=False,
+        tolerated_disk_losses=0,
     ):
         self.first_start = first_start
+        self.tolerated_disk_losses = tolerated_disk_losses
         self.plans_voters = plans_voters
         self.seed = seed
         self.election_seconds = election_seconds
@@ -208,6 +210,7 @@
             operator_key=OPERATOR,
             data_folder="" if recovered is None else "data",
             election_seconds=self.election_seconds,
+            tolerated_disk_losses=self.tolerated_disk_losses,
         )
         return AgreementNode(
             settings,
--- a/tests/_power_losses.py
+++ b/tests/_power_losses.py
@@ -14,6 +14,7 @@
 CATCH_UP_SECONDS = 4.0
 """Time from the start of a machine with an empty disk in which it counts as lost."""
 
+LONGEST_WRITE_SECONDS = 4.0
 SETTLING_SECONDS = 6.0
 """Time until the last proposals have timed out, and voters with new disks vote."""
 
@@ -69,14 +70,15 @@
         number = len(self.writes)
         self.writes.append(len(effect.operations))
         if self.cut and self.cut.write == number:
-            done = self.cut.operations
+            cut = self.cut
             # The outcome of a write that is done has not reached the daemon yet.
-            seconds = 0.999 * done * daemon.disk.write_seconds
-            self.schedule(seconds, lambda: self._lose_power_during_write(daemon))
+            seconds = 0.999 * cut.operations * daemon.disk.write_seconds
+            self.schedule(seconds, lambda: self._lose_power_during_write(daemon, cut))
 
-    def _lose_power_during_write(self, daemon):
-        daemon.disk.crash_after = self.cut.operations
-        raise PowerLost
+    def _lose_power_during_write(self, daemon, cut):
+        if cut is self.cut:
+            daemon.disk.crash_after = cut.operations
+            raise PowerLost
 
     def _observe_outcomes(self, daemon):
         if not daemon.alive:
@@ -98,6 +100,7 @@
     def record(self):
         """Begin to count writes and acknowledged commands."""
         self.is_recording = True
+        self.writes = []
         self.recorded = 0
 
     # Machines.
@@ -196,7 +199,7 @@
     try:
         history(cluster)
         cluster.is_recording = False
-        cluster.run(1.0)  # Until the last write has ended.
+        cluster.run(LONGEST_WRITE_SECONDS)
     except PowerLost:
         return cluster, True
     return cluster, False
--- a/tests/test_power_losses.py
+++ b/tests/test_power_losses.py
@@ -7,7 +7,7 @@
 import math
 import os
 import unittest
-from contextlib import ExitStack, contextmanager
+from contextlib import ExitStack, contextmanager, suppress
 from functools import partial
 from random import Random
 from unittest import mock
@@ -17,7 +17,9 @@
 from tests._power_losses import (
     CATCH_UP_SECONDS,
     RECOVERY_SECONDS,
+    Cut,
     PowerCluster,
+    PowerLost,
     check_cut,
     list_cuts,
 )
@@ -186,6 +188,17 @@
     work(cluster, commands=6, pause=0.1)
 
 
+def add_voters(cluster):
+    """Two daemons become voters, as two disks are to be lost at the same time."""
+    begin(cluster)
+    for name in ("n1", "n2"):
+        cluster.add(name)
+        slow_down(cluster, name, SYNC_SECONDS)
+    work(cluster, commands=30, pause=0.1)
+    leader = cluster.get_nodes()[cluster.find_leader()]
+    assert len(leader.consensus.replica.voters) == 5
+
+
 def restart_in_turn(cluster):
     """Processes are killed while they write, and read back what was not synced."""
     begin(cluster)
@@ -265,8 +278,10 @@
 )
 
 
-def make_planned_cluster(seed, *, cut, voters=3):
-    return PowerCluster(seed, voters, cut=cut, first_start=True, plans_voters=True)
+def make_planned_cluster(seed, *, cut, voters=3, **options):
+    return PowerCluster(
+        seed, voters, cut=cut, first_start=True, plans_voters=True, **options
+    )
 
 
 class Schedule:
@@ -294,6 +309,8 @@
         if self.random.random() < 0.5:
             self.cluster.add("n0")
         for _ in range(ROUNDS):
+            self.cluster.network.drop = self.random.choice([0.0, 0.0, 0.03])
+            self.cluster.network.duplicate = self.random.choice([0.0, 0.03])
             for _ in range(self.random.randint(1, 4)):
                 self.strike()
                 self.work()
@@ -304,7 +321,7 @@
 
     def strike(self):
         """Begin an outage, or lose a disk if no other one is lost."""
-        if self.random.random() < 0.3 and not self.cluster.lost_disks:
+        if self.random.random() < 0.12 and not self.cluster.lost_disks:
             self.random.choice([self.replace, self.wipe])()
         else:
             self.random.choice(self.outages)()
@@ -318,13 +335,24 @@
         work(self.cluster, commands, self.random.choice([0.003, 0.03, 0.3]))
 
     def lose_power(self):
-        self.cluster.run(self.random.uniform(0.0, 0.005))
+        self.cluster.cut = self.random.choice(
+            [
+                Cut(acknowledged=self.random.randint(1, 4)),
+                Cut(self.random.randint(0, 20), self.random.randint(0, 3)),
+            ]
+        )
+        self.cluster.record()
+        with suppress(PowerLost):
+            self.work()
+        self.cluster.cut = None
         choices = self.cluster.list_choices()
         wiped = self.random.choice([choices[-1], self.random.choice(choices)])
         self.cluster.lose_power(wiped)
+        self.cluster.network.drop = self.cluster.network.duplicate = 0.0
         self.cluster.recover()
         self.calm_down()
         self.cluster.check_recovery()
+        self.cluster.run_checked(RECOVERY_SECONDS)
 
     def draw(self):
         """Return a daemon with a disk, the leader more often than others."""
@@ -419,6 +447,10 @@
                     make = partial(make_planned_cluster, voters=voters)
                     self.check_cuts(history, make)
 
+    def test_voters_that_are_added(self):
+        make = partial(make_planned_cluster, tolerated_disk_losses=2)
+        self.check_cuts(add_voters, make)
+
 
 class TestReplacement(unittest.TestCase):
     """Guards against a removed machine that is counted on for too long (issue 43).
