Stop orders once for a life that refuses the fence of a term

An instance with a higher fence stopped all orders for 3 s, and entries answered 503, each time that it was registered again: every 30 s or so, for as long as it ran.

Cause: each refusal counted as a sign of a later leader. A lease that went on for 3 s after the first one shows that there is none.

Later refusals of the same life in the term concern that life only.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -153,6 +153,8 @@
         """Index of the last entry that the lease table was restored from."""
         self._fenced_until = float("-inf")
         """Time in seconds before which no orders are sent, after a refused fence."""
+        self._fenced_lives: set[str] = set()
+        """Lives that refused the fence of this term although the lease went on."""
         self._orders = RunOrders(
             self.name,
             declarations=declarations,
@@ -291,6 +293,7 @@
     def _step_down(self) -> None:
         self._term = 0
         self._fenced_until = float("-inf")
+        self._fenced_lives.clear()
         self.lease_table = LeaseTable()
         self._orders.begin_term(0)
         self._departures.clear()
@@ -667,16 +670,20 @@
         """Stop giving orders, to this life for good.
 
         If there is a later leader, the lease of this one has ended when the others
-        might get orders again.
+        might get orders again. A life that is registered again and refuses again tells
+        nothing new.
         """
         if order.fence != view.fence or view.is_fenced_off:
             # It was sent before the instance was removed and registered again, or
             # before the first refusal was known.
             return []
         view.is_fenced_off = True
-        self._fenced_until = now + FENCED_SECONDS
+        life = view.registered.life
+        if life not in self._fenced_lives:
+            self._fenced_lives.add(life)
+            self._fenced_until = now + FENCED_SECONDS
         effects = self._mark_unresponsive(view, now)
-        return [Record(Event.FLEET_FENCED, view.registered.life, {}), *effects]
+        return [Record(Event.FLEET_FENCED, life, {}), *effects]
 
     def _is_other_life(self, view: InstanceView, born: int, refused: str) -> bool:
         return refused == "identity" or born not in (0, view.registered.born)
--- a/tests/test_refused_fences.py
+++ b/tests/test_refused_fences.py
@@ -60,6 +60,22 @@
         world.run(20.0)
         assert 0 < len(refused) <= MAX_REFUSED
 
+    # Guards against a leader that gives no orders for 3 s each time that the instance is
+    # registered again (issue 43).
+    def test_its_next_refusals_in_the_term_stop_no_orders(self):
+        world = FleetWorld(instances=2, task_seconds=600.0)
+        world.begin()
+        refused = self.refuse(world, 0)
+        assert world.run_until(lambda: refused, within=2.0)
+        world.run(5.0)
+        term = world.get_leader().dispatcher.term
+        count = len(refused)
+        for _ in range(800):
+            world.run(0.1)
+            assert world.get_leader().dispatcher.is_leading(world.now), world.now
+        assert world.get_leader().dispatcher.term == term
+        assert len(refused) > count, "it was not registered again"
+
     def test_no_instance_gets_orders_while_there_may_be_a_later_leader(self):
         world = FleetWorld(instances=2)
         world.begin()
