Sync the entry of each folder that is created above the data folder

A loss of power could take a whole data folder with everything that was acknowledged, where the folders above it were created by the daemon as well.

Cause: only the entry of the data folder itself was synced.

Each created folder's entry is synced now, also by a later attempt if one fails. Where the platform makes the parent, as on the users' machines, nothing changes.

Evidence: TestNewFolders of tests/test_disk.py failed before, with the outermost folder not synced; it passes now.

--- a/src/gypsumwalk/drivers/disk.py
+++ b/src/gypsumwalk/drivers/disk.py
@@ -49,6 +49,8 @@
         self._frame_ends: dict[str, list[tuple[int, int]]] = {}
         self._descriptors: dict[str, int] = {}
         self._closed_files: set[str] = set()
+        self._new_parents: set[Path] = set()
+        """Folders above this one that were created; their entries may be unsynced."""
         self._folder_descriptor: int | None = None
         """Keeps the number of the folder's inode from being used again."""
         self._replaced_files: set[str] = set()
@@ -122,13 +124,20 @@
         if self._folder_descriptor is not None:
             self._check_folder(self._folder_descriptor)
             return
-        self._folder.mkdir(FOLDER_MODE, parents=True, exist_ok=True)
-        _sync_folder(self._folder.parent)
+        self._make_folder()
         for path in self._list(TEMPORARY_SUFFIX):
             path.unlink()
         _sync_folder(self._folder)
         self._folder_descriptor = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
 
+    def _make_folder(self) -> None:
+        """Create the folder and those above it, and sync the entry of each."""
+        parents = self._folder.parents
+        self._new_parents.update(path for path in parents if not path.exists())
+        self._folder.mkdir(FOLDER_MODE, parents=True, exist_ok=True)
+        for path in [self._folder, *self._new_parents]:
+            _sync_folder(path.parent)
+
     def _check_folder(self, descriptor: int) -> None:
         if not os.path.samestat(os.fstat(descriptor), os.stat(self._folder)):
             raise DiskFailure(f"refused: another folder is now at {self._folder}")
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -423,6 +423,25 @@
         assert not left.exists()
 
 
+class TestNewFolders(DiskTest):
+    """Guards against a data folder that is lost with the folder above it (issue 43)."""
+
+    def test_the_entry_of_each_new_folder_is_synced(self):
+        base, synced = self.folder.parent, []
+        fsync = os.fsync
+
+        def record(descriptor):
+            synced.append(Path(os.readlink(f"/proc/self/fd/{descriptor}")))
+            fsync(descriptor)
+
+        disk = FolderDisk(str(base / "state" / "voter" / "data"))
+        self.addCleanup(disk.close)
+        with mock.patch.object(os, "fsync", record):
+            disk.write([WriteFile("vote", b"x")])
+        for path in (base, base / "state", base / "state" / "voter"):
+            assert path.resolve() in synced, f"{path} is not synced"
+
+
 class TestHangingWrites(DiskTest):
     """Guards against a process that waits for a disk that hangs (issue 43)."""
 
--- a/tests/test_refused_fences.py
+++ b/tests/test_refused_fences.py
@@ -60,8 +60,8 @@
         world.run(20.0)
         assert 0 < len(refused) <= MAX_REFUSED
 
-    # Guards against a leader that gives no orders for 3 s each time that the instance is
-    # registered again (issue 43).
+    # Guards against a leader that gives no orders for 3 s each time that the instance
+    # is registered again (issue 43).
     def test_its_next_refusals_in_the_term_stop_no_orders(self):
         world = FleetWorld(instances=2, task_seconds=600.0)
         world.begin()
