Start a daemon that can't start a thread for its first write

A daemon ended at its start if no thread could be started for the first write, as its memory or number of threads was used up for a moment, though it starts on a full disk.

Cause: that error was not a failed write. It is one now, as for later writes.

Evidence: test_a_write_without_a_thread_fails ended with RuntimeError before; it passes.

--- a/src/gypsumwalk/drivers/disk_writer.py
+++ b/src/gypsumwalk/drivers/disk_writer.py
@@ -99,11 +99,15 @@
     Raises
     ------
     DiskFailure
-        If the write failed, or had no outcome in that time.
+        If the write failed, had no outcome in that time, or no thread could be started.
     """
     outcome: Future[None] = Future()
     arguments = (disk, operations, outcome)
-    threading.Thread(target=_write_and_report, args=arguments, daemon=True).start()
+    thread = threading.Thread(target=_write_and_report, args=arguments, daemon=True)
+    try:
+        thread.start()
+    except RuntimeError as error:
+        raise DiskFailure(str(error)) from error
     try:
         outcome.result(seconds)
     except TimeoutError:
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -466,6 +466,14 @@
             later.join()
         assert self.recover().files == {"vote": b"new"}
 
+    def test_a_write_without_a_thread_fails(self):
+        error = RuntimeError("can't start new thread")
+        with (
+            mock.patch.object(threading.Thread, "start", side_effect=error),
+            self.assertRaisesRegex(DiskFailure, "new thread"),
+        ):
+            write_within(self.disk, [WriteFile("vote", b"x")], 10.0)
+
     def test_a_failure_of_a_write_is_raised_as_it_is(self):
         with fail("pwrite"), self.assertRaisesRegex(DiskFailure, "No space left"):
             write_within(self.disk, [WriteFile("vote", b"x")], 10.0)
