Forget the disk of a removed voter instead of comparing times

Such an answer of its next process counted as one since the removal, so that the identity of the lost disk could still be filled in, as the change before this one compared the times of answers only.

The leader forgets the identity with the removal now, and takes the next one from an answer with an identity to a message that was sent later.

--- a/src/gypsumwalk/leadership.py
+++ b/src/gypsumwalk/leadership.py
@@ -246,7 +246,8 @@
         peer = self._progress.get(source)
         if peer is None:
             return
-        peer.register_identity(answer.identity)
+        if answer.sent > peer.removed_at:
+            peer.register_identity(answer.identity)
         peer.data_centre = answer.data_centre
         self._record_contact(peer, answer.sent, answer.stamp, now)
         if answer.accepted:
@@ -468,26 +469,17 @@
             return b""
         for removed in self._replica.voters.keys() - voters.keys():
             if removed in self._progress:
-                self._progress[removed].removed_at = now
+                self._progress[removed].forget_identity(now)
         return msgspec.msgpack.encode(ChangeVoters(voters))
 
     def _fill_identities(self, voters: dict[str, str]) -> dict[str, str]:
         filled = {}
         for voter, identity in voters.items():
+            peer = self._progress.get(voter)
             known = identity or self._replica.voters.get(voter, "")
-            filled[voter] = known or self._find_current_identity(voter)
+            filled[voter] = known or (peer.identity if peer else "")
         return filled if all(filled.values()) else {}
 
-    def _find_current_identity(self, voter: str) -> str:
-        """Return the disk that a daemon has reported since it was removed, if it has.
-
-        The one reported before may be the lost disk for which it was removed.
-        """
-        peer = self._progress.get(voter)
-        if peer is None or peer.acknowledged <= peer.removed_at:
-            return ""
-        return peer.identity
-
     def _can_change_voters(self, voters: dict[str, str]) -> bool:
         if self._replica.voters_index > self.known_commit:
             return False
--- a/src/gypsumwalk/progress.py
+++ b/src/gypsumwalk/progress.py
@@ -181,6 +181,17 @@
         self.round_index = 0
         self.round_started_at = self.caught_up_at = NOT_YET
 
+    def forget_identity(self, now: float) -> None:
+        """Forget the disk of a removed voter, which may be lost, until it answers anew.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds; answers to messages sent before may be of the lost disk.
+        """
+        self.register_identity("")
+        self.removed_at = now
+
     def update_round(self, commit: int, now: float) -> None:
         """Start the next round of catch-up, if the daemon has ended this one.
 
