Lose disks with the power before the first acknowledgement, too

Where the platform tells the first start, a disk may be lost before anything was acknowledged. Where it does not tell, the first voters still have to meet once with their disks, as the design says.

--- a/tests/_power_losses.py
+++ b/tests/_power_losses.py
@@ -142,8 +142,8 @@
 
     def list_choices(self):
         """Return the sets of disks that may be lost now beside the power."""
-        if not self.acknowledged:
-            return [()]  # All first voters have to be up once, with their disks.
+        if self.first_start is None and not self.acknowledged:
+            return [()]  # The first voters have to meet once, with their disks.
         count = max(0, self.tolerated - len(self.lost_disks))
         intact = [name for name in self.list_disks() if name not in self.lost_disks]
         return [
