Describe the options of kept connections in one place

Relays and the client of instances set the same options with different times, in two lists.

Measured: test_relay, test_http_client and 3 modules more pass unchanged; no behaviour has changed.

--- a/src/gypsumwalk/drivers/http_client.py
+++ b/src/gypsumwalk/drivers/http_client.py
@@ -19,6 +19,7 @@
     ResponseReader,
     encode_request,
 )
+from gypsumwalk.drivers.socket_options import Keepalive
 from gypsumwalk.errors import BadBoundary, GypsumwalkError
 
 __all__ = [
@@ -42,18 +43,9 @@
 MAX_IDLE_SECONDS = 300.0
 SWEEP_INTERVAL_SECONDS = 10.0
 
-UNACKNOWLEDGED_MILLISECONDS = 5000
-KEEPALIVE_IDLE_SECONDS = 15
-KEEPALIVE_INTERVAL_SECONDS = 5
-KEEPALIVE_PROBES = 3
-SOCKET_OPTIONS = (
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-)
+SOCKET_OPTIONS = Keepalive(
+    unacknowledged_milliseconds=5000, idle_seconds=15, interval_seconds=5, probes=3
+).list_options()
 
 
 class Lane(Enum):
--- a/src/gypsumwalk/drivers/relay.py
+++ b/src/gypsumwalk/drivers/relay.py
@@ -1,6 +1,5 @@
 """Relay that forwards callers' requests from an entry instance to the leader."""
 
-import socket
 import threading
 import time
 from collections.abc import Callable, Iterable, Mapping, Sequence
@@ -25,6 +24,7 @@
 )
 
 from gypsumwalk.drivers.metrics import Metrics
+from gypsumwalk.drivers.socket_options import Keepalive
 from gypsumwalk.effects import Record, Scalar
 from gypsumwalk.events import Event
 from gypsumwalk.fleet_call_handler import LEADER_HEADER
@@ -76,22 +76,11 @@
 """Threads that wait for answers; one for each caller, and as many for attempts at a
 former leader, which end when their time is over."""
 
-UNACKNOWLEDGED_MILLISECONDS = 1000
-"""Time after which a connection that acknowledges nothing is closed; a request on it is
-sent again, as its sender waits for about 3 s."""
-
-KEEPALIVE_IDLE_SECONDS = 2
-KEEPALIVE_INTERVAL_SECONDS = 1
-KEEPALIVE_PROBES = 2
-SOCKET_OPTIONS = (
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-)
-"""Options of kept connections, which may go silent without being closed."""
+SOCKET_OPTIONS = Keepalive(
+    unacknowledged_milliseconds=1000, idle_seconds=2, interval_seconds=1, probes=2
+).list_options()
+"""Kept connections may go silent without being closed. A request on a connection that
+is closed is sent again, as its sender waits for about 3 s."""
 
 POOL_SIZE = 64
 POOL_ADDRESSES = 32
