--- a/src/gypsumwalk/drivers/server.py
+++ b/src/gypsumwalk/drivers/server.py
@@ -190,9 +190,12 @@
             is_short = self._free < 0
         if is_short and len(self._threads) < self.max:  # type: ignore[attr-defined]
             # `grow` would sleep until the thread runs, and delay the next connection.
-            with contextlib.suppress(RuntimeError, MemoryError):
+            try:
                 worker = self._spawn_worker()  # type: ignore[attr-defined]
-                self._threads.append(worker)  # type: ignore[attr-defined]
+            except (RuntimeError, MemoryError) as error:
+                self.server.error_log(f"No further thread can be started: {error}")
+                return
+            self._threads.append(worker)  # type: ignore[attr-defined]
 
     def _take(self) -> Any:
         with self._lock:
