Divide the dispatcher into modules with one responsibility each

Change: `Dispatcher` keeps its interface, the leadership and the reaction to committed commands. No behaviour changes.

--- /dev/null
+++ b/src/gypsumwalk/instance_departures.py
@@ -0,0 +1,146 @@
+"""Lives of instances that have ended or departed, and what becomes of their runs."""
+
+from collections.abc import Callable, Iterable
+
+from gypsumwalk.departures import DEPARTURE_SECONDS, TAKEOVER_SECONDS, Departures
+from gypsumwalk.dispatch_context import DispatchContext
+from gypsumwalk.effects import Effect, Record, Scalar
+from gypsumwalk.events import Event
+from gypsumwalk.leases import InstanceView, RunView
+from gypsumwalk.orphaned_runs import OrphanedRuns
+from gypsumwalk.workload_records import RemoveInstance
+
+__all__ = ["InstanceDepartures"]
+
+ENDED_REASON = "its instance has ended"
+
+
+class InstanceDepartures:
+    """Keeps the instances of the lease table in step with the registered lives.
+
+    Parameters
+    ----------
+    context : DispatchContext
+        State that the modules of the dispatcher share.
+    orphans : OrphanedRuns
+        Runs that the next life of their instance may carry out.
+    stop : Callable
+        Stops a run at a time in seconds.
+    """
+
+    def __init__(
+        self,
+        context: DispatchContext,
+        orphans: OrphanedRuns,
+        stop: Callable[[RunView, float], list[Effect]],
+    ) -> None:
+        self._context = context
+        self._orphans = orphans
+        self._stop = stop
+        self._departures = Departures()
+        self._removal_proposals: dict[str, str] = {}
+
+    def clear(self) -> None:
+        """Forget all lives and runs, at the end of a term."""
+        self._departures.clear()
+        self._orphans.clear()
+        self._removal_proposals.clear()
+
+    def add_without_instance(self, runs: Iterable[RunView], now: float) -> None:
+        """Add runs of an earlier leader whose instance is no longer registered."""
+        self._departures.add(runs, now + TAKEOVER_SECONDS)
+
+    def note_stop(self, run: RunView, due: float) -> None:
+        """Note that a run goes on until a time in seconds, as its stop was answered."""
+        self._departures.note_stop(run, due)
+
+    def handle_removal(self, command: RemoveInstance, now: float) -> list[Effect]:
+        """Follow up on a committed removal of a life.
+
+        Parameters
+        ----------
+        command : RemoveInstance
+            The command.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        list of Effect
+            Records, stops and ends of its runs.
+        """
+        effects = self._describe_removal(command.life, command.reason)
+        if command.is_departing:
+            effects += self._stop_departing(command.life, now)
+        return effects + self.sync(now)
+
+    def _describe_removal(self, life: str, reason: str) -> list[Effect]:
+        view = self._context.lease_table.instances.get(life)
+        if view is None:
+            return []
+        attributes: dict[str, Scalar] = {"runs": len(view.runs), "reason": reason}
+        return [Record(Event.INSTANCE_REMOVED, life, attributes)]
+
+    def sync(self, now: float) -> list[Effect]:
+        """Add the registered lives to the lease table, and remove those that ended."""
+        ended: list[RunView] = []
+        known = self._context.workloads.instances
+        instances = self._context.lease_table.instances
+        for life, view in list(instances.items()):
+            if life in known:
+                view.registered = known[life]
+                continue
+            ended += view.runs.values()
+            del instances[life]
+        for life, registered in known.items():
+            if life not in instances:
+                instances[life] = self._context.orders.add_life(registered, now)
+        return self._end_with_instance(ended, now)
+
+    def _stop_departing(self, life: str, now: float) -> list[Effect]:
+        """Stop the runs of an instance that has deregistered before repeating them."""
+        view = self._context.lease_table.instances.get(life)
+        if view is None:
+            return []
+        runs = list(view.runs.values())
+        effects: list[Effect] = []
+        for run in runs:
+            effects += self._stop(run, now)
+            run.has_departed = True
+            view.remove_run(run)
+        self._departures.add(runs, now + DEPARTURE_SECONDS)
+        return effects
+
+    def _end_with_instance(self, runs: Iterable[RunView], now: float) -> list[Effect]:
+        """End runs of ended instances, unless the next life may carry them out."""
+        ended = self._orphans.separate(runs, now)
+        effects = self._context.end_as_lost(ended, ENDED_REASON)
+        return effects + self._check_orphans(now)
+
+    def check(self, now: float) -> list[Effect]:
+        """End the runs that can't go on any more, and stop those of a next life."""
+        ended = self._departures.take_ended(self._context.lease_table, now)
+        effects = self._end_with_instance(ended, now) if ended else []
+        return effects + self._check_orphans(now)
+
+    def _check_orphans(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        lease_table = self._context.lease_table
+        find_latest_life = self._context.workloads.find_latest_life
+        for run in self._orphans.adopt(lease_table, find_latest_life):
+            effects += self._stop(run, now)
+        ended = self._orphans.take_ended(lease_table, now)
+        return effects + self._context.end_as_lost(ended, ENDED_REASON)
+
+    def remove_replaced(self, view: InstanceView) -> list[Effect]:
+        """Propose the removal of a life in whose place another instance answers."""
+        view.is_renewal_pending = True
+        reason = "another instance answers in its place"
+        command = RemoveInstance(view.registered.life, reason=reason)
+        proposal = self._context.propose(command)
+        self._removal_proposals[proposal.token] = view.registered.life
+        return [proposal]
+
+    def take_removed(self, token: str) -> str:
+        """Remove and return the life whose removal was proposed, or an empty string."""
+        return self._removal_proposals.pop(token, "")
--- /dev/null
+++ b/src/gypsumwalk/outcomes.py
@@ -0,0 +1,143 @@
+"""Outcomes of calls and proposals of the dispatcher, passed on to its modules."""
+
+from gypsumwalk.dispatch_context import DispatchContext
+from gypsumwalk.effects import Effect
+from gypsumwalk.inputs import PlatformOutcome, ProposalOutcome, ProposalStatus
+from gypsumwalk.instance_actions import InstanceReport, OrderReport
+from gypsumwalk.instance_departures import InstanceDepartures
+from gypsumwalk.instance_orders import OpenOrder, OrderKind
+from gypsumwalk.leases import RunView
+from gypsumwalk.order_delivery import OrderDelivery, note_start_outcome
+from gypsumwalk.part import NEVER
+from gypsumwalk.pass_schedule import PassSchedule
+from gypsumwalk.placements import Placements
+from gypsumwalk.renewals import Renewals
+from gypsumwalk.run_ends import RunEnds
+from gypsumwalk.run_lists import confirm_listed_runs
+
+__all__ = ["OutcomeHandler"]
+
+PROPOSAL_RETRY_SECONDS = 0.1
+"""Delay before a proposal without a known commit is followed by another one."""
+
+
+class OutcomeHandler:
+    """Passes the outcomes of calls and proposals on to the module they concern.
+
+    Parameters
+    ----------
+    context : DispatchContext
+        State that the modules of the dispatcher share.
+    passes : PassSchedule
+        Times of the scheduling passes.
+    delivery : OrderDelivery
+        Starts and stops that the instances may not have accepted yet.
+    placements : Placements
+        Placements of runs.
+    renewals : Renewals
+        Renewals of leases.
+    ends : RunEnds
+        Ends of runs.
+    departures : InstanceDepartures
+        Lives that have ended or departed.
+    stop_grace : float
+        Maximum duration of a stop, in seconds.
+    """
+
+    def __init__(
+        self,
+        context: DispatchContext,
+        *,
+        passes: PassSchedule,
+        delivery: OrderDelivery,
+        placements: Placements,
+        renewals: Renewals,
+        ends: RunEnds,
+        departures: InstanceDepartures,
+        stop_grace: float,
+    ) -> None:
+        self.proposals_due = NEVER
+        """Time in seconds at which proposals without a known commit are followed up."""
+        self._context = context
+        self._passes = passes
+        self._delivery = delivery
+        self._placements = placements
+        self._renewals = renewals
+        self._ends = ends
+        self._departures = departures
+        self._stop_grace = stop_grace
+
+    def clear(self) -> None:
+        """Follow up on no proposal, at the end of a term."""
+        self.proposals_due = NEVER
+
+    def handle_platform_outcome(
+        self, item: PlatformOutcome, now: float
+    ) -> list[Effect]:
+        """Process the outcome of a call to an instance."""
+        order = self._context.orders.close(item.token)
+        if order is None:
+            return []
+        view = self._context.lease_table.instances.get(order.life)
+        if order.run is not None:
+            self._note_outcome(order, order.run, item, now)
+        if view is None:
+            return []
+        report = item.report
+        if isinstance(report, InstanceReport | OrderReport):
+            is_same_life = report.born in (0, view.registered.born)
+            if report.refused == "identity" or not is_same_life:
+                return self._departures.remove_replaced(view)
+            if report.refused == "fence":
+                return self._renewals.handle_fenced(view, order, now)
+            if report.clock:
+                view.update_clock(report.clock, now)
+        if order.kind is OrderKind.RENEW:
+            return self._renewals.handle_answer(view, order, report, now)
+        if isinstance(report, InstanceReport):
+            confirm_listed_runs(view, report, now)
+            return []
+        return self._delivery.handle_answer(view, order, report, now)
+
+    def _note_outcome(
+        self, order: OpenOrder, run: RunView, item: PlatformOutcome, now: float
+    ) -> None:
+        run.is_order_pending = False
+        note_start_outcome(order, run, item)
+        if order.kind is OrderKind.STOP and isinstance(item.report, OrderReport):
+            self._departures.note_stop(run, now + self._stop_grace)
+
+    def handle_proposal_outcome(
+        self, item: ProposalOutcome, now: float
+    ) -> list[Effect]:
+        """Process the outcome of a proposal."""
+        token, status = item.token, item.status
+        if self._placements.handle_confirmation_outcome(token, status, now):
+            return []
+        self._context.request_pass(now)
+        if self._placements.handle_outcome(token, status):
+            if status is ProposalStatus.UNKNOWN:
+                self.request_proposals(now)
+            elif status is ProposalStatus.NOT_COMMITTED:
+                self._passes.postpone(now + PROPOSAL_RETRY_SECONDS)
+        elif self._placements.handle_barrier_outcome(
+            token, status
+        ) or self._ends.handle_lost_outcome(token, status):
+            self.request_proposals(now)
+        elif life := self._departures.take_removed(token):
+            self._renewals.retry_after_removal(life, status, now)
+        elif listed := self._ends.take_listed(token):
+            return self._renewals.acknowledge_ends(listed, status, now)
+        return []
+
+    def request_proposals(self, now: float) -> None:
+        """Follow up on proposals without a known commit after a short delay."""
+        self.proposals_due = min(self.proposals_due, now + PROPOSAL_RETRY_SECONDS)
+
+    def propose_again(self, now: float) -> list[Effect]:
+        """Follow up on proposals whose command is not known to be committed."""
+        self.proposals_due = NEVER
+        if not self._context.is_leading(now):
+            self.request_proposals(now)
+            return []
+        return self._ends.propose_again() + self._placements.propose_barrier()
--- /dev/null
+++ b/src/gypsumwalk/run_ends.py
@@ -0,0 +1,213 @@
+"""Ends of runs: those that instances list, and those of lost runs."""
+
+from collections.abc import Iterable, Sequence
+
+from gypsumwalk.dispatch_context import DispatchContext
+from gypsumwalk.effects import Effect, Record, Scalar
+from gypsumwalk.events import Event
+from gypsumwalk.inputs import ProposalStatus
+from gypsumwalk.instance_actions import InstanceReport
+from gypsumwalk.leases import InstanceView, RunState, RunView
+from gypsumwalk.part import NEVER
+from gypsumwalk.run_lists import reconcile_runs
+from gypsumwalk.workload_records import EndRuns, RunEnd, RunEndKind
+
+__all__ = ["RunEnds"]
+
+ENDS_BATCH_SECONDS = 0.005
+"""Time for which the ends listed by all instances are put into one command."""
+
+
+class RunEnds:
+    """Proposes the ends of runs, and removes them once they are committed.
+
+    Parameters
+    ----------
+    context : DispatchContext
+        State that the modules of the dispatcher share.
+    stop_grace : float
+        Maximum duration of a stop, in seconds.
+    """
+
+    def __init__(self, context: DispatchContext, *, stop_grace: float) -> None:
+        self.due = NEVER
+        """Time in seconds at which ``propose_listed`` is due."""
+        self._context = context
+        self._stop_grace = stop_grace
+        self._listed: list[RunEnd] = []
+        self._listed_numbers: dict[str, int] = {}
+        """Latest end in ``_listed`` that each instance listed, by its life."""
+        self._listed_proposals: dict[str, dict[str, int]] = {}
+        self._lost_proposals: dict[str, tuple[list[RunView], list[RunEnd]]] = {}
+        self._unproposed: list[tuple[list[RunView], list[RunEnd]]] = []
+        """Ends of lost runs that have to be proposed again."""
+
+    def clear(self) -> None:
+        """Forget all ends, at the end of a term."""
+        self.due = NEVER
+        self._listed, self._listed_numbers = [], {}
+        self._listed_proposals.clear()
+        self._lost_proposals.clear()
+        self._unproposed.clear()
+
+    def reconcile(
+        self, view: InstanceView, report: InstanceReport, sent_at: float, now: float
+    ) -> list[Effect]:
+        """Compare a run list with the lease table, and collect the ends it shows.
+
+        Parameters
+        ----------
+        view : InstanceView
+            The instance.
+        report : InstanceReport
+            Its run list.
+        sent_at : float
+            Time in seconds at which the list was requested.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        list of Effect
+            Stops of the runs that have no placement.
+        """
+        reconciled = reconcile_runs(
+            view, report, sent_at=sent_at, now=now, stop_grace=self._stop_grace
+        )
+        effects: list[Effect] = []
+        if self._context.is_leading(now):
+            for task, run in reconciled.unknown_runs:
+                effects += self._context.orders.stop_unknown(view, task, run)
+        if not reconciled.ends and not reconciled.last_end:
+            return effects
+        for end in reconciled.ends:
+            run_view = self._context.lease_table.find(end.task, end.run)
+            if run_view is not None:
+                run_view.measure(report.clock)
+        view.has_pending_ends = True
+        self._listed += reconciled.ends
+        self._listed_numbers[view.registered.life] = reconciled.last_end
+        self.due = min(self.due, now + ENDS_BATCH_SECONDS)
+        return effects
+
+    def propose_listed(self) -> list[Effect]:
+        """Propose the ends that instances listed, which are acknowledged afterwards."""
+        self.due = NEVER
+        proposal = self._context.propose(EndRuns(self._listed))
+        self._listed_proposals[proposal.token] = self._listed_numbers
+        self._listed, self._listed_numbers = [], {}
+        return [proposal]
+
+    def take_listed(self, token: str) -> dict[str, int] | None:
+        """Remove and return the latest ends of a proposal, by the life that listed it.
+
+        None if the token is that of another proposal.
+        """
+        return self._listed_proposals.pop(token, None)
+
+    def end_as_lost(self, lost: Iterable[RunView], reason: str) -> list[Effect]:
+        """Propose runs as lost whose end their instance will not report.
+
+        Parameters
+        ----------
+        lost : Iterable of RunView
+            The runs.
+        reason : str
+            Why they are lost, for the log.
+
+        Returns
+        -------
+        list of Effect
+            The proposal and its record, none if every end is proposed already.
+        """
+        runs = [run for run in lost if run.state is not RunState.ENDING]
+        if not runs:
+            return []
+        ends = [
+            RunEnd(run.task, run.run, RunEndKind.LOST, run.checkpoint) for run in runs
+        ]
+        attributes: dict[str, Scalar] = {"runs": len(ends), "reason": reason}
+        record = Record(Event.RUNS_LOST, runs[0].life, attributes)
+        return [record, *self._propose_lost(runs, ends)]
+
+    def _propose_lost(
+        self, runs: Sequence[RunView], ends: list[RunEnd]
+    ) -> list[Effect]:
+        # Prevents further starts, which would execute a run recorded as ended.
+        for run in runs:
+            run.state = RunState.ENDING
+        proposal = self._context.propose(EndRuns(ends))
+        self._lost_proposals[proposal.token] = (list(runs), ends)
+        return [proposal]
+
+    def handle_lost_outcome(self, token: str, status: ProposalStatus) -> bool:
+        """Keep the ends of a proposal that is not known to be committed.
+
+        Parameters
+        ----------
+        token : str
+            Token of a proposal.
+        status : ProposalStatus
+            Its outcome.
+
+        Returns
+        -------
+        bool
+            Whether ``propose_again`` has to follow.
+        """
+        lost = self._lost_proposals.pop(token, None)
+        if lost is None or status is ProposalStatus.COMMITTED:
+            return False
+        self._unproposed.append(lost)
+        return True
+
+    def propose_again(self) -> list[Effect]:
+        """Propose the ends of lost runs whose proposal had no known commit."""
+        effects: list[Effect] = []
+        unproposed, self._unproposed = self._unproposed, []
+        find = self._context.lease_table.find
+        for runs, ends in unproposed:
+            if any(find(run.task, run.run) is run for run in runs):
+                effects += self._propose_lost(runs, ends)
+        return effects
+
+    def remove(
+        self, ends: Iterable[RunEnd], now: float
+    ) -> tuple[list[RunEnd], list[Effect]]:
+        """Remove the runs with a committed end from the lease table.
+
+        Parameters
+        ----------
+        ends : Iterable of RunEnd
+            Committed ends.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        list of RunEnd
+            Ends of the runs that were in the table.
+        list of Effect
+            Their records.
+        """
+        effects: list[Effect] = []
+        removed: list[RunEnd] = []
+        for end in ends:
+            run = self._context.lease_table.find(end.task, end.run)
+            if run is None:
+                continue
+            self._context.lease_table.remove(run)
+            removed.append(end)
+            self._record_overhead(run, end, now)
+            attributes: dict[str, Scalar] = {
+                "run": end.run,
+                "kind": end.kind.value,
+                "life": run.life,
+            }
+            effects.append(Record(Event.RUN_ENDED, str(end.task), attributes))
+        return removed, effects
+
+    def _record_overhead(self, run: RunView, end: RunEnd, now: float) -> None:
+        overhead = run.find_overhead(now)
+        if overhead is not None and end.kind is RunEndKind.DONE:
+            self._context.scheduler.record_overhead(overhead)
