--- a/src/gypsumwalk/ready_tasks.py
+++ b/src/gypsumwalk/ready_tasks.py
@@ -4,19 +4,11 @@
 from dataclasses import dataclass, field
 
 from gypsumwalk.declaration_records import Resources
-from gypsumwalk.part import NEVER
 from gypsumwalk.task_placement import find_need
 from gypsumwalk.urgency import CriticalPath, find_critical_path
 from gypsumwalk.workload_records import TaskKey, Workload
 
-__all__ = [
-    "JobGroup",
-    "ReadyJob",
-    "ReadyJobs",
-    "find_least",
-    "find_next_occurrence",
-    "make_ready_job",
-]
+__all__ = ["JobGroup", "ReadyJob", "ReadyJobs", "find_least", "make_ready_job"]
 
 
 @dataclass(slots=True)
@@ -168,28 +160,6 @@
     )
 
 
-def find_next_occurrence(workload: Workload, now: float) -> float:
-    """Return the time at which the next occurrence of a job is due.
-
-    Parameters
-    ----------
-    workload : Workload
-        The job.
-    now : float
-        Time in seconds since the epoch.
-
-    Returns
-    -------
-    float
-        Time in seconds, ``NEVER`` if no occurrence follows.
-    """
-    for occurrence in range(workload.occurrences):
-        due = workload.first_run + occurrence * workload.interval
-        if due > now:
-            return due
-    return NEVER
-
-
 def _find_key(workload: Workload) -> tuple[str, str]:
     # The service counts for jobs whose queue is not declared any more.
     return workload.queue, workload.service
--- a/src/gypsumwalk/task_placement.py
+++ b/src/gypsumwalk/task_placement.py
@@ -8,9 +8,16 @@
 
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.leases import InstanceView, LeaseTable
+from gypsumwalk.part import NEVER
 from gypsumwalk.workload_records import Step, TaskKey, Workload
 
-__all__ = ["Candidate", "CandidatePool", "find_need", "list_ready"]
+__all__ = [
+    "Candidate",
+    "CandidatePool",
+    "find_need",
+    "find_next_occurrence",
+    "list_ready",
+]
 
 _Entry = tuple[int, int, int]
 """Latency-sensitive runs if they count, free processors, and position in the pool."""
@@ -62,6 +69,28 @@
         yield from _list_occurrence(workload, occurrence, lease_table)
 
 
+def find_next_occurrence(workload: Workload, now: float) -> float:
+    """Return the time at which the next occurrence of a job is due.
+
+    Parameters
+    ----------
+    workload : Workload
+        The job.
+    now : float
+        Time in seconds since the epoch.
+
+    Returns
+    -------
+    float
+        Time in seconds, ``NEVER`` if no occurrence follows.
+    """
+    for occurrence in range(workload.occurrences):
+        due = workload.first_run + occurrence * workload.interval
+        if due > now:
+            return due
+    return NEVER
+
+
 def _list_occurrence(
     workload: Workload, occurrence: int, lease_table: LeaseTable
 ) -> Iterator[TaskKey]:
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -11,14 +11,9 @@
 from gypsumwalk.placement_limits import SpreadLimit, TeamQuotas, is_within_quota
 from gypsumwalk.pool_demands import DemandCounter
 from gypsumwalk.pooling import PoolDemand
-from gypsumwalk.ready_tasks import (
-    ReadyJob,
-    ReadyJobs,
-    find_next_occurrence,
-    make_ready_job,
-)
+from gypsumwalk.ready_tasks import ReadyJob, ReadyJobs, make_ready_job
 from gypsumwalk.run_planning import PlannedRun, RunPlanner, make_run
-from gypsumwalk.task_placement import CandidatePool, list_ready
+from gypsumwalk.task_placement import CandidatePool, find_next_occurrence, list_ready
 from gypsumwalk.urgency import UrgencyEstimator
 from gypsumwalk.workload_records import Placement, Step, TaskKey, Workload
 from gypsumwalk.workloads import WorkloadSection
