Keep the candidates of a scheduling pass from one pass to the next

Cause: each pass listed all instances, up to hundreds of times a second, and sorted those with room.

Change: `InstanceTable` names the instances whose registration, answers, backoff or runs changed. `CandidateLister` keeps a `CandidatePool` for each service and follows these changes, the end of each backoff, and machines that are closed or opened. A pool remembers the needs that found no room until an instance gets more room. A pass without waiting tasks looks at no instance. The choices equal those of a scan of all instances, which a test compares while instances change.

--- a/src/gypsumwalk/candidates.py
+++ b/src/gypsumwalk/candidates.py
@@ -2,10 +2,9 @@
 
 from collections.abc import Callable, Set
 
-from gypsumwalk.declaration_records import Resources
-from gypsumwalk.leases import InstanceView, LeaseTable
+from gypsumwalk.leases import InstanceTable, InstanceView, LeaseTable
 from gypsumwalk.placement_limits import SpreadLimit
-from gypsumwalk.ready_tasks import ReadyJobs, find_least
+from gypsumwalk.ready_tasks import ReadyJobs
 from gypsumwalk.task_placement import Candidate, CandidatePool
 from gypsumwalk.workload_records import Step, TaskKey, Workload
 
@@ -13,7 +12,11 @@
 
 
 class CandidateLister:
-    """Lists the instances that may take waiting tasks.
+    """Keeps the instances that may take tasks, by service.
+
+    A pass costs what has changed since the one before: the instances whose runs,
+    registration or answers changed, those that refused a start lately, and those on
+    machines that were closed or opened.
 
     Parameters
     ----------
@@ -28,6 +31,17 @@
     ) -> None:
         self._waiting = waiting
         self._find_service = find_service
+        self._instances = InstanceTable()
+        self._changed: set[str] = set()
+        self._pools: dict[str, CandidatePool] = {}
+        self._services: dict[str, str] = {}
+        """Service of each life in a pool."""
+        self._held: set[str] = set()
+        """Lives that get no starts for a time."""
+        self._closed: frozenset[str] = frozenset()
+        self._lives_by_machine: dict[str, set[str]] = {}
+        self._machines: dict[str, str] = {}
+        """Machine of each known life."""
 
     def list_pools(
         self, lease_table: LeaseTable, closed: Set[str], now: float
@@ -46,37 +60,23 @@
         Returns
         -------
         dict of str to CandidatePool
-            Candidates by service.
+            Candidates of the services with waiting tasks.
         """
-        least_needs = self._find_least_needs()
-        # Full instances count as well where transient runs may have to make room.
-        reserving = {
+        services = {
             self._find_service(next(iter(group.jobs.values())).workload)
             for group in self._waiting.list_groups()
-            if group.is_lasting
         }
-        listed: dict[str, list[Candidate]] = {}
-        if not least_needs:
+        if not services:
             return {}
-        for view in lease_table.instances.values():
-            registered = view.registered
-            least = least_needs.get(registered.service)
-            if least is None or not _can_schedule_on(view, closed, now):
-                continue
-            free = registered.capacity - view.used
-            if least.fits(free) or registered.service in reserving:
-                candidate = Candidate(view, free, view.latency_sensitive_runs)
-                listed.setdefault(registered.service, []).append(candidate)
-        return {service: CandidatePool(items) for service, items in listed.items()}
-
-    def _find_least_needs(self) -> dict[str, Resources]:
-        """Return lower bounds of what a waiting task reserves, by service."""
-        needs: dict[str, Resources] = {}
-        for group in self._waiting.list_groups():
-            any_job = next(iter(group.jobs.values()))
-            service = self._find_service(any_job.workload)
-            needs[service] = find_least([needs.get(service, group.least), group.least])
-        return needs
+        self._follow_changes(lease_table, closed, now)
+        listed = {
+            service: pool
+            for service in services
+            if (pool := self._pools.get(service)) is not None and len(pool)
+        }
+        for pool in listed.values():
+            pool.begin()
+        return listed
 
     def has_room_for(
         self,
@@ -85,6 +85,7 @@
         service: str,
         lease_table: LeaseTable,
         closed: Set[str],
+        avoided: Set[str],
         now: float,
     ) -> bool:
         """Tell whether an instance of a service has room for one more task.
@@ -100,7 +101,9 @@
         lease_table : LeaseTable
             Instances and the runs that may be going on there.
         closed : set of str
-            Machines that can't take the task.
+            Machines that get no new work.
+        avoided : set of str
+            Further machines that can't take the task.
         now : float
             Time in seconds.
 
@@ -109,18 +112,80 @@
         bool
             Whether the task can start there now.
         """
+        self._follow_changes(lease_table, closed, now)
+        pool = self._pools.get(service)
+        if pool is None:
+            return False
         limit = SpreadLimit(step, task, lease_table)
-        for view in lease_table.instances.values():
-            registered = view.registered
-            if registered.service != service:
+        for view in pool.list_views():
+            if view.registered.machine in avoided:
                 continue
-            if not _can_schedule_on(view, closed, now):
-                continue
-            candidate = Candidate(view, registered.capacity - view.used)
+            # Room that a pass withholds from transient tasks counts here.
+            candidate = Candidate(view, view.registered.capacity - view.used)
             if candidate.can_take(step) and limit.allows(candidate):
                 return True
         return False
 
+    def _follow_changes(
+        self, lease_table: LeaseTable, closed: Set[str], now: float
+    ) -> None:
+        if lease_table.instances is not self._instances:
+            self._watch(lease_table.instances)
+        opened_or_closed = self._closed ^ closed
+        self._closed = frozenset(closed)
+        for machine in opened_or_closed:
+            self._changed |= self._lives_by_machine.get(machine, set())
+        changed = self._changed | self._held
+        self._changed.clear()
+        for life in changed:
+            self._follow(life, now)
+
+    def _watch(self, instances: InstanceTable) -> None:
+        self._instances = instances
+        self._changed = instances.watch()
+        self._pools.clear()
+        self._services.clear()
+        self._held.clear()
+        self._lives_by_machine.clear()
+        self._machines.clear()
+
+    def _follow(self, life: str, now: float) -> None:
+        view = self._instances.get(life)
+        self._note_machine(life, view)
+        self._held.discard(life)
+        if view is not None and now < view.start_backoff_until:
+            self._held.add(life)
+        if view is None or not _can_schedule_on(view, self._closed, now):
+            self._drop(life)
+            return
+        registered = view.registered
+        pool = self._pools.get(registered.service)
+        if pool is not None and pool.update(view):
+            return
+        self._drop(life)
+        if pool is None:
+            pool = self._pools[registered.service] = CandidatePool()
+        free = registered.capacity - view.used
+        candidate = Candidate(view, free, view.latency_sensitive_runs)
+        pool.put(self._instances.get_number(life), candidate)
+        self._services[life] = registered.service
+
+    def _drop(self, life: str) -> None:
+        service = self._services.pop(life, None)
+        if service is not None:
+            self._pools[service].discard(life)
+
+    def _note_machine(self, life: str, view: InstanceView | None) -> None:
+        machine = view.registered.machine if view is not None else ""
+        known = self._machines.pop(life, "")
+        if known and known != machine:
+            self._lives_by_machine[known].discard(life)
+            if not self._lives_by_machine[known]:
+                del self._lives_by_machine[known]
+        if machine:
+            self._machines[life] = machine
+            self._lives_by_machine.setdefault(machine, set()).add(life)
+
 
 def _can_schedule_on(view: InstanceView, closed: Set[str], now: float) -> bool:
     machine = view.registered.machine
--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -9,6 +9,7 @@
 __all__ = [
     "CLOCK_RATE_ERROR",
     "UNKNOWN_PERCENT",
+    "InstanceTable",
     "InstanceView",
     "LeaseTable",
     "RunState",
@@ -23,6 +24,11 @@
 UNKNOWN_PERCENT = -1
 """Share of full speed of a run whose latest order is not known."""
 
+WATCHED_ATTRIBUTES = frozenset(
+    {"registered", "answered_at", "silent_since", "start_backoff_until"}
+)
+"""Attributes of an instance that decide, besides its runs, what may start there."""
+
 
 class RunState(StrEnum):
     """State of a run as the leader knows it."""
@@ -228,6 +234,36 @@
     _used: Resources = field(default=Resources(), init=False)
     _lasting_used: Resources = field(default=Resources(), init=False)
     _latency_sensitive_runs: int = field(default=0, init=False)
+    _name: str = field(default="", init=False, repr=False)
+    _watchers: list[set[str]] = field(default_factory=list, init=False, repr=False)
+
+    def __setattr__(self, name: str, value: object) -> None:
+        known = getattr(self, name, None) if name in WATCHED_ATTRIBUTES else value
+        object.__setattr__(self, name, value)
+        if known is value:
+            return
+        # The time of an answer changes often; only whether there is one is watched.
+        is_time_of_answer = name in ("answered_at", "silent_since")
+        if not is_time_of_answer or bool(known) is not bool(value):
+            self._note_change()
+
+    def watch_by(self, watchers: list[set[str]], name: str) -> None:
+        """Add a name to some sets now and with each watched change.
+
+        Parameters
+        ----------
+        watchers : list of set of str
+            The sets; those that the list receives later are included.
+        name : str
+            Name of the view.
+        """
+        self._name, self._watchers = name, watchers
+        self._note_change()
+
+    def _note_change(self) -> None:
+        # The list is not set yet while the first fields are initialised.
+        for changed in getattr(self, "_watchers", ()):
+            changed.add(self._name)
 
     @property
     def used(self) -> Resources:
@@ -252,6 +288,7 @@
         if run.is_lasting:
             self._lasting_used += run.need
         self._latency_sensitive_runs += run.has_latency_target
+        self._note_change()
 
     def remove_run(self, run: RunView) -> None:
         """Remove a run if it is on the instance."""
@@ -261,6 +298,7 @@
             if known.is_lasting:
                 self._lasting_used -= known.need
             self._latency_sensitive_runs -= known.has_latency_target
+            self._note_change()
 
     @property
     def is_responsive(self) -> bool:
@@ -286,11 +324,68 @@
         return max(expiry, self.min_lease_expiry)
 
 
+class InstanceTable(dict[str, InstanceView]):
+    """Instances by life, with the changes that matter for placements and renewals."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._watchers: list[set[str]] = []
+        self._numbers: dict[str, int] = {}
+        self._count = 0
+
+    def watch(self) -> set[str]:
+        """Return a set that receives the life of each instance as it changes.
+
+        The set contains all instances at first. It also receives lives that are added
+        and removed. Its owner takes them out.
+
+        Returns
+        -------
+        set of str
+            Lives of the changed instances.
+        """
+        changed = set(self)
+        self._watchers.append(changed)
+        return changed
+
+    def get_number(self, life: str) -> int:
+        """Return a number that grows in the order of the iteration."""
+        return self._numbers[life]
+
+    def __setitem__(self, life: str, view: InstanceView) -> None:
+        if life not in self:
+            self._count += 1
+            self._numbers[life] = self._count
+        super().__setitem__(life, view)
+        view.watch_by(self._watchers, life)
+
+    def __delitem__(self, life: str) -> None:
+        super().__delitem__(life)
+        del self._numbers[life]
+        for changed in self._watchers:
+            changed.add(life)
+
+    def setdefault(self, life: str, view: InstanceView) -> InstanceView:
+        """Return the view of a life, which is added if the life is unknown."""
+        if life not in self:
+            self[life] = view
+        return self[life]
+
+    def pop(  # type: ignore[override]
+        self, life: str, default: InstanceView | None = None
+    ) -> InstanceView | None:
+        """Remove and return the view of a life, or return a default value."""
+        view = self.get(life, default)
+        if life in self:
+            del self[life]
+        return view
+
+
 class LeaseTable:
     """Instances and the runs that may be going on there, as the leader knows them."""
 
     def __init__(self) -> None:
-        self.instances: dict[str, InstanceView] = {}
+        self.instances = InstanceTable()
         self.runs_by_task: dict[TaskKey, dict[int, RunView]] = {}
         self.usage_by_team: dict[str, Resources] = {}
         self.lasting_usage_by_team: dict[str, Resources] = {}
--- a/src/gypsumwalk/task_placement.py
+++ b/src/gypsumwalk/task_placement.py
@@ -9,7 +9,7 @@
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.leases import InstanceView, LeaseTable
 from gypsumwalk.part import NEVER
-from gypsumwalk.workload_records import Step, TaskKey, Workload
+from gypsumwalk.workload_records import RegisteredInstance, Step, TaskKey, Workload
 
 __all__ = [
     "Candidate",
@@ -25,6 +25,14 @@
 _Share = tuple[float, int]
 """Negative of the share of a need that is free, and position in the pool."""
 
+MAX_REFUSED_NEEDS = 1000
+"""Needs that a pool remembers as refused; a pass examines them with each instance that
+gets more free."""
+
+MAX_SORTED_LISTS = 200
+"""Labels for which a pool keeps its candidates sorted; the lists are made again if a
+pass asks for them."""
+
 
 def find_need(step: Step) -> Resources:
     """Return the resources that a task reserves; a filler reserves no processors.
@@ -143,31 +151,121 @@
 
 
 class CandidatePool:
-    """Candidates of one pool, sorted so that a choice examines few of them.
+    """Candidates of one service, sorted so that a choice examines few of them.
+
+    A pool is kept from pass to pass: ``put`` and ``discard`` follow the instances that
+    changed, and ``begin`` starts a pass.
 
     Parameters
     ----------
     candidates : Sequence of Candidate
-        Instances of the pool; of equal candidates the first one is chosen. Their free
-        resources change only by ``take`` and ``give_back``.
+        Instances of the pool; of equal candidates the first one is chosen. During a
+        pass their free resources change only by ``take``, ``give_back`` and
+        ``reserve``.
     """
 
-    def __init__(self, candidates: Sequence[Candidate]) -> None:
-        self._candidates = candidates
-        self._positions = {
-            item.view.registered.life: number for number, item in enumerate(candidates)
-        }
-        # Upper bounds: during a pass the free resources do not grow beyond these.
-        self._free_memory = max((item.free.memory for item in candidates), default=0)
-        self._free_accelerators = max(
-            (item.free.accelerators for item in candidates), default=0
-        )
-        self._sorted: dict[tuple[str, bool], list[_Entry]] = {}
+    def __init__(self, candidates: Sequence[Candidate] = ()) -> None:
+        self._candidates: dict[int, Candidate] = {}
+        self._positions: dict[str, int] = {}
+        self._registered: dict[int, RegisteredInstance] = {}
+        """Registration of each candidate as it was added, by its position."""
+        self._sorted: dict[tuple[str, bool], list[_Entry]] = {("", False): []}
         self._refused: set[tuple[Resources, str]] = set()
         self._by_share: dict[tuple[Resources, str], list[_Share]] = {}
+        self._withheld: set[str] = set()
+        for position, candidate in enumerate(candidates):
+            self.put(position, candidate)
+
+    def __len__(self) -> int:
+        return len(self._candidates)
+
+    def begin(self) -> None:
+        """Begin a pass, in which no room is withheld yet."""
+        self._by_share.clear()
+        for life in self._withheld:
+            position = self._positions.get(life)
+            if position is not None:
+                self._refresh(self._candidates[position])
+        self._withheld.clear()
+        if len(self._refused) > MAX_REFUSED_NEEDS:
+            self._refused.clear()
+        if len(self._sorted) > MAX_SORTED_LISTS:
+            kept = self._sorted["", False]
+            self._sorted = {("", False): kept}
+
+    def put(self, position: int, candidate: Candidate) -> None:
+        """Add a candidate at a position; it replaces one of the same life."""
+        life = candidate.view.registered.life
+        self.discard(life)
+        self._positions[life] = position
+        self._candidates[position] = candidate
+        self._registered[position] = candidate.view.registered
+        for key, entries in self._list_sorted(position):
+            insort(entries, _make_entry(candidate, position, filler=key[1]))
+        self._admit(candidate)
+
+    def update(self, view: InstanceView) -> bool:
+        """Follow the runs of an instance; return whether it is in the pool as it is.
+
+        An instance with another registration has to be added again.
+        """
+        life = view.registered.life
+        position = self._positions.get(life)
+        if position is None:
+            return False
+        candidate = self._candidates[position]
+        is_as_added = self._registered[position] is view.registered
+        if candidate.view is not view or not is_as_added:
+            return False
+        self._refresh(candidate)
+        return True
+
+    def discard(self, life: str) -> None:
+        """Remove the candidate of a life if it is in the pool."""
+        position = self._positions.pop(life, None)
+        if position is None:
+            return
+        candidate = self._candidates.pop(position)
+        for key, entries in self._list_sorted(position):
+            entry = _make_entry(candidate, position, filler=key[1])
+            del entries[bisect_left(entries, entry)]
+        del self._registered[position]
+
+    def list_views(self) -> list[InstanceView]:
+        """Return the instances of the candidates."""
+        return [candidate.view for candidate in self._candidates.values()]
+
+    def _refresh(self, candidate: Candidate) -> None:
+        """Set what is free to what the runs of the instance leave."""
+        view = candidate.view
+        candidate.withheld = Resources()
+        free = view.registered.capacity - view.used
+        runs = view.latency_sensitive_runs
+        if free != candidate.free or runs != candidate.latency_sensitive_runs:
+            self._change(candidate, free, runs)
+            self._admit(candidate)
+
+    def _admit(self, candidate: Candidate) -> None:
+        """Forget the refusals of needs that a candidate now has room for."""
+        self._refused = {
+            (need, label)
+            for need, label in self._refused
+            if not (need.fits(candidate.free) and _has_label(candidate, label))
+        }
+
+    def _list_sorted(
+        self, position: int
+    ) -> list[tuple[tuple[str, bool], list[_Entry]]]:
+        """Return the sorted lists that contain a candidate, by label and kind."""
+        keys = [
+            (label, filler)
+            for label in {"", *self._registered[position].labels}
+            for filler in (False, True)
+        ]
+        return [(key, self._sorted[key]) for key in keys if key in self._sorted]
 
     def has_room(self, need: Resources) -> bool:
-        """Tell whether some candidate may have the resources.
+        """Tell whether some candidate has the resources.
 
         Parameters
         ----------
@@ -177,26 +275,27 @@
         Returns
         -------
         bool
-            False only if no candidate has them.
+            Whether one has them; a refusal is kept until a candidate has more free.
         """
-        by_cpu = self._sort("", filler=False)
-        return (
-            bool(by_cpu)
-            and need.cpu <= by_cpu[-1][1]
-            and need.memory <= self._free_memory
-            and need.accelerators <= self._free_accelerators
-            and (need, "") not in self._refused
-        )
+        by_cpu = self._sorted["", False]
+        if not by_cpu or need.cpu > by_cpu[-1][1] or (need, "") in self._refused:
+            return False
+        for number in range(bisect_left(by_cpu, (0, need.cpu, -1)), len(by_cpu)):
+            if need.fits(self._candidates[by_cpu[number][2]].free):
+                return True
+        self._refused.add((need, ""))
+        return False
 
     def list_fitting(self, step: Step) -> list[Candidate]:
         """Return the candidates that can take a task of a step, in the given order."""
         if not self.has_room(find_need(step)):
             return []
-        return [item for item in self._candidates if item.can_take(step)]
+        listed = [self._candidates[number] for number in sorted(self._candidates)]
+        return [item for item in listed if item.can_take(step)]
 
     def list_racks(self) -> list[str]:
         """Return the racks of the candidates in the order of their names."""
-        return sorted({item.view.registered.rack for item in self._candidates})
+        return sorted({item.view.registered.rack for item in self._candidates.values()})
 
     def choose(
         self,
@@ -252,7 +351,7 @@
         """Undo ``take`` on the candidate of a life, in the same pass."""
         candidate = self._candidates[self._positions[life]]
         self._change(candidate, candidate.free + need)
-        self._refused.clear()
+        self._admit(candidate)
 
     def reserve(
         self, step: Step, count: int, count_allowed: Callable[[Candidate], int]
@@ -301,6 +400,7 @@
     def _withhold(self, position: int, need: Resources) -> None:
         candidate = self._candidates[position]
         candidate.withheld += need
+        self._withheld.add(candidate.view.registered.life)
         self._change(candidate, _subtract_free(candidate.free, need))
 
     def _pop(self, queue: list[_Share], need: Resources) -> int | None:
@@ -325,7 +425,7 @@
         need = find_need(step)
         return sum(
             max(0, min(count_allowed(item), _count_fitting(need, item.room)))
-            for item in self._candidates
+            for item in self._candidates.values()
             if _has_label(item, step.label)
         )
 
@@ -335,7 +435,7 @@
         if queue is None:
             queue = [
                 (-_find_share(need, item.free), position)
-                for position, item in enumerate(self._candidates)
+                for position, item in self._candidates.items()
                 if _has_label(item, label) and need.fits(item.room)
             ]
             heapify(queue)
@@ -357,25 +457,25 @@
         if entries is None:
             entries = sorted(
                 _make_entry(item, number, filler=filler)
-                for number, item in enumerate(self._candidates)
+                for number, item in self._candidates.items()
                 if _has_label(item, label)
             )
             self._sorted[label, filler] = entries
         return entries
 
-    def _change(self, candidate: Candidate, free: Resources) -> None:
+    def _change(
+        self, candidate: Candidate, free: Resources, runs: int | None = None
+    ) -> None:
         position = self._positions[candidate.view.registered.life]
-        lists = [
-            (entries, filler)
-            for (label, filler), entries in self._sorted.items()
-            if _has_label(candidate, label)
-        ]
-        for entries, filler in lists:
-            entry = _make_entry(candidate, position, filler=filler)
+        lists = self._list_sorted(position)
+        for key, entries in lists:
+            entry = _make_entry(candidate, position, filler=key[1])
             del entries[bisect_left(entries, entry)]
         candidate.free = free
-        for entries, filler in lists:
-            insort(entries, _make_entry(candidate, position, filler=filler))
+        if runs is not None:
+            candidate.latency_sensitive_runs = runs
+        for key, entries in lists:
+            insort(entries, _make_entry(candidate, position, filler=key[1]))
 
 
 def _make_entry(candidate: Candidate, position: int, *, filler: bool) -> _Entry:
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -290,7 +290,8 @@
             workload.steps[run.task.step],
             self.find_service(workload),
             lease_table,
-            self.cordoned | self.changing_pool | self.due_for_maintenance,
+            self.cordoned | self.changing_pool,
+            self.due_for_maintenance,
             now,
         )
 
