Visit only the due instances in a tick of the leader

Cause: each tick of 50 ms went through all instances, twice: for renewals and silent instances, and for draining ones.

Change: `RenewalSchedule` keeps a heap of the times at which renewals are due, and sets of the instances that are silent, get no starts for a time, or drain. It follows the changes that `InstanceTable` notes. The instances of a tick are visited in the order of the table, so that effects keep their order.

Result: a tick of an idle fleet of 300 instances visits none instead of 300 (test).

--- a/src/gypsumwalk/dispatch_modules.py
+++ b/src/gypsumwalk/dispatch_modules.py
@@ -103,7 +103,8 @@
         """
         effects = self.renewals.check(now)
         effects += self.delivery.resend(now)
-        effects += self.delivery.stop_lasting_on_draining(may_interrupt, now)
+        draining = self.renewals.list_draining()
+        effects += self.delivery.stop_lasting_on(draining, may_interrupt, now)
         effects += self.departures.check(now)
         effects += self.placements.confirm_runs(now)
         return effects
--- a/src/gypsumwalk/order_delivery.py
+++ b/src/gypsumwalk/order_delivery.py
@@ -1,6 +1,6 @@
 """Delivery of starts and stops to instances until they are accepted."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -128,13 +128,18 @@
             return []
         return self._context.orders.probe(run, view, now)
 
-    def stop_lasting_on_draining(
-        self, may_interrupt: Callable[[RunView], bool], now: float
+    def stop_lasting_on(
+        self,
+        draining: Iterable[InstanceView],
+        may_interrupt: Callable[[RunView], bool],
+        now: float,
     ) -> list[Effect]:
         """Stop the lasting runs of draining instances within the budgets of the steps.
 
         Parameters
         ----------
+        draining : Iterable of InstanceView
+            The instances.
         may_interrupt : Callable
             Tells whether the budget of the step of a run allows to stop the run.
         now : float
@@ -146,9 +151,7 @@
             Orders to the instances.
         """
         effects: list[Effect] = []
-        for view in self._context.lease_table.instances.values():
-            if not view.registered.draining:
-                continue
+        for view in draining:
             for run in list(view.runs.values()):
                 if not run.is_lasting or run.is_stopping:
                     continue
--- a/src/gypsumwalk/renewals.py
+++ b/src/gypsumwalk/renewals.py
@@ -10,6 +10,7 @@
 from gypsumwalk.instance_orders import OpenOrder
 from gypsumwalk.leases import InstanceView
 from gypsumwalk.orphaned_runs import OrphanedRuns
+from gypsumwalk.renewal_schedule import RenewalSchedule
 from gypsumwalk.run_ends import RunEnds
 from gypsumwalk.run_orders import LEASE_MARGIN_SECONDS
 from gypsumwalk.workload_records import RemoveInstance
@@ -52,6 +53,7 @@
         self._context = context
         self._ends = ends
         self._orphans = orphans
+        self._schedule = RenewalSchedule()
         self._fenced_lives: set[str] = set()
         """Lives that refused the fence of this term although the lease went on."""
 
@@ -63,13 +65,18 @@
     def check(self, now: float) -> list[Effect]:
         """Renew leases that are due, and check the instances that do not answer."""
         effects: list[Effect] = []
-        for view in list(self._context.lease_table.instances.values()):
+        self._schedule.follow(self._context.lease_table.instances)
+        for view in self._schedule.take_due(now):
             if now >= view.renewal_due:
                 effects += self._renew(view, now)
             effects += self._check_unresponsive(view, now)
             self._end_start_backoff(view, now)
         return effects
 
+    def list_draining(self) -> list[InstanceView]:
+        """Return the instances that were draining at the latest check."""
+        return self._schedule.list_draining()
+
     def _renew(self, view: InstanceView, now: float) -> list[Effect]:
         if view.is_renewal_pending or view.has_pending_ends or view.is_fenced_off:
             return []
@@ -133,13 +140,23 @@
         """
         view.is_renewal_pending = False
         if not isinstance(report, InstanceReport):
-            effects = self._mark_unresponsive(view, now)
-            view.renewal_due = now + SILENCE_RETRY_SECONDS
-            return effects
+            self._set_due(view, now + SILENCE_RETRY_SECONDS)
+            return self._mark_unresponsive(view, now)
         effects = self._mark_responsive(view, now)
         effects += self._ends.reconcile(view, report, order.sent_at, now)
         view.renewal_due = now
-        return effects + self._renew(view, now)
+        return effects + self._renew_or_retry(view, now)
+
+    def _set_due(self, view: InstanceView, due: float) -> None:
+        view.renewal_due = due
+        self._schedule.add(view)
+
+    def _renew_or_retry(self, view: InstanceView, now: float) -> list[Effect]:
+        """Renew a lease at once; if nothing may be sent now, a later tick does."""
+        effects = self._renew(view, now)
+        if not effects:
+            self._schedule.add(view)
+        return effects
 
     def _mark_unresponsive(self, view: InstanceView, now: float) -> list[Effect]:
         if view.silent_since:
@@ -213,7 +230,7 @@
         if view is None or status is ProposalStatus.COMMITTED:
             return
         view.is_renewal_pending = False
-        view.renewal_due = now + SILENCE_RETRY_SECONDS
+        self._set_due(view, now + SILENCE_RETRY_SECONDS)
 
     def acknowledge_ends(
         self, listed: dict[str, int], status: ProposalStatus, now: float
@@ -242,7 +259,7 @@
             view.has_pending_ends = False
             if status is ProposalStatus.COMMITTED:
                 view.acknowledged = max(view.acknowledged, number)
-                effects += self._renew(view, now)
+                effects += self._renew_or_retry(view, now)
             else:
-                view.renewal_due = now + SILENCE_RETRY_SECONDS
+                self._set_due(view, now + SILENCE_RETRY_SECONDS)
         return effects
