Shed optional work while the event loop of the leader is late

Cause: a leader that was late kept calling idle instances and made a scheduling pass for each event, which delayed leases and acknowledgements further.

Change: `LoopMonitor` tells when the loop has become more than 100 ms late, and when it has been in time for 0.2 s. The daemon passes that to the node as the input `LoopLateness`. At the end of a pause the renewals get slots of their budget. Events 5090 and 5091 record the pause.

Not measured: the loop of a real daemon that is late.

--- a/bench/leader_cost.py
+++ b/bench/leader_cost.py
@@ -2,7 +2,8 @@
 
 Usage: ``python -m bench.leader_cost [INSTANCES ...]``. Prints one line of JSON for each
 size: mean milliseconds of a tick and of a scheduling pass, and calls of instances a
-second, of an idle fleet and of one that is submitted work.
+second. The phases are an idle fleet, one that is submitted work, the same while the
+event loop is late, and one without room.
 """
 
 import json
@@ -11,7 +12,9 @@
 from contextlib import contextmanager
 from unittest import mock
 
+from gypsumwalk.dispatch_context import LATE_LOOP_SECONDS
 from gypsumwalk.dispatcher import Dispatcher
+from gypsumwalk.inputs import LoopLateness
 from gypsumwalk.task_scheduler import TaskScheduler
 from tests._stepped_leader import CORES, NEED, SteppedLeader
 
@@ -80,7 +83,7 @@
 
 
 def measure(instances: int) -> dict[str, dict[str, float]]:
-    """Return the costs of an idle, a working and a full fleet."""
+    """Return the costs of an idle, a working, a late and a full fleet."""
     leader = SteppedLeader(instances)
     leader.run(WARM_UP_SECONDS)
     rows = {"idle": measure_phase(leader, lambda _: None)}
@@ -92,6 +95,9 @@
             leader.submit(f"job-{number}", TASKS_PER_JOB, service=number % 5)
 
     rows["working"] = measure_phase(leader, submit)
+    leader.handle(LoopLateness(2 * LATE_LOOP_SECONDS))
+    rows["late"] = measure_phase(leader, submit)
+    leader.handle(LoopLateness(0.0))
     # Tasks that end after the measurement leave no room for those submitted in it.
     leader.task_seconds = 10 * MEASURE_SECONDS
     places = CORES // NEED.cpu * instances // len(leader.services)
--- a/src/gypsumwalk/dispatch_context.py
+++ b/src/gypsumwalk/dispatch_context.py
@@ -16,6 +16,10 @@
 PROPOSAL_SECONDS = 2.0
 """Proposal timeout; a command not committed by then waits for a new leader."""
 
+LATE_LOOP_SECONDS = 0.1
+"""Lateness of the event loop above which optional work is shed; leases tolerate 0.3
+s."""
+
 
 @dataclass(slots=True)
 class DispatchContext:
@@ -37,6 +41,8 @@
         Requests a scheduling pass at a time in seconds.
     end_as_lost : Callable
         Proposes runs as lost, for a reason.
+    lateness : float
+        Measured lateness of the event loop in seconds, 0 while it is in time.
     lease_table : LeaseTable
         Instances and runs of the current term.
     """
@@ -48,9 +54,15 @@
     is_leading: Callable[[float], bool]
     request_pass: Callable[[float], None]
     end_as_lost: Callable[[Iterable[RunView], str], list[Effect]]
+    lateness: float = 0.0
     lease_table: LeaseTable = field(default_factory=LeaseTable)
     _proposal_count: int = field(default=0, init=False)
 
+    @property
+    def is_late(self) -> bool:
+        """Whether the event loop is so late that optional work is shed."""
+        return self.lateness > LATE_LOOP_SECONDS
+
     def propose(self, command: msgspec.Struct) -> Propose:
         """Return the proposal of a command."""
         self._proposal_count += 1
--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -11,7 +11,13 @@
 from gypsumwalk.dispatch_context import DispatchContext
 from gypsumwalk.dispatch_modules import DispatchModules
 from gypsumwalk.effects import Effect, Propose
-from gypsumwalk.inputs import Committed, Input, PlatformOutcome, ProposalOutcome
+from gypsumwalk.inputs import (
+    Committed,
+    Input,
+    LoopLateness,
+    PlatformOutcome,
+    ProposalOutcome,
+)
 from gypsumwalk.leases import LeaseTable, RunView
 from gypsumwalk.part import NEVER
 from gypsumwalk.pass_schedule import PassSchedule
@@ -73,6 +79,7 @@
         PutDeclaration,
         StartUpkeep,
         NoteMaintained,
+        LoopLateness,
     )
 
     def __init__(
@@ -144,6 +151,9 @@
 
     def handle(self, item: Input, now: float) -> Sequence[Effect]:
         """Handle a committed command, or the outcome of a call or a proposal."""
+        if isinstance(item, LoopLateness):
+            self._context.lateness = item.seconds
+            return []
         effects = self._sync_leadership(now)
         if not self._term:
             return effects
@@ -152,10 +162,8 @@
                 # The state that this term began with contains the earlier commands.
                 if index > self._restored_index:
                     effects += self._handle_command(item, now)
-            case PlatformOutcome():
-                effects += self._modules.outcomes.handle_platform_outcome(item, now)
-            case ProposalOutcome():
-                effects += self._modules.outcomes.handle_proposal_outcome(item, now)
+            case PlatformOutcome() | ProposalOutcome():
+                effects += self._modules.outcomes.handle(item, now)
         return effects
 
     def advance(self, now: float) -> Sequence[Effect]:
@@ -173,8 +181,6 @@
             effects += self._place_ready_tasks(now)
         return effects
 
-    # Leadership
-
     def _sync_leadership(self, now: float) -> list[Effect]:
         self.is_active = self.is_leading(now)
         if not self.is_active:
@@ -198,7 +204,7 @@
 
     def request_scheduling_pass(self, now: float) -> None:
         """Schedule a pass over the ready tasks after a short batching delay."""
-        self._passes.request(now)
+        self._passes.request(now, is_late=self._context.is_late)
 
     def stop(self, run: RunView, now: float) -> list[Effect]:
         """Stop a run; the order is resent until the instance accepts it."""
@@ -220,8 +226,6 @@
             self.request_scheduling_pass(now)
         return effects
 
-    # Commands
-
     def _handle_command(self, item: Committed, now: float) -> list[Effect]:
         self.request_scheduling_pass(now)
         match item.command:
@@ -280,8 +284,6 @@
         self._scheduler.invalidate(job)
         return self._modules.delivery.stop_job(job, now)
 
-    # Proposals
-
     def _place_ready_tasks(self, now: float) -> list[Effect]:
         if not self.is_leading(now):
             # The lease may return in the same term, without an event that asks for a
--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -39,7 +39,7 @@
 from gypsumwalk.errors import DiskFailure
 from gypsumwalk.events import Event
 from gypsumwalk.incarnations import choose_incarnation, encode_incarnation
-from gypsumwalk.inputs import ShutdownRequested
+from gypsumwalk.inputs import LoopLateness, ShutdownRequested
 from gypsumwalk.interfaces import Disk
 from gypsumwalk.recovery import Recovered
 from gypsumwalk.settings import Settings
@@ -160,7 +160,11 @@
         while self._stop is None:
             self._handle_inputs(await self._receive_inputs(wakeup))
             wakeup = self._advance(self._clock.now())
-            self._monitor.end_turn(self._clock.now(), len(self._inputs))
+            lateness = self._monitor.end_turn(self._clock.now(), len(self._inputs))
+            if lateness is not None:
+                now = self._clock.now()
+                self._execute(self._node.handle(LoopLateness(lateness), now))
+                wakeup = self._node.wakeup
 
     def _advance(self, now: float) -> float:
         wakeup = self._node.wakeup
--- a/src/gypsumwalk/drivers/loop_monitor.py
+++ b/src/gypsumwalk/drivers/loop_monitor.py
@@ -20,6 +20,10 @@
 LATE_SECONDS = 0.1
 """Lateness above which an event is recorded; leases tolerate 0.3 s."""
 
+IN_TIME_SECONDS = 0.2
+"""Time without a late turn after which the loop counts as in time; four ticks of the
+leader, so that one turn in time amid late ones changes nothing."""
+
 TIMERS = "timers"
 
 
@@ -43,6 +47,8 @@
         self._turn_lateness = 0.0
         self._lateness = 0.0
         self._report_due = 0.0
+        self._is_late = False
+        self._late_at = 0.0
         self._calls_in_progress = 0
 
     def begin_call(self) -> None:
@@ -80,7 +86,7 @@
         due = max(due, began if self._turn_ended is None else self._turn_ended)
         self._count(TIMERS, began - due, ended - began)
 
-    def end_turn(self, now: float, queued: int) -> None:
+    def end_turn(self, now: float, queued: int) -> float | None:
         """End a turn of the event loop, and report if that is due.
 
         Parameters
@@ -89,8 +95,15 @@
             Time in seconds.
         queued : int
             Number of inputs left in the queue.
+
+        Returns
+        -------
+        float or None
+            Lateness in seconds if the loop has become late or is in time again, 0 in
+            the latter case; None if neither is so.
         """
         self._turn_ended = now
+        change = self._find_change(now)
         if self._turn_lateness > 0:
             self._metrics.observe_latency("loop_lateness", self._turn_lateness)
             self._lateness = max(self._lateness, self._turn_lateness)
@@ -98,6 +111,18 @@
         if now >= self._report_due:
             self._report_due = now + REPORT_INTERVAL_SECONDS
             self._report(queued)
+        return change
+
+    def _find_change(self, now: float) -> float | None:
+        if self._turn_lateness > LATE_SECONDS:
+            self._late_at = now
+            if not self._is_late:
+                self._is_late = True
+                return self._turn_lateness
+        elif self._is_late and now - self._late_at >= IN_TIME_SECONDS:
+            self._is_late = False
+            return 0.0
+        return None
 
     def _count(self, kind: str, late: float, seconds: float) -> None:
         self._counts[kind] = self._counts.get(kind, 0) + 1
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -262,6 +262,14 @@
     INSTANCE_RETURNED = EventEntry(
         5026, Level.WARNING, "the removed life answers at {address} and is registered"
     )
+    IDLE_RENEWALS_PAUSED = EventEntry(
+        5090,
+        Level.WARNING,
+        "the event loop is {late} s late: renewals of {idle} idle instances pause",
+    )
+    IDLE_RENEWALS_RESUMED = EventEntry(
+        5091, Level.INFO, "renewals of {idle} idle instances go on after {seconds} s"
+    )
     WAVE_STARTED = EventEntry(4201, Level.INFO, "run {run} of the wave started")
     WAVE_PAUSED = EventEntry(4202, Level.WARNING, "the wave is paused: {reason}")
 
--- a/src/gypsumwalk/inputs.py
+++ b/src/gypsumwalk/inputs.py
@@ -12,6 +12,7 @@
     "DispatchOutcome",
     "DispatchStatus",
     "Input",
+    "LoopLateness",
     "MemberChange",
     "MembershipChanged",
     "PeerInput",
@@ -165,6 +166,20 @@
     incarnation: int
 
 
+@dataclass(frozen=True, slots=True)
+class LoopLateness:
+    """Lateness of the daemon's event loop, as its driver measured it.
+
+    Attributes
+    ----------
+    seconds : float
+        Longest time that an input or a timer waited in a recent turn of the loop; 0
+        once the loop is in time again.
+    """
+
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class ShutdownRequested:
     """A graceful shutdown of the daemon was requested.
@@ -187,5 +202,6 @@
     | Committed
     | ProposalOutcome
     | MembershipChanged
+    | LoopLateness
     | ShutdownRequested
 )
--- a/src/gypsumwalk/outcomes.py
+++ b/src/gypsumwalk/outcomes.py
@@ -71,10 +71,17 @@
         """Follow up on no proposal, at the end of a term."""
         self.proposals_due = NEVER
 
-    def handle_platform_outcome(
+    def handle(
+        self, item: PlatformOutcome | ProposalOutcome, now: float
+    ) -> list[Effect]:
+        """Process the outcome of a call to an instance, or of a proposal."""
+        if isinstance(item, PlatformOutcome):
+            return self._handle_platform_outcome(item, now)
+        return self._handle_proposal_outcome(item, now)
+
+    def _handle_platform_outcome(
         self, item: PlatformOutcome, now: float
     ) -> list[Effect]:
-        """Process the outcome of a call to an instance."""
         order = self._context.orders.close(item.token)
         if order is None:
             return []
@@ -110,10 +117,9 @@
         if order.kind is OrderKind.STOP and isinstance(item.report, OrderReport):
             self._departures.note_stop(run, now + self._stop_grace)
 
-    def handle_proposal_outcome(
+    def _handle_proposal_outcome(
         self, item: ProposalOutcome, now: float
     ) -> list[Effect]:
-        """Process the outcome of a proposal."""
         token, status = item.token, item.status
         if self._placements.handle_confirmation_outcome(token, status, now):
             return []
--- a/src/gypsumwalk/renewal_schedule.py
+++ b/src/gypsumwalk/renewal_schedule.py
@@ -11,6 +11,10 @@
 """Renewals of idle instances; a call takes the leader 2.6 to 5 ms of processor time
 with its transport, and 1.5 cores serve 3,000 instances."""
 
+MAX_PAUSE_SECONDS = 15.0
+"""Time between two renewals of an idle instance while the leader is late; twice the
+time that 3,000 instances share the budget for."""
+
 MAX_UNPACED_INSTANCES = int(IDLE_RENEWALS_PER_SECOND * RENEWAL_WAIT_SECONDS)
 """Instances without runs up to which each of them is called without a break."""
 
@@ -39,26 +43,68 @@
         self._slots: dict[str, float] = {}
         """Time in seconds of the latest slot that each life took."""
         self._last_slot = 0.0
+        self._paused: set[str] = set()
+        """Lives whose next renewal waits for the end of a pause."""
+        self._paused_at = 0.0
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether the renewals of idle instances pause."""
+        return self._paused_at > 0
+
+    @property
+    def spare_count(self) -> int:
+        """Number of the instances that answer and have no runs."""
+        return len(self._spare)
+
+    def pause(self, now: float) -> None:
+        """Delay the renewals of idle instances until ``resume`` is called."""
+        self._paused_at = now
+
+    def resume(self, now: float) -> float:
+        """Give the delayed renewals new slots; return the duration of the pause.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        float
+            Duration in seconds.
+        """
+        seconds = now - self._paused_at
+        self._paused_at = 0.0
+        for view in self._sort(self._paused & self._delayed):
+            if not self.delay_idle(view, now):
+                self._delayed.discard(view.registered.life)
+                view.renewal_due = now
+                self.add(view)
+        self._paused.clear()
+        return seconds
 
     def add(self, view: InstanceView) -> None:
         """Add the renewal of an instance at the time that is set as due."""
         heappush(self._queue, (view.renewal_due, view.registered.life))
 
     def delay_idle(self, view: InstanceView, now: float) -> bool:
-        """Set the renewal of an idle instance to its next slot.
+        """Set the renewal of an idle instance to its next slot, or past a pause.
 
         Parameters
         ----------
         view : InstanceView
-            The instance, which has just answered.
+            The instance.
         now : float
             Time in seconds.
 
         Returns
         -------
         bool
-            False if the fleet is small enough to call the instance at once.
+            False if the instance may be called at once.
         """
+        if self.is_paused:
+            return self._delay_past_pause(view, now)
         if len(self._spare) <= MAX_UNPACED_INSTANCES:
             return False
         life = view.registered.life
@@ -68,11 +114,22 @@
         if slot <= now:
             slot = max(now, self._last_slot + 1 / IDLE_RENEWALS_PER_SECOND)
             self._slots[life] = self._last_slot = slot
-        view.renewal_due = slot
-        self._delayed.add(life)
-        self.add(view)
+        self._delay(view, slot)
         return True
 
+    def _delay_past_pause(self, view: InstanceView, now: float) -> bool:
+        latest = view.renewal_sent + MAX_PAUSE_SECONDS
+        if now >= latest:
+            return False
+        self._paused.add(view.registered.life)
+        self._delay(view, latest)
+        return True
+
+    def _delay(self, view: InstanceView, due: float) -> None:
+        view.renewal_due = due
+        self._delayed.add(view.registered.life)
+        self.add(view)
+
     def follow(self, instances: InstanceTable, now: float) -> None:
         """Follow the changes of the instances since the last call."""
         if instances is not self._instances:
@@ -86,6 +143,7 @@
         self._changed = instances.watch()
         self._queue.clear()
         self._slots.clear()
+        self._paused_at = 0.0
         for lives in self._list_sets():
             lives.clear()
 
@@ -97,6 +155,7 @@
             self._draining,
             self._spare,
             self._delayed,
+            self._paused,
         ]
 
     def _follow(self, life: str, now: float) -> None:
@@ -137,8 +196,10 @@
         due = self._silent | self._held
         while self._queue and self._queue[0][0] <= now:
             life = heappop(self._queue)[1]
-            due.add(life)
-            if self._slots.get(life, 0.0) <= now:
+            view = self._instances.get(life)
+            # An entry of an earlier due time does not count.
+            if view is not None and now >= view.renewal_due:
+                due.add(life)
                 self._delayed.discard(life)
         return self._sort(due)
 
--- a/src/gypsumwalk/renewals.py
+++ b/src/gypsumwalk/renewals.py
@@ -64,15 +64,37 @@
 
     def check(self, now: float) -> list[Effect]:
         """Renew leases that are due, and check the instances that do not answer."""
-        effects: list[Effect] = []
         self._schedule.follow(self._context.lease_table.instances, now)
+        effects = self._update_pause(now)
         for view in self._schedule.take_due(now):
-            if now >= view.renewal_due:
+            if now >= view.renewal_due and not self._is_paused(view, now):
                 effects += self._renew(view, now)
             effects += self._check_unresponsive(view, now)
             self._end_start_backoff(view, now)
         return effects
 
+    def _is_paused(self, view: InstanceView, now: float) -> bool:
+        """Tell whether the renewal of an idle instance waits until the loop is in time.
+
+        It is then set to its next time.
+        """
+        if not self._schedule.is_paused or not self._is_idle(view, now):
+            return False
+        return self._schedule.delay_idle(view, now)
+
+    def _update_pause(self, now: float) -> list[Effect]:
+        """Pause the renewals of idle instances while the event loop is late."""
+        is_late = self._context.is_late
+        if is_late == self._schedule.is_paused:
+            return []
+        attributes: dict[str, Scalar] = {"idle": self._schedule.spare_count}
+        if is_late:
+            self._schedule.pause(now)
+            attributes["late"] = round(self._context.lateness, 3)
+            return [Record(Event.IDLE_RENEWALS_PAUSED, "", attributes)]
+        attributes["seconds"] = round(self._schedule.resume(now), 3)
+        return [Record(Event.IDLE_RENEWALS_RESUMED, "", attributes)]
+
     def list_draining(self) -> list[InstanceView]:
         """Return the instances that were draining at the latest check."""
         return self._schedule.list_draining()
