Keep a connection to each instance of a fleet of 3,000

Cause: the client kept at most 2,000 connections and closed the one that had been idle longest to open another. Calls go round the instances, so with more than 2,000 of them each call closed the connection that was needed next, and opened a new one. With 2,000 calls waiting for their answers, further ones were not sent at all, and their instances counted as silent. A process with 20,000 descriptors left 16,000 of them unused.

Change: the limit is half of the descriptors that the process may open, at least 2,000 as before and at most 32,000.

Found besides, and not changed: a connection is also closed if a call gets no complete answer in time, if the answer is invalid, ends with the connection or asks to close it, if bytes follow it, if the server closed it meanwhile, and after 300 s without a call.

--- a/src/gypsumwalk/drivers/http_client.py
+++ b/src/gypsumwalk/drivers/http_client.py
@@ -2,6 +2,7 @@
 
 import errno
 import os
+import resource
 import socket
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -30,14 +31,19 @@
     "RequestFailed",
     "RequestNotSent",
     "RequestOutcomeUnknown",
+    "find_connection_limit",
 ]
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 """Connecting takes one round trip, and links have a latency of a few milliseconds."""
 
 CONNECTIONS_PER_LANE = 2
-MAX_CONNECTIONS = 2000
-"""Leaves half of a process's descriptors to servers and files."""
+MIN_CONNECTIONS = 2000
+"""Limit of open connections of a process with few descriptors."""
+
+MAX_CONNECTIONS = 32_000
+"""Limit of open connections of a process without a limit of descriptors; 8,000
+instances with the connections of both lanes."""
 
 RECEIVE_BYTES = 64 * 1024
 MAX_IDLE_SECONDS = 300.0
@@ -48,6 +54,28 @@
 ).list_options()
 
 
+def find_connection_limit(descriptors: int) -> int:
+    """Return the limit of open connections of a process.
+
+    It leaves half of the descriptors to servers and files. A limit below the number of
+    instances closes the connection of each of them before its next call: calls go
+    round the instances, and the connection that has been idle longest is closed.
+
+    Parameters
+    ----------
+    descriptors : int
+        Number of descriptors that the process may open, ``RLIM_INFINITY`` for any.
+
+    Returns
+    -------
+    int
+        The limit.
+    """
+    if descriptors == resource.RLIM_INFINITY:
+        return MAX_CONNECTIONS
+    return min(MAX_CONNECTIONS, max(MIN_CONNECTIONS, descriptors // 2))
+
+
 class Lane(Enum):
     """Kind of request; those of one kind share the connections to an address."""
 
@@ -215,9 +243,10 @@
         Time limit in seconds for opening a connection.
     connections_per_lane : int
         Maximum number of connections to one address in one lane.
-    max_connections : int
+    max_connections : int, optional
         Maximum number of connections to all addresses; to open another one, the
-        client closes the one that has been idle for the longest time.
+        client closes the one that has been idle for the longest time. By default it
+        follows from the number of descriptors that the process may open.
     max_idle : float
         Seconds after which an idle connection is closed, at a later request.
     record_wait : Callable, optional
@@ -230,12 +259,15 @@
         *,
         connect_timeout: float = CONNECT_TIMEOUT_SECONDS,
         connections_per_lane: int = CONNECTIONS_PER_LANE,
-        max_connections: int = MAX_CONNECTIONS,
+        max_connections: int | None = None,
         max_idle: float = MAX_IDLE_SECONDS,
         record_wait: Callable[[float], None] | None = None,
     ) -> None:
         self._connect_timeout = connect_timeout
         self._connections_per_lane = connections_per_lane
+        if max_connections is None:
+            descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+            max_connections = find_connection_limit(descriptors)
         self._max_connections = max_connections
         self._max_idle = max_idle
         self._record_wait = record_wait
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,8 +1,10 @@
 """Tests of the HTTP client, against servers on loopback."""
 
 import contextlib
+import resource
 import socket
 import unittest
+from unittest.mock import patch
 
 import h11
 import trio
@@ -10,10 +12,13 @@
 
 from gypsumwalk.drivers import http_client
 from gypsumwalk.drivers.http_client import (
+    MAX_CONNECTIONS,
+    MIN_CONNECTIONS,
     HttpClient,
     Lane,
     RequestNotSent,
     RequestOutcomeUnknown,
+    find_connection_limit,
 )
 
 SHORT_SECONDS = 0.1
@@ -104,6 +109,22 @@
         return f"127.0.0.1:{server.getsockname()[1]}"
 
 
+class TestConnectionLimit(unittest.TestCase):
+    # With 2,000 connections, 3,000 instances that were called in turn got a new
+    # connection for each call, and no call at all while 2,000 others waited.
+    def test_it_follows_from_the_descriptors_of_the_process(self):
+        assert find_connection_limit(20_000) == 10_000
+        assert find_connection_limit(resource.RLIM_INFINITY) == MAX_CONNECTIONS
+        assert find_connection_limit(10 * MAX_CONNECTIONS) == MAX_CONNECTIONS
+
+    def test_it_is_not_lowered_for_a_process_with_few_descriptors(self):
+        assert find_connection_limit(1024) == MIN_CONNECTIONS
+
+    def test_a_client_takes_the_limit_of_its_process(self):
+        with patch.object(resource, "getrlimit", lambda _: (20_000, 20_000)):
+            assert HttpClient()._max_connections == 10_000
+
+
 class TestHttpClient(unittest.TestCase):
     def run_with(self, answer, scenario, *, clock=None, **options):
         async def main():
