Look for fillers only on instances with runs

Cause: ten times a second the pace controller listed the runs of all instances.

Change: it looks at instances with runs, and at those that were contended.

Result: one of 300 instances is looked at if one has a run (test).

--- a/src/gypsumwalk/pace_controller.py
+++ b/src/gypsumwalk/pace_controller.py
@@ -76,7 +76,8 @@
         views = self._dispatcher.lease_table.instances
         self._levels.retain(views)
         for view in views.values():
-            effects += self._pace(view, now)
+            if view.runs or view.is_contended:
+                effects += self._pace(view, now)
         return effects
 
     def _pace(self, view: InstanceView, now: float) -> list[Effect]:
--- a/tests/test_renewal_schedule.py
+++ b/tests/test_renewal_schedule.py
@@ -9,6 +9,7 @@
 from gypsumwalk.events import Event
 from gypsumwalk.instance_actions import RenewLease, StopRun
 from gypsumwalk.leases import LeaseTable
+from gypsumwalk.pace_controller import PaceController
 from gypsumwalk.renewals import Renewals
 from gypsumwalk.workload_records import RegisterInstance, RemoveInstance
 from tests._scheduling import CountingDict
@@ -200,6 +201,35 @@
         assert stale.life not in lives
 
 
+class TestPace(unittest.TestCase):
+    # Each check, ten a second, looked for fillers on all instances.
+    def test_instances_without_runs_are_not_looked_at(self):
+        leader = SteppedLeader(INSTANCES, task_seconds=30.0)
+        leader.run(1.0)
+        leader.submit("job", 1)
+        leader.run(0.5)
+        pacer = PaceController(workloads=leader.workloads, dispatcher=leader.dispatcher)
+        looked_at = []
+        pace = PaceController._pace
+
+        def count(self, view, now):
+            looked_at.append(view)
+            return pace(self, view, now)
+
+        with patch.object(PaceController, "_pace", count):
+            pacer.advance(leader.now)
+        [run] = leader.dispatcher.lease_table.list_runs()
+        assert [view.registered.life for view in looked_at] == [run.life]
+
+    def test_an_instance_whose_runs_have_ended_is_no_longer_contended(self):
+        leader = SteppedLeader(3)
+        leader.run(1.0)
+        leader.get_view(1).is_contended = True
+        pacer = PaceController(workloads=leader.workloads, dispatcher=leader.dispatcher)
+        pacer.advance(leader.now)
+        assert not leader.get_view(1).is_contended
+
+
 class TestOrder(unittest.TestCase):
     # The order of effects decides what a seed plays.
     def test_instances_are_called_in_the_order_of_their_registration(self):
