Release machines of late work to pools with work on time

Cause: jobs that will be late in any case counted as demand of their pool, so that it kept its machines while the turn of the next queue began with 5 of 180. Ruled out: the machine API (no move was refused) and the leader (0.57 of 1.5 cores at most).

Change: pools are sized for work that can still be on time first. A pool with late work releases the machines that others lack: they get no further tasks, late runs on them are stopped where that frees the machine sooner, and they move once idle. A pool releases what it no longer needs in the same way.

--- a/src/gypsumwalk/demand_forecast.py
+++ b/src/gypsumwalk/demand_forecast.py
@@ -172,6 +172,11 @@
             other.last_start for other in self._queues.values()
         )
 
+    def is_in_burst(self, service: str) -> bool:
+        """Return whether a service has a burst after its first one."""
+        queue = self._queues.get(service)
+        return queue is not None and queue.in_burst and queue.had_burst
+
     def can_shrink(self, service: str, now: float) -> bool:
         """Return whether the pool of a service may shrink.
 
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -223,11 +223,20 @@
     MOVE_REFUSED = EventEntry(
         5014, Level.INFO, "the move of the machine was refused: {reason}"
     )
+    MACHINE_RELEASED = EventEntry(
+        5060, Level.INFO, "the machine gets no further tasks, so that it can move"
+    )
+    RUN_PREEMPTED = EventEntry(
+        5061,
+        Level.INFO,
+        "the run is stopped to free machine {machine}, as its job will be late: it has"
+        " {remaining} s left, and {unsaved} s are lost",
+    )
     POOL_SIZED = EventEntry(
         5015,
         Level.INFO,
         "pool of {machines} machines, {wanted} wanted, {idle} idle; demand {lasting}"
-        " lasting, {passing} passing, {expected} expected",
+        " lasting, {passing} passing, {deferred} of them late, {expected} expected",
     )
     INSTANCE_DOWN = EventEntry(
         5016,
--- a/src/gypsumwalk/pool_demands.py
+++ b/src/gypsumwalk/pool_demands.py
@@ -8,10 +8,17 @@
 from gypsumwalk.pooling import PoolDemand
 from gypsumwalk.ready_tasks import ReadyJob
 from gypsumwalk.task_placement import find_need
+from gypsumwalk.urgency import CriticalPath
 from gypsumwalk.workload_records import Step, Workload
 from gypsumwalk.workloads import WorkloadSection
 
-__all__ = ["DemandCounter"]
+__all__ = ["DemandCounter", "IsDeferred"]
+
+IsDeferred = Callable[[Workload, CriticalPath | None], bool]
+
+
+def _defer_none(workload: Workload, path: CriticalPath | None) -> bool:
+    return False
 
 
 class DemandCounter:
@@ -42,6 +49,7 @@
         demands: Mapping[str, PoolDemand],
         waiting_jobs: Iterable[ReadyJob],
         lease_table: LeaseTable,
+        is_deferred: IsDeferred | None = None,
     ) -> None:
         """Add running and ready tasks to the demand of each pool.
 
@@ -55,36 +63,51 @@
             Jobs with ready tasks.
         lease_table : LeaseTable
             Runs that may be going on.
+        is_deferred : Callable, optional
+            Tells whether a job, whose critical path may be known, will be late in any
+            case; by default no job is.
         """
+        is_deferred = is_deferred or _defer_none
         for job in lease_table.list_jobs():
             workload = self._workloads.jobs.get(job)
             demand = demands.get(self._find_service(workload)) if workload else None
             if workload is not None and demand is not None:
+                deferred = is_deferred(workload, None)
                 for run in lease_table.list_runs_of_job(job):
                     step = workload.steps[run.task.step]
-                    _add_tasks(demand, step, run.need.cpu, 1)
+                    _add_tasks(demand, step, run.need.cpu, 1, deferred=deferred)
         used = dict(lease_table.usage_by_team)
         for waiting in waiting_jobs:
             demand = demands.get(self._find_service(waiting.workload))
             if demand is not None:
-                self._add_waiting(demand, waiting, used)
+                deferred = is_deferred(waiting.workload, waiting.path)
+                self._add_waiting(demand, waiting, used, deferred=deferred)
 
     def _add_waiting(
-        self, demand: PoolDemand, waiting: ReadyJob, used: dict[str, Resources]
+        self,
+        demand: PoolDemand,
+        waiting: ReadyJob,
+        used: dict[str, Resources],
+        *,
+        deferred: bool,
     ) -> None:
         workload = waiting.workload
         for (_, number), tasks in waiting.tasks.items():
             step = workload.steps[number]
             count = self._quotas.charge(workload.team, step, len(tasks), used)
             if count:
-                _add_tasks(demand, step, find_need(step).cpu, count)
+                cpu = find_need(step).cpu
+                _add_tasks(demand, step, cpu, count, deferred=deferred)
             if count < len(tasks):
                 return
 
 
-def _add_tasks(demand: PoolDemand, step: Step, cpu: int, count: int) -> None:
+def _add_tasks(
+    demand: PoolDemand, step: Step, cpu: int, count: int, *, deferred: bool
+) -> None:
     if not step.lasting:
         demand.transient += cpu * count
+        demand.deferred += cpu * count if deferred else 0
         return
     demand.lasting += cpu * count
     if step.max_per_instance:
--- a/src/gypsumwalk/pool_scaling_controller.py
+++ b/src/gypsumwalk/pool_scaling_controller.py
@@ -10,8 +10,12 @@
 from gypsumwalk.inputs import Committed, Input, PlatformOutcome
 from gypsumwalk.instance_actions import MachineReport, MoveMachine
 from gypsumwalk.machine_directory import MachineDirectory
+from gypsumwalk.machine_releaser import MachineReleaser
+from gypsumwalk.machine_releases import plan_releases
 from gypsumwalk.order_cooldown import OrderCooldown
 from gypsumwalk.part import NEVER
+from gypsumwalk.pool_demands import IsDeferred
+from gypsumwalk.pool_size_history import PoolSizeHistory
 from gypsumwalk.pooling import (
     MachineMove,
     PoolDemand,
@@ -100,6 +104,10 @@
         self._cooldown = cooldown
         self._term = 0
         self._idle_since: dict[str, float] = {}
+        self._releaser = MachineReleaser(
+            dispatcher=dispatcher, scheduler=scheduler, directory=directory
+        )
+        self._sizes = PoolSizeHistory()
         self._moving: dict[str, tuple[str, float]] = {}
         self._blocked_until: dict[str, float] = {}
         self._open_orders: dict[str, tuple[str, str]] = {}
@@ -137,9 +145,20 @@
             return []
         machines = self._describe_machines(now)
         demands = self._find_demands(standby, now)
+        if self._is_short(machines, demands, standby):
+            demands = self._find_demands(
+                standby,
+                now,
+                lambda job, path: self._scheduler.lateness.will_be_late(job, now, path),
+            )
         effects = self._report_sizes(machines, demands, standby, now)
+        for name, pool in size_pools(machines, demands, standby).items():
+            self._sizes.record(name, pool.desired, now)
         moves = plan_moves(machines, demands, standby, now)
-        return effects + self._propose_moves(moves, now)
+        effects += self._propose_moves(moves, now)
+        released = plan_releases(machines, demands, standby)
+        effects += self._releaser.release(released, now)
+        return effects
 
     def _report_sizes(
         self,
@@ -162,6 +181,7 @@
                 "lasting": demand.lasting,
                 "passing": demand.transient,
                 "expected": demand.expected,
+                "deferred": demand.deferred,
             }
             effects.append(Record(Event.POOL_SIZED, name, attributes))
         return effects
@@ -172,8 +192,9 @@
         self._idle_since.clear()
         self._moving.clear()
         self._open_orders.clear()
-        if self._scheduler.changing_pool:
+        if self._scheduler.changing_pool or self._scheduler.released:
             self._scheduler.changing_pool.clear()
+            self._scheduler.released = set()
             self._dispatcher.request_scheduling_pass(now)
 
     def _complete_moves(self, now: float) -> None:
@@ -215,6 +236,8 @@
                 is_movable = False
             if not self._cooldown.can_order(machine, now):
                 is_movable = False
+            view = self._directory.find_view(machine)
+            runs = list(view.runs.values()) if view else []
             described.append(
                 PoolMachine(
                     machine,
@@ -223,6 +246,9 @@
                     is_movable,
                     self._update_idle_since(machine, now),
                     self._must_pass_on(machine),
+                    has_lasting=any(run.is_lasting for run in runs),
+                    run_count=len(runs),
+                    is_released=machine in self._scheduler.released,
                 )
             )
         return described
@@ -248,14 +274,29 @@
             return NEVER
         return self._idle_since.setdefault(machine, now)
 
-    def _find_demands(self, standby: str, now: float) -> dict[str, PoolDemand]:
+    def _is_short(
+        self,
+        machines: Sequence[PoolMachine],
+        demands: dict[str, PoolDemand],
+        standby: str,
+    ) -> bool:
+        """Tell whether the pools want more machines than there are."""
+        pools = size_pools(machines, demands, standby)
+        return sum(pools[name].desired for name in demands) > len(machines)
+
+    def _find_demands(
+        self, standby: str, now: float, is_deferred: IsDeferred | None = None
+    ) -> dict[str, PoolDemand]:
         current = self._declarations.current
         services = current.services if current else []
         demands = {item.name: PoolDemand() for item in services if item.name != standby}
-        self._scheduler.add_demand(demands, self._dispatcher.lease_table)
+        self._scheduler.add_demand(demands, self._dispatcher.lease_table, is_deferred)
         for service, demand in demands.items():
             demand.expected = int(self._forecast.find_expected(service, now))
             demand.can_shrink = self._forecast.can_shrink(service, now)
+            if self._forecast.is_in_burst(service):
+                demand.can_shrink = True
+                demand.kept_machines = self._sizes.find_peak(service, now)
             if self._forecast.is_burst_due(service):
                 demand.reserve = BURST_RESERVE_MACHINES
         return demands
--- a/src/gypsumwalk/pooling.py
+++ b/src/gypsumwalk/pooling.py
@@ -54,6 +54,12 @@
     must_pass_on : bool
         Whether it has lasting tasks that have to move to another machine of its pool,
         as a wave takes it down later.
+    has_lasting : bool
+        Whether it has lasting tasks, so that it can't become idle by itself.
+    run_count : int
+        Number of its runs.
+    is_released : bool
+        Whether it gets no further tasks, so that it can move once it is idle.
     """
 
     machine: str
@@ -62,6 +68,9 @@
     is_movable: bool
     idle_since: float
     must_pass_on: bool = False
+    has_lasting: bool = False
+    run_count: int = 0
+    is_released: bool = False
 
 
 @dataclass(slots=True)
@@ -74,6 +83,8 @@
         Processors of long-running tasks, in thousandths of a core.
     transient : int
         Processors of all other running or runnable tasks, in thousandths of a core.
+    deferred : int
+        Part of ``transient`` that belongs to jobs that will be late in any case.
     expected : int
         Processors that the forecast expects within the time that a move takes, in
         thousandths of a core.
@@ -83,14 +94,18 @@
         Machines beyond what the demand needs.
     can_shrink : bool
         Whether machines may move to the standby pool.
+    kept_machines : int
+        Machines that the pool keeps when others move to the standby pool.
     """
 
     lasting: int = 0
     transient: int = 0
+    deferred: int = 0
     expected: int = 0
     min_machines: int = 0
     reserve: int = 0
     can_shrink: bool = True
+    kept_machines: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +129,13 @@
         """Machines beyond the desired size; negative if the pool is undersized."""
         return len(self.machines) - self.desired
 
+    def count_spare(self, demand: PoolDemand) -> int:
+        """Return how many machines may move to the standby pool, at least 0."""
+        if not demand.can_shrink:
+            return 0
+        kept = max(self.desired, demand.kept_machines)
+        return max(0, len(self.machines) - kept)
+
 
 def plan_moves(
     machines: Sequence[PoolMachine],
@@ -161,8 +183,7 @@
                 break
             moves.append(_move(pools, donor, name, "demand"))
     if standby:
-        shrinkable = [name for name in demands if demands[name].can_shrink]
-        moves += _move_to_standby(pools, shrinkable, standby, now)
+        moves += _move_to_standby(pools, demands, standby, now)
     return moves
 
 
@@ -191,15 +212,44 @@
     sizes = sorted(machine.cpu for machine in machines)
     typical = max(1, sizes[len(sizes) // 2]) if sizes else 1
     for name, demand in demands.items():
-        transient = max(demand.transient, demand.expected) * HEADROOM_FACTOR
-        count = ceil((demand.lasting + transient) / typical) + SPARE_MACHINES
-        leaving = sum(item.must_pass_on for item in pools[name].machines)
-        successors = min(leaving, MAX_SUCCESSORS)
-        least = demand.min_machines + SPARE_MACHINES + successors
-        pools[name].desired = max(count + demand.reserve, least)
+        timely = max(demand.transient - demand.deferred, demand.expected)
+        pools[name].desired = _find_size(pools[name], demand, timely, typical)
+    _add_room_for_deferred(pools, demands, typical)
     return pools
 
 
+def _find_size(pool: Pool, demand: PoolDemand, transient: int, typical: int) -> int:
+    """Return the machines that a pool needs for its lasting and some other work."""
+    work = demand.lasting + transient * HEADROOM_FACTOR
+    count = ceil(work / typical) + SPARE_MACHINES
+    leaving = sum(item.must_pass_on for item in pool.machines)
+    successors = min(leaving, MAX_SUCCESSORS)
+    least = demand.min_machines + SPARE_MACHINES + successors
+    return max(count + demand.reserve, least)
+
+
+def _add_room_for_deferred(
+    pools: Mapping[str, Pool], demands: Mapping[str, PoolDemand], typical: int
+) -> None:
+    """Give late work the machines that work on time does not need, in proportion."""
+    wanted = {
+        name: max(
+            0,
+            _find_size(pools[name], demand, demand.transient, typical)
+            - pools[name].desired,
+        )
+        for name, demand in demands.items()
+        if demand.deferred
+    }
+    total = sum(wanted.values())
+    if not total:
+        return
+    count = sum(len(pool.machines) for pool in pools.values())
+    left = max(0, count - sum(pools[name].desired for name in demands))
+    for name, machines in wanted.items():
+        pools[name].desired += min(machines, ceil(left * machines / total))
+
+
 def _lacks_lasting_room(pool: Pool, demand: PoolDemand) -> bool:
     if pool.surplus >= 0:
         return False
@@ -215,8 +265,7 @@
         for other, pool in pools.items()
         if other != name and (other == standby or pool.surplus > 0)
         for machine in pool.machines
-        if machine.is_movable
-        and (other == standby or now - machine.idle_since >= TRANSFER_IDLE_SECONDS)
+        if machine.is_movable and (other == standby or _is_idle_enough(machine, now))
     ]
     # A standby machine costs nothing where it is, so idle machines of pools go first.
     return max(
@@ -226,19 +275,30 @@
     )
 
 
+def _is_idle_enough(machine: PoolMachine, now: float) -> bool:
+    required = 0.0 if machine.is_released else TRANSFER_IDLE_SECONDS
+    return now - machine.idle_since >= required
+
+
 def _move_to_standby(
-    pools: Mapping[str, Pool], shrinkable: Sequence[str], standby: str, now: float
+    pools: Mapping[str, Pool],
+    demands: Mapping[str, PoolDemand],
+    standby: str,
+    now: float,
 ) -> list[MachineMove]:
     moves: list[MachineMove] = []
-    for name in shrinkable:
+    for name, demand in demands.items():
         pool = pools[name]
+        count = pool.count_spare(demand)
+        if not count:
+            continue
         idle = [
             machine
             for machine in pool.machines
             if machine.is_movable and now - machine.idle_since >= STANDBY_IDLE_SECONDS
         ]
         idle.sort(key=lambda machine: machine.idle_since)
-        for machine in idle[: max(0, pool.surplus)]:
+        for machine in idle[:count]:
             moves.append(_move(pools, machine, standby, "rest"))
     return moves
 
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -6,10 +6,11 @@
 from gypsumwalk.candidates import CandidateLister
 from gypsumwalk.declaration_records import DeclaredQueue, Resources
 from gypsumwalk.declarations import DeclarationSection
+from gypsumwalk.lateness import LatenessPredictor
 from gypsumwalk.leases import UNKNOWN_PERCENT, LeaseTable, RunState, RunView
 from gypsumwalk.part import NEVER
 from gypsumwalk.placement_limits import SpreadLimit, TeamQuotas, is_within_quota
-from gypsumwalk.pool_demands import DemandCounter
+from gypsumwalk.pool_demands import DemandCounter, IsDeferred
 from gypsumwalk.pooling import PoolDemand
 from gypsumwalk.ready_tasks import ReadyJob, ReadyJobs, make_ready_job
 from gypsumwalk.run_planning import PlannedRun, RunPlanner, make_run
@@ -52,9 +53,13 @@
         them down later."""
         self.changing_pool: set[str] = set()
         """Machines that get no new work because they are moving to another pool."""
+        self.released: set[str] = set()
+        """Machines that get no new work so that they can move to another pool."""
         self._declarations = declarations
         self._workloads = workloads
         self._urgency = UrgencyEstimator()
+        self.lateness = LatenessPredictor(declarations, workloads, self._urgency)
+        """Prediction of late jobs, by the durations that this scheduler learns."""
         self._waiting = ReadyJobs()
         self._stale: set[str] = set()
         self._next_due = NEVER
@@ -128,7 +133,7 @@
         self._update_ready(lease_table, now)
         self._quotas.clear_kept()
         self._planner.begin(self.due_for_maintenance)
-        closed = self.cordoned | self.changing_pool
+        closed = self.cordoned | self.changing_pool | self.released
         pools = self._lister.list_pools(lease_table, closed, now)
         waiting = self._sort_waiting(pools, now)
         lasting = [item for item in waiting if item[0].is_lasting]
@@ -183,7 +188,10 @@
             self._quotas.keep(workload.team, step.need * count)
 
     def add_demand(
-        self, demands: Mapping[str, PoolDemand], lease_table: LeaseTable
+        self,
+        demands: Mapping[str, PoolDemand],
+        lease_table: LeaseTable,
+        is_deferred: IsDeferred | None = None,
     ) -> None:
         """Add running and ready tasks to the demand of each pool.
 
@@ -195,8 +203,11 @@
             Demand by service.
         lease_table : LeaseTable
             Runs that may be going on.
+        is_deferred : Callable, optional
+            Tells whether a job, whose critical path may be known, will be late in any
+            case; by default no job is.
         """
-        self._demand.add_demand(demands, self._waiting, lease_table)
+        self._demand.add_demand(demands, self._waiting, lease_table, is_deferred)
 
     def _update_ready(self, lease_table: LeaseTable, now: float) -> None:
         for job in self._stale:
--- a/src/gypsumwalk/urgency.py
+++ b/src/gypsumwalk/urgency.py
@@ -19,7 +19,13 @@
 from gypsumwalk.task_durations import DurationTable
 from gypsumwalk.workload_records import Workload, WorkloadState
 
-__all__ = ["CriticalPath", "Urgency", "UrgencyEstimator", "find_critical_path"]
+__all__ = [
+    "LATE",
+    "CriticalPath",
+    "Urgency",
+    "UrgencyEstimator",
+    "find_critical_path",
+]
 
 START_OVERHEAD_SECONDS = 0.1
 """Margin for overhead that is not measured, as the time until a job is accepted."""
@@ -127,6 +133,10 @@
             estimate = workload.steps[step].estimate
             self._durations.record_duration(workload.queue, estimate, seconds)
 
+    def predict(self, workload: Workload, step: int) -> float:
+        """Return the predicted duration of a task of a step in seconds."""
+        return self._durations.predict(workload.queue, workload.steps[step].estimate)
+
     def find_mean_duration(self, queue: str) -> float | None:
         """Return the mean task duration of a queue in seconds, None if unknown."""
         return self._durations.find_mean(queue)
