Let announcements of undeclared services replace no life of an instance

A heartbeat of another writer under the id or address of an instance, with a service that no declaration names and a later birth time, discarded the registered life.

Such an announcement is acknowledged and ignored if it would replace what is known of an instance of another service. A real next life is found by the renewals at its address, or, if no life is registered there, by asking the instance (`life_checks`). A next life of a declared service replaces the former one at once, as before.

--- a/src/gypsumwalk/fleet_call_handler.py
+++ b/src/gypsumwalk/fleet_call_handler.py
@@ -77,6 +77,10 @@
 )
 
 
+SUPERSEDED = "it has ended or was replaced"
+"""Reason to ignore the announcement of a life."""
+
+
 @dataclass(slots=True)
 class _Pending:
     """A proposal without an outcome, and the calls that wait for it.
@@ -324,12 +328,38 @@
     ) -> list[Effect]:
         if self._workloads.is_superseded(call.registered):
             return [
-                *self._ignore_announcement(item, call),
+                *self._ignore_announcement(item, call, SUPERSEDED),
                 *self._life_checks.check(call.registered, now),
             ]
+        if self._is_foreign(call.registered):
+            return self._ignore_foreign(item, call, now)
         registered = self._merge_draining(call.registered)
         return self._propose(item, RegisterInstance(registered), registered.life)
 
+    def _is_foreign(self, registered: RegisteredInstance) -> bool:
+        """Tell whether an announcement seems to come from another writer.
+
+        Its service is not declared, and it would replace what is known of an instance
+        of another service, whose runs would be taken as ended.
+        """
+        if self._declarations.current is None:
+            return False
+        if self._declarations.get_service(registered.service) is not None:
+            return False
+        replaced = self._workloads.list_replaced(registered)
+        return any(other.service != registered.service for other in replaced)
+
+    def _ignore_foreign(
+        self, item: CallInput, call: AnnounceInstanceCall, now: float
+    ) -> list[Effect]:
+        registered = call.registered
+        reason = f'no declaration names its service "{registered.service}"'
+        effects = self._ignore_announcement(item, call, reason)
+        if self._workloads.has_life_at(registered.address):
+            # The renewals of that life tell if another one answers there.
+            return effects
+        return [*effects, *self._life_checks.check(registered, now)]
+
     def _is_known(self, call: AnnounceInstanceCall) -> bool:
         """Tell whether an announcement changes nothing in the applied log.
 
@@ -345,13 +375,13 @@
         self, item: CallInput, call: AnnounceInstanceCall
     ) -> list[Effect]:
         if self._workloads.is_superseded(call.registered):
-            return self._ignore_announcement(item, call)
+            return self._ignore_announcement(item, call, SUPERSEDED)
         return [Respond(item.call_id, Answer(200))]
 
     def _ignore_announcement(
-        self, item: CallInput, call: AnnounceInstanceCall
+        self, item: CallInput, call: AnnounceInstanceCall, reason: str
     ) -> list[Effect]:
-        attributes: dict[str, Scalar] = {"reason": "it has ended or was replaced"}
+        attributes: dict[str, Scalar] = {"reason": reason}
         return [
             Respond(item.call_id, Answer(200)),
             Record(Event.ANNOUNCEMENT_IGNORED, call.registered.life, attributes),
--- a/src/gypsumwalk/workloads.py
+++ b/src/gypsumwalk/workloads.py
@@ -144,6 +144,23 @@
             return True
         return instance.born < self._last_born.get(instance.address, 0)
 
+    def list_replaced(self, instance: RegisteredInstance) -> list[RegisteredInstance]:
+        """Return the lives that a registration discards or changes."""
+        related = [
+            *self._by_instance.list_lives(instance.instance),
+            *self._by_address.list_lives(instance.address),
+        ]
+        replaced = {
+            other.life: other
+            for other in related
+            if other.life == instance.life or _is_superseded_by(other, instance)
+        }
+        return list(replaced.values())
+
+    def has_life_at(self, address: str) -> bool:
+        """Return whether a life is registered at an address."""
+        return bool(self._by_address.list_lives(address))
+
     def may_return(self, instance: RegisteredInstance) -> bool:
         """Tell whether a superseded life may go on, so that it has to be asked.
 
@@ -152,7 +169,7 @@
         """
         if self._history.has_departed(instance.instance, instance.born):
             return False
-        return not self._by_address.list_lives(instance.address)
+        return not self.has_life_at(instance.address)
 
     def may_have_left(self, instance: RegisteredInstance) -> bool:
         """Tell whether a deregistration that names no life may only be this life's.
@@ -328,12 +345,8 @@
         known = self.instances.get(instance.life)
         if known is not None and known.draining and not instance.draining:
             instance = msgspec.structs.replace(instance, draining=True)
-        related = [
-            *self._by_instance.list_lives(instance.instance),
-            *self._by_address.list_lives(instance.address),
-        ]
-        for other in related:
-            if _is_superseded_by(other, instance):
+        for other in self.list_replaced(instance):
+            if other.life != instance.life:
                 self._discard(other.life)
         self._store(instance)
         self._history.note_registration(instance.instance, instance.born)
