Pace waves so that their last machine begins before the deadline

A wave of 85 machines with 28 s had 84 of them in time. Machines in use were spared for 45% of the wave, even if the rounds left after that were too few. Machines that were moving or in their cooldown did not count for the rounds, pools took machines of the wave until its end, and lasting tasks whose budgets allow one move at a time were moved too late.

Machines in use are now spared only as long as every round can still be kept. All machines that are left count. They stay in their pools from a move before the time is short, and those with lasting tasks are emptied first if their budgets need the time. Event 5027 tells what holds back each machine.

--- a/src/gypsumwalk/availability.py
+++ b/src/gypsumwalk/availability.py
@@ -52,6 +52,13 @@
                     return False
         return unavailable < step.max_unavailable
 
+    def find_limit(self, run: RunView) -> int:
+        """Return how many tasks of the step of a run may be unavailable at once."""
+        step = self._workloads.find_step(run.task)
+        if step is None:
+            return 1
+        return step.count if step.max_unavailable < 0 else step.max_unavailable
+
 
 def _is_available(task: TaskKey, lease_table: LeaseTable) -> bool:
     runs = lease_table.runs_by_task.get(task, {})
--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -208,6 +208,10 @@
         """Tell whether the budget of a lasting step allows to stop one of its runs."""
         return self._availability.may_interrupt(run, self.lease_table)
 
+    def find_interruption_limit(self, run: RunView) -> int:
+        """Return how many runs of a lasting step its budget allows to stop at once."""
+        return self._availability.find_limit(run)
+
     def hold_starts(self, life: str, now: float) -> None:
         """Send no starts to an instance for a time in which its end would show."""
         self._modules.renewals.hold_starts(life, now)
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -262,6 +262,12 @@
     INSTANCE_RETURNED = EventEntry(
         5026, Level.WARNING, "the removed life answers at {address} and is registered"
     )
+    MACHINE_HELD_BACK = EventEntry(
+        5027,
+        Level.INFO,
+        "wave {wave} has not taken down the machine yet: {reason}; {left} s left,"
+        " urgent {urgent}",
+    )
     WAVE_STARTED = EventEntry(4201, Level.INFO, "run {run} of the wave started")
     WAVE_PAUSED = EventEntry(4202, Level.WARNING, "the wave is paused: {reason}")
 
--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -16,7 +16,6 @@
     ProposalStatus,
 )
 from gypsumwalk.instance_actions import MachineReport, MaintainMachine
-from gypsumwalk.leases import RunState, RunView
 from gypsumwalk.machine_directory import MachineDirectory
 from gypsumwalk.maintenance_orders import MaintenanceOrders
 from gypsumwalk.order_cooldown import UNKNOWN_HOLDER, OrderCooldown
@@ -27,6 +26,16 @@
     UpkeepSection,
     UpkeepWave,
 )
+from gypsumwalk.wave_draining import WaveDraining
+from gypsumwalk.wave_holds import WaveHolds
+from gypsumwalk.wave_pacing import (
+    REGISTRATION_SECONDS,
+    WaveMachine,
+    WavePlan,
+    find_concurrency,
+    find_hold,
+    plan_wave,
+)
 from gypsumwalk.workload_records import RemoveInstance, split_life
 
 __all__ = ["MaintenanceController", "find_concurrency"]
@@ -47,18 +56,6 @@
 """Time for which a machine is missing from the lists before it counts as gone; one that
 is replaced, or was added after the list was made, is listed within seconds."""
 
-REGISTRATION_SECONDS = 1.0
-"""Time after a maintenance until the new instance registers."""
-
-DRAIN_SECONDS = 1.5
-"""Time that draining the tasks of a machine usually takes."""
-
-STANDBY_ONLY_SHARE = 0.45
-"""Share of a wave's duration in which only standby machines are taken down."""
-
-DEADLINE_RESERVE_SECONDS = 4.0
-"""Time before a wave's deadline from which running tasks are not waited for."""
-
 
 class MaintenanceController:
     """Part that drains machines and takes them down while this daemon leads.
@@ -109,6 +106,9 @@
         self._directory = directory
         self._cooldown = cooldown
         self._maintenance = maintenance
+        self._draining = WaveDraining(
+            dispatcher=dispatcher, scheduler=scheduler, directory=directory
+        )
         self._term = 0
         self._lives: dict[str, str] = {}
         self._answered_at: dict[str, float] = {}
@@ -117,6 +117,9 @@
         self._term_began = float("-inf")
         self._orders = MaintenanceOrders(maintenance + REGISTRATION_SECONDS)
         self._pending_proposals: dict[str, Propose] = {}
+        self._emptied: set[str] = set()
+        """Machines that were emptied ahead of their turn in a wave."""
+        self._holds = WaveHolds()
         self._known_loads = 0
         self._count = 0
         self._due = 0.0
@@ -176,7 +179,9 @@
             self._begin_term(now)
         waves = self._upkeep.list_open()
         self._scheduler.due_for_maintenance.clear()
+        self._scheduler.held_in_pool.clear()
         if not waves:
+            self._emptied.clear()
             self._cordon(set(), now)
             return []
         if not self._directory.machines:
@@ -202,6 +207,8 @@
         self._term_began = now
         self._orders.clear()
         self._pending_proposals.clear()
+        self._emptied.clear()
+        self._holds.clear()
         self._cordon(set(), now)
         self._delay_open_orders(now)
 
@@ -223,55 +230,73 @@
         effects += self._resend_orders(wave, remaining, now)
         down = sum(self._is_down(wave, machine, now) for machine in wave.begun)
         down += sum(self._is_begin_pending(wave, machine) for machine in remaining)
-        due = [
-            item
-            for item in remaining
-            if item not in wave.begun
-            and item not in self._scheduler.changing_pool
-            and self._cooldown.can_order(item, now)
+        waiting = [
+            self._describe(machine, now)
+            for machine in wave.remaining
+            if machine not in wave.begun
         ]
-        due.sort(key=self._find_drain_cost)
-        standby = [item for item in due if self._is_on_standby(item)]
-        active = [item for item in due if item not in standby]
-        concurrency = find_concurrency(
-            len(due),
-            wave,
-            now,
-            self._maintenance,
-            has_standby=bool(self._declarations.find_standby()),
-        )
-        chosen = standby[: wave.max_down] + active[:concurrency]
-        cordoned.update(chosen)
+        plan = self._plan(wave, waiting, now)
+        self._emptied |= set(plan.emptied)
+        cordoned.update(plan.chosen)
         cordoned.update(item for item in wave.begun if self._is_down(wave, item, now))
         # One that is ordered down only now and then must not get work in between.
         cordoned.update(item for item in remaining if item in wave.begun)
-        is_urgent = now > wave.started + wave.duration - self._find_time_needed(
-            wave, due
-        )
-        for machine in chosen:
-            effects += self._drain(machine, now)
+        views = {item.machine: item for item in waiting}
+        for machine in plan.chosen:
+            effects += self._draining.drain(machine, now)
             if self._is_begin_pending(wave, machine):
                 continue
-            if down >= wave.max_down or not self._may_take_down(machine, is_urgent):
-                continue
-            down += 1
-            effects += self._propose_begin(wave, machine)
+            has_room = down < wave.max_down
+            if find_hold(views[machine], plan, has_room=has_room) is None:
+                down += 1
+                effects += self._propose_begin(wave, machine)
         effects += self._retry_refused(wave, remaining, down, now)
-        self._scheduler.due_for_maintenance.update(due)
-        later = [item for item in active if item not in chosen]
-        return effects + self._drain_ahead(later, now)
+        listed = [item.machine for item in waiting if item.is_listed]
+        self._scheduler.due_for_maintenance.update(listed)
+        if plan.is_closing:
+            self._scheduler.held_in_pool.update(listed)
+        effects += self._draining.drain_ahead(plan.later, now)
+        has_room = down < wave.max_down
+        unordered = [
+            item for item in waiting if not self._is_begin_pending(wave, item.machine)
+        ]
+        return effects + self._holds.report(
+            wave, unordered, plan, now, has_room=has_room
+        )
 
-    def _is_on_standby(self, machine: str) -> bool:
-        return (
-            self._directory.machines[machine].service
-            == self._declarations.find_standby()
+    def _plan(
+        self, wave: UpkeepWave, waiting: Sequence[WaveMachine], now: float
+    ) -> WavePlan:
+        used = [item.machine for item in waiting if item.lasting_runs]
+        rounds, at_once = self._draining.count_moves(used)
+        return plan_wave(
+            wave,
+            waiting,
+            now,
+            self._maintenance,
+            has_standby=bool(self._declarations.find_standby()),
+            move_rounds=rounds,
+            moves_at_once=at_once,
         )
 
-    def _find_time_needed(self, wave: UpkeepWave, due: list[str]) -> float:
-        rounds = -(-len(due) // wave.max_down)
-        return (
-            rounds * (self._maintenance + REGISTRATION_SECONDS)
-            + DEADLINE_RESERVE_SECONDS
+    def _describe(self, machine: str, now: float) -> WaveMachine:
+        info = self._directory.machines.get(machine)
+        if info is None:
+            return WaveMachine(machine, is_listed=False)
+        instance = self._directory.find_instance(machine)
+        runs = self._draining.list_runs(machine)
+        lasting = [run for run in runs if run.is_lasting]
+        return WaveMachine(
+            machine,
+            is_up=info.state == "up",
+            is_moving=machine in self._scheduler.changing_pool,
+            is_cooling=not self._cooldown.can_order(machine, now),
+            is_standby=info.service == self._declarations.find_standby(),
+            is_leaving=instance is not None and instance.draining,
+            runs=len(runs),
+            lasting_runs=len(lasting),
+            stopping_runs=sum(run.is_stopping for run in lasting),
+            is_emptied=machine in self._emptied,
         )
 
     def _is_down(self, wave: UpkeepWave, machine: str, now: float) -> bool:
@@ -299,59 +324,6 @@
         # A life that began earlier may be listed until it is known to have ended.
         return split_life(instance.life)[1] <= split_life(life)[1]
 
-    def _list_runs(self, machine: str) -> list[RunView]:
-        view = self._directory.find_view(machine)
-        return list(view.runs.values()) if view else []
-
-    def _find_drain_cost(self, machine: str) -> tuple[bool, int]:
-        instance = self._directory.find_instance(machine)
-        is_draining = instance is not None and instance.draining
-        return is_draining, len(self._list_runs(machine))
-
-    def _drain(self, machine: str, now: float) -> list[Effect]:
-        effects: list[Effect] = []
-        for run in self._list_runs(machine):
-            if run.is_stopping or run.state is not RunState.RUNNING:
-                continue
-            if run.is_lasting and self._dispatcher.may_interrupt(run):
-                effects += self._evacuate(run, machine, now)
-        return effects
-
-    def _drain_ahead(self, machines: Sequence[str], now: float) -> list[Effect]:
-        """Evacuate lasting tasks of machines that are taken down later.
-
-        The budgets of their steps allow only a few evacuations at a time, too few for
-        the end of a wave. Transient tasks still start on these machines.
-        """
-        effects: list[Effect] = []
-        exhausted: set[tuple[str, int, int]] = set()
-        for machine in machines:
-            for run in self._list_runs(machine):
-                step = run.task[:3]
-                if run.is_stopping or run.state is not RunState.RUNNING:
-                    continue
-                if not run.is_lasting or step in exhausted:
-                    continue
-                if not self._dispatcher.may_interrupt(run):
-                    exhausted.add(step)
-                elif self._scheduler.can_move(run, self._dispatcher.lease_table, now):
-                    effects += self._evacuate(run, machine, now)
-        return effects
-
-    def _evacuate(self, run: RunView, machine: str, now: float) -> list[Effect]:
-        attributes: dict[str, Scalar] = {"run": run.run, "machine": machine}
-        record = Record(Event.RUN_EVACUATED, str(run.task), attributes)
-        return [record, *self._dispatcher.stop(run, now)]
-
-    def _may_take_down(self, machine: str, is_urgent: bool) -> bool:
-        info = self._directory.machines[machine]
-        if info.state != "up":
-            return False
-        runs = self._list_runs(machine)
-        if any(run.is_lasting for run in runs):
-            return False
-        return is_urgent or not runs
-
     def _is_begin_pending(self, wave: UpkeepWave, machine: str) -> bool:
         if machine in wave.begun:
             return False
@@ -494,38 +466,3 @@
     def _propose_removal(self, life: str) -> Propose:
         command = RemoveInstance(life, reason="its machine is maintained")
         return Propose(f"{self.name}/end/{life}", command, PROPOSAL_SECONDS)
-
-
-def find_concurrency(
-    due: int, wave: UpkeepWave, now: float, maintenance: float, *, has_standby: bool
-) -> int:
-    """Return how many machines in use a wave may drain and take down at once.
-
-    A queue needs its machines during a burst of demand, and most of them are in standby
-    at other times. So a wave first waits for machines to enter standby, and then drains
-    no more machines in use than it needs to end in time.
-
-    Parameters
-    ----------
-    due : int
-        Number of machines that are still due.
-    wave : UpkeepWave
-        The wave.
-    now : float
-        Time in seconds.
-    maintenance : float
-        Time in seconds that the maintenance of a machine takes.
-    has_standby : bool
-        Whether the fleet has a standby pool.
-
-    Returns
-    -------
-    int
-        Number of machines, at most ``max_down``.
-    """
-    remaining_seconds = wave.started + wave.duration - now - DEADLINE_RESERVE_SECONDS
-    if has_standby and remaining_seconds > (1 - STANDBY_ONLY_SHARE) * wave.duration:
-        return 0
-    round_seconds = maintenance + REGISTRATION_SECONDS + DRAIN_SECONDS
-    rounds = max(1, int(remaining_seconds / round_seconds))
-    return min(wave.max_down, -(-due // rounds))
--- a/src/gypsumwalk/pool_scaling_controller.py
+++ b/src/gypsumwalk/pool_scaling_controller.py
@@ -203,6 +203,7 @@
         }
         in_waves -= self._list_returned(now)
         in_waves |= self._scheduler.cordoned
+        in_waves |= self._scheduler.held_in_pool
         described = []
         for machine, info in self._directory.machines.items():
             service = info.service
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -50,6 +50,8 @@
         self.due_for_maintenance: set[str] = set()
         """Machines that get no lasting task if another one has room, as a wave takes
         them down later."""
+        self.held_in_pool: set[str] = set()
+        """Machines that stay in their pools, as a wave is short of time for them."""
         self.changing_pool: set[str] = set()
         """Machines that get no new work because they are moving to another pool."""
         self._declarations = declarations
