--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -279,6 +279,12 @@
     IDLE_RENEWALS_RESUMED = EventEntry(
         5091, Level.INFO, "renewals of {idle} idle instances go on after {seconds} s"
     )
+    MACHINE_HELD_BACK = EventEntry(
+        5027,
+        Level.INFO,
+        "wave {wave} has not taken down the machine yet: {reason}; {left} s left,"
+        " urgent {urgent}",
+    )
     WAVE_STARTED = EventEntry(4201, Level.INFO, "run {run} of the wave started")
     WAVE_PAUSED = EventEntry(4202, Level.WARNING, "the wave is paused: {reason}")
 
