Select the jobs of an overloaded pool that can be on time

Among jobs that can be on time, the one with the least slack goes first, so that under overload each job starts just as it becomes late. The selection takes the jobs with the largest value whose work the pool can do by their due dates, and drops the others.

--- /dev/null
+++ b/src/gypsumwalk/job_selection.py
@@ -0,0 +1,146 @@
+"""Selection of the jobs of a pool that can all be on time, by value.
+
+The selection is the weighted form of the Moore-Hodgson rule: jobs are taken by due
+date, and as soon as the work of those taken exceeds what the pool can do until a due
+date, the one with the least value per core-second is dropped.
+"""
+
+from collections.abc import Collection, Mapping, Sequence
+from dataclasses import dataclass
+from enum import IntEnum
+from heapq import heappop, heappush
+
+from gypsumwalk.backlog import JobView, RoomView
+from gypsumwalk.job_values import find_value_density
+
+__all__ = ["JobGroup", "Rank", "Selection", "find_arrival_rank", "select_jobs"]
+
+Rank = tuple[int, int, float, str]
+"""Group, priority of the queue, order within both, and identifier of a job."""
+
+
+class JobGroup(IntEnum):
+    """Groups of jobs in the order in which they get room."""
+
+    SELECTED = 0
+    """Can be on time together with all others of the group."""
+    DROPPED = 1
+    """Could be on time, but not together with those that are selected."""
+    EXCESS = 2
+    """As selected, but its team has submitted more than its weight allows."""
+    DROPPED_EXCESS = 3
+    """As dropped, but its team has submitted more than its weight allows."""
+    LATE = 4
+    """Can only be late."""
+    EXPIRED = 5
+    """Has no value when it is done."""
+
+
+@dataclass(frozen=True, slots=True)
+class Selection:
+    """Order of the jobs of a pool.
+
+    Attributes
+    ----------
+    ranks : Mapping of str to Rank
+        Rank of each job by its identifier; lower ones go first.
+    dropped : frozenset of str
+        Jobs that could be on time and are not selected.
+    """
+
+    ranks: Mapping[str, Rank]
+    dropped: frozenset[str] = frozenset()
+
+    @property
+    def order(self) -> list[str]:
+        """Identifiers of the jobs, first the one that gets room first."""
+        return sorted(self.ranks, key=self.ranks.__getitem__)
+
+    def count(self, group: JobGroup) -> int:
+        """Return the number of jobs in a group."""
+        return sum(rank[0] == group for rank in self.ranks.values())
+
+
+def select_jobs(
+    jobs: Sequence[JobView],
+    room: RoomView,
+    now: float,
+    *,
+    kept: Collection[str] = (),
+) -> Selection:
+    """Select the jobs with the largest value that can all be on time, and order all.
+
+    Parameters
+    ----------
+    jobs : Sequence of JobView
+        Jobs of one pool with work that has not started.
+    room : RoomView
+        Room of the pool.
+    now : float
+        Time in seconds.
+    kept : Collection of str
+        Jobs that are dropped only if no other job of their class is left to drop.
+
+    Returns
+    -------
+    Selection
+        Order of all jobs.
+    """
+    selected = _select(jobs, room, now, kept)
+    ranks = {job.job: _find_rank(job, selected, now) for job in jobs}
+    for job in jobs:
+        if job.job in selected and job.job in kept:
+            rank = JobGroup.SELECTED, job.priority, job.latest_start, job.job
+            ranks[job.job] = rank
+    dropped = frozenset(
+        job.job for job in jobs if job.job not in selected and _can_be_on_time(job, now)
+    )
+    return Selection(ranks, dropped)
+
+
+def find_arrival_rank(job: JobView) -> Rank:
+    """Return the rank of a job that arrived after the selection: it is selected."""
+    group = JobGroup.EXCESS if job.is_excess else JobGroup.SELECTED
+    return group, job.priority, job.latest_start, job.job
+
+
+def _can_be_on_time(job: JobView, now: float) -> bool:
+    return job.latest_start >= now
+
+
+def _select(
+    jobs: Sequence[JobView], room: RoomView, now: float, kept: Collection[str]
+) -> set[str]:
+    """Return the selected jobs.
+
+    The heap drops lower classes first. A higher class is thus selected as if there
+    were no other, and a lower class gets what it leaves. A kept job that can't be on
+    time has no due date to plan for, so it is selected without a claim on the supply.
+    """
+    candidates = [job for job in jobs if _can_be_on_time(job, now)]
+    candidates.sort(key=lambda job: (job.due, job.job))
+    heap: list[tuple[int, bool, bool, float, str, float]] = []
+    work = 0.0
+    for job in candidates:
+        density = find_value_density(job)
+        is_kept = job.job in kept
+        entry = -job.priority, is_kept, job.has_started, density, job.job, job.work
+        heappush(heap, entry)
+        work += job.work
+        supply = room.find_supply(job.due, now)
+        while work > supply and heap:
+            work -= heappop(heap)[-1]
+    late = {job.job for job in jobs if job.job in kept and job.latest_start < now}
+    return late | {entry[4] for entry in heap}
+
+
+def _find_rank(job: JobView, selected: Collection[str], now: float) -> Rank:
+    if job.job in selected:
+        return find_arrival_rank(job)
+    density = find_value_density(job)
+    if _can_be_on_time(job, now):
+        group = JobGroup.DROPPED_EXCESS if job.is_excess else JobGroup.DROPPED
+        return group, job.priority, -density, job.job
+    if job.latest_start + (job.expires - job.due) >= now:
+        return JobGroup.LATE, job.priority, -density, job.job
+    return JobGroup.EXPIRED, job.priority, job.submitted, job.job
