--- a/src/gypsumwalk/drop_limits.py
+++ b/src/gypsumwalk/drop_limits.py
@@ -22,8 +22,9 @@
 MAX_DEFERRAL_SECONDS = 10.0
 """Time after which the oldest job of a team is kept if none of its jobs is served."""
 
-MIN_RELATIVE_SHARE = 0.5
-"""Least share of a group that is served, relative to the share of all jobs."""
+MIN_RELATIVE_SHARE = 0.75
+"""Least share of a group that is served, relative to the share of all jobs. A group has
+to be completed half as often as all; some of the jobs that begin in time end late."""
 
 SIZE_BOUNDS = (1.0, 2.0)
 """Multiples of the mean work of a queue that divide its jobs into groups. About a
@@ -164,7 +165,7 @@
 
 
 def _is_selected(job: JobView, selection: Selection) -> bool:
-    return selection.ranks[job.job][0] in (JobGroup.SELECTED, JobGroup.EXCESS)
+    return selection.ranks[job.job][1] in (JobGroup.SELECTED, JobGroup.EXCESS)
 
 
 def _find_group(job: JobView) -> _Group:
--- a/src/gypsumwalk/job_selection.py
+++ b/src/gypsumwalk/job_selection.py
@@ -1,8 +1,14 @@
 """Selection of the jobs of a pool that can all be on time, by value.
 
-The selection is the weighted form of the Moore-Hodgson rule: jobs are taken by due
-date, and as soon as the work of those taken exceeds what the pool can do until a due
-date, the one with the least value per core-second is dropped.
+The selection is the weighted form of the Moore-Hodgson rule: jobs are taken by the time
+at which their work has to have begun, and as soon as the work of those taken exceeds
+what the pool can begin until such a time, the one with the least value per core-second
+is dropped.
+
+Tasks are not divisible: what a pool can do until the due date of a job includes the
+time after its latest start, in which only tasks that run already make use of a core.
+With the work that can be done until the due date, half the selected jobs of a turn were
+late.
 """
 
 from collections.abc import Collection, Mapping, Sequence
@@ -16,7 +22,7 @@
 __all__ = ["JobGroup", "Rank", "Selection", "find_arrival_rank", "select_jobs"]
 
 Rank = tuple[int, int, float, str]
-"""Group, priority of the queue, order within both, and identifier of a job."""
+"""Priority of the queue, group, order within both, and identifier of a job."""
 
 
 class JobGroup(IntEnum):
@@ -58,7 +64,7 @@
 
     def count(self, group: JobGroup) -> int:
         """Return the number of jobs in a group."""
-        return sum(rank[0] == group for rank in self.ranks.values())
+        return sum(rank[1] == group for rank in self.ranks.values())
 
 
 def select_jobs(
@@ -90,7 +96,7 @@
     ranks = {job.job: _find_rank(job, selected, now) for job in jobs}
     for job in jobs:
         if job.job in selected and job.job in kept:
-            rank = JobGroup.SELECTED, job.priority, job.latest_start, job.job
+            rank = job.priority, JobGroup.SELECTED, job.latest_start, job.job
             ranks[job.job] = rank
     dropped = frozenset(
         job.job for job in jobs if job.job not in selected and _can_be_on_time(job, now)
@@ -101,7 +107,7 @@
 def find_arrival_rank(job: JobView) -> Rank:
     """Return the rank of a job that arrived after the selection: it is selected."""
     group = JobGroup.EXCESS if job.is_excess else JobGroup.SELECTED
-    return group, job.priority, job.latest_start, job.job
+    return job.priority, group, job.latest_start, job.job
 
 
 def _can_be_on_time(job: JobView, now: float) -> bool:
@@ -117,30 +123,45 @@
     were no other, and a lower class gets what it leaves. A kept job that can't be on
     time has no due date to plan for, so it is selected without a claim on the supply.
     """
-    candidates = [job for job in jobs if _can_be_on_time(job, now)]
-    candidates.sort(key=lambda job: (job.due, job.job))
+    candidates = [
+        (_find_horizon(job, room), job.job, job)
+        for job in jobs
+        if _can_be_on_time(job, now)
+    ]
+    candidates.sort(key=lambda item: item[:2])
     heap: list[tuple[int, bool, bool, float, str, float]] = []
     work = 0.0
-    for job in candidates:
+    for horizon, name, job in candidates:
         density = find_value_density(job)
-        is_kept = job.job in kept
-        entry = -job.priority, is_kept, job.has_started, density, job.job, job.work
+        entry = -job.priority, name in kept, job.has_started, density, name, job.work
         heappush(heap, entry)
         work += job.work
-        supply = room.find_supply(job.due, now)
+        supply = room.find_supply(horizon, now)
         while work > supply and heap:
             work -= heappop(heap)[-1]
     late = {job.job for job in jobs if job.job in kept and job.latest_start < now}
     return late | {entry[4] for entry in heap}
 
 
+def _find_horizon(job: JobView, room: RoomView) -> float:
+    """Return the time until which the supply is the work that can begin in time.
+
+    A core that becomes free shortly before the latest start of a job still does a whole
+    task for it. In the mean, the time that this adds is half of the job's run, and as
+    much is left of the runs that occupy the pool. If these are longer, only the time
+    that it adds is compensated.
+    """
+    left = room.running_work / room.cores if room.cores > 0 else 0.0
+    return job.latest_start + min(left, (job.due - job.latest_start) / 2)
+
+
 def _find_rank(job: JobView, selected: Collection[str], now: float) -> Rank:
     if job.job in selected:
         return find_arrival_rank(job)
     density = find_value_density(job)
     if _can_be_on_time(job, now):
         group = JobGroup.DROPPED_EXCESS if job.is_excess else JobGroup.DROPPED
-        return group, job.priority, -density, job.job
+        return job.priority, group, -density, job.job
     if job.latest_start + (job.expires - job.due) >= now:
-        return JobGroup.LATE, job.priority, -density, job.job
-    return JobGroup.EXPIRED, job.priority, job.submitted, job.job
+        return job.priority, JobGroup.LATE, -density, job.job
+    return job.priority, JobGroup.EXPIRED, job.submitted, job.job
