Order the waiting jobs of an overloaded pool by the selection

Cause: when the ready work of a pool does not fit, the job with the least slack goes first, and most jobs start just as they become late.

Change: `backlog_views` makes the views of jobs and rooms from the workloads, the ready jobs, the lease table, the learned durations and the machines on their way. The order moves from `task_scheduler` to `waiting_order`. Event 5050 states the inputs of the selections once a second.

--- a/src/gypsumwalk/candidates.py
+++ b/src/gypsumwalk/candidates.py
@@ -78,6 +78,11 @@
             pool.begin()
         return listed
 
+    def list_views(self, service: str) -> list[InstanceView]:
+        """Return the instances of a service that could take tasks at the last pass."""
+        pool = self._pools.get(service)
+        return pool.list_views() if pool is not None else []
+
     def has_room_for(
         self,
         task: TaskKey,
--- a/src/gypsumwalk/drop_limits.py
+++ b/src/gypsumwalk/drop_limits.py
@@ -81,7 +81,7 @@
             team that was deferred for too long.
         """
         self._record_outcomes(jobs, now)
-        kept = self._keep_by_size(jobs, now)
+        kept = self._keep_by_size(jobs)
         return frozenset(kept + self._keep_by_team(jobs, now))
 
     def record(self, jobs: Sequence[JobView], selection: Selection, now: float) -> None:
@@ -113,7 +113,7 @@
                 continue
             group = previous.pop(job.job, None)
             if job.latest_start >= now:
-                self._open[job.job] = _find_group(job)
+                self._open[job.job] = group or _find_group(job)
             elif group is not None:
                 self._outcomes[group].record(now, is_served=False)
         # The others have started or ended, or were cancelled, while they could be on
@@ -123,12 +123,14 @@
         for outcomes in self._outcomes.values():
             outcomes.expire(now - WINDOW_SECONDS)
 
-    def _keep_by_size(self, jobs: Sequence[JobView], now: float) -> list[str]:
+    def _keep_by_size(self, jobs: Sequence[JobView]) -> list[str]:
         best: dict[_Group, JobView] = {}
         neglected = self._list_neglected()
+        if not neglected:
+            return []
         for job in jobs:
-            group = _find_group(job)
-            if group not in neglected or job.has_started or job.latest_start < now:
+            group = self._open.get(job.job)
+            if group is None or group not in neglected:
                 continue
             known = best.get(group)
             if known is None or _order_kept(job) < _order_kept(known):
@@ -153,10 +155,16 @@
         return neglected
 
     def _keep_by_team(self, jobs: Sequence[JobView], now: float) -> list[str]:
+        deferred = {
+            team
+            for team, since in self._deferred_since.items()
+            if now - since >= MAX_DEFERRAL_SECONDS
+        }
+        if not deferred:
+            return []
         oldest: dict[str, JobView] = {}
         for job in jobs:
-            since = self._deferred_since.get(job.team, now)
-            if now - since < MAX_DEFERRAL_SECONDS:
+            if job.team not in deferred:
                 continue
             known = oldest.get(job.team)
             if known is None or _order_by_age(job) < _order_by_age(known):
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -279,6 +279,14 @@
     IDLE_RENEWALS_RESUMED = EventEntry(
         5091, Level.INFO, "renewals of {idle} idle instances go on after {seconds} s"
     )
+    POOL_OVERLOADED = EventEntry(
+        5050,
+        Level.INFO,
+        "{jobs} jobs with {work} core-seconds wait for {cores} cores, which have"
+        " {running} core-seconds of running work ({arriving} machines on their way):"
+        " {selected} selected, {dropped} dropped, {late} late, {expired} expired;"
+        " {excess} are excess, {kept} kept",
+    )
     WAVE_STARTED = EventEntry(4201, Level.INFO, "run {run} of the wave started")
     WAVE_PAUSED = EventEntry(4202, Level.WARNING, "the wave is paused: {reason}")
 
--- a/src/gypsumwalk/job_selection.py
+++ b/src/gypsumwalk/job_selection.py
@@ -92,16 +92,21 @@
     Selection
         Order of all jobs.
     """
-    selected = _select(jobs, room, now, kept)
-    ranks = {job.job: _find_rank(job, selected, now) for job in jobs}
+    densities = {job.job: find_value_density(job) for job in jobs}
+    selected = _select(jobs, room, now, kept, densities)
+    ranks: dict[str, Rank] = {}
+    dropped: list[str] = []
     for job in jobs:
-        if job.job in selected and job.job in kept:
-            rank = job.priority, JobGroup.SELECTED, job.latest_start, job.job
-            ranks[job.job] = rank
-    dropped = frozenset(
-        job.job for job in jobs if job.job not in selected and _can_be_on_time(job, now)
-    )
-    return Selection(ranks, dropped)
+        name = job.job
+        if name not in selected:
+            ranks[name] = _find_rank(job, densities[name], now)
+            if job.latest_start >= now:
+                dropped.append(name)
+        elif name in kept:
+            ranks[name] = job.priority, JobGroup.SELECTED, job.latest_start, name
+        else:
+            ranks[name] = find_arrival_rank(job)
+    return Selection(ranks, frozenset(dropped))
 
 
 def find_arrival_rank(job: JobView) -> Rank:
@@ -110,12 +115,12 @@
     return job.priority, group, job.latest_start, job.job
 
 
-def _can_be_on_time(job: JobView, now: float) -> bool:
-    return job.latest_start >= now
-
-
 def _select(
-    jobs: Sequence[JobView], room: RoomView, now: float, kept: Collection[str]
+    jobs: Sequence[JobView],
+    room: RoomView,
+    now: float,
+    kept: Collection[str],
+    densities: Mapping[str, float],
 ) -> set[str]:
     """Return the selected jobs.
 
@@ -123,16 +128,17 @@
     were no other, and a lower class gets what it leaves. A kept job that can't be on
     time has no due date to plan for, so it is selected without a claim on the supply.
     """
+    left = room.running_work / room.cores if room.cores > 0 else 0.0
     candidates = [
-        (_find_horizon(job, room), job.job, job)
+        (_find_horizon(job, left), job.job, job)
         for job in jobs
-        if _can_be_on_time(job, now)
+        if job.latest_start >= now
     ]
     candidates.sort(key=lambda item: item[:2])
     heap: list[tuple[int, bool, bool, float, str, float]] = []
     work = 0.0
     for horizon, name, job in candidates:
-        density = find_value_density(job)
+        density = densities[name]
         entry = -job.priority, name in kept, job.has_started, density, name, job.work
         heappush(heap, entry)
         work += job.work
@@ -143,23 +149,20 @@
     return late | {entry[4] for entry in heap}
 
 
-def _find_horizon(job: JobView, room: RoomView) -> float:
+def _find_horizon(job: JobView, left: float) -> float:
     """Return the time until which the supply is the work that can begin in time.
 
     A core that becomes free shortly before the latest start of a job still does a whole
     task for it. In the mean, the time that this adds is half of the job's run, and as
-    much is left of the runs that occupy the pool. If these are longer, only the time
-    that it adds is compensated.
+    much is left of the runs that occupy the pool (``left``, in seconds). If these are
+    longer, only the time that it adds is compensated.
     """
-    left = room.running_work / room.cores if room.cores > 0 else 0.0
     return job.latest_start + min(left, (job.due - job.latest_start) / 2)
 
 
-def _find_rank(job: JobView, selected: Collection[str], now: float) -> Rank:
-    if job.job in selected:
-        return find_arrival_rank(job)
-    density = find_value_density(job)
-    if _can_be_on_time(job, now):
+def _find_rank(job: JobView, density: float, now: float) -> Rank:
+    """Return the rank of a job that is not selected."""
+    if job.latest_start >= now:
         group = JobGroup.DROPPED_EXCESS if job.is_excess else JobGroup.DROPPED
         return job.priority, group, -density, job.job
     if job.latest_start + (job.expires - job.due) >= now:
--- a/src/gypsumwalk/placements.py
+++ b/src/gypsumwalk/placements.py
@@ -50,14 +50,15 @@
     def plan(self, term: int, now: float) -> list[Effect]:
         """Plan runs of ready tasks and propose their placements in a term."""
         runs = self._context.scheduler.plan_runs(self._context.lease_table, now)
+        records = self._context.scheduler.take_records()
         if not runs:
-            return []
+            return [*records]
         for item in runs:
             item.run.planned_at = now
         command = PlaceRuns(term, [item.placement for item in runs])
         proposal = self._context.propose(command)
         self._proposals[proposal.token] = [item.run for item in runs]
-        return [proposal]
+        return [*records, proposal]
 
     def start(
         self,
--- a/src/gypsumwalk/pool_scaling_controller.py
+++ b/src/gypsumwalk/pool_scaling_controller.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 
 from gypsumwalk.declarations import DeclarationSection
-from gypsumwalk.demand_forecast import DemandForecast
+from gypsumwalk.demand_forecast import LEAD_SECONDS, DemandForecast
 from gypsumwalk.dispatcher import Dispatcher
 from gypsumwalk.effects import CallPlatform, Effect, Propose, Record, Scalar
 from gypsumwalk.events import Event
@@ -25,6 +25,7 @@
 )
 from gypsumwalk.task_scheduler import TaskScheduler
 from gypsumwalk.upkeep import OrderMoves, UpkeepSection
+from gypsumwalk.work_estimates import MILLICORES
 from gypsumwalk.workload_records import RemoveInstance
 
 __all__ = ["PoolScalingController"]
@@ -140,6 +141,7 @@
         if self._dispatcher.term != self._term:
             self._begin_term(now)
         self._complete_moves(now)
+        self._scheduler.backlog.arriving = self._list_arriving()
         standby = self._declarations.find_standby()
         if not standby or not self._directory.machines:
             return []
@@ -218,6 +220,16 @@
         self._scheduler.changing_pool.discard(machine)
         self._dispatcher.request_scheduling_pass(now)
 
+    def _list_arriving(self) -> dict[str, tuple[tuple[float, float], ...]]:
+        """Return the times and cores of machines on their way, by service."""
+        arriving: dict[str, tuple[tuple[float, float], ...]] = {}
+        for machine, (service, since) in self._moving.items():
+            info = self._directory.machines.get(machine)
+            if info is not None:
+                item = since + LEAD_SECONDS, info.capacity.cpu / MILLICORES
+                arriving[service] = (*arriving.get(service, ()), item)
+        return arriving
+
     def _describe_machines(self, now: float) -> list[PoolMachine]:
         in_waves = {
             machine for wave in self._upkeep.waves.values() for machine in wave.begun
--- a/src/gypsumwalk/ready_tasks.py
+++ b/src/gypsumwalk/ready_tasks.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
+from gypsumwalk.backlog import JobView
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.task_placement import find_need
 from gypsumwalk.urgency import CriticalPath, find_critical_path
@@ -29,6 +30,12 @@
         Whether some of its ready tasks are lasting.
     is_transient : bool
         Whether some of its ready tasks are transient.
+    view : JobView or None
+        Its latest view for the order under overload.
+    viewed_at : float
+        Time in seconds at which that view was made.
+    viewed_tasks : int
+        Number of its ready tasks at that time.
     """
 
     workload: Workload
@@ -37,6 +44,9 @@
     path: CriticalPath
     is_lasting: bool
     is_transient: bool
+    view: JobView | None = None
+    viewed_at: float = 0.0
+    viewed_tasks: int = 0
 
 
 @dataclass(slots=True)
@@ -62,6 +72,11 @@
         """Whether some of the ready tasks are lasting."""
         return bool(self.lasting_jobs)
 
+    @property
+    def any_job(self) -> ReadyJob:
+        """One of the jobs."""
+        return next(iter(self.jobs.values()))
+
 
 class ReadyJobs:
     """Jobs with ready tasks, by queue."""
--- a/src/gypsumwalk/task_placement.py
+++ b/src/gypsumwalk/task_placement.py
@@ -286,6 +286,30 @@
         self._refused.add((need, ""))
         return False
 
+    def sum_free_cpu(self, least: Resources, enough: int) -> int:
+        """Return the free processors of the candidates with room for a task.
+
+        Parameters
+        ----------
+        least : Resources
+            Resources that the smallest waiting task reserves.
+        enough : int
+            Processors in thousandths of a core from which on no further candidate is
+            looked at.
+
+        Returns
+        -------
+        int
+            Processors in thousandths of a core.
+        """
+        total = 0
+        for _, cpu, position in reversed(self._sorted["", False]):
+            if cpu < least.cpu or total >= enough:
+                break
+            if least.fits(self._candidates[position].free):
+                total += cpu
+        return total
+
     def list_fitting(self, step: Step) -> list[Candidate]:
         """Return the candidates that can take a task of a step, in the given order."""
         if not self.has_room(find_need(step)):
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -3,9 +3,11 @@
 from collections.abc import Iterable, Mapping
 
 from gypsumwalk.advice import AdviceCache, AdviceQuery
+from gypsumwalk.backlog_views import BacklogViews
 from gypsumwalk.candidates import CandidateLister
-from gypsumwalk.declaration_records import DeclaredQueue, Resources
+from gypsumwalk.declaration_records import Resources
 from gypsumwalk.declarations import DeclarationSection
+from gypsumwalk.effects import Record
 from gypsumwalk.lateness import LatenessPredictor
 from gypsumwalk.leases import UNKNOWN_PERCENT, LeaseTable, RunState, RunView
 from gypsumwalk.part import NEVER
@@ -16,14 +18,12 @@
 from gypsumwalk.run_planning import PlannedRun, RunPlanner, make_run
 from gypsumwalk.task_placement import CandidatePool, find_next_occurrence, list_ready
 from gypsumwalk.urgency import UrgencyEstimator
+from gypsumwalk.waiting_order import WaitingOrder
 from gypsumwalk.workload_records import Placement, Step, TaskKey, Workload
 from gypsumwalk.workloads import WorkloadSection
 
 __all__ = ["PlannedRun", "TaskScheduler", "is_within_quota"]
 
-_Rank = tuple[int, int, float, str]
-"""Priority and urgency of a job."""
-
 
 class TaskScheduler:
     """Schedules tasks by priority and urgency, within capacity, quotas and spread.
@@ -66,6 +66,17 @@
         self._quotas = TeamQuotas(declarations)
         self._demand = DemandCounter(workloads, self._quotas, self.find_service)
         self._lister = CandidateLister(self._waiting, self.find_service)
+        self.backlog = BacklogViews(
+            declarations,
+            workloads,
+            self._urgency,
+            self._waiting,
+            self._lister.list_views,
+        )
+        """Views of the waiting jobs and of the pools, as of the latest pass."""
+        self._order = WaitingOrder(
+            declarations, self._waiting, self._urgency, self.backlog, self.find_service
+        )
         self._planner = RunPlanner(
             declarations, advice, lambda *task: self._has_quota(*task)
         )
@@ -78,9 +89,16 @@
     def reset(self) -> None:
         """Discard cached state at the start of a term and mark all open jobs stale."""
         self._waiting.clear()
+        self._order.overload.clear()
         self._stale = set(self._workloads.open_jobs)
         self._next_due = NEVER
 
+    def take_records(self) -> list[Record]:
+        """Return the events of the latest passes, which are not returned again."""
+        records = self._order.overload.records[:]
+        self._order.overload.records.clear()
+        return records
+
     def invalidate(self, job: str) -> None:
         """Mark a job stale, so that the next pass recomputes its ready tasks."""
         self._stale.add(job)
@@ -131,11 +149,12 @@
             Runs to commit and then start.
         """
         self._update_ready(lease_table, now)
+        self.backlog.lease_table = lease_table
         self._quotas.clear_kept()
         self._planner.begin(self.due_for_maintenance)
         closed = self.cordoned | self.changing_pool | self.released
         pools = self._lister.list_pools(lease_table, closed, now)
-        waiting = self._sort_waiting(pools, now)
+        waiting = self._order.sort(pools, now)
         lasting = [item for item in waiting if item[0].is_lasting]
         planned: list[PlannedRun] = []
         for item in lasting:
@@ -225,33 +244,6 @@
             self._next_due = min(self._next_due, due)
         self._stale.clear()
 
-    def _sort_waiting(
-        self, pools: Mapping[str, CandidatePool], now: float
-    ) -> list[tuple[ReadyJob, CandidatePool]]:
-        """List the jobs that may get room, most urgent first, with their pools."""
-        listed: list[tuple[_Rank, ReadyJob, CandidatePool]] = []
-        for group in self._waiting.list_groups():
-            any_job = next(iter(group.jobs.values()))
-            pool = pools.get(self.find_service(any_job.workload))
-            if pool is None:
-                continue
-            has_room = pool.has_room(group.least)
-            if not has_room and not group.is_lasting:
-                continue
-            queue = self._declarations.get_queue(any_job.workload.queue)
-            for job in group.jobs.values():
-                if has_room or job.is_lasting:
-                    listed.append((self._rank(job, queue, now), job, pool))
-        listed.sort(key=lambda item: item[0])
-        return [(job, pool) for _, job, pool in listed]
-
-    def _rank(self, job: ReadyJob, queue: DeclaredQueue | None, now: float) -> _Rank:
-        workload = job.workload
-        if queue is None:
-            return 0, 0, workload.accepted, workload.job
-        urgency = self._urgency.rate(workload, queue, now, job.path)
-        return queue.priority, urgency.tier, urgency.sort_key, workload.job
-
     def find_slack(self, workload: Workload) -> float:
         """Return the seconds that a job can wait and still meet its objective."""
         queue = self._declarations.get_queue(workload.queue)
--- a/src/gypsumwalk/urgency.py
+++ b/src/gypsumwalk/urgency.py
@@ -22,6 +22,7 @@
 __all__ = [
     "LATE",
     "CriticalPath",
+    "JobTimes",
     "Urgency",
     "UrgencyEstimator",
     "find_critical_path",
@@ -67,6 +68,26 @@
     sort_key: float
 
 
+@dataclass(frozen=True, slots=True)
+class JobTimes:
+    """Times of the objective of a job, in seconds.
+
+    Attributes
+    ----------
+    latest_start : float
+        Time at which work must go on for the job to be on time, less the usual
+        prediction error if it has not started.
+    due : float
+        Time at which it has to be done to be on time.
+    expires : float
+        Time from which its result has no value.
+    """
+
+    latest_start: float
+    due: float
+    expires: float
+
+
 @dataclass(frozen=True, slots=True)
 class CriticalPath:
     """What the rating of a job needs to know of its steps.
@@ -169,19 +190,61 @@
         path = path or find_critical_path(workload)
         if path.is_open_ended:
             return Urgency(STARTED, workload.accepted)
-        total, remaining = self._predict(workload, path)
-        run_time = max(0.0, total - path.total_steps * self._overhead)
-        allowed = queue.stretch * run_time + queue.objective
+        allowed, remaining = self._find_allowed(workload, queue, path)
         waited = now - max(workload.accepted, workload.first_run)
         slack = allowed - waited - remaining
         if slack >= 0:
             if workload.state is WorkloadState.RUNNING:
                 return Urgency(STARTED, now + slack)
-            margin = START_OVERHEAD_SECONDS + self._durations.find_error(workload.queue)
+            margin = self._find_margin(workload)
             return Urgency(ON_TIME if slack >= margin else AT_RISK, now + slack)
         is_expired = waited + remaining > LATE_FACTOR * allowed
         return Urgency(EXPIRED if is_expired else LATE, path.work)
 
+    def find_times(
+        self,
+        workload: Workload,
+        queue: DeclaredQueue,
+        path: CriticalPath,
+        now: float,
+    ) -> JobTimes:
+        """Return the times of the objective of a job that has an end.
+
+        Parameters
+        ----------
+        workload : Workload
+            The job; it counts as submitted now if it is not accepted yet.
+        queue : DeclaredQueue
+            Its queue.
+        path : CriticalPath
+            Its critical path.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        JobTimes
+            The times.
+        """
+        allowed, remaining = self._find_allowed(workload, queue, path)
+        begin = max(workload.accepted or now, workload.first_run)
+        due = begin + allowed
+        has_started = workload.state is WorkloadState.RUNNING
+        margin = 0.0 if has_started else self._find_margin(workload)
+        expires = begin + LATE_FACTOR * allowed
+        return JobTimes(due - remaining - margin, due, expires)
+
+    def _find_allowed(
+        self, workload: Workload, queue: DeclaredQueue, path: CriticalPath
+    ) -> tuple[float, float]:
+        """Return the objective and the remaining duration of a job, in seconds."""
+        total, remaining = self._predict(workload, path)
+        run_time = max(0.0, total - path.total_steps * self._overhead)
+        return queue.stretch * run_time + queue.objective, remaining
+
+    def _find_margin(self, workload: Workload) -> float:
+        return START_OVERHEAD_SECONDS + self._durations.find_error(workload.queue)
+
     def find_slack(self, workload: Workload, queue: DeclaredQueue) -> float:
         """Return the seconds that a job can wait and still meet its objective."""
         total, _ = self._predict(workload, find_critical_path(workload))
--- a/src/gypsumwalk/workload_observer.py
+++ b/src/gypsumwalk/workload_observer.py
@@ -58,6 +58,7 @@
             return []
         match item.command:
             case AcceptWorkload(workload=workload):
+                self._scheduler.backlog.record_arrival(workload, item.at)
                 self._record_arrival(workload, item.at, now)
             case PlaceRuns(placements=placements):
                 if isinstance(item.result, Accepted):
