Merge the order under overload

Jobs of a team that submits more than its weight also count as work that only gets the machines that other work leaves (LatenessPredictor.is_deferrable), as they do in the order within a pool.

--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -285,6 +285,14 @@
         "wave {wave} has not taken down the machine yet: {reason}; {left} s left,"
         " urgent {urgent}",
     )
+    POOL_OVERLOADED = EventEntry(
+        5050,
+        Level.INFO,
+        "{jobs} jobs with {work} core-seconds wait for {cores} cores, which have"
+        " {running} core-seconds of running work ({arriving} machines on their way):"
+        " {selected} selected, {dropped} dropped, {late} late, {expired} expired;"
+        " {excess} are excess, {kept} kept",
+    )
     WAVE_STARTED = EventEntry(4201, Level.INFO, "run {run} of the wave started")
     WAVE_PAUSED = EventEntry(4202, Level.WARNING, "the wave is paused: {reason}")
 
--- a/src/gypsumwalk/lateness.py
+++ b/src/gypsumwalk/lateness.py
@@ -1,5 +1,7 @@
 """Prediction of which jobs will be late in any case, and when their runs end."""
 
+from collections.abc import Callable
+
 from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.leases import RunView
 from gypsumwalk.urgency import LATE, CriticalPath, UrgencyEstimator
@@ -20,6 +22,8 @@
         Jobs and instances.
     urgency : UrgencyEstimator
         Slack of jobs and durations of tasks.
+    is_excess : Callable
+        Tells whether a job is beyond the weight of its team.
     """
 
     def __init__(
@@ -27,10 +31,35 @@
         declarations: DeclarationSection,
         workloads: WorkloadSection,
         urgency: UrgencyEstimator,
+        is_excess: Callable[[str], bool],
     ) -> None:
         self._declarations = declarations
         self._workloads = workloads
         self._urgency = urgency
+        self._is_excess = is_excess
+
+    def is_deferrable(
+        self, workload: Workload, now: float, path: CriticalPath | None = None
+    ) -> bool:
+        """Tell whether a job only gets the machines that other work leaves.
+
+        These are late jobs, and jobs of a team that submits more than its weight.
+
+        Parameters
+        ----------
+        workload : Workload
+            The job.
+        now : float
+            Time in seconds.
+        path : CriticalPath, optional
+            Its critical path, if no task of the job has ended since it was found.
+
+        Returns
+        -------
+        bool
+            Whether other work goes first.
+        """
+        return self._is_excess(workload.job) or self.will_be_late(workload, now, path)
 
     def will_be_late(
         self, workload: Workload, now: float, path: CriticalPath | None = None
