--- a/src/gypsumwalk/instance_actions.py
+++ b/src/gypsumwalk/instance_actions.py
@@ -236,9 +236,18 @@
 
 
 class MachineList(msgspec.Struct, frozen=True):
-    """All machines of the fleet."""
+    """Machines of the fleet.
+
+    Attributes
+    ----------
+    machines : list of MachineInfo
+        The machines.
+    is_complete : bool
+        Whether these are all machines; False if some entries could not be read.
+    """
 
     machines: list[MachineInfo]
+    is_complete: bool = True
 
 
 class MachineReport(msgspec.Struct, frozen=True):
--- a/src/gypsumwalk/machine_directory.py
+++ b/src/gypsumwalk/machine_directory.py
@@ -1,6 +1,6 @@
 """Directory of the machines of a fleet, polled by the leader."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from gypsumwalk.dispatcher import Dispatcher
 from gypsumwalk.effects import CallPlatform, Effect, Propose, Record, Scalar
@@ -8,6 +8,7 @@
 from gypsumwalk.inputs import Input, PlatformOutcome
 from gypsumwalk.instance_actions import ListMachines, MachineInfo, MachineList
 from gypsumwalk.leases import InstanceView
+from gypsumwalk.part import NEVER
 from gypsumwalk.workload_records import RegisteredInstance, RemoveInstance
 from gypsumwalk.workloads import WorkloadSection
 
@@ -24,6 +25,10 @@
 
 STATES_IN_SERVICE = ("up", "moving")
 
+MAX_AGE_SECONDS = 5.0
+"""Age of a list after which it is not known any more which machines there are; a few
+polls with their timeouts."""
+
 CHECK_SECONDS = 0.1
 """Interval at which it is checked whether a poll is due."""
 
@@ -46,6 +51,7 @@
         self.machines: dict[str, MachineInfo] = {}
         self.read_at = float("-inf")
         """Time in seconds at which the list in ``machines`` was requested."""
+        self._unchanged_since = NEVER
         self._workloads = workloads
         self._dispatcher = dispatcher
         self._term = 0
@@ -70,7 +76,7 @@
         if requested_at < self.read_at:
             # The answer to a later request has overtaken it.
             return []
-        self.machines = {info.machine: info for info in item.report.machines}
+        self._replace_machines(item.report, now)
         # The list may be as old as the request for it.
         self.read_at = requested_at
         return self._remove_dead_instances(now)
@@ -83,6 +89,7 @@
         if self._dispatcher.term != self._term:
             self._term = self._dispatcher.term
             self.machines = {}
+            self._unchanged_since = NEVER
             self._requested_at = float("-inf")
             self._open_requests.clear()
         if now - self._requested_at < LIST_SECONDS:
@@ -93,6 +100,14 @@
         self._open_requests[token] = now
         return [CallPlatform(token, ListMachines(), CALL_SECONDS)]
 
+    def _replace_machines(self, report: MachineList, now: float) -> None:
+        machines = {info.machine: info for info in report.machines}
+        if not report.is_complete:
+            self._unchanged_since = NEVER
+        elif self._unchanged_since == NEVER or _is_changed(self.machines, machines):
+            self._unchanged_since = now
+        self.machines = machines
+
     def _remove_dead_instances(self, now: float) -> list[Effect]:
         """Propose to remove silent instances whose machines are down."""
         effects: list[Effect] = []
@@ -111,6 +126,27 @@
                 effects.append(Propose(token, command, PROPOSAL_SECONDS))
         return effects
 
+    def is_settled(self, seconds: float, now: float) -> bool:
+        """Tell whether it is known which machines there are.
+
+        Parameters
+        ----------
+        seconds : float
+            Time for which the machines with their capacities and labels must have been
+            the same in all lists of this term.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        bool
+            False also if the latest list is old or lacks machines.
+        """
+        if not self.machines or self._term != self._dispatcher.term:
+            return False
+        is_recent = now - self.read_at <= MAX_AGE_SECONDS
+        return is_recent and now - self._unchanged_since >= seconds
+
     def is_in_service(self, machine: str, since: float) -> bool:
         """Tell whether a machine is listed and neither down nor in maintenance.
 
@@ -140,3 +176,13 @@
         if instance is None:
             return None
         return self._dispatcher.lease_table.instances.get(instance.life)
+
+
+def _is_changed(
+    known: Mapping[str, MachineInfo], listed: Mapping[str, MachineInfo]
+) -> bool:
+    """Tell whether machines were added, removed or have other resources or labels."""
+    return known.keys() != listed.keys() or any(
+        known[name].capacity != info.capacity or known[name].labels != info.labels
+        for name, info in listed.items()
+    )
--- a/tests/test_machine_directory.py
+++ b/tests/test_machine_directory.py
@@ -58,5 +58,59 @@
         assert len(list_removals(answer(directory, call, "down", 10.2))) == 1
 
 
+class TestSettledMachines(unittest.TestCase):
+    """A job may be refused as impossible only if all machines are known for a while."""
+
+    def setUp(self):
+        self.directory = make_directory(silent_since=0.0)
+
+    def poll(self, now, machines=("m",), *, is_complete=True, **fields):
+        call = request(self.directory, now)
+        listed = [MachineInfo(name, "service-a", "up", **fields) for name in machines]
+        report = MachineList(listed, is_complete)
+        outcome = PlatformOutcome(call.token, succeeded=True, report=report)
+        self.directory.handle(outcome, now)
+
+    def is_settled(self, now):
+        return self.directory.is_settled(3.0, now)
+
+    def test_the_same_machines_for_a_while(self):
+        for now in (10.0, 11.0, 12.0):
+            self.poll(now)
+            assert not self.is_settled(now)
+        self.poll(13.0)
+        assert self.is_settled(13.0)
+
+    def test_each_change_begins_anew(self):
+        for change in ({"machines": ("m", "n")}, {"labels": ["x"]}):
+            self.setUp()
+            self.poll(10.0)
+            self.poll(13.0, **change)
+            assert not self.is_settled(13.0), change
+            self.poll(16.0, **change)
+            assert self.is_settled(16.0), change
+
+    def test_a_list_that_lacks_entries_leaves_a_doubt(self):
+        self.poll(10.0)
+        self.poll(13.0, is_complete=False)
+        assert not self.is_settled(13.0)
+        self.poll(14.0)
+        assert not self.is_settled(14.0)
+
+    def test_a_list_that_is_not_read_any_more_leaves_a_doubt(self):
+        self.poll(10.0)
+        self.poll(14.0)
+        assert self.is_settled(15.0)
+        assert not self.is_settled(20.0)
+
+    def test_a_new_term_knows_no_machines(self):
+        self.poll(10.0)
+        self.poll(14.0)
+        self.directory._dispatcher.term = 2
+        assert not self.is_settled(14.0)
+        self.poll(15.0)
+        assert not self.is_settled(15.0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -218,6 +218,12 @@
                 outcome = self.call(ListMachines(), text.encode("latin-1"))
                 assert isinstance(outcome.report, MachineList)
                 assert [info.machine for info in outcome.report.machines] == ["m-1"]
+                # A job must not be refused for a machine that could not be read.
+                assert not outcome.report.is_complete
+
+    def test_a_good_list_is_complete(self):
+        outcome = self.call(ListMachines(), f'{{"machines":[{MACHINE}]}}'.encode())
+        assert outcome.report.is_complete
 
     def test_a_machine_of_negative_capacity_is_left_out(self):
         odd = MACHINE.replace("}", ',"capacity":{"cpu":-1}}').replace("m-1", "m-2")
@@ -231,6 +237,7 @@
         content = f'{{"machines":[{MACHINE}],"next_page_token":"a"}}'.encode()
         outcome = self.call(ListMachines(), content)
         assert outcome.succeeded
+        assert not outcome.report.is_complete
 
     def test_a_deep_answer_to_an_order_has_an_unknown_outcome(self):
         self.server.status = 409
