--- a/src/gypsumwalk/job_selection.py
+++ b/src/gypsumwalk/job_selection.py
@@ -19,7 +19,14 @@
 from gypsumwalk.backlog import JobView, RoomView
 from gypsumwalk.job_values import find_value_density
 
-__all__ = ["JobGroup", "Rank", "Selection", "find_arrival_rank", "select_jobs"]
+__all__ = [
+    "JobGroup",
+    "Rank",
+    "Selection",
+    "find_arrival_rank",
+    "find_horizon",
+    "select_jobs",
+]
 
 Rank = tuple[int, int, float, str]
 """Priority of the queue, group, order within both, and identifier of a job."""
@@ -132,7 +139,7 @@
     """
     left = room.running_work / room.cores if room.cores > 0 else 0.0
     candidates = [
-        (_find_horizon(job, left), job.job, job)
+        (find_horizon(job, left), job.job, job)
         for job in jobs
         if job.latest_start >= now
     ]
@@ -151,7 +158,7 @@
     return late | {entry[4] for entry in heap}
 
 
-def _find_horizon(job: JobView, left: float) -> float:
+def find_horizon(job: JobView, left: float) -> float:
     """Return the time until which the supply is the work that can begin in time.
 
     A core that becomes free shortly before the latest start of a job still does a whole
--- a/src/gypsumwalk/retry_slots.py
+++ b/src/gypsumwalk/retry_slots.py
@@ -90,9 +90,9 @@
             return
         promised = self._promised[pool]
         for portion, work in slot.portions:
-            promised[portion] -= work
-            if promised[portion] < MIN_PROMISE:
-                del promised[portion]
+            left = promised.pop(portion, 0.0) - work
+            if left >= MIN_PROMISE:
+                promised[portion] = left
 
     def sum_work(self, job: JobView, pool: str, now: float) -> float:
         """Return the work promised to others that a new job has to wait for.
@@ -168,16 +168,17 @@
             if left <= 0:
                 break
         if portions and len(self) < self._max_slots:
-            slot = RetrySlot(pool, job.job, at, tuple(portions))
-            self._slots[pool, job.job] = slot
-            self._promise(pool, portions)
-            heappush(self._by_time, (at, pool, job.job))
+            self.restore(RetrySlot(pool, job.job, at, tuple(portions)))
         return at
 
-    def _promise(self, pool: str, portions: list[tuple[_Portion, float]]) -> None:
-        promised = self._promised[pool]
-        for portion, work in portions:
+    def restore(self, slot: RetrySlot) -> None:
+        """Store a reservation, as one that was released and is still needed."""
+        self.release(slot.pool, slot.job)
+        self._slots[slot.pool, slot.job] = slot
+        promised = self._promised[slot.pool]
+        for portion, work in slot.portions:
             promised[portion] = promised.get(portion, 0.0) + work
+        heappush(self._by_time, (slot.at, slot.pool, slot.job))
 
     def _list_free(
         self,
@@ -194,7 +195,7 @@
             rate = find_rate(second)
             # The part of a second that is before the earliest time can't be promised.
             room = min(rate - promised[second], rate * (second + 1 - earliest))
-            if room > 0:
+            if room >= MIN_PROMISE:
                 yield second, second + promised[second] / rate, room
 
     def _evict(self, now: float) -> None:
