Control submissions to overloaded pools

Jobs that an overloaded pool can't do before their results have no value were accepted. The control refuses them, and impossible jobs, with an event that names the inputs. It admits in doubt: after a change of leader, without known durations, without an objective, or while there is free capacity. It is not used by the call handler yet.

Retry-After is rounded up instead of to the nearest second, as a caller that returns too early is refused again.

--- a/src/gypsumwalk/candidates.py
+++ b/src/gypsumwalk/candidates.py
@@ -5,7 +5,12 @@
 from gypsumwalk.leases import InstanceTable, InstanceView, LeaseTable
 from gypsumwalk.placement_limits import SpreadLimit
 from gypsumwalk.ready_tasks import ReadyJobs
-from gypsumwalk.task_placement import Candidate, CandidatePool
+from gypsumwalk.task_placement import (
+    Candidate,
+    CandidatePool,
+    find_need,
+    list_ready,
+)
 from gypsumwalk.workload_records import Step, TaskKey, Workload
 
 __all__ = ["CandidateLister"]
@@ -131,6 +136,50 @@
                 return True
         return False
 
+    def has_room_for_job(
+        self,
+        workload: Workload,
+        service: str,
+        lease_table: LeaseTable,
+        closed: Set[str],
+        now: float,
+    ) -> bool:
+        """Tell whether the ready tasks of a job fit beside each other.
+
+        Parameters
+        ----------
+        workload : Workload
+            The job, which need not be accepted yet.
+        service : str
+            The service that runs it.
+        lease_table : LeaseTable
+            Instances and the runs that may be going on there.
+        closed : set of str
+            Machines that get no new work.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether all of them can start now.
+        """
+        self._follow_changes(lease_table, closed, now)
+        # Apart from the pools of the passes, which withhold room for lasting tasks.
+        pool = CandidatePool(
+            [
+                Candidate(view, view.registered.capacity - view.used)
+                for view in self.list_views(service)
+            ]
+        )
+        for task in list_ready(workload, lease_table, now):
+            step = workload.steps[task.step]
+            chosen = pool.choose(step, lambda _: True)
+            if chosen is None:
+                return False
+            pool.take(chosen, find_need(step))
+        return True
+
     def _follow_changes(
         self, lease_table: LeaseTable, closed: Set[str], now: float
     ) -> None:
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -285,6 +285,21 @@
         "wave {wave} has not taken down the machine yet: {reason}; {left} s left,"
         " urgent {urgent}",
     )
+    SUBMISSION_REFUSED = EventEntry(
+        5040,
+        Level.INFO,
+        "refused a job of {work} core-seconds of queue {queue}: {backlog} core-seconds"
+        " go before it and pool {service} does {supply} until its result has no value;"
+        " done in {completion} s, retry after {retry} s, {reserved} callers to return",
+    )
+    SUBMISSION_IMPOSSIBLE = EventEntry(
+        5041, Level.WARNING, "refused a job of queue {queue}: {reason}"
+    )
+    SUBMISSION_RETURNED = EventEntry(
+        5042,
+        Level.INFO,
+        "admitted a job of queue {queue} ahead of new ones, as its caller returned",
+    )
     POOL_OVERLOADED = EventEntry(
         5050,
         Level.INFO,
--- a/src/gypsumwalk/impossible_jobs.py
+++ b/src/gypsumwalk/impossible_jobs.py
@@ -10,8 +10,8 @@
 
 from gypsumwalk.declaration_records import DeclaredTeam, Resources
 from gypsumwalk.instance_actions import MachineInfo
+from gypsumwalk.placement_limits import is_within_quota
 from gypsumwalk.task_placement import find_need
-from gypsumwalk.task_scheduler import is_within_quota
 from gypsumwalk.workload_records import RegisteredInstance, Step
 
 __all__ = ["KnownMachine", "find_obstacle", "list_known_machines"]
--- /dev/null
+++ b/src/gypsumwalk/pool_admission.py
@@ -0,0 +1,133 @@
+"""Admission to one pool, on a backlog that is at most some milliseconds old."""
+
+from collections.abc import Sequence
+from dataclasses import replace
+from typing import Protocol
+
+from gypsumwalk.backlog import JobView, RoomView
+from gypsumwalk.declaration_records import DeclaredQueue
+from gypsumwalk.job_admission import Admission, Admit, JobAdmission
+from gypsumwalk.ordered_backlog import OrderedBacklog
+from gypsumwalk.retry_slots import RetrySlots
+from gypsumwalk.spare_machines import SpareMachines
+from gypsumwalk.workload_records import Workload
+from gypsumwalk.workloads import WorkloadSection
+
+__all__ = ["PoolAdmission", "PoolViews"]
+
+MIN_REFRESH_SECONDS = 0.02
+"""Shortest time for which an order of the backlog is used, as in the scheduler."""
+
+SECONDS_PER_JOB = 2e-5
+"""Time for which it is used for each job of the backlog. The view of a job and its
+order take about a third of that, so that they use a third of a processor at most."""
+
+MAX_REFRESH_SECONDS = 0.5
+"""Longest time for which it is used."""
+
+COMMIT_SECONDS = 2.0
+"""Time after which a job that was admitted and is not stored was not accepted, the
+timeout of its proposal."""
+
+
+class PoolViews(Protocol):
+    """Source of the views of jobs and pools."""
+
+    def view_job(self, workload: Workload, queue: DeclaredQueue, now: float) -> JobView:
+        """Return the view of a job that need not be accepted yet."""
+        ...
+
+    def list_backlog(self, service: str, now: float) -> Sequence[JobView]:
+        """Return the accepted jobs of a pool that have work left."""
+        ...
+
+    def find_room(self, service: str, now: float) -> RoomView:
+        """Return the room of a pool."""
+        ...
+
+
+class PoolAdmission:
+    """Admission of jobs to the pool of a service.
+
+    Parameters
+    ----------
+    service : str
+        Service of the pool.
+    views : PoolViews
+        Source of the views of its jobs and its room.
+    spares : SpareMachines
+        Machines that may join the pool.
+    workloads : WorkloadSection
+        Accepted jobs.
+    slots : RetrySlots
+        Reservations of refused callers.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        *,
+        views: PoolViews,
+        spares: SpareMachines,
+        workloads: WorkloadSection,
+        slots: RetrySlots,
+    ) -> None:
+        self._service = service
+        self._views = views
+        self._spares = spares
+        self._workloads = workloads
+        self._slots = slots
+        self._admission = JobAdmission(service, slots)
+        self._backlog: OrderedBacklog | None = None
+        self._ordered_at = 0.0
+        self._valid_seconds = 0.0
+        self._admitted: dict[str, tuple[float, JobView]] = {}
+        """Jobs that were admitted and may not be stored yet, with the time."""
+
+    def decide(self, job: JobView, now: float) -> Admission:
+        """Decide on a submitted job.
+
+        Parameters
+        ----------
+        job : JobView
+            The job.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        Admit or Refuse
+            The decision.
+        """
+        decision = self._admission.decide_in_order(job, self._order(now), now)
+        if isinstance(decision, Admit):
+            self._admitted[job.job] = now, job
+        return decision
+
+    def admit(self, job: JobView, now: float) -> None:
+        """Admit a job that was refused, as there is free capacity for it."""
+        self._slots.release(self._service, job.job)
+        self._admitted[job.job] = now, job
+        self._order(now).add(job, now)
+
+    def _order(self, now: float) -> OrderedBacklog:
+        age = now - self._ordered_at
+        if self._backlog is None or not 0 <= age < self._valid_seconds:
+            room = self._views.find_room(self._service, now)
+            spare = self._spares.find_arriving(self._service, now)
+            room = replace(room, arriving=(*room.arriving, *spare))
+            jobs = self._list_jobs(now)
+            self._backlog = OrderedBacklog(jobs, room, now)
+            self._ordered_at = now
+            valid = max(MIN_REFRESH_SECONDS, SECONDS_PER_JOB * len(jobs))
+            self._valid_seconds = min(valid, MAX_REFRESH_SECONDS)
+        return self._backlog
+
+    def _list_jobs(self, now: float) -> list[JobView]:
+        self._admitted = {
+            job: (at, view)
+            for job, (at, view) in self._admitted.items()
+            if job not in self._workloads.jobs and now - at < COMMIT_SECONDS
+        }
+        pending = [view for _, view in self._admitted.values()]
+        return [*self._views.list_backlog(self._service, now), *pending]
--- a/src/gypsumwalk/problems.py
+++ b/src/gypsumwalk/problems.py
@@ -1,6 +1,7 @@
 """Refusals of calls as problem documents of RFC 9457."""
 
 from enum import StrEnum
+from math import ceil
 
 import msgspec
 
@@ -133,7 +134,9 @@
     status = STATUSES[kind]
     headers = {}
     if retry_after is not None:
-        headers["Retry-After"] = str(max(1, round(retry_after)))
+        # Rounded up, as a caller that returns too early is refused again; computed
+        # times differ from whole seconds by rounding errors.
+        headers["Retry-After"] = str(max(1, ceil(round(retry_after, 3))))
     problem = Problem(
         type=f"/problems/{kind.value}",
         title=kind.value.replace("-", " "),
--- a/src/gypsumwalk/task_durations.py
+++ b/src/gypsumwalk/task_durations.py
@@ -18,6 +18,7 @@
     ratio: float
     error_of_mean: float
     error_of_estimate: float
+    count: int = 1
 
 
 class DurationTable:
@@ -48,6 +49,7 @@
         error_of_estimate = abs(seconds - stats.ratio * estimate)
         stats.error_of_mean = _smooth(stats.error_of_mean, error_of_mean)
         stats.error_of_estimate = _smooth(stats.error_of_estimate, error_of_estimate)
+        stats.count += 1
         stats.mean = _smooth(stats.mean, seconds)
         stats.ratio = _smooth(stats.ratio, ratio)
 
@@ -56,6 +58,11 @@
         stats = self._queues.get(queue)
         return stats.mean if stats else None
 
+    def count_durations(self, queue: str) -> int:
+        """Return the number of durations that were recorded for a queue."""
+        stats = self._queues.get(queue)
+        return stats.count if stats else 0
+
     def find_error(self, queue: str) -> float:
         """Return the mean prediction error of a queue in seconds, 0 if unknown."""
         stats = self._queues.get(queue)
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -257,6 +257,20 @@
         """Return the mean task duration of a job's queue in seconds."""
         return self._urgency.find_mean_duration(workload.queue)
 
+    def count_durations(self, queue: str) -> int:
+        """Return the number of tasks of a queue whose durations are known."""
+        return self._urgency.count_durations(queue)
+
+    def has_free_capacity(
+        self, workload: Workload, lease_table: LeaseTable, now: float
+    ) -> bool:
+        """Tell whether all ready tasks of a job, accepted or not, have room now."""
+        closed = self.cordoned | self.changing_pool
+        service = self.find_service(workload)
+        return self._lister.has_room_for_job(
+            workload, service, lease_table, closed, now
+        )
+
     def record_duration(self, task: TaskKey, seconds: float) -> None:
         """Record the duration of a task in the statistics of its queue."""
         workload = self._workloads.jobs.get(task.job)
--- a/src/gypsumwalk/urgency.py
+++ b/src/gypsumwalk/urgency.py
@@ -162,6 +162,10 @@
         """Return the mean task duration of a queue in seconds, None if unknown."""
         return self._durations.find_mean(queue)
 
+    def count_durations(self, queue: str) -> int:
+        """Return the number of tasks of a queue whose durations are known."""
+        return self._durations.count_durations(queue)
+
     def rate(
         self,
         workload: Workload,
