Refuse jobs that are hopeless or impossible

Cause: an overloaded pool accepted every job, and jobs that no machine can run waited without an end.

Change: the call handler asks the submission control before it proposes a job, unless an earlier call of it has an unknown outcome.

--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -24,6 +24,7 @@
 from gypsumwalk.settings import Settings
 from gypsumwalk.shutdown import ShutdownHandler
 from gypsumwalk.state import ReplicatedState, Section
+from gypsumwalk.submission_control import SubmissionControl
 from gypsumwalk.task_scheduler import TaskScheduler
 from gypsumwalk.upkeep import UpkeepSection
 from gypsumwalk.voter_controller import VoterController
@@ -117,6 +118,15 @@
             stop_grace=limits.stop_grace,
         )
         life_checks = LifeChecks(self.dispatcher)
+        directory = MachineDirectory(self.workloads, self.dispatcher)
+        submission_control = SubmissionControl(
+            declarations=self.declarations,
+            workloads=self.workloads,
+            dispatcher=self.dispatcher,
+            scheduler=self.scheduler,
+            directory=directory,
+            views=self.scheduler.backlog,
+        )
         self.call_handler = FleetCallHandler(
             leadership=self.consensus,
             declarations=self.declarations,
@@ -124,8 +134,8 @@
             upkeep=self.upkeep,
             dispatcher=self.dispatcher,
             life_checks=life_checks,
+            submission_control=submission_control,
         )
-        directory = MachineDirectory(self.workloads, self.dispatcher)
         cooldown = OrderCooldown(settings.name)
         maintenance_controller = MaintenanceController(
             daemon=settings.name,
--- a/src/gypsumwalk/fleet_call_handler.py
+++ b/src/gypsumwalk/fleet_call_handler.py
@@ -35,6 +35,7 @@
 from gypsumwalk.life_checks import LifeChecks
 from gypsumwalk.part import NEVER
 from gypsumwalk.problems import Outcome, ProblemType, refuse
+from gypsumwalk.submission_control import SubmissionControl, Verdict, make_workload
 from gypsumwalk.upkeep import StartUpkeep, UpkeepSection
 from gypsumwalk.views import LeadershipView
 from gypsumwalk.workload_records import (
@@ -43,7 +44,6 @@
     RegisteredInstance,
     RegisterInstance,
     RemoveInstance,
-    Workload,
     name_life,
 )
 from gypsumwalk.workloads import WorkloadSection
@@ -117,6 +117,8 @@
         Starts of runs on instances.
     life_checks : LifeChecks
         Calls to lives that were removed and are heard from.
+    submission_control : SubmissionControl
+        Refusals of jobs that are hopeless or impossible.
     """
 
     name = "desk"
@@ -132,6 +134,7 @@
         upkeep: UpkeepSection,
         dispatcher: Dispatcher,
         life_checks: LifeChecks,
+        submission_control: SubmissionControl,
     ) -> None:
         self._leadership = leadership
         self._declarations = declarations
@@ -139,6 +142,7 @@
         self._upkeep = upkeep
         self._dispatcher = dispatcher
         self._life_checks = life_checks
+        self._submission_control = submission_control
         self._pending: dict[str, _Pending] = {}
         self._submissions: dict[str, _Pending] = {}
         self._unsettled: dict[str, float] = {}
@@ -157,6 +161,7 @@
         return []
 
     def _handle_call(self, item: CallInput, now: float) -> list[Effect]:
+        self._submission_control.observe_term(now)
         if isinstance(item.body, SubmitWorkloadCall) and self._join(item, item.body):
             return []
         if isinstance(item.body, AnnounceInstanceCall) and self._is_known(item.body):
@@ -236,20 +241,15 @@
             return self._respond(item, call.path, refusal)
         if job in self._workloads.jobs:
             return self._respond(item, job, Answer(200))
-        workload = Workload(
-            job=job,
-            queue=queue.name,
-            service=queue.service,
-            team=team.name if team else "",
-            spec=call.spec,
-            steps=call.steps,
-            first_run=call.first_run,
-            interval=call.interval,
-            occurrences=max(1, call.occurrences),
-            max_attempts=queue.max_attempts,
-        )
         address = f"{call.host}{call.path}"
-        return self._propose(item, AcceptWorkload(workload), job, address)
+        workload = make_workload(call, queue, team)
+        verdict = Verdict()
+        if not self._is_unsettled(address, now):
+            verdict = self._submission_control.decide(workload, queue, team, now)
+        if verdict.refusal is not None:
+            return [*verdict.records, *self._respond(item, job, verdict.refusal)]
+        accept = AcceptWorkload(workload)
+        return [*verdict.records, *self._propose(item, accept, job, address)]
 
     def _join(self, item: CallInput, call: SubmitWorkloadCall) -> bool:
         """Let a call wait for the pending proposal of the same job, if there is one.
--- a/src/gypsumwalk/pool_admission.py
+++ b/src/gypsumwalk/pool_admission.py
@@ -7,6 +7,7 @@
 from gypsumwalk.backlog import JobView, RoomView
 from gypsumwalk.declaration_records import DeclaredQueue
 from gypsumwalk.job_admission import Admission, Admit, JobAdmission
+from gypsumwalk.leases import LeaseTable
 from gypsumwalk.ordered_backlog import OrderedBacklog
 from gypsumwalk.retry_slots import RetrySlots
 from gypsumwalk.spare_machines import SpareMachines
@@ -18,9 +19,9 @@
 MIN_REFRESH_SECONDS = 0.02
 """Shortest time for which an order of the backlog is used, as in the scheduler."""
 
-SECONDS_PER_JOB = 2e-5
-"""Time for which it is used for each job of the backlog. The view of a job and its
-order take about a third of that, so that they use a third of a processor at most."""
+SECONDS_PER_ITEM = 4e-5
+"""Time for which it is used for each job of the backlog and each run, as one that is
+looked at takes a few microseconds."""
 
 MAX_REFRESH_SECONDS = 0.5
 """Longest time for which it is used."""
@@ -33,6 +34,13 @@
 class PoolViews(Protocol):
     """Source of the views of jobs and pools."""
 
+    lease_table: LeaseTable
+    """Runs that may be going on."""
+
+    def has_waiting(self, service: str) -> bool:
+        """Tell whether ready tasks wait for the pool of a service."""
+        ...
+
     def view_job(self, workload: Workload, queue: DeclaredQueue, now: float) -> JobView:
         """Return the view of a job that need not be accepted yet."""
         ...
@@ -99,16 +107,23 @@
         Admit or Refuse
             The decision.
         """
+        if not self._views.has_waiting(self._service):
+            # Nothing is to be ordered, and an old order is of no use any more.
+            self._backlog = None
+            self._forget_stored(now)
+            self.admit(job, now)
+            return Admit()
         decision = self._admission.decide_in_order(job, self._order(now), now)
         if isinstance(decision, Admit):
             self._admitted[job.job] = now, job
         return decision
 
     def admit(self, job: JobView, now: float) -> None:
-        """Admit a job that was refused, as there is free capacity for it."""
+        """Admit a job whatever the backlog is, as there is free capacity for it."""
         self._slots.release(self._service, job.job)
         self._admitted[job.job] = now, job
-        self._order(now).add(job, now)
+        if self._backlog is not None:
+            self._backlog.add(job, now)
 
     def _order(self, now: float) -> OrderedBacklog:
         age = now - self._ordered_at
@@ -119,15 +134,19 @@
             jobs = self._list_jobs(now)
             self._backlog = OrderedBacklog(jobs, room, now)
             self._ordered_at = now
-            valid = max(MIN_REFRESH_SECONDS, SECONDS_PER_JOB * len(jobs))
+            items = len(jobs) + len(self._views.lease_table.runs_by_task)
+            valid = max(MIN_REFRESH_SECONDS, SECONDS_PER_ITEM * items)
             self._valid_seconds = min(valid, MAX_REFRESH_SECONDS)
         return self._backlog
 
-    def _list_jobs(self, now: float) -> list[JobView]:
+    def _forget_stored(self, now: float) -> None:
         self._admitted = {
             job: (at, view)
             for job, (at, view) in self._admitted.items()
             if job not in self._workloads.jobs and now - at < COMMIT_SECONDS
         }
+
+    def _list_jobs(self, now: float) -> list[JobView]:
+        self._forget_stored(now)
         pending = [view for _, view in self._admitted.values()]
         return [*self._views.list_backlog(self._service, now), *pending]
--- a/tests/test_submission_control.py
+++ b/tests/test_submission_control.py
@@ -52,12 +52,18 @@
 
     def __init__(self, backlog):
         self.backlog = backlog
+        self.lease_table = LeaseTable()
+        self.orders = 0
+
+    def has_waiting(self, service):
+        return self.backlog > 0
 
     def view_job(self, workload, queue, now):
         work = 1.0 + len(workload.job) / 1000
         return make_view(workload.job, submitted=now, work=work)
 
     def list_backlog(self, service, now):
+        self.orders += 1
         count = int(2 * self.backlog)
         return [
             make_view(f"small-{number}", submitted=now, work=0.5)
@@ -192,6 +198,28 @@
         assert not desk.is_refused("later", now=NOW + 6.0)
 
 
+class TestCost(unittest.TestCase):
+    """Decisions that would use up the time of the leader."""
+
+    def submit_all(self, desk, *, seconds):
+        for number in range(100):
+            desk.submit(f"job-{number}", now=NOW + seconds * number / 100)
+        return desk.views.orders
+
+    def test_without_waiting_jobs_nothing_is_ordered_or_kept(self):
+        desk = Desk(backlog=0.0)
+        assert self.submit_all(desk, seconds=100.0) == 0
+        (pool,) = desk.control._pools.values()
+        assert len(pool._admitted) < 5
+
+    def test_the_backlog_is_ordered_at_most_every_20_ms(self):
+        assert 30 <= self.submit_all(Desk(), seconds=1.0) <= 50
+
+    def test_a_large_backlog_is_ordered_less_often(self):
+        # 2,500 jobs, each for 40 microseconds.
+        assert 9 <= self.submit_all(Desk(backlog=1250.0), seconds=1.0) <= 11
+
+
 class TestNeverRefused(unittest.TestCase):
     """Submissions that are admitted whatever the load is."""
 
