Give the events of submissions numbers of their own

Cause: two parts took numbers 5040 to 5042 at the same time. Only the numbers of the submissions' events change, to 5070 to 5072.

--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -286,17 +286,17 @@
         " urgent {urgent}",
     )
     SUBMISSION_REFUSED = EventEntry(
-        5040,
+        5070,
         Level.INFO,
         "refused a job of {work} core-seconds of queue {queue}: {backlog} core-seconds"
         " go before it and pool {service} does {supply} until its result has no value;"
         " done in {completion} s, retry after {retry} s, {reserved} callers to return",
     )
     SUBMISSION_IMPOSSIBLE = EventEntry(
-        5041, Level.WARNING, "refused a job of queue {queue}: {reason}"
+        5071, Level.WARNING, "refused a job of queue {queue}: {reason}"
     )
     SUBMISSION_RETURNED = EventEntry(
-        5042,
+        5072,
         Level.INFO,
         "admitted a job of queue {queue} ahead of new ones, as its caller returned",
     )
