Move the shared refusals of fleet calls to a module of their own

The handler of evacuation orders answers redirects, full queues and unknown outcomes like the handler of the other calls, which is to stay small. No behaviour changes; the fleet tests pass.

--- a/src/gypsumwalk/fleet_call_handler.py
+++ b/src/gypsumwalk/fleet_call_handler.py
@@ -31,6 +31,14 @@
     WaitingAnswer,
     WorkloadAnswer,
 )
+from gypsumwalk.fleet_refusals import (
+    LEADER_HEADER,
+    PROPOSAL_SECONDS,
+    RETRY_SECONDS,
+    make_unknown_answer,
+    redirect_to_leader,
+    refuse_proposal,
+)
 from gypsumwalk.inputs import CallInput, Input, ProposalOutcome, ProposalStatus
 from gypsumwalk.life_checks import LifeChecks
 from gypsumwalk.part import NEVER
@@ -50,19 +58,10 @@
 
 __all__ = ["LEADER_HEADER", "FleetCallHandler"]
 
-PROPOSAL_SECONDS = 2.0
-"""Timeout of a proposal, so that a caller is answered within its limit of 3 s."""
-
-RETRY_SECONDS = 1.0
-"""Time in which a new leader is usually elected."""
-
 UNSETTLED_SECONDS = 10.0
 """Time in which a command whose proposal timed out may still be committed; it is longer
 than an election and the retries of a caller."""
 
-LEADER_HEADER = "Gypsumwalk-Leader"
-"""Response header with the leader's name, in answers of daemons that do not lead."""
-
 CALLS: tuple[type, ...] = (
     SubmitWorkloadCall,
     DescribeWorkloadCall,
@@ -158,7 +157,7 @@
         if isinstance(item.body, AnnounceInstanceCall) and self._is_known(item.body):
             return self._acknowledge_known(item, item.body)
         if not self._leadership.holds_lease(now):
-            return [Respond(item.call_id, self._redirect_to_leader())]
+            return [Respond(item.call_id, redirect_to_leader(self._leadership))]
         match item.body:
             case SubmitWorkloadCall() as call:
                 return self._submit(item, call, now)
@@ -187,16 +186,6 @@
                 return [Respond(item.call_id, self._describe_wave(wave))]
         return []
 
-    def _redirect_to_leader(self) -> Answer:
-        answer = refuse(
-            ProblemType.NOT_LEADER,
-            Outcome.NOT_RUN,
-            "another daemon is the leader",
-            retry_after=RETRY_SECONDS,
-        )
-        headers = {**answer.headers, LEADER_HEADER: self._leadership.leader}
-        return Answer(answer.status, answer.body, headers=headers)
-
     def _authorize(
         self, item: CallInput, host: str, path: str
     ) -> tuple[DeclaredQueue, DeclaredTeam | None] | Answer:
@@ -437,17 +426,10 @@
             case ProposalStatus.UNKNOWN:
                 if pending.address:
                     self._add_unsettled(pending.address, now)
-                return _make_unknown_answer()
+                return make_unknown_answer()
         if self._is_unsettled(pending.address, now):
-            return _make_unknown_answer()
-        if self._leadership.holds_lease(now):
-            return refuse(
-                ProblemType.OVERLOADED,
-                Outcome.NOT_RUN,
-                "too many commands are pending",
-                retry_after=RETRY_SECONDS,
-            )
-        return self._redirect_to_leader()
+            return make_unknown_answer()
+        return refuse_proposal(self._leadership, now)
 
     def _add_unsettled(self, address: str, now: float) -> None:
         self._unsettled.pop(address, None)
@@ -481,8 +463,3 @@
 def _describe_deregistration(call: LeaveInstanceCall, life: str) -> Effect:
     attributes: dict[str, Scalar] = {"born": call.born, "life": life}
     return Record(Event.INSTANCE_DEREGISTERED, call.instance, attributes)
-
-
-def _make_unknown_answer() -> Answer:
-    detail = "the command may have been committed; repeat the same call"
-    return refuse(ProblemType.OUTCOME_UNKNOWN, Outcome.UNKNOWN, detail)
