Add orders to evacuate a data centre and to use it again

Operators need an order that survives every daemon.

Every order is proposed, as one that seems to change nothing may contradict a pending one.

Orders have no effect on instances yet.

--- a/src/gypsumwalk/drivers/commands_fleet.py
+++ b/src/gypsumwalk/drivers/commands_fleet.py
@@ -13,6 +13,9 @@
 
 __all__ = [
     "abort_wave",
+    "end_evacuation",
+    "evacuate",
+    "evacuations",
     "instances",
     "pause_wave",
     "pools",
@@ -243,6 +246,93 @@
     return query(connection, "GET", path + suffix, json=json)
 
 
+def evacuate(
+    data_centre: str,
+    addresses: str = "",
+    key: str = "",
+    deadline: str = DEADLINE,
+    json: str | bool = False,
+) -> Action:
+    """Send no more work to a data centre, and move its lasting tasks.
+
+    Repeating the order changes nothing.
+
+    Example: gypsumwalk evacuate recife
+
+    Parameters
+    ----------
+    data_centre : str
+        The data centre.
+    addresses : str
+        Daemons to try in order, separated by commas; by default GYPSUMWALK_ADDRESSES.
+    key : str
+        Key to authenticate with; by default GYPSUMWALK_KEY.
+    deadline : str
+        Time limit of the call in seconds.
+    json : bool
+        Print JSON.
+    """
+    connection = Connection.parse(addresses, key, deadline)
+    path = f"/v1/evacuations/{require_name('data_centre', data_centre)}/start"
+    return query(connection, "POST", path, json=json)
+
+
+def end_evacuation(
+    data_centre: str,
+    addresses: str = "",
+    key: str = "",
+    deadline: str = DEADLINE,
+    json: str | bool = False,
+) -> Action:
+    """Use an evacuated data centre again.
+
+    Repeating the order changes nothing.
+
+    Example: gypsumwalk end-evacuation recife
+
+    Parameters
+    ----------
+    data_centre : str
+        The data centre.
+    addresses : str
+        Daemons to try in order, separated by commas; by default GYPSUMWALK_ADDRESSES.
+    key : str
+        Key to authenticate with; by default GYPSUMWALK_KEY.
+    deadline : str
+        Time limit of the call in seconds.
+    json : bool
+        Print JSON.
+    """
+    connection = Connection.parse(addresses, key, deadline)
+    path = f"/v1/evacuations/{require_name('data_centre', data_centre)}/finish"
+    return query(connection, "POST", path, json=json)
+
+
+def evacuations(
+    addresses: str = "",
+    key: str = "",
+    deadline: str = DEADLINE,
+    json: str | bool = False,
+) -> Action:
+    """List the evacuated data centres.
+
+    Example: gypsumwalk evacuations
+
+    Parameters
+    ----------
+    addresses : str
+        Daemons to try in order, separated by commas; by default GYPSUMWALK_ADDRESSES.
+    key : str
+        Key to authenticate with; by default GYPSUMWALK_KEY.
+    deadline : str
+        Time limit of the call in seconds.
+    json : bool
+        Print JSON.
+    """
+    connection = Connection.parse(addresses, key, deadline)
+    return query(connection, "GET", "/v1/evacuations", json=json)
+
+
 def _make_run_body(name: str, run: str) -> dict[str, str | int]:
     number = int(parse_number("run", run, 1, MAX_RUN))
     return {"name": require_name("name", name), "run": number}
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -279,6 +279,11 @@
     IDLE_RENEWALS_RESUMED = EventEntry(
         5091, Level.INFO, "renewals of {idle} idle instances go on after {seconds} s"
     )
+    EVACUATION_CALL_DECIDED = EventEntry(
+        5040,
+        Level.INFO,
+        "order {order} was answered {status} at index {index}: {reason}",
+    )
     WAVE_STARTED = EventEntry(4201, Level.INFO, "run {run} of the wave started")
     WAVE_PAUSED = EventEntry(4202, Level.WARNING, "the wave is paused: {reason}")
 
--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -10,6 +10,8 @@
 from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.demand_forecast import DemandForecast
 from gypsumwalk.dispatcher import Dispatcher
+from gypsumwalk.evacuation_handler import EvacuationHandler
+from gypsumwalk.evacuations import EvacuationSection
 from gypsumwalk.fleet_call_handler import FleetCallHandler
 from gypsumwalk.life_checks import LifeChecks
 from gypsumwalk.machine_directory import MachineDirectory
@@ -77,6 +79,8 @@
         Source of random numbers.
     first_start : bool
         Whether the whole cluster starts for the first time, with empty disks.
+    data_centres : frozenset of str
+        Data centres that the settings name.
     """
 
     def __init__(
@@ -88,12 +92,19 @@
         recovered: Recovered,
         random: Random,
         first_start: bool,
+        data_centres: frozenset[str] = frozenset(),
     ) -> None:
         self.incarnation = incarnation
         self.declarations = DeclarationSection()
         self.workloads = WorkloadSection()
         self.upkeep = UpkeepSection()
-        sections: list[Section] = [self.declarations, self.workloads, self.upkeep]
+        self.evacuations = EvacuationSection()
+        sections: list[Section] = [
+            self.declarations,
+            self.workloads,
+            self.upkeep,
+            self.evacuations,
+        ]
         self.state = ReplicatedState(sections)
         self._window = ReplayWindow()
         self.consensus = Consensus(
@@ -126,6 +137,13 @@
             life_checks=life_checks,
         )
         directory = MachineDirectory(self.workloads, self.dispatcher)
+        self.evacuation_handler = EvacuationHandler(
+            leadership=self.consensus,
+            evacuations=self.evacuations,
+            workloads=self.workloads,
+            directory=directory,
+            data_centres=data_centres,
+        )
         cooldown = OrderCooldown(settings.name)
         maintenance_controller = MaintenanceController(
             daemon=settings.name,
@@ -162,6 +180,7 @@
             self.consensus,
             WorkloadObserver(self.scheduler, forecast),
             self.call_handler,
+            self.evacuation_handler,
             life_checks,
             self.dispatcher,
             directory,
--- a/src/gypsumwalk/fleet_calls.py
+++ b/src/gypsumwalk/fleet_calls.py
@@ -12,9 +12,13 @@
     "DeclarationAnswer",
     "DescribeUpkeepCall",
     "DescribeWorkloadCall",
+    "EvacuationsAnswer",
+    "FinishEvacuationCall",
     "LeaveInstanceCall",
+    "ListEvacuationsCall",
     "PutDeclarationCall",
     "ReadDeclarationCall",
+    "StartEvacuationCall",
     "StartUpkeepCall",
     "SubmitWorkloadCall",
     "UpkeepAnswer",
@@ -95,6 +99,22 @@
     wave: int
 
 
+class StartEvacuationCall(msgspec.Struct, frozen=True):
+    """Operator's call: send no more work to a data centre."""
+
+    data_centre: str
+
+
+class FinishEvacuationCall(msgspec.Struct, frozen=True):
+    """Operator's call: use an evacuated data centre again."""
+
+    data_centre: str
+
+
+class ListEvacuationsCall(msgspec.Struct, frozen=True):
+    """Operator's call: list the evacuated data centres."""
+
+
 class WorkloadAnswer(msgspec.Struct, frozen=True):
     """State of a job."""
 
@@ -117,3 +137,9 @@
     """Whether a wave is completed."""
 
     completed: bool
+
+
+class EvacuationsAnswer(msgspec.Struct, frozen=True):
+    """Names of the evacuated data centres in order."""
+
+    data_centres: list[str]
--- a/src/gypsumwalk/state.py
+++ b/src/gypsumwalk/state.py
@@ -94,6 +94,7 @@
         self._by_command: dict[type[msgspec.Struct], Section] = {
             command: section for section in sections for command in section.commands
         }
+        self._initial = {section.name: section.dump() for section in sections}
 
     @property
     def commands(self) -> tuple[type[msgspec.Struct], ...]:
@@ -146,10 +147,11 @@
         Parameters
         ----------
         content : bytes
-            Return value of ``dump``.
+            Return value of ``dump``, also of an earlier version. A section that it
+            lacks becomes as at the start, so that all daemons agree on it.
         """
         snapshot = msgspec.msgpack.decode(content, type=Snapshot)
-        for name, part in snapshot.sections.items():
-            if name in self._sections:
-                self._sections[name].load(part)
+        parts = {**self._initial, **snapshot.sections}
+        for name, section in self._sections.items():
+            section.load(parts[name])
         self.applied = snapshot.index
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -9,6 +9,12 @@
 
 from gypsumwalk.assembly import ENDPOINTS
 from gypsumwalk.endpoints import EndpointTable
+from gypsumwalk.evacuation_handler import EVACUATION_ENDPOINTS
+from gypsumwalk.fleet_calls import (
+    FinishEvacuationCall,
+    ListEvacuationsCall,
+    StartEvacuationCall,
+)
 from tests._stub_daemon import make_problem, run_stub
 from tests.test_command import run
 
@@ -46,6 +52,37 @@
         headers = self.stub.headers[index]
         return match.decode(headers=headers, query={}, body=content)
 
+    def test_evacuations_are_ordered_and_listed(self):
+        table = EndpointTable(EVACUATION_ENDPOINTS)
+        for arguments, method, path, call in (
+            (
+                ("evacuate", "recife"),
+                "POST",
+                "/v1/evacuations/recife/start",
+                StartEvacuationCall("recife"),
+            ),
+            (
+                ("end-evacuation", "recife"),
+                "POST",
+                "/v1/evacuations/recife/finish",
+                FinishEvacuationCall("recife"),
+            ),
+            (("evacuations",), "GET", "/v1/evacuations", ListEvacuationsCall()),
+        ):
+            self.answer(method, path, {"data_centres": ["recife"]})
+            code, out, err = run(*arguments)
+            assert (code, err) == (0, ""), (arguments, err)
+            assert out.strip() == "data_centres: recife"
+            assert self.stub.calls[-1][:2] == (method, path)
+            match = table.match(method, path)
+            assert match.decode(headers={}, query={}, body=b"") == call
+
+    # Guards against a path that names another call.
+    def test_a_data_centre_that_is_no_name_is_refused(self):
+        code, _, err = run("evacuate", "a/b")
+        assert code == 2
+        assert "data_centre" in err
+
     def test_each_command_makes_a_valid_call_with_its_key(self):
         cases = (
             (("keys", "give", "t", "--queues", "a,b"), "POST", "/v1/keys/give"),
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -15,7 +15,10 @@
     CountWaitingCall,
     DescribeUpkeepCall,
     DescribeWorkloadCall,
+    EvacuationsAnswer,
+    FinishEvacuationCall,
     PutDeclarationCall,
+    StartEvacuationCall,
     StartUpkeepCall,
     SubmitWorkloadCall,
     UpkeepAnswer,
@@ -185,6 +188,20 @@
         assert decode_control_call("GET", "/wave-get/1", b"") == DescribeUpkeepCall(1)
         assert decode_control_call("GET", "/none", b"") is None
 
+    def test_evacuation_orders_are_decoded(self):
+        start = decode_control_call("POST", "/evacuate/recife/start", b"")
+        assert start == StartEvacuationCall("recife")
+        finish = decode_control_call("POST", "/evacuate/recife/finish", b"")
+        assert finish == FinishEvacuationCall("recife")
+        for method, path in (
+            ("GET", "/evacuate/recife/start"),
+            ("POST", "/evacuate/recife/stop"),
+            ("POST", "/evacuate//start"),
+            ("POST", "/evacuate/a/b/start"),
+            ("POST", f"/evacuate/{'z' * 201}/start"),
+        ):
+            assert decode_control_call(method, path, b"") is None, path
+
 
 class TestAnswers(unittest.TestCase):
     def test_bodies_are_encoded(self):
@@ -194,6 +211,8 @@
         done = Answer(200, UpkeepAnswer(completed=True))
         assert encode_answer(done) == (200, b'{"state":"completed"}')
         assert encode_answer(Answer(200)) == (200, b"{}")
+        evacuated = Answer(200, EvacuationsAnswer(["recife"]))
+        assert encode_answer(evacuated) == (200, b"{}")
 
 
 class TestProbes(unittest.TestCase):
@@ -243,6 +262,11 @@
             product = make_daemon_settings(settings)
             assert product.tolerated_disk_losses == expected
 
+    def test_the_zones_are_read(self):
+        text = 'ip = "10.0.0.1"\nzone = "z"\n[zones]\nz = "north"\ny = "north"\n'
+        settings = msgspec.toml.decode(text, type=PlatformSettings)
+        assert set(settings.zones) == {"z", "y"}
+
 
 if __name__ == "__main__":
     unittest.main()
