Keep the time until which an instance is cold in its registration

Heartbeats tell for how long an instance is still slow after its start. The time is found once, as a life is registered; later heartbeats change nothing, so that they are not committed one by one. Registrations of the version before decode as warm.

--- a/src/gypsumwalk/fleet_call_handler.py
+++ b/src/gypsumwalk/fleet_call_handler.py
@@ -154,7 +154,9 @@
     def _handle_call(self, item: CallInput, now: float) -> list[Effect]:
         if isinstance(item.body, SubmitWorkloadCall) and self._join(item, item.body):
             return []
-        if isinstance(item.body, AnnounceInstanceCall) and self._is_known(item.body):
+        if isinstance(item.body, AnnounceInstanceCall) and self._is_known(
+            item.body, now
+        ):
             return self._acknowledge_known(item, item.body)
         if not self._leadership.holds_lease(now):
             return [Respond(item.call_id, redirect_to_leader(self._leadership))]
@@ -311,15 +313,15 @@
     def _register_instance(
         self, item: CallInput, call: AnnounceInstanceCall, now: float
     ) -> list[Effect]:
-        if self._workloads.is_superseded(call.registered):
+        registered = self._complete_registration(call, now)
+        if self._workloads.is_superseded(registered):
             return [
                 *self._ignore_announcement(item, call),
-                *self._life_checks.check(call.registered, now),
+                *self._life_checks.check(registered, now),
             ]
-        registered = self._merge_draining(call.registered)
         return self._propose(item, RegisterInstance(registered), registered.life)
 
-    def _is_known(self, call: AnnounceInstanceCall) -> bool:
+    def _is_known(self, call: AnnounceInstanceCall, now: float) -> bool:
         """Tell whether an announcement changes nothing in the applied log.
 
         The log of a daemon that does not lead may end early, but what it contains is
@@ -328,7 +330,7 @@
         if self._workloads.is_superseded(call.registered):
             return not self._workloads.may_return(call.registered)
         known = self._workloads.instances.get(call.registered.life)
-        return known is not None and known == self._merge_draining(call.registered)
+        return known is not None and known == self._complete_registration(call, now)
 
     def _acknowledge_known(
         self, item: CallInput, call: AnnounceInstanceCall
@@ -346,12 +348,23 @@
             Record(Event.ANNOUNCEMENT_IGNORED, call.registered.life, attributes),
         ]
 
-    def _merge_draining(self, registered: RegisteredInstance) -> RegisteredInstance:
-        """Return an announcement that keeps the instance draining if it already is."""
-        known = self._workloads.instances.get(registered.life)
-        if known is None or not known.draining:
-            return registered
-        return msgspec.structs.replace(registered, draining=True)
+    def _complete_registration(
+        self, call: AnnounceInstanceCall, now: float
+    ) -> RegisteredInstance:
+        """Return the registration of a life, with what is known of it already.
+
+        It stays draining, and cold until the time found first: an announcement that
+        differed in these each time would have to be committed each time.
+        """
+        known = self._workloads.instances.get(call.registered.life)
+        draining = call.registered.draining
+        if known is not None:
+            draining, cold_until = draining or known.draining, known.cold_until
+        else:
+            cold_until = now + call.cold_remaining if call.cold_remaining else 0.0
+        return msgspec.structs.replace(
+            call.registered, draining=draining, cold_until=cold_until
+        )
 
     def _remove_instance(
         self, item: CallInput, call: LeaveInstanceCall, now: float
--- a/src/gypsumwalk/fleet_calls.py
+++ b/src/gypsumwalk/fleet_calls.py
@@ -71,10 +71,21 @@
 
 
 class AnnounceInstanceCall(msgspec.Struct, frozen=True):
-    """Instance's call: heartbeat with the registration of the instance."""
+    """Instance's call: heartbeat with the registration of the instance.
+
+    Attributes
+    ----------
+    registered : RegisteredInstance
+        Registration without the time until which the instance is cold.
+    sequence : int
+        Number of the heartbeat.
+    cold_remaining : float
+        Time in seconds for which the instance is still slow after its start.
+    """
 
     registered: RegisteredInstance
     sequence: int = 0
+    cold_remaining: float = 0.0
 
 
 class LeaveInstanceCall(msgspec.Struct, frozen=True):
--- a/src/gypsumwalk/workload_records.py
+++ b/src/gypsumwalk/workload_records.py
@@ -329,6 +329,9 @@
         Machine that it runs on; empty if not announced.
     draining : bool
         Whether it is draining and gets no new runs.
+    cold_until : float
+        Time in seconds until which it is slow after its start, as found when the life
+        was registered; 0 if it was not.
     """
 
     instance: str
@@ -340,6 +343,7 @@
     labels: list[str] = []
     machine: str = ""
     draining: bool = False
+    cold_until: float = 0.0
 
     @property
     def life(self) -> str:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -188,6 +188,15 @@
         assert decode_control_call("GET", "/wave-get/1", b"") == DescribeUpkeepCall(1)
         assert decode_control_call("GET", "/none", b"") is None
 
+    def test_the_time_for_which_an_instance_is_cold_is_decoded(self):
+        path = "/instances/i-1/heartbeat"
+        warm = decode_control_call("POST", path, encode(HEARTBEAT))
+        assert warm.cold_remaining == 0.0
+        body = encode(HEARTBEAT | {"cold_remaining_ms": 2500})
+        cold = decode_control_call("POST", path, body)
+        assert cold.cold_remaining == 2.5
+        assert cold.registered == warm.registered
+
     def test_evacuation_orders_are_decoded(self):
         start = decode_control_call("POST", "/evacuate/recife/start", b"")
         assert start == StartEvacuationCall("recife")
