Treat instances of an evacuated data centre as draining in starts

A committed placement on such an instance is not started, and a start that was not answered is withdrawn by a stop instead of being sent again. The leader's view of an instance holds the set of evacuated data centres, so that the last committed order holds at once, also for instances that register later and after a change of leader. Fleet tests pass unchanged.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -11,6 +11,11 @@
 from gypsumwalk.dispatch_context import DispatchContext
 from gypsumwalk.dispatch_modules import DispatchModules
 from gypsumwalk.effects import Effect, Propose
+from gypsumwalk.evacuations import (
+    EvacuationSection,
+    FinishEvacuation,
+    StartEvacuation,
+)
 from gypsumwalk.inputs import (
     Committed,
     Input,
@@ -58,6 +63,8 @@
         Declaration in force.
     workloads : WorkloadSection
         Jobs and instances.
+    evacuations : EvacuationSection
+        Evacuated data centres.
     scheduler : TaskScheduler
         Chooses the runs to start and their instances.
     advice : AdviceCache
@@ -80,6 +87,8 @@
         StartUpkeep,
         NoteMaintained,
         LoopLateness,
+        StartEvacuation,
+        FinishEvacuation,
     )
 
     def __init__(
@@ -88,6 +97,7 @@
         leadership: LeadershipView,
         declarations: DeclarationSection,
         workloads: WorkloadSection,
+        evacuations: EvacuationSection,
         scheduler: TaskScheduler,
         advice: AdviceCache,
         max_lease: float,
@@ -107,6 +117,7 @@
             declarations=declarations,
             workloads=workloads,
             advice=advice,
+            evacuated=evacuations.data_centres,
             max_lease=max_lease,
         )
         self._passes = PassSchedule()
@@ -258,7 +269,7 @@
             return False
         if not self.is_leading(now) or not self._orders.has_advice(run, now):
             return False
-        return view.is_responsive and not view.registered.draining
+        return view.is_responsive and not view.is_draining
 
     def _stop_related(self, ends: Sequence[RunEnd], now: float) -> list[Effect]:
         """Stop the runs that are of no use after the end of others.
--- a/src/gypsumwalk/evacuation_handler.py
+++ b/src/gypsumwalk/evacuation_handler.py
@@ -149,7 +149,10 @@
 
     def _check_known(self, data_centre: str) -> Answer | None:
         """Return the refusal of an unknown data centre, None if it is known."""
-        if data_centre in self.data_centres or data_centre in self._evacuations:
+        if (
+            data_centre in self.data_centres
+            or data_centre in self._evacuations.data_centres
+        ):
             return None
         instances = self._workloads.instances.values()
         if any(item.data_centre == data_centre for item in instances):
@@ -187,7 +190,7 @@
         return refuse_proposal(self._leadership, now)
 
     def _list_evacuations(self) -> Answer:
-        return Answer(200, EvacuationsAnswer(self._evacuations.data_centres))
+        return Answer(200, EvacuationsAnswer(self._evacuations.list_data_centres()))
 
 
 def _respond(order: _Order, answer: Answer, index: int) -> list[Effect]:
--- a/src/gypsumwalk/evacuations.py
+++ b/src/gypsumwalk/evacuations.py
@@ -29,32 +29,28 @@
     commands: tuple[type, ...] = (StartEvacuation, FinishEvacuation)
 
     def __init__(self) -> None:
-        self._data_centres: set[str] = set()
+        self.data_centres: set[str] = set()
+        """Names of the evacuated data centres; always the same object, so that others
+        can hold it."""
 
-    def __contains__(self, data_centre: str) -> bool:
-        return data_centre in self._data_centres
-
-    def __bool__(self) -> bool:
-        return bool(self._data_centres)
-
-    @property
-    def data_centres(self) -> list[str]:
-        """Names of the evacuated data centres in order."""
-        return sorted(self._data_centres)
+    def list_data_centres(self) -> list[str]:
+        """Return the names of the evacuated data centres in order."""
+        return sorted(self.data_centres)
 
     def apply(self, command: msgspec.Struct, index: int, at: float) -> msgspec.Struct:
         """Apply one committed command."""
         match command:
             case StartEvacuation(data_centre=data_centre):
-                self._data_centres.add(data_centre)
+                self.data_centres.add(data_centre)
             case FinishEvacuation(data_centre=data_centre):
-                self._data_centres.discard(data_centre)
+                self.data_centres.discard(data_centre)
         return Accepted(index)
 
     def dump(self) -> bytes:
         """Return the section as bytes; equal states give equal bytes."""
-        return msgspec.msgpack.encode(self.data_centres)
+        return msgspec.msgpack.encode(self.list_data_centres())
 
     def load(self, content: bytes) -> None:
         """Replace the section by a dumped one."""
-        self._data_centres = set(msgspec.msgpack.decode(content, type=list[str]))
+        self.data_centres.clear()
+        self.data_centres.update(msgspec.msgpack.decode(content, type=list[str]))
--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -122,6 +122,7 @@
             leadership=self.consensus,
             declarations=self.declarations,
             workloads=self.workloads,
+            evacuations=self.evacuations,
             scheduler=self.scheduler,
             advice=advice,
             max_lease=limits.max_lease,
--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -1,5 +1,6 @@
 """Leases on instances, and the leader's table of the runs that they cover."""
 
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -176,6 +177,8 @@
     ----------
     registered : RegisteredInstance
         Registration that the instance announced.
+    evacuated : Set of str
+        Data centres that are evacuated.
     fence : int
         Fence of the orders to this life.
     runs : dict
@@ -221,6 +224,7 @@
     """
 
     registered: RegisteredInstance
+    evacuated: AbstractSet[str] = frozenset()
     fence: int = 0
     runs: dict[tuple[str, int], RunView] = field(default_factory=dict)
     clock: int = 0
@@ -274,6 +278,16 @@
         for changed in getattr(self, "_watchers", ()):
             changed.add(self._name)
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether the instance is in a data centre that is evacuated."""
+        return self.registered.data_centre in self.evacuated
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the instance gets no new runs, as it or its data centre drains."""
+        return self.registered.draining or self.is_evacuated
+
     @property
     def used(self) -> Resources:
         """Resources that the runs on the instance reserve."""
--- a/src/gypsumwalk/order_delivery.py
+++ b/src/gypsumwalk/order_delivery.py
@@ -109,7 +109,7 @@
             return self._send_stop(run, now)
         if run.state is not RunState.STARTING:
             return []
-        if view.registered.draining:
+        if view.is_draining:
             is_overdue = now - run.ordered_at >= WITHDRAWAL_SECONDS
             return self.stop(run, now) if is_overdue else []
         if not self._context.orders.has_advice(run, now):
--- a/src/gypsumwalk/run_orders.py
+++ b/src/gypsumwalk/run_orders.py
@@ -1,5 +1,7 @@
 """Orders to instances within one term: starts, stops and lease renewals."""
 
+from collections.abc import Set as AbstractSet
+
 import msgspec
 
 from gypsumwalk.advice import AdviceCache, name_step
@@ -57,6 +59,8 @@
         Jobs and instances.
     advice : AdviceCache
         Tickets for steps of queues that require advice.
+    evacuated : Set of str
+        Data centres that are evacuated, kept up to date by their holder.
     max_lease : float
         Longest lease that an instance accepts, in seconds.
     """
@@ -68,11 +72,13 @@
         declarations: DeclarationSection,
         workloads: WorkloadSection,
         advice: AdviceCache,
+        evacuated: AbstractSet[str],
         max_lease: float,
     ) -> None:
         self._declarations = declarations
         self._workloads = workloads
         self._advice = advice
+        self._evacuated = evacuated
         self._lease_seconds = min(LEASE_SECONDS, max_lease)
         self._table = OrderTable(part)
         self._term = 0
@@ -101,7 +107,9 @@
         orders meant for a former life as soon as it has been called.
         """
         self._life_count += 1
-        return InstanceView(registered, fence=self.latest_fence, renewal_due=now)
+        return InstanceView(
+            registered, self._evacuated, fence=self.latest_fence, renewal_due=now
+        )
 
     def close(self, token: str) -> OpenOrder | None:
         """Remove and return the order that an outcome belongs to."""
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -39,17 +39,17 @@
             StartEvacuation("b"),
             FinishEvacuation("c"),
         )
-        assert section.data_centres == ["b"]
-        assert "b" in section
-        assert "a" not in section
+        assert section.list_data_centres() == ["b"]
 
     def test_equal_states_have_equal_dumps(self):
         first = self.make_section(StartEvacuation("a"), StartEvacuation("b"))
         second = self.make_section(StartEvacuation("b"), StartEvacuation("a"))
         assert first.dump() == second.dump()
         loaded = self.make_section(StartEvacuation("c"))
+        held = loaded.data_centres
         loaded.load(first.dump())
-        assert loaded.data_centres == ["a", "b"]
+        assert held == {"a", "b"}
+        assert loaded.list_data_centres() == ["a", "b"]
 
 
 class TestSnapshots(unittest.TestCase):
@@ -63,7 +63,7 @@
         state = ReplicatedState([loaded, section])
         state.load(before.dump())
         assert list(loaded.waves) == [1]
-        assert section.data_centres == []
+        assert section.list_data_centres() == []
         assert state.applied == 1
 
     # Guards against daemons that disagree on what is evacuated, as one of them keeps
@@ -73,7 +73,7 @@
         state = ReplicatedState([section])
         state.apply(StartEvacuation("a"), 1, 0.0)
         state.load(msgspec.msgpack.encode(Snapshot(2, {})))
-        assert section.data_centres == []
+        assert section.list_data_centres() == []
 
 
 class TestOrders(unittest.TestCase):
@@ -128,7 +128,7 @@
                 self.world.restart(leader)
                 self.world.run(2.0)
                 for assembly in self.world.assemblies.values():
-                    assert assembly.evacuations.data_centres == ["dc"]
+                    assert assembly.evacuations.list_data_centres() == ["dc"]
 
     # Guards against an order that is acknowledged and of which a later leader, with a
     # copy of the log or of a snapshot, knows nothing.
