Count no machine of an evacuated data centre as capacity of its pool

Cause: a pool whose machines get no work any more kept its size, so that its tasks waited. Change: such machines are neither capacity nor moved into pools. Their pool takes standby machines of other data centres first, and idle ones move to the standby pool. A wave takes down idle machines of an evacuated data centre without waiting for its last part.

--- a/src/gypsumwalk/emulator.py
+++ b/src/gypsumwalk/emulator.py
@@ -223,6 +223,7 @@
                 registered.machine,
                 registered.service,
                 "up",
+                registered.data_centre,
                 instance=registered.instance,
             )
         return instance
--- a/src/gypsumwalk/machine_directory.py
+++ b/src/gypsumwalk/machine_directory.py
@@ -130,6 +130,14 @@
         is_listed = info is not None and info.state in STATES_IN_SERVICE
         return is_listed and self.read_at > since
 
+    def find_data_centre(self, machine: str) -> str:
+        """Return the data centre of a machine, an empty string if it is unknown."""
+        info = self.machines.get(machine)
+        if info is not None and info.data_centre:
+            return info.data_centre
+        instance = self.find_instance(machine)
+        return instance.data_centre if instance is not None else ""
+
     def find_instance(self, machine: str) -> RegisteredInstance | None:
         """Return the latest incarnation of the instance on a machine."""
         return self._workloads.find_latest_on_machine(machine)
--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -8,6 +8,7 @@
 from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.dispatcher import Dispatcher
 from gypsumwalk.effects import CallPlatform, Effect, Propose, Record, Scalar
+from gypsumwalk.evacuations import EvacuationSection
 from gypsumwalk.events import Event
 from gypsumwalk.inputs import (
     Committed,
@@ -77,6 +78,8 @@
         Declaration in force.
     upkeep : UpkeepSection
         Maintenance waves.
+    evacuations : EvacuationSection
+        Evacuated data centres, whose idle machines can be taken down at any time.
     dispatcher : Dispatcher
         Placement of runs on instances, and orders to stop them.
     scheduler : TaskScheduler
@@ -98,6 +101,7 @@
         daemon: str,
         declarations: DeclarationSection,
         upkeep: UpkeepSection,
+        evacuations: EvacuationSection,
         dispatcher: Dispatcher,
         scheduler: TaskScheduler,
         directory: MachineDirectory,
@@ -107,6 +111,7 @@
         self._daemon = daemon
         self._declarations = declarations
         self._upkeep = upkeep
+        self._evacuations = evacuations
         self._dispatcher = dispatcher
         self._scheduler = scheduler
         self._directory = directory
@@ -239,8 +244,8 @@
             and self._cooldown.can_order(item, now)
         ]
         due.sort(key=self._find_drain_cost)
-        standby = [item for item in due if self._is_on_standby(item)]
-        active = [item for item in due if item not in standby]
+        spare = [item for item in due if self._is_spare(item)]
+        active = [item for item in due if item not in spare]
         concurrency = find_concurrency(
             len(due),
             wave,
@@ -248,7 +253,7 @@
             self._maintenance,
             has_standby=bool(self._declarations.find_standby()),
         )
-        chosen = standby[: wave.max_down] + active[:concurrency]
+        chosen = spare[: wave.max_down] + active[:concurrency]
         cordoned.update(chosen)
         cordoned.update(item for item in wave.begun if self._is_down(wave, item, now))
         is_urgent = now > wave.started + wave.duration - self._find_time_needed(
@@ -266,11 +271,17 @@
         later = [item for item in active if item not in chosen]
         return effects + self._drain_ahead(later, now)
 
-    def _is_on_standby(self, machine: str) -> bool:
-        return (
-            self._directory.machines[machine].service
-            == self._declarations.find_standby()
-        )
+    def _is_spare(self, machine: str) -> bool:
+        """Tell whether nothing is lost while a machine is down.
+
+        It is in the standby pool, or idle in an evacuated data centre.
+        """
+        info = self._directory.machines[machine]
+        if info.service == self._declarations.find_standby():
+            return True
+        data_centre = self._directory.find_data_centre(machine)
+        is_evacuated = data_centre in self._evacuations.data_centres
+        return is_evacuated and not self._list_runs(machine)
 
     def _find_time_needed(self, wave: UpkeepWave, due: list[str]) -> float:
         rounds = -(-len(due) // wave.max_down)
--- a/src/gypsumwalk/pool_scaling_controller.py
+++ b/src/gypsumwalk/pool_scaling_controller.py
@@ -6,6 +6,7 @@
 from gypsumwalk.demand_forecast import DemandForecast
 from gypsumwalk.dispatcher import Dispatcher
 from gypsumwalk.effects import CallPlatform, Effect, Propose, Record, Scalar
+from gypsumwalk.evacuations import EvacuationSection
 from gypsumwalk.events import Event
 from gypsumwalk.inputs import Committed, Input, PlatformOutcome
 from gypsumwalk.instance_actions import MachineReport, MoveMachine
@@ -68,6 +69,8 @@
         Declaration in force.
     upkeep : UpkeepSection
         Maintenance waves; machines that are down for one are not moved.
+    evacuations : EvacuationSection
+        Evacuated data centres, whose machines are no capacity.
     dispatcher : Dispatcher
         Placement of runs on instances, and the leadership of this daemon.
     scheduler : TaskScheduler
@@ -89,6 +92,7 @@
         daemon: str,
         declarations: DeclarationSection,
         upkeep: UpkeepSection,
+        evacuations: EvacuationSection,
         dispatcher: Dispatcher,
         scheduler: TaskScheduler,
         directory: MachineDirectory,
@@ -98,6 +102,7 @@
         self._daemon = daemon
         self._declarations = declarations
         self._upkeep = upkeep
+        self._evacuations = evacuations
         self._dispatcher = dispatcher
         self._scheduler = scheduler
         self._directory = directory
@@ -249,10 +254,15 @@
                     has_lasting=any(run.is_lasting for run in runs),
                     run_count=len(runs),
                     is_released=machine in self._scheduler.released,
+                    is_evacuated=self._is_evacuated(machine),
                 )
             )
         return described
 
+    def _is_evacuated(self, machine: str) -> bool:
+        data_centre = self._directory.find_data_centre(machine)
+        return data_centre in self._evacuations.data_centres
+
     def _must_pass_on(self, machine: str) -> bool:
         if machine not in self._scheduler.due_for_maintenance:
             return False
@@ -282,7 +292,8 @@
     ) -> bool:
         """Tell whether the pools want more machines than there are."""
         pools = size_pools(machines, demands, standby)
-        return sum(pools[name].desired for name in demands) > len(machines)
+        count = sum(len(pool.machines) for pool in pools.values())
+        return sum(pools[name].desired for name in demands) > count
 
     def _find_demands(
         self, standby: str, now: float, is_deferred: IsDeferred | None = None
@@ -336,6 +347,10 @@
     def _order(self, machine: str, service: str, now: float) -> list[Effect]:
         if self._moving.get(machine, ("", 0.0))[0] != service:
             return []
+        if service != self._declarations.find_standby() and self._is_evacuated(machine):
+            # The evacuation was ordered after the move was planned.
+            self._end_move(machine, now)
+            return []
         instance = self._directory.find_instance(machine)
         # An instance that is in that pool already has moved, and does not end again.
         ending = instance if instance and instance.service != service else None
--- a/src/gypsumwalk/pooling.py
+++ b/src/gypsumwalk/pooling.py
@@ -5,7 +5,7 @@
 move to a standby pool, where they cost nothing.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from math import ceil
 
@@ -60,6 +60,8 @@
         Number of its runs.
     is_released : bool
         Whether it gets no further tasks, so that it can move once it is idle.
+    is_evacuated : bool
+        Whether it is in an evacuated data centre, so that it is no capacity.
     """
 
     machine: str
@@ -71,6 +73,7 @@
     has_lasting: bool = False
     run_count: int = 0
     is_released: bool = False
+    is_evacuated: bool = False
 
 
 @dataclass(slots=True)
@@ -119,10 +122,21 @@
 
 @dataclass(slots=True)
 class Pool:
-    """Machines of a pool, and its desired size."""
+    """Machines of a pool, and its desired size.
+
+    Attributes
+    ----------
+    machines : list of PoolMachine
+        Machines that are capacity of the pool.
+    desired : int
+        Number of machines that it needs.
+    evacuated : list of PoolMachine
+        Machines in evacuated data centres.
+    """
 
     machines: list[PoolMachine] = field(default_factory=list)
     desired: int = 0
+    evacuated: list[PoolMachine] = field(default_factory=list)
 
     @property
     def surplus(self) -> int:
@@ -146,7 +160,8 @@
     """Plan the moves of idle machines between pools.
 
     Pools without the room for their lasting tasks come first, then those with the
-    largest shortage.
+    largest shortage. A pool that lost machines to an evacuation gets standby machines
+    first; machines in evacuated data centres move to the standby pool only.
 
     Parameters
     ----------
@@ -184,6 +199,7 @@
             moves.append(_move(pools, donor, name, "demand"))
     if standby:
         moves += _move_to_standby(pools, demands, standby, now)
+        moves += _move_evacuated(pools, demands, standby, now)
     return moves
 
 
@@ -208,7 +224,8 @@
     """
     pools = {name: Pool() for name in [*demands, standby]}
     for machine in machines:
-        pools.setdefault(machine.service, Pool()).machines.append(machine)
+        pool = pools.setdefault(machine.service, Pool())
+        (pool.evacuated if machine.is_evacuated else pool.machines).append(machine)
     sizes = sorted(machine.cpu for machine in machines)
     typical = max(1, sizes[len(sizes) // 2]) if sizes else 1
     for name, demand in demands.items():
@@ -268,9 +285,15 @@
         if machine.is_movable and (other == standby or _is_idle_enough(machine, now))
     ]
     # A standby machine costs nothing where it is, so idle machines of pools go first.
+    # A pool that lost machines to an evacuation needs others for longer than a burst,
+    # so that the idle machines stay with the pools that will need them again.
+    prefers_standby = bool(pools[name].evacuated)
     return max(
         candidates,
-        key=lambda item: (item.service != standby, now - item.idle_since),
+        key=lambda item: (
+            (item.service == standby) is prefers_standby,
+            now - item.idle_since,
+        ),
         default=None,
     )
 
@@ -303,11 +326,27 @@
     return moves
 
 
+def _move_evacuated(
+    pools: Mapping[str, Pool], names: Iterable[str], standby: str, now: float
+) -> list[MachineMove]:
+    """Move idle machines in evacuated data centres, as their pools can't use them."""
+    return [
+        _move(pools, machine, standby, "evacuated")
+        for name in names
+        for machine in list(pools[name].evacuated)
+        if machine.is_movable and now - machine.idle_since >= STANDBY_IDLE_SECONDS
+    ]
+
+
 def _move(
     pools: Mapping[str, Pool], machine: PoolMachine, service: str, reason: str
 ) -> MachineMove:
-    pools[machine.service].machines.remove(machine)
-    pools[service].machines.append(machine)
+    if machine.is_evacuated:
+        pools[machine.service].evacuated.remove(machine)
+        pools[service].evacuated.append(machine)
+    else:
+        pools[machine.service].machines.remove(machine)
+        pools[service].machines.append(machine)
     machine.service = service
     machine.is_movable = False
     return MachineMove(machine.machine, service, reason)
--- a/tests/test_maintenance_controller.py
+++ b/tests/test_maintenance_controller.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 from gypsumwalk.effects import Propose
+from gypsumwalk.evacuations import EvacuationSection
 from gypsumwalk.inputs import (
     Committed,
     PlatformOutcome,
@@ -47,6 +48,7 @@
         daemon="a",
         declarations=mock.Mock(),
         upkeep=mock.Mock(loads=0),
+        evacuations=EvacuationSection(),
         dispatcher=mock.Mock(),
         scheduler=mock.Mock(cordoned=set()),
         directory=Directory(life),
