Move lasting tasks out of evacuated data centres

Nothing is placed on instances of an evacuated data centre. Its lasting tasks move within the budgets of their steps, a gang as a whole, and only once there is room elsewhere, unless the budget has no limit. The room is kept from transient tasks until the task has started there, as these would take each part that becomes free. Transient runs end by themselves and are no demand for capacity any more. Events 5041 to 5043 tell of an evacuation and each move.

--- a/src/gypsumwalk/availability.py
+++ b/src/gypsumwalk/availability.py
@@ -1,5 +1,7 @@
 """Budget of the tasks of a lasting step that may be unavailable at the same time."""
 
+from collections.abc import Sequence
+
 from gypsumwalk.leases import LeaseTable, RunState, RunView
 from gypsumwalk.workload_records import TaskKey
 from gypsumwalk.workloads import WorkloadSection
@@ -24,6 +26,30 @@
     def __init__(self, workloads: WorkloadSection) -> None:
         self._workloads = workloads
 
+    def count_interruptible(
+        self, runs: Sequence[RunView], lease_table: LeaseTable
+    ) -> int:
+        """Return how many runs of a step may be stopped together.
+
+        Parameters
+        ----------
+        runs : Sequence of RunView
+            Runs of different lasting tasks of one step and occurrence.
+        lease_table : LeaseTable
+            Runs that may be going on.
+
+        Returns
+        -------
+        int
+            At most the number of the runs.
+        """
+        step = self._workloads.find_step(runs[0].task) if runs else None
+        if step is None or step.max_unavailable < 0:
+            return len(runs)
+        tasks = [runs[0].task._replace(number=number) for number in range(step.count)]
+        unavailable = sum(not _is_available(task, lease_table) for task in tasks)
+        return min(len(runs), max(0, step.max_unavailable - unavailable))
+
     def may_interrupt(self, run: RunView, lease_table: LeaseTable) -> bool:
         """Tell whether a run may be stopped, although its task has to go on.
 
--- a/src/gypsumwalk/candidates.py
+++ b/src/gypsumwalk/candidates.py
@@ -15,8 +15,9 @@
     """Keeps the instances that may take tasks, by service.
 
     A pass costs what has changed since the one before: the instances whose runs,
-    registration or answers changed, those that refused a start lately, and those on
-    machines that were closed or opened.
+    registration or answers changed, those that refused a start lately, those on
+    machines that were closed or opened, and those of data centres that are evacuated
+    or used again.
 
     Parameters
     ----------
@@ -24,13 +25,21 @@
         Jobs with ready tasks.
     find_service : Callable
         Returns the service that runs a job.
+    evacuated : Set of str
+        Data centres that are evacuated, kept up to date by their holder.
     """
 
     def __init__(
-        self, waiting: ReadyJobs, find_service: Callable[[Workload], str]
+        self,
+        waiting: ReadyJobs,
+        find_service: Callable[[Workload], str],
+        evacuated: Set[str] = frozenset(),
     ) -> None:
         self._waiting = waiting
         self._find_service = find_service
+        self._evacuated = evacuated
+        self._known_evacuated: frozenset[str] = frozenset()
+        """Data centres that were evacuated at the latest pass."""
         self._instances = InstanceTable()
         self._changed: set[str] = set()
         self._pools: dict[str, CandidatePool] = {}
@@ -44,7 +53,12 @@
         """Machine of each known life."""
 
     def list_pools(
-        self, lease_table: LeaseTable, closed: Set[str], now: float
+        self,
+        lease_table: LeaseTable,
+        closed: Set[str],
+        now: float,
+        *,
+        leaving: Set[str] = frozenset(),
     ) -> dict[str, CandidatePool]:
         """Return the instances that may take a waiting task, by service.
 
@@ -56,16 +70,19 @@
             Machines that get no new work.
         now : float
             Time in seconds.
+        leaving : set of str
+            Services with lasting runs that have to move.
 
         Returns
         -------
         dict of str to CandidatePool
-            Candidates of the services with waiting tasks.
+            Candidates of the services with waiting tasks or runs that have to move.
         """
         services = {
             self._find_service(next(iter(group.jobs.values())).workload)
             for group in self._waiting.list_groups()
         }
+        services |= leaving
         if not services:
             return {}
         self._follow_changes(lease_table, closed, now)
@@ -135,11 +152,23 @@
         self._closed = frozenset(closed)
         for machine in opened_or_closed:
             self._changed |= self._lives_by_machine.get(machine, set())
+        if self._known_evacuated != self._evacuated:
+            self._note_evacuations()
         changed = self._changed | self._held
         self._changed.clear()
         for life in changed:
             self._follow(life, now)
 
+    def _note_evacuations(self) -> None:
+        """Add the instances whose data centre is evacuated, or is not any more."""
+        data_centres = self._known_evacuated ^ self._evacuated
+        self._known_evacuated = frozenset(self._evacuated)
+        self._changed.update(
+            life
+            for life, view in self._instances.items()
+            if view.registered.data_centre in data_centres
+        )
+
     def _watch(self, instances: InstanceTable) -> None:
         self._instances = instances
         self._changed = instances.watch()
@@ -189,6 +218,6 @@
 
 def _can_schedule_on(view: InstanceView, closed: Set[str], now: float) -> bool:
     machine = view.registered.machine
-    if view.registered.draining or (machine and machine in closed):
+    if view.is_draining or (machine and machine in closed):
         return False
     return view.is_responsive and now >= view.start_backoff_until
--- a/src/gypsumwalk/dispatch_modules.py
+++ b/src/gypsumwalk/dispatch_modules.py
@@ -1,9 +1,10 @@
 """Modules of the dispatcher, joined with each other."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Set
 
 from gypsumwalk.dispatch_context import DispatchContext
 from gypsumwalk.effects import Effect
+from gypsumwalk.evacuation_moves import EvacuationMoves
 from gypsumwalk.instance_departures import InstanceDepartures
 from gypsumwalk.leases import LeaseTable, RunView
 from gypsumwalk.order_delivery import OrderDelivery
@@ -31,6 +32,8 @@
         State that the modules share.
     passes : PassSchedule
         Times of the scheduling passes.
+    evacuated : Set of str
+        Data centres that are evacuated.
     max_lease : float
         Longest lease that an instance accepts, in seconds.
     stop_grace : float
@@ -42,6 +45,7 @@
         context: DispatchContext,
         passes: PassSchedule,
         *,
+        evacuated: Set[str],
         max_lease: float,
         stop_grace: float,
     ) -> None:
@@ -53,6 +57,7 @@
         self._passes = passes
         self.ends = RunEnds(context, stop_grace=stop_grace)
         self.delivery = OrderDelivery(context)
+        self.evacuation = EvacuationMoves(context, self.delivery, evacuated)
         self.placements = Placements(context, self.delivery, orphans)
         self.renewals = Renewals(context, self.ends, orphans)
         self.departures = InstanceDepartures(context, orphans, self.delivery.stop)
@@ -105,6 +110,7 @@
         effects += self.delivery.resend(now)
         draining = self.renewals.list_draining()
         effects += self.delivery.stop_lasting_on(draining, may_interrupt, now)
+        effects += self.evacuation.check(now)
         effects += self.departures.check(now)
         effects += self.placements.confirm_runs(now)
         return effects
@@ -118,4 +124,5 @@
         self.placements.clear()
         self.ends.clear()
         self.delivery.clear()
+        self.evacuation.clear()
         self.outcomes.clear()
--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -131,7 +131,11 @@
             end_as_lost=lambda runs, reason: self._end_as_lost(runs, reason),
         )
         self._modules = DispatchModules(
-            self._context, self._passes, max_lease=max_lease, stop_grace=stop_grace
+            self._context,
+            self._passes,
+            evacuated=evacuations.data_centres,
+            max_lease=max_lease,
+            stop_grace=stop_grace,
         )
         self._tick_due = 0.0
 
@@ -260,6 +264,8 @@
                 return self._modules.departures.handle_removal(command, now)
             case RegisterInstance(instance=instance):
                 return self._modules.departures.sync(instance.life, now)
+            case StartEvacuation() | FinishEvacuation():
+                return self._modules.evacuation.record_changes()
         return []
 
     def _can_start(self, run: RunView, now: float) -> bool:
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -284,6 +284,21 @@
         Level.INFO,
         "order {order} was answered {status} at index {index}: {reason}",
     )
+    EVACUATION_STARTED = EventEntry(
+        5041,
+        Level.WARNING,
+        "nothing more is sent to the {instances} instances of the data centre, which"
+        " have {runs} runs, {lasting} of them lasting",
+    )
+    EVACUATION_FINISHED = EventEntry(
+        5042, Level.INFO, "the {instances} instances of the data centre take work again"
+    )
+    RUN_MOVED_AWAY = EventEntry(
+        5043,
+        Level.INFO,
+        "run {run} on {life} is stopped, as data centre {data_centre} is evacuated;"
+        " room for its task: {room}",
+    )
     WAVE_STARTED = EventEntry(4201, Level.INFO, "run {run} of the wave started")
     WAVE_PAUSED = EventEntry(4202, Level.WARNING, "the wave is paused: {reason}")
 
--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -117,7 +117,9 @@
             max_replayed_entries=MAX_REPLAYED_ENTRIES,
         )
         advice = AdviceCache()
-        self.scheduler = TaskScheduler(self.declarations, self.workloads, advice)
+        self.scheduler = TaskScheduler(
+            self.declarations, self.workloads, advice, self.evacuations.data_centres
+        )
         self.dispatcher = Dispatcher(
             leadership=self.consensus,
             declarations=self.declarations,
--- a/src/gypsumwalk/pool_demands.py
+++ b/src/gypsumwalk/pool_demands.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from gypsumwalk.declaration_records import Resources
-from gypsumwalk.leases import LeaseTable
+from gypsumwalk.leases import LeaseTable, RunView
 from gypsumwalk.placement_limits import TeamQuotas
 from gypsumwalk.pooling import PoolDemand
 from gypsumwalk.ready_tasks import ReadyJob
@@ -53,7 +53,8 @@
     ) -> None:
         """Add running and ready tasks to the demand of each pool.
 
-        Tasks that exceed the quota of their team are not counted.
+        Tasks that exceed the quota of their team are not counted, nor are transient
+        runs in evacuated data centres, which end where no capacity is counted.
 
         Parameters
         ----------
@@ -75,7 +76,8 @@
                 deferred = is_deferred(workload, None)
                 for run in lease_table.list_runs_of_job(job):
                     step = workload.steps[run.task.step]
-                    _add_tasks(demand, step, run.need.cpu, 1, deferred=deferred)
+                    if step.lasting or not _is_evacuated(run, lease_table):
+                        _add_tasks(demand, step, run.need.cpu, 1, deferred=deferred)
         used = dict(lease_table.usage_by_team)
         for waiting in waiting_jobs:
             demand = demands.get(self._find_service(waiting.workload))
@@ -102,6 +104,11 @@
                 return
 
 
+def _is_evacuated(run: RunView, lease_table: LeaseTable) -> bool:
+    view = lease_table.instances.get(run.life)
+    return view is not None and view.is_evacuated
+
+
 def _add_tasks(
     demand: PoolDemand, step: Step, cpu: int, count: int, *, deferred: bool
 ) -> None:
--- a/src/gypsumwalk/task_placement.py
+++ b/src/gypsumwalk/task_placement.py
@@ -353,6 +353,15 @@
         self._change(candidate, candidate.free + need)
         self._admit(candidate)
 
+    def withhold(self, candidate: Candidate, need: Resources) -> None:
+        """Keep resources of a candidate from the rest of the pass."""
+        self._withhold(self._positions[candidate.view.registered.life], need)
+
+    def release(self, candidate: Candidate, need: Resources) -> None:
+        """Undo ``withhold`` in the same pass."""
+        candidate.withheld -= need
+        self.give_back(candidate.view.registered.life, need)
+
     def reserve(
         self, step: Step, count: int, count_allowed: Callable[[Candidate], int]
     ) -> int:
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -1,11 +1,16 @@
 """Scheduler of a fleet: which ready tasks start now, and on which instances."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence, Set
 
 from gypsumwalk.advice import AdviceCache, AdviceQuery
 from gypsumwalk.candidates import CandidateLister
 from gypsumwalk.declaration_records import DeclaredQueue, Resources
 from gypsumwalk.declarations import DeclarationSection
+from gypsumwalk.evacuation_planning import (
+    EvacuationPlanner,
+    LeavingStep,
+    PlannedMove,
+)
 from gypsumwalk.lateness import LatenessPredictor
 from gypsumwalk.leases import UNKNOWN_PERCENT, LeaseTable, RunState, RunView
 from gypsumwalk.part import NEVER
@@ -38,6 +43,8 @@
         Jobs and instances.
     advice : AdviceCache
         Tickets for steps of queues that require advice.
+    evacuated : Set of str
+        Data centres that are evacuated, kept up to date by their holder.
     """
 
     def __init__(
@@ -45,6 +52,7 @@
         declarations: DeclarationSection,
         workloads: WorkloadSection,
         advice: AdviceCache,
+        evacuated: Set[str] = frozenset(),
     ) -> None:
         self.cordoned: set[str] = set()
         """Machines that get no new work because a wave takes them down next."""
@@ -65,7 +73,8 @@
         self._next_due = NEVER
         self._quotas = TeamQuotas(declarations)
         self._demand = DemandCounter(workloads, self._quotas, self.find_service)
-        self._lister = CandidateLister(self._waiting, self.find_service)
+        self._evacuation = EvacuationPlanner(workloads, evacuated)
+        self._lister = CandidateLister(self._waiting, self.find_service, evacuated)
         self._planner = RunPlanner(
             declarations, advice, lambda *task: self._has_quota(*task)
         )
@@ -133,17 +142,70 @@
         self._update_ready(lease_table, now)
         self._quotas.clear_kept()
         self._planner.begin(self.due_for_maintenance)
-        closed = self.cordoned | self.changing_pool | self.released
-        pools = self._lister.list_pools(lease_table, closed, now)
+        leaving = self._evacuation.list_leaving(lease_table)
+        pools = self._list_pools(leaving, lease_table, now)
         waiting = self._sort_waiting(pools, now)
         lasting = [item for item in waiting if item[0].is_lasting]
         planned: list[PlannedRun] = []
         for item in lasting:
             planned += self._plan_jobs([item], lease_table, now, lasting=True)
             self._reserve(*item, lease_table)
+        self._plan_moves(leaving, pools, lease_table)
         transient = [item for item in waiting if item[0].is_transient]
         return planned + self._plan_jobs(transient, lease_table, now, lasting=False)
 
+    def plan_moves(self, lease_table: LeaseTable, now: float) -> list[PlannedMove]:
+        """Choose the lasting runs that may leave evacuated data centres now.
+
+        Waiting lasting tasks get room first, as in a pass.
+
+        Parameters
+        ----------
+        lease_table : LeaseTable
+            Runs that may be going on.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        list of PlannedMove
+            Runs to stop.
+        """
+        leaving = self._evacuation.list_leaving(lease_table)
+        if not leaving:
+            return []
+        self._update_ready(lease_table, now)
+        self._quotas.clear_kept()
+        pools = self._list_pools(leaving, lease_table, now)
+        for item in self._sort_waiting(pools, now):
+            if item[0].is_lasting:
+                self._reserve(*item, lease_table)
+        return self._plan_moves(leaving, pools, lease_table)
+
+    def _plan_moves(
+        self,
+        leaving: Sequence[LeavingStep],
+        pools: Mapping[str, CandidatePool],
+        lease_table: LeaseTable,
+    ) -> list[PlannedMove]:
+        pools_by_job: dict[str, CandidatePool] = {}
+        for item in leaving:
+            workload = self._workloads.jobs[item.runs[0].task.job]
+            pool = pools.get(self.find_service(workload))
+            if pool is not None:
+                pools_by_job[workload.job] = pool
+        return self._evacuation.plan(
+            leaving, pools_by_job, lease_table, self.due_for_maintenance
+        )
+
+    def _list_pools(
+        self, leaving: Sequence[LeavingStep], lease_table: LeaseTable, now: float
+    ) -> dict[str, CandidatePool]:
+        jobs = self._workloads.jobs
+        services = {self.find_service(jobs[item.runs[0].task.job]) for item in leaving}
+        closed = self.cordoned | self.changing_pool | self.released
+        return self._lister.list_pools(lease_table, closed, now, leaving=services)
+
     def _plan_jobs(
         self,
         waiting: Iterable[tuple[ReadyJob, CandidatePool]],
--- a/tests/_stepped_leader.py
+++ b/tests/_stepped_leader.py
@@ -15,6 +15,7 @@
 )
 from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.dispatcher import Dispatcher
+from gypsumwalk.evacuations import EvacuationSection
 from gypsumwalk.effects import CallPlatform, Propose
 from gypsumwalk.inputs import (
     Committed,
@@ -101,13 +102,17 @@
             self.instances[registered.instance] = SteppedInstance(registered)
             self.workloads.apply(RegisterInstance(registered), 0, BEGIN)
         advice = AdviceCache()
-        self.scheduler = TaskScheduler(self.declarations, self.workloads, advice)
+        self.evacuations = EvacuationSection()
+        self.scheduler = TaskScheduler(
+            self.declarations, self.workloads, advice, self.evacuations.data_centres
+        )
         self.leadership = mock.NonCallableMock(term=1, applied_index=0)
         self.leadership.holds_lease = lambda now: True
         self.dispatcher = Dispatcher(
             leadership=self.leadership,
             declarations=self.declarations,
             workloads=self.workloads,
+            evacuations=self.evacuations,
             scheduler=self.scheduler,
             advice=advice,
             max_lease=6.0,
