Prefer warm instances while one of them has room

Tasks started on instances that were still slow after their start although others were free, as the fullest instance is chosen. Candidates now state whether they are cold.

--- a/src/gypsumwalk/candidates.py
+++ b/src/gypsumwalk/candidates.py
@@ -45,6 +45,8 @@
         self._pools: dict[str, CandidatePool] = {}
         self._services: dict[str, str] = {}
         """Service of each life in a pool."""
+        self._cold_until = 0.0
+        """Time in seconds from which every candidate is warm."""
         self._held: set[str] = set()
         """Lives that get no starts for a time."""
         self._closed: frozenset[str] = frozenset()
@@ -95,6 +97,10 @@
             pool.begin()
         return listed
 
+    def has_cold(self, now: float) -> bool:
+        """Tell whether some candidate may still be slow after its start."""
+        return now < self._cold_until
+
     def has_room_for(
         self,
         task: TaskKey,
@@ -175,6 +181,7 @@
         self._pools.clear()
         self._services.clear()
         self._held.clear()
+        self._cold_until = 0.0
         self._lives_by_machine.clear()
         self._machines.clear()
 
@@ -188,6 +195,7 @@
             self._drop(life)
             return
         registered = view.registered
+        self._cold_until = max(self._cold_until, registered.cold_until)
         pool = self._pools.get(registered.service)
         if pool is not None and pool.update(view):
             return
--- a/src/gypsumwalk/run_planning.py
+++ b/src/gypsumwalk/run_planning.py
@@ -55,11 +55,23 @@
         self._advice = advice
         self._has_quota = has_quota
         self._avoided: Set[str] = frozenset()
+        self._warm_check: _Check | None = None
 
-    def begin(self, avoided: Set[str]) -> None:
-        """Begin a pass in which lasting tasks avoid some machines if they can."""
+    def begin(self, avoided: Set[str], now: float, *, has_cold: bool) -> None:
+        """Begin a pass.
+
+        Parameters
+        ----------
+        avoided : set of str
+            Machines that lasting tasks avoid if they can.
+        now : float
+            Time in seconds.
+        has_cold : bool
+            Whether some candidate may still be slow after its start.
+        """
         self.wanted_advice.clear()
         self._avoided = avoided
+        self._warm_check = _make_warm_check(now) if has_cold else None
 
     def plan_job(
         self,
@@ -178,22 +190,32 @@
         is_allowed: _Check,
         rack: str,
     ) -> Candidate | None:
-        """Choose an instance for a task; a lasting one avoids machines of a wave."""
+        """Choose an instance for a task.
+
+        A lasting one avoids machines of a wave, and each one cold instances.
+        """
 
         def allows(item: Candidate) -> bool:
             return limit.allows(item) and is_allowed(item)
 
-        if step.lasting and self._avoided:
-            due = self._avoided
-            chosen = pool.choose(
-                step,
-                lambda item: item.view.registered.machine not in due and allows(item),
-                rack,
-            )
+        for preference in self._list_preferences(step):
+            chosen = pool.choose(step, _combine(preference, allows), rack)
             if chosen is not None:
                 return chosen
         return pool.choose(step, allows, rack)
 
+    def _list_preferences(self, step: Step) -> list[_Check]:
+        """Return checks of which the first one that an instance meets decides."""
+        due = self._avoided
+        preferences: list[_Check] = []
+        if step.lasting and due:
+            preferences.append(lambda item: item.view.registered.machine not in due)
+        is_warm = self._warm_check
+        if is_warm is None:
+            return preferences
+        warm = [_combine(is_warm, check) for check in preferences]
+        return [*warm, *preferences, is_warm]
+
     def _plan_gang(
         self,
         workload: Workload,
@@ -205,6 +227,24 @@
         if len(tasks) < workload.steps[tasks[0].step].count:
             return []
 
+        checks = [is_allowed]
+        if self._warm_check is not None:
+            checks.insert(0, _combine(self._warm_check, is_allowed))
+        for check in checks:
+            if planned := self._plan_gang_in_rack(
+                workload, tasks, pool, lease_table, check
+            ):
+                return planned
+        return self._plan_gang_on(workload, tasks, pool, lease_table, is_allowed, "")
+
+    def _plan_gang_in_rack(
+        self,
+        workload: Workload,
+        tasks: list[TaskKey],
+        pool: CandidatePool,
+        lease_table: LeaseTable,
+        is_allowed: _Check,
+    ) -> list[PlannedRun]:
         def is_in_rack(item: Candidate) -> bool:
             return item.view.registered.rack == rack and is_allowed(item)
 
@@ -213,7 +253,7 @@
                 workload, tasks, pool, lease_table, is_in_rack, rack
             ):
                 return planned
-        return self._plan_gang_on(workload, tasks, pool, lease_table, is_allowed, "")
+        return []
 
     def _plan_gang_on(
         self,
@@ -274,5 +314,13 @@
     return (record.run if record else 0) + 1
 
 
+def _combine(first: _Check, second: _Check) -> _Check:
+    return lambda item: first(item) and second(item)
+
+
+def _make_warm_check(now: float) -> _Check:
+    return lambda item: item.view.registered.cold_until <= now
+
+
 def _allow_any(_: Candidate) -> bool:
     return True
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -141,9 +141,11 @@
         """
         self._update_ready(lease_table, now)
         self._quotas.clear_kept()
-        self._planner.begin(self.due_for_maintenance)
         leaving = self._evacuation.list_leaving(lease_table)
         pools = self._list_pools(leaving, lease_table, now)
+        self._planner.begin(
+            self.due_for_maintenance, now, has_cold=self._lister.has_cold(now)
+        )
         waiting = self._sort_waiting(pools, now)
         lasting = [item for item in waiting if item[0].is_lasting]
         planned: list[PlannedRun] = []
--- a/tests/_stepped_leader.py
+++ b/tests/_stepped_leader.py
@@ -15,8 +15,8 @@
 )
 from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.dispatcher import Dispatcher
-from gypsumwalk.evacuations import EvacuationSection
 from gypsumwalk.effects import CallPlatform, Propose
+from gypsumwalk.evacuations import EvacuationSection
 from gypsumwalk.inputs import (
     Committed,
     PlatformOutcome,
--- a/tests/test_cold_instances.py
+++ b/tests/test_cold_instances.py
@@ -4,13 +4,16 @@
 
 import msgspec
 
+from gypsumwalk.declaration_records import Resources
 from gypsumwalk.fleet_calls import AnnounceInstanceCall
 from gypsumwalk.workload_records import (
     RegisteredInstance,
     RegisterInstance,
+    Step,
 )
 from gypsumwalk.workloads import WorkloadSection
 from tests._fleet_work import FleetWorld
+from tests._scheduling import CAPACITY, NOW, Fleet, make_instance, make_job
 
 
 def count_commands(world, kind):
@@ -23,6 +26,57 @@
     )
 
 
+class TestPlacement(unittest.TestCase):
+    def begin(self, *cold, due=()):
+        """Make a fleet of one machine for each flag that tells whether it is cold."""
+        self.fleet = Fleet()
+        for number, is_cold in enumerate(cold):
+            instance = msgspec.structs.replace(
+                make_instance(number), labels=[f"rack-{number // 2}"]
+            )
+            if is_cold:
+                instance = msgspec.structs.replace(instance, cold_until=NOW + 3.0)
+            self.fleet.add_instance(instance)
+        self.fleet.scheduler.due_for_maintenance.update(due)
+
+    def place(self, step):
+        """Return the instances on which the tasks of a job are placed."""
+        job = f"job-{len(self.fleet.workloads.jobs)}"
+        self.fleet.submit(make_job(job, steps=[step]))
+        return [item.run.life.partition("@")[0] for item in self.fleet.plan()]
+
+    # Guards against tasks that start on a slow instance beside a free one, as of equal
+    # instances the first is chosen.
+    def test_a_warm_instance_is_preferred(self):
+        self.begin(True, False)
+        assert self.place(Step(1, Resources(1000, 1000))) == ["i-1"]
+
+    # Guards against tasks that wait for warm instances.
+    def test_cold_instances_are_used_once_no_warm_one_has_room(self):
+        self.begin(True, False, True)
+        step = Step(3, Resources(CAPACITY.cpu, 1000))
+        placed = self.place(step)
+        assert placed[0] == "i-1"
+        assert sorted(placed) == ["i-0", "i-1", "i-2"]
+
+    def test_an_instance_counts_as_warm_after_its_time(self):
+        self.begin(False, False)
+        instance = make_instance(0)
+        warm = msgspec.structs.replace(instance, cold_until=NOW)
+        self.fleet.table.instances[instance.life].registered = warm
+        assert self.place(Step(1, Resources(1000, 1000))) == ["i-0"]
+
+    # Guards against a lasting task that moves again soon for the sake of some seconds.
+    def test_a_lasting_task_avoids_machines_of_a_wave_before_cold_ones(self):
+        self.begin(False, True, due=["m-0"])
+        assert self.place(Step(1, Resources(1000, 1000), lasting=True)) == ["i-1"]
+
+    def test_a_gang_prefers_a_warm_rack(self):
+        self.begin(True, False, False, False)
+        step = Step(2, Resources(CAPACITY.cpu, 1000), gang=True)
+        assert sorted(self.place(step)) == ["i-2", "i-3"]
+
+
 class TestRegistration(unittest.TestCase):
     def begin(self):
         self.world = FleetWorld(instances=1)
