Test the refill of pools and the limits of moves under an evacuation

Trial changes of the code showed cases that no test caught: a gang beyond its budget, demand of transient runs, late moves into a pool, the machines of an evacuated data centre, and orders answered without a command.

--- a/tests/test_evacuation_pools.py
+++ b/tests/test_evacuation_pools.py
@@ -3,11 +3,14 @@
 import unittest
 from unittest import mock
 
+from gypsumwalk.declaration_records import Resources
 from gypsumwalk.effects import Propose
 from gypsumwalk.evacuations import EvacuationSection, StartEvacuation
-from gypsumwalk.instance_actions import MachineInfo
+from gypsumwalk.inputs import Committed
+from gypsumwalk.instance_actions import MachineInfo, MoveMachine
 from gypsumwalk.maintenance_controller import MaintenanceController
 from gypsumwalk.order_cooldown import OrderCooldown
+from gypsumwalk.pool_scaling_controller import PoolScalingController
 from gypsumwalk.pooling import (
     STANDBY_IDLE_SECONDS,
     PoolDemand,
@@ -15,12 +18,18 @@
     plan_moves,
     size_pools,
 )
+from gypsumwalk.state import Accepted
 from gypsumwalk.task_scheduler import TaskScheduler
-from gypsumwalk.upkeep import BeginMaintenance, UpkeepWave
+from gypsumwalk.upkeep import BeginMaintenance, OrderMoves, UpkeepWave
+from gypsumwalk.workload_records import Step
+from tests import _fleet_work
+from tests._evacuation_world import EAST, STANDBY, WEST, EvacuationWorld
+from tests._scheduling import Fleet, make_instance, make_job
 
 CPU = 16_000
 NOW = 100.0
 BUSY = float("inf")
+WHOLE = Resources(_fleet_work.CAPACITY.cpu, 1000)
 
 
 def make_machines(service, count, *, is_evacuated=False, idle_since=BUSY):
@@ -100,6 +109,80 @@
         ]
 
 
+class TestDemand(unittest.TestCase):
+    # Guards against machines that are moved into a pool for runs that need none.
+    def test_transient_runs_in_an_evacuated_data_centre_need_no_capacity(self):
+        for is_lasting in (False, True):
+            fleet = Fleet()
+            fleet.add_instance(make_instance(0))
+            step = Step(2, Resources(1000, 1000), lasting=is_lasting)
+            fleet.submit(make_job("job", steps=[step]))
+            assert len(fleet.plan()) == 2
+            for evacuated, expected in (((), 2000), (("dc",), 2000 * is_lasting)):
+                for view in fleet.table.instances.values():
+                    view.evacuated = frozenset(evacuated)
+                demand = PoolDemand()
+                fleet.scheduler.add_demand({"service-a": demand}, fleet.table)
+                assert demand.lasting + demand.transient == expected
+
+
+class TestMoves(unittest.TestCase):
+    """Moves of a cluster with machines in a pool and in standby."""
+
+    def list_moves(self, world, since):
+        return [
+            (entry.effect.action.machine, entry.effect.action.service)
+            for entry in world.trace
+            if entry.at > since
+            and isinstance(getattr(entry.effect, "action", None), MoveMachine)
+        ]
+
+    # Guards against lasting tasks that stay, as nothing makes room for them elsewhere.
+    def test_a_pool_is_refilled_from_standby_machines_elsewhere(self):
+        world = EvacuationWorld(instances=2, task_seconds=600.0)
+        for number in range(2, 12):
+            world.add_machine(number, STANDBY)
+        world.begin()
+        world.declare_standby()
+        step = Step(2, WHOLE, lasting=True, max_unavailable=1)
+        world.submit("00000000000000aa", [step])
+        world.run(10.0)
+        assert len(world.list_running(EAST)) == 1
+        world.evacuate(EAST)
+        world.run(10.0)
+        moves = self.list_moves(world, world.acknowledged_at[EAST])
+        into_pools = [machine for machine, service in moves if service != STANDBY]
+        assert into_pools
+        assert all(int(machine.removeprefix("m-")) % 2 for machine in into_pools)
+        assert len(world.list_running(WEST)) == 2
+        assert ("m-0", STANDBY) in moves
+
+    # Guards against a move that was on its way to the log as the evacuation was.
+    def test_a_move_into_a_pool_is_not_ordered_any_more(self):
+        for service, expected in (("service-a", []), (STANDBY, ["m-0"])):
+            evacuations = EvacuationSection()
+            directory = mock.Mock()
+            directory.find_data_centre.return_value = EAST
+            controller = PoolScalingController(
+                daemon="a",
+                declarations=mock.Mock(find_standby=lambda: STANDBY),
+                upkeep=mock.Mock(ordered_at={}),
+                evacuations=evacuations,
+                dispatcher=mock.Mock(term=1),
+                scheduler=mock.Mock(changing_pool={"m-0"}),
+                directory=directory,
+                cooldown=OrderCooldown("a"),
+                forecast=mock.Mock(),
+            )
+            controller._term = 1
+            controller._moving["m-0"] = (service, NOW)
+            evacuations.apply(StartEvacuation(EAST), 1, NOW)
+            command = OrderMoves("a", 1, {"m-0": service})
+            effects = controller.handle(Committed(2, command, Accepted(2), NOW), NOW)
+            assert [item.action.machine for item in effects] == expected
+            assert ("m-0" in controller._scheduler.changing_pool) is bool(expected)
+
+
 class TestSpareMachines(unittest.TestCase):
     """A wave that still waits for machines to enter standby."""
 
@@ -112,7 +195,7 @@
         self.evacuations = EvacuationSection()
         self.controller = MaintenanceController(
             daemon="a",
-            declarations=mock.Mock(find_standby=lambda: "service-off"),
+            declarations=mock.Mock(find_standby=lambda: STANDBY),
             upkeep=mock.Mock(loads=0),
             evacuations=self.evacuations,
             dispatcher=mock.Mock(),
--- a/tests/test_evacuation_runs.py
+++ b/tests/test_evacuation_runs.py
@@ -287,8 +287,8 @@
     def test_a_gang_beyond_its_budget_stays(self):
         step = Step(2, HALF, lasting=True, gang=True, max_unavailable=1)
         self.begin(step)
-        self.world.evacuate(EAST)
-        self.world.evacuate(WEST)
+        places = {self.world.find_place(run) for run in self.list_running()}
+        self.world.evacuate(next(iter(places)))
         assert self.run_and_count_running(6.0) == 2
 
     def test_transient_runs_end_by_themselves(self):
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -164,6 +164,10 @@
             self.world.run(0.002)
         self.world.run(1.0)
         assert [call.answer.status for call in calls] == [200] * len(calls)
+        # Each order has a command of its own, whatever the state was as it arrived.
+        indexes = [self.find_index(call) for call in calls]
+        assert min(indexes) > 0
+        assert len(set(indexes)) == len(calls)
         last = max(calls, key=self.find_index)
         expected = ["dc"] if isinstance(last.body, StartEvacuationCall) else []
         assert self.list_evacuated() == expected
