--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -13,6 +13,8 @@
 import urllib3
 from cheroot.wsgi import Server
 
+from tests.test_command import run
+
 ROOT = Path(__file__).parent.parent
 JOB = "5c0e7a21d94b36f8"
 DEADLINE_SECONDS = 30.0
@@ -30,6 +32,9 @@
 unknown = "is ignored"
 {extra_settings}
 """
+OPERATOR = f"http://{CONTROL}:{CONTROL_PORT}"
+CALLER = f"http://{ENTRY}:{FRONTEND_PORT}/a/{JOB}"
+HEADERS = {"Host": "jobs.example", "Authorization": "Bearer key"}
 CONFIGURATION = {
     "version": 3,
     "routes": [
@@ -138,12 +143,13 @@
         self.fail(f"no answer {status} to {request[:2]}")
         return None
 
-    def test_a_job_is_accepted_run_and_shown_as_completed(self):
+    def start_all(self):
+        """Start an instance, a control daemon and an entry, and return all three."""
         instance = StubInstance()
         self.addCleanup(instance.close)
         data = self.folder / "data"
         extra_settings = (
-            f'data_dir = "{data}"\n[listen_addrs]\n'
+            f'data_dir = "{data}"\n[zones]\ndc = "region"\n[listen_addrs]\n'
             f'control_addr = "{CONTROL}:{CONTROL_PORT}"'
         )
         control = self.start("control", CONTROL, extra_settings)
@@ -152,30 +158,35 @@
             f'readiness_addr = "{ENTRY}:{READY_PORT}"'
         )
         entry = self.start("entry", ENTRY, extra_settings)
-        operator = f"http://{CONTROL}:{CONTROL_PORT}"
-        self.await_status(200, "POST", f"{operator}/config/put", CONFIGURATION)
+        self.await_status(200, "POST", f"{OPERATOR}/config/put", CONFIGURATION)
         heartbeat = {
             "service": "s",
             "address": instance.address,
             "state": "ready",
             "born": 1000,
+            "zone": "dc",
             "capacity": {"cpu": 8000, "mem_mb": 8000, "gpu": 0},
         }
-        self.await_status(200, "POST", f"{operator}/instances/i-1/heartbeat", heartbeat)
+        self.await_status(200, "POST", f"{OPERATOR}/instances/i-1/heartbeat", heartbeat)
         self.await_status(200, "GET", f"http://{ENTRY}:{READY_PORT}/ready")
-        caller = f"http://{ENTRY}:{FRONTEND_PORT}/a/{JOB}"
-        headers = {"Host": "jobs.example", "Authorization": "Bearer key"}
-        job = {
-            "spec": "text",
-            "steps": [{"count": 2, "cpu": 500}, {"count": 1, "depends_on": [0]}],
-        }
-        self.await_status(200, "POST", caller, job, headers)
+        return instance, control, entry
+
+    def await_completion(self):
         end = time.monotonic() + DEADLINE_SECONDS
         state = ""
         while state != "completed" and time.monotonic() < end:
-            answer = self.ask("GET", caller, headers=headers)
+            answer = self.ask("GET", CALLER, headers=HEADERS)
             state = answer.json()["state"] if answer is not None else ""
         assert state == "completed"
+
+    def test_a_job_is_accepted_run_and_shown_as_completed(self):
+        instance, control, entry = self.start_all()
+        job = {
+            "spec": "text",
+            "steps": [{"count": 2, "cpu": 500}, {"count": 1, "depends_on": [0]}],
+        }
+        self.await_status(200, "POST", CALLER, job, HEADERS)
+        self.await_completion()
         assert sorted(task for task, _, _ in instance.started) == [
             f"{JOB}.0.0.0",
             f"{JOB}.0.0.1",
@@ -187,6 +198,27 @@
         entry.terminate()
         assert entry.wait(10) == 0
 
+    # Guards against orders that are taken by one way only, and against an acknowledged
+    # evacuation that the daemon does not follow.
+    def test_an_evacuated_data_centre_gets_no_task_until_it_is_used_again(self):
+        instance, _, _ = self.start_all()
+        unknown = self.await_status(404, "POST", f"{OPERATOR}/evacuate/none/start")
+        assert "none" in unknown.json()["detail"]
+        self.await_status(200, "POST", f"{OPERATOR}/evacuate/dc/start")
+        flags = ("--addresses", f"{CONTROL}:{PORTS[0]}")
+        code, out, err = run("evacuations", *flags, "--json")
+        assert (code, json.loads(out)) == (0, {"data_centres": ["dc"]}), err
+        job = {"spec": "text", "steps": [{"count": 2, "cpu": 500}]}
+        self.await_status(200, "POST", CALLER, job, HEADERS)
+        threading.Event().wait(0.5)
+        assert instance.started == []
+        code, out, err = run("end-evacuation", "dc", *flags, "--json")
+        assert (code, json.loads(out)) == (0, {"data_centres": []}), err
+        self.await_completion()
+        code, _, err = run("evacuate", "none", *flags)
+        assert code == 4
+        assert '"none" does not exist' in err
+
 
 if __name__ == "__main__":
     unittest.main()
