Look only at the changed instances for tasks that leave a data centre

Cause: while a data centre was evacuated, each scheduling pass went through all instances. Change: the planner keeps the instances there with lasting runs and follows changes, as the list of candidates does.

--- a/src/gypsumwalk/evacuation_planning.py
+++ b/src/gypsumwalk/evacuation_planning.py
@@ -4,7 +4,13 @@
 from dataclasses import dataclass
 
 from gypsumwalk.availability import AvailabilityBudget
-from gypsumwalk.leases import LeaseTable, RunState, RunView
+from gypsumwalk.leases import (
+    InstanceTable,
+    InstanceView,
+    LeaseTable,
+    RunState,
+    RunView,
+)
 from gypsumwalk.placement_limits import SpreadLimit
 from gypsumwalk.task_placement import Candidate, CandidatePool
 from gypsumwalk.workload_records import Step
@@ -62,6 +68,12 @@
     def __init__(self, workloads: WorkloadSection, evacuated: Set[str]) -> None:
         self._workloads = workloads
         self._evacuated = evacuated
+        self._instances = InstanceTable()
+        self._changed: set[str] = set()
+        self._known: frozenset[str] = frozenset()
+        """Data centres that were evacuated at the latest list."""
+        self._lives: set[str] = set()
+        """Lives in these data centres that have lasting runs."""
         self._availability = AvailabilityBudget(workloads)
 
     def list_leaving(self, lease_table: LeaseTable) -> list[LeavingStep]:
@@ -78,12 +90,15 @@
             Runs of jobs that go on.
         """
         if not self._evacuated:
+            self._changed.clear()
+            self._lives.clear()
+            self._known = frozenset()
             return []
+        self._follow_changes(lease_table.instances)
         found: dict[tuple[str, int, int], LeavingStep] = {}
-        for view in lease_table.instances.values():
-            if not view.is_evacuated or not view.is_responsive:
-                continue
-            for run in view.runs.values():
+        for life in sorted(self._lives, key=self._instances.get_number):
+            view = self._instances[life]
+            for run in view.runs.values() if view.is_responsive else ():
                 step = self._workloads.find_step(run.task) if run.is_lasting else None
                 if step is None or run.task.job not in self._workloads.open_jobs:
                     continue
@@ -91,6 +106,22 @@
                 leaving.runs.append(run)
         return list(found.values())
 
+    def _follow_changes(self, instances: InstanceTable) -> None:
+        """Follow the instances that changed; all of them if an order was committed."""
+        if instances is not self._instances:
+            self._instances, self._changed = instances, instances.watch()
+            self._lives.clear()
+        if self._known != self._evacuated:
+            self._known = frozenset(self._evacuated)
+            self._changed.update(instances)
+        for life in self._changed:
+            view = instances.get(life)
+            if view is not None and view.is_evacuated and _has_lasting(view):
+                self._lives.add(life)
+            else:
+                self._lives.discard(life)
+        self._changed.clear()
+
     def plan(
         self,
         leaving: Iterable[LeavingStep],
@@ -212,5 +243,9 @@
         return not is_avoided and self._limit.allows(item)
 
 
+def _has_lasting(view: InstanceView) -> bool:
+    return any(run.is_lasting for run in view.runs.values())
+
+
 def _is_going_on(run: RunView) -> bool:
     return run.state is RunState.RUNNING and not run.is_stopping
--- a/tests/test_evacuation_runs.py
+++ b/tests/test_evacuation_runs.py
@@ -312,6 +312,23 @@
         assert self.world.list_running(EAST) == []
         assert len(self.list_running()) == step.count
 
+    # Guards against an instance that left while nothing was evacuated, and is still
+    # looked at in the next evacuation.
+    def test_an_evacuation_follows_another_one(self):
+        step = Step(1, WHOLE, lasting=True, max_unavailable=1)
+        self.begin(step, instances=2, submitted=2)
+        self.world.evacuate(EAST)
+        self.world.run(1.0)
+        self.world.end_evacuation(EAST)
+        self.world.start_instance(0, life=2)
+        self.world.start_instance(3)
+        self.world.run(4.0)
+        assert "i-0@1001" not in self.world.list_lives()
+        self.world.evacuate(EAST)
+        self.world.run(6.0)
+        assert self.world.list_running(EAST) == []
+        assert len(self.world.list_running(WEST)) == 2
+
     # Guards against a wave that waits for tasks which wait for the evacuation.
     def test_a_wave_in_the_same_data_centre_is_completed(self):
         step = Step(3, HALF, lasting=True, max_unavailable=1)
