--- a/tests/test_evacuation_runs.py
+++ b/tests/test_evacuation_runs.py
@@ -3,15 +3,21 @@
 import unittest
 from unittest.mock import patch
 
+import msgspec
+
+from gypsumwalk.advice import AdviceCache
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.events import Event
 from gypsumwalk.inputs import PlatformOutcome
 from gypsumwalk.instance_actions import StartRun
+from gypsumwalk.leases import RunState
 from gypsumwalk.run_orders import RunOrders
+from gypsumwalk.task_scheduler import TaskScheduler
 from gypsumwalk.workload_records import Step
 from tests._evacuation_world import EAST, IN_FORCE_SECONDS, WEST, EvacuationWorld
 from tests._fleet_work import CAPACITY
 from tests._fleet_work_checks import find_duplicate_runs
+from tests._scheduling import NOW, Fleet, make_instance, make_job
 
 JOB = "00000000000000aa"
 OTHER_JOB = "00000000000000bb"
@@ -342,6 +348,35 @@
         assert len(self.world.list_running(WEST)) == step.count
 
 
+class TestPlans(unittest.TestCase):
+    # Guards against room that a gang too large for it keeps from other tasks.
+    def test_a_gang_without_room_gives_back_what_it_found(self):
+        fleet, evacuated = Fleet(), set()
+        fleet.scheduler = TaskScheduler(
+            fleet.declarations, fleet.workloads, AdviceCache(), evacuated
+        )
+        need = Resources(20000, 1000)
+        fleet.add_instance(make_instance(0))
+        gang = Step(2, need, lasting=True, gang=True, max_unavailable=2)
+        single = Step(1, need, lasting=True, max_unavailable=1)
+        for name, step in (("a-gang", gang), ("b-single", single)):
+            fleet.submit(make_job(name, steps=[step]))
+            for item in fleet.plan():
+                item.run.state = RunState.RUNNING
+                item.run.first_listed_at = NOW
+        room = msgspec.structs.replace(
+            make_instance(1), data_centre=WEST, capacity=need
+        )
+        fleet.add_instance(room)
+        for view in fleet.table.instances.values():
+            view.evacuated = evacuated
+        evacuated.add("dc")
+        moves = fleet.scheduler.plan_moves(fleet.table, NOW)
+        assert [(move.run.task.job, move.room) for move in moves] == [
+            ("b-single", room.life)
+        ]
+
+
 class TestEvents(unittest.TestCase):
     def test_the_evacuation_and_each_move_are_recorded_once(self):
         world = make_world(instances=4)
