Withdraw unanswered starts within the time limit of evacuations

The delay of 2 s before an unanswered start is withdrawn did not depend on the platform's limit. With the limit of 5 s the delay stays 2 s; a limit of 2.4 s gives 1.2 s in the simulated cluster.

--- a/src/gypsumwalk/dispatch_modules.py
+++ b/src/gypsumwalk/dispatch_modules.py
@@ -38,6 +38,8 @@
         Longest lease that an instance accepts, in seconds.
     stop_grace : float
         Maximum duration of a stop, in seconds.
+    evacuation : float
+        Time in seconds from which an evacuation has to be in force.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         evacuated: Set[str],
         max_lease: float,
         stop_grace: float,
+        evacuation: float,
     ) -> None:
         stop_grace += STOP_MARGIN_SECONDS
         orphans = OrphanedRuns(
@@ -56,7 +59,7 @@
         self._context = context
         self._passes = passes
         self.ends = RunEnds(context, stop_grace=stop_grace)
-        self.delivery = OrderDelivery(context)
+        self.delivery = OrderDelivery(context, evacuation=evacuation)
         self.evacuation = EvacuationMoves(context, self.delivery, evacuated)
         self.placements = Placements(context, self.delivery, orphans)
         self.renewals = Renewals(context, self.ends, orphans)
--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -73,6 +73,9 @@
         Longest lease that an instance accepts, in seconds.
     stop_grace : float
         Maximum duration of a stop, in seconds.
+    evacuation : float
+        Time in seconds after the acknowledgement of an evacuation from which no task
+        may start in the data centre.
     """
 
     name = "dispatcher"
@@ -102,6 +105,7 @@
         advice: AdviceCache,
         max_lease: float,
         stop_grace: float,
+        evacuation: float,
     ) -> None:
         self.is_active = False
         """Whether this daemon was the leader at the latest check."""
@@ -136,6 +140,7 @@
             evacuated=evacuations.data_centres,
             max_lease=max_lease,
             stop_grace=stop_grace,
+            evacuation=evacuation,
         )
         self._tick_due = 0.0
 
--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -55,11 +55,15 @@
         Time in seconds that the maintenance of a machine takes.
     stop_grace : float
         Longest time in seconds that a stop of a run takes.
+    evacuation : float
+        Time in seconds after the acknowledgement of an evacuation from which no task
+        may start in the data centre.
     """
 
     max_lease: float
     maintenance: float = 2.0
     stop_grace: float = 0.4
+    evacuation: float = 5.0
 
 
 class FleetAssembly:
@@ -129,6 +133,7 @@
             advice=advice,
             max_lease=limits.max_lease,
             stop_grace=limits.stop_grace,
+            evacuation=limits.evacuation,
         )
         life_checks = LifeChecks(self.dispatcher)
         self.call_handler = FleetCallHandler(
--- a/src/gypsumwalk/order_delivery.py
+++ b/src/gypsumwalk/order_delivery.py
@@ -34,10 +34,14 @@
     ----------
     context : DispatchContext
         State that the modules of the dispatcher share.
+    evacuation : float
+        Time in seconds from which an evacuation has to be in force.
     """
 
-    def __init__(self, context: DispatchContext) -> None:
+    def __init__(self, context: DispatchContext, *, evacuation: float) -> None:
         self._context = context
+        # The other half is left for the stop and its repetitions.
+        self._evacuation_withdrawal = min(WITHDRAWAL_SECONDS, evacuation / 2)
         self._ordered_runs: dict[tuple[TaskKey, int], RunView] = {}
         """Runs with a start or a stop that the instance may not have accepted yet."""
 
@@ -110,12 +114,16 @@
         if run.state is not RunState.STARTING:
             return []
         if view.is_draining:
-            is_overdue = now - run.ordered_at >= WITHDRAWAL_SECONDS
+            is_overdue = now - run.ordered_at >= self._find_withdrawal(view)
             return self.stop(run, now) if is_overdue else []
         if not self._context.orders.has_advice(run, now):
             return self.stop(run, now)
         return self._context.orders.start(run, view, now)
 
+    def _find_withdrawal(self, view: InstanceView) -> float:
+        """Return the time in seconds after which an unanswered start is withdrawn."""
+        return self._evacuation_withdrawal if view.is_evacuated else WITHDRAWAL_SECONDS
+
     def _probe_start(
         self, run: RunView, view: InstanceView, now: float
     ) -> list[Effect]:
--- a/tests/_stepped_leader.py
+++ b/tests/_stepped_leader.py
@@ -117,6 +117,7 @@
             advice=advice,
             max_lease=6.0,
             stop_grace=0.4,
+            evacuation=5.0,
         )
 
     def get_view(self, number):
--- a/tests/test_evacuation_runs.py
+++ b/tests/test_evacuation_runs.py
@@ -1,6 +1,7 @@
 """Tests of the runs on instances of an evacuated data centre."""
 
 import unittest
+from functools import partial
 from unittest.mock import patch
 
 import msgspec
@@ -8,12 +9,14 @@
 from gypsumwalk.advice import AdviceCache
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.events import Event
+from gypsumwalk.fleet_assembly import FleetLimits
 from gypsumwalk.inputs import PlatformOutcome
-from gypsumwalk.instance_actions import StartRun
+from gypsumwalk.instance_actions import StartRun, StopRun
 from gypsumwalk.leases import RunState
 from gypsumwalk.run_orders import RunOrders
 from gypsumwalk.task_scheduler import TaskScheduler
 from gypsumwalk.workload_records import Step
+from tests import _fleet_work
 from tests._evacuation_world import EAST, IN_FORCE_SECONDS, WEST, EvacuationWorld
 from tests._fleet_work import CAPACITY
 from tests._fleet_work_checks import find_duplicate_runs
@@ -119,8 +122,10 @@
 
 
 class TestUnansweredStarts(unittest.TestCase):
-    def begin(self, *, is_carried_out, evacuates=True):
+    def begin(self, *, is_carried_out, evacuation=IN_FORCE_SECONDS):
         """Lose the first start, or its answer, and evacuate its data centre."""
+        limits = partial(FleetLimits, evacuation=evacuation)
+        self.enterContext(patch.object(_fleet_work, "FleetLimits", limits))
         self.world = world = make_world(instances=2, task_seconds=3.0)
         call, self.starts = world.model.call, []
 
@@ -160,6 +165,21 @@
         ]
         assert not find_duplicate_runs(self.world.model.history)
 
+    # Guards against a start that is withdrawn after the time within which the platform
+    # wants the evacuation in force.
+    def test_a_start_is_withdrawn_within_the_time_of_the_platform(self):
+        for evacuation, withdrawn in ((2.4, 1.2), (IN_FORCE_SECONDS, 2.0)):
+            self.begin(is_carried_out=False, evacuation=evacuation)
+            (sent_at, start) = self.starts[0]
+            self.world.run(4.0)
+            stops = [
+                entry.at - sent_at
+                for entry in self.world.trace
+                if isinstance(getattr(entry.effect, "action", None), StopRun)
+                and entry.effect.action.task == start.task
+            ]
+            assert withdrawn <= stops[0] <= withdrawn + 0.1, stops
+
     def test_a_run_that_began_goes_on(self):
         self.begin(is_carried_out=True)
         assert self.world.await_state(JOB, "completed", within=9.0)
