--- a/src/gypsumwalk/candidates.py
+++ b/src/gypsumwalk/candidates.py
@@ -20,8 +20,9 @@
     """Keeps the instances that may take tasks, by service.
 
     A pass costs what has changed since the one before: the instances whose runs,
-    registration or answers changed, those that refused a start lately, and those on
-    machines that were closed or opened.
+    registration or answers changed, those that refused a start lately, those on
+    machines that were closed or opened, and those of data centres that are evacuated
+    or used again.
 
     Parameters
     ----------
@@ -29,18 +30,28 @@
         Jobs with ready tasks.
     find_service : Callable
         Returns the service that runs a job.
+    evacuated : Set of str
+        Data centres that are evacuated, kept up to date by their holder.
     """
 
     def __init__(
-        self, waiting: ReadyJobs, find_service: Callable[[Workload], str]
+        self,
+        waiting: ReadyJobs,
+        find_service: Callable[[Workload], str],
+        evacuated: Set[str] = frozenset(),
     ) -> None:
         self._waiting = waiting
         self._find_service = find_service
+        self._evacuated = evacuated
+        self._known_evacuated: frozenset[str] = frozenset()
+        """Data centres that were evacuated at the latest pass."""
         self._instances = InstanceTable()
         self._changed: set[str] = set()
         self._pools: dict[str, CandidatePool] = {}
         self._services: dict[str, str] = {}
         """Service of each life in a pool."""
+        self._cold_until = 0.0
+        """Time in seconds from which every candidate is warm."""
         self._held: set[str] = set()
         """Lives that get no starts for a time."""
         self._closed: frozenset[str] = frozenset()
@@ -49,7 +60,12 @@
         """Machine of each known life."""
 
     def list_pools(
-        self, lease_table: LeaseTable, closed: Set[str], now: float
+        self,
+        lease_table: LeaseTable,
+        closed: Set[str],
+        now: float,
+        *,
+        leaving: Set[str] = frozenset(),
     ) -> dict[str, CandidatePool]:
         """Return the instances that may take a waiting task, by service.
 
@@ -61,16 +77,19 @@
             Machines that get no new work.
         now : float
             Time in seconds.
+        leaving : set of str
+            Services with lasting runs that have to move.
 
         Returns
         -------
         dict of str to CandidatePool
-            Candidates of the services with waiting tasks.
+            Candidates of the services with waiting tasks or runs that have to move.
         """
         services = {
             self._find_service(next(iter(group.jobs.values())).workload)
             for group in self._waiting.list_groups()
         }
+        services |= leaving
         if not services:
             return {}
         self._follow_changes(lease_table, closed, now)
@@ -88,6 +107,10 @@
         pool = self._pools.get(service)
         return pool.list_views() if pool is not None else []
 
+    def has_cold(self, now: float) -> bool:
+        """Tell whether some candidate may still be slow after its start."""
+        return now < self._cold_until
+
     def has_room_for(
         self,
         task: TaskKey,
@@ -189,17 +212,30 @@
         self._closed = frozenset(closed)
         for machine in opened_or_closed:
             self._changed |= self._lives_by_machine.get(machine, set())
+        if self._known_evacuated != self._evacuated:
+            self._note_evacuations()
         changed = self._changed | self._held
         self._changed.clear()
         for life in changed:
             self._follow(life, now)
 
+    def _note_evacuations(self) -> None:
+        """Add the instances whose data centre is evacuated, or is not any more."""
+        data_centres = self._known_evacuated ^ self._evacuated
+        self._known_evacuated = frozenset(self._evacuated)
+        self._changed.update(
+            life
+            for life, view in self._instances.items()
+            if view.registered.data_centre in data_centres
+        )
+
     def _watch(self, instances: InstanceTable) -> None:
         self._instances = instances
         self._changed = instances.watch()
         self._pools.clear()
         self._services.clear()
         self._held.clear()
+        self._cold_until = 0.0
         self._lives_by_machine.clear()
         self._machines.clear()
 
@@ -213,6 +249,7 @@
             self._drop(life)
             return
         registered = view.registered
+        self._cold_until = max(self._cold_until, registered.cold_until)
         pool = self._pools.get(registered.service)
         if pool is not None and pool.update(view):
             return
@@ -243,6 +280,6 @@
 
 def _can_schedule_on(view: InstanceView, closed: Set[str], now: float) -> bool:
     machine = view.registered.machine
-    if view.registered.draining or (machine and machine in closed):
+    if view.is_draining or (machine and machine in closed):
         return False
     return view.is_responsive and now >= view.start_backoff_until
--- a/src/gypsumwalk/dispatch_modules.py
+++ b/src/gypsumwalk/dispatch_modules.py
@@ -1,9 +1,10 @@
 """Modules of the dispatcher, joined with each other."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Set
 
 from gypsumwalk.dispatch_context import DispatchContext
 from gypsumwalk.effects import Effect
+from gypsumwalk.evacuation_moves import EvacuationMoves
 from gypsumwalk.instance_departures import InstanceDepartures
 from gypsumwalk.leases import LeaseTable, RunView
 from gypsumwalk.order_delivery import OrderDelivery
@@ -31,10 +32,14 @@
         State that the modules share.
     passes : PassSchedule
         Times of the scheduling passes.
+    evacuated : Set of str
+        Data centres that are evacuated.
     max_lease : float
         Longest lease that an instance accepts, in seconds.
     stop_grace : float
         Maximum duration of a stop, in seconds.
+    evacuation : float
+        Time in seconds from which an evacuation has to be in force.
     """
 
     def __init__(
@@ -42,8 +47,10 @@
         context: DispatchContext,
         passes: PassSchedule,
         *,
+        evacuated: Set[str],
         max_lease: float,
         stop_grace: float,
+        evacuation: float,
     ) -> None:
         stop_grace += STOP_MARGIN_SECONDS
         orphans = OrphanedRuns(
@@ -52,7 +59,8 @@
         self._context = context
         self._passes = passes
         self.ends = RunEnds(context, stop_grace=stop_grace)
-        self.delivery = OrderDelivery(context)
+        self.delivery = OrderDelivery(context, evacuation=evacuation)
+        self.evacuation = EvacuationMoves(context, self.delivery, evacuated)
         self.placements = Placements(context, self.delivery, orphans)
         self.renewals = Renewals(context, self.ends, orphans)
         self.departures = InstanceDepartures(context, orphans, self.delivery.stop)
@@ -105,6 +113,7 @@
         effects += self.delivery.resend(now)
         draining = self.renewals.list_draining()
         effects += self.delivery.stop_lasting_on(draining, may_interrupt, now)
+        effects += self.evacuation.check(now)
         effects += self.departures.check(now)
         effects += self.placements.confirm_runs(now)
         return effects
@@ -118,4 +127,5 @@
         self.placements.clear()
         self.ends.clear()
         self.delivery.clear()
+        self.evacuation.clear()
         self.outcomes.clear()
--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -11,6 +11,11 @@
 from gypsumwalk.dispatch_context import DispatchContext
 from gypsumwalk.dispatch_modules import DispatchModules
 from gypsumwalk.effects import Effect, Propose
+from gypsumwalk.evacuations import (
+    EvacuationSection,
+    FinishEvacuation,
+    StartEvacuation,
+)
 from gypsumwalk.inputs import (
     Committed,
     Input,
@@ -58,6 +63,8 @@
         Declaration in force.
     workloads : WorkloadSection
         Jobs and instances.
+    evacuations : EvacuationSection
+        Evacuated data centres.
     scheduler : TaskScheduler
         Chooses the runs to start and their instances.
     advice : AdviceCache
@@ -66,6 +73,9 @@
         Longest lease that an instance accepts, in seconds.
     stop_grace : float
         Maximum duration of a stop, in seconds.
+    evacuation : float
+        Time in seconds after the acknowledgement of an evacuation from which no task
+        may start in the data centre.
     """
 
     name = "dispatcher"
@@ -80,6 +90,8 @@
         StartUpkeep,
         NoteMaintained,
         LoopLateness,
+        StartEvacuation,
+        FinishEvacuation,
     )
 
     def __init__(
@@ -88,10 +100,12 @@
         leadership: LeadershipView,
         declarations: DeclarationSection,
         workloads: WorkloadSection,
+        evacuations: EvacuationSection,
         scheduler: TaskScheduler,
         advice: AdviceCache,
         max_lease: float,
         stop_grace: float,
+        evacuation: float,
     ) -> None:
         self.is_active = False
         """Whether this daemon was the leader at the latest check."""
@@ -107,6 +121,7 @@
             declarations=declarations,
             workloads=workloads,
             advice=advice,
+            evacuated=evacuations.data_centres,
             max_lease=max_lease,
         )
         self._passes = PassSchedule()
@@ -120,7 +135,12 @@
             end_as_lost=lambda runs, reason: self._end_as_lost(runs, reason),
         )
         self._modules = DispatchModules(
-            self._context, self._passes, max_lease=max_lease, stop_grace=stop_grace
+            self._context,
+            self._passes,
+            evacuated=evacuations.data_centres,
+            max_lease=max_lease,
+            stop_grace=stop_grace,
+            evacuation=evacuation,
         )
         self._tick_due = 0.0
 
@@ -253,6 +273,8 @@
                 return self._modules.departures.handle_removal(command, now)
             case RegisterInstance(instance=instance):
                 return self._modules.departures.sync(instance.life, now)
+            case StartEvacuation() | FinishEvacuation():
+                return self._modules.evacuation.record_changes()
         return []
 
     def _can_start(self, run: RunView, now: float) -> bool:
@@ -262,7 +284,7 @@
             return False
         if not self.is_leading(now) or not self._orders.has_advice(run, now):
             return False
-        return view.is_responsive and not view.registered.draining
+        return view.is_responsive and not view.is_draining
 
     def _stop_related(self, ends: Sequence[RunEnd], now: float) -> list[Effect]:
         """Stop the runs that are of no use after the end of others.
--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -10,6 +10,8 @@
 from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.demand_forecast import DemandForecast
 from gypsumwalk.dispatcher import Dispatcher
+from gypsumwalk.evacuation_handler import EvacuationHandler
+from gypsumwalk.evacuations import EvacuationSection
 from gypsumwalk.fleet_call_handler import FleetCallHandler
 from gypsumwalk.life_checks import LifeChecks
 from gypsumwalk.machine_directory import MachineDirectory
@@ -54,11 +56,15 @@
         Time in seconds that the maintenance of a machine takes.
     stop_grace : float
         Longest time in seconds that a stop of a run takes.
+    evacuation : float
+        Time in seconds after the acknowledgement of an evacuation from which no task
+        may start in the data centre.
     """
 
     max_lease: float
     maintenance: float = 2.0
     stop_grace: float = 0.4
+    evacuation: float = 5.0
 
 
 class FleetAssembly:
@@ -78,6 +84,8 @@
         Source of random numbers.
     first_start : bool
         Whether the whole cluster starts for the first time, with empty disks.
+    data_centres : frozenset of str
+        Data centres that the settings name.
     """
 
     def __init__(
@@ -89,12 +97,19 @@
         recovered: Recovered,
         random: Random,
         first_start: bool,
+        data_centres: frozenset[str] = frozenset(),
     ) -> None:
         self.incarnation = incarnation
         self.declarations = DeclarationSection()
         self.workloads = WorkloadSection()
         self.upkeep = UpkeepSection()
-        sections: list[Section] = [self.declarations, self.workloads, self.upkeep]
+        self.evacuations = EvacuationSection()
+        sections: list[Section] = [
+            self.declarations,
+            self.workloads,
+            self.upkeep,
+            self.evacuations,
+        ]
         self.state = ReplicatedState(sections)
         self._window = ReplayWindow()
         self.consensus = Consensus(
@@ -107,15 +122,19 @@
             max_replayed_entries=MAX_REPLAYED_ENTRIES,
         )
         advice = AdviceCache()
-        self.scheduler = TaskScheduler(self.declarations, self.workloads, advice)
+        self.scheduler = TaskScheduler(
+            self.declarations, self.workloads, advice, self.evacuations.data_centres
+        )
         self.dispatcher = Dispatcher(
             leadership=self.consensus,
             declarations=self.declarations,
             workloads=self.workloads,
+            evacuations=self.evacuations,
             scheduler=self.scheduler,
             advice=advice,
             max_lease=limits.max_lease,
             stop_grace=limits.stop_grace,
+            evacuation=limits.evacuation,
         )
         life_checks = LifeChecks(self.dispatcher)
         directory = MachineDirectory(self.workloads, self.dispatcher)
@@ -136,11 +155,19 @@
             life_checks=life_checks,
             submission_control=submission_control,
         )
+        self.evacuation_handler = EvacuationHandler(
+            leadership=self.consensus,
+            evacuations=self.evacuations,
+            workloads=self.workloads,
+            directory=directory,
+            data_centres=data_centres,
+        )
         cooldown = OrderCooldown(settings.name)
         maintenance_controller = MaintenanceController(
             daemon=settings.name,
             declarations=self.declarations,
             upkeep=self.upkeep,
+            evacuations=self.evacuations,
             dispatcher=self.dispatcher,
             scheduler=self.scheduler,
             directory=directory,
@@ -152,6 +179,7 @@
             daemon=settings.name,
             declarations=self.declarations,
             upkeep=self.upkeep,
+            evacuations=self.evacuations,
             dispatcher=self.dispatcher,
             scheduler=self.scheduler,
             directory=directory,
@@ -172,6 +200,7 @@
             self.consensus,
             WorkloadObserver(self.scheduler, forecast),
             self.call_handler,
+            self.evacuation_handler,
             life_checks,
             self.dispatcher,
             directory,
--- a/src/gypsumwalk/fleet_call_handler.py
+++ b/src/gypsumwalk/fleet_call_handler.py
@@ -31,6 +31,14 @@
     WaitingAnswer,
     WorkloadAnswer,
 )
+from gypsumwalk.fleet_refusals import (
+    LEADER_HEADER,
+    PROPOSAL_SECONDS,
+    RETRY_SECONDS,
+    make_unknown_answer,
+    redirect_to_leader,
+    refuse_proposal,
+)
 from gypsumwalk.inputs import CallInput, Input, ProposalOutcome, ProposalStatus
 from gypsumwalk.life_checks import LifeChecks
 from gypsumwalk.part import NEVER
@@ -50,19 +58,10 @@
 
 __all__ = ["LEADER_HEADER", "FleetCallHandler"]
 
-PROPOSAL_SECONDS = 2.0
-"""Timeout of a proposal, so that a caller is answered within its limit of 3 s."""
-
-RETRY_SECONDS = 1.0
-"""Time in which a new leader is usually elected."""
-
 UNSETTLED_SECONDS = 10.0
 """Time in which a command whose proposal timed out may still be committed; it is longer
 than an election and the retries of a caller."""
 
-LEADER_HEADER = "Gypsumwalk-Leader"
-"""Response header with the leader's name, in answers of daemons that do not lead."""
-
 CALLS: tuple[type, ...] = (
     SubmitWorkloadCall,
     DescribeWorkloadCall,
@@ -164,10 +163,12 @@
         self._submission_control.observe_term(now)
         if isinstance(item.body, SubmitWorkloadCall) and self._join(item, item.body):
             return []
-        if isinstance(item.body, AnnounceInstanceCall) and self._is_known(item.body):
+        if isinstance(item.body, AnnounceInstanceCall) and self._is_known(
+            item.body, now
+        ):
             return self._acknowledge_known(item, item.body)
         if not self._leadership.holds_lease(now):
-            return [Respond(item.call_id, self._redirect_to_leader())]
+            return [Respond(item.call_id, redirect_to_leader(self._leadership))]
         match item.body:
             case SubmitWorkloadCall() as call:
                 return self._submit(item, call, now)
@@ -196,16 +197,6 @@
                 return [Respond(item.call_id, self._describe_wave(wave))]
         return []
 
-    def _redirect_to_leader(self) -> Answer:
-        answer = refuse(
-            ProblemType.NOT_LEADER,
-            Outcome.NOT_RUN,
-            "another daemon is the leader",
-            retry_after=RETRY_SECONDS,
-        )
-        headers = {**answer.headers, LEADER_HEADER: self._leadership.leader}
-        return Answer(answer.status, answer.body, headers=headers)
-
     def _authorize(
         self, item: CallInput, host: str, path: str
     ) -> tuple[DeclaredQueue, DeclaredTeam | None] | Answer:
@@ -326,14 +317,14 @@
     def _register_instance(
         self, item: CallInput, call: AnnounceInstanceCall, now: float
     ) -> list[Effect]:
-        if self._workloads.is_superseded(call.registered):
+        registered = self._complete_registration(call, now)
+        if self._workloads.is_superseded(registered):
             return [
                 *self._ignore_announcement(item, call, SUPERSEDED),
-                *self._life_checks.check(call.registered, now),
+                *self._life_checks.check(registered, now),
             ]
-        if self._is_foreign(call.registered):
+        if self._is_foreign(registered):
             return self._ignore_foreign(item, call, now)
-        registered = self._merge_draining(call.registered)
         return self._propose(item, RegisterInstance(registered), registered.life)
 
     def _is_foreign(self, registered: RegisteredInstance) -> bool:
@@ -360,7 +351,7 @@
             return effects
         return [*effects, *self._life_checks.check(registered, now)]
 
-    def _is_known(self, call: AnnounceInstanceCall) -> bool:
+    def _is_known(self, call: AnnounceInstanceCall, now: float) -> bool:
         """Tell whether an announcement changes nothing in the applied log.
 
         The log of a daemon that does not lead may end early, but what it contains is
@@ -369,7 +360,7 @@
         if self._workloads.is_superseded(call.registered):
             return not self._workloads.may_return(call.registered)
         known = self._workloads.instances.get(call.registered.life)
-        return known is not None and known == self._merge_draining(call.registered)
+        return known is not None and known == self._complete_registration(call, now)
 
     def _acknowledge_known(
         self, item: CallInput, call: AnnounceInstanceCall
@@ -387,12 +378,23 @@
             Record(Event.ANNOUNCEMENT_IGNORED, call.registered.life, attributes),
         ]
 
-    def _merge_draining(self, registered: RegisteredInstance) -> RegisteredInstance:
-        """Return an announcement that keeps the instance draining if it already is."""
-        known = self._workloads.instances.get(registered.life)
-        if known is None or not known.draining:
-            return registered
-        return msgspec.structs.replace(registered, draining=True)
+    def _complete_registration(
+        self, call: AnnounceInstanceCall, now: float
+    ) -> RegisteredInstance:
+        """Return the registration of a life, with what is known of it already.
+
+        It stays draining, and cold until the time found first: an announcement that
+        differed in these each time would have to be committed each time.
+        """
+        known = self._workloads.instances.get(call.registered.life)
+        draining = call.registered.draining
+        if known is not None:
+            draining, cold_until = draining or known.draining, known.cold_until
+        else:
+            cold_until = now + call.cold_remaining if call.cold_remaining else 0.0
+        return msgspec.structs.replace(
+            call.registered, draining=draining, cold_until=cold_until
+        )
 
     def _remove_instance(
         self, item: CallInput, call: LeaveInstanceCall, now: float
@@ -467,17 +469,10 @@
             case ProposalStatus.UNKNOWN:
                 if pending.address:
                     self._add_unsettled(pending.address, now)
-                return _make_unknown_answer()
+                return make_unknown_answer()
         if self._is_unsettled(pending.address, now):
-            return _make_unknown_answer()
-        if self._leadership.holds_lease(now):
-            return refuse(
-                ProblemType.OVERLOADED,
-                Outcome.NOT_RUN,
-                "too many commands are pending",
-                retry_after=RETRY_SECONDS,
-            )
-        return self._redirect_to_leader()
+            return make_unknown_answer()
+        return refuse_proposal(self._leadership, now)
 
     def _add_unsettled(self, address: str, now: float) -> None:
         self._unsettled.pop(address, None)
@@ -511,8 +506,3 @@
 def _describe_deregistration(call: LeaveInstanceCall, life: str) -> Effect:
     attributes: dict[str, Scalar] = {"born": call.born, "life": life}
     return Record(Event.INSTANCE_DEREGISTERED, call.instance, attributes)
-
-
-def _make_unknown_answer() -> Answer:
-    detail = "the command may have been committed; repeat the same call"
-    return refuse(ProblemType.OUTCOME_UNKNOWN, Outcome.UNKNOWN, detail)
--- a/src/gypsumwalk/fleet_calls.py
+++ b/src/gypsumwalk/fleet_calls.py
@@ -12,9 +12,13 @@
     "DeclarationAnswer",
     "DescribeUpkeepCall",
     "DescribeWorkloadCall",
+    "EvacuationsAnswer",
+    "FinishEvacuationCall",
     "LeaveInstanceCall",
+    "ListEvacuationsCall",
     "PutDeclarationCall",
     "ReadDeclarationCall",
+    "StartEvacuationCall",
     "StartUpkeepCall",
     "SubmitWorkloadCall",
     "UpkeepAnswer",
@@ -67,10 +71,21 @@
 
 
 class AnnounceInstanceCall(msgspec.Struct, frozen=True):
-    """Instance's call: heartbeat with the registration of the instance."""
+    """Instance's call: heartbeat with the registration of the instance.
+
+    Attributes
+    ----------
+    registered : RegisteredInstance
+        Registration without the time until which the instance is cold.
+    sequence : int
+        Number of the heartbeat.
+    cold_remaining : float
+        Time in seconds for which the instance is still slow after its start.
+    """
 
     registered: RegisteredInstance
     sequence: int = 0
+    cold_remaining: float = 0.0
 
 
 class LeaveInstanceCall(msgspec.Struct, frozen=True):
@@ -95,6 +110,22 @@
     wave: int
 
 
+class StartEvacuationCall(msgspec.Struct, frozen=True):
+    """Operator's call: send no more work to a data centre."""
+
+    data_centre: str
+
+
+class FinishEvacuationCall(msgspec.Struct, frozen=True):
+    """Operator's call: use an evacuated data centre again."""
+
+    data_centre: str
+
+
+class ListEvacuationsCall(msgspec.Struct, frozen=True):
+    """Operator's call: list the evacuated data centres."""
+
+
 class WorkloadAnswer(msgspec.Struct, frozen=True):
     """State of a job."""
 
@@ -117,3 +148,9 @@
     """Whether a wave is completed."""
 
     completed: bool
+
+
+class EvacuationsAnswer(msgspec.Struct, frozen=True):
+    """Names of the evacuated data centres in order."""
+
+    data_centres: list[str]
--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -7,6 +7,7 @@
 from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.dispatcher import Dispatcher
 from gypsumwalk.effects import CallPlatform, Effect, Propose, Record, Scalar
+from gypsumwalk.evacuations import EvacuationSection
 from gypsumwalk.events import Event
 from gypsumwalk.inputs import (
     Committed,
@@ -16,6 +17,7 @@
     ProposalStatus,
 )
 from gypsumwalk.instance_actions import MachineReport, MaintainMachine
+from gypsumwalk.leases import RunView
 from gypsumwalk.machine_directory import MachineDirectory
 from gypsumwalk.maintenance_orders import MaintenanceOrders
 from gypsumwalk.order_cooldown import UNKNOWN_HOLDER, OrderCooldown
@@ -71,6 +73,8 @@
         Declaration in force.
     upkeep : UpkeepSection
         Maintenance waves.
+    evacuations : EvacuationSection
+        Evacuated data centres, whose idle machines can be taken down at any time.
     dispatcher : Dispatcher
         Placement of runs on instances, and orders to stop them.
     scheduler : TaskScheduler
@@ -92,6 +96,7 @@
         daemon: str,
         declarations: DeclarationSection,
         upkeep: UpkeepSection,
+        evacuations: EvacuationSection,
         dispatcher: Dispatcher,
         scheduler: TaskScheduler,
         directory: MachineDirectory,
@@ -101,6 +106,7 @@
         self._daemon = daemon
         self._declarations = declarations
         self._upkeep = upkeep
+        self._evacuations = evacuations
         self._dispatcher = dispatcher
         self._scheduler = scheduler
         self._directory = directory
@@ -279,6 +285,17 @@
             movable=self._draining.list_movable(used, at_once),
         )
 
+    def _is_spare(self, machine: str, runs: Sequence[RunView]) -> bool:
+        """Tell whether nothing is lost while a machine is down.
+
+        It is in the standby pool, or idle in an evacuated data centre.
+        """
+        info = self._directory.machines[machine]
+        if info.service == self._declarations.find_standby():
+            return True
+        data_centre = self._directory.find_data_centre(machine)
+        return not runs and data_centre in self._evacuations.data_centres
+
     def _describe(self, machine: str, now: float) -> WaveMachine:
         info = self._directory.machines.get(machine)
         if info is None:
@@ -291,7 +308,7 @@
             is_up=info.state == "up",
             is_moving=machine in self._scheduler.changing_pool,
             is_cooling=not self._cooldown.can_order(machine, now),
-            is_standby=info.service == self._declarations.find_standby(),
+            is_standby=self._is_spare(machine, runs),
             is_leaving=instance is not None and instance.draining,
             runs=len(runs),
             lasting_runs=len(lasting),
