--- a/src/gypsumwalk/backlog_views.py
+++ b/src/gypsumwalk/backlog_views.py
@@ -160,6 +160,13 @@
             job.view, job.viewed_at, job.viewed_tasks = view, now, count
         return view
 
+    def has_waiting(self, service: str) -> bool:
+        """Tell whether jobs with a view have ready tasks for the pool of a service."""
+        return any(
+            self._find_queue(group.any_job.workload, service) is not None
+            for group in self._waiting.list_groups()
+        )
+
     def list_backlog(self, service: str, now: float) -> list[JobView]:
         """Return the accepted jobs of a pool with work that has not started.
 
--- a/src/gypsumwalk/job_selection.py
+++ b/src/gypsumwalk/job_selection.py
@@ -19,7 +19,14 @@
 from gypsumwalk.backlog import JobView, RoomView
 from gypsumwalk.job_values import find_value_density
 
-__all__ = ["JobGroup", "Rank", "Selection", "find_arrival_rank", "select_jobs"]
+__all__ = [
+    "JobGroup",
+    "Rank",
+    "Selection",
+    "find_arrival_rank",
+    "find_horizon",
+    "select_jobs",
+]
 
 Rank = tuple[int, int, float, str]
 """Priority of the queue, group, order within both, and identifier of a job."""
@@ -132,7 +139,7 @@
     """
     left = room.running_work / room.cores if room.cores > 0 else 0.0
     candidates = [
-        (_find_horizon(job, left), job.job, job)
+        (find_horizon(job, left), job.job, job)
         for job in jobs
         if job.latest_start >= now
     ]
@@ -151,13 +158,25 @@
     return late | {entry[4] for entry in heap}
 
 
-def _find_horizon(job: JobView, left: float) -> float:
+def find_horizon(job: JobView, left: float) -> float:
     """Return the time until which the supply is the work that can begin in time.
 
     A core that becomes free shortly before the latest start of a job still does a whole
     task for it. In the mean, the time that this adds is half of the job's run, and as
-    much is left of the runs that occupy the pool (``left``, in seconds). If these are
-    longer, only the time that it adds is compensated.
+    much is left of the runs that occupy the pool. If these are longer, only the time
+    that it adds is compensated.
+
+    Parameters
+    ----------
+    job : JobView
+        The job.
+    left : float
+        Running work of the pool divided by its cores, in seconds.
+
+    Returns
+    -------
+    float
+        Time in seconds.
     """
     return job.latest_start + min(left, (job.due - job.latest_start) / 2)
 
--- a/tests/test_overload_order.py
+++ b/tests/test_overload_order.py
@@ -363,6 +363,17 @@
         room = fleet.scheduler.backlog.find_room("service-a", fleet.now)
         self.assertAlmostEqual(room.running_work, 10 * SECONDS / 2)
 
+    def test_jobs_wait_while_they_have_ready_tasks(self):
+        fleet = OverloadedFleet()
+        backlog = fleet.scheduler.backlog
+        fleet.add("job", 65)
+        fleet.begin()
+        assert backlog.has_waiting("service-a")
+        assert not backlog.has_waiting("service-b")
+        fleet.end(fleet.table.list_runs()[0])
+        fleet.begin()
+        assert not backlog.has_waiting("service-a")
+
     def test_machines_on_their_way_are_in_the_room(self):
         fleet = OverloadedFleet()
         fleet.scheduler.backlog.arriving = {"service-a": ((NOW + 2.0, 16.0),)}
