--- a/src/gypsumwalk/job_selection.py
+++ b/src/gypsumwalk/job_selection.py
@@ -163,8 +163,20 @@
 
     A core that becomes free shortly before the latest start of a job still does a whole
     task for it. In the mean, the time that this adds is half of the job's run, and as
-    much is left of the runs that occupy the pool (``left``, in seconds). If these are
-    longer, only the time that it adds is compensated.
+    much is left of the runs that occupy the pool. If these are longer, only the time
+    that it adds is compensated.
+
+    Parameters
+    ----------
+    job : JobView
+        The job.
+    left : float
+        Running work of the pool divided by its cores, in seconds.
+
+    Returns
+    -------
+    float
+        Time in seconds.
     """
     return job.latest_start + min(left, (job.due - job.latest_start) / 2)
 
