Call a life again that is registered again between two ticks

The schedule of renewals knew lives by name. A life that refused the fence has no entry in its queue; removed for silence and registered again by its next heartbeat within one tick of 50 ms, it was taken for the known one, never called again and got no tasks for the rest of the term. The schedule now compares the views.

Measured: the new test fails before and passes after; the tests of the schedule, of idle renewals and of late loops pass.

--- a/src/gypsumwalk/renewal_schedule.py
+++ b/src/gypsumwalk/renewal_schedule.py
@@ -30,7 +30,9 @@
     def __init__(self) -> None:
         self._instances = InstanceTable()
         self._changed: set[str] = set()
-        self._known: set[str] = set()
+        self._known: dict[str, InstanceView] = {}
+        """View of each life in the queue; a life that is removed and registered again
+        between two calls of ``follow`` has another one."""
         self._queue: list[tuple[float, str]] = []
         """Heap of the times at which a renewal was set to be due, by life."""
         self._silent: set[str] = set()
@@ -144,12 +146,12 @@
         self._queue.clear()
         self._slots.clear()
         self._paused_at = 0.0
+        self._known.clear()
         for lives in self._list_sets():
             lives.clear()
 
     def _list_sets(self) -> list[set[str]]:
         return [
-            self._known,
             self._silent,
             self._held,
             self._draining,
@@ -161,12 +163,11 @@
     def _follow(self, life: str, now: float) -> None:
         view = self._instances.get(life)
         if view is None:
-            self._slots.pop(life, None)
-            for lives in self._list_sets():
-                lives.discard(life)
+            self._forget(life)
             return
-        if life not in self._known:
-            self._known.add(life)
+        if self._known.get(life) is not view:
+            self._forget(life)
+            self._known[life] = view
             self.add(view)
         # An instance that may have ended without notice has to be called in time.
         is_wanted = not view.is_spare or bool(view.start_backoff_until)
@@ -179,6 +180,12 @@
         _keep(self._held, life, is_kept=bool(view.start_backoff_until))
         _keep(self._draining, life, is_kept=view.registered.draining)
 
+    def _forget(self, life: str) -> None:
+        self._known.pop(life, None)
+        self._slots.pop(life, None)
+        for lives in self._list_sets():
+            lives.discard(life)
+
     def take_due(self, now: float) -> list[InstanceView]:
         """Return the instances to visit, in the order of the table.
 
