Stop a lasting gang only if its budget covers all its members

Waves and draining instances asked whether one more task of the step may be away. The stop of one member of a gang ends all of them, so that a gang of two with a budget of one had both members away. The moves out of evacuated data centres already counted all members; may_interrupt and find_limit now do so too. A gang beyond its budget stays on a machine of a wave, which is then not taken down.

--- a/src/gypsumwalk/availability.py
+++ b/src/gypsumwalk/availability.py
@@ -64,11 +64,15 @@
         -------
         bool
             True if fewer than ``max_unavailable`` other tasks of its step are
-            unavailable, or the step has no such limit.
+            unavailable, or the step has no such limit. The budget of a gang has to
+            cover all its members.
         """
         step = self._workloads.find_step(run.task)
         if step is None or step.max_unavailable < 0:
             return True
+        if step.gang:
+            # A stop of one member ends all of them.
+            return step.count <= step.max_unavailable
         unavailable = 0
         for number in range(step.count):
             task = run.task._replace(number=number)
@@ -79,11 +83,18 @@
         return unavailable < step.max_unavailable
 
     def find_limit(self, run: RunView) -> int:
-        """Return how many tasks of the step of a run may be unavailable at once."""
+        """Return how many tasks of the step of a run may be stopped at once.
+
+        0 if none may ever be, as for a gang with a smaller budget than members.
+        """
         step = self._workloads.find_step(run.task)
         if step is None:
             return 1
-        return step.count if step.max_unavailable < 0 else step.max_unavailable
+        if step.max_unavailable < 0:
+            return step.count
+        if step.gang and step.count > step.max_unavailable:
+            return 0
+        return step.max_unavailable
 
 
 def _is_available(task: TaskKey, lease_table: LeaseTable) -> bool:
