Count a machine as down whose order may have ended a later life

After an order without an answer, the life recorded at the first order was the one that had to be replaced. If the instance crashed and began again before a later order took the machine down, the life that had just ended counted as its return, and the wave could take down a machine beyond max_down. Such a machine now counts as down for a maintenance and a registration after the answer, as after a change of leader.

Measured: one new test fails before, and all pass after; the tests of waves pass.

--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -117,6 +117,8 @@
         )
         self._term = 0
         self._lives: dict[str, str] = {}
+        self._replaced: set[str] = set()
+        """Machines that had a later life than the recorded one at an order."""
         self._answered_at: dict[str, float] = {}
         self._missing_since: dict[str, float] = {}
         """Time in seconds of the first list without a machine that a wave waits for."""
@@ -208,6 +210,7 @@
     def _begin_term(self, now: float) -> None:
         self._term = self._dispatcher.term
         self._lives.clear()
+        self._replaced.clear()
         self._answered_at.clear()
         self._missing_since.clear()
         self._term_began = now
@@ -332,9 +335,11 @@
         if is_overdue:
             return False
         life = self._lives.get(machine, begun.life)
-        is_repeated = machine in self._answered_at and machine not in self._lives
+        is_uncertain = machine not in self._lives or machine in self._replaced
+        is_repeated = machine in self._answered_at and is_uncertain
         if is_repeated and now <= since + self._maintenance + REGISTRATION_SECONDS:
-            # The order of an earlier leader may have ended a life unknown here.
+            # The order of an earlier leader, or the one that was answered, may have
+            # ended another life than the recorded one.
             return True
         if not life:
             # A machine in the standby pool returns without an instance.
@@ -441,14 +446,24 @@
         """Record the life that the next order to a machine ends."""
         instance = self._directory.find_instance(machine)
         self._lives[machine] = instance.life if instance else ""
+        self._replaced.discard(machine)
+
+    def _note_replaced(self, machine: str) -> None:
+        """Note if another life may be the one that the next order to a machine ends."""
+        instance = self._directory.find_instance(machine)
+        if instance is not None and instance.life != self._lives[machine]:
+            self._replaced.add(machine)
 
     def _order(self, wave: int, machine: str, now: float) -> list[Effect]:
         if not self._dispatcher.is_leading(now):
             return []
         if not self._cooldown.can_order(machine, now):
             return []
-        if machine in self._lives and not self._orders.has_effective(machine):
-            self._record_life(machine)
+        if machine in self._lives:
+            if self._orders.has_effective(machine):
+                self._note_replaced(machine)
+            else:
+                self._record_life(machine)
         self._count += 1
         token = f"{self.name}/order/{self._count}"
         self._orders.add(token, wave, machine, now)
