Plan moves out of an evacuated data centre by the places already promised

Three faults of the plan:

- A gang with a limit of tasks for each instance that did not find all places gave the resources back, but not the counted tasks, so that nothing was kept for it and passing tasks took each part of the room for good.
- The places of tasks that are being stopped did not count for that limit, so that another task of the step was stopped for the same place.
- A task that is away already, as it runs at less than full speed, used up the budget for its own move and stayed.

--- a/src/gypsumwalk/availability.py
+++ b/src/gypsumwalk/availability.py
@@ -26,10 +26,12 @@
     def __init__(self, workloads: WorkloadSection) -> None:
         self._workloads = workloads
 
-    def count_interruptible(
+    def choose_interruptible(
         self, runs: Sequence[RunView], lease_table: LeaseTable
-    ) -> int:
-        """Return how many runs of a step may be stopped together.
+    ) -> list[RunView]:
+        """Return the runs of a step that may be stopped together.
+
+        Those whose tasks are unavailable already come first and cost nothing more.
 
         Parameters
         ----------
@@ -40,15 +42,20 @@
 
         Returns
         -------
-        int
-            At most the number of the runs.
+        list of RunView
+            Some of the runs.
         """
         step = self._workloads.find_step(runs[0].task) if runs else None
         if step is None or step.max_unavailable < 0:
-            return len(runs)
+            return list(runs)
         tasks = [runs[0].task._replace(number=number) for number in range(step.count)]
         unavailable = sum(not _is_available(task, lease_table) for task in tasks)
-        return min(len(runs), max(0, step.max_unavailable - unavailable))
+        left = step.max_unavailable - unavailable
+        if left < 0:
+            return []
+        away = [run for run in runs if not _is_available(run.task, lease_table)]
+        others = [run for run in runs if _is_available(run.task, lease_table)]
+        return away + others[:left]
 
     def may_interrupt(self, run: RunView, lease_table: LeaseTable) -> bool:
         """Tell whether a run may be stopped, although its task has to go on.
--- a/src/gypsumwalk/evacuation_planning.py
+++ b/src/gypsumwalk/evacuation_planning.py
@@ -151,15 +151,17 @@
         list of PlannedMove
             The runs; those of a gang all together.
         """
-        steps = [item for item in leaving if item.runs[0].task.job in pools]
-        for item in steps:
-            places = _Places(item, pools, lease_table, avoided)
+        steps = [
+            (item, _Places(item, pools, lease_table, avoided))
+            for item in leaving
+            if item.runs[0].task.job in pools
+        ]
+        for item, places in steps:
             for run in item.runs:
                 if run.is_stopping:
                     places.take(run)
         planned: list[PlannedMove] = []
-        for item in steps:
-            places = _Places(item, pools, lease_table, avoided)
+        for item, places in steps:
             plan = self._plan_gang if item.step.gang else self._plan_tasks
             planned += plan(item, places, lease_table)
         return planned
@@ -171,11 +173,11 @@
         if leaving.step.max_unavailable < 0:
             return [PlannedMove(run, NOT_REQUIRED) for run in runs]
         planned: list[PlannedMove] = []
-        allowed = self._availability.count_interruptible(runs, lease_table)
-        for number, run in enumerate(runs[:allowed]):
+        allowed = self._availability.choose_interruptible(runs, lease_table)
+        for number, run in enumerate(allowed):
             room = places.take(run)
             if room is None:
-                places.reserve(allowed - number)
+                places.reserve(len(allowed) - number)
                 break
             planned.append(PlannedMove(run, room.view.registered.life))
         return planned
@@ -236,6 +238,7 @@
 
     def give_back(self, run: RunView, chosen: Candidate) -> None:
         """Undo ``take``."""
+        self._limit.uncount(chosen)
         self._pool.release(chosen, run.need)
 
     def _is_allowed(self, item: Candidate) -> bool:
--- a/src/gypsumwalk/placement_limits.py
+++ b/src/gypsumwalk/placement_limits.py
@@ -104,6 +104,11 @@
         if self._most:
             self._counts[item.view.registered.life] += 1
 
+    def uncount(self, item: Candidate) -> None:
+        """Undo ``count``."""
+        if self._most:
+            self._counts[item.view.registered.life] -= 1
+
 
 def is_within_quota(used: Resources, quota: Resources) -> bool:
     """Tell whether usage is within a quota, where 0 means unlimited.
