Refuse to evacuate a data centre without a name

POST /v1/evacuations//start named the data centre "", which was known as soon as an instance or a machine did not state its own. It stopped all work on these. Such an order is now refused with 404.

Measured: the new test fails before and passes after; test_evacuations passes.

--- a/src/gypsumwalk/evacuation_handler.py
+++ b/src/gypsumwalk/evacuation_handler.py
@@ -149,6 +149,9 @@
 
     def _check_known(self, data_centre: str) -> Answer | None:
         """Return the refusal of an unknown data centre, None if it is known."""
+        if not data_centre:
+            # That of the instances and machines whose data centre is not known.
+            return _refuse_unknown(data_centre)
         if (
             data_centre in self.data_centres
             or data_centre in self._evacuations.data_centres
@@ -169,11 +172,7 @@
                 " not listed yet",
                 retry_after=RETRY_SECONDS,
             )
-        return refuse(
-            ProblemType.NOT_FOUND,
-            Outcome.NOT_RUN,
-            f'data centre "{data_centre}" does not exist',
-        )
+        return _refuse_unknown(data_centre)
 
     def _handle_outcome(self, item: ProposalOutcome, now: float) -> list[Effect]:
         order = self._pending.pop(item.token, None)
@@ -193,6 +192,14 @@
         return Answer(200, EvacuationsAnswer(self._evacuations.list_data_centres()))
 
 
+def _refuse_unknown(data_centre: str) -> Answer:
+    return refuse(
+        ProblemType.NOT_FOUND,
+        Outcome.NOT_RUN,
+        f'data centre "{data_centre}" does not exist',
+    )
+
+
 def _respond(order: _Order, answer: Answer, index: int) -> list[Effect]:
     attributes: dict[str, Scalar] = {
         "order": order.name,
