--- a/src/gypsumwalk/availability.py
+++ b/src/gypsumwalk/availability.py
@@ -26,10 +26,12 @@
     def __init__(self, workloads: WorkloadSection) -> None:
         self._workloads = workloads
 
-    def count_interruptible(
+    def choose_interruptible(
         self, runs: Sequence[RunView], lease_table: LeaseTable
-    ) -> int:
-        """Return how many runs of a step may be stopped together.
+    ) -> list[RunView]:
+        """Return the runs of a step that may be stopped together.
+
+        Those whose tasks are unavailable already come first and cost nothing more.
 
         Parameters
         ----------
@@ -40,15 +42,20 @@
 
         Returns
         -------
-        int
-            At most the number of the runs.
+        list of RunView
+            Some of the runs.
         """
         step = self._workloads.find_step(runs[0].task) if runs else None
         if step is None or step.max_unavailable < 0:
-            return len(runs)
+            return list(runs)
         tasks = [runs[0].task._replace(number=number) for number in range(step.count)]
         unavailable = sum(not _is_available(task, lease_table) for task in tasks)
-        return min(len(runs), max(0, step.max_unavailable - unavailable))
+        left = step.max_unavailable - unavailable
+        if left < 0:
+            return []
+        away = [run for run in runs if not _is_available(run.task, lease_table)]
+        others = [run for run in runs if _is_available(run.task, lease_table)]
+        return away + others[:left]
 
     def may_interrupt(self, run: RunView, lease_table: LeaseTable) -> bool:
         """Tell whether a run may be stopped, although its task has to go on.
@@ -64,11 +71,15 @@
         -------
         bool
             True if fewer than ``max_unavailable`` other tasks of its step are
-            unavailable, or the step has no such limit.
+            unavailable, or the step has no such limit. The budget of a gang has to
+            cover all its members.
         """
         step = self._workloads.find_step(run.task)
         if step is None or step.max_unavailable < 0:
             return True
+        if step.gang:
+            # A stop of one member ends all of them.
+            return step.count <= step.max_unavailable
         unavailable = 0
         for number in range(step.count):
             task = run.task._replace(number=number)
@@ -79,11 +90,18 @@
         return unavailable < step.max_unavailable
 
     def find_limit(self, run: RunView) -> int:
-        """Return how many tasks of the step of a run may be unavailable at once."""
+        """Return how many tasks of the step of a run may be stopped at once.
+
+        0 if none may ever be, as for a gang with a smaller budget than members.
+        """
         step = self._workloads.find_step(run.task)
         if step is None:
             return 1
-        return step.count if step.max_unavailable < 0 else step.max_unavailable
+        if step.max_unavailable < 0:
+            return step.count
+        if step.gang and step.count > step.max_unavailable:
+            return 0
+        return step.max_unavailable
 
 
 def _is_available(task: TaskKey, lease_table: LeaseTable) -> bool:
