Admit fillers without cores, and count released machines as room

A filler has no work, so it is not too large for a pool without a known core, and the time of its return was infinite: the leader ended with an OverflowError. Such a pool refuses nothing now, as the design says.

Machines that a pool has released to the standby pool take tasks again at once if the demand rises, but they were neither part of the room nor of the machines that may join, so the first jobs of a burst could be refused. They count like idle machines elsewhere.

Each early call of a refused caller pushed one more entry to the queue of the times. An entry is pushed only for a new reservation.

The three tests of tests/test_admission_limits.py fail without the change.

--- a/src/gypsumwalk/job_admission.py
+++ b/src/gypsumwalk/job_admission.py
@@ -195,9 +195,11 @@
 def _is_too_large(job: JobView, room: RoomView, now: float) -> bool:
     """Tell whether a job cannot be done in time without any backlog, either.
 
-    Its caller would be refused whenever it returns, so that waiting does not help.
+    Its caller would be refused whenever it returns, so that waiting does not help. The
+    same holds for a job without work, as of fillers, in a pool without a known core.
     """
-    return _find_cores(room, inf) * (job.expires - now) < job.work
+    cores = _find_cores(room, inf)
+    return cores <= 0 or cores * (job.expires - now) < job.work
 
 
 def _find_cores(room: RoomView, at: float) -> float:
--- a/src/gypsumwalk/retry_slots.py
+++ b/src/gypsumwalk/retry_slots.py
@@ -169,16 +169,16 @@
                 break
         if portions and len(self) < self._max_slots:
             self.restore(RetrySlot(pool, job.job, at, tuple(portions)))
+            heappush(self._by_time, (at, pool, job.job))
         return at
 
     def restore(self, slot: RetrySlot) -> None:
-        """Store a reservation, as one that was released and is still needed."""
+        """Store a reservation that was released and is still needed."""
         self.release(slot.pool, slot.job)
         self._slots[slot.pool, slot.job] = slot
         promised = self._promised[slot.pool]
         for portion, work in slot.portions:
             promised[portion] = promised.get(portion, 0.0) + work
-        heappush(self._by_time, (slot.at, slot.pool, slot.job))
 
     def _list_free(
         self,
--- a/src/gypsumwalk/spare_machines.py
+++ b/src/gypsumwalk/spare_machines.py
@@ -26,9 +26,10 @@
 class SpareMachines:
     """Cores that may join a pool within ``ARRIVAL_SECONDS``.
 
-    Its machines in maintenance count, and if machines move between pools, those on
-    standby and the idle ones of other pools. Machines that this leader moves are in the
-    view of the room already. The sums are computed once for each list of machines.
+    Its machines in maintenance count, its released ones, and if machines move between
+    pools, those on standby and the idle ones of other pools. Machines that this leader
+    moves are in the view of the room already. All sums but that of the released
+    machines are computed once for each list of machines.
 
     Parameters
     ----------
@@ -81,10 +82,20 @@
             cores for other, cores in self._movable.items() if other != service
         )
         millicores = elsewhere + self._returning.get(service, 0)
+        millicores += self._sum_released(service)
         if not millicores:
             return ()
         return ((now + ARRIVAL_SECONDS, millicores / MILLICORES),)
 
+    def _sum_released(self, service: str) -> int:
+        """Return the cores that take tasks again as soon as their pool needs them."""
+        listed = self._directory.machines
+        return sum(
+            listed[machine].capacity.cpu
+            for machine in self._scheduler.released
+            if machine in listed and listed[machine].service == service
+        )
+
     def _sum_machines(self) -> None:
         views = {
             view.registered.machine: view
--- /dev/null
+++ b/tests/test_admission_limits.py
@@ -0,0 +1,51 @@
+"""Tests of submissions at the limits of what an admission knows."""
+
+import unittest
+
+from gypsumwalk.backlog import RoomView
+from gypsumwalk.job_admission import Admit, JobAdmission
+from gypsumwalk.retry_slots import RETURN_WINDOW_SECONDS, RetrySlots
+from tests._job_views import make_view
+from tests.test_submission_control import NOW, Desk
+
+
+class TestPoolWithoutCores(unittest.TestCase):
+    # The leader ended with an OverflowError: fillers have no work, and the time of the
+    # return was infinite.
+    def test_a_job_without_work_is_admitted(self):
+        admission = JobAdmission("p", RetrySlots())
+        filler = make_view("filler", submitted=NOW, work=0.0, path=3.0)
+        backlog = [make_view("other", submitted=NOW)]
+        decision = admission.decide(filler, backlog, RoomView(0.0), NOW)
+        assert isinstance(decision, Admit)
+
+
+class TestRepeatedCalls(unittest.TestCase):
+    # Each early call of a caller left an entry in the queue of the times.
+    def test_early_calls_keep_one_entry(self):
+        slots = RetrySlots()
+        job = make_view("job", submitted=NOW)
+        at = slots.reserve(job, "p", NOW + 9.0, NOW, find_rate=lambda _: 8.0)
+        for _ in range(100):
+            slot = slots.find("p", "job", NOW)
+            slots.release("p", "job")
+            slots.restore(slot)
+        assert len(slots._by_time) == 1
+        assert slots.find("p", "job", at + RETURN_WINDOW_SECONDS + 0.1) is None
+        assert len(slots) == 0
+
+
+class TestReleasedMachines(unittest.TestCase):
+    # A burst was refused in a pool that had just released its machines, which it takes
+    # back at once.
+    def test_released_machines_of_the_pool_count_as_room(self):
+        for count, expected in ((0, True), (9, False)):
+            desk = Desk(backlog=100.0)
+            for _ in range(9):
+                desk.directory.list_machine()
+            desk.scheduler.released = {f"m-{number}" for number in range(count)}
+            assert desk.is_refused() is expected
+
+
+if __name__ == "__main__":
+    unittest.main()
