Bound the release of machines and the preemption of late runs

Sizes of pools count processors only. Machines were released for rest while tasks waited that need memory, accelerators or a label, so these found no room on them. No machine rests while ready tasks found no room in the latest pass.

Machines were packed and given up amid a burst, and excess jobs deferred, in pools without an objective, where behaviour must not change.

Without a standby pool in the declaration, released machines got no task until the next change of leader. They take tasks again at the next step.

A late run could be stopped at each turn of another queue, and its task was never done if it took longer than the time between them. The first two runs may be stopped.

A wave counted room on released machines for a lasting task, which is not placed there.

--- a/src/gypsumwalk/lateness.py
+++ b/src/gypsumwalk/lateness.py
@@ -10,6 +10,10 @@
 
 __all__ = ["LatenessPredictor"]
 
+MAX_PREEMPTED_RUNS = 2
+"""Runs of a task that may be stopped for work on time. Without a bound, turns of other
+queues stop a long task each time before it ends, and its job is never done."""
+
 
 class LatenessPredictor:
     """Predicts late jobs from their objectives and the learned durations.
@@ -57,8 +61,12 @@
         Returns
         -------
         bool
-            Whether other work goes first.
+            Whether other work goes first; False for a job of a queue without an
+            objective.
         """
+        queue = self._declarations.get_queue(workload.queue)
+        if queue is None or not queue.objective:
+            return False
         return self._is_excess(workload.job) or self.will_be_late(workload, now, path)
 
     def will_be_late(
@@ -88,8 +96,11 @@
     def may_preempt(self, run: RunView, now: float) -> bool:
         """Tell whether a transient run may be stopped, as its job will be late anyway.
 
-        Members of a gang are left alone, since the others could not go on.
+        Members of a gang are left alone, since the others could not go on, and so are
+        tasks that had to begin again several times.
         """
+        if run.run > MAX_PREEMPTED_RUNS:
+            return False
         workload = self._workloads.jobs.get(run.task.job)
         if workload is None or run.is_lasting or workload.steps[run.task.step].gang:
             return False
--- a/src/gypsumwalk/machine_releases.py
+++ b/src/gypsumwalk/machine_releases.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-from gypsumwalk.pooling import PoolDemand, PoolMachine, size_pools
+from gypsumwalk.pooling import Pool, PoolDemand, PoolMachine, size_pools
 
 __all__ = ["ReleasedRun", "choose_preempted", "plan_releases"]
 
@@ -45,6 +45,7 @@
 
     These are machines of pools with late work that other pools lack, and those that a
     pool no longer needs: spread over fewer machines, its tasks free the others sooner.
+    This is done only in pools with an objective.
 
     Parameters
     ----------
@@ -65,7 +66,7 @@
     released: set[str] = set()
     for name, demand in demands.items():
         pool = pools[name]
-        spare = pool.count_spare(demand) if standby else 0
+        spare = _count_spare(pool, demand) if standby else 0
         if not demand.deferred and not spare:
             continue
         candidates = [
@@ -79,6 +80,17 @@
     return released
 
 
+def _count_spare(pool: Pool, demand: PoolDemand) -> int:
+    """Return how many machines of a pool may rest.
+
+    None may while tasks wait: the sizes of pools count processors only, and the tasks
+    may need the memory, the accelerators or the labels of the machines.
+    """
+    if demand.waiting or not demand.has_objective:
+        return 0
+    return pool.count_spare(demand)
+
+
 def choose_preempted(runs: Sequence[ReleasedRun]) -> list[ReleasedRun]:
     """Choose the runs of one released machine to stop.
 
--- a/src/gypsumwalk/pool_demands.py
+++ b/src/gypsumwalk/pool_demands.py
@@ -100,6 +100,7 @@
             if count:
                 cpu = find_need(step).cpu
                 _add_tasks(demand, step, cpu, count, deferred=deferred)
+                demand.waiting += count
             if count < len(tasks):
                 return
 
--- a/src/gypsumwalk/pool_scaling_controller.py
+++ b/src/gypsumwalk/pool_scaling_controller.py
@@ -149,7 +149,8 @@
         self._scheduler.backlog.arriving = self._list_arriving()
         standby = self._declarations.find_standby()
         if not standby or not self._directory.machines:
-            return []
+            # No machine can move, so that those that were to do so take tasks again.
+            return self._releaser.release(set(), now)
         machines = self._describe_machines(now)
         demands = self._find_demands(standby, now)
         if self._is_short(machines, demands, standby):
@@ -228,14 +229,19 @@
         self._dispatcher.request_scheduling_pass(now)
 
     def _list_arriving(self) -> dict[str, tuple[tuple[float, float], ...]]:
-        """Return the times and cores of machines on their way, by service."""
-        arriving: dict[str, tuple[tuple[float, float], ...]] = {}
+        """Return the times and cores of machines on their way, by service.
+
+        Machines that arrive together are one entry, as each entry is looked at for
+        each waiting job.
+        """
+        sums: dict[str, dict[float, float]] = {}
         for machine, (service, since) in self._moving.items():
             info = self._directory.machines.get(machine)
             if info is not None:
-                item = since + LEAD_SECONDS, info.capacity.cpu / MILLICORES
-                arriving[service] = (*arriving.get(service, ()), item)
-        return arriving
+                cores = sums.setdefault(service, {})
+                at = since + LEAD_SECONDS
+                cores[at] = cores.get(at, 0.0) + info.capacity.cpu / MILLICORES
+        return {service: tuple(cores.items()) for service, cores in sums.items()}
 
     def _describe_machines(self, now: float) -> list[PoolMachine]:
         in_waves = {
@@ -317,10 +323,13 @@
         services = current.services if current else []
         demands = {item.name: PoolDemand() for item in services if item.name != standby}
         self._scheduler.add_demand(demands, self._dispatcher.lease_table, is_deferred)
+        queues = current.queues if current else []
+        timed = {queue.service for queue in queues if queue.objective > 0}
         for service, demand in demands.items():
+            demand.has_objective = service in timed
             demand.expected = int(self._forecast.find_expected(service, now))
             demand.can_shrink = self._forecast.can_shrink(service, now)
-            if self._forecast.is_in_burst(service):
+            if demand.has_objective and self._forecast.is_in_burst(service):
                 demand.can_shrink = True
                 demand.kept_machines = self._sizes.find_peak(service, now)
             if self._forecast.is_burst_due(service):
--- a/src/gypsumwalk/pooling.py
+++ b/src/gypsumwalk/pooling.py
@@ -99,6 +99,10 @@
         Whether machines may move to the standby pool.
     kept_machines : int
         Machines that the pool keeps when others move to the standby pool.
+    waiting : int
+        Ready tasks that found no room in the latest pass.
+    has_objective : bool
+        Whether one of the queues has an objective.
     """
 
     lasting: int = 0
@@ -109,6 +113,8 @@
     reserve: int = 0
     can_shrink: bool = True
     kept_machines: int = 0
+    waiting: int = 0
+    has_objective: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -379,7 +379,7 @@
             workload.steps[run.task.step],
             self.find_service(workload),
             lease_table,
-            self.cordoned | self.changing_pool,
+            self._closed,
             self.due_for_maintenance,
             now,
         )
