Let no refused caller wait for reservations that give way to it

A refusal took the first second that was free of promises to any caller. The crowd of a hot team or of a queue of lower priority thus took all slots of the next 30 s, and the caller of a job that goes before them was sent away for 30 s. Only the promises that count in the decision on a job take room from its reservation now.

A second may be promised to both kinds of callers. Those with less right to it are decided on again when they return, and wait once more.

--- a/src/gypsumwalk/retry_slots.py
+++ b/src/gypsumwalk/retry_slots.py
@@ -2,7 +2,9 @@
 
 Callers that are refused during a burst would all return at the same time if they were
 told the same delay. Each refusal instead reserves work of a pool at the time of the
-return, and no second is promised more work than the pool does in a second.
+return, and no second is promised more work than the pool does in a second. Work of
+lower priority, and excess work unless the job is excess too, takes no room from a job,
+as it gives way to it when both return.
 """
 
 from collections import defaultdict
@@ -115,10 +117,8 @@
         self._evict(now)
         return sum(
             work
-            for (second, priority, is_excess), work in self._promised[pool].items()
-            if second < job.expires
-            and priority <= job.priority
-            and (job.is_excess or not is_excess)
+            for portion, work in self._promised[pool].items()
+            if portion[0] < job.expires and _goes_before(portion, job)
         )
 
     def reserve(
@@ -159,7 +159,9 @@
         latest = now + MAX_RETRY_SECONDS
         at, left = latest, job.work
         portions: list[tuple[_Portion, float]] = []
-        for second, begin, room in self._list_free(pool, earliest, latest, find_rate):
+        for second, begin, room in self._list_free(
+            job, pool, earliest, latest, find_rate
+        ):
             if not portions:
                 at = max(earliest, begin)
             work = min(left, room)
@@ -182,6 +184,7 @@
 
     def _list_free(
         self,
+        job: JobView,
         pool: str,
         earliest: float,
         latest: float,
@@ -189,8 +192,9 @@
     ) -> Iterator[tuple[int, float, float]]:
         """Yield seconds with room, each with the end of its promises and the room."""
         promised: dict[int, float] = defaultdict(float)
-        for (second, _, _), work in self._promised[pool].items():
-            promised[second] += work
+        for portion, work in self._promised[pool].items():
+            if _goes_before(portion, job):
+                promised[portion[0]] += work
         for second in range(floor(earliest), floor(latest)):
             rate = find_rate(second)
             # The part of a second that is before the earliest time can't be promised.
@@ -206,3 +210,9 @@
             # The job may have a later reservation by now.
             if slot is not None and slot.at == at:
                 self.release(pool, job)
+
+
+def _goes_before(portion: _Portion, job: JobView) -> bool:
+    """Tell whether a job has to wait for work that was promised to another one."""
+    _, priority, is_excess = portion
+    return priority <= job.priority and (job.is_excess or not is_excess)
--- a/tests/test_admission_limits.py
+++ b/tests/test_admission_limits.py
@@ -35,6 +35,27 @@
         assert len(slots) == 0
 
 
+class TestOtherCallers(unittest.TestCase):
+    # The crowd of a hot team, or of a queue of lower priority, took all slots, so that
+    # others were sent away for 30 s although their jobs go first.
+    def test_a_job_does_not_wait_for_those_that_give_way_to_it(self):
+        for fields in ({"priority": 5}, {"is_excess": True}):
+            slots = RetrySlots()
+            admission = JobAdmission("p", slots)
+            backlog = [
+                make_view(f"old-{number}", submitted=NOW, work=0.5)
+                for number in range(200)
+            ]
+
+            def submit(name, *, listed=backlog, admission=admission, **fields):
+                job = make_view(name, submitted=NOW, work=2.0, path=1.9, **fields)
+                return admission.decide(job, listed, RoomView(8.0), NOW)
+
+            crowd = [submit(f"crowd-{number}", **fields) for number in range(400)]
+            assert max(item.retry_after for item in crowd) == 30.0
+            assert submit("other").retry_after < 2.0
+
+
 class TestReleasedMachines(unittest.TestCase):
     # A burst was refused in a pool that had just released its machines, which it takes
     # back at once.
