Preview the decision on a submission without its effects

An operator who asks why a job would be refused must not take a retry slot from a caller, count as an admitted job or refresh what later decisions use.

SubmissionControl.preview runs the same decision on copies of the reservations, the ordered backlogs and the views of the jobs. The free capacity is read from the lease table instead of the candidates, which follow changes as they are read.

Tests compare the preview with the decision that follows, and the state before and after.

--- a/src/gypsumwalk/backlog_views.py
+++ b/src/gypsumwalk/backlog_views.py
@@ -1,6 +1,7 @@
 """Views of the backlog and the room of a pool, from the state of the leader."""
 
 from collections.abc import Callable, Iterable, Iterator, Mapping
+from copy import copy
 from typing import NamedTuple
 
 from gypsumwalk.backlog import JobView, RoomView
@@ -78,6 +79,16 @@
         self._running: dict[str, dict[str, _RunningJob]] = {}
         """Jobs without ready tasks, by service and identifier."""
 
+    def copy(self) -> "BacklogViews":
+        """Return a copy for reading, which keeps its views of the jobs to itself.
+
+        What was learned is shared, as views of jobs and pools do not change it.
+        """
+        copied = copy(self)
+        copied._waiting = self._waiting.copy()
+        copied._running = dict(self._running)
+        return copied
+
     def record_arrival(self, workload: Workload, at: float) -> None:
         """Record a job that was accepted.
 
--- a/src/gypsumwalk/candidates.py
+++ b/src/gypsumwalk/candidates.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Set
 
+from gypsumwalk.declaration_records import Resources
 from gypsumwalk.leases import InstanceTable, InstanceView, LeaseTable
 from gypsumwalk.placement_limits import SpreadLimit
 from gypsumwalk.ready_tasks import ReadyJobs
@@ -13,7 +14,7 @@
 )
 from gypsumwalk.workload_records import Step, TaskKey, Workload
 
-__all__ = ["CandidateLister"]
+__all__ = ["CandidateLister", "can_schedule_on"]
 
 
 class CandidateLister:
@@ -107,6 +108,11 @@
         pool = self._pools.get(service)
         return pool.list_views() if pool is not None else []
 
+    def find_withheld(self, service: str) -> dict[str, Resources]:
+        """Return what the latest pass withheld for lasting tasks, by life."""
+        pool = self._pools.get(service)
+        return pool.find_withheld() if pool is not None else {}
+
     def has_cold(self, now: float) -> bool:
         """Tell whether some candidate may still be slow after its start."""
         return now < self._cold_until
@@ -166,6 +172,8 @@
         lease_table: LeaseTable,
         closed: Set[str],
         now: float,
+        *,
+        is_trial: bool = False,
     ) -> bool:
         """Tell whether the ready tasks of a job fit beside each other.
 
@@ -181,19 +189,27 @@
             Machines that get no new work.
         now : float
             Time in seconds.
+        is_trial : bool
+            Whether to read the lease table only, and to keep no changes of it.
 
         Returns
         -------
         bool
             Whether all of them can start now.
         """
-        self._follow_changes(lease_table, closed, now)
+        if is_trial:
+            views = [
+                view
+                for view in lease_table.instances.values()
+                if view.registered.service == service
+                and can_schedule_on(view, closed, now)
+            ]
+        else:
+            self._follow_changes(lease_table, closed, now)
+            views = self.list_views(service)
         # Apart from the pools of the passes, which withhold room for lasting tasks.
         pool = CandidatePool(
-            [
-                Candidate(view, view.registered.capacity - view.used)
-                for view in self.list_views(service)
-            ]
+            [Candidate(view, view.registered.capacity - view.used) for view in views]
         )
         for task in list_ready(workload, lease_table, now):
             step = workload.steps[task.step]
@@ -245,7 +261,7 @@
         self._held.discard(life)
         if view is not None and now < view.start_backoff_until:
             self._held.add(life)
-        if view is None or not _can_schedule_on(view, self._closed, now):
+        if view is None or not can_schedule_on(view, self._closed, now):
             self._drop(life)
             return
         registered = view.registered
@@ -278,7 +294,23 @@
             self._lives_by_machine.setdefault(machine, set()).add(life)
 
 
-def _can_schedule_on(view: InstanceView, closed: Set[str], now: float) -> bool:
+def can_schedule_on(view: InstanceView, closed: Set[str], now: float) -> bool:
+    """Tell whether an instance gets new tasks if it has room.
+
+    Parameters
+    ----------
+    view : InstanceView
+        The instance.
+    closed : set of str
+        Machines that get no new work.
+    now : float
+        Time in seconds.
+
+    Returns
+    -------
+    bool
+        Whether it gets new tasks.
+    """
     machine = view.registered.machine
     if view.is_draining or (machine and machine in closed):
         return False
--- a/src/gypsumwalk/ordered_backlog.py
+++ b/src/gypsumwalk/ordered_backlog.py
@@ -6,6 +6,7 @@
 
 from bisect import insort
 from collections.abc import Sequence
+from copy import copy
 from dataclasses import dataclass
 from math import inf
 from typing import NamedTuple
@@ -73,6 +74,13 @@
                 self._late.append(_describe_late(job))
         self._late.sort()
 
+    def copy(self) -> "OrderedBacklog":
+        """Return a copy whose changes do not affect this object."""
+        copied = copy(self)
+        copied._on_time = list(self._on_time)
+        copied._late = list(self._late)
+        return copied
+
     def add(self, job: JobView, now: float) -> None:
         """Add a job that was admitted."""
         self.work += job.work
--- a/src/gypsumwalk/placement_limits.py
+++ b/src/gypsumwalk/placement_limits.py
@@ -26,6 +26,12 @@
         self._declarations = declarations
         self._kept: dict[str, Resources] = {}
 
+    def copy(self) -> "TeamQuotas":
+        """Return a copy whose changes do not affect this object."""
+        copied = TeamQuotas(self._declarations)
+        copied._kept = dict(self._kept)
+        return copied
+
     def clear_kept(self) -> None:
         """Keep nothing, at the start of a pass."""
         self._kept.clear()
--- a/src/gypsumwalk/pool_admission.py
+++ b/src/gypsumwalk/pool_admission.py
@@ -37,6 +37,10 @@
     lease_table: LeaseTable
     """Runs that may be going on."""
 
+    def copy(self) -> "PoolViews":
+        """Return a copy for reading, which keeps nothing in this object."""
+        ...
+
     def has_waiting(self, service: str) -> bool:
         """Tell whether ready tasks wait for the pool of a service."""
         ...
@@ -92,6 +96,38 @@
         self._admitted: dict[str, tuple[float, JobView]] = {}
         """Jobs that were admitted and may not be stored yet, with the time."""
 
+    def copy(
+        self, *, views: PoolViews, spares: SpareMachines, slots: RetrySlots
+    ) -> "PoolAdmission":
+        """Return a copy that decides as this object would and does not change it.
+
+        Parameters
+        ----------
+        views : PoolViews
+            Copy of the source of the views.
+        spares : SpareMachines
+            Copy of the machines that may join the pool.
+        slots : RetrySlots
+            Copy of the reservations.
+
+        Returns
+        -------
+        PoolAdmission
+            The copy.
+        """
+        copied = PoolAdmission(
+            self._service,
+            views=views,
+            spares=spares,
+            workloads=self._workloads,
+            slots=slots,
+        )
+        copied._backlog = self._backlog.copy() if self._backlog is not None else None
+        copied._ordered_at = self._ordered_at
+        copied._valid_seconds = self._valid_seconds
+        copied._admitted = dict(self._admitted)
+        return copied
+
     def decide(self, job: JobView, now: float) -> Admission:
         """Decide on a submitted job.
 
--- a/src/gypsumwalk/ready_tasks.py
+++ b/src/gypsumwalk/ready_tasks.py
@@ -1,7 +1,7 @@
 """Jobs with ready tasks, grouped so that a pass skips those without room at once."""
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from gypsumwalk.backlog import JobView
 from gypsumwalk.declaration_records import Resources
@@ -88,6 +88,16 @@
     def __iter__(self) -> Iterator[ReadyJob]:
         return iter(self._jobs.values())
 
+    def copy(self) -> "ReadyJobs":
+        """Return a copy for reading, with copies of the jobs.
+
+        The views that are made of the jobs of the copy are not kept in this object.
+        """
+        copied = ReadyJobs()
+        for job in self._jobs.values():
+            copied.put(replace(job))
+        return copied
+
     def clear(self) -> None:
         """Remove all jobs."""
         self._jobs.clear()
--- a/src/gypsumwalk/retry_slots.py
+++ b/src/gypsumwalk/retry_slots.py
@@ -72,6 +72,15 @@
     def __len__(self) -> int:
         return len(self._slots)
 
+    def copy(self) -> "RetrySlots":
+        """Return a copy whose changes do not affect this object."""
+        copied = RetrySlots(self._max_slots)
+        copied._slots = dict(self._slots)
+        for pool, promised in self._promised.items():
+            copied._promised[pool] = dict(promised)
+        copied._by_time = list(self._by_time)
+        return copied
+
     def clear(self) -> None:
         """Discard all reservations, as at the start of a term."""
         self._slots.clear()
--- a/src/gypsumwalk/spare_machines.py
+++ b/src/gypsumwalk/spare_machines.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+from copy import copy
 
 from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.dispatcher import Dispatcher
@@ -58,6 +59,10 @@
         self._movable: dict[str, int] = {}
         self._returning: dict[str, int] = {}
 
+    def copy(self) -> "SpareMachines":
+        """Return a copy, which keeps its sums to itself."""
+        return copy(self)
+
     def find_arriving(
         self, service: str, now: float
     ) -> tuple[tuple[float, float], ...]:
--- a/src/gypsumwalk/submission_control.py
+++ b/src/gypsumwalk/submission_control.py
@@ -1,6 +1,7 @@
 """Control of submissions: the leader refuses jobs that are hopeless or impossible."""
 
 from collections.abc import Sequence
+from copy import copy
 from dataclasses import dataclass
 
 from gypsumwalk.declaration_records import DeclaredQueue, DeclaredTeam
@@ -94,6 +95,7 @@
         self._term_began = 0.0
         self._known: list[KnownMachine] = []
         self._known_at = float("-inf")
+        self._is_trial = False
 
     def observe_term(self, now: float) -> None:
         """Discard the reservations when this daemon begins to lead or ends.
@@ -143,6 +145,46 @@
             return Verdict()
         return self._decide_on_load(workload, queue, now)
 
+    def preview(
+        self,
+        workload: Workload,
+        queue: DeclaredQueue,
+        team: DeclaredTeam | None,
+        now: float,
+    ) -> Verdict:
+        """Return what ``decide`` would return, without any effect of the decision.
+
+        Nothing is reserved, and no cache of this object or of its sources changes.
+
+        Parameters
+        ----------
+        workload : Workload
+            The job.
+        queue : DeclaredQueue
+            Its queue.
+        team : DeclaredTeam or None
+            Its team, None without a key.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        Verdict
+            Whether it would be refused.
+        """
+        trial = copy(self)
+        trial._is_trial = True
+        trial._views = self._views.copy()
+        trial._spares = self._spares.copy()
+        trial._slots = self._slots.copy()
+        trial._pools = {
+            service: pool.copy(
+                views=trial._views, spares=trial._spares, slots=trial._slots
+            )
+            for service, pool in self._pools.items()
+        }
+        return trial.decide(workload, queue, team, now)
+
     def _may_refuse(self, workload: Workload, queue: DeclaredQueue, now: float) -> bool:
         if not self._term or now - self._term_began < TERM_SECONDS:
             return False
@@ -168,7 +210,9 @@
         if isinstance(decision, Admit):
             return _describe_admission(workload, decision)
         table = self._dispatcher.lease_table
-        if self._scheduler.has_free_capacity(workload, table, now):
+        if self._scheduler.has_free_capacity(
+            workload, table, now, is_trial=self._is_trial
+        ):
             pool.admit(job, now)
             return Verdict()
         return self._refuse_hopeless(workload, queue, job.work, decision)
--- a/src/gypsumwalk/task_placement.py
+++ b/src/gypsumwalk/task_placement.py
@@ -235,6 +235,14 @@
         """Return the instances of the candidates."""
         return [candidate.view for candidate in self._candidates.values()]
 
+    def find_withheld(self) -> dict[str, Resources]:
+        """Return the needs of lasting tasks that room is kept for, by life."""
+        return {
+            life: self._candidates[self._positions[life]].withheld
+            for life in self._withheld
+            if life in self._positions
+        }
+
     def _refresh(self, candidate: Candidate) -> None:
         """Set what is free to what the runs of the instance leave."""
         view = candidate.view
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -330,13 +330,21 @@
         return self._urgency.count_durations(queue)
 
     def has_free_capacity(
-        self, workload: Workload, lease_table: LeaseTable, now: float
+        self,
+        workload: Workload,
+        lease_table: LeaseTable,
+        now: float,
+        *,
+        is_trial: bool = False,
     ) -> bool:
-        """Tell whether all ready tasks of a job, accepted or not, have room now."""
+        """Tell whether all ready tasks of a job, accepted or not, have room now.
+
+        A trial changes nothing of what the passes keep.
+        """
         closed = self._closed
         service = self.find_service(workload)
         return self._lister.has_room_for_job(
-            workload, service, lease_table, closed, now
+            workload, service, lease_table, closed, now, is_trial=is_trial
         )
 
     def record_duration(self, task: TaskKey, seconds: float) -> None:
--- a/tests/test_submission_control.py
+++ b/tests/test_submission_control.py
@@ -1,6 +1,7 @@
 """Tests of which submissions are refused, and which never are."""
 
 import unittest
+from copy import copy, deepcopy
 from types import SimpleNamespace
 
 from gypsumwalk.advice import AdviceCache
@@ -55,6 +56,9 @@
         self.lease_table = LeaseTable()
         self.orders = 0
 
+    def copy(self):
+        return copy(self)
+
     def has_waiting(self, service):
         return self.backlog > 0
 
@@ -198,6 +202,73 @@
         assert not desk.is_refused("later", now=NOW + 6.0)
 
 
+class TestPreview(unittest.TestCase):
+    """The decision is asked for and not taken."""
+
+    def preview(self, desk, job="job", steps=None, *, now=NOW):
+        workload = desk.make_job(job, steps)
+        return desk.control.preview(workload, desk.queue, TEAM, now)
+
+    def list_state(self, desk):
+        control = desk.control
+        slots = control._slots
+        pools = {
+            service: (
+                dict(pool._admitted),
+                pool._ordered_at,
+                pool._backlog and (pool._backlog.work, list(pool._backlog._late)),
+            )
+            for service, pool in control._pools.items()
+        }
+        spares = control._spares
+        return deepcopy(
+            (
+                slots._slots,
+                slots._promised,
+                slots._by_time,
+                pools,
+                control._term,
+                control._known_at,
+                spares._read_at,
+                desk.scheduler._lister._changed,
+                list(desk.scheduler._lister._pools),
+            )
+        )
+
+    # Guards against a preview that differs from the decision that follows.
+    def test_it_is_the_decision_that_follows(self):
+        for backlog in (0.0, 46.0, 100.0):
+            for count in (0, 3):
+                desk = Desk(backlog=backlog)
+                for number in range(count):
+                    desk.submit(f"other-{number}")
+                preview = self.preview(desk)
+                assert preview == desk.submit(), (backlog, count)
+
+    # Guards against a preview that reserves a retry slot, so that callers are told to
+    # return later, or that counts as an admitted job.
+    def test_it_changes_nothing(self):
+        for backlog in (0.0, 46.0, 100.0):
+            desk = Desk(backlog=backlog)
+            desk.directory.list_machine()
+            desk.submit("other")
+            before = self.list_state(desk)
+            for number in range(5):
+                self.preview(desk, f"job-{number}", now=NOW + number)
+            self.preview(desk, "other", now=NOW + 3)
+            self.preview(desk, "huge", [Step(1, Resources(90_000, 1))])
+            assert self.list_state(desk) == before, backlog
+
+    def test_free_capacity_and_impossible_jobs_are_seen(self):
+        desk = Desk()
+        desk.directory.list_machine()
+        huge = [Step(1, Resources(1000, 1), label="quantum")]
+        assert self.preview(desk, steps=huge).refusal.status == 422
+        assert self.preview(desk).refusal.status == 503
+        desk.table.remove(desk.run)
+        assert self.preview(desk).refusal is None
+
+
 class TestCost(unittest.TestCase):
     """Decisions that would use up the time of the leader."""
 
