Forecast the placement of a job, and explain it to operators

An operator could see why an accepted job waits only in the logs, and could not ask where a job would go before it is sent.

A call of the control daemon, and the command gypsumwalk explain-job, name the queue, service and team, the decision on the submission, where the first step would start, what its other tasks wait for, its group in the order under overload and when it would be done. The tasks are planned by the planner of the passes on copies of the candidates, quotas and usage.

--- a/src/gypsumwalk/command.py
+++ b/src/gypsumwalk/command.py
@@ -17,6 +17,7 @@
 from gypsumwalk.drivers import (
     commands_fleet,
     commands_folder,
+    commands_forecast,
     commands_keys,
     commands_service,
     commands_voters,
@@ -132,6 +133,7 @@
         evacuate=commands_fleet.evacuate,
         evacuations=commands_fleet.evacuations,
         **{"end-evacuation": commands_fleet.end_evacuation},
+        **{"explain-job": commands_forecast.explain_job},
         jobs=commands_work.jobs,
         submit=commands_work.submit,
         timeline=commands_service.timeline,
--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -13,6 +13,8 @@
 from gypsumwalk.evacuation_handler import EvacuationHandler
 from gypsumwalk.evacuations import EvacuationSection
 from gypsumwalk.fleet_call_handler import FleetCallHandler
+from gypsumwalk.job_explainer import JobExplainer
+from gypsumwalk.job_forecast import JobForecaster
 from gypsumwalk.life_checks import LifeChecks
 from gypsumwalk.machine_directory import MachineDirectory
 from gypsumwalk.maintenance_controller import MaintenanceController
@@ -155,6 +157,17 @@
             life_checks=life_checks,
             submission_control=submission_control,
         )
+        job_explainer = JobExplainer(
+            leadership=self.consensus,
+            declarations=self.declarations,
+            workloads=self.workloads,
+            forecaster=JobForecaster(
+                dispatcher=self.dispatcher,
+                scheduler=self.scheduler,
+                submission_control=submission_control,
+                may_be_stored=self.call_handler.may_be_stored,
+            ),
+        )
         self.evacuation_handler = EvacuationHandler(
             leadership=self.consensus,
             evacuations=self.evacuations,
@@ -201,6 +214,7 @@
             WorkloadObserver(self.scheduler, forecast),
             self.call_handler,
             self.evacuation_handler,
+            job_explainer,
             life_checks,
             self.dispatcher,
             directory,
--- a/src/gypsumwalk/fleet_call_handler.py
+++ b/src/gypsumwalk/fleet_call_handler.py
@@ -34,7 +34,7 @@
 from gypsumwalk.fleet_refusals import (
     LEADER_HEADER,
     PROPOSAL_SECONDS,
-    RETRY_SECONDS,
+    authorize,
     make_unknown_answer,
     redirect_to_leader,
     refuse_proposal,
@@ -197,26 +197,30 @@
                 return [Respond(item.call_id, self._describe_wave(wave))]
         return []
 
+    def may_be_stored(self, host: str, path: str, now: float) -> bool:
+        """Tell whether an earlier submission of a job may still be committed.
+
+        Parameters
+        ----------
+        host : str
+            Host of the job.
+        path : str
+            Path of the job.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether it is pending, or its outcome is unknown.
+        """
+        address = f"{host}{path}"
+        return address in self._submissions or self._is_unsettled(address, now)
+
     def _authorize(
         self, item: CallInput, host: str, path: str
     ) -> tuple[DeclaredQueue, DeclaredTeam | None] | Answer:
-        if self._declarations.current is None:
-            detail = "no declaration is in force yet"
-            return refuse(
-                ProblemType.OVERLOADED,
-                Outcome.NOT_RUN,
-                detail,
-                retry_after=RETRY_SECONDS,
-            )
-        queue = self._declarations.find_queue(host, path)
-        if queue is None:
-            detail = f'no queue serves "{host}{path}"'
-            return refuse(ProblemType.NOT_FOUND, Outcome.NOT_RUN, detail)
-        team = self._declarations.find_team(item.credential)
-        if team is None and not queue.public:
-            detail = f'queue "{queue.name}" requires the key of a team'
-            return refuse(ProblemType.UNAUTHENTICATED, Outcome.NOT_RUN, detail)
-        return queue, team
+        return authorize(self._declarations, item.credential, host, path)
 
     def _submit(
         self, item: CallInput, call: SubmitWorkloadCall, now: float
--- a/src/gypsumwalk/fleet_calls.py
+++ b/src/gypsumwalk/fleet_calls.py
@@ -13,6 +13,12 @@
     "DescribeUpkeepCall",
     "DescribeWorkloadCall",
     "EvacuationsAnswer",
+    "ExplainJobCall",
+    "ExplainedJobAnswer",
+    "ExplainedOrder",
+    "ExplainedPlace",
+    "ExplainedPlacement",
+    "ExplainedWait",
     "FinishEvacuationCall",
     "LeaveInstanceCall",
     "ListEvacuationsCall",
@@ -126,6 +132,14 @@
     """Operator's call: list the evacuated data centres."""
 
 
+class ExplainJobCall(msgspec.Struct, frozen=True):
+    """Operator's call: explain where a job would go now, without submitting it."""
+
+    host: str
+    path: str
+    steps: list[Step]
+
+
 class WorkloadAnswer(msgspec.Struct, frozen=True):
     """State of a job."""
 
@@ -154,3 +168,124 @@
     """Names of the evacuated data centres in order."""
 
     data_centres: list[str]
+
+
+class ExplainedPlace(msgspec.Struct, frozen=True):
+    """Tasks that would start on one instance.
+
+    Attributes
+    ----------
+    instance : str
+        The instance.
+    data_centre : str
+        Its data centre.
+    rack : str
+        Its rack, empty if unknown.
+    free_cores : float
+        Free processors before the tasks start, in cores.
+    tasks : int
+        Number of the tasks.
+    """
+
+    instance: str
+    data_centre: str
+    rack: str
+    free_cores: float
+    tasks: int
+
+
+class ExplainedWait(msgspec.Struct, frozen=True):
+    """What tasks wait for.
+
+    Attributes
+    ----------
+    reason : str
+        The reason, a value of ``WaitReason``.
+    instances : int
+        Number of instances that it holds for, 0 if it is not one of instances.
+    detail : str
+        Further explanation, may be empty.
+    """
+
+    reason: str
+    instances: int
+    detail: str
+
+
+class ExplainedPlacement(msgspec.Struct, frozen=True):
+    """Where the tasks of the first step of a job would start.
+
+    Attributes
+    ----------
+    tasks : int
+        Number of the tasks.
+    starting : int
+        Number of those that would start now.
+    places : list of ExplainedPlace
+        Where these would start.
+    waits : list of ExplainedWait
+        What the others wait for.
+    """
+
+    tasks: int
+    starting: int
+    places: list[ExplainedPlace]
+    waits: list[ExplainedWait]
+
+
+class ExplainedOrder(msgspec.Struct, frozen=True):
+    """Place of a job in the order under overload.
+
+    Attributes
+    ----------
+    group : str
+        Its group: selected, dropped, excess, dropped excess, late or expired.
+    is_overloaded : bool
+        Whether the ready work of the pool does not fit, so that the order decides.
+    latest_start : float
+        Seconds from now until the latest start with which it can be on time; negative
+        if that time is over.
+    """
+
+    group: str
+    is_overloaded: bool
+    latest_start: float
+
+
+class ExplainedJobAnswer(msgspec.Struct, frozen=True):
+    """Where a job would go now, and why.
+
+    Attributes
+    ----------
+    queue : str
+        Queue that the declaration in force chooses; empty for none.
+    service : str
+        Service of the queue.
+    team : str
+        Team of the key; empty for none.
+    accepted : bool
+        Whether a submission would be accepted.
+    status : int
+        Status that it would be answered with.
+    reason : str
+        Reason of a refusal, or why nothing would change.
+    retry_after : int
+        Seconds after which a refused caller would be told to return, 0 for no time.
+    placement : ExplainedPlacement or None
+        Where its first step would start; None if the job is never run as described.
+    order : ExplainedOrder or None
+        Its place in the order under overload; None if that does not apply.
+    completion : float or None
+        Predicted seconds from now until it would be done; None if unknown.
+    """
+
+    queue: str = ""
+    service: str = ""
+    team: str = ""
+    accepted: bool = False
+    status: int = 200
+    reason: str = ""
+    retry_after: int = 0
+    placement: ExplainedPlacement | None = None
+    order: ExplainedOrder | None = None
+    completion: float | None = None
--- a/src/gypsumwalk/fleet_refusals.py
+++ b/src/gypsumwalk/fleet_refusals.py
@@ -1,5 +1,7 @@
 """Refusals that the handlers of API calls on a fleet have in common."""
 
+from gypsumwalk.declaration_records import DeclaredQueue, DeclaredTeam
+from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.effects import Answer
 from gypsumwalk.problems import Outcome, ProblemType, refuse
 from gypsumwalk.views import LeadershipView
@@ -8,6 +10,7 @@
     "LEADER_HEADER",
     "PROPOSAL_SECONDS",
     "RETRY_SECONDS",
+    "authorize",
     "make_unknown_answer",
     "redirect_to_leader",
     "refuse_proposal",
@@ -23,6 +26,45 @@
 """Response header with the leader's name, in answers of daemons that do not lead."""
 
 
+def authorize(
+    declarations: DeclarationSection, key: str, host: str, path: str
+) -> tuple[DeclaredQueue, DeclaredTeam | None] | Answer:
+    """Return the queue and the team of a caller's call.
+
+    Parameters
+    ----------
+    declarations : DeclarationSection
+        Declaration in force.
+    key : str
+        Key that the caller presented, empty for none.
+    host : str
+        Host that the caller used.
+    path : str
+        Path that the caller used.
+
+    Returns
+    -------
+    tuple of (DeclaredQueue, DeclaredTeam or None) or Answer
+        Queue and team, None without a known key; or the refusal of the call.
+    """
+    if declarations.current is None:
+        return refuse(
+            ProblemType.OVERLOADED,
+            Outcome.NOT_RUN,
+            "no declaration is in force yet",
+            retry_after=RETRY_SECONDS,
+        )
+    queue = declarations.find_queue(host, path)
+    if queue is None:
+        detail = f'no queue serves "{host}{path}"'
+        return refuse(ProblemType.NOT_FOUND, Outcome.NOT_RUN, detail)
+    team = declarations.find_team(key)
+    if team is None and not queue.public:
+        detail = f'queue "{queue.name}" requires the key of a team'
+        return refuse(ProblemType.UNAUTHENTICATED, Outcome.NOT_RUN, detail)
+    return queue, team
+
+
 def redirect_to_leader(leadership: LeadershipView) -> Answer:
     """Return the answer of a daemon that does not lead, with the leader's name."""
     answer = refuse(
--- a/src/gypsumwalk/overload_order.py
+++ b/src/gypsumwalk/overload_order.py
@@ -1,6 +1,7 @@
 """Order of the waiting jobs of pools whose room does not suffice for them."""
 
 from collections.abc import Callable, Sequence
+from copy import deepcopy
 from dataclasses import dataclass, field
 
 from gypsumwalk.backlog import JobView, RoomView
@@ -16,11 +17,12 @@
     find_arrival_rank,
     select_jobs,
 )
+from gypsumwalk.ordered_backlog import find_completion
 from gypsumwalk.ready_tasks import ReadyJob, ReadyJobs, find_least
 from gypsumwalk.task_placement import CandidatePool, find_need
 from gypsumwalk.workload_records import Workload
 
-__all__ = ["OverloadOrder"]
+__all__ = ["OrderPreview", "OverloadOrder"]
 
 MIN_INTERVAL_SECONDS = 0.02
 """Shortest time between two selections of a pool; a task runs for much longer."""
@@ -58,6 +60,29 @@
     reported_at: float = float("-inf")
 
 
+@dataclass(frozen=True, slots=True)
+class OrderPreview:
+    """Place of a job in the order under overload.
+
+    Attributes
+    ----------
+    group : JobGroup
+        Its group.
+    is_overloaded : bool
+        Whether the ready work does not fit, so that the order decides.
+    latest_start : float
+        Latest time in seconds at which its tasks can start to be on time.
+    completion : float
+        Time in seconds at which its work and that of the jobs before it would be done;
+        infinite without any room.
+    """
+
+    group: JobGroup
+    is_overloaded: bool
+    latest_start: float
+    completion: float
+
+
 class OverloadOrder:
     """Orders the jobs of a pool by a selection while its ready work does not fit.
 
@@ -129,7 +154,51 @@
             keys[name] = rank
         return sorted((job for job, _ in jobs), key=lambda job: keys[job.workload.job])
 
-    def _is_overloaded(self, service: str, pool: CandidatePool) -> bool:
+    def preview(
+        self, job: ReadyJob, queue: DeclaredQueue, pool: CandidatePool, now: float
+    ) -> OrderPreview:
+        """Return the place that a job which is not accepted would have in the order.
+
+        It is that in the next selection. Nothing of this object changes, and no view is
+        kept.
+
+        Parameters
+        ----------
+        job : ReadyJob
+            The job, of a queue whose jobs have views.
+        queue : DeclaredQueue
+            Its queue.
+        pool : CandidatePool
+            Instances that may take tasks.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        OrderPreview
+            The place.
+        """
+        service = queue.service
+        views = self._views.copy()
+        view = views.view_job(job.workload, queue, now)
+        jobs = [*views.list_backlog(service, now), view]
+        room = views.find_room(service, now)
+        state = self._pools.get(service)
+        limits = deepcopy(state.limits) if state is not None else DropLimits()
+        kept = limits.choose_kept(jobs, now)
+        ranks = select_jobs(jobs, room, now, kept=kept).ranks
+        rank = ranks[view.job]
+        ahead = sum(item.work for item in jobs if ranks[item.job] < rank)
+        return OrderPreview(
+            group=JobGroup(rank[1]),
+            is_overloaded=self._is_overloaded(service, pool, job),
+            latest_start=view.latest_start,
+            completion=find_completion(room, ahead + view.work, now),
+        )
+
+    def _is_overloaded(
+        self, service: str, pool: CandidatePool, added: ReadyJob | None = None
+    ) -> bool:
         """Tell whether the ready tasks of a pool need more than it has free."""
         groups = [
             group
@@ -137,7 +206,11 @@
             if self._find_service(group.any_job.workload) == service
         ]
         ready = sum(_sum_ready(job) for group in groups for job in group.jobs.values())
-        least = find_least(group.least for group in groups)
+        needs = [group.least for group in groups]
+        if added is not None:
+            ready += _sum_ready(added)
+            needs.append(added.least)
+        least = find_least(needs)
         return pool.sum_free_cpu(least, ready) < ready
 
     def _select(self, service: str, state: _PoolState, now: float) -> None:
--- a/src/gypsumwalk/placement_limits.py
+++ b/src/gypsumwalk/placement_limits.py
@@ -45,6 +45,11 @@
         kept = self._kept.get(team, Resources())
         return usage_by_team.get(team, Resources()) + kept
 
+    def get_quota(self, team: str) -> Resources:
+        """Return the quota of a team, in which 0 means unlimited."""
+        declared = self._declarations.get_team(team)
+        return declared.quota if declared is not None else Resources()
+
     def has_quota(
         self, team: str, step: Step, usage_by_team: Mapping[str, Resources]
     ) -> bool:
--- a/src/gypsumwalk/run_planning.py
+++ b/src/gypsumwalk/run_planning.py
@@ -57,6 +57,21 @@
         self._avoided: Set[str] = frozenset()
         self._warm_check: _Check | None = None
 
+    def copy(self, has_quota: _QuotaCheck) -> "RunPlanner":
+        """Return a planner with the same advice, which wants none so far.
+
+        Parameters
+        ----------
+        has_quota : Callable
+            As for this planner.
+
+        Returns
+        -------
+        RunPlanner
+            The planner.
+        """
+        return RunPlanner(self._declarations, self._advice, has_quota)
+
     def begin(self, avoided: Set[str], now: float, *, has_cold: bool) -> None:
         """Begin a pass.
 
@@ -108,7 +123,7 @@
             step = workload.steps[tasks[0].step]
             if step.lasting is not lasting or not pool.has_room(find_need(step)):
                 continue
-            is_allowed = self._make_advice_check(workload, tasks[0], now)
+            is_allowed = self.make_advice_check(workload, tasks[0], now)
             plan = self._plan_gang if step.gang else self._plan_tasks
             chosen = plan(workload, tasks, pool, lease_table, is_allowed)
             if len(chosen) == len(tasks):
@@ -119,10 +134,25 @@
             planned += chosen
         return planned
 
-    def _make_advice_check(
+    def make_advice_check(
         self, workload: Workload, task: TaskKey, now: float
     ) -> _Check:
-        """Return a check for a valid ticket; it is always true if none is required."""
+        """Return a check for a valid ticket; it is always true if none is required.
+
+        Parameters
+        ----------
+        workload : Workload
+            The job.
+        task : TaskKey
+            A task of the step.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        Callable
+            Tells whether the task may start on an instance that has the resources.
+        """
         if self._declarations.get_advice(workload.queue) is None:
             return _allow_any
         name = name_step(task.job, task.occurrence, task.step)
--- a/src/gypsumwalk/task_placement.py
+++ b/src/gypsumwalk/task_placement.py
@@ -17,6 +17,7 @@
     "find_need",
     "find_next_occurrence",
     "list_ready",
+    "subtract_free",
 ]
 
 _Entry = tuple[int, int, int]
@@ -442,7 +443,7 @@
         candidate = self._candidates[position]
         candidate.withheld += need
         self._withheld.add(candidate.view.registered.life)
-        self._change(candidate, _subtract_free(candidate.free, need))
+        self._change(candidate, subtract_free(candidate.free, need))
 
     def _pop(self, queue: list[_Share], need: Resources) -> int | None:
         """Return the position of the candidate that lacks least, None if none is left.
@@ -524,8 +525,21 @@
     return latency_sensitive_runs, candidate.free.cpu, position
 
 
-def _subtract_free(free: Resources, need: Resources) -> Resources:
-    """Return what is left of free resources, where 0 is left of those that lack."""
+def subtract_free(free: Resources, need: Resources) -> Resources:
+    """Return what is left of free resources, where 0 is left of those that lack.
+
+    Parameters
+    ----------
+    free : Resources
+        Free resources.
+    need : Resources
+        Resources that are taken or kept.
+
+    Returns
+    -------
+    Resources
+        What is left.
+    """
     return Resources(
         max(0, free.cpu - need.cpu),
         max(0, free.memory - need.memory),
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -15,7 +15,9 @@
 )
 from gypsumwalk.lateness import LatenessPredictor
 from gypsumwalk.leases import UNKNOWN_PERCENT, LeaseTable, RunState, RunView
+from gypsumwalk.overload_order import OrderPreview
 from gypsumwalk.part import NEVER
+from gypsumwalk.placement_forecast import PoolSnapshot
 from gypsumwalk.placement_limits import SpreadLimit, TeamQuotas, is_within_quota
 from gypsumwalk.pool_demands import DemandCounter, IsDeferred
 from gypsumwalk.pooling import PoolDemand
@@ -347,6 +349,69 @@
             workload, service, lease_table, closed, now, is_trial=is_trial
         )
 
+    def read_pool(self, service: str, lease_table: LeaseTable) -> PoolSnapshot:
+        """Return what placements in the pool of a service depend on.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        lease_table : LeaseTable
+            Instances and the runs that may be going on there.
+
+        Returns
+        -------
+        PoolSnapshot
+            Views for reading, and copies of what a pass changes.
+        """
+        quotas = self._quotas.copy()
+        return PoolSnapshot(
+            instances=[
+                view
+                for view in lease_table.instances.values()
+                if view.registered.service == service
+            ],
+            withheld=self._lister.find_withheld(service),
+            cordoned=self.cordoned,
+            moving=self.changing_pool | self.released,
+            due_for_maintenance=self.due_for_maintenance,
+            usage_by_team=lease_table.usage_by_team,
+            quotas=quotas,
+            planner=self._planner.copy(quotas.has_quota),
+        )
+
+    def preview_order(
+        self, workload: Workload, pool: CandidatePool, now: float
+    ) -> OrderPreview | None:
+        """Return the place of a job that is not accepted in the order under overload.
+
+        Parameters
+        ----------
+        workload : Workload
+            The job, due now.
+        pool : CandidatePool
+            Candidates of its service, apart from those that the passes keep.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        OrderPreview or None
+            The place; None if its queue has no objective or no known durations, or if
+            it is lasting or recurring, so that the order does not apply.
+        """
+        queue = self._declarations.get_queue(workload.queue)
+        job = make_ready_job(workload, list_ready(workload, LeaseTable(), now))
+        if queue is None or job is None or job.path.is_open_ended:
+            return None
+        if not self.backlog.can_view(queue):
+            return None
+        return self._order.overload.preview(job, queue, pool, now)
+
+    def predict_job(self, workload: Workload) -> float:
+        """Return the predicted duration of a job without waits in seconds, or 0."""
+        return self._urgency.predict_job(workload)
+
     def record_duration(self, task: TaskKey, seconds: float) -> None:
         """Record the duration of a task in the statistics of its queue."""
         workload = self._workloads.jobs.get(task.job)
--- a/src/gypsumwalk/urgency.py
+++ b/src/gypsumwalk/urgency.py
@@ -254,6 +254,13 @@
         total, _ = self._predict(workload, find_critical_path(workload))
         return (queue.stretch - 1) * total + queue.objective
 
+    def predict_job(self, workload: Workload) -> float:
+        """Return the predicted duration of a job without waits, in seconds.
+
+        It is 0 if neither estimates nor durations of its queue are known.
+        """
+        return self._predict(workload, find_critical_path(workload))[0]
+
     def _predict(self, workload: Workload, path: CriticalPath) -> tuple[float, float]:
         """Return the duration of the critical path in seconds, total and remaining."""
         if path.total_estimate is None:
