Test and describe the explanation of a job

A pool without waiting jobs has instances that the passes have not followed yet, so the preview of the order takes those of the lease table. A dropped job is predicted as one that becomes late, as admission does it; its completion contradicted the refusal before.

--- a/src/gypsumwalk/backlog_views.py
+++ b/src/gypsumwalk/backlog_views.py
@@ -79,12 +79,28 @@
         self._running: dict[str, dict[str, _RunningJob]] = {}
         """Jobs without ready tasks, by service and identifier."""
 
-    def copy(self) -> "BacklogViews":
+    def copy(
+        self,
+        list_instances: Callable[[str], Iterable[InstanceView]] | None = None,
+    ) -> "BacklogViews":
         """Return a copy for reading, which keeps its views of the jobs to itself.
 
         What was learned is shared, as views of jobs and pools do not change it.
+
+        Parameters
+        ----------
+        list_instances : Callable, optional
+            Returns the instances of a service that may take tasks; by default those of
+            the latest pass.
+
+        Returns
+        -------
+        BacklogViews
+            The copy.
         """
         copied = copy(self)
+        if list_instances is not None:
+            copied._list_instances = list_instances
         copied._waiting = self._waiting.copy()
         copied._running = dict(self._running)
         return copied
--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -222,6 +222,11 @@
         self._orders.begin_term(0)
         self._modules.clear()
 
+    @property
+    def is_late(self) -> bool:
+        """Whether the event loop is so late that optional work is shed."""
+        return self._context.is_late
+
     def request_scheduling_pass(self, now: float) -> None:
         """Schedule a pass over the ready tasks after a short batching delay."""
         self._passes.request(now, is_late=self._context.is_late)
--- a/src/gypsumwalk/drivers/commands_forecast.py
+++ b/src/gypsumwalk/drivers/commands_forecast.py
@@ -141,6 +141,10 @@
     return f"{text}: {wait['detail']}" if wait["detail"] else text
 
 
+def _describe_time(seconds: float) -> str:
+    return f"{-seconds:.1f} s ago" if seconds < 0 else f"in {seconds:.1f} s"
+
+
 def _describe_order(
     order: Mapping[str, Any] | None, completion: float | None
 ) -> list[str]:
@@ -149,7 +153,7 @@
         state = "" if order["is_overloaded"] else ", the pool is not overloaded"
         lines = [
             f"order under overload: {order['group']}{state}",
-            f"latest start: in {order['latest_start']:.1f} s",
+            f"latest start: {_describe_time(order['latest_start'])}",
         ]
     if completion is None:
         return [*lines, "done: unknown"]
--- a/src/gypsumwalk/job_explainer.py
+++ b/src/gypsumwalk/job_explainer.py
@@ -16,7 +16,7 @@
     ExplainJobCall,
     SubmitWorkloadCall,
 )
-from gypsumwalk.fleet_refusals import authorize, redirect_to_leader
+from gypsumwalk.fleet_refusals import RETRY_SECONDS, authorize, redirect_to_leader
 from gypsumwalk.inputs import CallInput, Input
 from gypsumwalk.job_forecast import JobForecast, JobForecaster
 from gypsumwalk.overload_order import OrderPreview
@@ -79,6 +79,14 @@
             return []
         if not self._leadership.holds_lease(now):
             return [Respond(item.call_id, redirect_to_leader(self._leadership))]
+        if not self._forecaster.is_ready:
+            refusal = refuse(
+                ProblemType.OVERLOADED,
+                Outcome.NOT_RUN,
+                "the leader has just begun, or is late with its work",
+                retry_after=RETRY_SECONDS,
+            )
+            return [Respond(item.call_id, refusal)]
         return [Respond(item.call_id, self._explain(item.body, item.credential, now))]
 
     def advance(self, now: float) -> Sequence[Effect]:
--- a/src/gypsumwalk/job_forecast.py
+++ b/src/gypsumwalk/job_forecast.py
@@ -71,6 +71,14 @@
         self._submission_control = submission_control
         self._may_be_stored = may_be_stored
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether this daemon has taken over as the leader, and has time to spare.
+
+        A forecast costs about as much as the order of an overloaded pool.
+        """
+        return self._dispatcher.term > 0 and not self._dispatcher.is_late
+
     def forecast(
         self,
         workload: Workload,
--- a/src/gypsumwalk/overload_order.py
+++ b/src/gypsumwalk/overload_order.py
@@ -17,7 +17,7 @@
     find_arrival_rank,
     select_jobs,
 )
-from gypsumwalk.ordered_backlog import find_completion
+from gypsumwalk.ordered_backlog import OrderedBacklog, find_completion
 from gypsumwalk.ready_tasks import ReadyJob, ReadyJobs, find_least
 from gypsumwalk.task_placement import CandidatePool, find_need
 from gypsumwalk.workload_records import Workload
@@ -179,18 +179,26 @@
             The place.
         """
         service = queue.service
-        views = self._views.copy()
+        # The passes may not have followed the instances of a pool without waiting jobs.
+        views = self._views.copy(lambda _: pool.list_views())
         view = views.view_job(job.workload, queue, now)
-        jobs = [*views.list_backlog(service, now), view]
+        backlog = views.list_backlog(service, now)
+        jobs = [*backlog, view]
         room = views.find_room(service, now)
         state = self._pools.get(service)
         limits = deepcopy(state.limits) if state is not None else DropLimits()
         kept = limits.choose_kept(jobs, now)
         ranks = select_jobs(jobs, room, now, kept=kept).ranks
         rank = ranks[view.job]
-        ahead = sum(item.work for item in jobs if ranks[item.job] < rank)
+        group = JobGroup(rank[1])
+        if group in (JobGroup.SELECTED, JobGroup.EXCESS, JobGroup.EXPIRED):
+            ahead = sum(item.work for item in jobs if ranks[item.job] < rank)
+        else:
+            # A dropped job is taken to become late, as admission does.
+            ordered = OrderedBacklog(backlog, room, now)
+            ahead = ordered.sum_work_before_late(view, 0.0)
         return OrderPreview(
-            group=JobGroup(rank[1]),
+            group=group,
             is_overloaded=self._is_overloaded(service, pool, job),
             latest_start=view.latest_start,
             completion=find_completion(room, ahead + view.work, now),
--- a/src/gypsumwalk/run_planning.py
+++ b/src/gypsumwalk/run_planning.py
@@ -155,6 +155,9 @@
         """
         if self._declarations.get_advice(workload.queue) is None:
             return _allow_any
+        return self._make_ticket_check(task, now)
+
+    def _make_ticket_check(self, task: TaskKey, now: float) -> _Check:
         name = name_step(task.job, task.occurrence, task.step)
 
         def has_ticket(item: Candidate) -> bool:
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -7,14 +7,25 @@
 from pathlib import Path
 from unittest import mock
 
+import msgspec
+
 from gypsumwalk.assembly import ENDPOINTS
+from gypsumwalk.declaration_records import Resources
 from gypsumwalk.endpoints import EndpointTable
 from gypsumwalk.evacuation_handler import EVACUATION_ENDPOINTS
 from gypsumwalk.fleet_calls import (
+    ExplainedJobAnswer,
+    ExplainedOrder,
+    ExplainedPlace,
+    ExplainedPlacement,
+    ExplainedWait,
+    ExplainJobCall,
     FinishEvacuationCall,
     ListEvacuationsCall,
     StartEvacuationCall,
 )
+from gypsumwalk.job_explainer import JOB_EXPLAINER_ENDPOINTS
+from gypsumwalk.workload_records import Step
 from tests._stub_daemon import make_problem, run_stub
 from tests.test_command import run
 
@@ -77,6 +88,78 @@
             match = table.match(method, path)
             assert match.decode(headers={}, query={}, body=b"") == call
 
+    def make_explained(self, **fields):
+        return msgspec.to_builtins(ExplainedJobAnswer("q", "s", "t", **fields))
+
+    def explain_job(self, steps, *flags):
+        self.write("job.json", steps if isinstance(steps, str) else json.dumps(steps))
+        path = str(self.folder / "job.json")
+        address = ("--host", "jobs.example", "--path", "/a/17")
+        return run("explain-job", *address, "--steps", path, *flags)
+
+    def test_a_job_is_explained_without_its_key_in_the_call(self):
+        placement = ExplainedPlacement(
+            3,
+            2,
+            [ExplainedPlace("i-1", "recife", "rack-1", 8.0, 2)],
+            [ExplainedWait("quota", 0, "used up"), ExplainedWait("wave", 2, "")],
+        )
+        answer = self.make_explained(
+            accepted=True,
+            placement=placement,
+            order=ExplainedOrder("late", False, -0.7),
+            completion=1.5,
+        )
+        self.answer("POST", "/v1/workloads/explain", answer)
+        steps = [{"count": 3, "need": {"cpu": 1000, "memory": 10}, "estimate": 0.5}]
+        code, out, err = self.explain_job(steps)
+        assert (code, err) == (0, "")
+        assert out.splitlines() == [
+            "queue: q",
+            "service: s",
+            "team: t",
+            "call: accepted",
+            "first step: 2 of 3 tasks would start now",
+            "  instance  data_centre  rack    free_cores  tasks",
+            "  i-1       recife       rack-1  8.0         2",
+            "1 tasks would wait for:",
+            "  quota: used up",
+            "  wave, 2 instances",
+            "order under overload: late, the pool is not overloaded",
+            "latest start: 0.7 s ago",
+            "done: in 1.5 s",
+        ]
+        method, path, content, key = self.stub.calls[-1]
+        assert key == "Bearer k1"
+        assert b"k1" not in content and "k1" not in path
+        match = EndpointTable(JOB_EXPLAINER_ENDPOINTS).match(method, path)
+        call = match.decode(headers={}, query={}, body=content)
+        need = Resources(1000, 10)
+        assert call == ExplainJobCall("jobs.example", "/a/17", [Step(3, need, 0.5)])
+
+    def test_a_refusal_of_a_job_is_explained(self):
+        answer = self.make_explained(status=503, reason="too much", retry_after=4)
+        self.answer("POST", "/v1/workloads/explain", answer)
+        code, out, _ = self.explain_job([{"count": 1}])
+        assert code == 0
+        expected = "call: refused with status 503, return after 4 s: too much"
+        assert out.splitlines()[3:] == [expected]
+        code, out, _ = self.explain_job([{"count": 1}], "--json")
+        assert (code, json.loads(out)) == (0, answer)
+
+    # Guards against a misspelt field that is ignored, so that the explanation is wrong.
+    def test_steps_that_are_not_valid_are_refused_before_the_call(self):
+        for steps, expected in (
+            ([{"count": 1, "cores": 2}], "unknown field cores"),
+            ([{"count": 1, "need": {"cores": 2}}], "unknown field need.cores"),
+            ([{"count": 0}], "expected at least 1"),
+            ([], "at least one step"),
+            ("{", "a JSON array of steps"),
+        ):
+            code, _, err = self.explain_job(steps)
+            assert (code, expected in err) == (2, True), err
+        assert not self.stub.calls
+
     # Guards against a path that names another call.
     def test_a_data_centre_that_is_no_name_is_refused(self):
         code, _, err = run("evacuate", "a/b")
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -9,6 +9,7 @@
 import time
 import unittest
 from pathlib import Path
+from unittest import mock
 
 import urllib3
 from cheroot.wsgi import Server
@@ -212,6 +213,7 @@
         self.await_status(200, "POST", CALLER, job, HEADERS)
         threading.Event().wait(0.5)
         assert instance.started == []
+        self.check_explanation(flags)
         code, out, err = run("end-evacuation", "dc", *flags, "--json")
         assert (code, json.loads(out)) == (0, {"data_centres": []}), err
         self.await_completion()
@@ -219,6 +221,26 @@
         assert code == 4
         assert '"none" does not exist' in err
 
+    def check_explanation(self, flags):
+        """Check that a job which is not sent is said to wait for the evacuation."""
+        steps = self.folder / "steps.json"
+        steps.write_text('[{"count": 2, "need": {"cpu": 500}}]')
+        job = ("--host", "jobs.example", "--path", "/a/17", "--steps", str(steps))
+        with mock.patch.dict(os.environ, {"GYPSUMWALK_KEY": "key"}):
+            code, out, err = run("explain-job", *job, *flags, "--json")
+        assert code == 0, err
+        answer = json.loads(out)
+        chosen = (answer["queue"], answer["service"], answer["team"])
+        assert chosen == ("r", "s", "t")
+        assert answer["accepted"]
+        waits = [
+            {"reason": "evacuated data centre", "instances": 1, "detail": "dc"},
+        ]
+        placement = {"tasks": 2, "starting": 0, "places": [], "waits": waits}
+        assert answer["placement"] == placement
+        code, out, err = run("explain-job", *job, *flags)
+        assert (code, "requires the key of a team" in out) == (0, True), err
+
 
 if __name__ == "__main__":
     unittest.main()
