Make the tests of unchanged state see each kept copy

Of ten mutations that let a forecast work on the state of the leader itself, four were not found: the cached views were still valid, no machine list was new, no change of an instance was pending, and no task would have started. All four are found now.

--- a/tests/test_job_explainer.py
+++ b/tests/test_job_explainer.py
@@ -2,7 +2,6 @@
 
 import unittest
 from copy import deepcopy
-from types import SimpleNamespace
 
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.fleet_calls import ExplainJobCall
@@ -99,13 +98,12 @@
     return backlog.work, list(backlog._on_time), list(backlog._late)
 
 
-def explain(world, call, *, key=KEY):
-    """Give a call to the leader directly, and return its answer."""
+def explain(world, call, *, delay):
+    """Give a call to the leader directly, as if some seconds had passed."""
     leader = world.get_leader()
     clock = world.daemons[world.find_leader()].read_clock(world.now)
-    item = SimpleNamespace(call_id=1, body=call, credential=key)
     part = leader.node._by_name["job-explainer"]
-    return part._explain(item.body, key, clock)
+    return part._explain(call, KEY, clock + delay)
 
 
 class TestAnswers(unittest.TestCase):
@@ -239,7 +237,10 @@
         assert before["admitted"] and before["rates"][0] and before["runs"]
         for steps in (SMALL, LARGE, [Step(2, NEED, lasting=True)], [Step(90, NEED)]):
             for job in ("x", "small-003", "large-019"):
-                explain(self.world, make_call(job, steps))
+                # The cached orders and views are valid at first, and then not any more.
+                for delay in (0.0, 0.1, 1.0):
+                    answer = explain(self.world, make_call(job, steps), delay=delay)
+                    assert answer.status == 200
         assert list_leader_state(leader) == before
 
 
--- a/tests/test_placement_forecast.py
+++ b/tests/test_placement_forecast.py
@@ -292,7 +292,12 @@
 class TestState(unittest.TestCase):
     # Guards against a forecast that takes room, quota or advice from waiting tasks.
     def test_a_forecast_changes_nothing(self):
-        pool = Pool(quota=Resources(15000, 0, 0), advice=POLICY)
+        for advice in (None, POLICY):
+            with self.subTest(advice=advice):
+                self.check_that_nothing_changes(advice)
+
+    def check_that_nothing_changes(self, advice):
+        pool = Pool(quota=Resources(40000, 0, 0), advice=advice)
         pool.submit("lasting", Step(1, Resources(7000, 1), lasting=True))
         pool.submit("waiting", Step(4, NEED))
         pool.plan()
--- a/tests/test_submission_control.py
+++ b/tests/test_submission_control.py
@@ -122,13 +122,17 @@
         self.learn_durations(MIN_KNOWN_DURATIONS)
         self.control.observe_term(NOW - 60)
 
-    def add_full_instance(self):
+    def add_instance(self, name, service):
         registered = RegisteredInstance(
-            "i", 1, "s", "host:80", "dc", CAPACITY, ["disk"], "m-0"
+            name, 1, service, f"{name}:80", "dc", CAPACITY, ["disk"], "m-0"
         )
         self.workloads.apply(RegisterInstance(registered), 1, NOW)
         view = InstanceView(registered, answered_at=NOW)
         self.table.instances[registered.life] = view
+        return registered
+
+    def add_full_instance(self):
+        registered = self.add_instance("i", "s")
         key = TaskKey("running", 0, 0, 0)
         run = RunView(key, 1, registered.life, CAPACITY, "", CAPACITY, RunState.RUNNING)
         self.table.add(run)
@@ -252,7 +256,12 @@
             desk = Desk(backlog=backlog)
             desk.directory.list_machine()
             desk.submit("other")
+            # What has changed since the latest decision is not followed by a preview.
+            desk.directory.list_machine()
+            desk.add_instance("j", "spare")
             before = self.list_state(desk)
+            # The candidates are looked at for jobs that the load does not admit.
+            assert bool(before[-2]) is (backlog == 100.0)
             for number in range(5):
                 self.preview(desk, f"job-{number}", now=NOW + number)
             self.preview(desk, "other", now=NOW + 3)
