Test that the key of an explained job is not logged

A key in the log of a daemon could be used by everyone who reads the log. The test with a running daemon looks for an unknown key in the answer and in the log.

--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -238,8 +238,12 @@
         ]
         placement = {"tasks": 2, "starting": 0, "places": [], "waits": waits}
         assert answer["placement"] == placement
-        code, out, err = run("explain-job", *job, *flags)
+        # A key that is not valid here may be valid elsewhere, so it is not logged.
+        with mock.patch.dict(os.environ, {"GYPSUMWALK_KEY": "an-unknown-key"}):
+            code, out, err = run("explain-job", *job, *flags)
         assert (code, "requires the key of a team" in out) == (0, True), err
+        assert "an-unknown-key" not in out
+        assert b"an-unknown-key" not in (self.folder / "control.log").read_bytes()
 
 
 if __name__ == "__main__":
