Size the pools once for their report and their history

Cause: the sizes of pools were computed twice from the same machines and demands, for the event of sizes and for the history of a burst, every 0.2 s. Change: both read one result; nothing else changes. The sizes before the late work is known, and those of the planned moves, have other inputs and stay.

--- a/src/gypsumwalk/pool_scaling_controller.py
+++ b/src/gypsumwalk/pool_scaling_controller.py
@@ -19,6 +19,7 @@
 from gypsumwalk.pool_size_history import PoolSizeHistory
 from gypsumwalk.pooling import (
     MachineMove,
+    Pool,
     PoolDemand,
     PoolMachine,
     plan_moves,
@@ -161,9 +162,10 @@
                     job, now, path
                 ),
             )
-        effects = self._report_sizes(machines, demands, standby, now)
-        for name, pool in size_pools(machines, demands, standby).items():
+        pools = size_pools(machines, demands, standby)
+        for name, pool in pools.items():
             self._sizes.record(name, pool.desired, now)
+        effects = self._report_sizes(pools, demands, now)
         moves = plan_moves(machines, demands, standby, now)
         effects += self._propose_moves(moves, now)
         released = plan_releases(machines, demands, standby)
@@ -171,17 +173,13 @@
         return effects
 
     def _report_sizes(
-        self,
-        machines: Sequence[PoolMachine],
-        demands: dict[str, PoolDemand],
-        standby: str,
-        now: float,
+        self, pools: dict[str, Pool], demands: dict[str, PoolDemand], now: float
     ) -> list[Effect]:
         if now - self._sizes_reported_at < REPORT_SECONDS:
             return []
         self._sizes_reported_at = now
         effects: list[Effect] = []
-        for name, pool in size_pools(machines, demands, standby).items():
+        for name, pool in pools.items():
             idle = sum(item.idle_since < NEVER for item in pool.machines)
             demand = demands.get(name, PoolDemand())
             attributes: dict[str, Scalar] = {
