Log which life answers an order, and the runs that its next life may have

Cause: the logs of an instance that starts again under its old identifier don't tell whether a start was answered, by which life, when its lease was extended last, or why a task was started elsewhere. Change: event 5028 for an answer of another life, by the life that it names or by its clock, with the age of the latest lease and the acknowledged ends; 5029 for a run that the next life may have; 5030 for one that is stopped there; a reason of its own for a run that is given up after the wait. An open order keeps the reading of the clock that was known as it was sent. No decision changes.

--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -271,6 +271,23 @@
     INSTANCE_RETURNED = EventEntry(
         5026, Level.WARNING, "the removed life answers at {address} and is registered"
     )
+    ANSWER_OF_OTHER_LIFE = EventEntry(
+        5028,
+        Level.WARNING,
+        "a {order} was answered by another life, born {born} (0: not named), whose"
+        " clock reads {clock} ms where {expected} ms or a little more is expected; the"
+        " latest lease was sent {lease_age} s ago, and ends up to {acknowledged} are"
+        " acknowledged",
+    )
+    RUN_ORPHANED = EventEntry(
+        5029,
+        Level.INFO,
+        "run {run} on {life} may go on in the next life: {starts} starts have no"
+        " answer of that life, the latest is {age} s old",
+    )
+    RUN_ADOPTED = EventEntry(
+        5030, Level.INFO, "run {run} may have begun on the next life {life}: stop it"
+    )
     IDLE_RENEWALS_PAUSED = EventEntry(
         5090,
         Level.WARNING,
--- a/src/gypsumwalk/instance_departures.py
+++ b/src/gypsumwalk/instance_departures.py
@@ -13,6 +13,7 @@
 __all__ = ["InstanceDepartures"]
 
 ENDED_REASON = "its instance has ended"
+EXPIRED_REASON = "its instance has ended, and no later life can have it any more"
 
 
 class InstanceDepartures:
@@ -133,8 +134,9 @@
 
     def _end_with_instance(self, runs: Iterable[RunView], now: float) -> list[Effect]:
         """End runs of ended instances, unless the next life may carry them out."""
-        ended = self._orphans.separate(runs, now)
+        ended, kept = self._orphans.separate(runs, now)
         effects = self._context.end_as_lost(ended, ENDED_REASON)
+        effects += [_describe_orphan(run, now) for run in kept]
         return effects + self._check_orphans(now)
 
     def check(self, now: float) -> list[Effect]:
@@ -148,9 +150,11 @@
         lease_table = self._context.lease_table
         find_latest_life = self._context.workloads.find_latest_life
         for run in self._orphans.adopt(lease_table, find_latest_life):
+            attributes: dict[str, Scalar] = {"run": run.run, "life": run.life}
+            effects.append(Record(Event.RUN_ADOPTED, str(run.task), attributes))
             effects += self._stop(run, now)
         ended = self._orphans.take_ended(lease_table, now)
-        return effects + self._context.end_as_lost(ended, ENDED_REASON)
+        return effects + self._context.end_as_lost(ended, EXPIRED_REASON)
 
     def remove_replaced(self, view: InstanceView) -> list[Effect]:
         """Propose the removal of a life in whose place another instance answers."""
@@ -164,3 +168,13 @@
     def take_removed(self, token: str) -> str:
         """Remove and return the life whose removal was proposed, or an empty string."""
         return self._removal_proposals.pop(token, "")
+
+
+def _describe_orphan(run: RunView, now: float) -> Record:
+    attributes: dict[str, Scalar] = {
+        "run": run.run,
+        "life": run.life,
+        "starts": run.unanswered_starts,
+        "age": round(now - run.start_sent_at, 3),
+    }
+    return Record(Event.RUN_ORPHANED, str(run.task), attributes)
--- a/src/gypsumwalk/job_history.py
+++ b/src/gypsumwalk/job_history.py
@@ -25,6 +25,7 @@
         Event.INSTANCE_READ,
         Event.INSTANCE_DOWN,
         Event.RUNS_LOST,
+        Event.ANSWER_OF_OTHER_LIFE,
         Event.FLEET_FENCED,
     )
 )
--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -5,10 +5,14 @@
 from enum import StrEnum
 
 from gypsumwalk.declaration_records import Resources
+from gypsumwalk.life_clocks import (
+    CLOCK_RATE_ERROR,
+    MILLISECONDS_PER_SECOND,
+    ClockReading,
+)
 from gypsumwalk.workload_records import RegisteredInstance, TaskKey
 
 __all__ = [
-    "CLOCK_RATE_ERROR",
     "UNKNOWN_PERCENT",
     "InstanceTable",
     "InstanceView",
@@ -17,11 +21,6 @@
     "RunView",
 ]
 
-CLOCK_RATE_ERROR = 0.02
-"""Largest relative rate error of an instance's clock, as the platform states."""
-
-MILLISECONDS_PER_SECOND = 1000
-
 UNKNOWN_PERCENT = -1
 """Share of full speed of a run whose latest order is not known."""
 
@@ -184,12 +183,12 @@
     runs : dict
         Runs that may be going on there, by ``RunView.key``. Only ``add_run`` and
         ``remove_run`` change it.
-    clock : int
-        Latest reading of its clock in milliseconds, 0 before the first.
-    clock_at : float
-        Time in seconds at which that reading arrived.
+    reading : ClockReading or None
+        Latest reading of its clock, None before the first.
     lease_until : int
         Latest expiry of a lease granted, on the instance's clock, in milliseconds.
+    lease_sent_at : float
+        Time in seconds of the latest order that extended the lease, 0 before.
     min_lease_expiry : float
         Time in seconds until which leases of earlier leaders may be valid.
     acknowledged : int
@@ -227,9 +226,9 @@
     evacuated: AbstractSet[str] = frozenset()
     fence: int = 0
     runs: dict[tuple[str, int], RunView] = field(default_factory=dict)
-    clock: int = 0
-    clock_at: float = 0.0
+    reading: ClockReading | None = None
     lease_until: int = 0
+    lease_sent_at: float = 0.0
     min_lease_expiry: float = 0.0
     acknowledged: int = 0
     is_renewal_pending: bool = False
@@ -344,22 +343,21 @@
             and now >= self.late_start_until
         )
 
-    def update_clock(self, clock: int, now: float) -> None:
+    def update_clock(self, reading: ClockReading) -> None:
         """Store a reading of the instance's clock unless it is below the last one."""
-        if clock >= self.clock:
-            self.clock, self.clock_at = clock, now
+        if self.reading is None or reading.value >= self.reading.value:
+            self.reading = reading
 
     def estimate_clock(self, now: float) -> int:
         """Return a lower bound of the instance's clock, in milliseconds."""
-        elapsed = (now - self.clock_at) * (1 - CLOCK_RATE_ERROR)
-        return self.clock + int(elapsed * MILLISECONDS_PER_SECOND)
+        return self.reading.find_earliest(now) if self.reading else 0
 
     def find_lease_expiry(self) -> float:
         """Return the time in seconds by which every lease granted has expired."""
-        if not self.clock:
+        if self.reading is None:
             return self.min_lease_expiry
-        remaining = (self.lease_until - self.clock) / MILLISECONDS_PER_SECOND
-        expiry = self.clock_at + remaining / (1 - CLOCK_RATE_ERROR)
+        remaining = (self.lease_until - self.reading.value) / MILLISECONDS_PER_SECOND
+        expiry = self.reading.received_at + remaining / (1 - CLOCK_RATE_ERROR)
         return max(expiry, self.min_lease_expiry)
 
 
--- a/src/gypsumwalk/orphaned_runs.py
+++ b/src/gypsumwalk/orphaned_runs.py
@@ -7,7 +7,8 @@
 
 from collections.abc import Callable, Iterable
 
-from gypsumwalk.leases import CLOCK_RATE_ERROR, LeaseTable, RunState, RunView
+from gypsumwalk.leases import LeaseTable, RunState, RunView
+from gypsumwalk.life_clocks import CLOCK_RATE_ERROR
 from gypsumwalk.workload_records import RegisteredInstance, split_life
 
 __all__ = ["LATE_ORDER_SECONDS", "OrphanedRuns"]
@@ -87,8 +88,10 @@
         longest = max(self._lifetime, LATE_ORDER_SECONDS)
         return max(run.late_start_until, run.start_sent_at + longest)
 
-    def separate(self, ended: Iterable[RunView], now: float) -> list[RunView]:
-        """Keep the runs that may go on in the next life, and return the others.
+    def separate(
+        self, ended: Iterable[RunView], now: float
+    ) -> tuple[list[RunView], list[RunView]]:
+        """Keep the runs that may go on in the next life.
 
         Parameters
         ----------
@@ -101,8 +104,10 @@
         -------
         list of RunView
             Runs that have certainly ended, or never begin.
+        list of RunView
+            Runs that are kept.
         """
-        certain = []
+        certain, kept = [], []
         for run in ended:
             is_late = now < run.late_start_until and not run.is_settled
             if run.has_departed:
@@ -110,10 +115,11 @@
             if run.state is RunState.ENDING:
                 continue
             if is_late or self.may_have_begun(run, now):
-                self._runs.append(run)
+                kept.append(run)
             else:
                 certain.append(run)
-        return certain
+        self._runs += kept
+        return certain, kept
 
     def adopt(
         self,
--- a/src/gypsumwalk/outcomes.py
+++ b/src/gypsumwalk/outcomes.py
@@ -1,12 +1,17 @@
 """Outcomes of calls and proposals of the dispatcher, passed on to its modules."""
 
+import msgspec
+
+from gypsumwalk.answer_origins import AnswerOrigin, find_origin
 from gypsumwalk.dispatch_context import DispatchContext
-from gypsumwalk.effects import Effect
+from gypsumwalk.effects import Effect, Record, Scalar
+from gypsumwalk.events import Event
 from gypsumwalk.inputs import PlatformOutcome, ProposalOutcome, ProposalStatus
 from gypsumwalk.instance_actions import InstanceReport, OrderReport
 from gypsumwalk.instance_departures import InstanceDepartures
 from gypsumwalk.instance_orders import OpenOrder, OrderKind
-from gypsumwalk.leases import RunView
+from gypsumwalk.leases import InstanceView, RunView
+from gypsumwalk.life_clocks import ClockReading
 from gypsumwalk.order_delivery import OrderDelivery, note_start_outcome
 from gypsumwalk.part import NEVER
 from gypsumwalk.pass_schedule import PassSchedule
@@ -92,13 +97,36 @@
             return []
         report = item.report
         if isinstance(report, InstanceReport | OrderReport):
-            is_same_life = report.born in (0, view.registered.born)
-            if report.refused == "identity" or not is_same_life:
-                return self._departures.remove_replaced(view)
-            if report.refused == "fence":
-                return self._renewals.handle_fenced(view, order, now)
-            if report.clock:
-                view.update_clock(report.clock, now)
+            return self._handle_report(view, order, report, now)
+        return self._pass_on(view, order, report, now)
+
+    def _handle_report(
+        self,
+        view: InstanceView,
+        order: OpenOrder,
+        report: InstanceReport | OrderReport,
+        now: float,
+    ) -> list[Effect]:
+        """Process the answer of an instance, possibly of another life of it."""
+        effects: list[Effect] = []
+        if find_origin(order, report, now) is AnswerOrigin.OTHER_LIFE:
+            effects.append(_describe_other_life(view, order, report, now))
+        is_same_life = report.born in (0, view.registered.born)
+        if report.refused == "identity" or not is_same_life:
+            return effects + self._departures.remove_replaced(view)
+        if report.refused == "fence":
+            return effects + self._renewals.handle_fenced(view, order, now)
+        if report.clock:
+            view.update_clock(ClockReading(report.clock, order.sent_at, now))
+        return effects + self._pass_on(view, order, report, now)
+
+    def _pass_on(
+        self,
+        view: InstanceView,
+        order: OpenOrder,
+        report: msgspec.Struct | None,
+        now: float,
+    ) -> list[Effect]:
         if order.kind is OrderKind.RENEW:
             return self._renewals.handle_answer(view, order, report, now)
         if isinstance(report, InstanceReport):
@@ -150,3 +178,22 @@
             self.request_proposals(now)
             return []
         return self._ends.propose_again() + self._placements.propose_barrier()
+
+
+def _describe_other_life(
+    view: InstanceView,
+    order: OpenOrder,
+    report: InstanceReport | OrderReport,
+    now: float,
+) -> Record:
+    attributes: dict[str, Scalar] = {
+        "order": order.kind.value,
+        "task": str(order.run.task) if order.run is not None else "",
+        "run": order.run.run if order.run is not None else 0,
+        "born": report.born,
+        "clock": report.clock,
+        "expected": order.reading.find_earliest(order.sent_at) if order.reading else 0,
+        "lease_age": round(now - view.lease_sent_at, 3),
+        "acknowledged": view.acknowledged,
+    }
+    return Record(Event.ANSWER_OF_OTHER_LIFE, view.registered.life, attributes)
--- a/src/gypsumwalk/run_ends.py
+++ b/src/gypsumwalk/run_ends.py
@@ -78,7 +78,7 @@
         effects: list[Effect] = []
         if self._context.is_leading(now):
             for task, run in reconciled.unknown_runs:
-                effects += self._context.orders.stop_unknown(view, task, run)
+                effects += self._context.orders.stop_unknown(view, task, run, now)
         if not reconciled.ends and not reconciled.last_end:
             return effects
         for end in reconciled.ends:
--- a/src/gypsumwalk/run_orders.py
+++ b/src/gypsumwalk/run_orders.py
@@ -10,7 +10,8 @@
 from gypsumwalk.events import Event
 from gypsumwalk.instance_actions import RenewLease, StartRun, StopRun
 from gypsumwalk.instance_orders import OpenOrder, OrderKind, OrderTable
-from gypsumwalk.leases import CLOCK_RATE_ERROR, InstanceView, RunView
+from gypsumwalk.leases import InstanceView, RunView
+from gypsumwalk.life_clocks import CLOCK_RATE_ERROR, MILLISECONDS_PER_SECOND
 from gypsumwalk.workload_records import RegisteredInstance
 from gypsumwalk.workloads import WorkloadSection
 
@@ -41,8 +42,6 @@
 LIVES_PER_TERM = 1 << 32
 """Lives of instances that have a fence of their own within one term."""
 
-MILLISECONDS_PER_SECOND = 1000
-
 
 class RunOrders:
     """Sends orders to instances, and records their possible effects in the views.
@@ -157,7 +156,7 @@
         run.probes = 0
         run.unanswered_starts += 1
         run.start_sent_at = now
-        order = OpenOrder(OrderKind.START, run.life, now, view.fence, run)
+        order = _open_order(OrderKind.START, view, now, run)
         attributes: dict[str, Scalar] = {
             "run": run.run,
             "life": run.life,
@@ -181,20 +180,22 @@
             lease_until=None,
             wait=0.0,
         )
-        order = OpenOrder(OrderKind.LIST, run.life, now, view.fence)
+        order = _open_order(OrderKind.LIST, view, now)
         return [self._call(order, action, CALL_SECONDS)]
 
     def stop(self, run: RunView, view: InstanceView, now: float) -> list[Effect]:
         """Order an instance to stop a run, and to refuse a start that arrives later."""
         run.ordered_at = now
         run.is_order_pending = True
-        order = OpenOrder(OrderKind.STOP, run.life, now, view.fence, run)
+        order = _open_order(OrderKind.STOP, view, now, run)
         action = self._make_stop(view, str(run.task), run.run)
         return [self._call(order, action, CALL_SECONDS)]
 
-    def stop_unknown(self, view: InstanceView, task: str, run: int) -> list[Effect]:
+    def stop_unknown(
+        self, view: InstanceView, task: str, run: int, now: float
+    ) -> list[Effect]:
         """Order an instance to stop a run that has no placement."""
-        order = OpenOrder(OrderKind.ORPHAN, view.registered.life, 0.0, view.fence)
+        order = _open_order(OrderKind.ORPHAN, view, now)
         return [self._call(order, self._make_stop(view, task, run), CALL_SECONDS)]
 
     def renew(self, view: InstanceView, now: float) -> list[Effect]:
@@ -219,7 +220,7 @@
             lease_until,
             wait,
         )
-        order = OpenOrder(OrderKind.RENEW, view.registered.life, now, view.fence)
+        order = _open_order(OrderKind.RENEW, view, now)
         return [self._call(order, action, wait + CALL_SECONDS)]
 
     def _extend_lease(self, view: InstanceView, now: float) -> int:
@@ -227,6 +228,7 @@
             self._lease_seconds * MILLISECONDS_PER_SECOND
         )
         view.lease_until = max(view.lease_until, lease_until)
+        view.lease_sent_at = now
         return lease_until
 
     def _make_stop(self, view: InstanceView, task: str, run: int) -> StopRun:
@@ -237,5 +239,11 @@
         return CallPlatform(self._table.open(order), action, timeout)
 
 
+def _open_order(
+    kind: OrderKind, view: InstanceView, now: float, run: RunView | None = None
+) -> OpenOrder:
+    return OpenOrder(kind, view.registered.life, now, view.fence, run, view.reading)
+
+
 def _format_step(run: RunView) -> str:
     return name_step(run.task.job, run.task.occurrence, run.task.step)
