Answer orders in the emulator as instances do, and show tasks that run twice

Callers saw tasks that ran twice where instances started again under their old identifiers and were cut off soon after. Cause, shown here and not mended yet: the former life is credited with a start that the next one answers. The emulator named the life in every answer and began every clock at 1 s, so no test could see it; instances name their life in run lists only, and their clocks begin anywhere.

--- a/src/gypsumwalk/emulator.py
+++ b/src/gypsumwalk/emulator.py
@@ -51,6 +51,9 @@
 MAX_LEASE_SECONDS = 6.0
 """Default of the longest lease that an instance grants."""
 
+LATEST_CLOCK_BEGIN = 9_000_000
+"""Highest reading, in milliseconds, at which the clock of a life begins."""
+
 STARTUP_SECONDS = 0.3
 """Time from the start of a long-running task until it reports 100 percent."""
 
@@ -101,10 +104,15 @@
 
 @dataclass(slots=True)
 class EmulatedInstance:
-    """One incarnation of an instance."""
+    """One incarnation of an instance.
+
+    Its clock begins at ``clock_begin`` milliseconds, above or below that of another
+    life.
+    """
 
     registered: RegisteredInstance
     started_at: float
+    clock_begin: int = 1000
     fence: int = 0
     lease_until: float = 0.0
     running: dict[str, Execution] = field(default_factory=dict)
@@ -119,7 +127,7 @@
 
     def read_clock(self, now: float) -> int:
         """Return the instance's clock in milliseconds."""
-        return int((now - self.started_at) * 1000) + 1000
+        return int((now - self.started_at) * 1000) + self.clock_begin
 
 
 class EmulatedAdvice:
@@ -211,12 +219,36 @@
         self._delayed_orders: list[tuple[float, EmulatedInstance, msgspec.Struct]] = []
         self._maintained: set[tuple[int, str]] = set()
 
-    def add(self, registered: RegisteredInstance, now: float) -> EmulatedInstance:
-        """Add an incarnation of an instance, ending the one at the same address."""
+    def add(
+        self,
+        registered: RegisteredInstance,
+        now: float,
+        *,
+        clock_begin: int | None = None,
+    ) -> EmulatedInstance:
+        """Add an incarnation of an instance, ending the one at the same address.
+
+        Parameters
+        ----------
+        registered : RegisteredInstance
+            The incarnation.
+        now : float
+            Time in seconds.
+        clock_begin : int, optional
+            First reading of its clock in milliseconds; by default one that depends on
+            the incarnation.
+
+        Returns
+        -------
+        EmulatedInstance
+            The incarnation.
+        """
         for other in self.instances.values():
             if other.registered.address == registered.address and not other.is_dead:
                 self.crash(other, now)
-        instance = EmulatedInstance(registered, now)
+        if clock_begin is None:
+            clock_begin = Random(registered.life).randrange(1000, LATEST_CLOCK_BEGIN)
+        instance = EmulatedInstance(registered, now, clock_begin)
         self.instances[registered.address] = instance
         if registered.machine:
             self.machines[registered.machine] = MachineInfo(
@@ -335,12 +367,13 @@
     def _carry_out(
         self, instance: EmulatedInstance, action: msgspec.Struct, now: float
     ) -> msgspec.Struct:
-        clock, born = instance.read_clock(now), instance.registered.born
+        # Only run lists name the incarnation.
+        clock = instance.read_clock(now)
         fence = getattr(action, "fence", 0)
         if fence < instance.fence:
             if isinstance(action, RenewLease):
-                return InstanceReport(clock, born, refused="fence")
-            return OrderReport(clock, born, "fence")
+                return InstanceReport(clock, refused="fence")
+            return OrderReport(clock, refused="fence")
         instance.fence = fence
         match action:
             case RenewLease():
@@ -348,14 +381,15 @@
                 self._acknowledge(instance, action.acknowledged)
                 return self._make_report(instance, now)
             case StartRun():
-                return OrderReport(clock, born, self._start(instance, action, now))
+                refused = self._start(instance, action, now)
+                return OrderReport(clock, refused=refused)
             case StopRun():
                 self._stop(instance, action, now)
             case PaceRun():
                 present = instance.running.get(action.task)
                 if present is not None and present.run == action.run:
                     present.pace = action.percent
-        return OrderReport(clock, born)
+        return OrderReport(clock)
 
     def _extend(
         self, instance: EmulatedInstance, until: int | None, now: float
--- a/tests/_fleet_work.py
+++ b/tests/_fleet_work.py
@@ -138,7 +138,7 @@
 
     # Instances
 
-    def start_instance(self, number, *, life=1, service="service-a"):
+    def start_instance(self, number, *, life=1, service="service-a", clock_begin=None):
         registered = RegisteredInstance(
             instance=f"i-{number}",
             born=1000 + life,
@@ -149,7 +149,7 @@
             labels=["a", f"rack-{number // 2}"],
             machine=f"m-{number}",
         )
-        return self.model.add(registered, self.now)
+        return self.model.add(registered, self.now, clock_begin=clock_begin)
 
     def get_instance(self, number):
         return self.model.instances[f"host-{number}:80"]
