Count an orphaned run's lease from the latest order to its former life

Cause, found while the same class was looked for: an order carries the lease of all runs of a life. A start or renewal that was meant for a life and reached the next one extends the lease of a run there, but the run was kept for the longest lease after its own start only.

Change: a life notes when an order last extended its lease, and its runs take that over as it ends or falls silent.

--- a/src/gypsumwalk/instance_departures.py
+++ b/src/gypsumwalk/instance_departures.py
@@ -7,7 +7,7 @@
 from gypsumwalk.effects import Effect, Record, Scalar
 from gypsumwalk.events import Event
 from gypsumwalk.leases import InstanceView, RunView
-from gypsumwalk.orphaned_runs import OrphanedRuns
+from gypsumwalk.orphaned_runs import OrphanedRuns, note_lease
 from gypsumwalk.workload_records import RegisteredInstance, RemoveInstance
 
 __all__ = ["InstanceDepartures"]
@@ -105,7 +105,7 @@
         # Both hold the same lives unless a life has ended or was replaced.
         if len(instances) != len(known):
             for gone in [item for item in instances if item not in known]:
-                ended += instances[gone].runs.values()
+                ended += note_lease(instances[gone])
                 del instances[gone]
         return self._end_with_instance(ended, now)
 
@@ -123,7 +123,7 @@
         view = self._context.lease_table.instances.get(life)
         if view is None:
             return []
-        runs = list(view.runs.values())
+        runs = note_lease(view)
         effects: list[Effect] = []
         for run in runs:
             effects += self._stop(run, now)
--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -87,6 +87,9 @@
         Number of start orders that may be carried out by a later life of the instance.
     start_sent_at : float
         Time in seconds at which a start was last sent.
+    lease_sent_at : float
+        Time in seconds of the latest order that extended the lease of its life, as
+        noted when the life ended or fell silent.
     late_start_until : float
         Time in seconds until which a start that was not answered may be carried out,
         also if a later one was answered.
@@ -134,6 +137,7 @@
     probes: int = 0
     unanswered_starts: int = 0
     start_sent_at: float = 0.0
+    lease_sent_at: float = 0.0
     late_start_until: float = 0.0
     is_settled: bool = False
     has_departed: bool = False
--- a/src/gypsumwalk/orphaned_runs.py
+++ b/src/gypsumwalk/orphaned_runs.py
@@ -7,11 +7,11 @@
 
 from collections.abc import Callable, Iterable
 
-from gypsumwalk.leases import LeaseTable, RunState, RunView
+from gypsumwalk.leases import InstanceView, LeaseTable, RunState, RunView
 from gypsumwalk.life_clocks import CLOCK_RATE_ERROR
 from gypsumwalk.workload_records import RegisteredInstance, split_life
 
-__all__ = ["LATE_ORDER_SECONDS", "OrphanedRuns"]
+__all__ = ["LATE_ORDER_SECONDS", "OrphanedRuns", "note_lease"]
 
 LATE_ORDER_SECONDS = 12.0
 """Longest time after which an instance carries out an order that it did not answer."""
@@ -22,6 +22,14 @@
 to the next daemon if it is not acknowledged within a second."""
 
 
+def note_lease(view: InstanceView) -> list[RunView]:
+    """Note on the runs of a life when its lease was last extended, and return them."""
+    runs = list(view.runs.values())
+    for run in runs:
+        run.lease_sent_at = max(run.lease_sent_at, view.lease_sent_at)
+    return runs
+
+
 class OrphanedRuns:
     """Runs that the next life of their instance may carry out.
 
@@ -65,8 +73,13 @@
         """Return the time from which an unannounced life no longer has the run."""
         # An instance that deregisters ends, and seldom begins again; one that crashed
         # may be back, and cut off, before anyone hears of it.
-        wait = self._announcement if run.has_departed else self._lifetime
-        return run.start_sent_at + min(wait, self._lifetime)
+        if run.has_departed:
+            return run.start_sent_at + min(self._announcement, self._lifetime)
+        return self._find_lease_end(run)
+
+    def _find_lease_end(self, run: RunView) -> float:
+        # An order for another run extends the lease of all, on the next life too.
+        return max(run.start_sent_at, run.lease_sent_at) + self._lifetime
 
     def find_settled_at(self, run: RunView) -> float:
         """Return the time from which the start of a run can't be carried out again.
@@ -152,7 +165,7 @@
                 continue
             lease_table.move(run, view.registered.life)
             # The start named no time on the clock of this life.
-            expiry = run.start_sent_at + self._lifetime
+            expiry = self._find_lease_end(run)
             view.min_lease_expiry = max(view.min_lease_expiry, expiry)
             run.state = RunState.STARTING
             run.stopped_at = run.missing_since = 0.0
--- a/src/gypsumwalk/renewals.py
+++ b/src/gypsumwalk/renewals.py
@@ -9,7 +9,7 @@
 from gypsumwalk.instance_actions import InstanceReport
 from gypsumwalk.instance_orders import OpenOrder
 from gypsumwalk.leases import InstanceView
-from gypsumwalk.orphaned_runs import OrphanedRuns
+from gypsumwalk.orphaned_runs import OrphanedRuns, note_lease
 from gypsumwalk.renewal_schedule import RenewalSchedule
 from gypsumwalk.run_ends import RunEnds
 from gypsumwalk.run_orders import LEASE_MARGIN_SECONDS
@@ -124,7 +124,7 @@
             # The lease that a start sets on another life does not depend on this one.
             lost = [
                 run
-                for run in view.runs.values()
+                for run in note_lease(view)
                 if not self._orphans.may_have_begun(run, now)
             ]
             return self._context.end_as_lost(lost, "its lease has expired")
--- /dev/null
+++ b/tests/test_orphaned_runs.py
@@ -0,0 +1,72 @@
+"""Tests of until when the next life of an instance may have a run."""
+
+import unittest
+
+from gypsumwalk.declaration_records import Resources
+from gypsumwalk.leases import InstanceView, LeaseTable, RunState, RunView
+from gypsumwalk.orphaned_runs import OrphanedRuns, note_lease
+from gypsumwalk.workload_records import RegisteredInstance, TaskKey
+
+TASK = TaskKey("00000000000000aa", 0, 0, 0)
+NEED = Resources(1000, 1000)
+CAPACITY = Resources(8000, 8000)
+STARTED = 100.0
+LIFETIME = 1.3 + 10.0 / 0.98
+
+
+def make_view(born, **fields):
+    registered = RegisteredInstance("i-0", born, "service", "host:1", "dc", CAPACITY)
+    return InstanceView(registered, **fields)
+
+
+class TestOrphanedRuns(unittest.TestCase):
+    def setUp(self):
+        self.orphans = OrphanedRuns(max_lease=10.0, transit=1.3)
+        self.table = LeaseTable()
+        self.run_view = RunView(
+            TASK,
+            1,
+            "i-0@1",
+            NEED,
+            "team",
+            NEED,
+            RunState.STARTING,
+            unanswered_starts=1,
+            start_sent_at=STARTED,
+        )
+
+    def end_life(self, *, lease_sent_at):
+        self.table.instances["i-0@1"] = make_view(1, lease_sent_at=lease_sent_at)
+        self.table.add(self.run_view)
+        runs = note_lease(self.table.instances["i-0@1"])
+        del self.table.instances["i-0@1"]
+        certain, kept = self.orphans.separate(runs, STARTED + 2.0)
+        assert (certain, kept) == ([], [self.run_view])
+
+    def find_released_at(self):
+        now = STARTED
+        while not self.orphans.take_ended(self.table, now):
+            now += 0.05
+        return now
+
+    def test_a_run_is_kept_for_the_longest_lease_after_its_start(self):
+        self.end_life(lease_sent_at=STARTED)
+        assert STARTED + LIFETIME <= self.find_released_at() <= STARTED + LIFETIME + 0.1
+
+    # Guards against TWICE: the start of another run, 1.7 s later, reached the next
+    # life as well and extended the lease of all its runs.
+    def test_an_order_for_another_run_extends_the_time_for_which_a_run_is_kept(self):
+        self.end_life(lease_sent_at=STARTED + 1.7)
+        assert self.find_released_at() >= STARTED + 1.7 + LIFETIME
+
+    def test_a_next_life_that_falls_silent_counts_with_the_lease_of_the_former(self):
+        self.end_life(lease_sent_at=STARTED + 1.7)
+        following = make_view(2)
+        self.table.instances["i-0@2"] = following
+        adopted = self.orphans.adopt(self.table, lambda _: following.registered)
+        assert adopted == [self.run_view]
+        assert following.min_lease_expiry >= STARTED + 1.7 + LIFETIME
+
+
+if __name__ == "__main__":
+    unittest.main()
