Acknowledge an end once, so that the next life forgets none of its own

Callers would see a task run again after it was done. A renewal that was meant for the former life made the next one forget the end of a run that it had just done; the run then counted as missing.

Change: a renewal acknowledges only what no answered renewal has acknowledged yet, a silent life gets no acknowledgement, and a list that is requested for an unanswered start acknowledges nothing.

Measured: the new test fails before (the task runs twice on the next life) and passes; 107 tests of renewals and of the fleet pass.

--- a/src/gypsumwalk/instance_actions.py
+++ b/src/gypsumwalk/instance_actions.py
@@ -42,7 +42,7 @@
         Number that is higher for each later term of the leader, and within a term for
         each later life of an instance.
     acknowledged : int
-        Number of the latest end that is committed.
+        Number of the latest end that the instance may forget, 0 for none.
     lease_until : int or None
         Expiry of the lease on the instance's clock, in milliseconds; None only lists.
     wait : float
--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -218,8 +218,8 @@
     is_contended : bool
         Whether fillers share the instance with tasks that have a latency target, so
         that run lists are requested more often.
-    acknowledgement_sent : int
-        Number of the latest end whose acknowledgement was sent.
+    acknowledgement_sent, acknowledgement_received : int
+        Numbers of the latest ends whose acknowledgement was sent, and arrived.
     has_unknown_runs : bool
         Whether its latest run list showed runs that are not in the table.
     late_start_until : float
@@ -245,6 +245,7 @@
     is_fenced_off: bool = False
     is_contended: bool = False
     acknowledgement_sent: int = 0
+    acknowledgement_received: int = 0
     has_unknown_runs: bool = False
     late_start_until: float = 0.0
     _used: Resources = field(default=Resources(), init=False)
--- a/src/gypsumwalk/renewals.py
+++ b/src/gypsumwalk/renewals.py
@@ -164,6 +164,7 @@
         if not isinstance(report, InstanceReport):
             self._set_due(view, now + SILENCE_RETRY_SECONDS)
             return self._mark_unresponsive(view, now)
+        view.acknowledgement_received = view.acknowledgement_sent
         effects = self._mark_responsive(view, now)
         effects += self._ends.reconcile(view, report, order.sent_at, now)
         if self._is_idle(view, now):
--- a/src/gypsumwalk/run_orders.py
+++ b/src/gypsumwalk/run_orders.py
@@ -176,7 +176,7 @@
             view.registered.instance,
             view.registered.address,
             view.fence,
-            view.acknowledged,
+            acknowledged=0,
             lease_until=None,
             wait=0.0,
         )
@@ -202,7 +202,11 @@
         """Request the run list of an instance, and renew its lease if responsive."""
         lease_until = None
         wait = 0.0
+        acknowledged = 0
         if view.is_responsive:
+            # Repeated to another life, it would make that one forget ends of its own.
+            if view.acknowledged > view.acknowledgement_received:
+                acknowledged = view.acknowledged
             needs_short_wait = view.is_contended or any(
                 run.missing_since for run in view.runs.values()
             )
@@ -211,12 +215,12 @@
                 lease_until = self._extend_lease(view, now)
         view.is_renewal_pending = True
         view.renewal_sent = now
-        view.acknowledgement_sent = view.acknowledged
+        view.acknowledgement_sent = acknowledged or view.acknowledgement_received
         action = RenewLease(
             view.registered.instance,
             view.registered.address,
             view.fence,
-            view.acknowledged,
+            acknowledged,
             lease_until,
             wait,
         )
--- a/tests/_fleet_work.py
+++ b/tests/_fleet_work.py
@@ -77,6 +77,8 @@
         self.disk_losses = disk_losses
         self.task_seconds = task_seconds
         self.run_results = {}
+        self.lost_announcements = set()
+        """Instances whose announcements are lost."""
         self.assemblies = {}
         self.first_start = True
         self.names = [f"v{number}" for number in range(daemons)]
@@ -161,6 +163,8 @@
 
     def _send_announcements(self):
         for instance in list(self.model.instances.values()):
+            if instance.registered.instance in self.lost_announcements:
+                continue
             if not instance.is_dead and not instance.is_silent:
                 leader = self.find_leader()
                 if leader:
--- a/tests/test_answers_of_other_lives.py
+++ b/tests/test_answers_of_other_lives.py
@@ -19,6 +19,7 @@
 from tests._fleet_work_checks import find_duplicate_runs
 
 JOB = "00000000000000aa"
+OTHER_JOB = "00000000000000bb"
 NEED = Resources(2000, 1000)
 FORMER_AGE = 20.0
 MAX_LEASE = 10.0
@@ -120,6 +121,22 @@
         assert find_duplicate_runs(world.model.history) == []
         assert len(world.model.history) == 2
 
+    # Guards against acknowledgements for the former life that make the next one forget
+    # the end of a run, which then counted as missing.
+    def test_an_acknowledged_end_of_the_former_life_drops_none_of_the_next_one(self):
+        world = self.make_world(task_seconds=0.2)
+        world.submit(OTHER_JOB, [Step(4, NEED)])
+        assert world.await_state(OTHER_JOB, "completed", within=5.0)
+        world.run(1.0)
+        returned = ReturnedInstance(world, is_cut_off=False, is_answered=False)
+        world.lost_announcements.add("i-0")
+        with patch.object(world.model, "call", returned):
+            world.submit(JOB, [Step(1, NEED)])
+            world.run(2.0)
+            world.lost_announcements.clear()
+            assert world.await_state(JOB, "completed", within=20.0)
+        assert find_duplicate_runs(world.model.history) == []
+
     def test_an_answer_of_the_next_life_is_logged(self):
         world = self.make_world()
         with patch.object(world.model, "call", ReturnedInstance(world)):
