Take a run list that names no life for no answer

A list of the next life would have made the former one responsive, given it starts, and ended its runs as missing.

--- a/src/gypsumwalk/outcomes.py
+++ b/src/gypsumwalk/outcomes.py
@@ -121,6 +121,9 @@
             effects += self._renewals.doubt(view, now)
         elif report.clock and origin is AnswerOrigin.SAME_LIFE:
             view.update_clock(ClockReading(report.clock, order.sent_at, now))
+        if isinstance(report, InstanceReport) and origin is not AnswerOrigin.SAME_LIFE:
+            # What another life lists, or doesn't, tells nothing of this one.
+            return effects + self._pass_on(view, order, None, now)
         return effects + self._pass_on(view, order, report, now)
 
     def _pass_on(
--- a/tests/_fleet_work.py
+++ b/tests/_fleet_work.py
@@ -196,6 +196,10 @@
     def get_leader(self):
         return self.assemblies[self.find_leader()]
 
+    def get_view(self, life):
+        """Return what the leader knows of a life."""
+        return self.get_leader().dispatcher.lease_table.instances[life]
+
     def list_lives(self):
         """Return the lives of instances that are registered with the leader."""
         return set(self.get_leader().workloads.instances)
--- a/tests/test_answers_of_other_lives.py
+++ b/tests/test_answers_of_other_lives.py
@@ -6,14 +6,17 @@
 """
 
 import unittest
+from dataclasses import replace
 from unittest.mock import patch
 
+from msgspec.structs import replace as msgspec_replace
+
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.effects import Record
 from gypsumwalk.events import Event
 from gypsumwalk.fleet_calls import AnnounceInstanceCall
 from gypsumwalk.inputs import PlatformOutcome
-from gypsumwalk.instance_actions import StartRun
+from gypsumwalk.instance_actions import InstanceReport, StartRun
 from gypsumwalk.workload_records import Step
 from tests._fleet_work import FleetWorld
 from tests._fleet_work_checks import find_duplicate_runs
@@ -137,6 +140,29 @@
             assert world.await_state(JOB, "completed", within=20.0)
         assert find_duplicate_runs(world.model.history) == []
 
+    # Guards against a list of the next life that is taken for one of the former.
+    def test_a_list_that_names_no_life_is_no_answer_of_another_life(self):
+        world = self.make_world()
+        call = world.model.call
+
+        def hide_life(effect, now):
+            delay, find_outcome = call(effect, now)
+
+            def find_unnamed(at):
+                outcome = find_outcome(at)
+                if not isinstance(outcome.report, InstanceReport):
+                    return outcome
+                return replace(outcome, report=msgspec_replace(outcome.report, born=0))
+
+            return delay, find_unnamed
+
+        clock = world.get_instance(0).read_clock(world.now)
+        world.lost_announcements.add("i-0")
+        world.start_instance(0, life=2, clock_begin=clock - 5_000)
+        with patch.object(world.model, "call", hide_life):
+            world.run(2.5)
+        assert not world.get_view("i-0@1001").is_responsive
+
     def test_an_answer_of_the_next_life_is_logged(self):
         world = self.make_world()
         with patch.object(world.model, "call", ReturnedInstance(world)):
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -191,6 +191,15 @@
                 assert outcome.unknown
                 assert outcome.report is None
 
+    # Guards against a list of the next life that is taken for one of the former.
+    def test_a_list_that_names_no_life_has_an_unknown_outcome(self):
+        for born in ("", '"born":0,'):
+            with self.subTest(born=born):
+                self.malformed.clear()
+                outcome = self.renew(f'{{{born}"clock_ms":500,"running":[{RUN}]}}')
+                assert outcome.unknown
+                assert self.malformed == [(self.server.address, "runs", 0)]
+
     @given(st.lists(JSON_VALUES, max_size=4), st.lists(JSON_VALUES, max_size=4))
     def test_any_entries(self, running, ended):
         rows = [*running, [TASK, 2, "c", 41]]
