Keep a departed run for the longest lease if another life has answered its start

Cause, found while the same class was looked for: a run of an instance that deregistered is kept for 5.3 s, as such an instance seldom begins again and a new life would be announced by then. If another life has answered the start, the instance has begun again, and it may be cut off before its announcement arrives; the task was then started elsewhere while the run could go on for the longest lease.

Change: an answer of another life to a start is noted on the run, which then counts like one of an instance that crashed.

--- a/src/gypsumwalk/order_delivery.py
+++ b/src/gypsumwalk/order_delivery.py
@@ -200,7 +200,8 @@
             if not report.refused:
                 run.stopped_at = now
             return []
-        if not report.refused and not _is_same_life(order, report, now):
+        is_same_life = find_origin(order, report, now) is AnswerOrigin.SAME_LIFE
+        if not report.refused and not is_same_life:
             return []
         return self._handle_start_answer(view, run, report, now)
 
@@ -256,19 +257,14 @@
     if item.unknown:
         run.late_start_until = order.sent_at + LATE_ORDER_SECONDS
         return
-    if (
-        isinstance(report, OrderReport)
-        and not report.refused
-        and not _is_same_life(order, report, now)
-    ):
-        return
+    if isinstance(report, OrderReport) and not report.refused:
+        origin = find_origin(order, report, now)
+        run.has_returned |= origin is AnswerOrigin.OTHER_LIFE
+        if origin is not AnswerOrigin.SAME_LIFE:
+            return
     run.unanswered_starts = max(0, run.unanswered_starts - 1)
 
 
-def _is_same_life(order: OpenOrder, report: OrderReport, now: float) -> bool:
-    return find_origin(order, report, now) is AnswerOrigin.SAME_LIFE
-
-
 def _has_open_order(run: RunView) -> bool:
     if run.state is RunState.ENDING:
         return False
--- a/src/gypsumwalk/orphaned_runs.py
+++ b/src/gypsumwalk/orphaned_runs.py
@@ -73,7 +73,7 @@
         """Return the time from which an unannounced life no longer has the run."""
         # An instance that deregisters ends, and seldom begins again; one that crashed
         # may be back, and cut off, before anyone hears of it.
-        if run.has_departed:
+        if run.has_departed and not run.has_returned:
             return run.start_sent_at + min(self._announcement, self._lifetime)
         return self._find_lease_end(run)
 
@@ -123,7 +123,7 @@
         certain, kept = [], []
         for run in ended:
             is_late = now < run.late_start_until and not run.is_settled
-            if run.has_departed:
+            if run.has_departed and not run.has_returned:
                 is_late = is_late and now < self._find_end(run)
             if run.state is RunState.ENDING:
                 continue
--- a/tests/test_orphaned_runs.py
+++ b/tests/test_orphaned_runs.py
@@ -3,7 +3,12 @@
 import unittest
 
 from gypsumwalk.declaration_records import Resources
+from gypsumwalk.inputs import PlatformOutcome
+from gypsumwalk.instance_actions import OrderReport
+from gypsumwalk.instance_orders import OpenOrder, OrderKind
 from gypsumwalk.leases import InstanceView, LeaseTable, RunState, RunView
+from gypsumwalk.life_clocks import ClockReading
+from gypsumwalk.order_delivery import note_start_outcome
 from gypsumwalk.orphaned_runs import OrphanedRuns, note_lease
 from gypsumwalk.workload_records import RegisteredInstance, TaskKey
 
@@ -59,6 +64,28 @@
         self.end_life(lease_sent_at=STARTED + 1.7)
         assert self.find_released_at() >= STARTED + 1.7 + LIFETIME
 
+    # Guards against TWICE: the instance deregistered and came back, answered the start,
+    # and was cut off before anyone heard of it.
+    def test_a_run_that_another_life_answered_is_kept_although_its_life_departed(self):
+        order = OpenOrder(
+            OrderKind.START,
+            "i-0@1",
+            STARTED,
+            1,
+            self.run_view,
+            ClockReading(500_000, STARTED - 1.0, STARTED),
+        )
+        outcome = PlatformOutcome("token", succeeded=True, report=OrderReport(1_000))
+        note_start_outcome(order, self.run_view, outcome, STARTED + 0.6)
+        self.run_view.has_departed = True
+        self.end_life(lease_sent_at=STARTED)
+        assert self.find_released_at() >= STARTED + LIFETIME
+
+    def test_a_departed_life_that_no_other_answered_for_is_kept_until_it_is_known(self):
+        self.run_view.has_departed = True
+        self.end_life(lease_sent_at=STARTED)
+        assert STARTED + 5.2 <= self.find_released_at() <= STARTED + 5.4
+
     def test_a_next_life_that_falls_silent_counts_with_the_lease_of_the_former(self):
         self.end_life(lease_sent_at=STARTED + 1.7)
         following = make_view(2)
