Keep no run for a lease that was granted long after its start

Where a start of the run was once lost, or an earlier leader sent it and the log does not call it settled, that order is the last renewal before the crash, even minutes after the start. So the task waited for the longest lease after each such crash, although no copy of its start is on its way any more. Lasting tasks have to run again within 6 s.

Change: the next life can have the run only if the former one had ended as the start arrived, and it counts as responsive for 1.8 s after its end. So a later order does not count.

Both new tests fail without the change and pass. The tests of orphaned runs, lives, departures, random faults and schedules pass.

--- a/src/gypsumwalk/orphaned_runs.py
+++ b/src/gypsumwalk/orphaned_runs.py
@@ -21,6 +21,10 @@
 """Time in which an instance is announced: it sends a heartbeat every 1.5 s, which goes
 to the next daemon if it is not acknowledged within a second."""
 
+SILENCE_SECONDS = 1.8
+"""Time for which a life may count as responsive after it has ended; a renewal takes
+that long at most."""
+
 
 def note_lease(view: InstanceView) -> list[RunView]:
     """Note on the runs of a life when its lease was last extended, and return them."""
@@ -42,6 +46,7 @@
     """
 
     def __init__(self, *, max_lease: float, transit: float) -> None:
+        self._transit = transit
         self._lifetime = transit + max_lease / (1 - CLOCK_RATE_ERROR)
         self._announcement = transit + ANNOUNCEMENT_SECONDS
         self._runs: list[RunView] = []
@@ -78,8 +83,11 @@
         return self._find_lease_end(run)
 
     def _find_lease_end(self, run: RunView) -> float:
-        # An order for another run extends the lease of all, on the next life too.
-        return max(run.start_sent_at, run.lease_sent_at) + self._lifetime
+        # An order for another run extends the lease of all, on the next life too. Where
+        # the next life has the run, the former one had ended before its start arrived.
+        latest = run.start_sent_at + self._transit + SILENCE_SECONDS
+        sent_at = min(run.lease_sent_at, latest)
+        return max(run.start_sent_at, sent_at) + self._lifetime
 
     def find_settled_at(self, run: RunView) -> float:
         """Return the time from which the start of a run can't be carried out again.
--- a/tests/test_other_lives_review.py
+++ b/tests/test_other_lives_review.py
@@ -3,6 +3,8 @@
 import unittest
 from unittest.mock import patch
 
+from msgspec.structs import replace
+
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.fleet_calls import AnnounceInstanceCall
 from gypsumwalk.inputs import PlatformOutcome
@@ -90,5 +92,45 @@
         return world
 
 
+class TestCrashesLongAfterAStart(unittest.TestCase):
+    # A run that goes on for long has no copy of its start on the way. Guards against a
+    # task that waits for the longest lease after the latest renewal (11 s).
+    def test_a_run_whose_first_start_was_lost_is_repeated_at_once(self):
+        world = make_world(task_seconds=600.0)
+        call = world.model.call
+        lost = []
+
+        def lose_first_start(effect, now):
+            if isinstance(effect.action, StartRun) and not lost:
+                lost.append(effect)
+                return lose_answer(effect)
+            return call(effect, now)
+
+        with patch.object(world.model, "call", lose_first_start):
+            world.submit(JOB, [Step(1, NEED)])
+            world.run(20.0)
+        assert lost
+        assert self.measure_repetition(world) < 2.0
+
+    def test_a_run_of_an_earlier_leader_is_repeated_at_once(self):
+        world = make_world(task_seconds=600.0)
+        world.submit(JOB, [Step(1, NEED)])
+        world.run_until(lambda: world.model.history, within=3.0)
+        world.kill(world.find_leader())
+        world.run(30.0)
+        assert self.measure_repetition(world) < 2.0
+
+    def measure_repetition(self, world):
+        """Return the time in seconds from the crash of an instance to the next run."""
+        world.start_instance(1)
+        world.run(3.0)
+        crashed_at = world.now
+        world.model.crash(world.get_instance(0), crashed_at)
+        machines = world.model.machines
+        machines["m-0"] = replace(machines["m-0"], state="down")
+        assert world.run_until(lambda: len(world.model.history) > 1, within=20.0)
+        return world.model.history[1].started - crashed_at
+
+
 if __name__ == "__main__":
     unittest.main()
