Show that a late start outlasts the time for which its run is kept

Cause, not mended: a start without an answer may be carried out up to 12 s after it was sent, and the lease of the life that carries it out begins then. Its run is kept until 1.3 s and the longest lease after it was sent. If a next life carries it out more than 1.3 s late and is cut off at once, the task starts elsewhere while it runs there (TWICE).

Change: two tests, marked as expected failures, and one of a start that is 1 s late.

--- a/tests/test_other_lives_review.py
+++ b/tests/test_other_lives_review.py
@@ -132,5 +132,67 @@
         return world.model.history[1].started - crashed_at
 
 
+class DelayedStart:
+    """Loses a start, crashes its instance, and lets the next life carry it out late.
+
+    The next life is cut off as soon as it has begun the run.
+    """
+
+    def __init__(self, world, *, delay, is_announced):
+        self.world = world
+        self.delay = delay
+        self.is_announced = is_announced
+        self.effect = None
+        self._call = world.model.call
+
+    def __call__(self, effect, now):
+        if self.effect is not None or not isinstance(effect.action, StartRun):
+            return self._call(effect, now)
+        self.effect = effect
+        world = self.world
+        world.model.crash(world.get_instance(0), now)
+        world.start_instance(1)
+        world.schedule(self.delay, self.deliver)
+        return lose_answer(effect)
+
+    def deliver(self):
+        returned = start_next_life(self.world)
+        self._call(self.effect, self.world.now)
+        if self.is_announced:
+            announcement = AnnounceInstanceCall(returned.registered)
+            self.world.call(announcement, to=self.world.find_leader())
+        returned.is_silent = True
+
+
+class TestLateOrders(unittest.TestCase):
+    def carry_out_late(self, *, delay, is_announced):
+        world = make_world(task_seconds=60.0)
+        late = DelayedStart(world, delay=delay, is_announced=is_announced)
+        with patch.object(world.model, "call", late):
+            world.submit(JOB, [Step(1, NEED)])
+            world.run(30.0)
+        return world.model.history
+
+    def test_a_start_that_is_1_s_late_counts_for_the_longest_lease(self):
+        for is_announced in (False, True):
+            with self.subTest(is_announced=is_announced):
+                history = self.carry_out_late(delay=1.0, is_announced=is_announced)
+                assert find_duplicate_runs(history) == []
+                assert len(history) == 2
+
+    # Guards against TWICE: the lease of the next life begins as the start arrives, up
+    # to 12 s after it was sent, and the run is kept until 11.5 s after it was sent.
+    @unittest.expectedFailure
+    def test_a_later_start_counts_for_the_longest_lease_of_an_unheard_life(self):
+        history = self.carry_out_late(delay=6.0, is_announced=False)
+        assert find_duplicate_runs(history) == []
+
+    # As before; the leader hears of the next life just before it is cut off.
+    @unittest.expectedFailure
+    def test_a_later_start_counts_for_the_longest_lease_of_a_silent_life(self):
+        history = self.carry_out_late(delay=6.0, is_announced=True)
+        assert find_duplicate_runs(history) == []
+
+
 if __name__ == "__main__":
     unittest.main()
