Record an end that the next life lists before a new leader has moved its run there

Cause: ends were taken note of that nobody recorded, so their tasks ran again. A new leader keeps a run on the former life for 2 s before it moves to the next one. A run list of the next life that arrives in that time contains the end, which counted as that of an unknown run: it was acknowledged, and the run was repeated once no life could have it any more.

Change: ends done or failed of runs that count under a former life of the instance are proposed and acknowledged as any others.

Measured: test_a_new_leader_notes_an_end_that_the_next_life_lists fails without the change.

--- a/src/gypsumwalk/run_ends.py
+++ b/src/gypsumwalk/run_ends.py
@@ -6,11 +6,12 @@
 from gypsumwalk.effects import Effect, Record, Scalar
 from gypsumwalk.events import Event
 from gypsumwalk.inputs import ProposalStatus
-from gypsumwalk.instance_actions import InstanceReport
+from gypsumwalk.instance_actions import EndedRun, InstanceReport
+from gypsumwalk.instance_orders import parse_task
 from gypsumwalk.leases import InstanceView, RunState, RunView
 from gypsumwalk.part import NEVER
-from gypsumwalk.run_lists import reconcile_runs
-from gypsumwalk.workload_records import EndRuns, RunEnd, RunEndKind
+from gypsumwalk.run_lists import describe_end, reconcile_runs
+from gypsumwalk.workload_records import EndRuns, RunEnd, RunEndKind, split_life
 
 __all__ = ["RunEnds"]
 
@@ -81,16 +82,38 @@
                 effects += self._context.orders.stop_unknown(view, task, run, now)
         if not reconciled.ends and not reconciled.last_end:
             return effects
-        for end in reconciled.ends:
+        ends = reconciled.ends
+        ends += self._find_ends_of_former_lives(view, reconciled.unknown_ends)
+        for end in ends:
             run_view = self._context.lease_table.find(end.task, end.run)
             if run_view is not None:
                 run_view.measure(report.clock)
         view.has_pending_ends = True
-        self._listed += reconciled.ends
+        self._listed += ends
         self._listed_numbers[view.registered.life] = reconciled.last_end
         self.due = min(self.due, now + ENDS_BATCH_SECONDS)
         return effects
 
+    def _find_ends_of_former_lives(
+        self, view: InstanceView, listed: Iterable[EndedRun]
+    ) -> list[RunEnd]:
+        """Return the ends of runs that still count under a former life.
+
+        They have to be committed before they are acknowledged, as any other. Of other
+        kinds, the orphaned run is waited for: a copy of its start may be on its way.
+        """
+        ends: list[RunEnd] = []
+        for item in listed:
+            task = parse_task(item.task)
+            if task is None or item.kind not in ("done", "failed"):
+                continue
+            run = self._context.lease_table.find(task, item.run)
+            if run is None or run.state is RunState.ENDING:
+                continue
+            if split_life(run.life)[0] == view.registered.instance:
+                ends.append(describe_end(run, item))
+        return ends
+
     def propose_listed(self) -> list[Effect]:
         """Propose the ends that instances listed, which are acknowledged afterwards."""
         self.due = NEVER
--- a/src/gypsumwalk/run_lists.py
+++ b/src/gypsumwalk/run_lists.py
@@ -7,7 +7,12 @@
 from gypsumwalk.leases import InstanceView, RunState, RunView
 from gypsumwalk.workload_records import RunEnd, RunEndKind
 
-__all__ = ["Reconciliation", "confirm_listed_runs", "reconcile_runs"]
+__all__ = [
+    "Reconciliation",
+    "confirm_listed_runs",
+    "describe_end",
+    "reconcile_runs",
+]
 
 MAX_LISTED_ENDS = 500
 """Maximum number of ends in one run list."""
@@ -34,11 +39,14 @@
         Number of the latest listed end that is not acknowledged, 0 for none.
     unknown_runs : list of tuple
         Task name and run number of the running tasks that are not in the table.
+    unknown_ends : list of EndedRun
+        Listed ends of runs that the table does not have on this life.
     """
 
     ends: list[RunEnd]
     last_end: int
     unknown_runs: list[tuple[str, int]]
+    unknown_ends: list[EndedRun]
 
 
 def reconcile_runs(
@@ -80,7 +88,7 @@
     complete = len(report.ended) < MAX_LISTED_ENDS
     for key, run in view.runs.items():
         if key in ended:
-            ends.append(_describe_end(run, ended[key]))
+            ends.append(describe_end(run, ended[key]))
         elif key in listed:
             _confirm(run, listed[key], now, is_same_life=is_same_life)
         elif complete and _is_gone(run, sent_at, now, stop_grace):
@@ -91,7 +99,8 @@
         for task, run in listed
         if (task, run) not in view.runs and parse_task(task) is not None
     ]
-    return Reconciliation(ends, last_end, unknown_runs)
+    unknown_ends = [item for key, item in ended.items() if key not in view.runs]
+    return Reconciliation(ends, last_end, unknown_runs, unknown_ends)
 
 
 def confirm_listed_runs(view: InstanceView, report: InstanceReport, now: float) -> None:
@@ -130,7 +139,8 @@
     return not report.clock or end.number <= report.clock
 
 
-def _describe_end(run: RunView, end: EndedRun) -> RunEnd:
+def describe_end(run: RunView, end: EndedRun) -> RunEnd:
+    """Return the end of a run as its instance lists it."""
     checkpoint = end.checkpoint or run.checkpoint
     return RunEnd(run.task, run.run, END_KINDS[end.kind], checkpoint)
 
--- a/tests/test_answers_of_other_lives.py
+++ b/tests/test_answers_of_other_lives.py
@@ -120,6 +120,22 @@
         assert find_duplicate_runs(world.model.history) == []
         assert len(world.model.history) == 2
 
+    # Guards against a start after an end that was taken note of: the next life lists
+    # the end of a run that a new leader still counts under the former life.
+    def test_a_new_leader_notes_an_end_that_the_next_life_lists(self):
+        world = self.make_world(task_seconds=1.0)
+        returned = ReturnedInstance(world, is_announced=True)
+        with patch.object(world.model, "call", returned):
+            world.submit(JOB, [Step(1, NEED)])
+            world.run(1.2)
+            world.kill(world.find_leader())
+            world.run_until(world.find_leader, within=5.0)
+            returned.returned.is_silent = False
+            world.run(16.0)
+        assert find_duplicate_runs(world.model.history) == []
+        assert world.get_state(JOB) == "completed"
+        assert len(world.model.history) == 1
+
     def test_an_answer_of_the_next_life_is_logged(self):
         world = self.make_world()
         with patch.object(world.model, "call", ReturnedInstance(world)):
