Acknowledge no ends to an instance that does not answer

Cause: ends were taken note of that nobody recorded, so their tasks ran again. A call to a life that does not answer repeated the number of its latest recorded end.

Change: such a call acknowledges nothing until a run list of the life has arrived.

The new test fails without it.

--- a/src/gypsumwalk/run_orders.py
+++ b/src/gypsumwalk/run_orders.py
@@ -211,12 +211,14 @@
                 lease_until = self._extend_lease(view, now)
         view.is_renewal_pending = True
         view.renewal_sent = now
-        view.acknowledgement_sent = view.acknowledged
+        # Without an answer, another life may be there, whose ends nobody has recorded.
+        acknowledged = view.acknowledged if view.is_responsive else 0
+        view.acknowledgement_sent = acknowledged
         action = RenewLease(
             view.registered.instance,
             view.registered.address,
             view.fence,
-            view.acknowledged,
+            acknowledged,
             lease_until,
             wait,
         )
--- a/tests/test_answers_of_other_lives.py
+++ b/tests/test_answers_of_other_lives.py
@@ -19,6 +19,7 @@
 from tests._fleet_work_checks import find_duplicate_runs
 
 JOB = "00000000000000aa"
+OTHER_JOB = "00000000000000bb"
 NEED = Resources(2000, 1000)
 FORMER_AGE = 20.0
 MAX_LEASE = 10.0
@@ -136,6 +137,22 @@
         assert world.get_state(JOB) == "completed"
         assert len(world.model.history) == 1
 
+    # Guards against the same with one leader: a call to the former life, which does not
+    # answer, acknowledges as many ends of the next one.
+    def test_an_acknowledgement_for_the_former_life_drops_no_end_of_the_next(self):
+        world = self.make_world(task_seconds=0.2)
+        world.submit(OTHER_JOB, [Step(1, NEED)])
+        world.run(2.0)
+        returned = ReturnedInstance(world)
+        with patch.object(world.model, "call", returned):
+            world.submit(JOB, [Step(1, NEED)])
+            world.run(0.4)
+            returned.returned.is_silent = False
+            world.run(20.0)
+        assert find_duplicate_runs(world.model.history) == []
+        assert world.get_state(JOB) == "completed"
+        assert len(world.model.history) == 2
+
     def test_an_answer_of_the_next_life_is_logged(self):
         world = self.make_world()
         with patch.object(world.model, "call", ReturnedInstance(world)):
