--- a/tests/test_answers_of_other_lives.py
+++ b/tests/test_answers_of_other_lives.py
@@ -163,6 +163,38 @@
             world.run(2.5)
         assert not world.get_view("i-0@1001").is_responsive
 
+    # Guards against a start after an end that was taken note of: the next life lists
+    # the end of a run that a new leader still counts under the former life.
+    def test_a_new_leader_notes_an_end_that_the_next_life_lists(self):
+        world = self.make_world(task_seconds=1.0)
+        returned = ReturnedInstance(world, is_announced=True)
+        with patch.object(world.model, "call", returned):
+            world.submit(JOB, [Step(1, NEED)])
+            world.run(1.2)
+            world.kill(world.find_leader())
+            world.run_until(world.find_leader, within=5.0)
+            returned.returned.is_silent = False
+            world.run(16.0)
+        assert find_duplicate_runs(world.model.history) == []
+        assert world.get_state(JOB) == "completed"
+        assert len(world.model.history) == 1
+
+    # Guards against the same with one leader: a call to the former life, which does not
+    # answer, acknowledges as many ends of the next one.
+    def test_an_acknowledgement_for_the_former_life_drops_no_end_of_the_next(self):
+        world = self.make_world(task_seconds=0.2)
+        world.submit(OTHER_JOB, [Step(1, NEED)])
+        world.run(2.0)
+        returned = ReturnedInstance(world)
+        with patch.object(world.model, "call", returned):
+            world.submit(JOB, [Step(1, NEED)])
+            world.run(0.4)
+            returned.returned.is_silent = False
+            world.run(20.0)
+        assert find_duplicate_runs(world.model.history) == []
+        assert world.get_state(JOB) == "completed"
+        assert len(world.model.history) == 2
+
     def test_an_answer_of_the_next_life_is_logged(self):
         world = self.make_world()
         with patch.object(world.model, "call", ReturnedInstance(world)):
