Carry nothing of the former life over to a run in the next one

Cause, found in the review: an adopted run kept that its former life had deregistered, so that it counted for 5.3 s only if the next life crashed, and kept the clock at which the former life had started it, from which its length would be measured on another clock.

Change: both are reset as a next life adopts the run.

Measured: the new test fails before and passes; 31 tests of lives and departures pass.

--- a/src/gypsumwalk/orphaned_runs.py
+++ b/src/gypsumwalk/orphaned_runs.py
@@ -198,6 +198,8 @@
             view.min_lease_expiry = max(view.min_lease_expiry, expiry)
             run.state = RunState.STARTING
             run.stopped_at = run.missing_since = 0.0
+            run.has_departed = run.has_returned = False
+            run.started_clock = 0
             adopted.append(run)
         self._runs = remaining
         return adopted
--- a/tests/test_orphaned_runs.py
+++ b/tests/test_orphaned_runs.py
@@ -81,6 +81,18 @@
         self.end_life(lease_sent_at=STARTED)
         assert self.find_released_at() >= STARTED + LIFETIME
 
+    # Guards against a next life that crashes, whose run counted as one of an instance
+    # that has deregistered.
+    def test_an_adopted_run_keeps_nothing_of_the_former_life(self):
+        self.run_view.has_departed = True
+        self.run_view.started_clock = 500_000
+        self.end_life(lease_sent_at=STARTED)
+        following = make_view(2)
+        self.table.instances["i-0@2"] = following
+        self.orphans.adopt(self.table, lambda _: following.registered)
+        assert not self.run_view.has_departed
+        assert not self.run_view.started_clock
+
     def test_a_departed_life_that_no_other_answered_for_is_kept_until_it_is_known(self):
         self.run_view.has_departed = True
         self.end_life(lease_sent_at=STARTED)
