Give no two processes of a daemon one incarnation, stored or not

Cause: an incarnation was max(clock, stored + 1). After the clock was set back, on a disk that takes no write, each process read the same stored number and chose the same incarnation. Other daemons took the sequence numbers of the second process for those of the first, and dropped its messages without a word, as no higher incarnation was known; commands with the same number counted as applied. A process with a lower incarnation was told the higher one, and could begin above it only once it was stored.

Change: the lowest 20 bits of an incarnation are random, below the milliseconds of the clock, for every start. A process that is told a higher incarnation begins again above it at once, as the same process with the program begun anew, which carries the number in its environment; the disk need not take it. Only a write to a failed disk that has not ended is awaited, as it could change the files that are read then: event 2012 and the gauge incarnation_refused say so. The same mends a daemon without a data folder, which ended and started until its clock had caught up. The simulated world counts the messages of each process from 1, as the transport does, and no longer over all of them.

A daemon that goes back to the version before has a lower incarnation if it has no disk, and is refused until the other daemons were started again.

With real processes (tests.test_real_disks, TestUnstoredIncarnation, 26 s) a voter whose files can't be written is heard above an incarnation an hour ahead.

--- a/src/gypsumwalk/consensus.py
+++ b/src/gypsumwalk/consensus.py
@@ -53,8 +53,7 @@
 """Interval at which a daemon without a leader asks to be sent the log."""
 
 RESTART_RETRY_SECONDS = 1.0
-"""Interval at which a daemon whose incarnation is outdated tries to store a higher one,
-and to start again."""
+"""Interval at which a daemon whose incarnation is outdated tries to start again."""
 
 IDENTITY_BITS = 64
 """Size of a random disk identity."""
@@ -138,7 +137,6 @@
         self._leader = ""
         self._is_started = False
         self._is_shutting_down = False
-        self._has_disk = bool(settings.data_folder)
         self._restart_due = 0.0
         self._last_leader = ""
         self._last_leader_contact = 0.0
@@ -394,8 +392,9 @@
     def _restart_above(self, incarnation: int, now: float) -> list[Effect]:
         """Start again if an earlier process of this daemon had a higher incarnation.
 
-        The clock was set back meanwhile, and the disk was lost or there is none. Other
-        daemons refuse all messages and commands of a lower incarnation.
+        The clock was set back meanwhile, and the disk was lost, had no room for the
+        incarnation, or there is none. Other daemons refuse all messages and commands of
+        a lower incarnation. The next process begins above the known one, stored or not.
 
         Parameters
         ----------
@@ -407,19 +406,21 @@
         Returns
         -------
         list of Effect
-            The stop of the process, deferred until the incarnation is stored.
+            The stop of the process, deferred until the incarnation is stored if the
+            disk works. A write to a failed disk that has not ended may change the files
+            that the next process reads, so the stop waits for it.
         """
         if incarnation <= self._incarnation or now < self._restart_due:
             return []
         self._restart_due = now + RESTART_RETRY_SECONDS
         storage = self._replica.storage
         self._replica.save_incarnation(incarnation)
-        if self._has_disk and not storage.enabled:
-            return []
         detail: dict[str, Scalar] = {"incarnation": incarnation}
+        if storage.is_writing and not storage.enabled:
+            return [Record(Event.INCARNATION_REFUSED, self._daemon, detail)]
         stop: list[Effect] = [
             Record(Event.INCARNATION_OUTDATED, self._daemon, detail),
-            Stop(exit_code=1),
+            Stop(exit_code=1, known_incarnation=incarnation),
         ]
         effects = self._hand_over("the incarnation is outdated")
         return effects + storage.defer_until_synced(stop)
--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import replace
+from random import SystemRandom
 
 import trio
 
@@ -22,6 +23,7 @@
 from gypsumwalk.drivers.metrics import Metrics
 from gypsumwalk.drivers.peers import PeerAddress, PeerNetwork
 from gypsumwalk.drivers.platform_calls import PlatformCalls
+from gypsumwalk.drivers.restarts import read_known_incarnation, start_again
 from gypsumwalk.drivers.server import HttpServer
 from gypsumwalk.drivers.settings_watch import SettingsWatch
 from gypsumwalk.drivers.targets import TargetHttpClient
@@ -80,6 +82,7 @@
         self._journal = EventJournal(settings, self._hybrid_clock, stream=self._log)
         self._metrics = Metrics()
         self._metrics.set_gauge("disk_working", int(self._disk is not None))
+        self._metrics.set_gauge("incarnation_refused", 0)
         self._monitor = LoopMonitor(self._metrics, self._record)
         self._assembly = self._recover_and_assemble()
         self._node = self._assembly.node
@@ -125,13 +128,13 @@
             Stop: self._request_stop,
         }
 
-    async def run(self) -> int:
+    async def run(self) -> Stop:
         """Run until the node requests the stop.
 
         Returns
         -------
-        int
-            Exit code of the process.
+        Stop
+            How the process is to end.
         """
         servers = self._factory.make_servers(self._make_server_context())
         own = PeerAddress(self._settings.address, self._settings.peer_port)
@@ -153,7 +156,7 @@
             nursery.cancel_scope.cancel()
         self._close()
         assert self._stop is not None
-        return self._stop.exit_code
+        return self._stop
 
     async def _run_event_loop(self) -> None:
         wakeup = self._advance(self._clock.now())
@@ -226,6 +229,8 @@
         self._metrics.count("events", number=record.event.number)
         if record.event in DISK_STATES:
             self._metrics.set_gauge("disk_working", DISK_STATES[record.event])
+        if record.event is Event.INCARNATION_REFUSED:
+            self._metrics.set_gauge("incarnation_refused", 1)
 
     def _request_stop(self, effect: Stop) -> None:
         self._stop = effect
@@ -258,7 +263,9 @@
 
     def _recover_and_assemble(self) -> DaemonAssembly:
         recovered = self._disk.recover() if self._disk else Recovered()
-        incarnation = choose_incarnation(time.time(), recovered)
+        incarnation = choose_incarnation(
+            time.time(), recovered, SystemRandom(), read_known_incarnation()
+        )
         if self._disk and not self._store_incarnation(self._disk, incarnation):
             recovered = replace(recovered, is_synced=False)
         return self._factory.assemble(recovered, incarnation)
@@ -311,13 +318,15 @@
     )
 
 
-async def _run(settings: Settings, factory: DaemonFactory) -> int:
+async def _run(settings: Settings, factory: DaemonFactory) -> Stop:
     return await Daemon(settings, factory).run()
 
 
 def run_daemon(settings: Settings, factory: DaemonFactory) -> int:
     """Run a daemon until it has shut down.
 
+    If it is to start again, the program begins anew in the same process.
+
     Parameters
     ----------
     settings : Settings
@@ -331,5 +340,8 @@
         Exit code of the process.
     """
     with contextlib.suppress(KeyboardInterrupt):
-        return trio.run(_run, settings, factory, clock=BoottimeClock())
+        stop = trio.run(_run, settings, factory, clock=BoottimeClock())
+        if stop.known_incarnation:
+            start_again(stop.known_incarnation)
+        return stop.exit_code
     return 1
--- a/src/gypsumwalk/drivers/metriccatalogue.py
+++ b/src/gypsumwalk/drivers/metriccatalogue.py
@@ -74,6 +74,11 @@
         "malformed_answers", _COUNTER, "Answers with malformed entries.", ("kind",)
     ),
     MetricEntry("disk_working", _GAUGE, "Whether there is a disk that works, 1 or 0."),
+    MetricEntry(
+        "incarnation_refused",
+        _GAUGE,
+        "Whether others refuse this process until a write to its disk ends, 1 or 0.",
+    ),
     MetricEntry("disk_writes", _COUNTER, "Synced writes.", ("outcome",)),
     MetricEntry("waiting_calls", _GAUGE, "HTTP calls that wait for an answer."),
     MetricEntry(
--- a/src/gypsumwalk/effects.py
+++ b/src/gypsumwalk/effects.py
@@ -233,9 +233,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Stop:
-    """Stop the daemon, whose work is completed or handed over."""
+    """Stop the daemon, whose work is completed or handed over.
+
+    Attributes
+    ----------
+    exit_code : int
+        Exit code of the process.
+    known_incarnation : int
+        Incarnation of this daemon above which it is to start again at once, whether it
+        could be stored or not; 0 to end the process.
+    """
 
     exit_code: int = 0
+    known_incarnation: int = 0
 
 
 Effect = (
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -127,6 +127,12 @@
         "incarnation {incarnation} of this daemon is known, as its clock was set back;"
         " it starts again with a higher one",
     )
+    INCARNATION_REFUSED = EventEntry(
+        2012,
+        Level.ERROR,
+        "not heard by daemons that know incarnation {incarnation} of this one; it"
+        " starts again once the write to its disk has ended",
+    )
     MEMBER_CHANGED = EventEntry(
         2101, Level.INFO, "member is {change}, incarnation {incarnation}"
     )
--- a/src/gypsumwalk/storage.py
+++ b/src/gypsumwalk/storage.py
@@ -87,6 +87,11 @@
         """Whether there is a disk that works, so that it may back votes and answers."""
         return self._has_disk and self._state is DiskState.WORKING
 
+    @property
+    def is_writing(self) -> bool:
+        """Whether a write has no outcome yet; one that was given up may still end."""
+        return self._in_flight is not None
+
     @property
     def wakeup(self) -> float:
         """Time in seconds at which to call ``give_up`` or to begin a rewrite."""
--- a/tests/_world.py
+++ b/tests/_world.py
@@ -99,6 +99,8 @@
     epoch: int = 0
     """Number of the current process; input addressed to an earlier one is dropped."""
     incarnation: int = 0
+    sent_messages: int = 0
+    """Messages to peers that the current process has sent."""
     paused: bool = False
     stopped: bool = False
     exit_code: int | None = None
@@ -215,6 +217,7 @@
         local_time = daemon.read_clock(self.now)
         daemon.incarnation = max(daemon.incarnation + 1, int(local_time * 1000))
         daemon.epoch += 1
+        daemon.sent_messages = 0
         daemon.stopped = False
         recovered = daemon.disk.recover() if daemon.disk else None
         daemon.node = self._build(name, recovered, daemon.incarnation)
@@ -391,8 +394,8 @@
         if recipient is None or body is None:
             return
         item = PeerInput(daemon.name, body)
-        self._count += 1
-        message_id = (daemon.name, daemon.incarnation, self._count)
+        daemon.sent_messages += 1
+        message_id = (daemon.name, daemon.incarnation, daemon.sent_messages)
         transfer = self.network.find_transfer_delay(
             daemon.name, effect.body, effect.reliable, self.now
         )
--- a/tests/test_real_disks.py
+++ b/tests/test_real_disks.py
@@ -7,9 +7,13 @@
 import tempfile
 import unittest
 
+from gypsumwalk.drivers.disk import FolderDisk
+from gypsumwalk.incarnations import RANDOM_BITS, encode_incarnation
 from tests._faulty_cluster import FaultyCluster
 from tests._real_cluster import RETURN_SECONDS, RealCluster
 
+HOUR_MILLISECONDS = 3_600_000
+
 FIRST_DESCRIPTOR = 3
 """Number of the first descriptor after the standard streams."""
 
@@ -194,6 +198,49 @@
         assert process.poll() is None, f"{name} ended:\n{log.read_text()[-1000:]}"
 
 
+class TestUnstoredIncarnation(RealDisksTest):
+    """Guards against a daemon that nobody hears until its disk has room (issue 43)."""
+
+    def test_a_voter_is_heard_above_an_incarnation_that_was_not_stored(self):
+        leader = self.cluster.await_leader()
+        self.apply()
+        name, other = [name for name in self.cluster.voters if name != leader]
+        self.cluster.kill(name)
+        stored = self.read_incarnation(name)
+        # A process an hour ahead, whose incarnation the disk does not keep.
+        ahead = stored + (HOUR_MILLISECONDS << RANDOM_BITS)
+        self.store_incarnation(name, ahead)
+        self.cluster.start(name)
+        self.apply()
+        self.cluster.await_files(name, self.accepted)
+        self.cluster.kill(name)
+        assert self.read_incarnation(name) > ahead
+        self.store_incarnation(name, stored)
+        self.cluster.start(name)
+        process = self.cluster.processes[name]
+        # Before the process has imported what it needs to write.
+        self.cluster.fill(name)
+        self.cluster.await_gauge(name, 0.0)
+        self.apply()
+        self.cluster.await_files(name, self.accepted)
+        assert self.read_incarnation(name) == stored
+        self.cluster.empty(name)
+        self.cluster.await_gauge(name, 1.0)
+        assert self.read_incarnation(name) > ahead
+        assert process.poll() is None
+        self.cluster.kill(other)
+        self.apply()
+
+    def read_incarnation(self, name):
+        disk = FolderDisk(str(self.cluster.data_folder(name)))
+        return int(disk.recover().files["incarnation"])
+
+    def store_incarnation(self, name, incarnation):
+        disk = FolderDisk(str(self.cluster.data_folder(name)))
+        self.addCleanup(disk.close)
+        disk.write([encode_incarnation(incarnation)])
+
+
 class TestStalledStart(unittest.TestCase):
     """Guards against a process that waits for a disk that hangs (issue 43)."""
 
