Suspect only the life of a daemon that a probe was sent to

Cause: a probe without an answer made its target suspect by its name. A daemon that started again while the probe of its former life waited was suspected at once, and had to refute that.

Change: a pending probe names the incarnation that it was sent to.

Measured: tests.test_member_lives.TestProbes; without the change the next life is suspect, with it alive; a life that does not answer is suspected as before.

--- a/src/gypsumwalk/membership.py
+++ b/src/gypsumwalk/membership.py
@@ -80,6 +80,7 @@
 @dataclass(slots=True)
 class _PendingProbe:
     target: str
+    incarnation: int
     number: int
     indirect_due: float
     failed_due: float
@@ -221,8 +222,10 @@
         if not target:
             return []
         self._last_probe_number += 1
+        known = self._table.get(target)
         self._pending_probe = _PendingProbe(
             target,
+            known.incarnation if known else 0,
             self._last_probe_number,
             now + DIRECT_PROBE_TIMEOUT_SECONDS,
             now + 2 * INDIRECT_PROBE_TIMEOUT_SECONDS,
@@ -257,7 +260,7 @@
             if now < pending.failed_due:
                 return []
             self._pending_probe = None
-            return self._suspect(pending.target, now)
+            return self._suspect(pending, now)
         if now < pending.indirect_due:
             return []
         pending.is_indirect = True
@@ -277,11 +280,13 @@
             self._pending_probe = None
         return effects
 
-    def _suspect(self, name: str, now: float) -> list[Effect]:
-        update = self._table.get(name)
+    def _suspect(self, probe: _PendingProbe, now: float) -> list[Effect]:
+        update = self._table.get(probe.target)
         suspected = (MemberStatus.ALIVE, MemberStatus.LEAVING)
         if update is None or update.status not in suspected:
             return []
+        if update.incarnation != probe.incarnation:
+            return []
         status = MemberStatus.SUSPECT
         if update.status is MemberStatus.LEAVING:
             status = MemberStatus.LEFT
--- /dev/null
+++ b/tests/test_member_lives.py
@@ -0,0 +1,80 @@
+"""Tests that membership keeps the lives of a daemon apart."""
+
+import unittest
+from random import Random
+
+from gypsumwalk.effects import SendPeer
+from gypsumwalk.inputs import PeerInput
+from gypsumwalk.member_table import MemberStatus, MemberUpdate
+from gypsumwalk.membership import Exchange, MembershipPart, Probe
+from gypsumwalk.settings import PeerSettings, Settings
+
+PROBE_SECONDS = 1.0
+STEP_SECONDS = 0.1
+
+
+def make_part(peers, incarnation):
+    settings = Settings(
+        name="a",
+        data_centre="dc",
+        caller_port=1,
+        peer_port=2,
+        peers=[
+            PeerSettings(name=name, data_centre="dc", address="h", peer_port=2)
+            for name in peers
+        ],
+        cluster_secret="0123456789abcdef",
+    )
+    return MembershipPart(settings=settings, random=Random(1), incarnation=incarnation)
+
+
+def make_update(name, incarnation, status=MemberStatus.ALIVE):
+    return MemberUpdate(name, "dc", "h", 2, incarnation, 0, status)
+
+
+def hear(part, update, now):
+    return part.handle(PeerInput("z", Exchange([update], reply=False)), now)
+
+
+def run(part, begin, seconds):
+    """Advance a part, and return what it emits."""
+    effects = []
+    for step in range(round(seconds / STEP_SECONDS)):
+        effects += part.advance(begin + step * STEP_SECONDS)
+    return effects
+
+
+def find_probe(effects, target):
+    return next(
+        item.body
+        for item in effects
+        if isinstance(item, SendPeer)
+        and item.recipient == target
+        and isinstance(item.body, Probe)
+    )
+
+
+class TestProbes(unittest.TestCase):
+    """Guards against probes of one life that are counted for another (issue 43)."""
+
+    def begin(self, target, incarnation=2_000):
+        part = make_part([target], incarnation)
+        hear(part, make_update(target, 1_000), 1.0)
+        return part, find_probe(part.advance(1.0), target)
+
+    def test_a_probe_of_the_former_life_does_not_suspect_the_next_one(self):
+        part, _ = self.begin("b")
+        hear(part, make_update("b", 1_001), 1.0 + PROBE_SECONDS / 2)
+        run(part, 1.0, PROBE_SECONDS)
+        part.advance(1.0 + PROBE_SECONDS)
+        assert part._table.get("b").status is MemberStatus.ALIVE
+
+    def test_a_probe_without_an_answer_suspects_the_same_life(self):
+        part, _ = self.begin("b")
+        run(part, 1.0, PROBE_SECONDS)
+        part.advance(1.0 + PROBE_SECONDS)
+        assert part._table.get("b").status is MemberStatus.SUSPECT
+
+
+if __name__ == "__main__":
+    unittest.main()
