Number probes so that no two processes of a daemon use a number

Cause: every process numbered its probes from 1. A late answer to the former process ended the pending probe with that number, whichever daemon that was sent to, so that a silent daemon was not suspected in that round.

Change: numbers begin with the incarnation.

--- a/src/gypsumwalk/membership.py
+++ b/src/gypsumwalk/membership.py
@@ -111,7 +111,8 @@
         self._random = random
         self._incarnation = incarnation
         self._table = MemberTable()
-        self._last_probe_number = 0
+        # No process numbers its probes like another one, whose answers may be late.
+        self._last_probe_number = incarnation
         self._pending_probe: _PendingProbe | None = None
         self._probe_order: list[str] = []
         self._probe_due = 0.0
--- a/tests/test_member_lives.py
+++ b/tests/test_member_lives.py
@@ -6,7 +6,7 @@
 from gypsumwalk.effects import SendPeer
 from gypsumwalk.inputs import PeerInput
 from gypsumwalk.member_table import MemberStatus, MemberUpdate
-from gypsumwalk.membership import Exchange, MembershipPart, Probe
+from gypsumwalk.membership import Exchange, MembershipPart, Probe, ProbeAnswer
 from gypsumwalk.settings import PeerSettings, Settings
 
 PROBE_SECONDS = 1.0
@@ -75,6 +75,20 @@
         part.advance(1.0 + PROBE_SECONDS)
         assert part._table.get("b").status is MemberStatus.SUSPECT
 
+    def test_an_answer_to_the_former_life_ends_no_probe_of_the_next_one(self):
+        _, former = self.begin("b")
+        part, _ = self.begin("c", incarnation=3_000)
+        part.handle(PeerInput("b", ProbeAnswer(former.number, [])), 1.1)
+        run(part, 1.1, PROBE_SECONDS)
+        part.advance(1.1 + PROBE_SECONDS)
+        assert part._table.get("c").status is MemberStatus.SUSPECT
+
+    def test_an_answer_to_the_same_life_ends_its_probe(self):
+        part, probe = self.begin("b")
+        part.handle(PeerInput("b", ProbeAnswer(probe.number, [])), 1.1)
+        run(part, 1.1, PROBE_SECONDS - STEP_SECONDS)
+        assert part._table.get("b").status is MemberStatus.ALIVE
+
 
 if __name__ == "__main__":
     unittest.main()
