Start again above a later life of this daemon that lists of members name

Cause: a daemon that heard of itself with a higher incarnation ignored that. A daemon without a disk whose clock was set back learned of it only from one that had the higher number in its window of sequence numbers. Where these had started again since, their lists of members still had the former life: they accepted the messages, ignored what the daemon said of itself, and took it as ended.

Change: it treats such news like the refusal of a message, and starts again above.

--- a/src/gypsumwalk/membership.py
+++ b/src/gypsumwalk/membership.py
@@ -16,6 +16,7 @@
     MemberUpdate,
 )
 from gypsumwalk.part import NEVER
+from gypsumwalk.replication import OutdatedIncarnation
 from gypsumwalk.settings import Settings
 from gypsumwalk.views import Member
 
@@ -385,6 +386,10 @@
 
     def _refute_update(self, update: MemberUpdate) -> list[Effect]:
         own = self._get_own_state()
+        if update.incarnation > own.incarnation:
+            # Others take it for the present life, and ignore what this one says.
+            outdated = OutdatedIncarnation(update.incarnation)
+            return [Raise(PeerInput(self._daemon, outdated))]
         if update.incarnation != own.incarnation or update.order <= own.order:
             return []
         status = own.status
--- a/tests/test_member_lives.py
+++ b/tests/test_member_lives.py
@@ -3,11 +3,13 @@
 import unittest
 from random import Random
 
-from gypsumwalk.effects import SendPeer
+from gypsumwalk.effects import Raise, SendPeer, Stop
 from gypsumwalk.inputs import PeerInput
 from gypsumwalk.member_table import MemberStatus, MemberUpdate
 from gypsumwalk.membership import Exchange, MembershipPart, Probe, ProbeAnswer
+from gypsumwalk.replication import OutdatedIncarnation
 from gypsumwalk.settings import PeerSettings, Settings
+from tests._agreement import Cluster
 
 PROBE_SECONDS = 1.0
 STEP_SECONDS = 0.1
@@ -90,5 +92,45 @@
         assert part._table.get("b").status is MemberStatus.ALIVE
 
 
+class TestOwnLives(unittest.TestCase):
+    """Guards against a daemon that others count as its former life (issue 43).
+
+    No window of sequence numbers may know that life any more, while lists of members
+    still do: those that hear the daemon accept its messages and take it as ended.
+    """
+
+    def hear_of_own(self, incarnation, status=MemberStatus.DEAD):
+        part = make_part(["b"], 2_000)
+        effects = hear(part, make_update("a", incarnation, status), 1.0)
+        return part, [item.input for item in effects if isinstance(item, Raise)]
+
+    def test_it_starts_again_above_a_later_life_that_others_know(self):
+        _, raised = self.hear_of_own(3_000)
+        assert raised == [PeerInput("a", OutdatedIncarnation(3_000))]
+
+    def test_it_contradicts_its_own_end(self):
+        part, raised = self.hear_of_own(2_000)
+        assert raised == []
+        own = part._table.get("a")
+        assert own.order > make_update("a", 2_000, MemberStatus.DEAD).order
+        assert own.status is MemberStatus.ALIVE
+
+    def test_it_ignores_the_end_of_a_former_life(self):
+        part, raised = self.hear_of_own(1_000)
+        assert raised == []
+        assert part._table.get("a").refutation == 0
+
+    def test_consensus_starts_it_again(self):
+        cluster = Cluster(1, voters=3, followers=1)
+        cluster.elect()
+        daemon = cluster.daemons["f0"]
+        known = daemon.incarnation + 1_000
+        body = Exchange([make_update("f0", known)], reply=False)
+        cluster.deliver(daemon, PeerInput("v0", body))
+        assert daemon.stopped
+        stops = [item.effect for item in cluster.trace if isinstance(item.effect, Stop)]
+        assert stops == [Stop(exit_code=1, known_incarnation=known)]
+
+
 if __name__ == "__main__":
     unittest.main()
