--- a/src/gypsumwalk/follower.py
+++ b/src/gypsumwalk/follower.py
@@ -133,7 +133,12 @@
         if len(self._chunks) < body.total:
             received_bytes = len(self._chunks)
             progress = SnapshotAnswer(
-                body.term, body.index, received_bytes, body.sent, now
+                body.term,
+                body.index,
+                received_bytes,
+                body.sent,
+                now,
+                self._replica.identity,
             )
             return [SendPeer(source, progress)]
         effects = self._replica.install_snapshot(bytes(self._chunks))
--- a/src/gypsumwalk/leadership.py
+++ b/src/gypsumwalk/leadership.py
@@ -263,7 +263,11 @@
         peer = self._progress.get(source)
         if peer is None:
             return
-        self._record_contact(peer, answer.sent, answer.stamp, now)
+        if answer.identity == peer.identity:
+            self._record_contact(peer, answer.sent, answer.stamp, now)
+        else:
+            # Another disk than the one that the log lists may receive the rest.
+            peer.answered_at = now
         if answer.index == peer.snapshot_index:
             peer.snapshot_offset = answer.offset
             peer.due = now
--- a/src/gypsumwalk/replication.py
+++ b/src/gypsumwalk/replication.py
@@ -182,13 +182,30 @@
 
 
 class SnapshotAnswer(msgspec.Struct, frozen=True, tag=True):
-    """Answer to a ``SnapshotChunk``: the bytes received so far."""
+    """Answer to a ``SnapshotChunk``: the bytes received so far.
+
+    Attributes
+    ----------
+    term : int
+        Term of the leader.
+    index : int
+        Index of the snapshot.
+    offset : int
+        Bytes of the snapshot that were received.
+    sent : float
+        ``sent`` of the chunk answered, in seconds of the leader's clock.
+    stamp : float
+        Clock of the answering daemon in seconds.
+    identity : str
+        Identity of its disk, empty if there is none or it has failed.
+    """
 
     term: int
     index: int
     offset: int
     sent: float
     stamp: float
+    identity: str = ""
 
 
 class TakeOver(msgspec.Struct, frozen=True, tag=True):
