Do not begin a daemon anew that is to end

Cause: a daemon that learned of a higher incarnation while it shut down, or was asked to end in the same moment, began anew as the same process, which knew of no request to end.

Change: it ends with exit code 1, as it did before it could begin anew.

Measured: tests.test_member_lives, test_it_does_not_start_again_once_it_is_to_end; it failed before. The guard in the driver, for a signal between the stop and the new program, has no test.

--- a/src/gypsumwalk/consensus.py
+++ b/src/gypsumwalk/consensus.py
@@ -418,9 +418,10 @@
         detail: dict[str, Scalar] = {"incarnation": incarnation}
         if storage.is_writing and not storage.enabled:
             return [Record(Event.INCARNATION_REFUSED, self._daemon, detail)]
+        known = 0 if self._is_shutting_down else incarnation
         stop: list[Effect] = [
             Record(Event.INCARNATION_OUTDATED, self._daemon, detail),
-            Stop(exit_code=1, known_incarnation=incarnation),
+            Stop(exit_code=1, known_incarnation=known),
         ]
         effects = self._hand_over("the incarnation is outdated")
         return effects + storage.defer_until_synced(stop)
--- a/src/gypsumwalk/drivers/daemon.py
+++ b/src/gypsumwalk/drivers/daemon.py
@@ -156,6 +156,8 @@
             nursery.cancel_scope.cancel()
         self._close()
         assert self._stop is not None
+        if self._shutting_down:
+            return replace(self._stop, known_incarnation=0)
         return self._stop
 
     async def _run_event_loop(self) -> None:
--- a/tests/test_member_lives.py
+++ b/tests/test_member_lives.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from gypsumwalk.effects import Raise, SendPeer, Stop
-from gypsumwalk.inputs import PeerInput
+from gypsumwalk.inputs import PeerInput, ShutdownRequested
 from gypsumwalk.member_table import MemberStatus, MemberUpdate
 from gypsumwalk.membership import Exchange, MembershipPart, Probe, ProbeAnswer
 from gypsumwalk.replication import OutdatedIncarnation
@@ -120,17 +120,29 @@
         assert raised == []
         assert part._table.get("a").refutation == 0
 
-    def test_consensus_starts_it_again(self):
+    def hear_in_cluster(self, *former_inputs):
+        """Return the incarnation that a daemon hears of, and its stops."""
         cluster = Cluster(1, voters=3, followers=1)
         cluster.elect()
         daemon = cluster.daemons["f0"]
+        for item in former_inputs:
+            cluster.deliver(daemon, item)
         known = daemon.incarnation + 1_000
         body = Exchange([make_update("f0", known)], reply=False)
         cluster.deliver(daemon, PeerInput("v0", body))
         assert daemon.stopped
-        stops = [item.effect for item in cluster.trace if isinstance(item.effect, Stop)]
+        return known, [
+            item.effect for item in cluster.trace if isinstance(item.effect, Stop)
+        ]
+
+    def test_consensus_starts_it_again(self):
+        known, stops = self.hear_in_cluster()
         assert stops == [Stop(exit_code=1, known_incarnation=known)]
 
+    def test_it_does_not_start_again_once_it_is_to_end(self):
+        _, stops = self.hear_in_cluster(ShutdownRequested(1e12))
+        assert stops == [Stop(exit_code=1)]
+
 
 if __name__ == "__main__":
     unittest.main()
