Say once that an incarnation is refused while a write hangs

Cause: event 2012 came each second for as long as the write hung.

Change: each process records it once; the gauge stays 1.

--- a/src/gypsumwalk/consensus.py
+++ b/src/gypsumwalk/consensus.py
@@ -138,6 +138,7 @@
         self._is_started = False
         self._is_shutting_down = False
         self._restart_due = 0.0
+        self._is_refusal_recorded = False
         self._last_leader = ""
         self._last_leader_contact = 0.0
         self._follow_due = 0.0
@@ -417,7 +418,7 @@
         self._replica.save_incarnation(incarnation)
         detail: dict[str, Scalar] = {"incarnation": incarnation}
         if storage.is_writing and not storage.enabled:
-            return [Record(Event.INCARNATION_REFUSED, self._daemon, detail)]
+            return self._record_refusal(detail)
         known = 0 if self._is_shutting_down else incarnation
         stop: list[Effect] = [
             Record(Event.INCARNATION_OUTDATED, self._daemon, detail),
@@ -426,6 +427,12 @@
         effects = self._hand_over("the incarnation is outdated")
         return effects + storage.defer_until_synced(stop)
 
+    def _record_refusal(self, detail: dict[str, Scalar]) -> list[Effect]:
+        if self._is_refusal_recorded:
+            return []
+        self._is_refusal_recorded = True
+        return [Record(Event.INCARNATION_REFUSED, self._daemon, detail)]
+
     def _record_disk_return(self, now: float) -> list[Effect]:
         failed_at, self._disk_failed_at = self._disk_failed_at, None
         if failed_at is None:
--- a/tests/test_unstored_incarnations.py
+++ b/tests/test_unstored_incarnations.py
@@ -108,6 +108,7 @@
                     self.world.run(HEARD_SECONDS)
                 self.world.run(2 * HEARD_SECONDS)
                 is_refused = bool(self.count(Event.INCARNATION_REFUSED))
+                assert self.count(Event.INCARNATION_REFUSED) <= 1
                 refused += is_refused
                 assert self.is_heard() is not is_refused
                 assert not self.count(Event.INCARNATION_OUTDATED)
