--- a/tests/test_control_settings.py
+++ b/tests/test_control_settings.py
@@ -1,16 +1,19 @@
 """Tests of settings of a control daemon that change while it runs."""
 
+import os
 import sys
 import tempfile
 import threading
 import unittest
 from pathlib import Path
+from unittest.mock import patch
 
 import trio
 from cheroot.wsgi import Server
 
 from gypsumwalk.effects import CallPlatform
 from gypsumwalk.instance_actions import AskAdvice, ListMachines
+from gypsumwalk.recovery import Recovered
 
 FOLDER = str(Path(__file__).parent.parent / "platform")
 if FOLDER not in sys.path:
@@ -73,5 +76,27 @@
         assert self.factory.reload() == []
 
 
+class TestFirstStart(unittest.TestCase):
+    """Guards against a lost disk whose identity votes again (issue 43)."""
+
+    def find_identity(self, **environment):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.toml"
+            head = f'bootstrap = true\ndata_dir = "{folder}"\n'
+            path.write_text(head + SETTINGS.format(machines=NOWHERE, advice=NOWHERE))
+            factory = ControlFactory(str(path), load_settings(str(path)))
+            with patch.dict(os.environ, environment):
+                assembly = factory.assemble(Recovered(), 1)
+        return assembly.consensus.replica.vote.identity
+
+    def test_a_first_start_has_the_identity_that_all_expect(self):
+        assert self.find_identity() == "first-127.0.0.1"
+
+    # The settings still say that the system starts for the first time.
+    def test_a_program_begun_anew_has_another_disk_if_its_own_is_empty(self):
+        identity = self.find_identity(GYPSUMWALK_KNOWN_INCARNATION="5")
+        assert identity not in ("", "first-127.0.0.1")
+
+
 if __name__ == "__main__":
     unittest.main()
