Test a daemon without a disk that begins above its former life

One real daemon without a data folder runs with an incarnation an hour ahead and is killed; the next process is told, begins anew, has a configuration accepted, and ends on its signal with exit code 0.

--- a/tests/test_real_disks.py
+++ b/tests/test_real_disks.py
@@ -4,13 +4,16 @@
 each write of the process fails while it is zero.
 """
 
+import os
 import tempfile
+import time
 import unittest
+from unittest.mock import patch
 
 from gypsumwalk.drivers.disk import FolderDisk
 from gypsumwalk.incarnations import RANDOM_BITS, encode_incarnation
 from tests._faulty_cluster import FaultyCluster
-from tests._real_cluster import RETURN_SECONDS, RealCluster
+from tests._real_cluster import RETURN_SECONDS, STOP_SECONDS, RealCluster
 
 HOUR_MILLISECONDS = 3_600_000
 
@@ -231,6 +234,23 @@
         self.cluster.kill(other)
         self.apply()
 
+    def test_a_daemon_without_a_disk_is_heard_after_its_clock_was_set_back(self):
+        self.cluster.await_leader()
+        self.apply()
+        self.cluster.kill("f0")
+        ahead = int(time.time() * 1000) + HOUR_MILLISECONDS << RANDOM_BITS
+        with patch.dict(os.environ, GYPSUMWALK_KNOWN_INCARNATION=str(ahead)):
+            self.cluster.start("f0")
+        self.apply()
+        self.cluster.kill("f0")
+        self.cluster.start("f0")
+        process = self.cluster.processes["f0"]
+        self.apply()
+        self.cluster.await_files("v0", self.accepted)
+        assert "INCARNATION_OUTDATED" in (self.cluster.folder / "f0.log").read_text()
+        process.terminate()
+        assert process.wait(STOP_SECONDS) == 0
+
     def read_incarnation(self, name):
         disk = FolderDisk(str(self.cluster.data_folder(name)))
         return int(disk.recover().files["incarnation"])
