--- a/src/gypsumwalk/membership.py
+++ b/src/gypsumwalk/membership.py
@@ -16,6 +16,7 @@
     MemberUpdate,
 )
 from gypsumwalk.part import NEVER
+from gypsumwalk.replication import OutdatedIncarnation
 from gypsumwalk.settings import Settings
 from gypsumwalk.views import Member
 
@@ -80,6 +81,7 @@
 @dataclass(slots=True)
 class _PendingProbe:
     target: str
+    incarnation: int
     number: int
     indirect_due: float
     failed_due: float
@@ -110,7 +112,8 @@
         self._random = random
         self._incarnation = incarnation
         self._table = MemberTable()
-        self._last_probe_number = 0
+        # No process numbers its probes like another one, whose answers may be late.
+        self._last_probe_number = incarnation
         self._pending_probe: _PendingProbe | None = None
         self._probe_order: list[str] = []
         self._probe_due = 0.0
@@ -221,8 +224,10 @@
         if not target:
             return []
         self._last_probe_number += 1
+        known = self._table.get(target)
         self._pending_probe = _PendingProbe(
             target,
+            known.incarnation if known else 0,
             self._last_probe_number,
             now + DIRECT_PROBE_TIMEOUT_SECONDS,
             now + 2 * INDIRECT_PROBE_TIMEOUT_SECONDS,
@@ -257,7 +262,7 @@
             if now < pending.failed_due:
                 return []
             self._pending_probe = None
-            return self._suspect(pending.target, now)
+            return self._suspect(pending, now)
         if now < pending.indirect_due:
             return []
         pending.is_indirect = True
@@ -277,11 +282,13 @@
             self._pending_probe = None
         return effects
 
-    def _suspect(self, name: str, now: float) -> list[Effect]:
-        update = self._table.get(name)
+    def _suspect(self, probe: _PendingProbe, now: float) -> list[Effect]:
+        update = self._table.get(probe.target)
         suspected = (MemberStatus.ALIVE, MemberStatus.LEAVING)
         if update is None or update.status not in suspected:
             return []
+        if update.incarnation != probe.incarnation:
+            return []
         status = MemberStatus.SUSPECT
         if update.status is MemberStatus.LEAVING:
             status = MemberStatus.LEFT
@@ -379,6 +386,10 @@
 
     def _refute_update(self, update: MemberUpdate) -> list[Effect]:
         own = self._get_own_state()
+        if update.incarnation > own.incarnation:
+            # Others take it for the present life, and ignore what this one says.
+            outdated = OutdatedIncarnation(update.incarnation)
+            return [Raise(PeerInput(self._daemon, outdated))]
         if update.incarnation != own.incarnation or update.order <= own.order:
             return []
         status = own.status
