--- a/tests/_life_soak.py
+++ b/tests/_life_soak.py
@@ -20,6 +20,7 @@
 NAMES = [f"i-{number}" for number in range(8)]
 CALLERS = 4
 START_SECONDS = 60.0
+LEADER_SECONDS = 20.0
 TROUBLE_SECONDS = 8.0
 COMPLETION_SECONDS = 45.0
 """Limit from the end of the troubles until all accepted jobs are completed. A start
@@ -113,10 +114,9 @@
             return
         time.sleep(delay)
         name, action = trouble.split()
-        name = self._processes.find_leader() if name == "leader" else name
-        if not name:
-            self._note(f"no leader to be {action}")
-            return
+        if name == "leader":
+            name = await_true(self._processes.find_leader, LEADER_SECONDS)
+            assert name, f"no leader in {LEADER_SECONDS} s"
         self._note(f"{name} is {action}")
         self._processes.end(name, is_killed=action == "killed")
         time.sleep(outage)
--- a/tests/_platform_processes.py
+++ b/tests/_platform_processes.py
@@ -156,10 +156,8 @@
 
 
 def await_true(condition, seconds):
-    """Poll a condition, and return whether it became true within a time."""
+    """Poll a condition, and return its value once it is true, or after a time."""
     end = time.monotonic() + seconds
-    while time.monotonic() < end:
-        if condition():
-            return True
+    while not (value := condition()) and time.monotonic() < end:
         time.sleep(0.05)
-    return False
+    return value
