Answer announcements that change nothing in the server's thread

Cause: nearly every heartbeat announces a life as it is registered. Each one passed through the event loop of the daemon: a future, a wake-up of the loop, a turn of it and a second switch of threads, which cost as much as the rest of the call. Change: the server's thread compares the announcement with the registration, which it reads once, and answers 200 if they are equal. Everything else goes to the node as before, and so does the first call of a term, which the grace of submissions begins with. A daemon that stops refuses as before. These announcements are no longer counted among the inputs of the loop.

--- a/src/gypsumwalk/drivers/bridge.py
+++ b/src/gypsumwalk/drivers/bridge.py
@@ -46,6 +46,11 @@
         """Number of calls waiting for an answer."""
         return len(self._waiting)
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether calls are refused, as the daemon stops."""
+        return self._closed
+
     def call(
         self, body: msgspec.Struct, *, credential: str, payload: bytes, timeout: float
     ) -> Answer:
--- a/src/gypsumwalk/fleet_assembly.py
+++ b/src/gypsumwalk/fleet_assembly.py
@@ -15,6 +15,7 @@
 from gypsumwalk.fleet_call_handler import FleetCallHandler
 from gypsumwalk.job_explainer import JobExplainer
 from gypsumwalk.job_forecast import JobForecaster
+from gypsumwalk.known_announcements import KnownAnnouncements
 from gypsumwalk.life_checks import LifeChecks
 from gypsumwalk.machine_directory import MachineDirectory
 from gypsumwalk.maintenance_controller import MaintenanceController
@@ -148,6 +149,9 @@
             directory=directory,
             views=self.scheduler.backlog,
         )
+        self.known_announcements = KnownAnnouncements(
+            self.workloads, submission_control
+        )
         self.call_handler = FleetCallHandler(
             leadership=self.consensus,
             declarations=self.declarations,
--- a/src/gypsumwalk/fleet_call_handler.py
+++ b/src/gypsumwalk/fleet_call_handler.py
@@ -40,6 +40,7 @@
     refuse_proposal,
 )
 from gypsumwalk.inputs import CallInput, Input, ProposalOutcome, ProposalStatus
+from gypsumwalk.known_announcements import complete_registration
 from gypsumwalk.life_checks import LifeChecks
 from gypsumwalk.part import NEVER
 from gypsumwalk.problems import Outcome, ProblemType, refuse
@@ -385,20 +386,11 @@
     def _complete_registration(
         self, call: AnnounceInstanceCall, now: float
     ) -> RegisteredInstance:
-        """Return the registration of a life, with what is known of it already.
-
-        It stays draining, and cold until the time found first: an announcement that
-        differed in these each time would have to be committed each time.
-        """
         known = self._workloads.instances.get(call.registered.life)
-        draining = call.registered.draining
         if known is not None:
-            draining, cold_until = draining or known.draining, known.cold_until
-        else:
-            cold_until = now + call.cold_remaining if call.cold_remaining else 0.0
-        return msgspec.structs.replace(
-            call.registered, draining=draining, cold_until=cold_until
-        )
+            return complete_registration(call, known)
+        cold_until = now + call.cold_remaining if call.cold_remaining else 0.0
+        return msgspec.structs.replace(call.registered, cold_until=cold_until)
 
     def _remove_instance(
         self, item: CallInput, call: LeaveInstanceCall, now: float
--- a/src/gypsumwalk/submission_control.py
+++ b/src/gypsumwalk/submission_control.py
@@ -97,6 +97,11 @@
         self._known_at = float("-inf")
         self._is_trial = False
 
+    @property
+    def is_term_observed(self) -> bool:
+        """Whether no call is needed to observe the term of this daemon."""
+        return self._dispatcher.term == self._term
+
     def observe_term(self, now: float) -> None:
         """Discard the reservations when this daemon begins to lead or ends.
 
@@ -105,7 +110,7 @@
         now : float
             Time in seconds; the change of leader was at most one call earlier.
         """
-        if self._dispatcher.term != self._term:
+        if not self.is_term_observed:
             self._term = self._dispatcher.term
             self._term_began = now
             self._slots.clear()
