Move the opening of outgoing sockets to a module of its own

Change: the opening of sockets and their options are a module of their own; the test of the options names it.

--- a/src/gypsumwalk/drivers/http_client.py
+++ b/src/gypsumwalk/drivers/http_client.py
@@ -1,19 +1,15 @@
 """HTTP client on the runtime's sockets, with kept connections for each address."""
 
-import errno
-import os
 import resource
 import socket
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 from functools import lru_cache
-from typing import Any
 
 import h11
 import trio
 
-from gypsumwalk.addresses import split_address
 from gypsumwalk.drivers.http_exchange import (
     MAX_BODY_BYTES,
     EncodedRequest,
@@ -22,8 +18,8 @@
     encode_head,
     encode_request,
 )
-from gypsumwalk.drivers.socket_options import Keepalive
-from gypsumwalk.errors import BadBoundary, GypsumwalkError
+from gypsumwalk.drivers.outgoing_sockets import open_socket as _open_socket
+from gypsumwalk.errors import GypsumwalkError
 
 __all__ = [
     "MAX_BODY_BYTES",
@@ -51,10 +47,6 @@
 MAX_IDLE_SECONDS = 300.0
 SWEEP_INTERVAL_SECONDS = 10.0
 
-SOCKET_OPTIONS = Keepalive(
-    unacknowledged_milliseconds=5000, idle_seconds=15, interval_seconds=5, probes=3
-).list_options()
-
 
 def find_connection_limit(descriptors: int) -> int:
     """Return the limit of open connections of a process.
@@ -483,40 +475,3 @@
         lock.acquire_nowait()
     except trio.WouldBlock:
         await lock.acquire()
-
-
-async def _open_socket(address: str) -> socket.socket:
-    try:
-        host, port = split_address(address)
-    except BadBoundary as error:
-        raise ConnectionError(str(error)) from error
-    try:
-        found = await trio.socket.getaddrinfo(host, port, type=socket.SOCK_STREAM)
-    except UnicodeError as error:
-        raise ConnectionError(f"{host!r} is not a host name") from error
-    failure: OSError | None = None
-    for family, kind, protocol, _, resolved in found:
-        try:
-            return await _connect_socket(
-                socket.socket(family, kind, protocol), resolved
-            )
-        except OSError as error:
-            failure = error
-    raise failure or ConnectionError(f"{host!r} has no address")
-
-
-async def _connect_socket(connecting: socket.socket, address: Any) -> socket.socket:
-    try:
-        connecting.setblocking(False)
-        for level, option, value in SOCKET_OPTIONS:
-            connecting.setsockopt(level, option, value)
-        number = connecting.connect_ex(address)
-        if number == errno.EINPROGRESS:
-            await trio.lowlevel.wait_writable(connecting)
-            number = connecting.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if number:
-            raise OSError(number, os.strerror(number))
-    except BaseException:
-        connecting.close()
-        raise
-    return connecting
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -10,7 +10,7 @@
 import trio
 import trio.testing
 
-from gypsumwalk.drivers import http_client
+from gypsumwalk.drivers import http_client, outgoing_sockets
 from gypsumwalk.drivers.http_client import (
     MAX_CONNECTIONS,
     MIN_CONNECTIONS,
@@ -524,7 +524,7 @@
         async def scenario(client, server, nursery):
             await client.request("GET", server.address, "/", timeout=LONG_SECONDS)
             connection = next(iter(client._idle))
-            for level, option, value in http_client.SOCKET_OPTIONS:
+            for level, option, value in outgoing_sockets.SOCKET_OPTIONS:
                 assert connection._socket.getsockopt(level, option) == value
 
         self.run_with(lambda path: (OK, False), scenario)
