--- a/src/gypsumwalk/drivers/http_client.py
+++ b/src/gypsumwalk/drivers/http_client.py
@@ -1,28 +1,26 @@
 """HTTP client on the runtime's sockets, with kept connections for each address."""
 
-import errno
-import os
 import resource
 import socket
 import struct
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any
+from functools import lru_cache
 
 import h11
 import trio
 
-from gypsumwalk.addresses import split_address
 from gypsumwalk.drivers.http_exchange import (
     MAX_BODY_BYTES,
     EncodedRequest,
     InvalidResponse,
     ResponseReader,
+    encode_head,
     encode_request,
 )
-from gypsumwalk.drivers.socket_options import Keepalive
-from gypsumwalk.errors import BadBoundary, GypsumwalkError
+from gypsumwalk.drivers.outgoing_sockets import open_socket as _open_socket
+from gypsumwalk.errors import GypsumwalkError
 
 __all__ = [
     "MAX_BODY_BYTES",
@@ -53,10 +51,6 @@
 MAX_IDLE_SECONDS = 300.0
 SWEEP_INTERVAL_SECONDS = 10.0
 
-SOCKET_OPTIONS = Keepalive(
-    unacknowledged_milliseconds=5000, idle_seconds=15, interval_seconds=5, probes=3
-).list_options()
-
 
 def find_connection_limit(descriptors: int) -> int:
     """Return the limit of open connections of a process.
@@ -259,6 +253,9 @@
     record_wait : Callable, optional
         Called once per request with the seconds between the request and its first
         byte sent, or its failure.
+    kept_heads : int
+        Maximum number of heads of requests that are kept for later requests with the
+        same address, path, headers and length.
     """
 
     def __init__(
@@ -269,6 +266,7 @@
         max_connections: int | None = None,
         max_idle: float = MAX_IDLE_SECONDS,
         record_wait: Callable[[float], None] | None = None,
+        kept_heads: int = 0,
     ) -> None:
         self._connect_timeout = connect_timeout
         self._connections_per_lane = connections_per_lane
@@ -278,6 +276,7 @@
         self._max_connections = max_connections
         self._max_idle = max_idle
         self._record_wait = record_wait
+        self._encode_head = lru_cache(kept_heads)(encode_head)
         self._pools: dict[tuple[str, Lane], _Pool] = {}
         # Ordered by the time since which they have been idle.
         self._idle: dict[_Connection, None] = {}
@@ -334,7 +333,14 @@
             If a byte was sent, but no valid response was received in time.
         """
         try:
-            request = encode_request(method, address, path, headers or {}, body)
+            request = encode_request(
+                method,
+                address,
+                path,
+                headers or {},
+                body,
+                encode_head=self._encode_head,
+            )
         except h11.LocalProtocolError as error:
             raise RequestNotSent(address, 0.0, f"malformed: {error}") from error
         call = _Call(address, request, timeout)
@@ -476,40 +482,3 @@
         lock.acquire_nowait()
     except trio.WouldBlock:
         await lock.acquire()
-
-
-async def _open_socket(address: str) -> socket.socket:
-    try:
-        host, port = split_address(address)
-    except BadBoundary as error:
-        raise ConnectionError(str(error)) from error
-    try:
-        found = await trio.socket.getaddrinfo(host, port, type=socket.SOCK_STREAM)
-    except UnicodeError as error:
-        raise ConnectionError(f"{host!r} is not a host name") from error
-    failure: OSError | None = None
-    for family, kind, protocol, _, resolved in found:
-        try:
-            return await _connect_socket(
-                socket.socket(family, kind, protocol), resolved
-            )
-        except OSError as error:
-            failure = error
-    raise failure or ConnectionError(f"{host!r} has no address")
-
-
-async def _connect_socket(connecting: socket.socket, address: Any) -> socket.socket:
-    try:
-        connecting.setblocking(False)
-        for level, option, value in SOCKET_OPTIONS:
-            connecting.setsockopt(level, option, value)
-        number = connecting.connect_ex(address)
-        if number == errno.EINPROGRESS:
-            await trio.lowlevel.wait_writable(connecting)
-            number = connecting.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if number:
-            raise OSError(number, os.strerror(number))
-    except BaseException:
-        connecting.close()
-        raise
-    return connecting
