--- a/src/gypsumwalk/drivers/connections.py
+++ b/src/gypsumwalk/drivers/connections.py
@@ -1,16 +1,14 @@
 """Connections of the HTTP servers, with a timeout for receiving a request."""
 
 import contextlib
-import io
 import socket
 import threading
 import time
 from typing import Any
 
-from cheroot.makefile import MakeFile
 from cheroot.server import HTTPConnection
 
-__all__ = ["ReceiveWatchdog", "StreamReader", "make_watched_connection_class"]
+__all__ = ["ReceiveWatchdog", "make_watched_connection_class"]
 
 RECEIVE_TIMEOUT_SECONDS = 20.0
 SWEEP_INTERVAL_SECONDS = 1.0
@@ -81,60 +79,6 @@
             self.close_overdue(time.monotonic())
 
 
-class _Source(socket.SocketIO):
-    """Bytes of a socket, which can be withheld from the buffer that reads them."""
-
-    def __init__(self, connection: socket.socket) -> None:
-        super().__init__(connection, "r")
-        self.is_withheld = False
-        self.bytes_read = 0
-
-    def readinto(self, buffer: Any) -> int | None:
-        if self.is_withheld:
-            return None
-        size = super().readinto(buffer)
-        self.bytes_read += size or 0
-        return size
-
-
-class StreamReader(io.BufferedReader):
-    """Buffered reader of a connection, with the interface that the server expects.
-
-    The server's own reader is written in Python, and reads each line of a head by many
-    calls.
-
-    Parameters
-    ----------
-    connection : socket.socket
-        The socket.
-    buffer_bytes : int
-        Size of the buffer.
-    """
-
-    def __init__(self, connection: socket.socket, buffer_bytes: int) -> None:
-        self._source = _Source(connection)
-        super().__init__(self._source, buffer_bytes)
-
-    @property
-    def bytes_read(self) -> int:
-        """Number of bytes received."""
-        return self._source.bytes_read
-
-    def has_data(self) -> bool:
-        """Return whether bytes were received and not read; never waits for more."""
-        self._source.is_withheld = True
-        try:
-            return bool(self.peek(1))
-        finally:
-            self._source.is_withheld = False
-
-
-def _make_file(connection: socket.socket, mode: str, buffer_bytes: int) -> Any:
-    if "r" in mode:
-        return StreamReader(connection, buffer_bytes)
-    return MakeFile(connection, mode, buffer_bytes)
-
-
 def make_watched_connection_class(watchdog: ReceiveWatchdog) -> type[Any]:
     """Create a connection class whose requests are subject to a watchdog.
 
@@ -152,9 +96,6 @@
     class WatchedConnection(HTTPConnection):
         """Connection that registers with the watchdog while a request is received."""
 
-        def __init__(self, server: Any, connection: Any, makefile: Any) -> None:
-            super().__init__(server, connection, _make_file)
-
         def communicate(self) -> Any:
             """Serve the next request of the connection."""
             watchdog.begin(self.socket)
