Share the lost answer of a call between the tests of lives

Cause: three test modules had the same function for a call whose answer is lost. Change: it stands beside FleetWorld, and the three import it; no assertion changes.

--- a/tests/_fleet_work.py
+++ b/tests/_fleet_work.py
@@ -20,6 +20,7 @@
     StartUpkeepCall,
     SubmitWorkloadCall,
 )
+from gypsumwalk.inputs import PlatformOutcome
 from gypsumwalk.recovery import Recovered
 from gypsumwalk.settings import PeerSettings, Settings
 from gypsumwalk.workload_records import RegisteredInstance, Step
@@ -52,6 +53,12 @@
     return Declaration(version, queues, services, teams, f"source {version}")
 
 
+def lose_answer(effect):
+    """Return the delay and the outcome of a call whose answer is lost."""
+    lost = PlatformOutcome(effect.token, succeeded=False, unknown=True)
+    return effect.timeout, lambda at: lost
+
+
 class FleetWorld(World):
     """Voting daemons, an emulated platform with a few instances, and callers.
 
--- a/tests/test_answers_of_other_lives.py
+++ b/tests/test_answers_of_other_lives.py
@@ -15,10 +15,9 @@
 from gypsumwalk.effects import Record
 from gypsumwalk.events import Event
 from gypsumwalk.fleet_calls import AnnounceInstanceCall
-from gypsumwalk.inputs import PlatformOutcome
 from gypsumwalk.instance_actions import InstanceReport, StartRun
 from gypsumwalk.workload_records import Step
-from tests._fleet_work import FleetWorld
+from tests._fleet_work import FleetWorld, lose_answer
 from tests._fleet_work_checks import find_duplicate_runs
 
 JOB = "00000000000000aa"
@@ -28,11 +27,6 @@
 MAX_LEASE = 10.0
 
 
-def lose_answer(effect):
-    lost = PlatformOutcome(effect.token, succeeded=False, unknown=True)
-    return effect.timeout, lambda at: lost
-
-
 class ReturnedInstance:
     """Restarts instance 0, and adds instance 1, just before a start arrives at it.
 
--- a/tests/test_fleet_doubled_runs.py
+++ b/tests/test_fleet_doubled_runs.py
@@ -19,18 +19,13 @@
 from gypsumwalk.state import Accepted
 from gypsumwalk.upkeep import BeginMaintenance, OrderMoves
 from gypsumwalk.workload_records import Step
-from tests._fleet_work import FleetWorld
+from tests._fleet_work import FleetWorld, lose_answer
 from tests._fleet_work_checks import find_duplicate_runs
 
 JOB = "00000000000000aa"
 NEED = Resources(2000, 1000)
 
 
-def lose_answer(effect):
-    lost = PlatformOutcome(effect.token, succeeded=False, unknown=True)
-    return effect.timeout, lambda at: lost
-
-
 class DroppedAnswers:
     """Carries out the platform's calls, and drops the answers of some actions."""
 
--- a/tests/test_other_lives_review.py
+++ b/tests/test_other_lives_review.py
@@ -10,7 +10,7 @@
 from gypsumwalk.inputs import PlatformOutcome
 from gypsumwalk.instance_actions import MachineReport, OrderReport, StartRun, StopRun
 from gypsumwalk.workload_records import Step
-from tests._fleet_work import FleetWorld
+from tests._fleet_work import FleetWorld, lose_answer
 from tests._fleet_work_checks import find_duplicate_runs
 from tests.test_departing_instances import DepartingInstance
 from tests.test_departing_instances import make_world as make_departing_world
@@ -24,11 +24,6 @@
 """Milliseconds by which the clock of a next life is ahead of the former's."""
 
 
-def lose_answer(effect):
-    lost = PlatformOutcome(effect.token, succeeded=False, unknown=True)
-    return effect.timeout, lambda at: lost
-
-
 def make_world(*, task_seconds):
     world = FleetWorld(task_seconds=task_seconds, instances=1, max_lease=MAX_LEASE)
     world.begin()
