Record when the lease of a life expires, and since when that life is known

A loss of runs with an expired lease did not say how long ago the life had first answered. Together with 5028, which has the age of the latest lease, the new event 5031 tells a lease that an order for a former life extended (the first answer is less than the longest lease ago) from other losses.

No decision has changed.

--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -294,6 +294,13 @@
     RUN_ADOPTED = EventEntry(
         5030, Level.INFO, "run {run} may have begun on the next life {life}: stop it"
     )
+    LEASE_EXPIRED = EventEntry(
+        5031,
+        Level.WARNING,
+        "the lease of {runs} runs has expired: the latest order that extended it was"
+        " sent {lease_age} s ago, the first answer of this life came {first_answer} s"
+        " ago (0: none)",
+    )
     IDLE_RENEWALS_PAUSED = EventEntry(
         5090,
         Level.WARNING,
--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -63,6 +63,8 @@
         last call was answered.
     answered_at : float
         Time in seconds of the last answer, 0 before the first.
+    first_answered_at : float
+        Time in seconds of the first answer to the current leader, 0 before.
     has_pending_ends : bool
         Whether listed ends wait to be committed.
     start_backoff_until : float
@@ -95,6 +97,7 @@
     renewal_sent: float = 0.0
     silent_since: float = 0.0
     answered_at: float = 0.0
+    first_answered_at: float = 0.0
     has_pending_ends: bool = False
     start_backoff_until: float = 0.0
     is_fenced_off: bool = False
--- a/src/gypsumwalk/renewals.py
+++ b/src/gypsumwalk/renewals.py
@@ -127,7 +127,8 @@
                 for run in note_lease(view)
                 if not self._orphans.may_have_begun(run, now)
             ]
-            return self._context.end_as_lost(lost, "its lease has expired")
+            effects = self._context.end_as_lost(lost, "its lease has expired")
+            return [_describe_expiry(view, now), *effects] if effects else []
         if not view.runs and now - view.silent_since > REMOVE_SILENT_SECONDS:
             view.silent_since = now
             reason = "it has not answered for long"
@@ -220,6 +221,7 @@
             return []
         was_silent = not view.is_responsive
         view.answered_at = now
+        view.first_answered_at = view.first_answered_at or now
         view.silent_since = 0.0
         if not was_silent:
             return []
@@ -313,3 +315,13 @@
             else:
                 self._set_due(view, now + SILENCE_RETRY_SECONDS)
         return effects
+
+
+def _describe_expiry(view: InstanceView, now: float) -> Record:
+    first = view.first_answered_at
+    attributes: dict[str, Scalar] = {
+        "runs": len(view.runs),
+        "lease_age": round(now - view.lease_sent_at, 3) if view.lease_sent_at else 0.0,
+        "first_answer": round(now - first, 3) if first else 0.0,
+    }
+    return Record(Event.LEASE_EXPIRED, view.registered.life, attributes)
