Record what refused an order, and which life it seems to be

A refused start named a reason, but neither the status of the answer, nor the attempt, nor the life that the answer is taken for; a refused stop left no line at all.

5005 names the attempt, the life and, where the answer names no reason, its status. The new event 5035 does the same for stops. 5028 names the width of the readings that count as those of the expected clock.

No decision has changed.

--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -205,7 +205,12 @@
         "run {run} is started on {life}, attempt {attempt}, {free} thousandths of a"
         " core free, version {version}",
     )
-    RUN_REFUSED = EventEntry(5005, Level.INFO, "{life} refused run {run}: {reason}")
+    RUN_REFUSED = EventEntry(
+        5005,
+        Level.INFO,
+        "{life} refused attempt {attempt} to start run {run} (answer of: {origin}):"
+        " {reason} {detail}",
+    )
     RUN_ENDED = EventEntry(5006, Level.INFO, "run {run} on {life} ended: {kind}")
     RUNS_LOST = EventEntry(5007, Level.WARNING, "{runs} runs are lost: {reason}")
     INSTANCE_SILENT = EventEntry(
@@ -281,9 +286,9 @@
         5028,
         Level.WARNING,
         "a {order} was answered by another life, born {born} (0: not named), whose"
-        " clock reads {clock} ms where {expected} ms or a little more is expected; the"
-        " latest lease was sent {lease_age} s ago, and ends up to {acknowledged} are"
-        " acknowledged",
+        " clock reads {clock} ms where {expected} ms or up to {window} ms more is"
+        " expected; the latest lease was sent {lease_age} s ago, and ends up to"
+        " {acknowledged} are acknowledged",
     )
     RUN_ORPHANED = EventEntry(
         5029,
@@ -301,6 +306,12 @@
         " sent {lease_age} s ago, the first answer of this life came {first_answer} s"
         " ago (0: none)",
     )
+    STOP_REFUSED = EventEntry(
+        5035,
+        Level.INFO,
+        "{life} refused to stop run {run} after {attempt} attempts to start it (answer"
+        " of: {origin}): {reason} {detail}",
+    )
     IDLE_RENEWALS_PAUSED = EventEntry(
         5090,
         Level.WARNING,
--- a/src/gypsumwalk/instance_actions.py
+++ b/src/gypsumwalk/instance_actions.py
@@ -198,11 +198,14 @@
     refused : str
         Empty if the order was carried out, otherwise ``fence``, ``old``, ``late``,
         ``room``, ``ticket``, ``identity``, ``busy`` or ``malformed``.
+    detail : str
+        What the answer was instead of one that names the reason, for the log.
     """
 
     clock: int = 0
     born: int = 0
     refused: str = ""
+    detail: str = ""
 
 
 class MachineInfo(msgspec.Struct, frozen=True):
--- a/src/gypsumwalk/order_delivery.py
+++ b/src/gypsumwalk/order_delivery.py
@@ -196,17 +196,23 @@
         run = order.run
         if run is None or not isinstance(report, OrderReport):
             return []
+        origin = find_origin(order, report, now)
         if order.kind is OrderKind.STOP:
-            if not report.refused:
-                run.stopped_at = now
+            if report.refused:
+                return [_describe_refusal(Event.STOP_REFUSED, run, report, origin)]
+            run.stopped_at = now
             return []
-        is_same_life = find_origin(order, report, now) is AnswerOrigin.SAME_LIFE
-        if not report.refused and not is_same_life:
+        if not report.refused and origin is not AnswerOrigin.SAME_LIFE:
             return []
-        return self._handle_start_answer(view, run, report, now)
+        return self._handle_start_answer(view, run, report, origin, now)
 
     def _handle_start_answer(
-        self, view: InstanceView, run: RunView, report: OrderReport, now: float
+        self,
+        view: InstanceView,
+        run: RunView,
+        report: OrderReport,
+        origin: AnswerOrigin,
+        now: float,
     ) -> list[Effect]:
         if run.state is not RunState.STARTING:
             return []
@@ -218,12 +224,7 @@
             if not report.refused:
                 run.started_clock = report.clock
             return []
-        attributes: dict[str, Scalar] = {
-            "run": run.run,
-            "life": run.life,
-            "reason": report.refused,
-        }
-        record = Record(Event.RUN_REFUSED, str(run.task), attributes)
+        record = _describe_refusal(Event.RUN_REFUSED, run, report, origin)
         if report.refused == "ticket":
             self._context.orders.drop_ticket(run)
         else:
@@ -265,6 +266,20 @@
     run.unanswered_starts = max(0, run.unanswered_starts - 1)
 
 
+def _describe_refusal(
+    event: Event, run: RunView, report: OrderReport, origin: AnswerOrigin
+) -> Record:
+    attributes: dict[str, Scalar] = {
+        "run": run.run,
+        "life": run.life,
+        "attempt": run.attempts,
+        "reason": report.refused,
+        "detail": report.detail,
+        "origin": origin.value,
+    }
+    return Record(event, str(run.task), attributes)
+
+
 def _has_open_order(run: RunView) -> bool:
     if run.state is RunState.ENDING:
         return False
--- a/src/gypsumwalk/outcomes.py
+++ b/src/gypsumwalk/outcomes.py
@@ -199,13 +199,16 @@
     report: InstanceReport | OrderReport,
     now: float,
 ) -> Record:
+    reading = order.reading
+    expected = reading.find_earliest(order.sent_at) if reading else 0
     attributes: dict[str, Scalar] = {
         "order": order.kind.value,
         "task": str(order.run.task) if order.run is not None else "",
         "run": order.run.run if order.run is not None else 0,
         "born": report.born,
         "clock": report.clock,
-        "expected": order.reading.find_earliest(order.sent_at) if order.reading else 0,
+        "expected": expected,
+        "window": reading.find_latest(now) - expected if reading else 0,
         "lease_age": round(now - view.lease_sent_at, 3),
         "acknowledged": view.acknowledged,
     }
