Count a run as going on whatever the reason for which its stop is refused

What callers would have seen: TWICE. An instance whose deregistration is not acknowledged goes on for seconds. If it refuses the stop of a run as malformed, or for a fence, the run counted as stopped 0.4 s later and was repeated elsewhere.

Cause: only the reason "busy" counted as a refusal there; each other answer, refused or not, counted as a stop that is carried out. Change: any refusal means that the run goes on until its lease expires, unless the clock of the answer is that of another life, whose former one has ended.

Measured: the new test failed for all three reasons (malformed, fence, unclear) and passes; tests.test_other_lives_review and tests.test_departing_instances pass.

--- a/src/gypsumwalk/outcomes.py
+++ b/src/gypsumwalk/outcomes.py
@@ -149,11 +149,15 @@
         if view is not None:
             view.late_start_until = max(view.late_start_until, run.late_start_until)
         if order.kind is OrderKind.STOP and isinstance(item.report, OrderReport):
-            self._note_stop(run, item.report, now)
+            origin = find_origin(order, item.report, now)
+            self._note_stop(run, item.report, origin, now)
 
-    def _note_stop(self, run: RunView, report: OrderReport, now: float) -> None:
+    def _note_stop(
+        self, run: RunView, report: OrderReport, origin: AnswerOrigin, now: float
+    ) -> None:
         """Note how long a run of a departed instance goes on after an answered stop."""
-        if report.refused == "busy":
+        # Where another life refuses it, that of the run has ended.
+        if report.refused and origin is not AnswerOrigin.OTHER_LIFE:
             self._departures.note_refused_stop(run)
         else:
             self._departures.note_stop(run, now + self._stop_grace)
--- a/tests/test_other_lives_review.py
+++ b/tests/test_other_lives_review.py
@@ -214,17 +214,26 @@
     # Guards against TWICE: a stop that is refused (429 or 503) shows that an instance
     # whose deregistration was not acknowledged goes on, but its run counts as ended.
     def test_a_run_goes_on_if_a_departing_instance_refuses_its_stop(self):
+        self.refuse_stops("busy")
+
+    # As before, with another reason: each of them says that the run is not stopped.
+    def test_a_run_goes_on_whatever_the_reason_of_the_refusal(self):
+        for reason in ("malformed", "fence", "unclear"):
+            with self.subTest(reason=reason):
+                self.refuse_stops(reason)
+
+    def refuse_stops(self, reason):
         world = make_departing_world()
         call = world.model.call
+        report = OrderReport(refused=reason)
 
-        def refuse_stops(effect, now):
+        def refuse_stop(effect, now):
             if not isinstance(effect.action, StopRun):
                 return call(effect, now)
-            busy = OrderReport(refused="busy")
-            refusal = PlatformOutcome(effect.token, succeeded=True, report=busy)
+            refusal = PlatformOutcome(effect.token, succeeded=True, report=report)
             return 0.002, lambda at: refusal
 
-        with patch.object(world.model, "call", refuse_stops):
+        with patch.object(world.model, "call", refuse_stop):
             DepartingInstance(world, 0, lost_answers=10)
             world.run(8.0)
         assert find_duplicate_runs(world.model.history) == []
