Do not take an answer that says nothing for a refused order

A start that an instance carried out, and whose answer was replaced by a 502, counted as refused: with one attempt, its run was lost at once and its task started elsewhere while it went on.

Cause: each status besides 200, 400, 409 and 421 counted as "busy", a refusal that has done nothing. The platform says so of 429 and 503 only.

Change: other statuses make the outcome unknown, with the reason "unclear" and the status for the log. Such a start counts as unanswered and is sent again, which tells whether the run has begun. After a second such answer the run is stopped, and the instance gets no starts for 4 s, longer than it takes to end the run.

--- a/src/gypsumwalk/instance_actions.py
+++ b/src/gypsumwalk/instance_actions.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "ACTIONS",
+    "UNCLEAR",
     "AdviceReport",
     "AskAdvice",
     "EndKind",
@@ -29,6 +30,10 @@
 ]
 
 
+UNCLEAR = "unclear"
+"""Reason of an answer that does not tell whether an order was carried out."""
+
+
 class RenewLease(msgspec.Struct, frozen=True, tag=True):
     """Renew the lease that covers all runs on an instance, and list these runs.
 
@@ -197,7 +202,8 @@
         Start of its life, in milliseconds since the epoch; 0 if not reported.
     refused : str
         Empty if the order was carried out, otherwise ``fence``, ``old``, ``late``,
-        ``room``, ``ticket``, ``identity``, ``busy`` or ``malformed``.
+        ``room``, ``ticket``, ``identity``, ``busy`` or ``malformed``, or ``UNCLEAR`` if
+        the answer does not tell whether it was carried out, or is yet to be.
     detail : str
         What the answer was instead of one that names the reason, for the log.
     """
--- a/src/gypsumwalk/order_delivery.py
+++ b/src/gypsumwalk/order_delivery.py
@@ -9,7 +9,7 @@
 from gypsumwalk.effects import Effect, Record, Scalar
 from gypsumwalk.events import Event
 from gypsumwalk.inputs import PlatformOutcome
-from gypsumwalk.instance_actions import OrderReport
+from gypsumwalk.instance_actions import UNCLEAR, OrderReport
 from gypsumwalk.instance_orders import OpenOrder, OrderKind
 from gypsumwalk.leases import InstanceView, RunState, RunView
 from gypsumwalk.orphaned_runs import LATE_ORDER_SECONDS
@@ -27,6 +27,10 @@
 START_BACKOFF_SECONDS = 1.0
 """Time for which an instance gets no starts after it refused one."""
 
+UNCLEAR_BACKOFF_SECONDS = 4.0
+"""The same after repeated answers that say nothing; longer than it takes to end the run
+(2.4 s), so that its task starts elsewhere if it can."""
+
 
 class OrderDelivery:
     """Starts and stops that the instances may not have accepted yet.
@@ -229,6 +233,11 @@
             self._context.orders.drop_ticket(run)
         else:
             view.start_backoff_until = now + START_BACKOFF_SECONDS
+        if report.refused == UNCLEAR and run.attempts == 1:
+            # The instance may have the run: the start is sent again.
+            return [record]
+        if report.refused == UNCLEAR:
+            view.start_backoff_until = now + UNCLEAR_BACKOFF_SECONDS
         if run.attempts > 1:
             # An earlier copy of the order may still arrive; the instance refuses it
             # after a stop.
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -186,6 +186,31 @@
             assert outcome.unknown
             assert not outcome.succeeded
 
+    # Guards against a start, a stop or a pace that counts as refused although it may
+    # have been carried out: the platform says only of 429 and 503 that it has not.
+    def test_an_order_to_an_instance_without_a_clear_answer_is_unknown(self):
+        for action in (
+            StartRun("i-1", self.address, 7, TASK, 1, "spec", 99),
+            StopRun("i-1", self.address, 7, TASK, 2),
+            PaceRun("i-1", self.address, 7, TASK, 2, 40),
+        ):
+            for status in (201, 202, 302, 404, 408, 418, 500, 502, 504):
+                with self.subTest(action=type(action).__name__, status=status):
+                    self.status, self.answer = status, {"clock_ms": 5}
+                    outcome = self.call(action)
+                    assert outcome.unknown
+                    assert not outcome.succeeded
+                    assert outcome.report.refused == "unclear"
+                    assert str(status) in outcome.report.detail
+
+    def test_an_unhealthy_instance_has_done_nothing(self):
+        for status in (429, 503):
+            with self.subTest(status=status):
+                self.status = status
+                outcome = self.call(StopRun("i-1", self.address, 7, TASK, 2))
+                assert not outcome.unknown
+                assert outcome.report.refused == "busy"
+
     def test_a_refused_connection_is_no_unknown_outcome(self):
         self.server.stop()
         outcome = self.call(StopRun("i-1", self.address, 7, TASK, 2))
