Take no refusal without a known reason for an order carried out

What callers would have seen: a start or a stop that was refused counted as carried out, so that a stopped run could go on while its task started elsewhere (TWICE); a renewal that was refused counted as a list without runs, and two of these ended every run of the instance (TWICE); a machine whose order was refused counted as moved or maintained.

Cause: the reason of a refusal (409) was passed on as it was. An empty one means "carried out" inside, and any one but "fence" of a renewal left an empty run list.

No instance was seen that answers so.

--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -31,8 +31,10 @@
     ListMachines,
     MachineList,
     MaintainMachine,
+    PaceRun,
     RenewLease,
     RunningTask,
+    StartRun,
     StopRun,
 )
 from gypsumwalk.instance_orders import parse_task
@@ -257,6 +259,40 @@
         assert self.call(stop, DEEP.encode()).unknown
 
 
+class TestRefusals(AnswerTest):
+    # Guards against a refusal that counts as an order carried out, or a refused renewal
+    # that counts as a list without runs: 409 without a reason decodes to an empty one.
+    def test_a_refusal_without_a_known_reason_is_unclear(self):
+        self.server.status = 409
+        address = self.server.address
+        for text in ("{}", '{"clock_ms":5}', '{"reason":""}', '{"reason":"odd"}'):
+            for order in (
+                StartRun("i-1", address, 7, TASK, 1, "spec", 99),
+                StopRun("i-1", address, 7, TASK, 2),
+                PaceRun("i-1", address, 7, TASK, 2, 40),
+            ):
+                with self.subTest(text=text, order=type(order).__name__):
+                    outcome = self.call(order, text.encode())
+                    assert outcome.unknown
+                    assert outcome.report.refused == "unclear"
+
+    def test_a_refused_renewal_lists_no_runs(self):
+        self.server.status = 409
+        for text in ("{}", '{"clock_ms":5,"born":7}', '{"reason":"late"}'):
+            with self.subTest(text=text):
+                outcome = self.renew(text)
+                assert not outcome.succeeded
+                assert outcome.report is None
+
+    # The same for a machine, which counted as moved or maintained.
+    def test_a_refused_order_to_a_machine_without_a_known_reason_is_unknown(self):
+        self.server.status = 409
+        order = MaintainMachine("m-1", 3, "holder", 7)
+        for text in ("{}", '{"reason":""}', '{"reason":"odd"}'):
+            with self.subTest(text=text):
+                assert self.call(order, text.encode()).unknown
+
+
 class TestAdvice(AnswerTest):
     def test_the_good_tickets_hold_beside_an_odd_one(self):
         question = AskAdvice("5c0e7a21d94b36f8.0.1", ["i-1"])
