End no run before its placement is committed

Cause: an end names a run by task and number. A leader proposed the end of a run that it had only planned, as soon as its instance was removed or its lease had expired. If that leader is cut off before the placement is committed, the next one does not know of it and gives the number again. The former leader's proposals are sent to the new one for 2 s: the placement is refused as one of an earlier term, its end is accepted, for ends name no term, and ends the run of the new leader.

If the placement is not committed, the run is forgotten without an end.

Ruled out by reading: the same for runs with a committed placement, as a new leader has applied all entries of the terms before when it plans; two placements with one number, as the former leader has stepped down when its late one is committed, and starts nothing.

--- a/src/gypsumwalk/run_ends.py
+++ b/src/gypsumwalk/run_ends.py
@@ -132,6 +132,10 @@
     def end_as_lost(self, lost: Iterable[RunView], reason: str) -> list[Effect]:
         """Propose runs as lost whose end their instance will not report.
 
+        A planned run is left out: its end would be that of another one if its placement
+        is never committed and the next leader gives its number again. It ends as its
+        placement is committed.
+
         Parameters
         ----------
         lost : Iterable of RunView
@@ -144,7 +148,8 @@
         list of Effect
             The proposal and its record, none if every end is proposed already.
         """
-        runs = [run for run in lost if run.state is not RunState.ENDING]
+        without_end = (RunState.PLANNED, RunState.ENDING)
+        runs = [run for run in lost if run.state not in without_end]
         if not runs:
             return []
         ends = [
