Let refused and repeated starts extend the leases of emulated instances

The platform's page says that the time of a start also counts if it is refused as old, and of everything that runs there. The emulated instances ignored it for a start that they refused, and for one of a run that was there already, so that their leases ended earlier than those of real ones: tests of the longest lease were too easy.

Instances that are full and refuse for that reason are still not emulated.

--- a/src/gypsumwalk/emulator.py
+++ b/src/gypsumwalk/emulator.py
@@ -4,7 +4,8 @@
 over, when it is stopped or when its lease expires. Ended runs are listed until they are
 acknowledged. A run that is being stopped is listed neither as running nor as ended. An
 order with an older fence is refused, and so is a start whose run number is not higher
-than that of a run of the task that ended or was stopped there. A repeated order to
+than that of a run of the task that ended or was stopped there; it extends the lease
+nevertheless. A repeated order to
 maintain a machine in a wave succeeds without an effect. The caller injects faults:
 delayed orders, lost answers, and silent, crashed or restarted instances. The emulator
 shares no code with the controllers.
@@ -409,8 +410,10 @@
     def _start(self, instance: EmulatedInstance, action: StartRun, now: float) -> str:
         present = instance.running.get(action.task)
         if present is not None and present.run == action.run:
+            self._extend(instance, action.lease_until, now)
             return ""
         if action.run <= instance.highest_closed_run.get(action.task, 0):
+            self._extend(instance, action.lease_until, now)
             return "old"
         if action.lease_until <= instance.read_clock(now):
             return "late"
