Reject a removal of a silent instance after a placement of a later term

Cause: an instance without runs that does not answer the leader for 30 s is removed, although it need not have ended. The leader proposes that, is cut off, and the proposal reaches the next leader up to 2 s later. That one has heard of the instance and started runs there; the removal counted as their end. Kin of the end of a planned run: what a leader concludes holds for its term only, unless it holds for good.

Change: such a removal names the term of the leader. It is rejected once the log has a placement of a later term. If the placement comes after the removal, its start is not sent, as the instance is not registered. Removals of lives that have ended name no term, as before. The dispatcher passes over all rejected commands now, not only placements.

Measured: the new test failed for reconnections after 1.4 and 1.6 s.

Looked at, and found to hold for good: removals because another life answers, because the machine is down, has moved or was maintained, and ends of runs with a committed placement.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -28,7 +28,7 @@
 from gypsumwalk.part import NEVER
 from gypsumwalk.pass_schedule import PassSchedule
 from gypsumwalk.run_orders import RunOrders
-from gypsumwalk.state import Accepted
+from gypsumwalk.state import Rejected
 from gypsumwalk.task_scheduler import TaskScheduler
 from gypsumwalk.upkeep import NoteMaintained, StartUpkeep
 from gypsumwalk.views import LeadershipView
@@ -261,14 +261,14 @@
 
     def _handle_command(self, item: Committed, now: float) -> list[Effect]:
         self.request_scheduling_pass(now)
+        if isinstance(item.result, Rejected):
+            return []
         match item.command:
             case AcceptWorkload(workload=workload):
                 self._scheduler.invalidate(workload.job)
             case CancelWorkload(job=job):
                 return self._stop_job(job, now)
             case PlaceRuns(term=term, placements=placements):
-                if not isinstance(item.result, Accepted):
-                    return []
                 if term == self._term:
                     return self._modules.placements.start(
                         placements, self._can_start, now
--- a/src/gypsumwalk/renewals.py
+++ b/src/gypsumwalk/renewals.py
@@ -132,7 +132,12 @@
         if not view.runs and now - view.silent_since > REMOVE_SILENT_SECONDS:
             view.silent_since = now
             reason = "it has not answered for long"
-            command = RemoveInstance(view.registered.life, left=False, reason=reason)
+            command = RemoveInstance(
+                view.registered.life,
+                left=False,
+                reason=reason,
+                term=self._context.orders.term,
+            )
             return [self._context.propose(command)]
         return []
 
--- a/src/gypsumwalk/run_orders.py
+++ b/src/gypsumwalk/run_orders.py
@@ -88,6 +88,11 @@
         """Upper bound in seconds of the time until a lease granted now has expired."""
         return self._lease_seconds / (1 - CLOCK_RATE_ERROR) + LEASE_MARGIN_SECONDS
 
+    @property
+    def term(self) -> int:
+        """Term of the orders."""
+        return self._term
+
     @property
     def latest_fence(self) -> int:
         """The highest fence given to a life in this term."""
--- a/src/gypsumwalk/workload_records.py
+++ b/src/gypsumwalk/workload_records.py
@@ -406,9 +406,14 @@
         How its end is known, for the log.
     is_departing : bool
         Whether it ends only now, as it is told that it is removed.
+    term : int
+        Term of the leader that does not hear of the life, 0 if the life has ended. The
+        command is rejected after a placement of a later term: the life may have
+        answered that leader, and have runs.
     """
 
     life: str
     left: bool = True
     reason: str = ""
     is_departing: bool = False
+    term: int = 0
--- a/src/gypsumwalk/workloads.py
+++ b/src/gypsumwalk/workloads.py
@@ -118,8 +118,8 @@
                     self._end_run(end, at)
             case RegisterInstance():
                 self._apply_registration(command)
-            case RemoveInstance(life=life, left=left):
-                self._remove(life, left=left)
+            case RemoveInstance():
+                return self._apply_removal(command, index)
         return Accepted(index)
 
     def find_latest_life(self, instance: str) -> RegisteredInstance | None:
@@ -254,7 +254,7 @@
 
     def _record_placements(self, command: PlaceRuns, index: int) -> msgspec.Struct:
         if command.term < self._term:
-            return Rejected("StaleTerm", f"term {command.term} is over")
+            return _reject_stale(command.term)
         self._term = command.term
         for placement in command.placements:
             self._record_placement(placement)
@@ -344,6 +344,12 @@
         if may_return or not self.is_superseded(command.instance):
             self._register(command.instance)
 
+    def _apply_removal(self, command: RemoveInstance, index: int) -> msgspec.Struct:
+        if 0 < command.term < self._term:
+            return _reject_stale(command.term)
+        self._remove(command.life, left=command.left)
+        return Accepted(index)
+
     def _register(self, instance: RegisteredInstance) -> None:
         known = self.instances.get(instance.life)
         if known is not None and known.draining and not instance.draining:
@@ -402,3 +408,7 @@
 def _is_superseded_by(old: RegisteredInstance, new: RegisteredInstance) -> bool:
     same = old.instance == new.instance or old.address == new.address
     return same and old.life != new.life and old.born <= new.born
+
+
+def _reject_stale(term: int) -> Rejected:
+    return Rejected("StaleTerm", f"term {term} is over")
