--- a/src/gypsumwalk/order_delivery.py
+++ b/src/gypsumwalk/order_delivery.py
@@ -9,7 +9,7 @@
 from gypsumwalk.effects import Effect, Record, Scalar
 from gypsumwalk.events import Event
 from gypsumwalk.inputs import PlatformOutcome
-from gypsumwalk.instance_actions import OrderReport
+from gypsumwalk.instance_actions import UNCLEAR, OrderReport
 from gypsumwalk.instance_orders import OpenOrder, OrderKind
 from gypsumwalk.leases import InstanceView, RunState, RunView
 from gypsumwalk.orphaned_runs import LATE_ORDER_SECONDS
@@ -27,6 +27,10 @@
 START_BACKOFF_SECONDS = 1.0
 """Time for which an instance gets no starts after it refused one."""
 
+UNCLEAR_BACKOFF_SECONDS = 4.0
+"""The same after repeated answers that say nothing; longer than it takes to end the run
+(2.4 s), so that its task starts elsewhere if it can."""
+
 
 class OrderDelivery:
     """Starts and stops that the instances may not have accepted yet.
@@ -196,17 +200,23 @@
         run = order.run
         if run is None or not isinstance(report, OrderReport):
             return []
+        origin = find_origin(order, report, now)
         if order.kind is OrderKind.STOP:
-            if not report.refused:
-                run.stopped_at = now
+            if report.refused:
+                return [_describe_refusal(Event.STOP_REFUSED, run, report, origin)]
+            run.stopped_at = now
             return []
-        is_same_life = find_origin(order, report, now) is AnswerOrigin.SAME_LIFE
-        if not report.refused and not is_same_life:
+        if not report.refused and origin is not AnswerOrigin.SAME_LIFE:
             return []
-        return self._handle_start_answer(view, run, report, now)
+        return self._handle_start_answer(view, run, report, origin, now)
 
     def _handle_start_answer(
-        self, view: InstanceView, run: RunView, report: OrderReport, now: float
+        self,
+        view: InstanceView,
+        run: RunView,
+        report: OrderReport,
+        origin: AnswerOrigin,
+        now: float,
     ) -> list[Effect]:
         if run.state is not RunState.STARTING:
             return []
@@ -218,16 +228,16 @@
             if not report.refused:
                 run.started_clock = report.clock
             return []
-        attributes: dict[str, Scalar] = {
-            "run": run.run,
-            "life": run.life,
-            "reason": report.refused,
-        }
-        record = Record(Event.RUN_REFUSED, str(run.task), attributes)
+        record = _describe_refusal(Event.RUN_REFUSED, run, report, origin)
         if report.refused == "ticket":
             self._context.orders.drop_ticket(run)
         else:
             view.start_backoff_until = now + START_BACKOFF_SECONDS
+        if report.refused == UNCLEAR and run.attempts == 1:
+            # The instance may have the run: the start is sent again.
+            return [record]
+        if report.refused == UNCLEAR:
+            view.start_backoff_until = now + UNCLEAR_BACKOFF_SECONDS
         if run.attempts > 1:
             # An earlier copy of the order may still arrive; the instance refuses it
             # after a stop.
@@ -265,6 +275,20 @@
     run.unanswered_starts = max(0, run.unanswered_starts - 1)
 
 
+def _describe_refusal(
+    event: Event, run: RunView, report: OrderReport, origin: AnswerOrigin
+) -> Record:
+    attributes: dict[str, Scalar] = {
+        "run": run.run,
+        "life": run.life,
+        "attempt": run.attempts,
+        "reason": report.refused,
+        "detail": report.detail,
+        "origin": origin.value,
+    }
+    return Record(event, str(run.task), attributes)
+
+
 def _has_open_order(run: RunView) -> bool:
     if run.state is RunState.ENDING:
         return False
--- a/src/gypsumwalk/outcomes.py
+++ b/src/gypsumwalk/outcomes.py
@@ -120,7 +120,8 @@
             # A clock alone does not remove a life, whose runs would be repeated.
             effects += self._renewals.doubt(view, now)
         elif report.clock and origin is AnswerOrigin.SAME_LIFE:
-            view.update_clock(ClockReading(report.clock, order.sent_at, now))
+            reading = ClockReading(report.clock, order.sent_at, now)
+            view.update_clock(reading, is_certain=bool(report.born))
         if isinstance(report, InstanceReport) and origin is not AnswerOrigin.SAME_LIFE:
             # What another life lists, or doesn't, tells nothing of this one.
             return effects + self._pass_on(view, order, None, now)
@@ -149,11 +150,15 @@
         if view is not None:
             view.late_start_until = max(view.late_start_until, run.late_start_until)
         if order.kind is OrderKind.STOP and isinstance(item.report, OrderReport):
-            self._note_stop(run, item.report, now)
+            origin = find_origin(order, item.report, now)
+            self._note_stop(run, item.report, origin, now)
 
-    def _note_stop(self, run: RunView, report: OrderReport, now: float) -> None:
+    def _note_stop(
+        self, run: RunView, report: OrderReport, origin: AnswerOrigin, now: float
+    ) -> None:
         """Note how long a run of a departed instance goes on after an answered stop."""
-        if report.refused == "busy":
+        # Where another life refuses it, that of the run has ended.
+        if report.refused and origin is not AnswerOrigin.OTHER_LIFE:
             self._departures.note_refused_stop(run)
         else:
             self._departures.note_stop(run, now + self._stop_grace)
@@ -199,13 +204,15 @@
     report: InstanceReport | OrderReport,
     now: float,
 ) -> Record:
+    expected = order.clock.find_earliest(order.sent_at) if order.clock else 0
     attributes: dict[str, Scalar] = {
         "order": order.kind.value,
         "task": str(order.run.task) if order.run is not None else "",
         "run": order.run.run if order.run is not None else 0,
         "born": report.born,
         "clock": report.clock,
-        "expected": order.reading.find_earliest(order.sent_at) if order.reading else 0,
+        "expected": expected,
+        "window": order.clock.find_latest(now) - expected if order.clock else 0,
         "lease_age": round(now - view.lease_sent_at, 3),
         "acknowledged": view.acknowledged,
     }
--- a/src/gypsumwalk/run_orders.py
+++ b/src/gypsumwalk/run_orders.py
@@ -88,6 +88,11 @@
         """Upper bound in seconds of the time until a lease granted now has expired."""
         return self._lease_seconds / (1 - CLOCK_RATE_ERROR) + LEASE_MARGIN_SECONDS
 
+    @property
+    def term(self) -> int:
+        """Term of the orders."""
+        return self._term
+
     @property
     def latest_fence(self) -> int:
         """The highest fence given to a life in this term."""
@@ -246,7 +251,7 @@
 def _open_order(
     kind: OrderKind, view: InstanceView, now: float, run: RunView | None = None
 ) -> OpenOrder:
-    return OpenOrder(kind, view.registered.life, now, view.fence, run, view.reading)
+    return OpenOrder(kind, view.registered.life, now, view.fence, run, view.clock)
 
 
 def _format_step(run: RunView) -> str:
