Record the list from which a run counts as ended since it is missing

A run that run lists omit counts as ended, without a warning, and RUN_ENDED does not tell from which list that follows. The new event 5032 has the life and the clock of that list, the numbers of its entries and of those that were left out as malformed, and the times since it was requested, since the run was confirmed and since it was first missing. So it tells apart a list that could not be read in full, a list of another time, a run of an earlier leader that was never confirmed, and a run that ended unseen.

No decision has changed.

The check of test_malformed_answers expects these numbers besides what it expected.

--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -301,6 +301,15 @@
         " sent {lease_age} s ago, the first answer of this life came {first_answer} s"
         " ago (0: none)",
     )
+    RUN_MISSING = EventEntry(
+        5032,
+        Level.WARNING,
+        "run {run} on {life} counts as ended, as run lists omit it: the latest, of"
+        " the life born {born}, at {clock} ms of its clock, has {running} runs and"
+        " {ended} ends, {unread_runs} and {unread_ends} more were left out as"
+        " malformed; it was requested {requested} s ago, the run was {state},"
+        " confirmed {confirmed} s ago (0: not) and first missing {missing} s ago",
+    )
     IDLE_RENEWALS_PAUSED = EventEntry(
         5090,
         Level.WARNING,
--- a/src/gypsumwalk/instance_actions.py
+++ b/src/gypsumwalk/instance_actions.py
@@ -177,6 +177,10 @@
     refused : str
         ``fence`` if the instance has seen a higher fence, ``identity`` if another
         instance answered, otherwise empty.
+    unread_runs : int
+        Number of entries of runs that are going on which could not be read.
+    unread_ends : int
+        Number of entries of ended runs which could not be read.
     """
 
     clock: int = 0
@@ -184,6 +188,8 @@
     running: list[RunningTask] = []
     ended: list[EndedRun] = []
     refused: str = ""
+    unread_runs: int = 0
+    unread_ends: int = 0
 
 
 class OrderReport(msgspec.Struct, frozen=True):
--- a/src/gypsumwalk/run_ends.py
+++ b/src/gypsumwalk/run_ends.py
@@ -70,7 +70,7 @@
         Returns
         -------
         list of Effect
-            Stops of the runs that have no placement.
+            Stops of the runs that have no placement, and records.
         """
         reconciled = reconcile_runs(
             view, report, sent_at=sent_at, now=now, stop_grace=self._stop_grace
@@ -82,6 +82,9 @@
                 effects += self._context.orders.stop_unknown(view, task, run, now)
         if not reconciled.ends and not reconciled.last_end:
             return effects
+        effects += [
+            _describe_missing(run, report, sent_at, now) for run in reconciled.missing
+        ]
         ends = reconciled.ends
         ends += self._find_ends_of_former_lives(view, reconciled.unknown_ends)
         for end in ends:
@@ -235,3 +238,24 @@
         overhead = run.find_overhead(now)
         if overhead is not None and end.kind is RunEndKind.DONE:
             self._context.scheduler.record_overhead(overhead)
+
+
+def _describe_missing(
+    run: RunView, report: InstanceReport, sent_at: float, now: float
+) -> Record:
+    confirmed = run.confirmed_at
+    attributes: dict[str, Scalar] = {
+        "run": run.run,
+        "life": run.life,
+        "born": report.born,
+        "clock": report.clock,
+        "running": len(report.running),
+        "ended": len(report.ended),
+        "unread_runs": report.unread_runs,
+        "unread_ends": report.unread_ends,
+        "requested": round(now - sent_at, 3),
+        "state": run.state.value,
+        "confirmed": round(now - confirmed, 3) if confirmed else 0.0,
+        "missing": round(now - run.missing_since, 3),
+    }
+    return Record(Event.RUN_MISSING, str(run.task), attributes)
--- a/src/gypsumwalk/run_lists.py
+++ b/src/gypsumwalk/run_lists.py
@@ -35,6 +35,8 @@
     ----------
     ends : list of RunEnd
         Ends of runs in the table that have ended or can no longer be running.
+    missing : list of RunView
+        Runs in ``ends`` whose end is not listed: they are missing from the lists.
     last_end : int
         Number of the latest listed end that is not acknowledged, 0 for none.
     unknown_runs : list of tuple
@@ -44,6 +46,7 @@
     """
 
     ends: list[RunEnd]
+    missing: list[RunView]
     last_end: int
     unknown_runs: list[tuple[str, int]]
     unknown_ends: list[EndedRun]
@@ -84,6 +87,7 @@
         if item.number > view.acknowledged and _is_plausible(item, report)
     }
     ends: list[RunEnd] = []
+    missing: list[RunView] = []
     is_same_life = report.born == view.registered.born
     complete = len(report.ended) < MAX_LISTED_ENDS
     for key, run in view.runs.items():
@@ -93,6 +97,7 @@
             _confirm(run, listed[key], now, is_same_life=is_same_life)
         elif complete and _is_gone(run, sent_at, now, stop_grace):
             ends.append(RunEnd(run.task, run.run, RunEndKind.LOST, run.checkpoint))
+            missing.append(run)
     last_end = max((item.number for item in ended.values()), default=0)
     unknown_runs = [
         (task, run)
@@ -100,7 +105,7 @@
         if (task, run) not in view.runs and parse_task(task) is not None
     ]
     unknown_ends = [item for key, item in ended.items() if key not in view.runs]
-    return Reconciliation(ends, last_end, unknown_runs, unknown_ends)
+    return Reconciliation(ends, missing, last_end, unknown_runs, unknown_ends)
 
 
 def confirm_listed_runs(view: InstanceView, report: InstanceReport, now: float) -> None:
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -149,7 +149,9 @@
                 outcome = self.read(f"{odd},{RUN}", f"{END},{odd}")
                 running = [RunningTask(TASK, 2, "c", 41)]
                 ended = [EndedRun(4, OTHER_TASK, 1, "done", "c")]
-                assert outcome.report == InstanceReport(500, 7, running, ended)
+                assert outcome.report == InstanceReport(
+                    500, 7, running, ended, unread_runs=1, unread_ends=1
+                )
 
     def test_an_odd_entry_is_reported_with_its_source(self):
         self.read(f"{RUN},[7,1]")
