Take no run for ended that a list with unread entries omits

A list from which the adapter had left out entries counted as complete: a run whose entry could not be read in two lists half a second apart counted as ended, and was started elsewhere while it went on (TWICE).

Such a list proves nothing of the runs that it omits now. If a run is missing from them for 1.5 s, it is stopped, which event 5038 records, and counts as ended once the instance has accepted the stop and the stop grace is over: it refuses a start of that run from then on. So an entry that stays unreadable, such as one of another writer, holds back no task.

Weighed: only to wait for a list without unread entries. A run of an earlier leader whose start was never carried out would keep its task waiting as long as the other writer's entry is there. The price is the work of a run whose own entry can't be read for 1.5 s, and a lasting task is stopped then without regard to the budget of its step.

--- a/src/gypsumwalk/dispatch_modules.py
+++ b/src/gypsumwalk/dispatch_modules.py
@@ -58,8 +58,8 @@
         )
         self._context = context
         self._passes = passes
-        self.ends = RunEnds(context, stop_grace=stop_grace)
         self.delivery = OrderDelivery(context, evacuation=evacuation)
+        self.ends = RunEnds(context, self.delivery.stop, stop_grace=stop_grace)
         self.evacuation = EvacuationMoves(context, self.delivery, evacuated)
         self.placements = Placements(context, self.delivery, orphans)
         self.renewals = Renewals(context, self.ends, orphans)
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -310,6 +310,13 @@
         " malformed; it was requested {requested} s ago, the run was {state},"
         " confirmed {confirmed} s ago (0: not) and first missing {missing} s ago",
     )
+    RUN_HIDDEN = EventEntry(
+        5038,
+        Level.WARNING,
+        "run {run} on {life} is stopped: for {missing} s it has been missing from run"
+        " lists that can't be read in full, the latest without {unread_runs} runs and"
+        " {unread_ends} ends",
+    )
     IDLE_RENEWALS_PAUSED = EventEntry(
         5090,
         Level.WARNING,
--- a/src/gypsumwalk/orphaned_runs.py
+++ b/src/gypsumwalk/orphaned_runs.py
@@ -197,7 +197,7 @@
             expiry = self._find_lease_end(run)
             view.min_lease_expiry = max(view.min_lease_expiry, expiry)
             run.state = RunState.STARTING
-            run.stopped_at = run.missing_since = 0.0
+            run.stopped_at = run.missing_since = run.hidden_since = 0.0
             run.has_departed = run.has_returned = False
             run.started_clock = 0
             adopted.append(run)
--- a/src/gypsumwalk/run_ends.py
+++ b/src/gypsumwalk/run_ends.py
@@ -1,6 +1,6 @@
 """Ends of runs: those that instances list, and those of lost runs."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from gypsumwalk.dispatch_context import DispatchContext
 from gypsumwalk.effects import Effect, Record, Scalar
@@ -26,14 +26,23 @@
     ----------
     context : DispatchContext
         State that the modules of the dispatcher share.
+    stop : Callable
+        Stops a run at a time in seconds.
     stop_grace : float
         Maximum duration of a stop, in seconds.
     """
 
-    def __init__(self, context: DispatchContext, *, stop_grace: float) -> None:
+    def __init__(
+        self,
+        context: DispatchContext,
+        stop: Callable[[RunView, float], list[Effect]],
+        *,
+        stop_grace: float,
+    ) -> None:
         self.due = NEVER
         """Time in seconds at which ``propose_listed`` is due."""
         self._context = context
+        self._stop = stop
         self._stop_grace = stop_grace
         self._listed: list[RunEnd] = []
         self._listed_numbers: dict[str, int] = {}
@@ -70,7 +79,7 @@
         Returns
         -------
         list of Effect
-            Stops of the runs that have no placement, and records.
+            Stops of runs that have no placement, or may go on unread, and records.
         """
         reconciled = reconcile_runs(
             view, report, sent_at=sent_at, now=now, stop_grace=self._stop_grace
@@ -80,6 +89,9 @@
         if self._context.is_leading(now):
             for task, run in reconciled.unknown_runs:
                 effects += self._context.orders.stop_unknown(view, task, run, now)
+            for hidden in reconciled.hidden:
+                effects.append(_describe_hidden(hidden, report, now))
+                effects += self._stop(hidden, now)
         if not reconciled.ends and not reconciled.last_end:
             return effects
         effects += [
@@ -244,6 +256,7 @@
     run: RunView, report: InstanceReport, sent_at: float, now: float
 ) -> Record:
     confirmed = run.confirmed_at
+    missing = run.missing_since or run.hidden_since
     attributes: dict[str, Scalar] = {
         "run": run.run,
         "life": run.life,
@@ -256,6 +269,17 @@
         "requested": round(now - sent_at, 3),
         "state": run.state.value,
         "confirmed": round(now - confirmed, 3) if confirmed else 0.0,
-        "missing": round(now - run.missing_since, 3),
+        "missing": round(now - missing, 3) if missing else 0.0,
     }
     return Record(Event.RUN_MISSING, str(run.task), attributes)
+
+
+def _describe_hidden(run: RunView, report: InstanceReport, now: float) -> Record:
+    attributes: dict[str, Scalar] = {
+        "run": run.run,
+        "life": run.life,
+        "unread_runs": report.unread_runs,
+        "unread_ends": report.unread_ends,
+        "missing": round(now - run.hidden_since, 3),
+    }
+    return Record(Event.RUN_HIDDEN, str(run.task), attributes)
--- a/src/gypsumwalk/run_lists.py
+++ b/src/gypsumwalk/run_lists.py
@@ -17,6 +17,10 @@
 MAX_LISTED_ENDS = 500
 """Maximum number of ends in one run list."""
 
+HIDDEN_SECONDS = 1.5
+"""Time for which a run may be missing from lists with unread entries before it is
+stopped; an entry is seldom unread for long, and a task waits for its next run."""
+
 END_KINDS: dict[EndKind, RunEndKind] = {
     "done": RunEndKind.DONE,
     "failed": RunEndKind.FAILED,
@@ -37,6 +41,8 @@
         Ends of runs in the table that have ended or can no longer be running.
     missing : list of RunView
         Runs in ``ends`` whose end is not listed: they are missing from the lists.
+    hidden : list of RunView
+        Runs to stop, as they are missing from lists with entries that can't be read.
     last_end : int
         Number of the latest listed end that is not acknowledged, 0 for none.
     unknown_runs : list of tuple
@@ -47,6 +53,7 @@
 
     ends: list[RunEnd]
     missing: list[RunView]
+    hidden: list[RunView]
     last_end: int
     unknown_runs: list[tuple[str, int]]
     unknown_ends: list[EndedRun]
@@ -88,14 +95,18 @@
     }
     ends: list[RunEnd] = []
     missing: list[RunView] = []
+    hidden: list[RunView] = []
     is_same_life = report.born == view.registered.born
     complete = len(report.ended) < MAX_LISTED_ENDS
+    is_read = not report.unread_runs and not report.unread_ends
     for key, run in view.runs.items():
         if key in ended:
             ends.append(describe_end(run, ended[key]))
         elif key in listed:
             _confirm(run, listed[key], now, is_same_life=is_same_life)
-        elif complete and _is_gone(run, sent_at, now, stop_grace):
+        elif not is_read and _is_hidden(run, sent_at, now):
+            hidden.append(run)
+        elif complete and _is_gone(run, sent_at, now, stop_grace, is_read=is_read):
             ends.append(RunEnd(run.task, run.run, RunEndKind.LOST, run.checkpoint))
             missing.append(run)
     last_end = max((item.number for item in ended.values()), default=0)
@@ -105,7 +116,7 @@
         if (task, run) not in view.runs and parse_task(task) is not None
     ]
     unknown_ends = [item for key, item in ended.items() if key not in view.runs]
-    return Reconciliation(ends, missing, last_end, unknown_runs, unknown_ends)
+    return Reconciliation(ends, missing, hidden, last_end, unknown_runs, unknown_ends)
 
 
 def confirm_listed_runs(view: InstanceView, report: InstanceReport, now: float) -> None:
@@ -157,19 +168,35 @@
         run.state = RunState.RUNNING
         run.confirmed_at = now
     run.first_listed_at = run.first_listed_at or now
-    run.missing_since = 0.0
+    run.missing_since = run.hidden_since = 0.0
     run.percent, run.load = item.percent, item.load
     run.checkpoint = item.checkpoint or run.checkpoint
 
 
-def _is_gone(run: RunView, sent_at: float, now: float, stop_grace: float) -> bool:
+def _is_hidden(run: RunView, sent_at: float, now: float) -> bool:
+    """Tell whether a run has to be stopped, as no list tells whether it goes on."""
+    if run.is_stopping or not _should_be_listed(run, sent_at):
+        return False
+    run.hidden_since = run.hidden_since or now
+    return sent_at >= run.hidden_since + HIDDEN_SECONDS
+
+
+def _is_gone(
+    run: RunView, sent_at: float, now: float, stop_grace: float, *, is_read: bool
+) -> bool:
     """Tell whether a run that is missing from the list can no longer be running.
 
     An order may be carried out after a list was made, so a list is evidence only for
     runs that were confirmed before it was requested. A run that is being stopped,
     possibly by an order of an earlier leader, may be missing from lists while it still
     goes on; so it counts as gone only after the stop grace.
+
+    A list with entries that could not be read may lack any run. What it lacks has ended
+    only if the instance accepted a stop of it, after which it can't start either.
     """
+    if not is_read:
+        is_ending = run.state is RunState.ENDING
+        return not is_ending and 0 < run.stopped_at <= sent_at - stop_grace
     if not _should_be_listed(run, sent_at):
         return False
     if not run.missing_since:
--- a/src/gypsumwalk/run_orders.py
+++ b/src/gypsumwalk/run_orders.py
@@ -208,7 +208,7 @@
             if view.acknowledged > view.acknowledgement_received:
                 acknowledged = view.acknowledged
             needs_short_wait = view.is_contended or any(
-                run.missing_since for run in view.runs.values()
+                run.missing_since or run.hidden_since for run in view.runs.values()
             )
             wait = SHORT_WAIT_SECONDS if needs_short_wait else RENEWAL_WAIT_SECONDS
             if view.runs:
--- a/src/gypsumwalk/run_views.py
+++ b/src/gypsumwalk/run_views.py
@@ -56,6 +56,9 @@
     missing_since : float
         Time in seconds of the first run list that should have included it and did
         not, 0 while it is listed.
+    hidden_since : float
+        Time in seconds of the first run list without it from which entries could not
+        be read, 0 while it is listed.
     is_stopping : bool
         Whether it is being stopped.
     stopped_at : float
@@ -115,6 +118,7 @@
     confirmed_at: float = 0.0
     first_listed_at: float = 0.0
     missing_since: float = 0.0
+    hidden_since: float = 0.0
     is_stopping: bool = False
     stopped_at: float = 0.0
     is_order_pending: bool = False
--- a/tests/test_run_lists.py
+++ b/tests/test_run_lists.py
@@ -9,9 +9,10 @@
 from gypsumwalk.effects import Record
 from gypsumwalk.events import Event
 from gypsumwalk.inputs import PlatformOutcome
-from gypsumwalk.instance_actions import InstanceReport
+from gypsumwalk.instance_actions import InstanceReport, StartRun
 from gypsumwalk.workload_records import Step
-from tests._fleet_work import FleetWorld
+from tests._fleet_work import FleetWorld, lose_answer
+from tests._fleet_work_checks import find_duplicate_runs
 
 JOB = "00000000000000aa"
 TASK = f"{JOB}.0.0.0"
@@ -42,6 +43,14 @@
     return replace(report, running=[])
 
 
+def hide_runs(report):
+    return replace(report, running=[], unread_runs=len(report.running))
+
+
+def add_unread_run(report):
+    return replace(report, unread_runs=1)
+
+
 class RunListTest(unittest.TestCase):
     def make_world(self, *, task_seconds=60.0, lasting=False):
         """Return a world in which one run of the job goes on."""
@@ -81,5 +90,49 @@
         assert 0 < seen["requested"] < seen["missing"] < seen["confirmed"]
 
 
+class TestUnreadRuns(RunListTest):
+    """An entry of a run that could not be read may be that of any run."""
+
+    # Guards against TWICE: a run whose entry could not be read counted as ended, and
+    # was repeated while it went on.
+    def test_a_run_goes_on_whose_entry_can_not_be_read_for_some_time(self):
+        world = self.make_world()
+        with self.change_lists(world, hide_runs):
+            world.run(2.0)
+        world.run(3.0)
+        assert len(world.model.history) == 1
+        assert world.model.history[0].end_kind == "done"
+
+    # As before, with an entry that is never readable: the task is not forgotten.
+    def test_a_run_whose_entry_can_not_be_read_is_stopped_before_it_is_repeated(self):
+        world = self.make_world()
+        with self.change_lists(world, hide_runs):
+            world.run(8.0)
+        assert find_duplicate_runs(world.model.history, world.now) == []
+        assert [run.end_kind for run in world.model.history[:1]] == ["stopped"]
+        assert len(world.model.history) > 1
+        assert self.list_records(world, Event.RUN_HIDDEN)
+
+    # Guards against a task that is never started again, as every list has an entry of
+    # another writer beside its own.
+    def test_an_entry_that_is_never_readable_holds_back_no_task(self):
+        world = FleetWorld(instances=2)
+        world.begin()
+        call = world.model.call
+
+        def lose_starts(effect, now):
+            if isinstance(effect.action, StartRun):
+                return lose_answer(effect)
+            return call(effect, now)
+
+        with patch.object(world.model, "call", lose_starts):
+            world.submit(JOB, [Step(1, NEED)])
+            world.run(0.2)
+            world.kill(world.find_leader())
+            assert world.run_until(world.find_leader, within=5.0)
+        with self.change_lists(world, add_unread_run):
+            assert world.await_state(JOB, "completed", within=5.0)
+
+
 if __name__ == "__main__":
     unittest.main()
