Acknowledge no end that could not be read with a later one

An instance forgets all ends up to the acknowledged number. If the entry of an end could not be read, a later end acknowledged it unseen: its run was missing then, and the task ran again after it was done (TWICE).

While entries of ends can't be read, and a run of the table is neither going on nor ended in the list, an end is acknowledged now only if the numbers follow on without a gap: then none between them is unread. The same holds for the rest of a life on which such a run was given up. Otherwise, a list without unread entries settles it.

Weighed: to stop at the first unread entry in any case. What remains held back is a life with an end of its own that is never readable, or whose numbers have gaps besides.

An instance does not wait for an end while it lists one. Ends that stay listed would be asked for without a pause, as those whose number is too high were before: such an instance is asked every 0.3 s.

Tests: two of the four failed before, as an end was acknowledged and the task ran again. The one about calls fails without the pause.

--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -77,6 +77,10 @@
         that run lists are requested more often.
     acknowledgement_sent, acknowledgement_received : int
         Numbers of the latest ends whose acknowledgement was sent, and arrived.
+    has_held_ends : bool
+        Whether its latest run list showed ends that can't be acknowledged or read.
+    may_hide_end : bool
+        Whether an end that can't be read may be that of a run that was given up.
     has_unknown_runs : bool
         Whether its latest run list showed runs that are not in the table.
     late_start_until : float
@@ -104,6 +108,8 @@
     is_contended: bool = False
     acknowledgement_sent: int = 0
     acknowledgement_received: int = 0
+    has_held_ends: bool = False
+    may_hide_end: bool = False
     has_unknown_runs: bool = False
     late_start_until: float = 0.0
     _used: Resources = field(default=Resources(), init=False)
--- a/src/gypsumwalk/renewals.py
+++ b/src/gypsumwalk/renewals.py
@@ -20,6 +20,9 @@
 SILENCE_RETRY_SECONDS = 0.3
 """Interval of calls to an instance that does not answer."""
 
+HELD_ENDS_SECONDS = 0.3
+"""Interval of calls to an instance with ends that can't be acknowledged or read."""
+
 REMOVE_SILENT_SECONDS = 30.0
 """Time without an answer after which an instance without runs is removed."""
 
@@ -168,6 +171,11 @@
         view.acknowledgement_received = view.acknowledgement_sent
         effects = self._mark_responsive(view, now)
         effects += self._ends.reconcile(view, report, order.sent_at, now)
+        due = order.sent_at + HELD_ENDS_SECONDS
+        if view.has_held_ends and not view.has_pending_ends and now < due:
+            # The instance does not wait for an end while it lists some.
+            self._set_due(view, due)
+            return effects
         if self._is_idle(view, now):
             self._schedule.follow(self._context.lease_table.instances, now)
             if self._schedule.delay_idle(view, now):
--- a/src/gypsumwalk/run_ends.py
+++ b/src/gypsumwalk/run_ends.py
@@ -85,6 +85,9 @@
             view, report, sent_at=sent_at, now=now, stop_grace=self._stop_grace
         )
         view.has_unknown_runs = bool(reconciled.unknown_runs)
+        last_end = max(view.acknowledged, reconciled.last_end)
+        has_more_ends = any(item.number > last_end for item in report.ended)
+        view.has_held_ends = has_more_ends or report.unread_ends > 0
         effects: list[Effect] = []
         if self._context.is_leading(now):
             for task, run in reconciled.unknown_runs:
--- a/src/gypsumwalk/run_lists.py
+++ b/src/gypsumwalk/run_lists.py
@@ -1,5 +1,6 @@
 """Reconciliation of an instance's run list with the leader's lease table."""
 
+from collections.abc import Sequence, Set
 from dataclasses import dataclass
 
 from gypsumwalk.instance_actions import EndedRun, EndKind, InstanceReport, RunningTask
@@ -44,7 +45,7 @@
     hidden : list of RunView
         Runs to stop, as they are missing from lists with entries that can't be read.
     last_end : int
-        Number of the latest listed end that is not acknowledged, 0 for none.
+        Number of the latest listed end to acknowledge, 0 for none.
     unknown_runs : list of tuple
         Task name and run number of the running tasks that are not in the table.
     unknown_ends : list of EndedRun
@@ -88,11 +89,12 @@
         Runs that have ended, and runs that are not in the table.
     """
     listed = {(item.task, item.run): item for item in report.running}
-    ended = {
-        (item.task, item.run): item
+    new_ends = [
+        item
         for item in report.ended
         if item.number > view.acknowledged and _is_plausible(item, report)
-    }
+    ]
+    ended = {(item.task, item.run): item for item in new_ends}
     ends: list[RunEnd] = []
     missing: list[RunView] = []
     hidden: list[RunView] = []
@@ -109,7 +111,8 @@
         elif complete and _is_gone(run, sent_at, now, stop_grace, is_read=is_read):
             ends.append(RunEnd(run.task, run.run, RunEndKind.LOST, run.checkpoint))
             missing.append(run)
-    last_end = max((item.number for item in ended.values()), default=0)
+    view.may_hide_end |= bool(missing) and report.unread_ends > 0
+    last_end = _find_last_end(view, report, new_ends, listed.keys() | ended.keys())
     unknown_runs = [
         (task, run)
         for task, run in listed
@@ -161,6 +164,33 @@
     return RunEnd(run.task, run.run, END_KINDS[end.kind], checkpoint)
 
 
+def _find_last_end(
+    view: InstanceView,
+    report: InstanceReport,
+    ended: Sequence[EndedRun],
+    known: Set[tuple[str, int]],
+) -> int:
+    """Return the number of the latest end that can be acknowledged, 0 for none.
+
+    An instance forgets all ends up to that number, also one that could not be read. If
+    that one may be the end of a run in the table, the numbers have to follow on those
+    that are acknowledged, as then none between them is unread.
+    """
+    numbers = sorted(item.number for item in ended)
+    is_any_missing = any(
+        key not in known and run.state is not RunState.PLANNED
+        for key, run in view.runs.items()
+    )
+    if not report.unread_ends or not (is_any_missing or view.may_hide_end):
+        return max(numbers, default=0)
+    last_end = view.acknowledged
+    for number in numbers:
+        if number > last_end + 1:
+            break
+        last_end = number
+    return last_end if last_end > view.acknowledged else 0
+
+
 def _update_running(run: RunView, item: RunningTask, now: float) -> None:
     if run.state is RunState.ENDING:
         return
--- a/tests/test_run_lists.py
+++ b/tests/test_run_lists.py
@@ -16,6 +16,7 @@
 
 JOB = "00000000000000aa"
 TASK = f"{JOB}.0.0.0"
+OTHER_TASK = f"{JOB}.0.0.1"
 NEED = Resources(2000, 1000)
 
 
@@ -23,6 +24,7 @@
     """Changes the run lists of all instances by ``change``, which returns a list."""
 
     def __init__(self, world, change):
+        self.count = 0
         self._change = change
         self._call = world.model.call
 
@@ -33,6 +35,7 @@
             outcome = find_outcome(at)
             if not isinstance(outcome.report, InstanceReport):
                 return outcome
+            self.count += 1
             report = self._change(outcome.report)
             return PlatformOutcome(effect.token, succeeded=True, report=report)
 
@@ -47,6 +50,17 @@
     return replace(report, running=[], unread_runs=len(report.running))
 
 
+def hide_first_end(report):
+    """Return a list without its first end, which can't be read, if it has any."""
+    if not report.ended:
+        return report
+    return replace(report, ended=report.ended[1:], unread_ends=1)
+
+
+def add_unread_end(report):
+    return replace(report, unread_ends=1)
+
+
 def add_unread_run(report):
     return replace(report, unread_runs=1)
 
@@ -134,5 +148,73 @@
             assert world.await_state(JOB, "completed", within=5.0)
 
 
+class TestUnreadEnds(RunListTest):
+    """An entry of an end that could not be read may be that of any run."""
+
+    def count_acknowledged(self, world):
+        return sum(run.acknowledged for run in world.model.history)
+
+    # Guards against TWICE: the end of a run that could not be read was acknowledged
+    # with a later one, so that the run was missing, and ran again after it was done.
+    def test_an_end_that_can_not_be_read_is_not_acknowledged_with_a_later_one(self):
+        world = FleetWorld(instances=1)
+        world.run_results = {(TASK, 1): (1.5, "done"), (OTHER_TASK, 1): (1.52, "done")}
+        world.begin()
+        with self.change_lists(world, hide_first_end):
+            world.run(1.0)
+            world.submit(JOB, [Step(2, NEED)])
+            world.run(2.6)
+            assert not self.count_acknowledged(world)
+        assert world.await_state(JOB, "completed", within=3.0)
+        assert find_duplicate_runs(world.model.history) == []
+        assert self.count_acknowledged(world) == 2
+
+    # As before, with an end that is never readable: its run is repeated, and no later
+    # end of that life is acknowledged.
+    def test_an_end_that_is_never_readable_is_never_acknowledged(self):
+        world = FleetWorld(instances=1)
+        world.begin()
+        with self.change_lists(world, hide_first_end):
+            world.run(1.0)
+            world.submit(JOB, [Step(2, NEED)])
+            assert world.await_state(JOB, "completed", within=10.0)
+            world.run(2.0)
+        assert find_duplicate_runs(world.model.history) == []
+        assert len(world.model.history) == 3
+
+    # Guards against an entry of another writer that holds back every acknowledgement.
+    def test_an_unread_entry_beside_all_ends_holds_back_no_acknowledgement(self):
+        world = FleetWorld(instances=2)
+        world.begin()
+        with self.change_lists(world, add_unread_end):
+            world.run(1.0)
+            for number in range(5):
+                job = f"{number:016x}"
+                world.submit(job, [Step(4, NEED)])
+                assert world.await_state(job, "completed", within=3.0)
+            world.kill(world.find_leader())
+            world.run(3.0)
+            world.submit(JOB, [Step(4, NEED)])
+            assert world.await_state(JOB, "completed", within=3.0)
+            world.run(1.0)
+        assert self.count_acknowledged(world) == len(world.model.history) == 24
+
+    # Guards against calls without a pause while an end is not acknowledged, as the
+    # instance then answers at once.
+    def test_an_end_that_is_not_acknowledged_causes_few_calls(self):
+        for tasks in (1, 2):
+            with self.subTest(tasks=tasks):
+                world = FleetWorld(instances=1)
+                world.begin()
+                lists = ChangedLists(world, hide_first_end)
+                with patch.object(world.model, "call", lists):
+                    world.run(1.0)
+                    world.submit(JOB, [Step(tasks, NEED)])
+                    assert world.await_state(JOB, "completed", within=10.0)
+                    lists.count = 0
+                    world.run(3.0)
+                assert 1 < lists.count < 20
+
+
 if __name__ == "__main__":
     unittest.main()
