Count the unread ends of a list when telling whether it is full

A list has 500 ends at most, and one with fewer counts as having all. Ends that were left out as malformed were not counted, so that a full list seemed to have every end, and a stopped run whose end would come with the next list counted as lost.

The test failed before: the run was among the ends.

--- a/src/gypsumwalk/run_lists.py
+++ b/src/gypsumwalk/run_lists.py
@@ -99,7 +99,7 @@
     missing: list[RunView] = []
     hidden: list[RunView] = []
     is_same_life = report.born == view.registered.born
-    complete = len(report.ended) < MAX_LISTED_ENDS
+    complete = len(report.ended) + report.unread_ends < MAX_LISTED_ENDS
     is_read = not report.unread_runs and not report.unread_ends
     for key, run in view.runs.items():
         if key in ended:
--- a/tests/test_run_lists.py
+++ b/tests/test_run_lists.py
@@ -9,8 +9,11 @@
 from gypsumwalk.effects import Record
 from gypsumwalk.events import Event
 from gypsumwalk.inputs import PlatformOutcome
-from gypsumwalk.instance_actions import InstanceReport, StartRun
-from gypsumwalk.workload_records import Step
+from gypsumwalk.instance_actions import EndedRun, InstanceReport, StartRun
+from gypsumwalk.instance_orders import parse_task
+from gypsumwalk.leases import InstanceView, RunState, RunView
+from gypsumwalk.run_lists import MAX_LISTED_ENDS, reconcile_runs
+from gypsumwalk.workload_records import RegisteredInstance, Step
 from tests._fleet_work import FleetWorld, lose_answer
 from tests._fleet_work_checks import find_duplicate_runs
 
@@ -216,5 +219,36 @@
                 assert 1 < lists.count < 20
 
 
+class TestFullLists(unittest.TestCase):
+    # Guards against TWICE: as one of 500 ends was left out, the list counted as one
+    # that has every end, and a stopped run whose end would come next counted as lost.
+    def test_a_full_list_with_an_unread_end_does_not_have_every_end(self):
+        registered = RegisteredInstance("i-1", 7, "s", "10.0.0.1:80", "dc", Resources())
+        view = InstanceView(registered)
+        task = parse_task(TASK)
+        run = RunView(
+            task,
+            1,
+            registered.life,
+            NEED,
+            "team",
+            NEED,
+            RunState.RUNNING,
+            is_stopping=True,
+            stopped_at=1.0,
+        )
+        view.add_run(run)
+        ended = [
+            EndedRun(number, f"{JOB}.0.1.{number}", 1, "done")
+            for number in range(1, MAX_LISTED_ENDS)
+        ]
+        report = InstanceReport(500_000, 7, [], ended, unread_ends=1)
+        for now in (5.0, 7.0):
+            reconciled = reconcile_runs(
+                view, report, sent_at=now, now=now + 0.1, stop_grace=0.5
+            )
+            assert reconciled.ends == []
+
+
 if __name__ == "__main__":
     unittest.main()
