Take no answer without a list of runs for one with an empty list

An answer to a request for the runs that has no such list decoded to an empty one, so that its runs counted as ended after two such answers.

A list that is not in the answer counts as one with an unread entry now, which proves nothing of the runs that it omits. Weighed: to take the answer for malformed. Lists of another type, null among them, made the whole answer malformed before, which a test shows now.

--- a/src/gypsumwalk/instance_actions.py
+++ b/src/gypsumwalk/instance_actions.py
@@ -178,9 +178,10 @@
         ``fence`` if the instance has seen a higher fence, ``identity`` if another
         instance answered, otherwise empty.
     unread_runs : int
-        Number of entries of runs that are going on which could not be read.
+        Number of entries of runs that are going on which could not be read; 1 if the
+        answer has no list of them.
     unread_ends : int
-        Number of entries of ended runs which could not be read.
+        Number of entries of ended runs which could not be read, likewise.
     """
 
     clock: int = 0
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -202,6 +202,27 @@
                 assert outcome.unknown
                 assert self.malformed == [(self.server.address, "runs", 0)]
 
+    # Guards against TWICE: a list that was not in the answer counted as an empty one,
+    # so that its runs counted as ended.
+    def test_a_list_that_is_not_in_the_answer_counts_as_unread(self):
+        for lists, unread in (
+            (f'"running":[{RUN}],"ended_runs":[]', (0, 0)),
+            (f'"running":[{RUN}]', (0, 1)),
+            (f'"ended_runs":[{END}]', (1, 0)),
+            (f'"ended_runs":[7,{END}]', (1, 1)),
+            ('"other":[]', (1, 1)),
+        ):
+            with self.subTest(lists=lists):
+                report = self.renew(f'{{"clock_ms":500,"born":7,{lists}}}').report
+                assert (report.unread_runs, report.unread_ends) == unread
+
+    def test_lists_of_another_type_have_an_unknown_outcome(self):
+        for odd in ("null", "7", "{}", '"text"', "false"):
+            for name in ("running", "ended_runs"):
+                with self.subTest(odd=odd, name=name):
+                    outcome = self.renew(f'{{"clock_ms":500,"born":7,"{name}":{odd}}}')
+                    assert outcome.unknown
+
     @given(st.lists(JSON_VALUES, max_size=4), st.lists(JSON_VALUES, max_size=4))
     def test_any_entries(self, running, ended):
         rows = [*running, [TASK, 2, "c", 41]]
