Take no refusal of a renewal for an empty run list

A renewal that was refused (status 409) for another reason than the fence was passed on as a list without runs and ends, and so was one without a reason. Two of them half a second apart ended every run of the instance for the leader, while the runs went on (TWICE).

A refusal lists nothing now: the renewal counts as not answered, and the runs end with their lease at the earliest. One without a reason is a malformed answer.

Both tests failed before: history had a second run, and the outcome was an empty list.

--- a/src/gypsumwalk/outcomes.py
+++ b/src/gypsumwalk/outcomes.py
@@ -121,8 +121,10 @@
             effects += self._renewals.doubt(view, now)
         elif report.clock and origin is AnswerOrigin.SAME_LIFE:
             view.update_clock(ClockReading(report.clock, order.sent_at, now))
-        if isinstance(report, InstanceReport) and origin is not AnswerOrigin.SAME_LIFE:
-            # What another life lists, or doesn't, tells nothing of this one.
+        is_other = origin is not AnswerOrigin.SAME_LIFE
+        if isinstance(report, InstanceReport) and (report.refused or is_other):
+            # What another life lists, or doesn't, tells nothing of this one, and a
+            # refusal lists nothing.
             return effects + self._pass_on(view, order, None, now)
         return effects + self._pass_on(view, order, report, now)
 
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -223,6 +223,14 @@
                     outcome = self.renew(f'{{"clock_ms":500,"born":7,"{name}":{odd}}}')
                     assert outcome.unknown
 
+    # Guards against a refusal without a reason that counts as an empty list.
+    def test_a_refusal_without_a_reason_has_an_unknown_outcome(self):
+        self.server.status = 409
+        assert self.renew('{"clock_ms":500,"reason":"late"}').report.refused == "late"
+        for text in ('{"clock_ms":500}', '{"clock_ms":500,"reason":""}'):
+            with self.subTest(text=text):
+                assert self.renew(text).unknown
+
     @given(st.lists(JSON_VALUES, max_size=4), st.lists(JSON_VALUES, max_size=4))
     def test_any_entries(self, running, ended):
         rows = [*running, [TASK, 2, "c", 41]]
--- a/tests/test_run_lists.py
+++ b/tests/test_run_lists.py
@@ -64,6 +64,10 @@
     return replace(report, unread_ends=1)
 
 
+def refuse(report):
+    return replace(report, running=[], ended=[], refused="late")
+
+
 def add_unread_run(report):
     return replace(report, unread_runs=1)
 
@@ -219,6 +223,18 @@
                 assert 1 < lists.count < 20
 
 
+class TestRefusals(RunListTest):
+    # Guards against TWICE: each refusal of a renewal but those of its fence or its
+    # addressee counted as an empty list.
+    def test_a_refusal_is_no_list(self):
+        world = self.make_world()
+        with self.change_lists(world, refuse):
+            world.run(3.0)
+        world.run(3.0)
+        assert len(world.model.history) == 1
+        assert self.list_records(world, Event.INSTANCE_SILENT)
+
+
 class TestFullLists(unittest.TestCase):
     # Guards against TWICE: as one of 500 ends was left out, the list counted as one
     # that has every end, and a stopped run whose end would come next counted as lost.
