Show that a new leader's list is proof of the starts of the former one

A run that the first lists of a new leader omit counts as ended at once, without a time since its confirmation, as nothing confirms it. That is sound, as the instance has seen the fence of the new leader by then and refuses a start of the former one that arrives later. The test fails where the emulated instance forgets its fence. No logic has changed.

--- a/tests/test_run_lists.py
+++ b/tests/test_run_lists.py
@@ -85,6 +85,9 @@
     def change_lists(self, world, change):
         return patch.object(world.model, "call", ChangedLists(world, change))
 
+    def list_missing(self, world):
+        return self.list_records(world, Event.RUN_MISSING)
+
     def list_records(self, world, event):
         effects = [entry.effect for entry in world.trace]
         return [
@@ -99,7 +102,7 @@
         world = self.make_world()
         with self.change_lists(world, omit_runs):
             world.run(2.0)
-        record = self.list_records(world, Event.RUN_MISSING)[0]
+        record = self.list_missing(world)[0]
         assert record.subject == TASK
         run = world.model.history[0]
         seen = record.attributes
@@ -223,6 +226,26 @@
                 assert 1 < lists.count < 20
 
 
+class TestListsOfNewLeaders(RunListTest):
+    # Guards against TWICE: a run that the first lists of a new leader omit would count
+    # as ended although the former leader's start of it may still arrive.
+    def test_a_start_of_the_former_leader_is_refused_after_a_list_of_the_new_one(self):
+        world = FleetWorld(task_seconds=60.0, instances=2)
+        world.begin()
+        for number in range(2):
+            world.get_instance(number).order_delay = 4.0
+        world.submit(JOB, [Step(1, NEED)])
+        world.run(0.5)
+        world.kill(world.find_leader())
+        for number in range(2):
+            world.get_instance(number).order_delay = 0.0
+        world.run(8.0)
+        assert [record.attributes["state"] for record in self.list_missing(world)] == [
+            "unconfirmed"
+        ]
+        assert [run.run for run in world.model.history] == [2]
+
+
 class TestRefusals(RunListTest):
     # Guards against TWICE: each refusal of a renewal but those of its fence or its
     # addressee counted as an empty list.
