--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,7 @@
 
 soak: $(STAMP)
 	GYPSUMWALK_SCHEDULES=4000 $(BIN)/python -m unittest tests.test_faults
+	GYPSUMWALK_SCHEDULES=1000 $(BIN)/python -m unittest tests.test_random_lives
 	GYPSUMWALK_SOAK_SEEDS=50 $(BIN)/python -m unittest tests.test_real_disk_soak
 	GYPSUMWALK_SOAK_SEEDS=50 $(BIN)/python -m unittest tests.test_real_life_soak
 
