--- a/src/gypsumwalk/run_lists.py
+++ b/src/gypsumwalk/run_lists.py
@@ -176,15 +176,17 @@
     that one may be the end of a run in the table, the numbers have to follow on those
     that are acknowledged, as then none between them is unread.
     """
-    numbers = sorted(item.number for item in ended)
+    numbers = [item.number for item in ended]
+    if not report.unread_ends:
+        return max(numbers, default=0)
     is_any_missing = any(
         key not in known and run.state is not RunState.PLANNED
         for key, run in view.runs.items()
     )
-    if not report.unread_ends or not (is_any_missing or view.may_hide_end):
+    if not is_any_missing and not view.may_hide_end:
         return max(numbers, default=0)
     last_end = view.acknowledged
-    for number in numbers:
+    for number in sorted(numbers):
         if number > last_end + 1:
             break
         last_end = number
