Acknowledge the ends that a new leader reads beside an unread entry

The numbers have to follow on those that are acknowledged then, which it does not know; they did not begin at 1.

The first end that it reads counts as following on, once no run is missing. An end of the life's own that is unread before it, with its run given up, over a change of leader, is what remains open.

--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -81,6 +81,8 @@
         Whether its latest run list showed ends that can't be acknowledged or read.
     may_hide_end : bool
         Whether an end that can't be read may be that of a run that was given up.
+    was_taken_over : bool
+        Whether an earlier leader may have acknowledged ends of it.
     has_unknown_runs : bool
         Whether its latest run list showed runs that are not in the table.
     late_start_until : float
@@ -110,6 +112,7 @@
     acknowledgement_received: int = 0
     has_held_ends: bool = False
     may_hide_end: bool = False
+    was_taken_over: bool = False
     has_unknown_runs: bool = False
     late_start_until: float = 0.0
     _used: Resources = field(default=Resources(), init=False)
--- a/src/gypsumwalk/run_lists.py
+++ b/src/gypsumwalk/run_lists.py
@@ -186,6 +186,9 @@
     if not is_any_missing and not view.may_hide_end:
         return max(numbers, default=0)
     last_end = view.acknowledged
+    if not last_end and view.was_taken_over and not is_any_missing:
+        # It is not known which ends the former leader has acknowledged.
+        last_end = min(numbers, default=1) - 1
     for number in sorted(numbers):
         if number > last_end + 1:
             break
--- a/src/gypsumwalk/takeover.py
+++ b/src/gypsumwalk/takeover.py
@@ -57,6 +57,7 @@
         for registered in self._context.workloads.instances.values():
             view = orders.add_life(registered, now)
             view.min_lease_expiry = now + orders.lease_validity_bound
+            view.was_taken_over = True
             self._context.lease_table.instances[registered.life] = view
 
     def restore_runs(self, placements: Iterable[Placement], now: float) -> None:
--- a/tests/test_run_lists.py
+++ b/tests/test_run_lists.py
@@ -18,6 +18,7 @@
 from tests._fleet_work_checks import find_duplicate_runs
 
 JOB = "00000000000000aa"
+OTHER_JOB = "00000000000000bb"
 TASK = f"{JOB}.0.0.0"
 OTHER_TASK = f"{JOB}.0.0.1"
 NEED = Resources(2000, 1000)
@@ -192,6 +193,31 @@
         assert find_duplicate_runs(world.model.history) == []
         assert len(world.model.history) == 3
 
+    # Guards against ends that are never acknowledged, as the first one that a new
+    # leader reads is not the first one of its life.
+    def test_a_run_that_never_began_holds_back_no_acknowledgement(self):
+        world = FleetWorld(instances=1)
+        world.begin()
+        world.submit(JOB, [Step(4, NEED)])
+        assert world.await_state(JOB, "completed", within=3.0)
+        world.run(1.0)
+        call = world.model.call
+
+        def lose_starts(effect, now):
+            if isinstance(effect.action, StartRun):
+                return lose_answer(effect)
+            return call(effect, now)
+
+        with patch.object(world.model, "call", lose_starts):
+            world.submit(OTHER_JOB, [Step(4, NEED)])
+            world.run(0.2)
+            world.kill(world.find_leader())
+            assert world.run_until(world.find_leader, within=5.0)
+        with self.change_lists(world, add_unread_end):
+            assert world.await_state(OTHER_JOB, "completed", within=6.0)
+            world.run(1.0)
+        assert self.count_acknowledged(world) == len(world.model.history) == 8
+
     # Guards against an entry of another writer that holds back every acknowledgement.
     def test_an_unread_entry_beside_all_ends_holds_back_no_acknowledgement(self):
         world = FleetWorld(instances=2)
