--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -306,12 +306,28 @@
         " sent {lease_age} s ago, the first answer of this life came {first_answer} s"
         " ago (0: none)",
     )
+    RUN_MISSING = EventEntry(
+        5032,
+        Level.WARNING,
+        "run {run} on {life} counts as ended, as run lists omit it: the latest, of"
+        " the life born {born}, at {clock} ms of its clock, has {running} runs and"
+        " {ended} ends, {unread_runs} and {unread_ends} more were left out as"
+        " malformed; it was requested {requested} s ago, the run was {state},"
+        " confirmed {confirmed} s ago (0: not) and first missing {missing} s ago",
+    )
     STOP_REFUSED = EventEntry(
         5035,
         Level.INFO,
         "{life} refused to stop run {run} after {attempt} attempts to start it (answer"
         " of: {origin}): {reason} {detail}",
     )
+    RUN_HIDDEN = EventEntry(
+        5038,
+        Level.WARNING,
+        "run {run} on {life} is stopped: for {missing} s it has been missing from run"
+        " lists that can't be read in full, the latest without {unread_runs} runs and"
+        " {unread_ends} ends",
+    )
     IDLE_RENEWALS_PAUSED = EventEntry(
         5090,
         Level.WARNING,
--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -78,6 +78,13 @@
         that run lists are requested more often.
     acknowledgement_sent, acknowledgement_received : int
         Numbers of the latest ends whose acknowledgement was sent, and arrived.
+    has_held_ends : bool
+        Whether its latest run list showed ends that can't be acknowledged or read.
+    given_up : set of tuple
+        Keys of the runs that count as lost although their end may be unread, or is
+        listed and must not be acknowledged.
+    was_taken_over : bool
+        Whether an earlier leader may have acknowledged ends of it.
     has_unknown_runs : bool
         Whether its latest run list showed runs that are not in the table.
     late_start_until : float
@@ -105,6 +112,9 @@
     is_contended: bool = False
     acknowledgement_sent: int = 0
     acknowledgement_received: int = 0
+    has_held_ends: bool = False
+    given_up: set[tuple[str, int]] = field(default_factory=set)
+    was_taken_over: bool = False
     has_unknown_runs: bool = False
     late_start_until: float = 0.0
     _used: Resources = field(default=Resources(), init=False)
--- a/src/gypsumwalk/outcomes.py
+++ b/src/gypsumwalk/outcomes.py
@@ -122,8 +122,10 @@
         elif report.clock and origin is AnswerOrigin.SAME_LIFE:
             reading = ClockReading(report.clock, order.sent_at, now)
             view.update_clock(reading, is_certain=bool(report.born))
-        if isinstance(report, InstanceReport) and origin is not AnswerOrigin.SAME_LIFE:
-            # What another life lists, or doesn't, tells nothing of this one.
+        is_other = origin is not AnswerOrigin.SAME_LIFE
+        if isinstance(report, InstanceReport) and (report.refused or is_other):
+            # What another life lists, or doesn't, tells nothing of this one, and a
+            # refusal lists nothing.
             return effects + self._pass_on(view, order, None, now)
         return effects + self._pass_on(view, order, report, now)
 
