Record how long a life is known whose lease expires

Event 5031 named the time since the first answer to the present leader, which says nothing after a change of leader. It names the time since the first contact of any leader that this daemon knows of. Contacts are looked up by the name of a life, so that they serve for lives that are not registered any more. Found by a review.

--- a/src/gypsumwalk/dispatch_context.py
+++ b/src/gypsumwalk/dispatch_context.py
@@ -69,9 +69,9 @@
 
     def note_contact(self, view: InstanceView, now: float) -> None:
         """Note that a life has been called, and until when its lease may go on."""
-        registered = view.registered
-        self.contacts.note(registered.life, now)
-        expiry = self.contacts.find_expiry(registered, now)
+        life = view.registered.life
+        self.contacts.note(life, now)
+        expiry = self.contacts.find_expiry(life, now)
         view.min_lease_expiry = max(view.min_lease_expiry, expiry)
 
     def propose(self, command: msgspec.Struct) -> Propose:
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -303,8 +303,8 @@
         5031,
         Level.WARNING,
         "the lease of {runs} runs has expired: the latest order that extended it was"
-        " sent {lease_age} s ago, the first answer of this life came {first_answer} s"
-        " ago (0: none)",
+        " sent {lease_age} s ago, the first known contact with this life was {contact}"
+        " s ago (0: none)",
     )
     RUN_MISSING = EventEntry(
         5032,
--- a/src/gypsumwalk/life_contacts.py
+++ b/src/gypsumwalk/life_contacts.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 
 from gypsumwalk.life_clocks import CLOCK_RATE_ERROR
-from gypsumwalk.workload_records import Placement, RegisteredInstance
+from gypsumwalk.workload_records import Placement
 from gypsumwalk.workloads import WorkloadSection
 
 __all__ = ["LifeContacts"]
@@ -46,13 +46,17 @@
         for placement in placements:
             self.note(placement.life, now)
 
-    def find_expiry(self, instance: RegisteredInstance, now: float) -> float:
+    def find(self, life: str) -> float | None:
+        """Return the time of the first contact in seconds, None if none is known."""
+        return self._contacts.get(life)
+
+    def find_expiry(self, life: str, now: float) -> float:
         """Return the time by which the leases set by orders for former lives expire.
 
         Parameters
         ----------
-        instance : RegisteredInstance
-            A registered life.
+        life : str
+            A life that is or was registered.
         now : float
             Time in seconds.
 
@@ -61,9 +65,9 @@
         float
             Time in seconds, 0 if no former life of the instance had any orders.
         """
-        if self._workloads.is_first_life(instance):
+        if self._workloads.is_first_life(life):
             return 0.0
-        return self._contacts.get(instance.life, now) + self._lifetime
+        return self._contacts.get(life, now) + self._lifetime
 
     def _sweep(self) -> None:
         known = self._workloads.instances
--- a/src/gypsumwalk/renewals.py
+++ b/src/gypsumwalk/renewals.py
@@ -131,7 +131,10 @@
                 if not self._orphans.may_have_begun(run, now)
             ]
             effects = self._context.end_as_lost(lost, "its lease has expired")
-            return [_describe_expiry(view, now), *effects] if effects else []
+            if not effects:
+                return []
+            contact = self._context.contacts.find(view.registered.life)
+            return [_describe_expiry(view, contact, now), *effects]
         if not view.runs and now - view.silent_since > REMOVE_SILENT_SECONDS:
             view.silent_since = now
             reason = "it has not answered for long"
@@ -332,11 +335,10 @@
         return effects
 
 
-def _describe_expiry(view: InstanceView, now: float) -> Record:
-    first = view.first_answered_at
+def _describe_expiry(view: InstanceView, contact: float | None, now: float) -> Record:
     attributes: dict[str, Scalar] = {
         "runs": len(view.runs),
         "lease_age": round(now - view.lease_sent_at, 3) if view.lease_sent_at else 0.0,
-        "first_answer": round(now - first, 3) if first else 0.0,
+        "contact": 0.0 if contact is None else round(now - contact, 3),
     }
     return Record(Event.LEASE_EXPIRED, view.registered.life, attributes)
--- a/src/gypsumwalk/workloads.py
+++ b/src/gypsumwalk/workloads.py
@@ -25,6 +25,7 @@
     TaskRecord,
     Workload,
     WorkloadState,
+    split_life,
 )
 
 __all__ = ["WorkloadSection"]
@@ -177,11 +178,11 @@
         An instance drains before it deregisters, and the deregistration of an earlier
         life may arrive late.
         """
-        return instance.draining or self.is_first_life(instance)
+        return instance.draining or self.is_first_life(instance.life)
 
-    def is_first_life(self, instance: RegisteredInstance) -> bool:
+    def is_first_life(self, life: str) -> bool:
         """Tell whether no other life of its instance was registered before a life."""
-        return self._history.is_first(instance.instance, instance.born)
+        return self._history.is_first(*split_life(life))
 
     def list_placements(self) -> Iterable[Placement]:
         """Return the placement of every run that may be going on."""
--- a/tests/test_first_lives.py
+++ b/tests/test_first_lives.py
@@ -35,7 +35,7 @@
         assert list(workloads.instances) == [first.life]
         workloads.apply(RegisterInstance(second), 2 * MAX_INSTANCES + 2, 0.0)
         contacts = LifeContacts(workloads, max_lease=10.0)
-        assert contacts.find_expiry(second, 50.0) > 60.0
+        assert contacts.find_expiry(second.life, 50.0) > 60.0
         assert not workloads.may_have_left(second)
 
 
