--- a/tests/_fake_instance.py
+++ b/tests/_fake_instance.py
@@ -37,13 +37,16 @@
     answers to starts are lost and some starts are late.
     """
 
-    def __init__(self, name, host, controls, random, find_length):
+    make_platform = EmulatedPlatform
+
+    def __init__(self, name, host, controls, random, find_length, *, data_centre="dc"):
         self.errors = []
         self.is_harassed = False
         self._name = name
+        self._data_centre = data_centre
         self._random = random
         self._controls = list(controls)
-        self._platform = EmulatedPlatform(random, find_length)
+        self._platform = self.make_platform(random, find_length)
         self.history = self._platform.history
         self._life = None
         self._is_cut_off = False
@@ -62,7 +65,8 @@
         """Begin the next life, which accepts the connections that wait."""
         born = int(time.time() * 1000)
         address = self._server.address
-        life = RegisteredInstance(self._name, born, "s", address, "dc", CAPACITY)
+        zone = self._data_centre
+        life = RegisteredInstance(self._name, born, "s", address, zone, CAPACITY)
         with self._changed:
             clock = self._random.randrange(100_000, 9_000_000)
             now = time.monotonic()
@@ -126,10 +130,16 @@
                 return None
             content = {"clock_ms": report.clock}
             if report.refused:
-                return HTTPStatus.CONFLICT, content | {"reason": report.refused}
-            if isinstance(action, RenewLease):
-                return self._list_runs(life, action)
-            return HTTPStatus.OK, content
+                answer = HTTPStatus.CONFLICT, content | {"reason": report.refused}
+            elif isinstance(action, RenewLease):
+                answer = self._list_runs(life, action)
+            else:
+                answer = HTTPStatus.OK, content
+            return answer and self._hold_up(life, answer)
+
+    def _hold_up(self, life, answer):
+        """Return an answer of a life once it is sent, or None if it is lost."""
+        return answer
 
     def _carry_out(self, action):
         now = time.monotonic()
@@ -194,7 +204,7 @@
         beat = {
             "service": "s",
             "address": self._server.address,
-            "zone": "dc",
+            "zone": self._data_centre,
             "state": "ready",
             "capacity": {"cpu": CAPACITY.cpu, "mem_mb": CAPACITY.memory},
             "labels": ["a", "r1-1"],
--- a/tests/_life_soak.py
+++ b/tests/_life_soak.py
@@ -33,14 +33,19 @@
 class Soak:
     """Instances in trouble drawn from a seed, while clients submit jobs."""
 
+    title = "life soak"
+    names = NAMES
+    completion_seconds = COMPLETION_SECONDS
+
     def __init__(self, seed, folder):
-        self._random = Random(f"life soak {seed}")
+        self._random = Random(f"{self.title} {seed}")
         self._steps_path = folder / "steps"
         self._began = time.monotonic()
-        self._processes = Processes(folder)
+        self._processes = self._make_processes(folder)
+        draws = self._draw_seeds(len(self.names))
         self._instances = [
-            FakeInstance(name, INSTANCES, CONTROL_ADDRESSES, Random(draw), find_length)
-            for name, draw in zip(NAMES, self._draw_seeds(len(NAMES)), strict=True)
+            self._make_instance(name, Random(draw))
+            for name, draw in zip(self.names, draws, strict=True)
         ]
         self._submitters = []
         self._failures = []
@@ -50,7 +55,9 @@
         assert await_true(self._processes.configure, START_SECONDS), "no start"
         for instance in self._instances:
             instance.begin_life()
-        self._submitters = [Submitter(Random(x)) for x in self._draw_seeds(CALLERS)]
+        self._submitters = [
+            self._make_submitter(Random(draw)) for draw in self._draw_seeds(CALLERS)
+        ]
         time.sleep(0.5)
         self._disturb()
         for submitter in self._submitters:
@@ -68,6 +75,15 @@
         self._processes.close()
         self._steps_path.write_text("".join(self._steps))
 
+    def _make_processes(self, folder):
+        return Processes(folder)
+
+    def _make_instance(self, name, random):
+        return FakeInstance(name, INSTANCES, CONTROL_ADDRESSES, random, find_length)
+
+    def _make_submitter(self, random):
+        return Submitter(random)
+
     def _draw_seeds(self, count):
         return [self._random.getrandbits(64) for _ in range(count)]
 
@@ -126,7 +142,7 @@
     def _await_completion(self):
         began = time.monotonic()
         for submitter in self._submitters:
-            left = began + COMPLETION_SECONDS - time.monotonic()
+            left = began + self.completion_seconds - time.monotonic()
             jobs = submitter.await_completion(max(1.0, left))
             self._failures += [f"{job} is accepted, not completed" for job in jobs]
         self._note(f"completion took {time.monotonic() - began:.1f} s")
--- a/tests/_life_soak_callers.py
+++ b/tests/_life_soak_callers.py
@@ -4,7 +4,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from random import Random
 
-from tests._platform_processes import Caller, await_true
+from tests._platform_processes import ENTRY, Caller, await_true
 
 REFUSALS = (429, 503)
 SHORT_SECONDS, LONG_SECONDS = (0.1, 0.6), (1.5, 5.0)
@@ -23,12 +23,16 @@
 class Submitter:
     """Client that submits short and long jobs, and notes how they were answered."""
 
-    def __init__(self, random):
+    pause_seconds = PAUSE_SECONDS
+    find_length = staticmethod(find_length)
+
+    def __init__(self, random, hosts=(ENTRY,)):
         self.accepted = []
         self.refused = set()
         """Jobs whose every submission was answered with a refusal."""
         self._random = random
-        self._caller = Caller()
+        self._hosts = hosts
+        self._caller = Caller(hosts)
         self._stopping = threading.Event()
         self._pool = ThreadPoolExecutor(1)
         self._work = self._pool.submit(self._run)
@@ -41,13 +45,17 @@
 
     def await_completion(self, seconds):
         """Return the accepted jobs that are not shown as completed within a time."""
-        caller = Caller()
-        remaining = list(self.accepted)
+        return self.await_state(self.accepted, "completed", seconds)
+
+    def await_state(self, jobs, state, seconds):
+        """Return the jobs that are not shown in a state within a time."""
+        caller = Caller(self._hosts)
+        remaining = list(jobs)
 
         def is_over():
             answers = {job: caller.call("GET", job) for job in remaining}
             for job, answer in answers.items():
-                if answer == (200, {"state": "completed"}):
+                if answer == (200, {"state": state}):
                     remaining.remove(job)
             return not remaining
 
@@ -56,13 +64,11 @@
         return remaining
 
     def _run(self):
-        while not self._stopping.wait(self._random.uniform(*PAUSE_SECONDS)):
+        while not self._stopping.wait(self._random.uniform(*self.pause_seconds)):
             self._submit(f"{self._random.getrandbits(64):016x}")
 
     def _submit(self, job):
-        seconds, _ = find_length(job, 1)
-        step = {"count": self._random.randint(1, 4), "cpu": 1000, "mem_mb": 100}
-        step["estimated_ms"] = int(seconds * 1000)
+        step = self._make_step(job)
         body = {"spec": "text", "steps": [step]}
         statuses = []
         for _ in range(MAX_ATTEMPTS):
@@ -76,3 +82,9 @@
             self.accepted.append(job)
         elif all(status in REFUSALS for status in statuses):
             self.refused.add(job)
+
+    def _make_step(self, job):
+        seconds, _ = self.find_length(job, 1)
+        step = {"count": self._random.randint(1, 4), "cpu": 1000, "mem_mb": 100}
+        step["estimated_ms"] = int(seconds * 1000)
+        return step
--- a/tests/_platform_processes.py
+++ b/tests/_platform_processes.py
@@ -1,12 +1,16 @@
-"""Control daemons and an entry of the platform as processes, and clients' calls."""
+"""Control daemons and entries of the platform as processes, and clients' calls."""
 
 import http.client
 import json
 import os
+import signal
 import subprocess
 import sys
 import time
+from collections import deque
 from contextlib import suppress
+from dataclasses import dataclass, field
+from itertools import chain, cycle
 from pathlib import Path
 
 import urllib3
@@ -24,18 +28,21 @@
 LOG_LINES = 15
 SETTINGS = f"""
 ip = "{{ip}}"
-zone = "dc"
+zone = "{{zone}}"
 internal_port_range = [{PORTS[0]}, {PORTS[1]}]
 seed_nodes = {json.dumps(CONTROL_ADDRESSES)}
 bootstrap = {{bootstrap}}
 {{data}}
 [zones]
-dc = "region"
+{{zones}}
+[bounds]
+{{bounds}}
 [fault_tolerance]
 machines = 1
 [listen_addrs]
 {{addresses}}
 """
+HELD_CONNECTIONS = 3
 HEADERS = {"Host": "jobs.example", "Authorization": "Bearer key", "Deadline-Ms": "3000"}
 ROUTE = {"name": "r", "host": "jobs.example", "path_prefix": "/a/", "service": "s"}
 CONFIGURATION = {
@@ -46,21 +53,44 @@
 }
 
 
+@dataclass(frozen=True)
+class Site:
+    """Addresses of the entries, data centres, and time limits of the platform.
+
+    Control daemons and entries are spread over the data centres in turn.
+    """
+
+    entries: dict[str, str] = field(default_factory=lambda: {"entry": ENTRY})
+    data_centres: tuple[str, ...] = ("dc",)
+    bounds: dict[str, float] = field(default_factory=dict)
+
+    def find_data_centre(self, name):
+        """Return the data centre of a process."""
+        zones = chain(
+            *(
+                zip(names, cycle(self.data_centres))
+                for names in (CONTROLS, self.entries)
+            )
+        )
+        return dict(zones)[name]
+
+
 class Processes:
-    """Control daemons ``core-1`` to ``core-3``, and the entry ``entry``."""
+    """Control daemons ``core-1`` to ``core-3``, and the entries of a site."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, site=None):
         self._folder = folder
+        self._site = site or Site()
         self._http = urllib3.PoolManager(retries=False, timeout=1.0)
         self._processes = {}
         self._down = set()
-        for name in (*CONTROLS, "entry"):
+        for name in (*CONTROLS, *self._site.entries):
             self.start(name)
 
     def start(self, name):
         """Start a process, with its former data folder if there is one."""
-        ip, data = CONTROLS.get(name, ENTRY), self._folder / f"{name}.data"
-        if name == "entry":
+        ip, data = self._find_host(name), self._folder / f"{name}.data"
+        if name in self._site.entries:
             addresses = f'frontend = "{ip}:{FRONTEND_PORT}"\n'
             addresses += f'readiness_addr = "{ip}:{READY_PORT}"'
         else:
@@ -68,8 +98,11 @@
         settings = SETTINGS.format(
             ip=ip,
             bootstrap="false" if data.exists() else "true",
-            data="" if name == "entry" else f'data_dir = "{data}"',
+            data="" if name in self._site.entries else f'data_dir = "{data}"',
             addresses=addresses,
+            zone=self._site.find_data_centre(name),
+            zones="\n".join(f'{zone} = "region"' for zone in self._site.data_centres),
+            bounds="\n".join(f"{key} = {x}" for key, x in self._site.bounds.items()),
         )
         path = self._folder / f"{name}.toml"
         path.write_text(settings)
@@ -93,6 +126,26 @@
             process.terminate()
         process.wait(STOP_SECONDS)
 
+    def end_with_connections(self, name):
+        """End a process by SIGTERM, while clients keep connections to it open."""
+        port = FRONTEND_PORT if name in self._site.entries else CONTROL_PORT
+        connections = []
+        for _ in range(HELD_CONNECTIONS):
+            held = http.client.HTTPConnection(self._find_host(name), port, timeout=1.0)
+            connections.append(held)
+            with suppress(OSError, http.client.HTTPException):
+                held.request("GET", "/", headers=HEADERS)
+                held.getresponse().read()
+        self.end(name, is_killed=False)
+        for held in connections:
+            held.close()
+
+    def pause(self, name):
+        self._processes[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name):
+        self._processes[name].send_signal(signal.SIGCONT)
+
     def find_leader(self):
         """Return the name of the control daemon that leads, or empty."""
         for name, host in CONTROLS.items():
@@ -101,10 +154,11 @@
         return ""
 
     def configure(self):
-        """Tell whether the configuration is accepted and the entry is ready."""
+        """Tell whether the configuration is accepted and the entries are ready."""
         url = f"http://{CONTROL_ADDRESSES[0]}/config/put"
-        return self._is_ok("POST", url, json=CONFIGURATION) and self._is_ok(
-            "GET", f"http://{ENTRY}:{READY_PORT}/ready"
+        return self._is_ok("POST", url, json=CONFIGURATION) and all(
+            self._is_ok("GET", f"http://{host}:{READY_PORT}/ready")
+            for host in self._site.entries.values()
         )
 
     def list_ended(self):
@@ -128,6 +182,9 @@
             process.wait()
         self._http.clear()
 
+    def _find_host(self, name):
+        return CONTROLS.get(name) or self._site.entries[name]
+
     def _is_ok(self, method, url, **options):
         with suppress(urllib3.exceptions.HTTPError):
             return self._http.request(method, url, **options).status == 200
@@ -135,10 +192,14 @@
 
 
 class Caller:
-    """Client whose connection to the entry is kept until it breaks."""
+    """Client whose connection to an entry is kept until it breaks.
 
-    def __init__(self):
-        self._connection = http.client.HTTPConnection(ENTRY, FRONTEND_PORT, timeout=3.5)
+    It then calls the next one.
+    """
+
+    def __init__(self, hosts=(ENTRY,)):
+        self._hosts = deque(hosts)
+        self._connect()
 
     def call(self, method, job, body=None):
         """Return the status and the content of an answer, 0 and none if it is lost."""
@@ -149,8 +210,14 @@
             return answer.status, json.loads(answer.read() or b"{}")
         except (OSError, http.client.HTTPException, ValueError):
             self.close()
+            self._hosts.rotate(-1)
+            self._connect()
             return 0, {}
 
+    def _connect(self):
+        host = self._hosts[0]
+        self._connection = http.client.HTTPConnection(host, FRONTEND_PORT, timeout=3.5)
+
     def close(self):
         self._connection.close()
 
--- a/tests/_soak_case.py
+++ b/tests/_soak_case.py
@@ -10,12 +10,11 @@
 import unittest
 from pathlib import Path
 
-SEEDS = int(os.environ.get("GYPSUMWALK_SOAK_SEEDS", "2"))
 
-
-def list_seeds():
+def list_seeds(default_count):
     seed = os.environ.get("GYPSUMWALK_SEED")
-    return range(SEEDS) if seed is None else [int(seed)]
+    count = int(os.environ.get("GYPSUMWALK_SOAK_SEEDS", default_count))
+    return range(count) if seed is None else [int(seed)]
 
 
 class SoakCase(unittest.TestCase):
@@ -25,9 +24,10 @@
     """
 
     folder_prefix = ""
+    default_count = 2
 
     def run_seeds(self):
-        for seed in list_seeds():
+        for seed in list_seeds(self.default_count):
             with self.subTest(seed=seed):
                 self.run_seed(seed)
 
