--- a/tests/_fake_instance.py
+++ b/tests/_fake_instance.py
@@ -27,7 +27,6 @@
 LIST_SECONDS = 0.01
 LOST_SHARE, LATE_SHARE = 0.04, 0.06
 LATE_SECONDS = (0.5, 3.0)
-BROKEN_SHARE = 0.3
 
 
 class FakeInstance:
@@ -38,6 +37,7 @@
     """
 
     make_platform = EmulatedPlatform
+    broken_share = 0.3
 
     def __init__(self, name, host, controls, random, find_length, *, data_centre="dc"):
         self.errors = []
@@ -68,7 +68,7 @@
         zone = self._data_centre
         life = RegisteredInstance(self._name, born, "s", address, zone, CAPACITY)
         with self._changed:
-            clock = self._random.randrange(100_000, 9_000_000)
+            clock = self._draw_clock()
             now = time.monotonic()
             self._life = self._platform.add(life, now, clock_begin=clock)
             self._changed.notify_all()
@@ -79,7 +79,7 @@
             self._platform.crash(self._life, time.monotonic())
             self._life = None
             self._changed.notify_all()
-        if self._random.random() < BROKEN_SHARE:
+        if self._random.random() < self.broken_share:
             self._server.break_connections()
 
     def cut_off(self, is_cut_off=True):
@@ -141,6 +141,10 @@
         """Return an answer of a life once it is sent, or None if it is lost."""
         return answer
 
+    def _draw_clock(self):
+        """Return the milliseconds at which the clock of the next life begins."""
+        return self._random.randrange(100_000, 9_000_000)
+
     def _carry_out(self, action):
         now = time.monotonic()
         _, find_outcome = self._platform.call(CallPlatform("", action, 1.0), now)
--- a/tests/_overtaking_instance.py
+++ b/tests/_overtaking_instance.py
@@ -5,8 +5,14 @@
 
 MAX_LEASE_SECONDS = 10.0
 STOP_SECONDS = [0.05, 0.2, 0.39]
-HELD_UP_SHARE = 0.3
-SHORTEST_SECONDS, LONGEST_SECONDS = 0.002, 0.4
+HELD_UP_SHARE, HELD_UP_SECONDS = 0.3, (0.002, 0.4)
+BEHIND_SHARE = 0.8
+UNHEARD_SHARE, UNHEARD_SECONDS = 0.5, (0.02, 1.0)
+
+
+def draw_low(random, lowest, highest):
+    """Draw from a range in which low values are as likely as high ones."""
+    return lowest * (highest / lowest) ** random.random()
 
 
 class PatientPlatform(EmulatedPlatform):
@@ -32,17 +38,34 @@
 
     Answers on other connections overtake them, so that a list of runs that was made
     before a start arrives after the answer to it. Those that a cut holds up arrive
-    after it, and those of a life that has ended are lost.
+    after it, and those of a life that has ended are lost. Some lives serve calls for
+    a while before they announce themselves. The clock of the next life is mostly
+    behind that of the former one, so that a lease on the former one's is a long one.
     """
 
     make_platform = PatientPlatform
+    broken_share = 0.7
+    _announced = None
+    _clock = 9_000_000
+
+    def _draw_clock(self):
+        is_behind = self._random.random() < BEHIND_SHARE and self._clock > 200_000
+        highest = self._clock if is_behind else 9_000_000
+        self._clock = self._random.randrange(100_000, highest)
+        return self._clock
 
     def _hold_up(self, life, answer):
         if self._random.random() < HELD_UP_SHARE:
-            ratio = LONGEST_SECONDS / SHORTEST_SECONDS
-            self._pause(life, SHORTEST_SECONDS * ratio ** self._random.random())
+            self._pause(life, draw_low(self._random, *HELD_UP_SECONDS))
         while self._life is life and not self._is_served_by(life):
             if self._is_closing:
                 return None
             self._await_service()
         return answer if self._is_served_by(life) else None
+
+    def _beat(self, life, sequence):
+        if life is not self._announced:
+            self._announced = life
+            if self._random.random() < UNHEARD_SHARE:
+                self._pause(life, draw_low(self._random, *UNHEARD_SECONDS))
+        return self._is_served_by(life) and super()._beat(life, sequence)
--- a/tests/_return_soak.py
+++ b/tests/_return_soak.py
@@ -8,7 +8,11 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from tests._life_soak import LEADER_SECONDS, Soak
-from tests._overtaking_instance import MAX_LEASE_SECONDS, OvertakingInstance
+from tests._overtaking_instance import (
+    MAX_LEASE_SECONDS,
+    OvertakingInstance,
+    draw_low,
+)
 from tests._platform_processes import (
     CONTROL_ADDRESSES,
     ENTRY,
@@ -20,7 +24,7 @@
 from tests._return_soak_callers import MixedSubmitter, find_length, is_lasting
 
 DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
-PER_DATA_CENTRE = 5
+PER_DATA_CENTRE = 7
 SPARED = 3
 """Instances that are out of trouble at any time, so that lost runs are repeated."""
 
@@ -101,7 +105,7 @@
                 series = self._draw_series(at)
                 steps += [(when, number, action) for when, action in series]
                 free_from[number] = series[-1][0] + 0.3
-            at += self._random.uniform(1.0, 4.0)
+            at += self._random.uniform(0.7, 2.5)
         return sorted(steps)
 
     def _draw_group(self, free_from, at):
@@ -122,15 +126,15 @@
             at = dark + self._draw_low(0.02, 1.5)
             series += [(dark, "go_dark"), (at, "begin_life")]
             if self._random.random() < CUT_SHARE:
-                cut = at + self._draw_low(0.02, 4.0)
+                draw = self._random.choice([self._random.uniform, self._draw_low])
+                cut = at + draw(0.02, 4.0)
                 at = cut + self._random.uniform(1.0, 12.0)
                 series += [(cut, "cut_off"), (at, "reconnect")]
             at += self._random.uniform(0.3, 3.0)
         return series
 
     def _draw_low(self, lowest, highest):
-        """Draw from a range in which low values are as likely as high ones."""
-        return lowest * (highest / lowest) ** self._random.random()
+        return draw_low(self._random, lowest, highest)
 
     def _disturb_processes(self, births, began):
         """Play one trouble of a process after another, each after a return."""
--- a/tests/_return_soak_callers.py
+++ b/tests/_return_soak_callers.py
@@ -6,7 +6,10 @@
 from tests._platform_processes import Caller, await_true
 
 SHORT_SECONDS, LONG_SECONDS, LASTING_SECONDS = (0.1, 0.8), (4.0, 15.0), (1e6, 1e6)
-LONG_SHARE, LASTING_SHARE = 0.3, 0.04
+LONG_SHARE, LASTING_SHARE = 0.4, 0.04
+NEED = {"cpu": 500, "mem_mb": 100}
+"""Little enough for the runs of lost instances to find room on the others at once."""
+
 OVER = (200, 410)
 
 
@@ -56,6 +59,6 @@
         return remaining
 
     def _make_step(self, job):
-        if not is_lasting(job):
-            return super()._make_step(job)
-        return {"count": 1, "cpu": 1000, "mem_mb": 100, "long_running": True}
+        if is_lasting(job):
+            return {"count": 1, **NEED, "long_running": True}
+        return super()._make_step(job) | NEED
