--- a/tests/_overtaking_instance.py
+++ b/tests/_overtaking_instance.py
@@ -8,6 +8,7 @@
 HELD_UP_SHARE, HELD_UP_SECONDS = 0.3, (0.002, 0.4)
 BEHIND_SHARE = 0.8
 UNHEARD_SHARE, UNHEARD_SECONDS = 0.5, (0.02, 1.0)
+LATE_BEAT_SHARE = 0.2
 
 
 def draw_low(random, lowest, highest):
@@ -39,8 +40,9 @@
     Answers on other connections overtake them, so that a list of runs that was made
     before a start arrives after the answer to it. Those that a cut holds up arrive
     after it, and those of a life that has ended are lost. Some lives serve calls for
-    a while before they announce themselves. The clock of the next life is mostly
-    behind that of the former one, so that a lease on the former one's is a long one.
+    a while before they announce themselves, and a heartbeat of the former life may
+    follow. The clock of the next life is mostly behind that of the former one, so that
+    a lease on the former one's is a long one.
     """
 
     make_platform = PatientPlatform
@@ -64,8 +66,11 @@
         return answer if self._is_served_by(life) else None
 
     def _beat(self, life, sequence):
-        if life is not self._announced:
-            self._announced = life
-            if self._random.random() < UNHEARD_SHARE:
-                self._pause(life, draw_low(self._random, *UNHEARD_SECONDS))
-        return self._is_served_by(life) and super()._beat(life, sequence)
+        former, self._announced = self._announced, life
+        is_first = life is not former
+        if is_first and self._random.random() < UNHEARD_SHARE:
+            self._pause(life, draw_low(self._random, *UNHEARD_SECONDS))
+        is_heard = self._is_served_by(life) and super()._beat(life, sequence)
+        if is_first and former and self._random.random() < LATE_BEAT_SHARE:
+            super()._beat(former, sequence)
+        return is_heard
--- a/tests/_return_soak.py
+++ b/tests/_return_soak.py
@@ -5,6 +5,7 @@
 """
 
 import time
+from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 
 from tests._life_soak import LEADER_SECONDS, Soak
@@ -186,6 +187,18 @@
         await_true(lambda: not self._list_working(), LASTING_SECONDS)
         self._fail(self._list_working(), "runs on after its end")
 
+    def _check(self):
+        history = [run for item in self._instances for run in item.history]
+        done = Counter(
+            task.partition(".")[0]
+            for task in {run.task for run in history if run.end_kind == "done"}
+        )
+        for submitter in self._submitters:
+            jobs = set(submitter.accepted) & set(submitter.counts)
+            few = [job for job in jobs if done[job] < submitter.counts[job]]
+            self._fail(few, "has tasks without a run that ended as done")
+        super()._check()
+
     def _fail(self, jobs, what):
         self._failures += [f"{job} {what}" for job in jobs]
 
--- a/tests/_return_soak_callers.py
+++ b/tests/_return_soak_callers.py
@@ -36,6 +36,11 @@
     pause_seconds = (0.2, 1.0)
     find_length = staticmethod(find_length)
 
+    def __init__(self, random, hosts):
+        self.counts = {}
+        """Number of tasks of each job."""
+        super().__init__(random, hosts)
+
     def await_completion(self, seconds):
         jobs = [job for job in self.accepted if not is_lasting(job)]
         return self.await_state(jobs, "completed", seconds)
@@ -61,4 +66,6 @@
     def _make_step(self, job):
         if is_lasting(job):
             return {"count": 1, **NEED, "long_running": True}
-        return super()._make_step(job) | NEED
+        step = super()._make_step(job) | NEED
+        self.counts[job] = step["count"]
+        return step
