--- a/tests/_return_soak.py
+++ b/tests/_return_soak.py
@@ -34,8 +34,8 @@
     for number in (1, 2, 3)
 }
 BOUNDS = {"max_hold_ms": 1000 * MAX_LEASE_SECONDS, "stop_grace_ms": 400.0}
-RETURNS_SECONDS = 16.0
-"""Time in which returns begin; the last cut ends up to 25 s later."""
+RETURNS_SECONDS = 3.0, 18.0
+"""Time in which returns begin, once there is work; cuts end up to 36 s later."""
 
 WHOLE_SHARE, AGAIN_SHARE, CUT_SHARE = 0.5, 0.3, 0.75
 TROUBLES = [
@@ -102,8 +102,8 @@
         """Return time, instance and action of each step of series that overlap."""
         steps = []
         free_from = [0.0] * len(self.names)
-        at = 0.0
-        while at < RETURNS_SECONDS:
+        at, end = RETURNS_SECONDS
+        while at < end:
             for number in self._draw_group(free_from, at):
                 series = self._draw_series(at)
                 steps += [(when, number, action) for when, action in series]
@@ -129,9 +129,10 @@
             at = dark + self._draw_low(0.02, 1.5)
             series += [(dark, "go_dark"), (at, "begin_life")]
             if self._random.random() < CUT_SHARE:
-                draw = self._random.choice([self._random.uniform, self._draw_low])
+                uniform = self._random.uniform
+                draw = self._random.choice([uniform, uniform, self._draw_low])
                 cut = at + draw(0.02, 4.0)
-                at = cut + self._random.uniform(1.0, 12.0)
+                at = cut + self._random.triangular(1.0, 12.0, 9.0)
                 series += [(cut, "cut_off"), (at, "reconnect")]
             at += self._random.uniform(0.3, 3.0)
         return series
@@ -142,7 +143,7 @@
     def _disturb_processes(self, births, began):
         """Play one trouble of a process after another, each after a return."""
         while True:
-            earliest = time.monotonic() - began + self._random.uniform(0.0, 3.0)
+            earliest = time.monotonic() - began + self._random.uniform(0.0, 6.0)
             at = next((birth for birth in births if birth >= earliest), None)
             if at is None:
                 return
--- a/tests/_return_soak_callers.py
+++ b/tests/_return_soak_callers.py
@@ -33,7 +33,7 @@
 class MixedSubmitter(Submitter):
     """Client that also submits jobs that last until it cancels them."""
 
-    pause_seconds = (0.2, 1.0)
+    pause_seconds = (0.1, 0.7)
     find_length = staticmethod(find_length)
 
     def __init__(self, random, hosts):
