--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,7 @@
 	GYPSUMWALK_SCHEDULES=4000 $(BIN)/python -m unittest tests.test_faults
 	GYPSUMWALK_SOAK_SEEDS=50 $(BIN)/python -m unittest tests.test_real_disk_soak
 	GYPSUMWALK_SOAK_SEEDS=50 $(BIN)/python -m unittest tests.test_real_life_soak
+	GYPSUMWALK_SOAK_SEEDS=50 $(BIN)/python -m unittest tests.test_real_return_soak
 
 bench: $(STAMP)
 	$(BIN)/python -m bench.idle 3 9
