--- a/tests/_overtaking_instance.py
+++ b/tests/_overtaking_instance.py
@@ -1,5 +1,7 @@
 """Fake instance whose answers overtake each other, as those of real ones do."""
 
+import time
+
 from gypsumwalk.emulator import EmulatedPlatform
 from tests._fake_instance import FakeInstance
 
@@ -9,6 +11,7 @@
 BEHIND_SHARE = 0.8
 UNHEARD_SHARE, UNHEARD_SECONDS = 0.5, (0.02, 1.0)
 LATE_BEAT_SHARE = 0.2
+WAITING_SHARE, WAITING_SECONDS = 0.5, 3.0
 
 
 def draw_low(random, lowest, highest):
@@ -39,10 +42,12 @@
 
     Answers on other connections overtake them, so that a list of runs that was made
     before a start arrives after the answer to it. Those that a cut holds up arrive
-    after it, and those of a life that has ended are lost. Some lives serve calls for
-    a while before they announce themselves, and a heartbeat of the former life may
-    follow. The clock of the next life is mostly behind that of the former one, so that
-    a lease on the former one's is a long one.
+    after it, and those of a life that has ended are lost. Some renewals that wait as
+    their life ends are carried out by the next one, as if they had arrived late.
+
+    Some lives serve calls for a while before they announce themselves, and a heartbeat
+    of the former life may follow. The clock of the next life is mostly behind that of
+    the former one, so that a lease on the former one's is a long one.
     """
 
     make_platform = PatientPlatform
@@ -50,6 +55,16 @@
     _announced = None
     _clock = 9_000_000
 
+    def answer(self, path, body):
+        life, arrived = self._life, time.monotonic()
+        answer = super().answer(path, body)
+        if answer is not None or path != "/hold" or self._life in (None, life):
+            return answer
+        is_late = time.monotonic() > arrived + WAITING_SECONDS
+        if is_late or self._random.random() >= WAITING_SHARE:
+            return None
+        return super().answer(path, body)
+
     def _draw_clock(self):
         is_behind = self._random.random() < BEHIND_SHARE and self._clock > 200_000
         highest = self._clock if is_behind else 9_000_000
