--- a/tests/_fake_instance.py
+++ b/tests/_fake_instance.py
@@ -27,7 +27,6 @@
 LIST_SECONDS = 0.01
 LOST_SHARE, LATE_SHARE = 0.04, 0.06
 LATE_SECONDS = (0.5, 3.0)
-BROKEN_SHARE = 0.3
 
 
 class FakeInstance:
@@ -37,13 +36,17 @@
     answers to starts are lost and some starts are late.
     """
 
-    def __init__(self, name, host, controls, random, find_length):
+    make_platform = EmulatedPlatform
+    broken_share = 0.3
+
+    def __init__(self, name, host, controls, random, find_length, *, data_centre="dc"):
         self.errors = []
         self.is_harassed = False
         self._name = name
+        self._data_centre = data_centre
         self._random = random
         self._controls = list(controls)
-        self._platform = EmulatedPlatform(random, find_length)
+        self._platform = self.make_platform(random, find_length)
         self.history = self._platform.history
         self._life = None
         self._is_cut_off = False
@@ -62,9 +65,10 @@
         """Begin the next life, which accepts the connections that wait."""
         born = int(time.time() * 1000)
         address = self._server.address
-        life = RegisteredInstance(self._name, born, "s", address, "dc", CAPACITY)
+        zone = self._data_centre
+        life = RegisteredInstance(self._name, born, "s", address, zone, CAPACITY)
         with self._changed:
-            clock = self._random.randrange(100_000, 9_000_000)
+            clock = self._draw_clock()
             now = time.monotonic()
             self._life = self._platform.add(life, now, clock_begin=clock)
             self._changed.notify_all()
@@ -75,7 +79,7 @@
             self._platform.crash(self._life, time.monotonic())
             self._life = None
             self._changed.notify_all()
-        if self._random.random() < BROKEN_SHARE:
+        if self._random.random() < self.broken_share:
             self._server.break_connections()
 
     def cut_off(self, is_cut_off=True):
@@ -126,10 +130,20 @@
                 return None
             content = {"clock_ms": report.clock}
             if report.refused:
-                return HTTPStatus.CONFLICT, content | {"reason": report.refused}
-            if isinstance(action, RenewLease):
-                return self._list_runs(life, action)
-            return HTTPStatus.OK, content
+                answer = HTTPStatus.CONFLICT, content | {"reason": report.refused}
+            elif isinstance(action, RenewLease):
+                answer = self._list_runs(life, action)
+            else:
+                answer = HTTPStatus.OK, content
+            return answer and self._hold_up(life, answer)
+
+    def _hold_up(self, life, answer):
+        """Return an answer of a life once it is sent, or None if it is lost."""
+        return answer
+
+    def _draw_clock(self):
+        """Return the milliseconds at which the clock of the next life begins."""
+        return self._random.randrange(100_000, 9_000_000)
 
     def _carry_out(self, action):
         now = time.monotonic()
@@ -194,7 +208,7 @@
         beat = {
             "service": "s",
             "address": self._server.address,
-            "zone": "dc",
+            "zone": self._data_centre,
             "state": "ready",
             "capacity": {"cpu": CAPACITY.cpu, "mem_mb": CAPACITY.memory},
             "labels": ["a", "r1-1"],
