Find out once which life has answered an order

The origin of an answer was worked out in four places, and the age of a lease in two; 5028 named an age of 1.8e9 s for a life without a lease.

--- a/src/gypsumwalk/answer_origins.py
+++ b/src/gypsumwalk/answer_origins.py
@@ -7,6 +7,8 @@
 
 from enum import Enum
 
+import msgspec
+
 from gypsumwalk.instance_actions import InstanceReport, OrderReport
 from gypsumwalk.instance_orders import OpenOrder
 from gypsumwalk.workload_records import split_life
@@ -25,7 +27,7 @@
 
 
 def find_origin(
-    order: OpenOrder, report: InstanceReport | OrderReport, now: float
+    order: OpenOrder, report: msgspec.Struct | None, now: float
 ) -> AnswerOrigin:
     """Find out which life has answered an order.
 
@@ -33,8 +35,8 @@
     ----------
     order : OpenOrder
         The order.
-    report : InstanceReport or OrderReport
-        Its answer.
+    report : msgspec.Struct or None
+        Its answer, None if there is none.
     now : float
         Time in seconds.
 
@@ -43,6 +45,8 @@
     AnswerOrigin
         The life; a clock that the addressee's can show counts as that one.
     """
+    if not isinstance(report, InstanceReport | OrderReport):
+        return AnswerOrigin.UNKNOWN
     if report.refused == "identity":
         return AnswerOrigin.OTHER_LIFE
     if report.born:
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -287,8 +287,8 @@
         Level.WARNING,
         "a {order} was answered by another life, born {born} (0: not named), whose"
         " clock reads {clock} ms where {expected} ms or up to {window} ms more is"
-        " expected; the latest lease was sent {lease_age} s ago, and ends up to"
-        " {acknowledged} are acknowledged",
+        " expected; the latest lease was sent {lease_age} s ago (0: none), and ends up"
+        " to {acknowledged} are acknowledged",
     )
     RUN_ORPHANED = EventEntry(
         5029,
--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -241,6 +241,10 @@
         """Return a lower bound of the instance's clock, in milliseconds."""
         return self.clock.find_earliest(now) if self.clock else 0
 
+    def find_lease_age(self, now: float) -> float:
+        """Return the seconds since the lease was last extended, 0 if it never was."""
+        return round(now - self.lease_sent_at, 3) if self.lease_sent_at else 0.0
+
     def find_lease_expiry(self) -> float:
         """Return the time in seconds by which every lease granted has expired."""
         if self.clock is None:
--- a/src/gypsumwalk/order_delivery.py
+++ b/src/gypsumwalk/order_delivery.py
@@ -2,9 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
-import msgspec
-
-from gypsumwalk.answer_origins import AnswerOrigin, find_origin
+from gypsumwalk.answer_origins import AnswerOrigin
 from gypsumwalk.dispatch_context import DispatchContext
 from gypsumwalk.effects import Effect, Record, Scalar
 from gypsumwalk.events import Event
@@ -176,7 +174,8 @@
         self,
         view: InstanceView,
         order: OpenOrder,
-        report: msgspec.Struct | None,
+        report: OrderReport,
+        origin: AnswerOrigin,
         now: float,
     ) -> list[Effect]:
         """Update a run as its instance accepts or refuses an order.
@@ -187,8 +186,10 @@
             The instance.
         order : OpenOrder
             The order.
-        report : msgspec.Struct or None
-            Answer of the instance, None if there is none.
+        report : OrderReport
+            Answer of the instance.
+        origin : AnswerOrigin
+            Life that the answer comes from.
         now : float
             Time in seconds.
 
@@ -198,9 +199,8 @@
             What follows from a refusal.
         """
         run = order.run
-        if run is None or not isinstance(report, OrderReport):
+        if run is None:
             return []
-        origin = find_origin(order, report, now)
         if order.kind is OrderKind.STOP:
             if report.refused:
                 return [_describe_refusal(Event.STOP_REFUSED, run, report, origin)]
@@ -246,7 +246,7 @@
 
 
 def note_start_outcome(
-    order: OpenOrder, run: RunView, item: PlatformOutcome, now: float
+    order: OpenOrder, run: RunView, item: PlatformOutcome, origin: AnswerOrigin
 ) -> None:
     """Update how many starts of a run a later life of its instance may carry out.
 
@@ -258,8 +258,8 @@
         The run.
     item : PlatformOutcome
         Outcome of the order.
-    now : float
-        Time in seconds.
+    origin : AnswerOrigin
+        Life that the answer comes from, if there is one.
     """
     if order.kind is not OrderKind.START:
         return
@@ -268,7 +268,6 @@
         run.late_start_until = order.sent_at + LATE_ORDER_SECONDS
         return
     if isinstance(report, OrderReport) and not report.refused:
-        origin = find_origin(order, report, now)
         run.has_returned |= origin is AnswerOrigin.OTHER_LIFE
         if origin is not AnswerOrigin.SAME_LIFE:
             return
--- a/src/gypsumwalk/outcomes.py
+++ b/src/gypsumwalk/outcomes.py
@@ -91,25 +91,26 @@
         if order is None:
             return []
         view = self._context.lease_table.instances.get(order.life)
+        report = item.report
+        origin = find_origin(order, report, now)
         if order.run is not None:
-            self._note_outcome(order, order.run, item, now)
+            self._note_outcome(order, order.run, item, origin, now)
         if view is None:
             return []
-        report = item.report
         if isinstance(report, InstanceReport | OrderReport):
-            return self._handle_report(view, order, report, now)
-        return self._pass_on(view, order, report, now)
+            return self._handle_report(view, order, report, origin, now)
+        return self._pass_on(view, order, report, origin, now)
 
     def _handle_report(
         self,
         view: InstanceView,
         order: OpenOrder,
         report: InstanceReport | OrderReport,
+        origin: AnswerOrigin,
         now: float,
     ) -> list[Effect]:
         """Process the answer of an instance, possibly of another life of it."""
         effects: list[Effect] = []
-        origin = find_origin(order, report, now)
         if origin is AnswerOrigin.OTHER_LIFE:
             effects.append(_describe_other_life(view, order, report, now))
             if report.refused == "identity" or report.born:
@@ -126,14 +127,15 @@
         if isinstance(report, InstanceReport) and (report.refused or is_other):
             # What another life lists, or doesn't, tells nothing of this one, and a
             # refusal lists nothing.
-            return effects + self._pass_on(view, order, None, now)
-        return effects + self._pass_on(view, order, report, now)
+            return effects + self._pass_on(view, order, None, origin, now)
+        return effects + self._pass_on(view, order, report, origin, now)
 
     def _pass_on(
         self,
         view: InstanceView,
         order: OpenOrder,
         report: msgspec.Struct | None,
+        origin: AnswerOrigin,
         now: float,
     ) -> list[Effect]:
         if order.kind is OrderKind.RENEW:
@@ -141,18 +143,24 @@
         if isinstance(report, InstanceReport):
             confirm_listed_runs(view, report, now)
             return []
-        return self._delivery.handle_answer(view, order, report, now)
+        if not isinstance(report, OrderReport):
+            return []
+        return self._delivery.handle_answer(view, order, report, origin, now)
 
     def _note_outcome(
-        self, order: OpenOrder, run: RunView, item: PlatformOutcome, now: float
+        self,
+        order: OpenOrder,
+        run: RunView,
+        item: PlatformOutcome,
+        origin: AnswerOrigin,
+        now: float,
     ) -> None:
         run.is_order_pending = False
-        note_start_outcome(order, run, item, now)
+        note_start_outcome(order, run, item, origin)
         view = self._context.lease_table.instances.get(order.life)
         if view is not None:
             view.late_start_until = max(view.late_start_until, run.late_start_until)
         if order.kind is OrderKind.STOP and isinstance(item.report, OrderReport):
-            origin = find_origin(order, item.report, now)
             self._note_stop(run, item.report, origin, now)
 
     def _note_stop(
@@ -215,7 +223,7 @@
         "clock": report.clock,
         "expected": expected,
         "window": order.clock.find_latest(now) - expected if order.clock else 0,
-        "lease_age": round(now - view.lease_sent_at, 3),
+        "lease_age": view.find_lease_age(now),
         "acknowledged": view.acknowledged,
     }
     return Record(Event.ANSWER_OF_OTHER_LIFE, view.registered.life, attributes)
--- a/src/gypsumwalk/renewals.py
+++ b/src/gypsumwalk/renewals.py
@@ -338,7 +338,7 @@
 def _describe_expiry(view: InstanceView, contact: float | None, now: float) -> Record:
     attributes: dict[str, Scalar] = {
         "runs": len(view.runs),
-        "lease_age": round(now - view.lease_sent_at, 3) if view.lease_sent_at else 0.0,
+        "lease_age": view.find_lease_age(now),
         "contact": 0.0 if contact is None else round(now - contact, 3),
     }
     return Record(Event.LEASE_EXPIRED, view.registered.life, attributes)
--- a/tests/test_orphaned_runs.py
+++ b/tests/test_orphaned_runs.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from gypsumwalk.answer_origins import find_origin
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.inputs import PlatformOutcome
 from gypsumwalk.instance_actions import OrderReport
@@ -78,7 +79,8 @@
             CLOCK,
         )
         outcome = PlatformOutcome("token", succeeded=True, report=OrderReport(1_000))
-        note_start_outcome(order, self.run_view, outcome, STARTED + 0.6)
+        origin = find_origin(order, outcome.report, STARTED + 0.6)
+        note_start_outcome(order, self.run_view, outcome, origin)
         self.run_view.has_departed = True
         self.end_life(lease_sent_at=STARTED)
         assert self.find_released_at() >= STARTED + LIFETIME
