Answer the long polls of the emulator as a stopped run ends

Cause: a call that waits for the end of a run is answered as soon as one is listed (PROTOCOL.md: "the response waits for an end"). The emulator fixed the time of the answer when the call arrived, so that an end by a later stop was listed up to 0.8 s late. Under that, an instance that is told to end after its runs were stopped has ended before it lists their ends.

Change: a stop wakes the calls that wait. Three tests rested on the late lists to have something happen while a run was being stopped; their stops take 0.4 s now, the longest that the platform allows, and their checks are as before. Two of them failed without that (test_availability, test_wave_deadlines), as the tasks were back too soon for the deliberate fault and the reason to be seen.

--- a/src/gypsumwalk/emulator.py
+++ b/src/gypsumwalk/emulator.py
@@ -41,7 +41,13 @@
 )
 from gypsumwalk.workload_records import RegisteredInstance
 
-__all__ = ["EmulatedAdvice", "EmulatedInstance", "EmulatedPlatform", "Execution"]
+__all__ = [
+    "EmulatedAdvice",
+    "EmulatedInstance",
+    "EmulatedPlatform",
+    "Execution",
+    "LongPoll",
+]
 
 ONE_WAY_LATENCY_SECONDS = 0.001
 """One-way latency to an instance, as between two data centres of one region."""
@@ -63,6 +69,25 @@
 FindRunLength = Callable[[str, int], tuple[float, str]]
 
 
+class LongPoll:
+    """A call that waits at an instance for the end of a run.
+
+    Attributes
+    ----------
+    wake : Callable
+        Called with the time in seconds after which the outcome is due, if that is
+        earlier than was said first.
+    """
+
+    def __init__(self, find_outcome: Callable[[float], PlatformOutcome]) -> None:
+        self.wake: Callable[[float], None] = lambda delay: None
+        self._find_outcome = find_outcome
+
+    def __call__(self, at: float) -> PlatformOutcome:
+        """Return the outcome at a time in seconds."""
+        return self._find_outcome(at)
+
+
 @dataclass(slots=True)
 class Execution:
     """Actual course of one run, whatever the controllers know of it.
@@ -125,6 +150,7 @@
     drops_answers: bool = False
     order_delay: float = 0.0
     unreachable_from: set[str] = field(default_factory=set)
+    long_polls: list[LongPoll] = field(default_factory=list)
 
     def read_clock(self, now: float) -> int:
         """Return the instance's clock in milliseconds."""
@@ -341,12 +367,16 @@
 
         def find_outcome(at: float) -> PlatformOutcome:
             self.advance(at)
+            if poll in instance.long_polls:
+                instance.long_polls.remove(poll)
             if instance.is_dead or instance.is_silent:
                 return PlatformOutcome(effect.token, succeeded=False, unknown=True)
             report = self._make_report(instance, at)
             return PlatformOutcome(effect.token, succeeded=True, report=report)
 
-        return delay + 2 * ONE_WAY_LATENCY_SECONDS, find_outcome
+        poll = LongPoll(find_outcome)
+        instance.long_polls.append(poll)
+        return delay + 2 * ONE_WAY_LATENCY_SECONDS, poll
 
     def _make_report(self, instance: EmulatedInstance, now: float) -> InstanceReport:
         running = []
@@ -444,6 +474,8 @@
             length = self._random.choice(self.stop_durations)
             present.ends = min(present.ends, now + length)
             present.end_kind = "stopped" if present.ends > now else present.end_kind
+            for poll in instance.long_polls:
+                poll.wake(present.ends - now + ONE_WAY_LATENCY_SECONDS)
 
     def _advance_instance(self, instance: EmulatedInstance, now: float) -> None:
         for task, execution in list(instance.running.items()):
--- a/tests/_world.py
+++ b/tests/_world.py
@@ -33,6 +33,7 @@
     Stop,
     WriteDisk,
 )
+from gypsumwalk.emulator import LongPoll
 from gypsumwalk.inputs import (
     CallInput,
     DiskOutcome,
@@ -454,10 +455,18 @@
         if delay > effect.timeout:
             delay, outcome = effect.timeout, unknown
 
+        has_arrived = False
+
         def arrive():
+            nonlocal has_arrived
+            if has_arrived:
+                return
+            has_arrived = True
             found = outcome(self.now) if callable(outcome) else outcome
             self.deliver(daemon, found, epoch=epoch)
 
+        if isinstance(outcome, LongPoll):
+            outcome.wake = lambda early: self.schedule(early, arrive)
         self.schedule(delay, arrive)
 
     def _report(self):
--- a/tests/test_availability.py
+++ b/tests/test_availability.py
@@ -27,6 +27,7 @@
 def make_world(*, tasks, instances, seed=0):
     """Return a world in which one lasting task runs on each of some instances."""
     world = FleetWorld(seed, task_seconds=1000.0, instances=instances)
+    world.model.stop_durations = [0.4]
     world.begin()
     step = Step(tasks, NEED, max_per_instance=1, lasting=True, max_unavailable=1)
     world.submit(JOB, [step])
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -284,6 +284,7 @@
             for delay in (0.0, 0.02, 0.2):
                 with self.subTest(silence=silence, delay=delay):
                     world = make_world()
+                    world.model.stop_durations = [0.4]
                     lost = LostAnswers(world, StopRun, silence=silence)
                     with patch.object(world.model, "call", lost):
                         drain_instance(world, list_runs(world)[-1])
--- a/tests/test_wave_deadlines.py
+++ b/tests/test_wave_deadlines.py
@@ -102,6 +102,7 @@
     def test_the_log_tells_what_holds_a_machine_back(self):
         world = make_busy_world(4, lasting=4)
         world.refused = {"m-3"}
+        world.model.stop_durations = [0.4]
         self.start(world, 4, 1)
         world.run(DURATION)
         reasons = list_reasons(world)
