Take silence for no end of an instance that deregisters

Cause: the life was removed with its deregistration, and its runs counted as ended after a time in which nothing was heard: 0.5 s after stops without an answer (_stop_departing), and 2 s after a change of leader without another deregistration (add_without_instance, note_deregistration). An instance ends with the acknowledgement, or seconds later without one. One that is cut off hears no stop and no acknowledgement, and its runs go on until their lease expires.

Change: the runs of a life that deregisters are stopped first. It is removed and answered once their ends are committed, so that neither this leader nor the next one has to infer anything. After 0.75 s it is answered in any case, once a command is committed that it drains: a leader that is cut off must not answer. It stays registered then, gets no further lease, and its runs end by lists or with their lease like those of any silent instance. Runs without a registered instance wait for the longest lease after a change of leader. The removal names its term, so that a later leader does not carry it out on runs of its own.

Related paths: a start without an answer counted for 5.3 s after it was sent if its instance had deregistered, and for 11.5 s otherwise; now for 11.5 s always, as a next life that nobody heard of within 4 s may be cut off too. Ends by a next life, by an answer of another one, and by a machine that is listed as down or answered its order, stay: each of them is said, not inferred from silence. Ruled out: a refused connection as a sign of the end, as the kinds of trouble have cuts that refuse connections.

An instance that answers no stop and ends with the acknowledgement is indistinguishable from one that is cut off, so its task waits for the lease (4.5 s) instead of 1 s.

--- a/src/gypsumwalk/dispatch_modules.py
+++ b/src/gypsumwalk/dispatch_modules.py
@@ -75,7 +75,6 @@
             renewals=self.renewals,
             ends=self.ends,
             departures=self.departures,
-            stop_grace=stop_grace,
         )
 
     @property
--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -251,17 +251,25 @@
         """Send no starts to an instance for a time in which its end would show."""
         self._modules.renewals.hold_starts(life, now)
 
-    def note_deregistration(self, life: str, now: float) -> None:
-        """Note that a life, or any of an instance, that was removed deregisters again.
+    def begin_departure(self, life: str, now: float) -> list[Effect]:
+        """Stop the runs of a life that deregisters, and then propose its removal.
 
         Parameters
         ----------
         life : str
-            The life, or the identifier of its instance.
+            The life.
         now : float
             Time in seconds.
+
+        Returns
+        -------
+        list of Effect
+            Orders and proposals.
         """
-        self._modules.departures.note_deregistration(life, now)
+        effects = self._sync_leadership(now)
+        if not self._term:
+            return effects
+        return effects + self._modules.departures.begin(life, now)
 
     def _tick(self, now: float) -> list[Effect]:
         if not self.is_leading(now):
--- a/src/gypsumwalk/fleet_call_handler.py
+++ b/src/gypsumwalk/fleet_call_handler.py
@@ -39,7 +39,13 @@
     redirect_to_leader,
     refuse_proposal,
 )
-from gypsumwalk.inputs import CallInput, Input, ProposalOutcome, ProposalStatus
+from gypsumwalk.inputs import (
+    CallInput,
+    Committed,
+    Input,
+    ProposalOutcome,
+    ProposalStatus,
+)
 from gypsumwalk.known_announcements import complete_registration
 from gypsumwalk.life_checks import LifeChecks
 from gypsumwalk.part import NEVER
@@ -59,6 +65,10 @@
 
 __all__ = ["LEADER_HEADER", "FleetCallHandler"]
 
+DEPARTURE_SECONDS = 0.75
+"""Time after which a deregistration is acknowledged although the instance may go on
+with its runs; it calls another daemon after 1 s, and a stop takes 0.4 s at most."""
+
 UNSETTLED_SECONDS = 10.0
 """Time in which a command whose proposal timed out may still be committed; it is longer
 than an election and the retries of a caller."""
@@ -100,6 +110,22 @@
     call_ids: list[int] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class _Departure:
+    """Calls of a life that deregisters, whose runs are being stopped.
+
+    Attributes
+    ----------
+    due : float
+        Time in seconds at which they are answered if the life is still registered.
+    call_ids : list of int
+        Numbers of the waiting calls.
+    """
+
+    due: float
+    call_ids: list[int] = field(default_factory=list)
+
+
 class FleetCallHandler:
     """Part that answers API calls; daemons that do not lead refer to the leader.
 
@@ -122,8 +148,7 @@
     """
 
     name = "desk"
-    wakeup = NEVER
-    accepts: tuple[type, ...] = CALLS
+    accepts: tuple[type, ...] = (*CALLS, RemoveInstance)
 
     def __init__(
         self,
@@ -146,6 +171,13 @@
         self._pending: dict[str, _Pending] = {}
         self._submissions: dict[str, _Pending] = {}
         self._unsettled: dict[str, float] = {}
+        self._departures: dict[str, _Departure] = {}
+        """Unanswered deregistrations, by the life that they concern."""
+
+    @property
+    def wakeup(self) -> float:
+        """Time in seconds at which ``advance`` is due."""
+        return min((item.due for item in self._departures.values()), default=NEVER)
 
     def handle(self, item: Input, now: float) -> Sequence[Effect]:
         """Process a call, or the outcome of the proposal for one."""
@@ -154,11 +186,17 @@
                 return self._handle_call(item, now)
             case ProposalOutcome():
                 return self._handle_outcome(item, now)
+            case Committed(command=RemoveInstance(life=life)):
+                return self._answer_departure(life, now)
         return []
 
     def advance(self, now: float) -> Sequence[Effect]:
-        """Do nothing, as this part has no timers."""
-        return []
+        """Answer the deregistrations of instances whose runs may go on."""
+        effects: list[Effect] = []
+        for life, departure in list(self._departures.items()):
+            if departure.due <= now:
+                effects += self._answer_departure(life, now)
+        return effects
 
     def _handle_call(self, item: CallInput, now: float) -> list[Effect]:
         self._submission_control.observe_term(now)
@@ -397,8 +435,6 @@
     ) -> list[Effect]:
         leaving = self._find_leaving(call)
         if leaving is None:
-            life = name_life(call.instance, call.born) if call.born else call.instance
-            self._dispatcher.note_deregistration(life, now)
             return [
                 Respond(item.call_id, Answer(200)),
                 _describe_deregistration(call, "none"),
@@ -411,13 +447,36 @@
                 Respond(item.call_id, Answer(200)),
                 _describe_deregistration(call, f"{leaving.life} or an earlier one"),
             ]
-        reason = "it has deregistered"
-        command = RemoveInstance(leaving.life, reason=reason, is_departing=True)
+        departure = self._departures.get(leaving.life)
+        if departure is None:
+            departure = _Departure(now + DEPARTURE_SECONDS)
+            self._departures[leaving.life] = departure
+        departure.call_ids.append(item.call_id)
         return [
             _describe_deregistration(call, leaving.life),
-            *self._propose(item, command, leaving.life),
+            *self._dispatcher.begin_departure(leaving.life, now),
         ]
 
+    def _answer_departure(self, life: str, now: float) -> list[Effect]:
+        """Answer the calls of a life that was removed, or whose runs may go on.
+
+        In the second case its draining is committed first: a leader that is cut off
+        from the others must not answer, as the next one would not know of the call.
+        """
+        departure = self._departures.pop(life, None)
+        if departure is None:
+            return []
+        known = self._workloads.instances.get(life)
+        if known is None:
+            return self._respond_all(departure.call_ids, life, Answer(200), 0)
+        if not self._leadership.holds_lease(now):
+            answer = redirect_to_leader(self._leadership)
+            return self._respond_all(departure.call_ids, life, answer, 0)
+        token = f"{self.name}/{departure.call_ids[0]}"
+        self._pending[token] = _Pending(life, call_ids=departure.call_ids)
+        draining = msgspec.structs.replace(known, draining=True)
+        return [Propose(token, RegisterInstance(draining), PROPOSAL_SECONDS)]
+
     def _find_leaving(self, call: LeaveInstanceCall) -> RegisteredInstance | None:
         if call.born:
             return self._workloads.instances.get(name_life(call.instance, call.born))
@@ -443,11 +502,16 @@
             return []
         self._submissions.pop(pending.address, None)
         answer = self._make_outcome_answer(item.status, pending, now)
+        return self._respond_all(pending.call_ids, pending.subject, answer, item.index)
+
+    def _respond_all(
+        self, call_ids: Sequence[int], subject: str, answer: Answer, index: int
+    ) -> list[Effect]:
         effects: list[Effect] = []
-        for call_id in pending.call_ids:
+        for call_id in call_ids:
             effects += [
                 Respond(call_id, answer),
-                self._record_decision(pending.subject, answer, item.index),
+                self._record_decision(subject, answer, index),
             ]
         return effects
 
--- a/src/gypsumwalk/instance_departures.py
+++ b/src/gypsumwalk/instance_departures.py
@@ -1,14 +1,27 @@
-"""Lives of instances that have ended or departed, and what becomes of their runs."""
+"""Lives of instances that have ended or depart, and what becomes of their runs.
+
+An instance ends once its deregistration is acknowledged, or else some seconds later, so
+its runs are stopped first. What does not answer goes on until its lease expires: it may
+be cut off, and not receive the acknowledgement either.
+"""
 
 from collections.abc import Callable, Iterable
 
-from gypsumwalk.departures import DEPARTURE_SECONDS, TAKEOVER_SECONDS, Departures
+import msgspec
+
+from gypsumwalk.departures import Departures
 from gypsumwalk.dispatch_context import DispatchContext
 from gypsumwalk.effects import Effect, Record, Scalar
 from gypsumwalk.events import Event
 from gypsumwalk.leases import InstanceView, RunView
 from gypsumwalk.orphaned_runs import OrphanedRuns, note_lease
-from gypsumwalk.workload_records import RegisteredInstance, RemoveInstance, split_life
+from gypsumwalk.run_orders import LEASE_MARGIN_SECONDS
+from gypsumwalk.workload_records import (
+    RegisteredInstance,
+    RegisterInstance,
+    RemoveInstance,
+    split_life,
+)
 
 __all__ = ["InstanceDepartures"]
 
@@ -39,37 +52,81 @@
         self._orphans = orphans
         self._stop = stop
         self._departures = Departures()
+        self._deregistered: set[str] = set()
+        """Lives that have deregistered and are still registered."""
         self._removal_proposals: dict[str, str] = {}
+        """Lives in whose place another instance answered, by the token."""
+        self._departure_proposals: dict[str, str] = {}
+        """Lives that have deregistered, by the token of their removal."""
 
     def clear(self) -> None:
         """Forget all lives and runs, at the end of a term."""
         self._departures.clear()
+        self._deregistered.clear()
         self._orphans.clear()
         self._removal_proposals.clear()
+        self._departure_proposals.clear()
 
     def add_without_instance(self, runs: Iterable[RunView], now: float) -> None:
         """Add runs of an earlier leader whose instance is no longer registered.
 
-        If their instance deregisters again, they may go on until the leases that were
-        granted before this term expire.
+        They may go on until the leases that were granted before this term expire.
         """
-        due = now + TAKEOVER_SECONDS
         bound = now + self._context.orders.lease_validity_bound
         for run in runs:
             expiry = self._context.contacts.find_expiry(run.life, now)
-            self._departures.add([run], due, expiry=max(bound, expiry))
+            self._departures.add(run, max(bound, expiry))
 
-    def note_deregistration(self, life: str, now: float) -> None:
-        """Note that a life, or one of an instance, deregisters once more."""
-        self._departures.postpone(life, now + TAKEOVER_SECONDS)
+    def begin(self, life: str, now: float) -> list[Effect]:
+        """Stop the runs of a life that deregisters; it is removed once they have ended.
 
-    def note_stop(self, run: RunView, due: float) -> None:
-        """Note that a run goes on until a time in seconds, as its stop was answered."""
-        self._departures.note_stop(run, due)
+        Parameters
+        ----------
+        life : str
+            The life.
+        now : float
+            Time in seconds.
 
-    def note_refused_stop(self, run: RunView) -> None:
-        """Note that a run goes on until its lease expires, as its stop was refused."""
-        self._departures.note_stop(run, self._orphans.find_latest_expiry(run))
+        Returns
+        -------
+        list of Effect
+            Stops of its runs, or its removal.
+        """
+        view = self._context.lease_table.instances.get(life)
+        if view is None or view.deregistered_at:
+            return []
+        view.deregistered_at = now
+        self._deregistered.add(life)
+        effects: list[Effect] = []
+        for run in list(view.runs.values()):
+            if not run.is_stopping:
+                effects += self._stop(run, now)
+        if not view.runs:
+            return self._propose_departure(life)
+        if not view.registered.draining:
+            # The next leader must not place runs there.
+            draining = msgspec.structs.replace(view.registered, draining=True)
+            effects.append(self._context.propose(RegisterInstance(draining)))
+        return effects
+
+    def _remove_empty(self) -> list[Effect]:
+        """Propose the removal of the deregistered lives whose runs have ended."""
+        instances = self._context.lease_table.instances
+        effects: list[Effect] = []
+        for life in sorted(self._deregistered):
+            if not instances[life].runs:
+                effects += self._propose_departure(life)
+        return effects
+
+    def _propose_departure(self, life: str) -> list[Effect]:
+        if life in self._departure_proposals.values():
+            return []
+        command = RemoveInstance(
+            life, reason="it has deregistered", term=self._context.orders.term
+        )
+        proposal = self._context.propose(command)
+        self._departure_proposals[proposal.token] = life
+        return [proposal]
 
     def handle_removal(self, command: RemoveInstance, now: float) -> list[Effect]:
         """Follow up on a committed removal of a life.
@@ -87,8 +144,9 @@
             Records, stops and ends of its runs.
         """
         effects = self._describe_removal(command.life, command.reason)
-        if command.is_departing:
-            effects += self._stop_departing(command.life, now)
+        view = self._context.lease_table.instances.get(command.life)
+        if view is not None and command.is_departing:
+            self._await_expiry(view)
         return effects + self.sync(command.life, now)
 
     def _describe_removal(self, life: str, reason: str) -> list[Effect]:
@@ -123,6 +181,7 @@
             for gone in [item for item in instances if item not in known]:
                 ended += note_lease(instances[gone])
                 del instances[gone]
+                self._deregistered.discard(gone)
         return self._end_with_instance(ended, now)
 
     def _add_or_update(self, registered: RegisteredInstance, now: float) -> None:
@@ -134,19 +193,11 @@
         else:
             view.registered = registered
 
-    def _stop_departing(self, life: str, now: float) -> list[Effect]:
-        """Stop the runs of an instance that has deregistered before repeating them."""
-        view = self._context.lease_table.instances.get(life)
-        if view is None:
-            return []
-        runs = note_lease(view)
-        effects: list[Effect] = []
-        for run in runs:
-            effects += self._stop(run, now)
-            run.has_departed = True
+    def _await_expiry(self, view: InstanceView) -> None:
+        """Keep the runs of a life that was removed before it ended."""
+        for run in note_lease(view):
             view.remove_run(run)
-        self._departures.add(runs, now + DEPARTURE_SECONDS)
-        return effects
+            self._departures.add(run, run.lease_expiry + LEASE_MARGIN_SECONDS)
 
     def _end_with_instance(self, runs: Iterable[RunView], now: float) -> list[Effect]:
         """End runs of ended instances, unless the next life may carry them out."""
@@ -156,12 +207,12 @@
         return effects + self._check_orphans(now)
 
     def check(self, now: float) -> list[Effect]:
-        """End the runs that can't go on any more, and stop those of a next life."""
+        """End what can't go on any more, and stop the runs of a next life."""
         # The next life's first list, which may contain their ends, is read later.
         self._departures.end_replaced(self._is_replaced, now)
         ended = self._departures.take_ended(self._context.lease_table, now)
         effects = self._end_with_instance(ended, now) if ended else []
-        return effects + self._check_orphans(now)
+        return effects + self._check_orphans(now) + self._remove_empty()
 
     def _is_replaced(self, run: RunView) -> bool:
         instance, born = split_life(run.life)
@@ -193,7 +244,11 @@
         return [proposal]
 
     def take_removed(self, token: str) -> str:
-        """Remove and return the life whose removal was proposed, or an empty string."""
+        """Remove and return the life that was to be replaced, or an empty string.
+
+        A life that has deregistered is removed again at the next check, if need be.
+        """
+        self._departure_proposals.pop(token, None)
         return self._removal_proposals.pop(token, "")
 
 
--- a/src/gypsumwalk/leases.py
+++ b/src/gypsumwalk/leases.py
@@ -23,7 +23,13 @@
 ]
 
 WATCHED_ATTRIBUTES = frozenset(
-    {"registered", "answered_at", "silent_since", "start_backoff_until"}
+    {
+        "registered",
+        "answered_at",
+        "silent_since",
+        "start_backoff_until",
+        "deregistered_at",
+    }
 )
 """Attributes of an instance that decide, besides its runs, what may start there."""
 
@@ -89,6 +95,9 @@
         Whether its latest run list showed runs that are not in the table.
     late_start_until : float
         Time in seconds until which a start that was not answered may begin a run.
+    deregistered_at : float
+        Time in seconds at which the instance first deregistered with this leader, 0
+        before. It goes on until it has received the answer.
     """
 
     registered: RegisteredInstance
@@ -117,6 +126,7 @@
     was_taken_over: bool = False
     has_unknown_runs: bool = False
     late_start_until: float = 0.0
+    deregistered_at: float = 0.0
     _used: Resources = field(default=Resources(), init=False)
     _lasting_used: Resources = field(default=Resources(), init=False)
     _latency_sensitive_runs: int = field(default=0, init=False)
@@ -159,7 +169,8 @@
     @property
     def is_draining(self) -> bool:
         """Whether the instance gets no new runs, as it or its data centre drains."""
-        return self.registered.draining or self.is_evacuated
+        has_deregistered = self.deregistered_at > 0
+        return self.registered.draining or self.is_evacuated or has_deregistered
 
     @property
     def used(self) -> Resources:
--- a/src/gypsumwalk/order_delivery.py
+++ b/src/gypsumwalk/order_delivery.py
@@ -267,10 +267,9 @@
     if item.unknown:
         run.late_start_until = order.sent_at + LATE_ORDER_SECONDS
         return
-    if isinstance(report, OrderReport) and not report.refused:
-        run.has_returned |= origin is AnswerOrigin.OTHER_LIFE
-        if origin is not AnswerOrigin.SAME_LIFE:
-            return
+    is_carried_out = isinstance(report, OrderReport) and not report.refused
+    if is_carried_out and origin is not AnswerOrigin.SAME_LIFE:
+        return
     run.unanswered_starts = max(0, run.unanswered_starts - 1)
 
 
--- a/src/gypsumwalk/orphaned_runs.py
+++ b/src/gypsumwalk/orphaned_runs.py
@@ -17,10 +17,6 @@
 """Longest time after which an instance carries out an order that it did not answer."""
 
 
-ANNOUNCEMENT_SECONDS = 4.0
-"""Time in which an instance is announced: it sends a heartbeat every 1.5 s, which goes
-to the next daemon if it is not acknowledged within a second."""
-
 SILENCE_SECONDS = 1.8
 """Time for which a life may count as responsive after it has ended; a renewal takes
 that long at most."""
@@ -50,7 +46,6 @@
     def __init__(self, *, max_lease: float, transit: float) -> None:
         self._transit = transit
         self._lifetime = transit + max_lease / (1 - CLOCK_RATE_ERROR)
-        self._announcement = transit + ANNOUNCEMENT_SECONDS
         self._runs: list[RunView] = []
 
     def clear(self) -> None:
@@ -70,20 +65,11 @@
         Returns
         -------
         bool
-            False once the longest lease after the last start has expired, or once a
-            next life would be known, if the instance has deregistered.
+            False once the longest lease after the last start has expired.
         """
-        is_over = run.is_settled or now >= self._find_end(run)
+        is_over = run.is_settled or now >= self._find_lease_end(run)
         return run.unanswered_starts > 0 and not is_over
 
-    def _find_end(self, run: RunView) -> float:
-        """Return the time from which an unannounced life no longer has the run."""
-        # An instance that deregisters ends, and seldom begins again; one that crashed
-        # may be back, and cut off, before anyone hears of it.
-        if run.has_departed and not run.has_returned:
-            return run.start_sent_at + min(self._announcement, self._lifetime)
-        return self._find_lease_end(run)
-
     def _find_lease_end(self, run: RunView) -> float:
         # An order for another run extends the lease of all, on the next life too. Where
         # the next life has the run, the former one had ended before its start arrived.
@@ -91,11 +77,6 @@
         sent_at = min(run.lease_sent_at, latest)
         return max(run.start_sent_at, sent_at) + self._lifetime
 
-    def find_latest_expiry(self, run: RunView) -> float:
-        """Return the time in seconds by which a run without further renewals ends."""
-        sent_at = max(run.start_sent_at, run.lease_sent_at)
-        return max(sent_at + self._lifetime, run.lease_expiry)
-
     def find_late_expiry(self, run: RunView, now: float) -> float:
         """Return the time by which the lease of a start carried out until now expires.
 
@@ -155,8 +136,6 @@
         certain, kept = [], []
         for run in ended:
             is_late = now < run.late_start_until and not run.is_settled
-            if run.has_departed and not run.has_returned:
-                is_late = is_late and now < self._find_end(run)
             if run.state is RunState.ENDING:
                 continue
             if is_late or self.may_have_begun(run, now):
@@ -201,7 +180,6 @@
             view.min_lease_expiry = max(view.min_lease_expiry, expiry)
             run.state = RunState.STARTING
             run.stopped_at = run.missing_since = run.hidden_since = 0.0
-            run.has_departed = run.has_returned = False
             run.started_clock = 0
             adopted.append(run)
         self._runs = remaining
--- a/src/gypsumwalk/outcomes.py
+++ b/src/gypsumwalk/outcomes.py
@@ -44,9 +44,7 @@
     ends : RunEnds
         Ends of runs.
     departures : InstanceDepartures
-        Lives that have ended or departed.
-    stop_grace : float
-        Maximum duration of a stop, in seconds.
+        Lives that have ended or depart.
     """
 
     def __init__(
@@ -59,7 +57,6 @@
         renewals: Renewals,
         ends: RunEnds,
         departures: InstanceDepartures,
-        stop_grace: float,
     ) -> None:
         self.proposals_due = NEVER
         """Time in seconds at which proposals without a known commit are followed up."""
@@ -70,7 +67,6 @@
         self._renewals = renewals
         self._ends = ends
         self._departures = departures
-        self._stop_grace = stop_grace
 
     def clear(self) -> None:
         """Follow up on no proposal, at the end of a term."""
@@ -94,7 +90,7 @@
         report = item.report
         origin = find_origin(order, report, now)
         if order.run is not None:
-            self._note_outcome(order, order.run, item, origin, now)
+            self._note_outcome(order, order.run, item, origin)
         if view is None:
             return []
         if isinstance(report, InstanceReport | OrderReport):
@@ -153,25 +149,12 @@
         run: RunView,
         item: PlatformOutcome,
         origin: AnswerOrigin,
-        now: float,
     ) -> None:
         run.is_order_pending = False
         note_start_outcome(order, run, item, origin)
         view = self._context.lease_table.instances.get(order.life)
         if view is not None:
             view.late_start_until = max(view.late_start_until, run.late_start_until)
-        if order.kind is OrderKind.STOP and isinstance(item.report, OrderReport):
-            self._note_stop(run, item.report, origin, now)
-
-    def _note_stop(
-        self, run: RunView, report: OrderReport, origin: AnswerOrigin, now: float
-    ) -> None:
-        """Note how long a run of a departed instance goes on after an answered stop."""
-        # Where another life refuses it, that of the run has ended.
-        if report.refused and origin is not AnswerOrigin.OTHER_LIFE:
-            self._departures.note_refused_stop(run)
-        else:
-            self._departures.note_stop(run, now + self._stop_grace)
 
     def _handle_proposal_outcome(
         self, item: ProposalOutcome, now: float
--- a/src/gypsumwalk/run_orders.py
+++ b/src/gypsumwalk/run_orders.py
@@ -216,7 +216,8 @@
                 run.missing_since or run.hidden_since for run in view.runs.values()
             )
             wait = SHORT_WAIT_SECONDS if needs_short_wait else RENEWAL_WAIT_SECONDS
-            if view.runs:
+            # The runs of an instance that deregisters are being stopped.
+            if view.runs and not view.deregistered_at:
                 lease_until = self._extend_lease(view, now)
         view.is_renewal_pending = True
         view.renewal_sent = now
--- a/src/gypsumwalk/run_views.py
+++ b/src/gypsumwalk/run_views.py
@@ -84,10 +84,6 @@
         also if a later one was answered.
     is_settled : bool
         Whether no start of it can be carried out any more.
-    has_departed : bool
-        Whether its instance has deregistered.
-    has_returned : bool
-        Whether another life of its instance has answered a start of it.
     planned_at : float
         Time in seconds at which this leader planned it, 0 if another one did.
     started_clock : int
@@ -133,8 +129,6 @@
     lease_expiry: float = 0.0
     late_start_until: float = 0.0
     is_settled: bool = False
-    has_departed: bool = False
-    has_returned: bool = False
     planned_at: float = 0.0
     started_clock: int = 0
     seconds: float = 0.0
--- a/src/gypsumwalk/takeover.py
+++ b/src/gypsumwalk/takeover.py
@@ -25,7 +25,7 @@
     placements : Placements
         Placements of runs.
     departures : InstanceDepartures
-        Lives that have ended or departed.
+        Lives that have ended or depart.
     """
 
     def __init__(
--- a/src/gypsumwalk/workload_records.py
+++ b/src/gypsumwalk/workload_records.py
@@ -405,11 +405,12 @@
     reason: str
         How its end is known, for the log.
     is_departing : bool
-        Whether it ends only now, as it is told that it is removed.
+        Whether its runs may go on until their leases expire; set by earlier versions
+        only.
     term : int
-        Term of the leader that does not hear of the life, 0 if the life has ended. The
-        command is rejected after a placement of a later term: the life may have
-        answered that leader, and have runs.
+        Term of the leader that proposes it, 0 if the life has ended. The command is
+        rejected after a placement of a later term: the life may have answered that
+        leader, and have runs.
     """
 
     life: str
