Keep a cancel that finds no job against submissions on their way

Cause: 410 says that no such job exists, and was decided by the applied state of one leader. A submission may be on its way at that time: as a proposal of this leader, as one of a former leader that the next one commits, at an entry that is frozen or repeats it, or in the queue of a connection. The first is known to the leader and was not looked at; the others can't be known to any daemon that answers the cancel.

Change: each cancel of a job that has not ended goes through the log. If it finds no job there, it is kept for 60 s, by queue, team and ID, and a submission that is committed later is rejected. The cancel is answered 410, or 200 if the job was there first; the submission 503, which says truly that it has not run, with the time after which its ID may be used again. GET goes on answering 410, as nobody may have submitted such a job.

On a public queue any caller may cancel. Elsewhere a cancel counts for the team whose key it carries, so that no caller refuses jobs of another queue or team. A team keeps 4,000 cancels on a queue; one more is refused with a time to return, and replaces none.

Related paths, by reading: a stop shuts out its start at the instance; an older declaration, announcement or wave changes nothing. Not covered: the start of an evacuation that is held up until the evacuation was ended begins it again.

--- a/src/gypsumwalk/fleet_call_handler.py
+++ b/src/gypsumwalk/fleet_call_handler.py
@@ -34,10 +34,12 @@
 from gypsumwalk.fleet_refusals import (
     LEADER_HEADER,
     PROPOSAL_SECONDS,
+    RETRY_SECONDS,
     authorize,
     make_unknown_answer,
     redirect_to_leader,
     refuse_proposal,
+    refuse_withdrawn,
 )
 from gypsumwalk.inputs import (
     CallInput,
@@ -50,9 +52,11 @@
 from gypsumwalk.life_checks import LifeChecks
 from gypsumwalk.part import NEVER
 from gypsumwalk.problems import Outcome, ProblemType, refuse
+from gypsumwalk.state import Rejected
 from gypsumwalk.submission_control import SubmissionControl, Verdict, make_workload
 from gypsumwalk.upkeep import StartUpkeep, UpkeepSection
 from gypsumwalk.views import LeadershipView
+from gypsumwalk.withdrawn_jobs import KEEP_SECONDS
 from gypsumwalk.workload_records import (
     AcceptWorkload,
     CancelWorkload,
@@ -61,7 +65,7 @@
     RemoveInstance,
     name_life,
 )
-from gypsumwalk.workloads import WorkloadSection
+from gypsumwalk.workloads import JOB_WITHDRAWN, TOO_MANY_WITHDRAWN, WorkloadSection
 
 __all__ = ["LEADER_HEADER", "FleetCallHandler"]
 
@@ -101,12 +105,15 @@
         Subject of the decision to record.
     address : str
         Host and path of the job that it accepts; empty for other commands.
+    is_cancel : bool
+        Whether it cancels the job that is its subject.
     call_ids : list of int
         Numbers of the waiting calls.
     """
 
     subject: str
     address: str = ""
+    is_cancel: bool = False
     call_ids: list[int] = field(default_factory=list)
 
 
@@ -305,17 +312,18 @@
         authorized = self._authorize(item, call.host, call.path)
         if isinstance(authorized, Answer):
             return self._respond(item, call.path, authorized)
-        job = call.path[len(authorized[0].prefix) :]
+        queue, team = authorized
+        job = call.path[len(queue.prefix) :]
         workload = self._workloads.jobs.get(job)
-        if workload is None:
-            detail = f'job "{job}" does not exist'
-            refusal = refuse(ProblemType.GONE, Outcome.NOT_RUN, detail)
-            return self._respond(item, job, refusal)
         if isinstance(call, DescribeWorkloadCall):
+            if workload is None:
+                return self._respond(item, job, _refuse_unknown(job))
             return [Respond(item.call_id, Answer(200, WorkloadAnswer(workload.state)))]
-        if workload.has_ended:
+        if workload is not None and workload.has_ended:
             return self._respond(item, job, Answer(200))
-        return self._propose(item, CancelWorkload(job), job)
+        # Its submission may be on its way: the order in the log decides.
+        owner = team.name if team is not None and not queue.public else ""
+        return self._propose(item, CancelWorkload(job, queue.name, owner), job)
 
     def _count_waiting(self, item: CallInput, call: CountWaitingCall) -> Answer:
         authorized = self._authorize(item, call.host, call.path)
@@ -490,7 +498,8 @@
         address: str = "",
     ) -> list[Effect]:
         token = f"{self.name}/{item.call_id}"
-        pending = _Pending(subject, address, [item.call_id])
+        is_cancel = isinstance(command, CancelWorkload)
+        pending = _Pending(subject, address, is_cancel, [item.call_id])
         self._pending[token] = pending
         if address:
             self._submissions[address] = pending
@@ -501,7 +510,7 @@
         if pending is None:
             return []
         self._submissions.pop(pending.address, None)
-        answer = self._make_outcome_answer(item.status, pending, now)
+        answer = self._make_outcome_answer(item, pending, now)
         return self._respond_all(pending.call_ids, pending.subject, answer, item.index)
 
     def _respond_all(
@@ -516,18 +525,17 @@
         return effects
 
     def _make_outcome_answer(
-        self, status: ProposalStatus, pending: _Pending, now: float
+        self, outcome: ProposalOutcome, pending: _Pending, now: float
     ) -> Answer:
-        match status:
+        match outcome.status:
             case ProposalStatus.COMMITTED:
                 self._unsettled.pop(pending.address, None)
-                return Answer(200)
-            case ProposalStatus.REJECTED:
-                return refuse(
-                    ProblemType.GONE,
-                    Outcome.NOT_RUN,
-                    f"{pending.subject} no longer exists",
+                is_withdrawn = pending.is_cancel and (
+                    pending.subject not in self._workloads.jobs
                 )
+                return _refuse_unknown(pending.subject) if is_withdrawn else Answer(200)
+            case ProposalStatus.REJECTED:
+                return _refuse_rejected(outcome.result, pending.subject)
             case ProposalStatus.UNKNOWN:
                 if pending.address:
                     self._add_unsettled(pending.address, now)
@@ -565,6 +573,24 @@
         return Record(Event.FLEET_CALL_DECIDED, subject, attributes)
 
 
+def _refuse_unknown(job: str) -> Answer:
+    detail = f'job "{job}" does not exist'
+    return refuse(ProblemType.GONE, Outcome.NOT_RUN, detail)
+
+
+def _refuse_rejected(result: msgspec.Struct | None, subject: str) -> Answer:
+    """Return the answer to a call whose command is committed without an effect."""
+    reason = result.reason if isinstance(result, Rejected) else ""
+    if reason == JOB_WITHDRAWN:
+        return refuse_withdrawn(subject, KEEP_SECONDS)
+    if reason == TOO_MANY_WITHDRAWN:
+        detail = f'job "{subject}" does not exist, and too many such are cancelled'
+        return refuse(
+            ProblemType.OVERLOADED, Outcome.NOT_RUN, detail, retry_after=RETRY_SECONDS
+        )
+    return refuse(ProblemType.GONE, Outcome.NOT_RUN, f"{subject} no longer exists")
+
+
 def _describe_deregistration(call: LeaveInstanceCall, life: str) -> Effect:
     attributes: dict[str, Scalar] = {"born": call.born, "life": life}
     return Record(Event.INSTANCE_DEREGISTERED, call.instance, attributes)
--- a/src/gypsumwalk/fleet_refusals.py
+++ b/src/gypsumwalk/fleet_refusals.py
@@ -14,6 +14,7 @@
     "make_unknown_answer",
     "redirect_to_leader",
     "refuse_proposal",
+    "refuse_withdrawn",
 ]
 
 PROPOSAL_SECONDS = 2.0
@@ -89,6 +90,29 @@
     )
 
 
+def refuse_withdrawn(job: str, remaining: float) -> Answer:
+    """Return the answer to the submission of a job that was cancelled before.
+
+    Parameters
+    ----------
+    job : str
+        Identifier of the job.
+    remaining : float
+        Time in seconds for which its submission is refused.
+
+    Returns
+    -------
+    Answer
+        The refusal.
+    """
+    return refuse(
+        ProblemType.WITHDRAWN,
+        Outcome.NOT_RUN,
+        f'job "{job}" was cancelled before it was submitted',
+        retry_after=remaining,
+    )
+
+
 def make_unknown_answer() -> Answer:
     """Return the answer to a call whose command may still be committed."""
     detail = "the command may have been committed; repeat the same call"
--- a/src/gypsumwalk/problems.py
+++ b/src/gypsumwalk/problems.py
@@ -41,6 +41,7 @@
     NO_QUORUM = "no-quorum"
     NOT_LEADER = "not-leader"
     GONE = "gone"
+    WITHDRAWN = "withdrawn"
     INVALID_DECLARATION = "invalid-declaration"
     CONFLICT = "conflict"
     INVALID_FOLDER = "invalid-folder"
@@ -67,6 +68,7 @@
     ProblemType.NO_QUORUM: 503,
     ProblemType.NOT_LEADER: 503,
     ProblemType.GONE: 410,
+    ProblemType.WITHDRAWN: 503,
     ProblemType.INVALID_DECLARATION: 422,
     ProblemType.CONFLICT: 409,
     ProblemType.INVALID_FOLDER: 422,
--- a/src/gypsumwalk/submission_control.py
+++ b/src/gypsumwalk/submission_control.py
@@ -1,4 +1,4 @@
-"""Control of submissions: the leader refuses jobs that are hopeless or impossible."""
+"""Control of submissions: the leader refuses jobs that can't or must not run."""
 
 from collections.abc import Sequence
 from copy import copy
@@ -10,6 +10,7 @@
 from gypsumwalk.effects import Answer, Record, Scalar
 from gypsumwalk.events import Event
 from gypsumwalk.fleet_calls import SubmitWorkloadCall
+from gypsumwalk.fleet_refusals import refuse_withdrawn
 from gypsumwalk.impossible_jobs import KnownMachine, find_obstacle, list_known_machines
 from gypsumwalk.job_admission import Admit, Refuse
 from gypsumwalk.machine_directory import MachineDirectory
@@ -18,6 +19,7 @@
 from gypsumwalk.retry_slots import RetrySlots
 from gypsumwalk.spare_machines import SpareMachines
 from gypsumwalk.task_scheduler import TaskScheduler
+from gypsumwalk.withdrawn_jobs import KEEP_SECONDS
 from gypsumwalk.workload_records import Workload
 from gypsumwalk.workloads import WorkloadSection
 
@@ -54,8 +56,8 @@
 class SubmissionControl:
     """Decides on submissions before anything of them is stored.
 
-    It decides on transient jobs of queues with an objective only, and in doubt admits
-    them.
+    A job that was cancelled before is refused. Else it decides on transient jobs of
+    queues with an objective only, and in doubt admits them.
 
     Parameters
     ----------
@@ -142,6 +144,8 @@
             Whether it is refused.
         """
         self.observe_term(now)
+        if refusal := self._refuse_withdrawn(workload, now):
+            return Verdict(refusal)
         if not self._may_refuse(workload, queue, now):
             return Verdict()
         if reason := self._find_obstacle(workload, team, now):
@@ -150,6 +154,15 @@
             return Verdict()
         return self._decide_on_load(workload, queue, now)
 
+    def _refuse_withdrawn(self, workload: Workload, now: float) -> Answer | None:
+        """Return the refusal of a job that was cancelled before, None for others."""
+        withdrawn = self._workloads.find_withdrawn(
+            workload.queue, workload.team, workload.job, now
+        )
+        if withdrawn is None:
+            return None
+        return refuse_withdrawn(workload.job, withdrawn.at + KEEP_SECONDS - now)
+
     def preview(
         self,
         workload: Workload,
--- a/src/gypsumwalk/workload_observer.py
+++ b/src/gypsumwalk/workload_observer.py
@@ -10,7 +10,7 @@
 from gypsumwalk.effects import Effect
 from gypsumwalk.inputs import Committed, Input
 from gypsumwalk.part import NEVER
-from gypsumwalk.state import Accepted
+from gypsumwalk.state import Accepted, Rejected
 from gypsumwalk.task_scheduler import TaskScheduler
 from gypsumwalk.workload_records import (
     AcceptWorkload,
@@ -58,6 +58,8 @@
             return []
         match item.command:
             case AcceptWorkload(workload=workload):
+                if isinstance(item.result, Rejected):
+                    return []
                 self._scheduler.backlog.record_arrival(workload, item.at)
                 self._record_arrival(workload, item.at, now)
             case PlaceRuns(placements=placements):
--- a/src/gypsumwalk/workload_records.py
+++ b/src/gypsumwalk/workload_records.py
@@ -249,9 +249,22 @@
 
 
 class CancelWorkload(msgspec.Struct, frozen=True, tag=True):
-    """Command: cancel a job."""
+    """Command: cancel a job, or refuse its submission for a while if there is none.
+
+    Attributes
+    ----------
+    job : str
+        Its identifier.
+    queue : str
+        Queue that the caller named; empty in commands of earlier versions, which
+        refuse no submission.
+    team : str
+        Team that cancels it, empty on a public queue.
+    """
 
     job: str
+    queue: str = ""
+    team: str = ""
 
 
 class Placement(msgspec.Struct, frozen=True, array_like=True):
--- a/src/gypsumwalk/workloads.py
+++ b/src/gypsumwalk/workloads.py
@@ -8,6 +8,7 @@
 
 from gypsumwalk.life_history import LifeHistory, PastLives
 from gypsumwalk.state import Accepted, Rejected
+from gypsumwalk.withdrawn_jobs import WithdrawnJob, WithdrawnJobs
 from gypsumwalk.workload_records import (
     AcceptWorkload,
     CancelWorkload,
@@ -28,7 +29,13 @@
     split_life,
 )
 
-__all__ = ["WorkloadSection"]
+__all__ = ["JOB_WITHDRAWN", "TOO_MANY_WITHDRAWN", "WorkloadSection"]
+
+JOB_WITHDRAWN = "JobWithdrawn"
+"""Reason to reject a job that was cancelled before it was accepted."""
+
+TOO_MANY_WITHDRAWN = "TooManyWithdrawnJobs"
+"""Reason to reject a cancel of an unknown job."""
 
 RETENTION_SECONDS = 300.0
 """Retention of ended jobs; callers may query them for 120 s."""
@@ -42,6 +49,7 @@
     term: int
     last_born: dict[str, int]
     past: dict[str, PastLives] = {}
+    withdrawn: list[WithdrawnJob] = []
 
 
 class _LifeIndex:
@@ -75,7 +83,7 @@
 
 
 class WorkloadSection:
-    """Accepted jobs with their tasks, and the registered instances."""
+    """Accepted jobs with their tasks, kept cancels, and the registered instances."""
 
     name = "workloads"
     commands: tuple[type, ...] = (
@@ -93,6 +101,7 @@
         self.instances: dict[str, RegisteredInstance] = {}
         self.open_jobs: dict[str, Workload] = {}
         self._ended_at: dict[str, float] = {}
+        self._withdrawn = WithdrawnJobs()
         self._term = 0
         self._last_born: dict[str, int] = {}
         self._waiting: Counter[str] = Counter()
@@ -106,9 +115,9 @@
         self._evict_ended(at)
         match command:
             case AcceptWorkload(workload=workload):
-                self._accept(workload, at)
-            case CancelWorkload(job=job):
-                return self._cancel(job, index, at)
+                return self._accept(workload, index, at)
+            case CancelWorkload():
+                return self._cancel(command, index, at)
             case PlaceRuns():
                 return self._record_placements(command, index)
             case ConfirmRuns(placements=placements):
@@ -197,6 +206,29 @@
         record = self._find_record(placement.task)
         return record is not None and record.settled == placement.run
 
+    def find_withdrawn(
+        self, queue: str, team: str, job: str, now: float
+    ) -> WithdrawnJob | None:
+        """Return the cancel that refuses a submission by its queue and team, or None.
+
+        Parameters
+        ----------
+        queue : str
+            Queue of the submission.
+        team : str
+            Its team, empty without a key.
+        job : str
+            Identifier of the job.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        WithdrawnJob or None
+            The cancel.
+        """
+        return self._withdrawn.find(queue, team, job, now)
+
     def count_waiting(self, queue: str) -> int:
         """Count the open jobs of a queue without a placed task."""
         return self._waiting[queue]
@@ -206,7 +238,14 @@
         jobs = [self.jobs[job] for job in sorted(self.jobs)]
         instances = [self.instances[life] for life in sorted(self.instances)]
         return msgspec.msgpack.encode(
-            _Dump(jobs, instances, self._term, self._last_born, self._history.dump())
+            _Dump(
+                jobs,
+                instances,
+                self._term,
+                self._last_born,
+                self._history.dump(),
+                self._withdrawn.dump(),
+            )
         )
 
     def load(self, content: bytes) -> None:
@@ -234,21 +273,33 @@
             # Snapshots of earlier versions have no history.
             for instance in dump.instances:
                 self._history.note_registration(instance.instance, instance.born)
+        self._withdrawn.load(dump.withdrawn)
         self._term = dump.term
         self._last_born = dump.last_born
 
-    def _accept(self, workload: Workload, at: float) -> None:
+    def _accept(self, workload: Workload, index: int, at: float) -> msgspec.Struct:
         if workload.job in self.jobs:
-            return
+            return Accepted(index)
+        if self.find_withdrawn(workload.queue, workload.team, workload.job, at):
+            detail = f'job "{workload.job}" was cancelled before'
+            return Rejected(JOB_WITHDRAWN, detail)
         kept = msgspec.structs.replace(workload, accepted=at, tasks={}, done={})
         self.jobs[kept.job] = kept
         self.open_jobs[kept.job] = kept
         self._waiting[kept.queue] += kept.state is WorkloadState.QUEUED
+        return Accepted(index)
 
-    def _cancel(self, job: str, index: int, at: float) -> msgspec.Struct:
+    def _cancel(self, command: CancelWorkload, index: int, at: float) -> msgspec.Struct:
+        job = command.job
         workload = self.jobs.get(job)
-        if workload is None:
+        if workload is None and not command.queue:
             return Rejected("UnknownJob", f'job "{job}" does not exist')
+        if workload is None:
+            withdrawn = WithdrawnJob(command.queue, command.team, job, at)
+            if self._withdrawn.add(withdrawn):
+                return Accepted(index)
+            detail = f'too many unknown jobs of queue "{command.queue}" are cancelled'
+            return Rejected(TOO_MANY_WITHDRAWN, detail)
         if not workload.has_ended:
             self._end_job(workload, WorkloadState.CANCELLED, at)
         return Accepted(index)
