--- a/src/gypsumwalk/fleet_call_handler.py
+++ b/src/gypsumwalk/fleet_call_handler.py
@@ -530,10 +530,9 @@
         match outcome.status:
             case ProposalStatus.COMMITTED:
                 self._unsettled.pop(pending.address, None)
-                is_withdrawn = pending.is_cancel and (
-                    pending.subject not in self._workloads.jobs
-                )
-                return _refuse_unknown(pending.subject) if is_withdrawn else Answer(200)
+                if pending.is_cancel and pending.subject not in self._workloads.jobs:
+                    return _refuse_unknown(pending.subject)
+                return Answer(200)
             case ProposalStatus.REJECTED:
                 return _refuse_rejected(outcome.result, pending.subject)
             case ProposalStatus.UNKNOWN:
--- a/src/gypsumwalk/instance_departures.py
+++ b/src/gypsumwalk/instance_departures.py
@@ -9,13 +9,13 @@
 
 import msgspec
 
-from gypsumwalk.departures import Departures
 from gypsumwalk.dispatch_context import DispatchContext
 from gypsumwalk.effects import Effect, Record, Scalar
 from gypsumwalk.events import Event
 from gypsumwalk.leases import InstanceView, RunView
 from gypsumwalk.orphaned_runs import OrphanedRuns, note_lease
 from gypsumwalk.run_orders import LEASE_MARGIN_SECONDS
+from gypsumwalk.unregistered_runs import UnregisteredRuns
 from gypsumwalk.workload_records import (
     RegisteredInstance,
     RegisterInstance,
@@ -51,20 +51,20 @@
         self._context = context
         self._orphans = orphans
         self._stop = stop
-        self._departures = Departures()
+        self._unregistered_runs = UnregisteredRuns()
         self._deregistered: set[str] = set()
         """Lives that have deregistered and are still registered."""
-        self._removal_proposals: dict[str, str] = {}
-        """Lives in whose place another instance answered, by the token."""
+        self._replacement_proposals: dict[str, str] = {}
+        """Lives in whose place another one answered, by the token of their removal."""
         self._departure_proposals: dict[str, str] = {}
         """Lives that have deregistered, by the token of their removal."""
 
     def clear(self) -> None:
         """Forget all lives and runs, at the end of a term."""
-        self._departures.clear()
+        self._unregistered_runs.clear()
         self._deregistered.clear()
         self._orphans.clear()
-        self._removal_proposals.clear()
+        self._replacement_proposals.clear()
         self._departure_proposals.clear()
 
     def add_without_instance(self, runs: Iterable[RunView], now: float) -> None:
@@ -75,7 +75,7 @@
         bound = now + self._context.orders.lease_validity_bound
         for run in runs:
             expiry = self._context.contacts.find_expiry(run.life, now)
-            self._departures.add(run, max(bound, expiry))
+            self._unregistered_runs.add(run, max(bound, expiry))
 
     def begin(self, life: str, now: float) -> list[Effect]:
         """Stop the runs of a life that deregisters; it is removed once they have ended.
@@ -197,7 +197,7 @@
         """Keep the runs of a life that was removed before it ended."""
         for run in note_lease(view):
             view.remove_run(run)
-            self._departures.add(run, run.lease_expiry + LEASE_MARGIN_SECONDS)
+            self._unregistered_runs.add(run, run.lease_expiry + LEASE_MARGIN_SECONDS)
 
     def _end_with_instance(self, runs: Iterable[RunView], now: float) -> list[Effect]:
         """End runs of ended instances, unless the next life may carry them out."""
@@ -209,8 +209,8 @@
     def check(self, now: float) -> list[Effect]:
         """End what can't go on any more, and stop the runs of a next life."""
         # The next life's first list, which may contain their ends, is read later.
-        self._departures.end_replaced(self._is_replaced, now)
-        ended = self._departures.take_ended(self._context.lease_table, now)
+        self._unregistered_runs.end_replaced(self._is_replaced, now)
+        ended = self._unregistered_runs.take_ended(self._context.lease_table, now)
         effects = self._end_with_instance(ended, now) if ended else []
         return effects + self._check_orphans(now) + self._remove_empty()
 
@@ -240,7 +240,7 @@
         reason = "another instance answers in its place"
         command = RemoveInstance(view.registered.life, reason=reason)
         proposal = self._context.propose(command)
-        self._removal_proposals[proposal.token] = view.registered.life
+        self._replacement_proposals[proposal.token] = view.registered.life
         return [proposal]
 
     def take_removed(self, token: str) -> str:
@@ -249,7 +249,7 @@
         A life that has deregistered is removed again at the next check, if need be.
         """
         self._departure_proposals.pop(token, None)
-        return self._removal_proposals.pop(token, "")
+        return self._replacement_proposals.pop(token, "")
 
 
 def _describe_orphan(run: RunView, now: float) -> Record:
--- a/src/gypsumwalk/submission_control.py
+++ b/src/gypsumwalk/submission_control.py
@@ -156,7 +156,7 @@
 
     def _refuse_withdrawn(self, workload: Workload, now: float) -> Answer | None:
         """Return the refusal of a job that was cancelled before, None for others."""
-        withdrawn = self._workloads.find_withdrawn(
+        withdrawn = self._workloads.withdrawn_jobs.find(
             workload.queue, workload.team, workload.job, now
         )
         if withdrawn is None:
--- a/src/gypsumwalk/departures.py
+++ b/src/gypsumwalk/unregistered_runs.py
@@ -5,10 +5,10 @@
 from gypsumwalk.leases import LeaseTable, RunView
 from gypsumwalk.workload_records import TaskKey
 
-__all__ = ["Departures"]
+__all__ = ["UnregisteredRuns"]
 
 
-class Departures:
+class UnregisteredRuns:
     """Runs that are not to be repeated before their leases have expired."""
 
     def __init__(self) -> None:
--- a/src/gypsumwalk/workloads.py
+++ b/src/gypsumwalk/workloads.py
@@ -100,8 +100,8 @@
         self.jobs: dict[str, Workload] = {}
         self.instances: dict[str, RegisteredInstance] = {}
         self.open_jobs: dict[str, Workload] = {}
+        self.withdrawn_jobs = WithdrawnJobs()
         self._ended_at: dict[str, float] = {}
-        self._withdrawn = WithdrawnJobs()
         self._term = 0
         self._last_born: dict[str, int] = {}
         self._waiting: Counter[str] = Counter()
@@ -206,29 +206,6 @@
         record = self._find_record(placement.task)
         return record is not None and record.settled == placement.run
 
-    def find_withdrawn(
-        self, queue: str, team: str, job: str, now: float
-    ) -> WithdrawnJob | None:
-        """Return the cancel that refuses a submission by its queue and team, or None.
-
-        Parameters
-        ----------
-        queue : str
-            Queue of the submission.
-        team : str
-            Its team, empty without a key.
-        job : str
-            Identifier of the job.
-        now : float
-            Time in seconds.
-
-        Returns
-        -------
-        WithdrawnJob or None
-            The cancel.
-        """
-        return self._withdrawn.find(queue, team, job, now)
-
     def count_waiting(self, queue: str) -> int:
         """Count the open jobs of a queue without a placed task."""
         return self._waiting[queue]
@@ -244,7 +221,7 @@
                 self._term,
                 self._last_born,
                 self._history.dump(),
-                self._withdrawn.dump(),
+                self.withdrawn_jobs.dump(),
             )
         )
 
@@ -273,14 +250,14 @@
             # Snapshots of earlier versions have no history.
             for instance in dump.instances:
                 self._history.note_registration(instance.instance, instance.born)
-        self._withdrawn.load(dump.withdrawn)
+        self.withdrawn_jobs.load(dump.withdrawn)
         self._term = dump.term
         self._last_born = dump.last_born
 
     def _accept(self, workload: Workload, index: int, at: float) -> msgspec.Struct:
         if workload.job in self.jobs:
             return Accepted(index)
-        if self.find_withdrawn(workload.queue, workload.team, workload.job, at):
+        if self.withdrawn_jobs.find(workload.queue, workload.team, workload.job, at):
             detail = f'job "{workload.job}" was cancelled before'
             return Rejected(JOB_WITHDRAWN, detail)
         kept = msgspec.structs.replace(workload, accepted=at, tasks={}, done={})
@@ -296,7 +273,7 @@
             return Rejected("UnknownJob", f'job "{job}" does not exist')
         if workload is None:
             withdrawn = WithdrawnJob(command.queue, command.team, job, at)
-            if self._withdrawn.add(withdrawn):
+            if self.withdrawn_jobs.add(withdrawn):
                 return Accepted(index)
             detail = f'too many unknown jobs of queue "{command.queue}" are cancelled'
             return Rejected(TOO_MANY_WITHDRAWN, detail)
