Take an instance as gone once the list of machines no longer names it

What callers saw: nothing yet.

Change: the machines' list says when an instance has ended. If a list of this term named a deregistered instance on its machine, and a whole list that was requested after the deregistration has no such machine, or names another instance there, it has ended. A machine leaves the list as its instance has the answer: acknowledged within 10 ms, machines were missing from the next list; acknowledged after 0.76 s, they were still named by the list at 0.25 s and missing from the one at 1.25 s. Lists are requested every 0.25 s while a departing instance has runs, where a list takes one call. An instance that takes no calls is answered at once, as there is nothing to wait for.

Tests: without this, three of the tests of TestDepartedInstances fail, and test_a_task_runs_again_if_its_instance_takes_no_calls_as_it_leaves, in all three subtests; the other new ones say what a list does not show, and pass.

--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -23,7 +23,7 @@
     PlatformOutcome,
     ProposalOutcome,
 )
-from gypsumwalk.leases import LeaseTable, RunView
+from gypsumwalk.leases import InstanceView, LeaseTable, RunView
 from gypsumwalk.life_contacts import LifeContacts
 from gypsumwalk.part import NEVER
 from gypsumwalk.pass_schedule import PassSchedule
@@ -271,6 +271,10 @@
             return effects
         return effects + self._modules.departures.begin(life, now)
 
+    def list_departing(self) -> list[InstanceView]:
+        """Return the instances that have deregistered and are still registered."""
+        return self._modules.departures.list_departing()
+
     def _tick(self, now: float) -> list[Effect]:
         if not self.is_leading(now):
             return []
--- a/src/gypsumwalk/fleet_call_handler.py
+++ b/src/gypsumwalk/fleet_call_handler.py
@@ -73,6 +73,9 @@
 """Time after which a deregistration is acknowledged although the instance may go on
 with its runs; it calls another daemon after 1 s, and a stop takes 0.4 s at most."""
 
+DEPARTURE_CHECK_SECONDS = 0.02
+"""Interval of checks whether an instance that deregisters still answers."""
+
 UNSETTLED_SECONDS = 10.0
 """Time in which a command whose proposal timed out may still be committed; it is longer
 than an election and the retries of a caller."""
@@ -180,11 +183,12 @@
         self._unsettled: dict[str, float] = {}
         self._departures: dict[str, _Departure] = {}
         """Unanswered deregistrations, by the life that they concern."""
+        self._check_due = 0.0
 
     @property
     def wakeup(self) -> float:
         """Time in seconds at which ``advance`` is due."""
-        return min((item.due for item in self._departures.values()), default=NEVER)
+        return self._check_due if self._departures else NEVER
 
     def handle(self, item: Input, now: float) -> Sequence[Effect]:
         """Process a call, or the outcome of the proposal for one."""
@@ -198,10 +202,16 @@
         return []
 
     def advance(self, now: float) -> Sequence[Effect]:
-        """Answer the deregistrations of instances whose runs may go on."""
+        """Answer the deregistrations of instances whose runs can't be awaited."""
+        self._check_due = now + DEPARTURE_CHECK_SECONDS
+        silent = {
+            view.registered.life
+            for view in self._dispatcher.list_departing()
+            if view.silent_since and view.runs
+        }
         effects: list[Effect] = []
         for life, departure in list(self._departures.items()):
-            if departure.due <= now:
+            if departure.due <= now or life in silent:
                 effects += self._answer_departure(life, now)
         return effects
 
--- a/src/gypsumwalk/instance_departures.py
+++ b/src/gypsumwalk/instance_departures.py
@@ -1,8 +1,8 @@
 """Lives of instances that have ended or depart, and what becomes of their runs.
 
 An instance ends once its deregistration is acknowledged, or else some seconds later, so
-its runs are stopped first. What does not answer goes on until its lease expires: it may
-be cut off, and not receive the acknowledgement either.
+its runs are stopped first. What does not answer goes on until the machines are listed
+without it, or its lease expires: it may be cut off, and wait for its acknowledgement.
 """
 
 from collections.abc import Callable, Iterable
@@ -109,13 +109,17 @@
             effects.append(self._context.propose(RegisterInstance(draining)))
         return effects
 
+    def list_departing(self) -> list[InstanceView]:
+        """Return the instances that have deregistered and are still registered."""
+        instances = self._context.lease_table.instances
+        return [instances[life] for life in sorted(self._deregistered)]
+
     def _remove_empty(self) -> list[Effect]:
         """Propose the removal of the deregistered lives whose runs have ended."""
-        instances = self._context.lease_table.instances
         effects: list[Effect] = []
-        for life in sorted(self._deregistered):
-            if not instances[life].runs:
-                effects += self._propose_departure(life)
+        for view in self.list_departing():
+            if not view.runs:
+                effects += self._propose_departure(view.registered.life)
         return effects
 
     def _propose_departure(self, life: str) -> list[Effect]:
--- a/src/gypsumwalk/machine_directory.py
+++ b/src/gypsumwalk/machine_directory.py
@@ -17,6 +17,12 @@
 LIST_SECONDS = 1.0
 """Polling interval; a move takes 1.5 s and a maintenance 2 s."""
 
+AWAITED_LIST_SECONDS = 0.25
+"""Polling interval while a list may show that an instance has left with its runs."""
+
+MAX_MACHINES_PER_CALL = 200
+"""Machines up to which a list takes one call and may be requested more often."""
+
 CALL_SECONDS = 2.0
 """Timeout of one call to the machine API, which may be slow."""
 
@@ -51,6 +57,8 @@
         self.machines: dict[str, MachineInfo] = {}
         self.read_at = float("-inf")
         """Time in seconds at which the list in ``machines`` was requested."""
+        self._named: dict[str, str] = {}
+        """Instance that a list of this term last named on each machine."""
         self._unchanged_since = NEVER
         self._workloads = workloads
         self._dispatcher = dispatcher
@@ -67,7 +75,7 @@
         return self._due
 
     def handle(self, item: Input, now: float) -> Sequence[Effect]:
-        """Store a list, and remove the instances whose machines are down."""
+        """Store a list, and remove the instances that have ended by what it says."""
         if not isinstance(item, PlatformOutcome):
             return []
         requested_at = self._open_requests.pop(item.token, None)
@@ -79,7 +87,10 @@
         self._replace_machines(item.report, now)
         # The list may be as old as the request for it.
         self.read_at = requested_at
-        return self._remove_dead_instances(now)
+        effects = self._remove_dead_instances()
+        effects += self._remove_departed_instances(item.report)
+        self._note_named(item.report)
+        return effects
 
     def advance(self, now: float) -> Sequence[Effect]:
         """Request the list if a poll is due."""
@@ -89,10 +100,11 @@
         if self._dispatcher.term != self._term:
             self._term = self._dispatcher.term
             self.machines = {}
+            self._named.clear()
             self._unchanged_since = NEVER
             self._requested_at = float("-inf")
             self._open_requests.clear()
-        if now - self._requested_at < LIST_SECONDS:
+        if now - self._requested_at < self._find_interval():
             return []
         self._requested_at = now
         self._request_count += 1
@@ -100,6 +112,13 @@
         self._open_requests[token] = now
         return [CallPlatform(token, ListMachines(), CALL_SECONDS)]
 
+    def _find_interval(self) -> float:
+        if len(self.machines) > MAX_MACHINES_PER_CALL:
+            return LIST_SECONDS
+        departing = self._dispatcher.list_departing()
+        has_runs = any(view.runs for view in departing)
+        return AWAITED_LIST_SECONDS if has_runs else LIST_SECONDS
+
     def _replace_machines(self, report: MachineList, now: float) -> None:
         machines = {info.machine: info for info in report.machines}
         if not report.is_complete:
@@ -108,7 +127,7 @@
             self._unchanged_since = now
         self.machines = machines
 
-    def _remove_dead_instances(self, now: float) -> list[Effect]:
+    def _remove_dead_instances(self) -> list[Effect]:
         """Propose to remove silent instances whose machines are down."""
         effects: list[Effect] = []
         for life, view in self._dispatcher.lease_table.instances.items():
@@ -121,11 +140,46 @@
                     "runs": len(view.runs),
                 }
                 effects.append(Record(Event.INSTANCE_DOWN, life, attributes))
-                token = f"{self.name}/end/{life}"
-                command = RemoveInstance(life, reason="its machine is down")
-                effects.append(Propose(token, command, PROPOSAL_SECONDS))
+                effects.append(self._propose_removal(life, "its machine is down"))
+        return effects
+
+    def _remove_departed_instances(self, report: MachineList) -> list[Effect]:
+        """Propose to remove deregistered instances that their machine no longer runs.
+
+        They may have been named before the list was requested only: what a list has
+        never named, it does not show to be gone.
+        """
+        effects: list[Effect] = []
+        for view in self._dispatcher.list_departing():
+            registered = view.registered
+            is_later = view.deregistered_at <= self.read_at
+            was_named = self._named.get(registered.machine) == registered.instance
+            if is_later and was_named and self._has_left(registered, report):
+                reason = "it has deregistered, and its machine no longer runs it"
+                effects.append(self._propose_removal(registered.life, reason))
         return effects
 
+    def _has_left(self, registered: RegisteredInstance, report: MachineList) -> bool:
+        info = self.machines.get(registered.machine)
+        if info is None:
+            return report.is_complete
+        return info.instance not in ("", registered.instance)
+
+    def _propose_removal(self, life: str, reason: str) -> Propose:
+        token = f"{self.name}/end/{life}"
+        return Propose(token, RemoveInstance(life, reason=reason), PROPOSAL_SECONDS)
+
+    def _note_named(self, report: MachineList) -> None:
+        if report.is_complete:
+            departing = {
+                view.registered.machine for view in self._dispatcher.list_departing()
+            }
+            for machine in self._named.keys() - self.machines.keys() - departing:
+                del self._named[machine]
+        for info in report.machines:
+            if info.instance:
+                self._named[info.machine] = info.instance
+
     def is_settled(self, seconds: float, now: float) -> bool:
         """Tell whether it is known which machines there are.
 
--- a/tests/test_departing_instances.py
+++ b/tests/test_departing_instances.py
@@ -24,13 +24,18 @@
 
 
 class DepartingInstance:
-    """Instance that deregisters until it is answered, and then ends."""
+    """Instance that deregisters until it is answered, and then ends.
 
-    def __init__(self, world, number, *, lost_answers=0):
+    One that closes takes no calls meanwhile. Its machine leaves the list with it.
+    """
+
+    def __init__(self, world, number, *, lost_answers=0, closes=False):
         self.world = world
         self.instance = world.get_instance(number)
         self.lost_answers = lost_answers
+        self.closes = closes
         self.began = world.now
+        self.instance.is_silent = closes
         self.deregister()
 
     def deregister(self):
@@ -38,7 +43,7 @@
         if self.instance.is_dead:
             return
         if world.now - self.began >= GIVE_UP_SECONDS:
-            world.model.crash(self.instance, world.now)
+            self.leave()
             return
         leader = world.find_leader()
         if leader:
@@ -52,7 +57,12 @@
         if self.lost_answers:
             self.lost_answers -= 1
         elif not self.instance.is_dead:
-            self.world.model.crash(self.instance, self.world.now)
+            self.leave()
+
+    def leave(self):
+        self.world.model.crash(self.instance, self.world.now)
+        if self.closes:
+            del self.world.model.machines[self.instance.registered.machine]
 
 
 def make_world(seed=0, **step):
@@ -97,6 +107,15 @@
                 assert world.ask(LeaveInstanceCall("i-0", 1001)).status == 200
                 assert world.now - called_at < ANSWER_SECONDS
 
+    # It takes no calls any more as it deregisters, but its runs go on until it has the
+    # answer, so that the list of machines is what shows their end.
+    def test_a_task_runs_again_if_its_instance_takes_no_calls_as_it_leaves(self):
+        for lost_answers in (0, 1, 3):
+            with self.subTest(lost_answers=lost_answers):
+                world = make_world()
+                DepartingInstance(world, 0, lost_answers=lost_answers, closes=True)
+                assert measure_restart(world, within=8.0) < 1.0
+
     # The instance went on, and the task was started elsewhere.
     def test_a_task_runs_once_if_the_acknowledgement_is_lost(self):
         for lost_answers in (1, 2, 10):
--- a/tests/test_machine_directory.py
+++ b/tests/test_machine_directory.py
@@ -17,6 +17,7 @@
     dispatcher = mock.Mock(term=1)
     dispatcher.is_leading.return_value = True
     dispatcher.lease_table.instances = {"i@2": view}
+    dispatcher.list_departing.return_value = []
     return MachineDirectory(mock.Mock(), dispatcher)
 
 
@@ -58,6 +59,65 @@
         assert len(list_removals(answer(directory, call, "down", 10.2))) == 1
 
 
+class TestDepartedInstances(unittest.TestCase):
+    """Only a list that was requested after a deregistration can show the end."""
+
+    def setUp(self):
+        self.directory = make_directory(silent_since=0.0)
+        registered = SimpleNamespace(machine="m", instance="i", life="i@2")
+        self.view = SimpleNamespace(
+            registered=registered, deregistered_at=10.5, runs={"run": 1}
+        )
+        self.directory._dispatcher.list_departing.return_value = [self.view]
+
+    def poll(self, now, instance="i", *, is_complete=True):
+        """Read a list with machine ``m``, or without it if ``instance`` is None."""
+        call = request(self.directory, now)
+        listed = []
+        if instance is not None:
+            listed = [MachineInfo("m", "service-a", "up", instance=instance)]
+        report = MachineList(listed, is_complete)
+        outcome = PlatformOutcome(call.token, succeeded=True, report=report)
+        return list_removals(self.directory.handle(outcome, now + 0.1))
+
+    def test_it_is_removed_once_its_machine_no_longer_runs_it(self):
+        for instance in (None, "another"):
+            with self.subTest(instance=instance):
+                self.setUp()
+                assert not self.poll(10.0)
+                assert not self.poll(11.0)
+                assert len(self.poll(12.0, instance)) == 1
+
+    # Guards against TWICE: an entry that can't be read shows no end.
+    def test_a_list_that_lacks_entries_shows_no_end(self):
+        self.poll(10.0)
+        assert not self.poll(11.0, None, is_complete=False)
+        assert not self.poll(12.0, "")
+        assert len(self.poll(13.0, None)) == 1
+
+    def test_a_list_that_was_requested_before_shows_no_end(self):
+        self.poll(9.0)
+        assert not self.poll(10.4, None)
+
+    def test_a_list_shows_no_end_of_what_none_has_named(self):
+        for instance in (None, "another"):
+            with self.subTest(instance=instance):
+                self.setUp()
+                assert not self.poll(11.0, instance)
+                assert not self.poll(12.0, None)
+
+    def test_a_new_term_has_named_none(self):
+        self.poll(10.0)
+        self.directory._dispatcher.term = 2
+        assert not self.poll(11.0, None)
+
+    def test_lists_are_requested_sooner_while_runs_are_awaited(self):
+        self.poll(10.0)
+        assert request(self.directory, 10.3)
+        self.view.runs = {}
+        assert not self.directory.advance(10.9)
+
+
 class TestSettledMachines(unittest.TestCase):
     """A job may be refused as impossible only if all machines are known for a while."""
 
