--- a/src/gypsumwalk/machine_directory.py
+++ b/src/gypsumwalk/machine_directory.py
@@ -146,7 +146,8 @@
     def _remove_departed_instances(self, report: MachineList) -> list[Effect]:
         """Propose to remove deregistered instances that their machine no longer runs.
 
-        A list shows that only of instances that an earlier one named on their machine.
+        They may have been named before the list was requested only: what a list has
+        never named, it does not show to be gone.
         """
         effects: list[Effect] = []
         for view in self._dispatcher.list_departing():
