Plan places for all lasting tasks of a machine before a wave empties it

Cause: `WaveDraining.drain` stopped the lasting runs of a chosen machine as far as their budgets went, and asked for no place. The machine stayed closed to new tasks, so its own could not return, and they used up the budget that the rest of the drain waited for. `list_movable` asked for budgets only, `drain_ahead` for a place run by run, so that one place was counted for several tasks. Nothing took a chosen machine back.

Change: one question for a whole machine, before its first stop and again in each pass (`PlaceBook`): does each lasting task have a place of its own, or can it wait for the return of the machine within its budget? It decides for machines that go next, for those that are emptied early and for moves ahead. A machine that can't be emptied stays open, gives its turn to another one and says so (5027). One whose place was lost after the first stop is opened again (5033).

Why it works: no run is stopped without a way to the end of the drain, and if that way is lost, the tasks return to the machine, which has room for them.

tests/test_evacuation_pools.py called a private method whose parameters have changed; it calls the public step now, with the same assertions.

--- a/src/gypsumwalk/availability.py
+++ b/src/gypsumwalk/availability.py
@@ -89,6 +89,20 @@
                     return False
         return unavailable < step.max_unavailable
 
+    def may_interrupt_all(
+        self, runs: Sequence[RunView], lease_table: LeaseTable
+    ) -> bool:
+        """Tell whether runs of different steps may be stopped together."""
+        by_step: dict[tuple[str, int, int], list[RunView]] = {}
+        for run in runs:
+            key = run.task.job, run.task.occurrence, run.task.step
+            by_step.setdefault(key, []).append(run)
+        return all(
+            len(self.choose_interruptible(group, lease_table)) == len(group)
+            and self.may_interrupt(group[0], lease_table)
+            for group in by_step.values()
+        )
+
     def find_limit(self, run: RunView) -> int:
         """Return how many tasks of the step of a run may be stopped at once.
 
--- a/src/gypsumwalk/candidates.py
+++ b/src/gypsumwalk/candidates.py
@@ -165,6 +165,28 @@
                 return True
         return False
 
+    def list_open(
+        self, lease_table: LeaseTable, closed: Set[str], now: float
+    ) -> dict[str, list[InstanceView]]:
+        """Return the instances that take new tasks if they have room, by service.
+
+        Parameters
+        ----------
+        lease_table : LeaseTable
+            Instances and the runs that may be going on there.
+        closed : set of str
+            Machines that get no new work.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        dict of str to list of InstanceView
+            The instances.
+        """
+        self._follow_changes(lease_table, closed, now)
+        return {service: pool.list_views() for service, pool in self._pools.items()}
+
     def has_room_for_job(
         self,
         workload: Workload,
--- a/src/gypsumwalk/dispatcher.py
+++ b/src/gypsumwalk/dispatcher.py
@@ -243,6 +243,10 @@
         """Tell whether the budget of a lasting step allows to stop one of its runs."""
         return self._availability.may_interrupt(run, self.lease_table)
 
+    def may_interrupt_all(self, runs: Sequence[RunView]) -> bool:
+        """Tell whether the budgets of their steps allow to stop runs together."""
+        return self._availability.may_interrupt_all(runs, self.lease_table)
+
     def find_interruption_limit(self, run: RunView) -> int:
         """Return how many runs of a lasting step its budget allows to stop at once."""
         return self._availability.find_limit(run)
--- a/src/gypsumwalk/events.py
+++ b/src/gypsumwalk/events.py
@@ -342,6 +342,12 @@
         "wave {wave} has not taken down the machine yet: {reason}; {left} s left,"
         " urgent {urgent}",
     )
+    MACHINE_REOPENED = EventEntry(
+        5033,
+        Level.WARNING,
+        "the machine takes tasks again, as lasting tasks have no place elsewhere; waves"
+        " leave it alone for {pause} s",
+    )
     SUBMISSION_REFUSED = EventEntry(
         5070,
         Level.INFO,
--- a/src/gypsumwalk/maintenance_controller.py
+++ b/src/gypsumwalk/maintenance_controller.py
@@ -1,6 +1,7 @@
 """Control loop of the leader that takes machines down for maintenance waves."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+from dataclasses import replace
 
 import msgspec
 
@@ -36,7 +37,9 @@
     WaveMachine,
     WavePlan,
     find_concurrency,
+    find_drain_cost,
     find_hold,
+    is_wave_urgent,
     plan_wave,
 )
 from gypsumwalk.workload_records import RemoveInstance, split_life
@@ -195,12 +198,19 @@
             return []
         if not self._directory.machines:
             return []
+        waiting = {wave.wave: self._list_waiting(wave, now) for wave in waves}
+        due = [item.machine for listed in waiting.values() for item in listed]
+        self._draining.begin(due, now)
         effects: list[Effect] = []
         cordoned: set[str] = set()
+        later: list[str] = []
         for wave in waves:
-            effects += self._advance_wave(wave, cordoned, now)
+            effects += self._advance_wave(
+                wave, waiting[wave.wave], cordoned, later, now
+            )
+        effects += self._draining.drain_ahead(later, now)
         self._cordon(cordoned, now)
-        return effects
+        return [*self._draining.take_records(), *effects]
 
     def _cordon(self, machines: set[str], now: float) -> None:
         """Replace the cordoned machines; tasks may wait for the others."""
@@ -219,6 +229,7 @@
         self._pending_proposals.clear()
         self._emptied.clear()
         self._holds.clear()
+        self._draining.clear()
         self._cordon(set(), now)
         self._delay_open_orders(now)
 
@@ -230,9 +241,24 @@
 
     # Waves
 
+    def _list_waiting(self, wave: UpkeepWave, now: float) -> list[WaveMachine]:
+        """Return the machines of a wave without an order, the next one first."""
+        waiting = [
+            self._describe(machine, now)
+            for machine in wave.remaining
+            if machine not in wave.begun
+        ]
+        return sorted(waiting, key=find_drain_cost)
+
     def _advance_wave(
-        self, wave: UpkeepWave, cordoned: set[str], now: float
+        self,
+        wave: UpkeepWave,
+        waiting: Sequence[WaveMachine],
+        cordoned: set[str],
+        later: list[str],
+        now: float,
     ) -> list[Effect]:
+        """Advance a wave; add its closed machines, and those that are emptied later."""
         effects = self._complete_missing(wave)
         remaining = [
             item for item in wave.remaining if item in self._directory.machines
@@ -240,32 +266,22 @@
         effects += self._resend_orders(wave, remaining, now)
         down = sum(self._is_down(wave, machine, now) for machine in wave.begun)
         down += sum(self._is_begin_pending(wave, machine) for machine in remaining)
-        waiting = [
-            self._describe(machine, now)
-            for machine in wave.remaining
-            if machine not in wave.begun
-        ]
-        plan = self._plan(wave, waiting, now)
+        plan = self._plan(wave, waiting, now, has_room=down < wave.max_down)
         self._emptied |= set(plan.emptied)
+        self._emptied.difference_update(plan.blocked)
+        later += plan.later
         cordoned.update(plan.chosen)
         cordoned.update(item for item in wave.begun if self._is_down(wave, item, now))
         # One that is ordered down only now and then must not get work in between.
         cordoned.update(item for item in remaining if item in wave.begun)
         views = {item.machine: item for item in waiting}
-        for machine in plan.chosen:
-            effects += self._draining.drain(machine, now)
-            if self._is_begin_pending(wave, machine):
-                continue
-            has_room = down < wave.max_down
-            if find_hold(views[machine], plan, has_room=has_room) is None:
-                down += 1
-                effects += self._propose_begin(wave, machine)
+        begun, down = self._begin_chosen(wave, plan, views, down, now)
+        effects += begun
         effects += self._retry_refused(wave, remaining, down, now)
         listed = [item.machine for item in waiting if item.is_listed]
         self._scheduler.due_for_maintenance.update(listed)
         if plan.is_closing:
             self._scheduler.held_in_pool.update(listed)
-        effects += self._draining.drain_ahead(plan.later, now)
         has_room = down < wave.max_down
         unordered = [
             item for item in waiting if not self._is_begin_pending(wave, item.machine)
@@ -274,9 +290,62 @@
             wave, unordered, plan, now, has_room=has_room
         )
 
+    def _begin_chosen(
+        self,
+        wave: UpkeepWave,
+        plan: WavePlan,
+        views: Mapping[str, WaveMachine],
+        down: int,
+        now: float,
+    ) -> tuple[list[Effect], int]:
+        """Drain the chosen machines, and take down those that nothing holds back.
+
+        Return the effects, and how many machines of the wave are down.
+        """
+        effects: list[Effect] = []
+        # Their tasks wait for their return, so no other machine may take their turn.
+        pausing = {item for item in plan.chosen if self._draining.is_pausing(item)}
+        for machine in plan.chosen:
+            view = views[machine]
+            has_room = down + len(pausing - {machine}) < wave.max_down
+            can_go_down = has_room and self._can_go_down_paused(view, plan)
+            effects += self._draining.drain(machine, now, can_go_down=can_go_down)
+            if self._draining.is_pausing(machine):
+                pausing.add(machine)
+            if self._is_begin_pending(wave, machine):
+                pausing.discard(machine)
+                continue
+            if find_hold(view, plan, has_room=has_room) is None:
+                down += 1
+                pausing.discard(machine)
+                effects += self._propose_begin(wave, machine)
+        return effects, down
+
+    def _can_go_down_paused(self, view: WaveMachine, plan: WavePlan) -> bool:
+        """Tell whether only the lasting runs of a machine hold it back."""
+        runs = view.runs - view.lasting_runs
+        paused = replace(view, runs=runs, lasting_runs=0, stopping_runs=0)
+        is_held = find_hold(paused, plan, has_room=True) is not None
+        return not is_held and not view.stopping_runs
+
     def _plan(
-        self, wave: UpkeepWave, waiting: Sequence[WaveMachine], now: float
+        self,
+        wave: UpkeepWave,
+        waiting: Sequence[WaveMachine],
+        now: float,
+        *,
+        has_room: bool,
     ) -> WavePlan:
+        is_urgent = is_wave_urgent(wave, waiting, now, self._maintenance)
+
+        def can_empty(item: WaveMachine) -> bool:
+            is_idle = not item.lasting_runs and (is_urgent or not item.runs)
+            return self._draining.can_empty(
+                item.machine,
+                can_go_down=has_room and item.is_up and is_idle,
+                is_leaving=item.is_leaving,
+            )
+
         used = [item.machine for item in waiting if item.lasting_runs]
         rounds, at_once = self._draining.count_moves(used)
         return plan_wave(
@@ -287,6 +356,7 @@
             has_standby=bool(self._declarations.find_standby()),
             move_rounds=rounds,
             movable=self._draining.list_movable(used, at_once),
+            can_empty=can_empty,
         )
 
     def _is_spare(self, machine: str, runs: Sequence[RunView]) -> bool:
@@ -319,6 +389,7 @@
             stopping_runs=sum(run.is_stopping for run in lasting),
             is_emptied=machine in self._emptied,
             is_pinned=any(self._is_pinned(run) for run in lasting),
+            is_started=self._draining.is_started(machine),
         )
 
     def _is_pinned(self, run: RunView) -> bool:
--- a/src/gypsumwalk/task_scheduler.py
+++ b/src/gypsumwalk/task_scheduler.py
@@ -8,13 +8,20 @@
 from gypsumwalk.declaration_records import Resources
 from gypsumwalk.declarations import DeclarationSection
 from gypsumwalk.effects import Record
+from gypsumwalk.emptying import LastingTask
 from gypsumwalk.evacuation_planning import (
     EvacuationPlanner,
     LeavingStep,
     PlannedMove,
 )
 from gypsumwalk.lateness import LatenessPredictor
-from gypsumwalk.leases import UNKNOWN_PERCENT, LeaseTable, RunState, RunView
+from gypsumwalk.leases import (
+    UNKNOWN_PERCENT,
+    InstanceView,
+    LeaseTable,
+    RunState,
+    RunView,
+)
 from gypsumwalk.overload_order import OrderPreview
 from gypsumwalk.part import NEVER
 from gypsumwalk.placement_forecast import PoolSnapshot
@@ -457,6 +464,86 @@
             now,
         )
 
+    def list_open_instances(
+        self, lease_table: LeaseTable, now: float
+    ) -> dict[str, list[InstanceView]]:
+        """Return the instances that take new tasks if they have room, by service."""
+        return self._lister.list_open(lease_table, self._closed, now)
+
+    def describe_lasting(
+        self, run: RunView, lease_table: LeaseTable
+    ) -> LastingTask | None:
+        """Describe the task of a lasting run that has to leave its machine.
+
+        Parameters
+        ----------
+        run : RunView
+            The run.
+        lease_table : LeaseTable
+            Runs that may be going on.
+
+        Returns
+        -------
+        LastingTask or None
+            The task; None if its job has ended, so that it needs no place.
+        """
+        workload = self._workloads.open_jobs.get(run.task.job)
+        if workload is None:
+            return None
+        quota = self._quotas.get_quota(workload.team)
+        used = lease_table.usage_by_team.get(workload.team, Resources())
+        return LastingTask(
+            run.task,
+            workload.steps[run.task.step],
+            self.find_service(workload),
+            run,
+            has_quota=is_within_quota(used, quota),
+        )
+
+    def has_waiting_lasting(self) -> bool:
+        """Tell whether lasting tasks waited at the latest pass."""
+        return any(group.is_lasting for group in self._waiting.list_groups())
+
+    def list_waiting_lasting(
+        self, lease_table: LeaseTable, now: float
+    ) -> list[LastingTask]:
+        """Return the lasting tasks that wait for room only.
+
+        Parameters
+        ----------
+        lease_table : LeaseTable
+            Runs that may be going on.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        list of LastingTask
+            The tasks within the quotas of their teams.
+        """
+        self._update_ready(lease_table, now)
+        used = dict(lease_table.usage_by_team)
+        listed: list[LastingTask] = []
+        for group in self._waiting.list_groups():
+            for name in sorted(group.lasting_jobs):
+                workload = group.jobs[name].workload
+                service = self.find_service(workload)
+                for tasks in group.jobs[name].tasks.values():
+                    step = workload.steps[tasks[0].step]
+                    if not step.lasting:
+                        continue
+                    count = self._quotas.charge(workload.team, step, len(tasks), used)
+                    listed += [
+                        LastingTask(task, step, service) for task in tasks[:count]
+                    ]
+        return listed
+
+    def has_run_before(self, task: TaskKey) -> bool:
+        """Tell whether a run of a task has been placed before."""
+        workload = self._workloads.jobs.get(task.job)
+        record = workload.tasks.get(task[1:]) if workload else None
+        return record is not None and record.run > 0
+
     def _has_quota(
         self, team: str, step: Step, usage_by_team: Mapping[str, Resources]
     ) -> bool:
--- a/src/gypsumwalk/wave_draining.py
+++ b/src/gypsumwalk/wave_draining.py
@@ -5,9 +5,11 @@
 
 from gypsumwalk.dispatcher import Dispatcher
 from gypsumwalk.effects import Effect, Record, Scalar
+from gypsumwalk.emptying import PlannedMove
 from gypsumwalk.events import Event
 from gypsumwalk.leases import RunState, RunView
 from gypsumwalk.machine_directory import MachineDirectory
+from gypsumwalk.machine_emptying import MachineEmptying
 from gypsumwalk.task_scheduler import TaskScheduler
 
 __all__ = ["WaveDraining"]
@@ -23,7 +25,7 @@
     dispatcher : Dispatcher
         Placement of runs on instances, and orders to stop them.
     scheduler : TaskScheduler
-        Tells whether another machine has room for a task.
+        Instances that take work, and tasks that wait for one.
     directory : MachineDirectory
         Machines of the fleet.
     """
@@ -38,6 +40,11 @@
         self._dispatcher = dispatcher
         self._scheduler = scheduler
         self._directory = directory
+        self._emptying = MachineEmptying(
+            dispatcher=dispatcher, scheduler=scheduler, directory=directory
+        )
+        self._reserved: set[_StepKey] = set()
+        """Steps whose budgets a machine that goes next waits for."""
 
     def list_runs(self, machine: str) -> list[RunView]:
         """Return the runs that may be going on on a machine."""
@@ -107,31 +114,123 @@
         exhausted.add(step)
         return False
 
-    def drain(self, machine: str, now: float) -> list[Effect]:
-        """Stop the lasting tasks of a machine that is taken down next."""
+    def begin(self, due: Sequence[str], now: float) -> None:
+        """Begin a pass over the machines that are due, the next one first."""
+        self._reserved.clear()
+        self._emptying.begin(due, now)
+
+    def clear(self) -> None:
+        """Forget which machines are being emptied, at the start of a term."""
+        self._emptying.clear()
+
+    def take_records(self) -> list[Record]:
+        """Return the events of machines that were given up in this pass."""
+        return self._emptying.take_records()
+
+    def is_pausing(self, machine: str) -> bool:
+        """Tell whether tasks were stopped to wait for the return of a machine."""
+        return self._emptying.is_pausing(machine)
+
+    def is_started(self, machine: str) -> bool:
+        """Tell whether lasting tasks of a machine that goes next were stopped."""
+        return self._emptying.is_started(machine)
+
+    def can_empty(
+        self, machine: str, *, can_go_down: bool = False, is_leaving: bool = False
+    ) -> bool:
+        """Tell whether all lasting tasks can leave a machine that goes next.
+
+        Parameters
+        ----------
+        machine : str
+            The machine.
+        can_go_down : bool
+            Whether it is empty and can be taken down in this pass.
+        is_leaving : bool
+            Whether its instance leaves in any case.
+
+        Returns
+        -------
+        bool
+            Whether each task has a place, or may wait for the return of the machine.
+        """
+        return self._emptying.can_empty(
+            machine, can_go_down=can_go_down, is_leaving=is_leaving
+        )
+
+    def drain(self, machine: str, now: float, *, can_go_down: bool) -> list[Effect]:
+        """Stop the lasting tasks of a machine that is taken down next.
+
+        Tasks that wait for the return of the machine are stopped last, all at the same
+        time.
+
+        Parameters
+        ----------
+        machine : str
+            A machine whose lasting tasks can leave it.
+        now : float
+            Time in seconds.
+        can_go_down : bool
+            Whether it can be taken down as soon as its lasting tasks have ended.
+
+        Returns
+        -------
+        list of Effect
+            Orders to stop runs, and their events.
+        """
+        plan = self._emptying.find_plan(machine)
+        if plan is None:
+            return []
+        if not plan.moves:
+            return self._pause(machine, plan.pauses, now) if can_go_down else []
         effects: list[Effect] = []
-        for run in self._list_movable(machine):
-            if self._dispatcher.may_interrupt(run):
-                effects += self._evacuate(run, machine, now)
+        for move in sorted(plan.moves, key=_find_readiness):
+            effects += self._move(move.run, machine, now)
         return effects
 
+    def _pause(self, machine: str, runs: Sequence[RunView], now: float) -> list[Effect]:
+        """Stop runs whose tasks wait for the return of a machine."""
+        if not runs:
+            return []
+        is_known = all(run.state is RunState.RUNNING for run in runs)
+        if not is_known or not self._dispatcher.may_interrupt_all(runs):
+            # Moves from other machines would use up the budgets again and again.
+            self._reserved.update(_find_step(run) for run in runs)
+            return []
+        self._emptying.note_pause(machine, runs)
+        effects: list[Effect] = []
+        for run in runs:
+            effects += self._evacuate(run, machine, now)
+        return effects
+
+    def _move(self, run: RunView, machine: str, now: float) -> list[Effect]:
+        """Stop a run whose task has another place, if its budget allows."""
+        is_known = run.state is RunState.RUNNING
+        if not is_known or _find_step(run) in self._reserved:
+            return []
+        if not self._dispatcher.may_interrupt(run):
+            return []
+        self._emptying.note_started(machine)
+        return self._evacuate(run, machine, now)
+
     def drain_ahead(self, machines: Sequence[str], now: float) -> list[Effect]:
         """Evacuate lasting tasks of machines that are taken down later.
 
         The budgets of their steps allow only a few evacuations at a time, too few for
-        the end of a wave. Transient tasks still start on these machines.
+        the end of a wave. Transient tasks still start on these machines, and lasting
+        ones if a place is lost, so a task is stopped only if its place is free.
         """
         effects: list[Effect] = []
-        exhausted: set[_StepKey] = set()
+        exhausted: set[_StepKey] = set(self._reserved)
         for machine in machines:
-            for run in self._list_movable(machine):
-                step = _find_step(run)
-                if step in exhausted:
-                    continue
-                if not self._dispatcher.may_interrupt(run):
-                    exhausted.add(step)
-                elif self._scheduler.can_move(run, self._dispatcher.lease_table, now):
-                    effects += self._evacuate(run, machine, now)
+            if not any(
+                self._may_move(run, exhausted) for run in self._list_movable(machine)
+            ):
+                continue
+            plan = self._emptying.plan_ahead(machine)
+            for move in plan.moves if plan is not None else ():
+                if move.is_ready and self._may_move(move.run, exhausted):
+                    effects += self._evacuate(move.run, machine, now)
         return effects
 
     def _list_movable(self, machine: str) -> list[RunView]:
@@ -150,3 +249,8 @@
 def _find_step(run: RunView) -> _StepKey:
     job, occurrence, step, _ = run.task
     return job, occurrence, step
+
+
+def _find_readiness(move: PlannedMove) -> bool:
+    """Return a sort key by which tasks with a free place move first."""
+    return not move.is_ready
--- a/src/gypsumwalk/wave_pacing.py
+++ b/src/gypsumwalk/wave_pacing.py
@@ -1,8 +1,9 @@
 """Pace of maintenance waves: which machines go next, and what holds the others back."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum
+from itertools import islice
 
 from gypsumwalk.upkeep import UpkeepWave
 
@@ -13,8 +14,10 @@
     "WaveMachine",
     "WavePlan",
     "find_concurrency",
+    "find_drain_cost",
     "find_hold",
     "find_time_needed",
+    "is_wave_urgent",
     "plan_wave",
 ]
 
@@ -48,6 +51,7 @@
     MOVING = "moving"
     COOLDOWN = "cooldown"
     NOT_UP = "not up"
+    NO_PLACE = "no place for its lasting tasks"
     LASTING_RUN = "lasting run"
     DRAINING = "draining"
     TRANSIENT_RUN = "transient run"
@@ -85,6 +89,8 @@
         Whether an earlier plan emptied it ahead of its turn.
     is_pinned : bool
         Whether it has a lasting run that no budget ever allows to stop.
+    is_started : bool
+        Whether its lasting tasks are being moved, so that it goes on.
     """
 
     machine: str
@@ -99,6 +105,7 @@
     stopping_runs: int = 0
     is_emptied: bool = False
     is_pinned: bool = False
+    is_started: bool = False
 
     @property
     def is_due(self) -> bool:
@@ -119,6 +126,8 @@
         they are taken down, as lasting tasks would start there again.
     later : tuple of str
         Other machines in use, whose lasting tasks may move ahead.
+    blocked : tuple of str
+        Machines that would go next if their lasting tasks could leave them.
     is_urgent : bool
         Whether transient runs are not waited for any more.
     is_closing : bool
@@ -130,6 +139,7 @@
     later: tuple[str, ...]
     is_urgent: bool
     is_closing: bool
+    blocked: tuple[str, ...] = ()
 
 
 def plan_wave(
@@ -141,6 +151,7 @@
     has_standby: bool,
     move_rounds: int = 0,
     movable: Sequence[str] = (),
+    can_empty: Callable[[WaveMachine], bool] = lambda machine: True,
 ) -> WavePlan:
     """Choose the machines of a wave that go next.
 
@@ -161,6 +172,9 @@
         other.
     movable : Sequence of str
         Machines whose lasting tasks the budgets allow to move now.
+    can_empty : callable
+        Tells whether all lasting tasks can leave a machine, if those that it accepted
+        before are emptied too.
 
     Returns
     -------
@@ -170,13 +184,23 @@
     left = wave.started + wave.duration - now
     listed = sum(item.is_listed for item in machines)
     needed = find_time_needed(listed, wave, maintenance)
-    due = sorted((item for item in machines if item.is_due), key=_find_drain_cost)
+    due = sorted((item for item in machines if item.is_due), key=find_drain_cost)
     standby = [item.machine for item in due if item.is_standby]
     active = [item for item in due if not item.is_standby]
     concurrency = find_concurrency(
         listed, wave, now, maintenance, has_standby=has_standby
     )
-    chosen = [item.machine for item in active[:concurrency]]
+    blocked: list[str] = []
+
+    def is_accepted(item: WaveMachine) -> bool:
+        """Tell whether a machine can be emptied, and note it otherwise."""
+        if can_empty(item):
+            return True
+        blocked.append(item.machine)
+        return False
+
+    accepted = filter(is_accepted, active)
+    chosen = [item.machine for item in islice(accepted, concurrency)]
     emptied: list[str] = []
     round_seconds = maintenance + REGISTRATION_SECONDS
     moving_seconds = move_rounds * TASK_MOVE_SECONDS
@@ -185,22 +209,41 @@
         emptied = [
             item.machine
             for item in active
-            if item.is_emptied or item.machine in movable
+            if item.machine not in blocked
+            and (item.is_emptied or item.machine in movable)
+            and (item.machine in chosen or is_accepted(item))
         ]
         chosen += [item for item in emptied if item not in chosen]
     return WavePlan(
         chosen=(*standby[: wave.max_down], *chosen),
         emptied=tuple(emptied),
-        later=tuple(item.machine for item in active if item.machine not in chosen),
-        is_urgent=left < needed,
+        later=tuple(
+            item.machine
+            for item in active
+            if item.machine not in chosen and item.machine not in blocked
+        ),
+        is_urgent=is_wave_urgent(wave, machines, now, maintenance),
         is_closing=left < needed + MOVE_SECONDS,
+        blocked=tuple(blocked),
     )
 
 
-def _find_drain_cost(machine: WaveMachine) -> tuple[bool, bool, int]:
+def find_drain_cost(machine: WaveMachine) -> tuple[bool, bool, bool, int]:
+    """Return a sort key by which the machines in use go; the smallest goes first.
+
+    Parameters
+    ----------
+    machine : WaveMachine
+        The machine.
+
+    Returns
+    -------
+    tuple
+        The key.
+    """
     # One that can't be taken down would keep the places of those chosen from others.
     is_blocked = machine.is_pinned or not machine.is_up
-    return is_blocked, machine.is_leaving, machine.runs
+    return is_blocked, not machine.is_started, machine.is_leaving, machine.runs
 
 
 def find_time_needed(count: int, wave: UpkeepWave, maintenance: float) -> float:
@@ -224,6 +267,32 @@
     return rounds * (maintenance + REGISTRATION_SECONDS) + DEADLINE_RESERVE_SECONDS
 
 
+def is_wave_urgent(
+    wave: UpkeepWave, machines: Sequence[WaveMachine], now: float, maintenance: float
+) -> bool:
+    """Tell whether a wave waits no longer for transient runs.
+
+    Parameters
+    ----------
+    wave : UpkeepWave
+        The wave.
+    machines : Sequence of WaveMachine
+        Machines whose maintenance is not ordered yet.
+    now : float
+        Time in seconds.
+    maintenance : float
+        Time in seconds that the maintenance of a machine takes.
+
+    Returns
+    -------
+    bool
+        Whether the time left is that of the remaining rounds, or less.
+    """
+    listed = sum(item.is_listed for item in machines)
+    left = wave.started + wave.duration - now
+    return left < find_time_needed(listed, wave, maintenance)
+
+
 def find_concurrency(
     due: int, wave: UpkeepWave, now: float, maintenance: float, *, has_standby: bool
 ) -> int:
@@ -286,6 +355,10 @@
         (HoldReason.MOVING, machine.is_moving),
         (HoldReason.COOLDOWN, machine.is_cooling),
         (HoldReason.NOT_UP, not machine.is_up),
+        (
+            HoldReason.NO_PLACE,
+            machine.machine in plan.blocked and not machine.is_pinned,
+        ),
         (HoldReason.LASTING_RUN, machine.lasting_runs > machine.stopping_runs),
         (HoldReason.DRAINING, machine.lasting_runs > 0),
         (HoldReason.TURN, machine.machine not in plan.chosen),
--- a/tests/test_evacuation_pools.py
+++ b/tests/test_evacuation_pools.py
@@ -196,9 +196,9 @@
         self.controller = MaintenanceController(
             daemon="a",
             declarations=mock.Mock(find_standby=lambda: STANDBY),
-            upkeep=mock.Mock(loads=0),
+            upkeep=mock.Mock(loads=0, list_open=lambda: [self.wave]),
             evacuations=self.evacuations,
-            dispatcher=mock.Mock(),
+            dispatcher=mock.Mock(term=1),
             scheduler=TaskScheduler(mock.Mock(), mock.Mock(), mock.Mock()),
             directory=directory,
             cooldown=OrderCooldown("a"),
@@ -207,7 +207,7 @@
         self.wave = UpkeepWave(1, ["m-0"], NOW, 120.0, 1)
 
     def list_begun(self):
-        effects = self.controller._advance_wave(self.wave, set(), NOW + 1.0)
+        effects = self.controller.advance(NOW + 1.0)
         return [
             item.command.machine
             for item in effects
