Move lasting tasks ahead of a machine's turn one by one again

Moves ahead had waited until a machine could be emptied whole, so that a step with a budget of one began to move some seconds later.

A task that moves ahead needs no more than a free place of its own on a machine that stays: it moves once, and its machine stays open. Places are still promised to one task only.

--- a/src/gypsumwalk/emptying.py
+++ b/src/gypsumwalk/emptying.py
@@ -149,6 +149,18 @@
         self._unplaced[step] += 1
         return False
 
+    def promise_free(self, item: LastingTask) -> bool:
+        """Promise a place that is free on a machine that stays, if there is one."""
+        need = find_need(item.step)
+        self._steps_left = MAX_SEARCH_STEPS
+        for place in self._list_places(item):
+            machine = place.view.registered.machine
+            if machine in self._ranks or not need.fits(place.free):
+                return False
+            self._take(item, place)
+            return True
+        return False
+
     def note_fresh(self, item: LastingTask) -> None:
         """Note a task that has not run yet, which takes no place from the others."""
         step = find_step_key(item.task)
--- a/src/gypsumwalk/machine_emptying.py
+++ b/src/gypsumwalk/machine_emptying.py
@@ -73,7 +73,6 @@
         self._scheduler = scheduler
         self._directory = directory
         self._refused_until: dict[str, float] = {}
-        self._ahead_refused_until: dict[str, float] = {}
         self._retries: dict[str, _Retry] = {}
         self._started: set[str] = set()
         """Machines whose lasting tasks have been stopped."""
@@ -96,7 +95,6 @@
         """Forget all plans, at the start of a term."""
         for state in (
             self._refused_until,
-            self._ahead_refused_until,
             self._retries,
             self._started,
             self._pausing,
@@ -173,15 +171,13 @@
                 self._plans[machine] = self._find_plan(machine, can_go_down)
         return self._plans[machine] is not None
 
-    def plan_ahead(self, machine: str) -> EmptyingPlan | None:
-        """Plan how tasks leave a machine that stays open to transient ones."""
-        is_refused = self._now < self._ahead_refused_until.get(machine, 0.0)
-        if is_refused or self._is_refused(machine) or self._is_resting(machine):
-            return None
-        plan = self._make_plan(machine)
-        if plan is None:
-            self._ahead_refused_until[machine] = self._now + REFUSAL_SECONDS
-        return plan
+    def promise_free(self, run: RunView) -> bool:
+        """Promise a free place to the task of a run whose machine is not next.
+
+        The place is on a machine that stays, so that the task moves only once.
+        """
+        item = self._scheduler.describe_lasting(run, self._dispatcher.lease_table)
+        return item is None or self._open_book().promise_free(item)
 
     def note_started(self, machine: str) -> None:
         """Note that a lasting task of a machine is being stopped."""
--- a/src/gypsumwalk/wave_draining.py
+++ b/src/gypsumwalk/wave_draining.py
@@ -217,20 +217,19 @@
         """Evacuate lasting tasks of machines that are taken down later.
 
         The budgets of their steps allow only a few evacuations at a time, too few for
-        the end of a wave. Transient tasks still start on these machines, and lasting
-        ones if a place is lost, so a task is stopped only if its place is free.
+        the end of a wave. Transient tasks still start on these machines, so a task
+        needs a free place of its own on a machine that stays, and nothing else.
         """
         effects: list[Effect] = []
         exhausted: set[_StepKey] = set(self._reserved)
         for machine in machines:
-            if not any(
-                self._may_move(run, exhausted) for run in self._list_movable(machine)
-            ):
-                continue
-            plan = self._emptying.plan_ahead(machine)
-            for move in plan.moves if plan is not None else ():
-                if move.is_ready and self._may_move(move.run, exhausted):
-                    effects += self._evacuate(move.run, machine, now)
+            for run in self._list_movable(machine):
+                if not self._may_move(run, exhausted):
+                    continue
+                if self._emptying.promise_free(run):
+                    effects += self._evacuate(run, machine, now)
+                else:
+                    exhausted.add(_find_step(run))
         return effects
 
     def _list_movable(self, machine: str) -> list[RunView]:
