Take the key of a step from one place

Cause: `wave_draining` and `may_interrupt_all` made the key of a step again that `emptying.find_step_key` makes, or that the task itself contains.

Change: both use it; nothing else changes.

--- a/src/gypsumwalk/availability.py
+++ b/src/gypsumwalk/availability.py
@@ -95,8 +95,7 @@
         """Tell whether runs of different steps may be stopped together."""
         by_step: dict[tuple[str, int, int], list[RunView]] = {}
         for run in runs:
-            key = run.task.job, run.task.occurrence, run.task.step
-            by_step.setdefault(key, []).append(run)
+            by_step.setdefault(run.task[:3], []).append(run)
         return all(
             len(self.choose_interruptible(group, lease_table)) == len(group)
             and self.may_interrupt(group[0], lease_table)
--- a/src/gypsumwalk/emptying.py
+++ b/src/gypsumwalk/emptying.py
@@ -16,6 +16,7 @@
     "LastingTask",
     "PlaceBook",
     "PlannedMove",
+    "StepKey",
     "find_step_key",
 ]
 
--- a/src/gypsumwalk/wave_draining.py
+++ b/src/gypsumwalk/wave_draining.py
@@ -5,7 +5,7 @@
 
 from gypsumwalk.dispatcher import Dispatcher
 from gypsumwalk.effects import Effect, Record, Scalar
-from gypsumwalk.emptying import PlannedMove
+from gypsumwalk.emptying import PlannedMove, StepKey, find_step_key
 from gypsumwalk.events import Event
 from gypsumwalk.leases import RunState, RunView
 from gypsumwalk.machine_directory import MachineDirectory
@@ -14,8 +14,6 @@
 
 __all__ = ["WaveDraining"]
 
-_StepKey = tuple[str, int, int]
-
 
 class WaveDraining:
     """Stops lasting tasks on machines that a wave takes down.
@@ -43,7 +41,7 @@
         self._emptying = MachineEmptying(
             dispatcher=dispatcher, scheduler=scheduler, directory=directory
         )
-        self._reserved: set[_StepKey] = set()
+        self._reserved: set[StepKey] = set()
         """Steps whose budgets a machine that goes next waits for."""
 
     def list_runs(self, machine: str) -> list[RunView]:
@@ -65,12 +63,12 @@
             Most moves of one step that its budget allows only one after the other, and
             the number of moves that all budgets allow at the same time.
         """
-        counts: Counter[_StepKey] = Counter()
-        limits: dict[_StepKey, int] = {}
+        counts: Counter[StepKey] = Counter()
+        limits: dict[StepKey, int] = {}
         for machine in machines:
             for run in self.list_runs(machine):
                 if run.is_lasting:
-                    step = _find_step(run)
+                    step = find_step_key(run.task)
                     counts[step] += 1
                     limit = self._dispatcher.find_interruption_limit(run)
                     limits[step] = max(1, limit)
@@ -94,7 +92,7 @@
             Machines each of whose lasting tasks is being stopped, or may be.
         """
         movable: list[str] = []
-        exhausted: set[_StepKey] = set()
+        exhausted: set[StepKey] = set()
         for machine in machines:
             if len(movable) >= limit:
                 break
@@ -103,10 +101,10 @@
                 movable.append(machine)
         return movable
 
-    def _may_move(self, run: RunView, exhausted: set[_StepKey]) -> bool:
+    def _may_move(self, run: RunView, exhausted: set[StepKey]) -> bool:
         if run.is_stopping:
             return True
-        step = _find_step(run)
+        step = find_step_key(run.task)
         if step in exhausted or run.state is not RunState.RUNNING:
             return False
         if self._dispatcher.may_interrupt(run):
@@ -195,7 +193,7 @@
         is_known = all(run.state is RunState.RUNNING for run in runs)
         if not is_known or not self._dispatcher.may_interrupt_all(runs):
             # Moves from other machines would use up the budgets again and again.
-            self._reserved.update(_find_step(run) for run in runs)
+            self._reserved.update(find_step_key(run.task) for run in runs)
             return []
         self._emptying.note_pause(machine, runs)
         effects: list[Effect] = []
@@ -206,7 +204,7 @@
     def _move(self, run: RunView, machine: str, now: float) -> list[Effect]:
         """Stop a run whose task has another place, if its budget allows."""
         is_known = run.state is RunState.RUNNING
-        if not is_known or _find_step(run) in self._reserved:
+        if not is_known or find_step_key(run.task) in self._reserved:
             return []
         if not self._dispatcher.may_interrupt(run):
             return []
@@ -221,7 +219,7 @@
         needs a free place of its own on a machine that stays, and nothing else.
         """
         effects: list[Effect] = []
-        exhausted: set[_StepKey] = set(self._reserved)
+        exhausted: set[StepKey] = set(self._reserved)
         for machine in machines:
             for run in self._list_movable(machine):
                 if not self._may_move(run, exhausted):
@@ -229,7 +227,7 @@
                 if self._emptying.promise_free(run):
                     effects += self._evacuate(run, machine, now)
                 else:
-                    exhausted.add(_find_step(run))
+                    exhausted.add(find_step_key(run.task))
         return effects
 
     def _list_movable(self, machine: str) -> list[RunView]:
@@ -245,11 +243,6 @@
         return [record, *self._dispatcher.stop(run, now)]
 
 
-def _find_step(run: RunView) -> _StepKey:
-    job, occurrence, step, _ = run.task
-    return job, occurrence, step
-
-
 def _find_readiness(move: PlannedMove) -> bool:
     """Return a sort key by which tasks with a free place move first."""
     return not move.is_ready
